--- /dev/null
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -0,0 +1,76 @@
+//! What a shard asks its driver to do.
+
+use crate::event::SessionId;
+use micaspool_fair::ServiceLevel;
+use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId, Revision};
+use std::time::Duration;
+
+/// Why a ticket was not accepted.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReleaseReason {
+    /// The customer has as many waiting requests as it may.
+    CustomerFull,
+    /// The shard has as many waiting requests as it holds.
+    ShardFull,
+    /// The retry budget is spent.
+    RetryBudget,
+}
+
+/// One thing for the driver to do.
+#[derive(Clone, PartialEq, Debug)]
+pub enum ShardAction {
+    /// Tell the router that its request waits, at this place in the arrival order.
+    Accepted {
+        /// The stream to the router.
+        session: SessionId,
+        /// The request.
+        request: RequestId,
+        /// Its place in the arrival order.
+        order: OrderNumber,
+    },
+    /// Tell the router to send its request to an endpoint.
+    Grant {
+        /// The stream to the router.
+        session: SessionId,
+        /// The request.
+        request: RequestId,
+        /// Where it shall run.
+        endpoint: EndpointName,
+        /// The cost that was charged.
+        estimate: Cost,
+        /// The customer's level after the charge.
+        level: ServiceLevel,
+        /// Its place in the arrival order.
+        order: OrderNumber,
+        /// The router's newest heartbeat that the dispatcher had; the lease runs from when the
+        /// router sent it.
+        heartbeat: u64,
+        /// The length of the lease.
+        lease: Duration,
+        /// The revision of the settings that the grant follows.
+        revision: Revision,
+    },
+    /// Tell the router that its request is refused; it was not run.
+    Refuse {
+        /// The stream to the router.
+        session: SessionId,
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: ReleaseReason,
+        /// When coming back may help.
+        retry_after: Duration,
+    },
+    /// Answer a heartbeat.
+    Pulse {
+        /// The stream to the router.
+        session: SessionId,
+        /// The heartbeat's number.
+        heartbeat: u64,
+    },
+    /// Ask the router to open a new stream and say what it holds.
+    Rejoin {
+        /// The stream to the router.
+        session: SessionId,
+    },
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -0,0 +1,193 @@
+//! What happens to a shard.
+
+use micaspool_fair::ServiceLevel;
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, OrderNumber,
+    RequestId, Revision, Weight,
+};
+use std::collections::BTreeSet;
+
+/// One stream between a router and the dispatcher; a reconnect has a new one.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct SessionId(pub u64);
+
+/// A request that waits for an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestTicket {
+    /// The request.
+    pub request: RequestId,
+    /// Whose request it is.
+    pub customer: CustomerName,
+    /// What it may cost, roughly; zero when nothing is known.
+    pub hint: Cost,
+    /// Its priority among the customer's requests; lower runs first.
+    pub priority: u8,
+    /// How often it was sent to an endpoint before.
+    pub attempt: u32,
+    /// The endpoint that failed it last.
+    pub avoid: Option<EndpointName>,
+    /// Hashes of growing prefixes of the prompt, the shortest first.
+    pub prefixes: Vec<u64>,
+    /// The order number that it was given before, if any.
+    pub order: Option<OrderNumber>,
+}
+
+/// A grant that a router holds when it joins.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldGrant {
+    /// The request.
+    pub request: RequestId,
+    /// Whose request it is.
+    pub customer: CustomerName,
+    /// Where it runs.
+    pub endpoint: EndpointName,
+    /// The estimate that was charged.
+    pub estimate: Cost,
+    /// What was delivered so far.
+    pub delivered: Cost,
+    /// Its order number.
+    pub order: OrderNumber,
+}
+
+/// A customer's level as a router last heard it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldTotal {
+    /// The customer.
+    pub customer: CustomerName,
+    /// Its level.
+    pub level: ServiceLevel,
+    /// The order number of the grant that carried the level.
+    pub order: OrderNumber,
+}
+
+/// What a router says when it joins a shard: who it is and everything it holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouterHello {
+    /// The instance of the router.
+    pub router: InstanceName,
+    /// Tells one life of the router from the next.
+    pub incarnation: Incarnation,
+    /// Its waiting requests.
+    pub waiting: Vec<RequestTicket>,
+    /// Its running requests.
+    pub running: Vec<HeldGrant>,
+    /// The levels that it knows.
+    pub totals: Vec<HeldTotal>,
+    /// The number of its newest heartbeat.
+    pub heartbeat: u64,
+}
+
+/// How a grant ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum GrantFate {
+    /// The endpoint answered.
+    Done,
+    /// The endpoint refused for lack of capacity; nothing ran.
+    Refused,
+    /// No connection could be made; nothing ran.
+    Unreachable,
+    /// The endpoint said that it is leaving; nothing ran.
+    Draining,
+    /// The endpoint failed after the request was sent.
+    Broken,
+    /// The router did not send the request.
+    Unsent,
+}
+
+/// An endpoint as settings describe it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointSpec {
+    /// The name of the endpoint.
+    pub name: EndpointName,
+    /// The index of its data hall.
+    pub hall: usize,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// True when operators have taken it out of use.
+    pub leaving: bool,
+}
+
+/// A customer as settings describe it for this shard's service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShardCustomer {
+    /// The name of the customer.
+    pub name: CustomerName,
+    /// Its share.
+    pub weight: Weight,
+    /// The halls in which its requests may run.
+    pub halls: HallMask,
+    /// The most requests that may wait.
+    pub max_waiting: u32,
+}
+
+/// The part of the settings that a shard needs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ShardPolicy {
+    /// The revision of the settings.
+    pub revision: Revision,
+    /// The data halls, by index.
+    pub halls: Vec<HallName>,
+    /// The endpoints of the service.
+    pub endpoints: Vec<EndpointSpec>,
+    /// Every customer.
+    pub customers: Vec<ShardCustomer>,
+}
+
+/// What an endpoint says of itself, some time after it was true.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadReport {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// How many requests it runs.
+    pub running: u32,
+    /// True when it takes no new work.
+    pub draining: bool,
+    /// When the report was asked for.
+    pub asked_at: Moment,
+}
+
+/// What an endpoint says of its prefix cache; such news come late and with gaps.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CacheNews {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Hashes of prefixes that it now holds.
+    pub stored: Vec<u64>,
+    /// Hashes of prefixes that it no longer holds.
+    pub dropped: Vec<u64>,
+}
+
+/// One thing that happens to a shard.
+#[derive(Clone, Debug)]
+pub enum ShardEvent {
+    /// New settings are in force.
+    Policy(ShardPolicy),
+    /// A router has opened a stream.
+    Joined(SessionId, RouterHello),
+    /// A stream has ended.
+    Left(SessionId),
+    /// A router that stops has no requests any more.
+    Goodbye(SessionId),
+    /// A request begins to wait.
+    Submit(SessionId, RequestTicket),
+    /// A waiting request is given up.
+    Cancel(SessionId, RequestId),
+    /// A running request has delivered this much in all.
+    Progress(SessionId, RequestId, Cost),
+    /// A grant has ended with this cost.
+    Settle(SessionId, RequestId, Cost, GrantFate),
+    /// A router is alive.
+    Heartbeat(SessionId, u64),
+    /// An endpoint reports its load.
+    Load(LoadReport),
+    /// An endpoint did not answer a load report in time.
+    Unreachable(EndpointName),
+    /// The platform lists these endpoints as leaving.
+    Listed(BTreeSet<EndpointName>),
+    /// An endpoint's cache has changed.
+    Cache(CacheNews),
+    /// Time has passed.
+    Tick,
+    /// The dispatcher stops; routers shall go elsewhere.
+    Stop,
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -0,0 +1,25 @@
+//! The shard core: which endpoint serves which waiting request of one service, and when.
+//!
+//! * [`ShardCore`] is a state machine: [`ShardCore::step`] takes a moment and a [`ShardEvent`] and
+//!   adds [`ShardAction`]s to the caller's buffer,
+//! * [`ShardOptions`] has its limits and times,
+//! * [`CandidateChoice`] decides to which dispatcher a router speaks.
+//!
+//! Everything here is free of I/O, clocks and randomness.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod action;
+mod candidates;
+mod event;
+mod options;
+mod shard;
+
+pub use action::{ReleaseReason, ShardAction};
+pub use candidates::{rank_candidates, CandidateChoice, ChoiceOptions, ChoiceStep};
+pub use event::{
+    CacheNews, EndpointSpec, GrantFate, HeldGrant, HeldTotal, LoadReport, RequestTicket, RouterHello,
+    SessionId, ShardCustomer, ShardEvent, ShardPolicy,
+};
+pub use options::{ShardOptions, ShardOptionsBuilder};
+pub use shard::{CustomerStatus, EndpointStatus, ShardCore, ShardStatus};
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -0,0 +1,116 @@
+//! The customers of a shard: accounts, queues and limits.
+
+use crate::event::ShardCustomer;
+use micaspool_fair::{CostEstimator, CustomerIndex, OrderPolicy, Rank, ServiceAccount, ServiceLevel};
+use micaspool_types::{Cost, CustomerName, HallMask, OrderNumber, RequestId, Weight};
+use std::collections::{BTreeMap, HashMap};
+
+/// The limit for a customer that the settings in force here do not name yet.
+const UNLISTED_MAX_WAITING: u32 = 64;
+
+/// The place of a ticket in its customer's queue: priority, then arrival.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub(super) struct QueuePlace {
+    pub priority: u8,
+    pub order: OrderNumber,
+}
+
+/// One customer in one shard.
+#[derive(Debug)]
+pub(super) struct CustomerState {
+    pub name: CustomerName,
+    pub halls: HallMask,
+    pub max_waiting: u32,
+    pub account: ServiceAccount,
+    pub estimator: CostEstimator,
+    pub queue: BTreeMap<QueuePlace, RequestId>,
+    pub running: u32,
+    /// The halls and rank under which the customer stands in the index.
+    pub indexed: Option<(HallMask, Rank)>,
+    /// The order number of the newest grant whose level is in the account.
+    pub level_order: OrderNumber,
+}
+
+/// Every customer that the shard has met.
+#[derive(Debug)]
+pub(super) struct CustomerTable {
+    states: Vec<CustomerState>,
+    names: HashMap<CustomerName, CustomerIndex>,
+    ceiling: Cost,
+}
+
+impl CustomerTable {
+    pub fn new(ceiling: Cost) -> CustomerTable {
+        CustomerTable { states: Vec::new(), names: HashMap::new(), ceiling }
+    }
+
+    pub fn indices(&self) -> impl Iterator<Item = CustomerIndex> {
+        (0..self.states.len() as u32).map(CustomerIndex)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &CustomerState> {
+        self.states.iter()
+    }
+
+    pub fn get(&self, index: CustomerIndex) -> &CustomerState {
+        &self.states[index.0 as usize]
+    }
+
+    pub fn get_mut(&mut self, index: CustomerIndex) -> &mut CustomerState {
+        &mut self.states[index.0 as usize]
+    }
+
+    /// The customer with this name. One that the settings do not name yet may use no hall, so
+    /// that its tickets wait until newer settings arrive.
+    pub fn ensure(&mut self, name: &CustomerName) -> CustomerIndex {
+        if let Some(index) = self.names.get(name) {
+            return *index;
+        }
+        let index = CustomerIndex(self.states.len() as u32);
+        self.names.insert(name.clone(), index);
+        self.states.push(CustomerState {
+            name: name.clone(),
+            halls: HallMask::EMPTY,
+            max_waiting: UNLISTED_MAX_WAITING,
+            account: ServiceAccount::new(Weight::ONE),
+            estimator: CostEstimator::new(self.ceiling),
+            queue: BTreeMap::new(),
+            running: 0,
+            indexed: None,
+            level_order: OrderNumber(0),
+        });
+        index
+    }
+
+    /// Takes over weights, halls and limits; customers that are no longer named lose all halls.
+    pub fn adopt(&mut self, specs: &[ShardCustomer], present: HallMask, policy: &dyn OrderPolicy) {
+        for state in &mut self.states {
+            state.halls = HallMask::EMPTY;
+        }
+        for spec in specs {
+            let index = self.ensure(&spec.name);
+            let state = self.get_mut(index);
+            state.halls = spec.halls.intersect(present);
+            state.max_waiting = spec.max_waiting;
+            state.change_weight(spec.weight, policy);
+        }
+    }
+}
+
+impl CustomerState {
+    /// The level with everything charged so far.
+    pub fn level(&self, policy: &dyn OrderPolicy) -> ServiceLevel {
+        self.account.base().plus(policy.level(&self.account))
+    }
+
+    /// Keeps what was received under the old weight and counts on under the new one.
+    fn change_weight(&mut self, weight: Weight, policy: &dyn OrderPolicy) {
+        if weight == self.account.weight() {
+            return;
+        }
+        let level = self.level(policy);
+        self.account.rebase(ServiceLevel(0), weight);
+        let running = policy.level(&self.account);
+        self.account.rebase(ServiceLevel(level.0.saturating_sub(running.0)), weight);
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -0,0 +1,272 @@
+//! The endpoints of a shard: slots, and whether they may take new work.
+
+use crate::event::{EndpointSpec, GrantFate, LoadReport};
+use micaspool_types::{EndpointName, HallMask, Moment};
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+/// The first pause after an endpoint failed or refused; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// The longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(16);
+/// How long a load report counts.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+/// Load is compared in this many parts of an endpoint's slots.
+const LOAD_PARTS: u32 = 1_000;
+
+/// The position of an endpoint in its shard's list.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub(super) struct EndpointIndex(u32);
+
+/// Why an endpoint takes nothing new, apart from full slots.
+#[derive(Debug, Default)]
+struct EndpointDoors {
+    /// Settings no longer have it, or say that it leaves.
+    settings: bool,
+    /// The platform lists it as leaving.
+    listed: bool,
+    /// It said so itself, at this moment.
+    draining_since: Option<Moment>,
+    /// It failed or refused and is left alone until this moment.
+    paused_until: Option<Moment>,
+}
+
+#[derive(Debug)]
+pub(super) struct EndpointState {
+    pub name: EndpointName,
+    pub hall: usize,
+    pub slots: u32,
+    /// Grants of this shard that hold a slot.
+    pub busy: u32,
+    /// Slots that something else uses, as two reports in a row agree.
+    pub foreign: u32,
+    doors: EndpointDoors,
+    /// Failures in a row.
+    failures: u32,
+    /// The surplus of the last report over our own grants, and when it came.
+    last_surplus: Option<(u32, Moment)>,
+    /// The load under which the endpoint stands in its hall's set of free endpoints.
+    indexed: Option<u32>,
+}
+
+/// Every endpoint that the shard has met, and which have a free slot.
+#[derive(Debug, Default)]
+pub(super) struct EndpointTable {
+    states: Vec<EndpointState>,
+    names: HashMap<EndpointName, EndpointIndex>,
+    free: Vec<BTreeSet<(u32, EndpointIndex)>>,
+    pauses: BTreeSet<(Moment, EndpointIndex)>,
+}
+
+impl EndpointState {
+    /// True when the endpoint may take new work once it has a slot.
+    pub fn is_open(&self) -> bool {
+        let doors = &self.doors;
+        !doors.settings && !doors.listed && doors.draining_since.is_none() && doors.paused_until.is_none()
+    }
+
+    /// The slots that may be used now. After failures an endpoint gets one request at a time
+    /// until one succeeds.
+    fn usable_slots(&self) -> u32 {
+        if self.failures > 0 {
+            self.slots.min(1)
+        } else {
+            self.slots
+        }
+    }
+
+    /// The load in parts of the slots, when there is a free one.
+    fn free_load(&self) -> Option<u32> {
+        let taken = self.busy + self.foreign;
+        let free = self.is_open() && taken < self.usable_slots();
+        free.then(|| taken * LOAD_PARTS / self.slots.max(1))
+    }
+}
+
+impl EndpointTable {
+    pub fn by_name(&self, name: &EndpointName) -> Option<EndpointIndex> {
+        self.names.get(name).copied()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointState> {
+        self.states.iter()
+    }
+
+    pub fn name(&self, endpoint: EndpointIndex) -> &EndpointName {
+        &self.state(endpoint).name
+    }
+
+    pub fn hall(&self, endpoint: EndpointIndex) -> usize {
+        self.state(endpoint).hall
+    }
+
+    /// The endpoint with this name. One that the settings do not name takes nothing new.
+    pub fn ensure(&mut self, name: &EndpointName) -> EndpointIndex {
+        if let Some(index) = self.names.get(name) {
+            return *index;
+        }
+        let index = EndpointIndex(self.states.len() as u32);
+        self.names.insert(name.clone(), index);
+        self.states.push(EndpointState {
+            name: name.clone(),
+            hall: 0,
+            slots: 0,
+            busy: 0,
+            foreign: 0,
+            doors: EndpointDoors { settings: true, ..EndpointDoors::default() },
+            failures: 0,
+            last_surplus: None,
+            indexed: None,
+        });
+        index
+    }
+
+    /// Takes over the endpoints of new settings; others get nothing new and finish what runs.
+    pub fn adopt(&mut self, specs: &[EndpointSpec]) {
+        for index in 0..self.states.len() as u32 {
+            self.unindex(EndpointIndex(index));
+            self.states[index as usize].doors.settings = true;
+        }
+        for spec in specs {
+            let index = self.ensure(&spec.name);
+            let state = self.state_mut(index);
+            state.hall = spec.hall;
+            state.slots = spec.slots;
+            state.doors.settings = spec.leaving;
+        }
+        let halls = self.states.iter().map(|state| state.hall + 1).max().unwrap_or(0);
+        self.free.resize_with(halls.max(self.free.len()), BTreeSet::new);
+        for index in 0..self.states.len() as u32 {
+            self.reindex(EndpointIndex(index));
+        }
+    }
+
+    /// The halls that have an endpoint in the settings in force.
+    pub fn halls_present(&self) -> HallMask {
+        let present = self.states.iter().filter(|state| state.slots > 0);
+        present.fold(HallMask::EMPTY, |mask, state| mask.union(HallMask::single(state.hall)))
+    }
+
+    /// The halls that have a free slot.
+    pub fn free_halls(&self) -> HallMask {
+        let halls = self.free.iter().enumerate().filter(|(_, set)| !set.is_empty());
+        halls.fold(HallMask::EMPTY, |mask, (hall, _)| mask.union(HallMask::single(hall)))
+    }
+
+    /// True when the endpoint has a free slot and is in one of `halls`.
+    pub fn is_free(&self, endpoint: EndpointIndex, halls: HallMask) -> bool {
+        let state = self.state(endpoint);
+        state.indexed.is_some() && halls.contains(state.hall)
+    }
+
+    /// The free endpoint with the lowest load in one of `halls`, other than `avoided`.
+    pub fn least_loaded(&self, halls: HallMask, avoided: Option<EndpointIndex>) -> Option<EndpointIndex> {
+        let sets = self.free.iter().enumerate().filter(|(hall, _)| halls.contains(*hall));
+        let heads = sets.filter_map(|(_, set)| set.iter().find(|(_, endpoint)| Some(*endpoint) != avoided));
+        heads.min().map(|(_, endpoint)| *endpoint)
+    }
+
+    /// Takes one slot.
+    pub fn occupy(&mut self, endpoint: EndpointIndex) {
+        self.state_mut(endpoint).busy += 1;
+        self.reindex(endpoint);
+    }
+
+    /// Gives one slot back and learns from how the grant ended.
+    pub fn vacate(&mut self, now: Moment, endpoint: EndpointIndex, fate: GrantFate) {
+        let state = self.state_mut(endpoint);
+        state.busy = state.busy.saturating_sub(1);
+        match fate {
+            GrantFate::Done => state.failures = 0,
+            GrantFate::Draining => state.doors.draining_since = Some(now),
+            GrantFate::Refused | GrantFate::Unreachable | GrantFate::Broken => self.pause(now, endpoint),
+            GrantFate::Unsent => {}
+        }
+        self.reindex(endpoint);
+    }
+
+    /// Takes a load report in. Slots count as used by others only when two reports in a row
+    /// agree, since a report may be older than our newest grants.
+    pub fn report(&mut self, now: Moment, report: &LoadReport) {
+        let Some(endpoint) = self.by_name(&report.endpoint) else { return };
+        let state = self.state_mut(endpoint);
+        let surplus = report.running.saturating_sub(state.busy);
+        let before = state.last_surplus.filter(|(_, at)| now.since(*at) < REPORT_LIFE);
+        state.foreign = before.map_or(0, |(earlier, _)| earlier.min(surplus));
+        state.last_surplus = Some((surplus, now));
+        if report.draining {
+            state.doors.draining_since = Some(now);
+        } else if state.doors.draining_since.is_some_and(|since| report.asked_at > since) {
+            state.doors.draining_since = None;
+        }
+        self.reindex(endpoint);
+    }
+
+    /// An endpoint did not answer when asked for its load.
+    pub fn fail_probe(&mut self, now: Moment, name: &EndpointName) {
+        if let Some(endpoint) = self.by_name(name) {
+            self.state_mut(endpoint).foreign = 0;
+            self.pause(now, endpoint);
+            self.reindex(endpoint);
+        }
+    }
+
+    /// Takes the platform's list in.
+    pub fn list_leaving(&mut self, leaving: &BTreeSet<EndpointName>) {
+        for index in 0..self.states.len() as u32 {
+            let state = &mut self.states[index as usize];
+            state.doors.listed = leaving.contains(&state.name);
+            self.reindex(EndpointIndex(index));
+        }
+    }
+
+    /// Ends the pauses whose time has come.
+    pub fn wake(&mut self, now: Moment) {
+        while let Some((until, endpoint)) = self.pauses.first().copied().filter(|(until, _)| *until <= now) {
+            self.pauses.remove(&(until, endpoint));
+            self.state_mut(endpoint).doors.paused_until = None;
+            self.reindex(endpoint);
+        }
+    }
+
+    fn pause(&mut self, now: Moment, endpoint: EndpointIndex) {
+        let state = self.state_mut(endpoint);
+        if state.doors.paused_until.is_some() {
+            return;
+        }
+        let doublings = state.failures.min(8);
+        let until = now + (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+        state.failures += 1;
+        state.doors.paused_until = Some(until);
+        self.pauses.insert((until, endpoint));
+    }
+
+    fn reindex(&mut self, endpoint: EndpointIndex) {
+        let state = self.state(endpoint);
+        let load = state.free_load();
+        if load == state.indexed {
+            return;
+        }
+        self.unindex(endpoint);
+        if let Some(load) = load {
+            let hall = self.state(endpoint).hall;
+            self.free[hall].insert((load, endpoint));
+            self.state_mut(endpoint).indexed = Some(load);
+        }
+    }
+
+    fn unindex(&mut self, endpoint: EndpointIndex) {
+        let hall = self.state(endpoint).hall;
+        if let Some(load) = self.state_mut(endpoint).indexed.take() {
+            self.free[hall].remove(&(load, endpoint));
+        }
+    }
+
+    fn state(&self, endpoint: EndpointIndex) -> &EndpointState {
+        &self.states[endpoint.0 as usize]
+    }
+
+    fn state_mut(&mut self, endpoint: EndpointIndex) -> &mut EndpointState {
+        &mut self.states[endpoint.0 as usize]
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -0,0 +1,186 @@
+//! Grants: giving free slots to waiting tickets, charging, and ending grants.
+
+use super::endpoints::EndpointIndex;
+use super::routers::RouterIndex;
+use super::tickets::WaitingTicket;
+use super::ShardCore;
+use crate::action::ShardAction;
+use crate::event::{CacheNews, GrantFate, SessionId};
+use micaspool_fair::{CustomerIndex, Rank};
+use micaspool_types::{Cost, Moment, OrderNumber, RequestId};
+
+/// A request that runs, or is about to.
+#[derive(Debug, Clone)]
+pub(super) struct RunningGrant {
+    pub customer: CustomerIndex,
+    pub router: RouterIndex,
+    pub endpoint: EndpointIndex,
+    pub hint: Cost,
+    pub estimate: Cost,
+    pub delivered: Cost,
+    pub order: OrderNumber,
+    pub priority: u8,
+}
+
+impl ShardCore {
+    /// Gives every free slot to the lowest-ranked customer that may use it.
+    pub(super) fn fill(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
+        if self.recovering_until.is_some() {
+            return;
+        }
+        while let Some((request, endpoint)) = self.next_pair(now) {
+            self.grant(now, request, endpoint, actions);
+        }
+    }
+
+    /// The next ticket to run and where; `None` when no free slot has an eligible ticket.
+    fn next_pair(&self, now: Moment) -> Option<(RequestId, EndpointIndex)> {
+        let free = self.endpoints.free_halls();
+        if free.is_empty() {
+            return None;
+        }
+        self.index.find(free, |customer| self.choose_ticket(now, customer))
+    }
+
+    /// True when a free slot has an eligible ticket.
+    pub(super) fn next_pair_exists(&self, now: Moment) -> bool {
+        self.next_pair(now).is_some()
+    }
+
+    fn choose_ticket(&self, now: Moment, customer: CustomerIndex) -> Option<(RequestId, EndpointIndex)> {
+        let state = self.customers.get(customer);
+        state.queue.values().find_map(|request| {
+            let ticket = &self.waiting[request];
+            self.routers.session(ticket.router)?;
+            let endpoint = self.choose_endpoint(now, ticket)?;
+            Some((*request, endpoint))
+        })
+    }
+
+    /// The free endpoint with the longest known prefix of the prompt, else the least loaded.
+    fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<EndpointIndex> {
+        let halls = self.customers.get(ticket.customer).halls;
+        let avoided = ticket.avoided(now);
+        let usable =
+            |endpoint: &EndpointIndex| Some(*endpoint) != avoided && self.endpoints.is_free(*endpoint, halls);
+        let known = ticket.prefixes.iter().rev().filter_map(|prefix| self.prefixes.holder(*prefix));
+        let cached = known.filter(|_| self.options.use_prefixes).find(usable);
+        cached.or_else(|| self.endpoints.least_loaded(halls, avoided))
+    }
+
+    fn grant(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        endpoint: EndpointIndex,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let ticket = self.waiting.remove(&request).expect("the chosen ticket waits");
+        let state = self.customers.get_mut(ticket.customer);
+        state.queue.remove(&ticket.place);
+        let served_rank = state.indexed.map(|(_, rank)| rank).unwrap_or_default();
+        let estimate = state.estimator.predict(ticket.hint);
+        state.account.charge_grant(estimate);
+        state.running += 1;
+        state.level_order = state.level_order.max(ticket.place.order);
+        let level = state.level(self.options.policy.as_ref());
+        self.reindex(ticket.customer);
+        self.raise_floor(endpoint, served_rank);
+        self.endpoints.occupy(endpoint);
+        self.prefixes.remember(&ticket.prefixes, endpoint);
+        self.pace.count();
+        if let Some(session) = self.routers.session(ticket.router) {
+            actions.push(ShardAction::Grant {
+                session,
+                request,
+                endpoint: self.endpoints.name(endpoint).clone(),
+                estimate,
+                level,
+                order: ticket.place.order,
+                heartbeat: self.routers.heartbeat(ticket.router),
+                lease: self.options.lease,
+                revision: self.revision,
+            });
+        }
+        self.running.insert(request, RunningGrant::start(&ticket, endpoint, estimate));
+    }
+
+    fn raise_floor(&mut self, endpoint: EndpointIndex, rank: Rank) {
+        if let Some(floor) = self.floors.get_mut(self.endpoints.hall(endpoint)) {
+            *floor = (*floor).max(rank);
+        }
+    }
+
+    /// Charges what a running request has delivered so far.
+    pub(super) fn progress(&mut self, session: SessionId, request: RequestId, delivered: Cost) {
+        let owner = self.routers.by_session(session);
+        let Some(grant) = self.running.get_mut(&request).filter(|grant| Some(grant.router) == owner) else {
+            return;
+        };
+        if delivered <= grant.delivered {
+            return;
+        }
+        let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
+        grant.delivered = delivered;
+        self.customers.get_mut(customer).account.charge_progress(estimate, before, delivered);
+        self.reindex(customer);
+    }
+
+    /// Ends a grant as its router says.
+    pub(super) fn settle(
+        &mut self,
+        now: Moment,
+        session: SessionId,
+        request: RequestId,
+        cost: Cost,
+        fate: GrantFate,
+    ) {
+        let owner = self.routers.by_session(session);
+        if self.running.get(&request).is_some_and(|grant| Some(grant.router) == owner) {
+            self.end_grant(now, request, Some(cost), fate);
+        }
+    }
+
+    /// Ends a grant, if the request has one; without a cost, what was delivered counts.
+    pub(super) fn end_grant(&mut self, now: Moment, request: RequestId, cost: Option<Cost>, fate: GrantFate) {
+        let Some(grant) = self.running.remove(&request) else { return };
+        self.routers.release(grant.router, request);
+        self.endpoints.vacate(now, grant.endpoint, fate);
+        let state = self.customers.get_mut(grant.customer);
+        state.running -= 1;
+        match fate {
+            GrantFate::Done | GrantFate::Broken => {
+                let cost = cost.unwrap_or(grant.delivered);
+                state.account.charge_end(grant.estimate, grant.delivered, cost);
+                if fate == GrantFate::Done && cost > Cost(0) {
+                    state.estimator.learn(grant.hint, cost);
+                }
+            }
+            GrantFate::Refused | GrantFate::Unreachable | GrantFate::Draining | GrantFate::Unsent => {
+                state.account.revoke_grant(grant.estimate, grant.delivered);
+            }
+        }
+        self.reindex(grant.customer);
+    }
+
+    pub(super) fn learn_cache(&mut self, news: &CacheNews) {
+        let Some(endpoint) = self.endpoints.by_name(&news.endpoint) else { return };
+        self.prefixes.remember(&news.stored, endpoint);
+        self.prefixes.drop_from(&news.dropped, endpoint);
+    }
+}
+
+impl RunningGrant {
+    fn start(ticket: &WaitingTicket, endpoint: EndpointIndex, estimate: Cost) -> RunningGrant {
+        RunningGrant {
+            customer: ticket.customer,
+            router: ticket.router,
+            endpoint,
+            hint: ticket.hint,
+            estimate,
+            delivered: Cost(0),
+            order: ticket.place.order,
+            priority: ticket.place.priority,
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -0,0 +1,168 @@
+//! A router joins: what it holds and what the shard knows are brought together.
+//!
+//! A shard that starts empty is rebuilt from its routers: they keep their own tickets with the
+//! order numbers that the earlier dispatcher returned, their running grants, and the newest level
+//! that they heard of each customer. This follows sender-based message logging (Johnson and
+//! Zwaenepoel), where messages and the order of their receipt are logged in the volatile memory
+//! of the senders; `docs/design/002-recovery.md` has the measurement.
+
+use super::grants::RunningGrant;
+use super::routers::RouterIndex;
+use super::tickets::WaitingTicket;
+use super::ShardCore;
+use crate::action::ShardAction;
+use crate::event::{GrantFate, HeldGrant, HeldTotal, RequestTicket, RouterHello, SessionId};
+use crate::shard::customers::QueuePlace;
+use micaspool_types::{Cost, Moment, RequestId};
+use std::collections::HashMap;
+
+impl ShardCore {
+    /// Takes a router in, with everything it holds.
+    pub(super) fn join(
+        &mut self,
+        now: Moment,
+        session: SessionId,
+        hello: RouterHello,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let router = self.routers.attach(now, session, &hello);
+        if self.options.use_held_state {
+            for total in &hello.totals {
+                self.recover_level(total);
+            }
+        }
+        let mut waiting = by_request(hello.waiting, |ticket| ticket.request);
+        let mut running = by_request(hello.running, |grant| grant.request);
+        for request in self.routers.held(router) {
+            self.reconcile(now, request, &mut waiting, &mut running);
+        }
+        let mut tickets: Vec<RequestTicket> = waiting.into_values().collect();
+        tickets.sort_by_key(|ticket| ticket.order);
+        for ticket in tickets {
+            self.take_ticket(now, session, router, ticket, actions);
+        }
+        if self.options.use_held_state {
+            let mut grants: Vec<HeldGrant> = running.into_values().collect();
+            grants.sort_by_key(|grant| grant.order);
+            for grant in grants {
+                self.take_running(router, grant);
+            }
+        }
+    }
+
+    /// Settles one request that the shard knows of this router against what the router holds.
+    fn reconcile(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        waiting: &mut HashMap<RequestId, RequestTicket>,
+        running: &mut HashMap<RequestId, HeldGrant>,
+    ) {
+        let held_waiting = waiting.remove(&request).is_some();
+        if self.waiting.contains_key(&request) {
+            if !held_waiting {
+                self.drop_waiting(request);
+            }
+            return;
+        }
+        match running.remove(&request) {
+            Some(held) => self.update_delivered(request, held.delivered),
+            None if held_waiting => self.take_grant_back(now, request),
+            None => self.end_grant(now, request, None, GrantFate::Done),
+        }
+    }
+
+    /// The grant did not reach the router: the ticket waits again at its old place.
+    fn take_grant_back(&mut self, now: Moment, request: RequestId) {
+        let Some(grant) = self.running.get(&request).cloned() else { return };
+        self.end_grant(now, request, None, GrantFate::Unsent);
+        let ticket = WaitingTicket {
+            customer: grant.customer,
+            router: grant.router,
+            hint: grant.hint,
+            place: QueuePlace { priority: grant.priority, order: grant.order },
+            avoid: None,
+            prefixes: Box::default(),
+        };
+        self.insert_waiting(request, ticket);
+    }
+
+    fn update_delivered(&mut self, request: RequestId, delivered: Cost) {
+        let Some(grant) = self.running.get_mut(&request) else { return };
+        let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
+        if delivered > before {
+            grant.delivered = delivered;
+            self.customers.get_mut(customer).account.charge_progress(estimate, before, delivered);
+            self.reindex(customer);
+        }
+    }
+
+    fn take_ticket(
+        &mut self,
+        now: Moment,
+        session: SessionId,
+        router: RouterIndex,
+        ticket: RequestTicket,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let request = ticket.request;
+        if self.waiting.contains_key(&request) || self.running.contains_key(&request) {
+            return;
+        }
+        let customer = self.customers.ensure(&ticket.customer);
+        let numbered = ticket.order.is_some();
+        self.enqueue(now, router, customer, ticket);
+        let order = self.waiting[&request].place.order;
+        if !numbered {
+            actions.push(ShardAction::Accepted { session, request, order });
+        }
+    }
+
+    fn take_running(&mut self, router: RouterIndex, held: HeldGrant) {
+        if self.running.contains_key(&held.request) {
+            return;
+        }
+        self.drop_waiting(held.request);
+        let customer = self.customers.ensure(&held.customer);
+        let endpoint = self.endpoints.ensure(&held.endpoint);
+        self.note_order(held.order);
+        let state = self.customers.get_mut(customer);
+        state.account.charge_found(held.estimate, held.delivered);
+        state.running += 1;
+        self.reindex(customer);
+        self.endpoints.occupy(endpoint);
+        self.routers.hold(router, held.request);
+        let grant = RunningGrant {
+            customer,
+            router,
+            endpoint,
+            hint: held.estimate,
+            estimate: held.estimate,
+            delivered: held.delivered,
+            order: held.order,
+            priority: 0,
+        };
+        self.running.insert(held.request, grant);
+    }
+
+    /// Takes a level over when the shard has none of its own for the customer, or an older one
+    /// of the same recovery.
+    fn recover_level(&mut self, total: &HeldTotal) {
+        let customer = self.customers.ensure(&total.customer);
+        let recovering = self.recovering_until.is_some();
+        let state = self.customers.get_mut(customer);
+        let fresh = state.level_order.0 == 0;
+        if total.order <= state.level_order || !(recovering || fresh) {
+            return;
+        }
+        let weight = state.account.weight();
+        state.level_order = total.order;
+        state.account.rebase(total.level, weight);
+        self.note_order(total.order);
+        self.reindex(customer);
+    }
+}
+
+fn by_request<T>(items: Vec<T>, request: impl Fn(&T) -> RequestId) -> HashMap<RequestId, T> {
+    items.into_iter().map(|item| (request(&item), item)).collect()
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -0,0 +1,199 @@
+//! The state machine of one shard.
+//!
+//! A step has three parts: take the event in, wake what was waiting for time to pass, and give
+//! every free slot to the lowest-ranked customer that may use it. After each step no slot is free
+//! that a waiting ticket may use.
+
+mod customers;
+mod endpoints;
+mod grants;
+mod joining;
+mod pace;
+mod prefixes;
+mod retries;
+mod routers;
+mod status;
+mod tickets;
+
+pub use status::{CustomerStatus, EndpointStatus, ShardStatus};
+
+use crate::action::ShardAction;
+use crate::event::{GrantFate, SessionId, ShardEvent, ShardPolicy};
+use crate::options::ShardOptions;
+use customers::CustomerTable;
+use endpoints::EndpointTable;
+use grants::RunningGrant;
+use micaspool_fair::{Rank, RankIndex};
+use micaspool_types::{HallMask, HallName, Moment, OrderNumber, RequestId, Revision};
+use pace::GrantPace;
+use prefixes::PrefixMemory;
+use retries::RetryBudgets;
+use routers::RouterTable;
+use std::collections::HashMap;
+use tickets::WaitingTicket;
+
+/// One shard: every waiting ticket and every slot of one service in one region.
+#[derive(Debug)]
+pub struct ShardCore {
+    options: ShardOptions,
+    revision: Revision,
+    halls: Vec<HallName>,
+    /// For each hall the highest rank that was served there; idle customers start from it.
+    floors: Vec<Rank>,
+    customers: CustomerTable,
+    endpoints: EndpointTable,
+    routers: RouterTable,
+    waiting: HashMap<RequestId, WaitingTicket>,
+    running: HashMap<RequestId, RunningGrant>,
+    index: RankIndex,
+    prefixes: PrefixMemory,
+    retries: RetryBudgets,
+    pace: GrantPace,
+    next_order: OrderNumber,
+    /// Until when a new shard collects what routers hold; `None` once it grants.
+    recovering_until: Option<Moment>,
+}
+
+impl ShardCore {
+    /// A shard that knows nothing yet and grants nothing before its recovery window has passed.
+    pub fn new(now: Moment, options: ShardOptions) -> ShardCore {
+        ShardCore {
+            revision: Revision(0),
+            halls: Vec::new(),
+            floors: Vec::new(),
+            customers: CustomerTable::new(options.cost_ceiling),
+            endpoints: EndpointTable::default(),
+            routers: RouterTable::default(),
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            index: RankIndex::default(),
+            prefixes: PrefixMemory::new(options.prefix_capacity),
+            retries: RetryBudgets::default(),
+            pace: GrantPace::new(now),
+            next_order: OrderNumber(1),
+            recovering_until: Some(now + options.recovery_window),
+            options,
+        }
+    }
+
+    /// Takes one event in and adds what follows from it to `actions`.
+    pub fn step(&mut self, now: Moment, event: ShardEvent, actions: &mut Vec<ShardAction>) {
+        if let Some(session) = session_of(&event) {
+            if !self.routers.hear(session, now) {
+                actions.push(ShardAction::Rejoin { session });
+                return;
+            }
+        }
+        self.take(now, event, actions);
+        self.end_recovery(now);
+        self.endpoints.wake(now);
+        self.fill(now, actions);
+    }
+
+    fn take(&mut self, now: Moment, event: ShardEvent, actions: &mut Vec<ShardAction>) {
+        match event {
+            ShardEvent::Policy(policy) => self.adopt(policy),
+            ShardEvent::Joined(session, hello) => self.join(now, session, hello, actions),
+            ShardEvent::Left(session) => self.routers.detach(session),
+            ShardEvent::Goodbye(session) => self.dismiss(now, session),
+            ShardEvent::Submit(session, ticket) => self.submit(now, session, ticket, actions),
+            ShardEvent::Cancel(session, request) => self.cancel(now, session, request),
+            ShardEvent::Progress(session, request, delivered) => self.progress(session, request, delivered),
+            ShardEvent::Settle(session, request, cost, fate) => {
+                self.settle(now, session, request, cost, fate)
+            }
+            ShardEvent::Heartbeat(session, number) => {
+                self.routers.beat(session, number);
+                actions.push(ShardAction::Pulse { session, heartbeat: number });
+            }
+            ShardEvent::Load(report) => self.endpoints.report(now, &report),
+            ShardEvent::Unreachable(endpoint) => self.endpoints.fail_probe(now, &endpoint),
+            ShardEvent::Listed(leaving) => self.endpoints.list_leaving(&leaving),
+            ShardEvent::Cache(news) => self.learn_cache(&news),
+            ShardEvent::Tick => self.expire(now),
+            ShardEvent::Stop => self.ask_all_to_rejoin(actions),
+        }
+    }
+
+    /// Puts newer settings in force; older ones are ignored.
+    fn adopt(&mut self, policy: ShardPolicy) {
+        if policy.revision < self.revision {
+            return;
+        }
+        self.revision = policy.revision;
+        self.remap_floors(&policy.halls);
+        self.halls = policy.halls;
+        self.endpoints.adopt(&policy.endpoints);
+        let present = self.endpoints.halls_present();
+        for customer in self.customers.indices() {
+            self.unindex(customer);
+        }
+        self.customers.adopt(&policy.customers, present, self.options.policy.as_ref());
+        for customer in self.customers.indices() {
+            self.reindex(customer);
+        }
+    }
+
+    fn remap_floors(&mut self, halls: &[HallName]) {
+        let highest = self.floors.iter().copied().max().unwrap_or_default();
+        let floor_of = |name: &HallName| match self.halls.iter().position(|hall| hall == name) {
+            Some(position) => self.floors[position],
+            None => highest,
+        };
+        self.floors = halls.iter().map(floor_of).collect();
+    }
+
+    /// Frees what belongs to routers that were silent for longer than the lease.
+    fn expire(&mut self, now: Moment) {
+        for router in self.routers.expired(now, self.options.lease) {
+            for request in self.routers.forget(router) {
+                self.drop_waiting(request);
+                self.end_grant(now, request, None, GrantFate::Done);
+            }
+        }
+        self.pace.pass(now);
+    }
+
+    fn end_recovery(&mut self, now: Moment) {
+        let Some(until) = self.recovering_until else { return };
+        let all_joined = !self.options.expected_routers.is_empty()
+            && self.routers.all_joined(&self.options.expected_routers);
+        if now >= until || all_joined {
+            self.recovering_until = None;
+        }
+    }
+
+    fn dismiss(&mut self, now: Moment, session: SessionId) {
+        if let Some(router) = self.routers.by_session(session) {
+            for request in self.routers.forget(router) {
+                self.drop_waiting(request);
+                self.end_grant(now, request, None, GrantFate::Done);
+            }
+        }
+    }
+
+    fn ask_all_to_rejoin(&mut self, actions: &mut Vec<ShardAction>) {
+        actions.extend(self.routers.sessions().map(|session| ShardAction::Rejoin { session }));
+    }
+
+    /// The lowest level at which a customer that comes back from idle time may start.
+    fn floor_for(&self, halls: HallMask) -> Option<Rank> {
+        if let Some(rank) = self.index.lowest_sharing(halls) {
+            return Some(rank);
+        }
+        halls.indices().filter_map(|hall| self.floors.get(hall)).copied().min()
+    }
+}
+
+/// The stream that an event came from, when it must be a known one.
+fn session_of(event: &ShardEvent) -> Option<SessionId> {
+    match event {
+        ShardEvent::Goodbye(session)
+        | ShardEvent::Submit(session, _)
+        | ShardEvent::Cancel(session, _)
+        | ShardEvent::Progress(session, _, _)
+        | ShardEvent::Settle(session, _, _, _)
+        | ShardEvent::Heartbeat(session, _) => Some(*session),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/routers.rs
@@ -0,0 +1,166 @@
+//! The routers of a shard, their streams and what they hold.
+
+use crate::event::{RouterHello, SessionId};
+use micaspool_types::{Incarnation, InstanceName, Moment, RequestId};
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+/// The position of a router in its shard's list.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub(super) struct RouterIndex(u32);
+
+#[derive(Debug)]
+struct RouterState {
+    name: InstanceName,
+    incarnation: Incarnation,
+    session: Option<SessionId>,
+    last_heard: Moment,
+    heartbeat: u64,
+    requests: HashSet<RequestId>,
+}
+
+/// Every router that has joined and whose lease has not ended.
+#[derive(Debug, Default)]
+pub(super) struct RouterTable {
+    states: HashMap<RouterIndex, RouterState>,
+    sessions: HashMap<SessionId, RouterIndex>,
+    next: u32,
+}
+
+impl RouterTable {
+    /// Notes a sign of life; false when the stream belongs to no router.
+    pub fn hear(&mut self, session: SessionId, now: Moment) -> bool {
+        let Some(router) = self.sessions.get(&session) else { return false };
+        if let Some(state) = self.states.get_mut(router) {
+            state.last_heard = now;
+        }
+        true
+    }
+
+    /// Notes a heartbeat number.
+    pub fn beat(&mut self, session: SessionId, number: u64) {
+        if let Some(state) = self.sessions.get(&session).and_then(|router| self.states.get_mut(router)) {
+            state.heartbeat = state.heartbeat.max(number);
+        }
+    }
+
+    /// Binds a stream to a router. The same life of a router keeps what it held; an earlier life
+    /// loses its stream and ends with its lease.
+    pub fn attach(&mut self, now: Moment, session: SessionId, hello: &RouterHello) -> RouterIndex {
+        self.detach_earlier_lives(hello);
+        let router = self.find(hello).unwrap_or_else(|| self.add(hello, now));
+        let state = self.states.get_mut(&router).expect("the router was found or added above");
+        if let Some(old) = state.session.replace(session) {
+            self.sessions.remove(&old);
+        }
+        state.last_heard = now;
+        state.heartbeat = hello.heartbeat;
+        self.sessions.insert(session, router);
+        router
+    }
+
+    fn find(&self, hello: &RouterHello) -> Option<RouterIndex> {
+        let same = |state: &RouterState| state.name == hello.router && state.incarnation == hello.incarnation;
+        self.states.iter().find(|(_, state)| same(state)).map(|(router, _)| *router)
+    }
+
+    fn detach_earlier_lives(&mut self, hello: &RouterHello) {
+        for state in self.states.values_mut() {
+            if state.name == hello.router && state.incarnation != hello.incarnation {
+                if let Some(old) = state.session.take() {
+                    self.sessions.remove(&old);
+                }
+            }
+        }
+    }
+
+    fn add(&mut self, hello: &RouterHello, now: Moment) -> RouterIndex {
+        let router = RouterIndex(self.next);
+        self.next += 1;
+        let state = RouterState {
+            name: hello.router.clone(),
+            incarnation: hello.incarnation,
+            session: None,
+            last_heard: now,
+            heartbeat: 0,
+            requests: HashSet::new(),
+        };
+        self.states.insert(router, state);
+        router
+    }
+
+    /// Ends a stream; what the router holds stays until its lease ends.
+    pub fn detach(&mut self, session: SessionId) {
+        if let Some(state) = self.sessions.remove(&session).and_then(|router| self.states.get_mut(&router)) {
+            state.session = None;
+        }
+    }
+
+    pub fn by_session(&self, session: SessionId) -> Option<RouterIndex> {
+        self.sessions.get(&session).copied()
+    }
+
+    pub fn session(&self, router: RouterIndex) -> Option<SessionId> {
+        self.states.get(&router)?.session
+    }
+
+    pub fn sessions(&self) -> impl Iterator<Item = SessionId> + '_ {
+        self.sessions.keys().copied()
+    }
+
+    pub fn heartbeat(&self, router: RouterIndex) -> u64 {
+        self.states.get(&router).map_or(0, |state| state.heartbeat)
+    }
+
+    pub fn hold(&mut self, router: RouterIndex, request: RequestId) {
+        if let Some(state) = self.states.get_mut(&router) {
+            state.requests.insert(request);
+        }
+    }
+
+    pub fn release(&mut self, router: RouterIndex, request: RequestId) {
+        if let Some(state) = self.states.get_mut(&router) {
+            state.requests.remove(&request);
+        }
+    }
+
+    /// The requests of a router in a fixed order.
+    pub fn held(&self, router: RouterIndex) -> Vec<RequestId> {
+        let mut requests: Vec<RequestId> = self
+            .states
+            .get(&router)
+            .map(|state| state.requests.iter().copied().collect())
+            .unwrap_or_default();
+        requests.sort();
+        requests
+    }
+
+    /// The routers that were silent for longer than the lease, in a fixed order.
+    pub fn expired(&self, now: Moment, lease: Duration) -> Vec<RouterIndex> {
+        let silent = self.states.iter().filter(|(_, state)| now.since(state.last_heard) > lease);
+        let mut routers: Vec<RouterIndex> = silent.map(|(router, _)| *router).collect();
+        routers.sort();
+        routers
+    }
+
+    /// Removes a router and gives the requests that it held.
+    pub fn forget(&mut self, router: RouterIndex) -> Vec<RequestId> {
+        let requests = self.held(router);
+        if let Some(session) = self.states.remove(&router).and_then(|state| state.session) {
+            self.sessions.remove(&session);
+        }
+        requests
+    }
+
+    /// True when each of these routers has a stream.
+    pub fn all_joined(&self, names: &BTreeSet<InstanceName>) -> bool {
+        let joined = |name: &InstanceName| {
+            self.states.values().any(|state| state.name == *name && state.session.is_some())
+        };
+        names.iter().all(joined)
+    }
+
+    pub fn count(&self) -> usize {
+        self.states.len()
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -0,0 +1,182 @@
+//! Waiting tickets: taking them in, ranking their customers, giving them up.
+
+use super::customers::QueuePlace;
+use super::routers::RouterIndex;
+use super::ShardCore;
+use crate::action::{ReleaseReason, ShardAction};
+use crate::event::{RequestTicket, SessionId};
+use crate::shard::endpoints::EndpointIndex;
+use micaspool_fair::{CustomerIndex, HeadTicket};
+use micaspool_types::{Cost, Moment, OrderNumber, RequestId};
+use std::time::Duration;
+
+/// How long a ticket stays away from the endpoint that failed it.
+const AVOIDANCE: Duration = Duration::from_secs(5);
+
+/// A ticket that waits.
+#[derive(Debug, Clone)]
+pub(super) struct WaitingTicket {
+    pub customer: CustomerIndex,
+    pub router: RouterIndex,
+    pub hint: Cost,
+    pub place: QueuePlace,
+    pub avoid: Option<Avoidance>,
+    pub prefixes: Box<[u64]>,
+}
+
+/// The endpoint that a ticket stays away from, and until when.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Avoidance {
+    pub endpoint: EndpointIndex,
+    pub until: Moment,
+}
+
+impl WaitingTicket {
+    /// The endpoint that the ticket stays away from at this moment.
+    pub fn avoided(&self, now: Moment) -> Option<EndpointIndex> {
+        self.avoid.filter(|avoid| now < avoid.until).map(|avoid| avoid.endpoint)
+    }
+}
+
+impl ShardCore {
+    /// Accepts a ticket or refuses it at once.
+    pub(super) fn submit(
+        &mut self,
+        now: Moment,
+        session: SessionId,
+        ticket: RequestTicket,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let request = ticket.request;
+        let known = self.waiting.contains_key(&request) || self.running.contains_key(&request);
+        let Some(router) = self.routers.by_session(session).filter(|_| !known) else { return };
+        let customer = self.customers.ensure(&ticket.customer);
+        if let Some(reason) = self.reason_to_refuse(customer, &ticket) {
+            let retry_after = self.retry_after(customer);
+            actions.push(ShardAction::Refuse { session, request, reason, retry_after });
+            return;
+        }
+        self.enqueue(now, router, customer, ticket);
+        self.fill(now, actions);
+        if let Some(ticket) = self.waiting.get(&request) {
+            actions.push(ShardAction::Accepted { session, request, order: ticket.place.order });
+        }
+    }
+
+    fn reason_to_refuse(&mut self, customer: CustomerIndex, ticket: &RequestTicket) -> Option<ReleaseReason> {
+        let state = self.customers.get(customer);
+        if self.waiting.len() >= self.options.max_waiting {
+            return Some(ReleaseReason::ShardFull);
+        }
+        if state.queue.len() >= state.max_waiting as usize {
+            return Some(ReleaseReason::CustomerFull);
+        }
+        let allowed = self.retries.admit(customer, ticket.attempt);
+        (!allowed).then_some(ReleaseReason::RetryBudget)
+    }
+
+    /// Puts a ticket into its customer's queue, at its old place if it had one.
+    pub(super) fn enqueue(
+        &mut self,
+        now: Moment,
+        router: RouterIndex,
+        customer: CustomerIndex,
+        ticket: RequestTicket,
+    ) {
+        let order = ticket.order.unwrap_or(self.next_order);
+        self.note_order(order);
+        let place = QueuePlace { priority: ticket.priority, order };
+        let avoid = ticket.avoid.and_then(|name| self.endpoints.by_name(&name));
+        let waiting = WaitingTicket {
+            customer,
+            router,
+            hint: ticket.hint,
+            place,
+            avoid: avoid.map(|endpoint| Avoidance { endpoint, until: now + AVOIDANCE }),
+            prefixes: ticket.prefixes.into_boxed_slice(),
+        };
+        self.insert_waiting(ticket.request, waiting);
+    }
+
+    pub(super) fn insert_waiting(&mut self, request: RequestId, ticket: WaitingTicket) {
+        let customer = ticket.customer;
+        if self.customers.get(customer).queue.is_empty() {
+            self.lift(customer);
+        }
+        self.routers.hold(ticket.router, request);
+        self.customers.get_mut(customer).queue.insert(ticket.place, request);
+        self.waiting.insert(request, ticket);
+        self.reindex(customer);
+    }
+
+    /// Makes sure that later order numbers are higher than this one.
+    pub(super) fn note_order(&mut self, order: OrderNumber) {
+        self.next_order = self.next_order.max(OrderNumber(order.0 + 1));
+    }
+
+    /// A customer that begins to wait starts no lower than those that wait already.
+    fn lift(&mut self, customer: CustomerIndex) {
+        if !self.options.policy.lifts() || self.recovering_until.is_some() {
+            return;
+        }
+        let state = self.customers.get(customer);
+        let level = self.options.policy.level(&state.account);
+        if let Some(floor) = self.floor_for(state.halls) {
+            self.customers.get_mut(customer).account.lift(level, micaspool_fair::ServiceLevel(floor.0));
+        }
+    }
+
+    /// Gives a waiting ticket up.
+    pub(super) fn cancel(&mut self, now: Moment, session: SessionId, request: RequestId) {
+        let owner = self.routers.by_session(session);
+        if self.waiting.get(&request).is_some_and(|ticket| Some(ticket.router) == owner) {
+            self.drop_waiting(request);
+            return;
+        }
+        let granted = self.running.get(&request).is_some_and(|grant| Some(grant.router) == owner);
+        if granted {
+            self.end_grant(now, request, None, crate::event::GrantFate::Unsent);
+        }
+    }
+
+    /// Removes a ticket from the queue, if it waits.
+    pub(super) fn drop_waiting(&mut self, request: RequestId) -> Option<WaitingTicket> {
+        let ticket = self.waiting.remove(&request)?;
+        self.customers.get_mut(ticket.customer).queue.remove(&ticket.place);
+        self.routers.release(ticket.router, request);
+        self.reindex(ticket.customer);
+        Some(ticket)
+    }
+
+    /// Takes a customer out of the index.
+    pub(super) fn unindex(&mut self, customer: CustomerIndex) {
+        if let Some((halls, rank)) = self.customers.get_mut(customer).indexed.take() {
+            self.index.remove(halls, rank, customer);
+        }
+    }
+
+    /// Puts a customer into the index at its present rank, when it waits and may use a hall.
+    pub(super) fn reindex(&mut self, customer: CustomerIndex) {
+        let state = self.customers.get(customer);
+        let head = state.queue.first_key_value().filter(|_| !state.halls.is_empty());
+        let entry = head.map(|(place, _)| {
+            let head = HeadTicket { order: place.order };
+            (state.halls, self.options.policy.rank(&state.account, head))
+        });
+        if entry == state.indexed {
+            return;
+        }
+        self.unindex(customer);
+        if let Some((halls, rank)) = entry {
+            self.index.insert(halls, rank, customer);
+        }
+        self.customers.get_mut(customer).indexed = entry;
+    }
+
+    /// When a refused request of the customer may find room.
+    fn retry_after(&self, customer: CustomerIndex) -> Duration {
+        let ahead = self.customers.get(customer).queue.len() + 1;
+        let backlogged = self.customers.iter().filter(|state| !state.queue.is_empty()).count();
+        self.pace.wait_for(ahead * backlogged.max(1))
+    }
+}
--- /dev/null
+++ b/crates/micaspool-fair/src/account.rs
@@ -0,0 +1,161 @@
+//! What one customer has received in one shard.
+
+use micaspool_types::{Cost, Weight};
+
+/// How many level units one unit of cost is at weight 1.
+pub const LEVEL_SCALE: u64 = 1_024;
+
+/// Service received, divided by the customer's weight; see [`LEVEL_SCALE`].
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Debug, Hash)]
+pub struct ServiceLevel(pub u64);
+
+impl ServiceLevel {
+    /// The level that a cost adds for a customer of this weight.
+    pub fn of(cost: Cost, weight: Weight) -> ServiceLevel {
+        let scaled = u128::from(cost.0) * u128::from(LEVEL_SCALE) / u128::from(weight.get());
+        ServiceLevel(u64::try_from(scaled).unwrap_or(u64::MAX))
+    }
+
+    /// The sum of two levels.
+    pub fn plus(self, other: ServiceLevel) -> ServiceLevel {
+        ServiceLevel(self.0.saturating_add(other.0))
+    }
+}
+
+/// The service that one customer has received, as policies see it.
+///
+/// All sums count from the last [`ServiceAccount::rebase`]; what came before is in the base level.
+#[derive(Clone, Debug)]
+pub struct ServiceAccount {
+    weight: Weight,
+    base: ServiceLevel,
+    settled: Cost,
+    granted_estimate: Cost,
+    granted_count: u64,
+    running_delivered: Cost,
+    running_rest: Cost,
+}
+
+/// The part of an account that belongs to one running request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct RunningCharge {
+    delivered: Cost,
+    rest: Cost,
+}
+
+impl ServiceAccount {
+    /// An account that has received nothing.
+    pub fn new(weight: Weight) -> ServiceAccount {
+        ServiceAccount {
+            weight,
+            base: ServiceLevel(0),
+            settled: Cost(0),
+            granted_estimate: Cost(0),
+            granted_count: 0,
+            running_delivered: Cost(0),
+            running_rest: Cost(0),
+        }
+    }
+
+    /// The customer's weight.
+    pub fn weight(&self) -> Weight {
+        self.weight
+    }
+
+    /// The level that stands for service before the current sums, and for idle time.
+    pub fn base(&self) -> ServiceLevel {
+        self.base
+    }
+
+    /// The cost of requests that have ended.
+    pub fn settled(&self) -> Cost {
+        self.settled
+    }
+
+    /// The cost delivered so far by requests that run.
+    pub fn running_delivered(&self) -> Cost {
+        self.running_delivered
+    }
+
+    /// What running requests are estimated to cost beyond what they delivered.
+    pub fn running_rest(&self) -> Cost {
+        self.running_rest
+    }
+
+    /// The sum of the estimates of all granted requests.
+    pub fn granted_estimate(&self) -> Cost {
+        self.granted_estimate
+    }
+
+    /// The number of granted requests.
+    pub fn granted_count(&self) -> u64 {
+        self.granted_count
+    }
+
+    /// Charges a request that starts.
+    pub fn charge_grant(&mut self, estimate: Cost) {
+        self.granted_count += 1;
+        self.granted_estimate = self.granted_estimate.plus(estimate);
+        self.running_rest = self.running_rest.plus(estimate);
+    }
+
+    /// Charges a request that was found running after a recovery.
+    pub fn charge_found(&mut self, estimate: Cost, delivered: Cost) {
+        let charge = RunningCharge::new(estimate, delivered);
+        self.granted_count += 1;
+        self.granted_estimate = self.granted_estimate.plus(estimate);
+        self.add_running(charge);
+    }
+
+    /// Moves the charge of a running request from `before` to `after` units delivered.
+    pub fn charge_progress(&mut self, estimate: Cost, before: Cost, after: Cost) {
+        self.remove_running(RunningCharge::new(estimate, before));
+        self.add_running(RunningCharge::new(estimate, after));
+    }
+
+    /// Replaces the charge of a running request by its real cost.
+    pub fn charge_end(&mut self, estimate: Cost, delivered: Cost, cost: Cost) {
+        self.remove_running(RunningCharge::new(estimate, delivered));
+        self.settled = self.settled.plus(cost);
+    }
+
+    /// Takes back a grant whose request did not run.
+    pub fn revoke_grant(&mut self, estimate: Cost, delivered: Cost) {
+        self.remove_running(RunningCharge::new(estimate, delivered));
+        self.granted_count = self.granted_count.saturating_sub(1);
+        self.granted_estimate = self.granted_estimate.minus(estimate);
+    }
+
+    /// Raises the base so that the level is at least `floor`; `level` is the level without base.
+    pub fn lift(&mut self, level: ServiceLevel, floor: ServiceLevel) {
+        let current = self.base.plus(level);
+        if current < floor {
+            self.base = ServiceLevel(floor.0 - level.0);
+        }
+    }
+
+    /// Starts new sums at a known level, with a new weight; running charges stay.
+    pub fn rebase(&mut self, base: ServiceLevel, weight: Weight) {
+        self.base = base;
+        self.weight = weight;
+        self.settled = Cost(0);
+        self.granted_estimate = Cost(0);
+        self.granted_count = 0;
+    }
+
+    fn add_running(&mut self, charge: RunningCharge) {
+        self.running_delivered = self.running_delivered.plus(charge.delivered);
+        self.running_rest = self.running_rest.plus(charge.rest);
+    }
+
+    fn remove_running(&mut self, charge: RunningCharge) {
+        self.running_delivered = self.running_delivered.minus(charge.delivered);
+        self.running_rest = self.running_rest.minus(charge.rest);
+    }
+}
+
+impl RunningCharge {
+    fn new(estimate: Cost, delivered: Cost) -> RunningCharge {
+        RunningCharge { delivered, rest: estimate.minus(delivered) }
+    }
+}
--- /dev/null
+++ b/crates/micaspool-fair/src/gap.rs
@@ -0,0 +1,126 @@
+//! The fairness gap between backlogged customers.
+
+use micaspool_types::{Cost, HallMask, Weight};
+
+/// The largest gaps over one run, in units of cost at weight 1.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct GapReport {
+    /// The largest gap of any pair over any time in which both were backlogged.
+    pub largest: f64,
+    /// The 99th percentile of the gap over the sampled moments.
+    pub percentile_99: f64,
+    /// How many moments were sampled.
+    pub samples: usize,
+}
+
+/// Measures the fairness gap.
+///
+/// For two customers with the same allowed data halls, over any span in which both wait without
+/// a break, the gap is the difference of the service that they received in that span, each
+/// divided by its weight. The meter follows, for each pair, the highest and lowest difference
+/// since both began to wait; the gap at a moment is the largest such spread over all pairs.
+#[derive(Debug)]
+pub struct GapMeter {
+    customers: Vec<MeteredCustomer>,
+    spans: Vec<Option<PairSpan>>,
+    largest: f64,
+    current: f64,
+    samples: Vec<f64>,
+}
+
+#[derive(Debug)]
+struct MeteredCustomer {
+    halls: HallMask,
+    weight: f64,
+    received: f64,
+    waiting: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PairSpan {
+    low: f64,
+    high: f64,
+}
+
+impl GapMeter {
+    /// A meter for customers with these weights and allowed halls.
+    pub fn new(customers: &[(Weight, HallMask)]) -> GapMeter {
+        let metered = customers.iter().map(|(weight, halls)| MeteredCustomer {
+            halls: *halls,
+            weight: f64::from(weight.get()),
+            received: 0.0,
+            waiting: false,
+        });
+        GapMeter {
+            customers: metered.collect(),
+            spans: vec![None; customers.len() * customers.len()],
+            largest: 0.0,
+            current: 0.0,
+            samples: Vec::new(),
+        }
+    }
+
+    /// Says whether a customer has waiting work from now on.
+    pub fn set_waiting(&mut self, customer: usize, waiting: bool) {
+        if self.customers[customer].waiting == waiting {
+            return;
+        }
+        self.customers[customer].waiting = waiting;
+        for other in 0..self.customers.len() {
+            let both = waiting && self.customers[other].waiting && self.same_halls(customer, other);
+            let (low, high) = (customer.min(other), customer.max(other));
+            let start = self.difference(low, high);
+            let span = (both && other != customer).then_some(PairSpan { low: start, high: start });
+            let slot = self.slot(low, high);
+            self.spans[slot] = span;
+        }
+    }
+
+    /// Records service that a customer received.
+    pub fn serve(&mut self, customer: usize, cost: Cost) {
+        let weight = self.customers[customer].weight;
+        self.customers[customer].received += cost.0 as f64 / weight;
+        for other in 0..self.customers.len() {
+            let (low, high) = (customer.min(other), customer.max(other));
+            let difference = self.difference(low, high);
+            let slot = self.slot(low, high);
+            if let Some(span) = &mut self.spans[slot] {
+                span.low = span.low.min(difference);
+                span.high = span.high.max(difference);
+                self.current = self.current.max(span.high - span.low);
+            }
+        }
+        self.largest = self.largest.max(self.current);
+    }
+
+    /// Samples the gap of this moment for the percentile.
+    pub fn sample(&mut self) {
+        let spreads = self.spans.iter().flatten().map(|span| span.high - span.low);
+        self.current = spreads.fold(0.0, f64::max);
+        self.samples.push(self.current);
+    }
+
+    /// The gaps so far.
+    pub fn report(&self) -> GapReport {
+        let mut sorted = self.samples.clone();
+        sorted.sort_by(f64::total_cmp);
+        let rank = (sorted.len() * 99 / 100).min(sorted.len().saturating_sub(1));
+        GapReport {
+            largest: self.largest,
+            percentile_99: sorted.get(rank).copied().unwrap_or(0.0),
+            samples: sorted.len(),
+        }
+    }
+
+    fn same_halls(&self, one: usize, other: usize) -> bool {
+        self.customers[one].halls == self.customers[other].halls
+    }
+
+    fn difference(&self, low: usize, high: usize) -> f64 {
+        self.customers[low].received - self.customers[high].received
+    }
+
+    fn slot(&self, low: usize, high: usize) -> usize {
+        low * self.customers.len() + high
+    }
+}
--- /dev/null
+++ b/crates/micaspool-fair/src/policy/arrival.rs
@@ -0,0 +1,26 @@
+//! Baseline: the request that came first runs first.
+
+use super::{HeadTicket, OrderPolicy, Rank};
+use crate::account::{ServiceAccount, ServiceLevel};
+
+/// Serves requests in the order of their arrival, whoever sent them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ArrivalOrder;
+
+impl OrderPolicy for ArrivalOrder {
+    fn name(&self) -> &'static str {
+        "arrival"
+    }
+
+    fn level(&self, _account: &ServiceAccount) -> ServiceLevel {
+        ServiceLevel(0)
+    }
+
+    fn rank(&self, _account: &ServiceAccount, head: HeadTicket) -> Rank {
+        Rank(head.order.0)
+    }
+
+    fn lifts(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/micaspool-fair/src/policy/counters.rs
@@ -0,0 +1,85 @@
+//! Service counters: the customer that received least for its weight is served next.
+
+use super::OrderPolicy;
+use crate::account::{ServiceAccount, ServiceLevel};
+use micaspool_types::Cost;
+
+/// The part of a running request's estimated rest that is charged beforehand, in percent.
+const DEFAULT_REST_PERCENT: u64 = 25;
+
+/// Charges what was delivered so far and a part of what running requests still need.
+///
+/// Charging all of the estimated rest beforehand makes the gap follow the errors of the
+/// estimate; charging none of it grants too many requests at once to a customer that starts.
+#[derive(Clone, Copy, Debug)]
+pub struct ProgressCounters {
+    rest_percent: u64,
+}
+
+impl Default for ProgressCounters {
+    fn default() -> Self {
+        ProgressCounters { rest_percent: DEFAULT_REST_PERCENT }
+    }
+}
+
+impl ProgressCounters {
+    /// Counters that charge this part of the estimated rest, 0 to 100 percent.
+    pub fn with_rest_percent(rest_percent: u64) -> Self {
+        ProgressCounters { rest_percent: rest_percent.min(100) }
+    }
+}
+
+impl OrderPolicy for ProgressCounters {
+    fn name(&self) -> &'static str {
+        "progress"
+    }
+
+    fn level(&self, account: &ServiceAccount) -> ServiceLevel {
+        let rest = Cost(account.running_rest().0.saturating_mul(self.rest_percent) / 100);
+        let charged = account.settled().plus(account.running_delivered()).plus(rest);
+        ServiceLevel::of(charged, account.weight())
+    }
+}
+
+/// Charges the whole estimate at the grant and corrects it at the end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EstimateCounters;
+
+impl OrderPolicy for EstimateCounters {
+    fn name(&self) -> &'static str {
+        "estimate"
+    }
+
+    fn level(&self, account: &ServiceAccount) -> ServiceLevel {
+        let running = account.running_delivered().plus(account.running_rest());
+        ServiceLevel::of(account.settled().plus(running), account.weight())
+    }
+}
+
+/// Charges the estimate at the grant and never corrects it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HintCounters;
+
+impl OrderPolicy for HintCounters {
+    fn name(&self) -> &'static str {
+        "hint"
+    }
+
+    fn level(&self, account: &ServiceAccount) -> ServiceLevel {
+        ServiceLevel::of(account.granted_estimate(), account.weight())
+    }
+}
+
+/// Charges a request when it ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SettledCounters;
+
+impl OrderPolicy for SettledCounters {
+    fn name(&self) -> &'static str {
+        "settled"
+    }
+
+    fn level(&self, account: &ServiceAccount) -> ServiceLevel {
+        ServiceLevel::of(account.settled(), account.weight())
+    }
+}
--- /dev/null
+++ b/crates/micaspool-fair/src/policy/rounds.rs
@@ -0,0 +1,19 @@
+//! Baseline: customers take turns, request by request.
+
+use super::OrderPolicy;
+use crate::account::{ServiceAccount, ServiceLevel};
+use micaspool_types::Cost;
+
+/// Weighted round robin over requests, whatever they cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestRounds;
+
+impl OrderPolicy for RequestRounds {
+    fn name(&self) -> &'static str {
+        "rounds"
+    }
+
+    fn level(&self, account: &ServiceAccount) -> ServiceLevel {
+        ServiceLevel::of(Cost(account.granted_count()), account.weight())
+    }
+}
--- /dev/null
+++ b/crates/micaspool-settings/src/policy/effective.rs
@@ -0,0 +1,50 @@
+//! Each value that holds for a customer and a service, with the level that it came from.
+
+use super::LAYER_FIELDS;
+use serde_json::Value;
+
+/// One value in force and where it was set.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EffectiveValue {
+    /// The field of the policy layer.
+    pub field: &'static str,
+    /// The value; `None` when the built-in default holds.
+    pub value: Option<Value>,
+    /// The path of the level that set the value, or `built-in`.
+    pub level: String,
+}
+
+/// The values that hold for a customer and a service, one for each policy field.
+///
+/// Returns `None` when the tree has no such customer or service.
+pub fn effective_values(tree: &Value, customer: &str, service: &str) -> Option<Vec<EffectiveValue>> {
+    let levels = level_paths(tree, customer, service)?;
+    let values = LAYER_FIELDS.iter().map(|field| effective_value(tree, &levels, field));
+    Some(values.collect())
+}
+
+/// The paths of the policy layers, the strongest last.
+fn level_paths(tree: &Value, customer: &str, service: &str) -> Option<Vec<Vec<String>>> {
+    tree.get("services")?.get(service)?;
+    let groups = tree.get("groups")?.as_object()?;
+    let holds = |group: &Value| group.get("customers").and_then(|all| all.get(customer)).is_some();
+    let (group, _) = groups.iter().find(|(_, group)| holds(group))?;
+    let path = |keys: &[&str]| keys.iter().map(|key| (*key).to_owned()).collect::<Vec<String>>();
+    Some(vec![
+        path(&["policy"]),
+        path(&["services", service, "policy"]),
+        path(&["groups", group, "policy"]),
+        path(&["groups", group, "customers", customer, "policy"]),
+        path(&["groups", group, "customers", customer, "services", service]),
+    ])
+}
+
+fn effective_value(tree: &Value, levels: &[Vec<String>], field: &'static str) -> EffectiveValue {
+    for level in levels.iter().rev() {
+        let layer = level.iter().try_fold(tree, |value, key| value.get(key));
+        if let Some(value) = layer.and_then(|layer| layer.get(field)).filter(|value| !value.is_null()) {
+            return EffectiveValue { field, value: Some(value.clone()), level: level.join(".") };
+        }
+    }
+    EffectiveValue { field, value: None, level: "built-in".to_owned() }
+}
--- /dev/null
+++ b/crates/micaspool-settings/src/process.rs
@@ -0,0 +1,210 @@
+//! The settings file of one process.
+
+use crate::document::{DocumentNode, FaultList, SettingsFault};
+use crate::policy::parse_address;
+use micaspool_types::{HallName, InstanceName, RegionName};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+const FIELDS: &[&str] = &[
+    "instance",
+    "hall",
+    "region",
+    "callers",
+    "wire",
+    "status",
+    "data_folder",
+    "keepers",
+    "dispatchers",
+    "instance_list",
+    "log_file",
+    "log_level",
+    "trace_file",
+];
+const PEER_FIELDS: &[&str] = &["name", "hall", "address"];
+
+/// A process of another instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// The name of its instance.
+    pub name: InstanceName,
+    /// Where it listens for other processes.
+    pub address: SocketAddr,
+}
+
+/// The role of a process, which decides which settings it needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessRole {
+    /// Serves callers.
+    Router,
+    /// Orders waiting work.
+    Dispatcher,
+    /// Keeps durable state.
+    Keeper,
+}
+
+/// The settings of one process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProcessSettings {
+    /// The name of the instance.
+    pub instance: InstanceName,
+    /// Its data hall.
+    pub hall: HallName,
+    /// Its region.
+    pub region: RegionName,
+    /// Where a router listens for callers.
+    pub callers: SocketAddr,
+    /// Where a dispatcher or keeper listens for other processes.
+    pub wire: SocketAddr,
+    /// Where metrics and health are served.
+    pub status: SocketAddr,
+    /// The folder of a keeper's files.
+    pub data_folder: PathBuf,
+    /// Every keeper, this one included.
+    pub keepers: Vec<PeerAddress>,
+    /// Every dispatcher of the region.
+    pub dispatchers: Vec<PeerAddress>,
+    /// Where the platform's list of instances is served, if anywhere.
+    pub instance_list: Option<SocketAddr>,
+    /// The log file; standard error when absent.
+    pub log_file: Option<PathBuf>,
+    /// The log level: error, warn, info, debug or trace.
+    pub log_level: String,
+    /// The file of spans; none are written when absent.
+    pub trace_file: Option<PathBuf>,
+}
+
+/// Reads and checks a settings file for a role; every fault is reported at once.
+pub fn read_file(path: &Path, role: ProcessRole) -> Result<ProcessSettings, Vec<SettingsFault>> {
+    let whole = |remedy: String| vec![SettingsFault { path: ".".to_owned(), remedy }];
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| whole(format!("make the file {} readable ({error})", path.display())))?;
+    let value =
+        serde_json::from_str(&text).map_err(|error| whole(format!("write the file as JSON ({error})")))?;
+    read_value(&value, role)
+}
+
+/// Checks settings that are already JSON.
+pub fn read_value(value: &Value, role: ProcessRole) -> Result<ProcessSettings, Vec<SettingsFault>> {
+    let mut faults = FaultList::default();
+    let root = DocumentNode::root(value);
+    root.object(FIELDS, &mut faults);
+    let settings = read_fields(&root, role, &mut faults);
+    let settings = faults.finish(settings)?;
+    settings.ok_or_else(|| {
+        vec![SettingsFault { path: ".".to_owned(), remedy: "add the missing keys".to_owned() }]
+    })
+}
+
+fn read_fields(
+    root: &DocumentNode<'_>,
+    role: ProcessRole,
+    faults: &mut FaultList,
+) -> Option<ProcessSettings> {
+    let instance =
+        root.required("instance", faults).and_then(|node| node.parsed(InstanceName::parse, faults));
+    let hall = root.required("hall", faults).and_then(|node| node.parsed(HallName::parse, faults));
+    let region = root.required("region", faults).and_then(|node| node.parsed(RegionName::parse, faults));
+    let callers = read_listener(root, "callers", role == ProcessRole::Router, faults);
+    let wire = read_listener(root, "wire", role != ProcessRole::Router, faults);
+    let status = read_listener(root, "status", true, faults);
+    let keepers = read_peers(root, "keepers", true, faults);
+    let dispatchers = read_peers(root, "dispatchers", role == ProcessRole::Router, faults);
+    let data_folder = read_path(root, "data_folder", faults);
+    if role == ProcessRole::Keeper && data_folder.is_none() {
+        faults.add(root, "add the key \"data_folder\"");
+    }
+    if role == ProcessRole::Keeper && !lists_itself(&instance, &keepers) {
+        faults.add(root, "list this instance under 'keepers' too, by its instance name");
+    }
+    Some(ProcessSettings {
+        instance: instance?,
+        hall: hall?,
+        region: region?,
+        callers: callers?,
+        wire: wire?,
+        status: status?,
+        data_folder: data_folder.unwrap_or_default(),
+        keepers: keepers?,
+        dispatchers: dispatchers?,
+        instance_list: read_optional_address(root, "instance_list", faults),
+        log_file: read_path(root, "log_file", faults),
+        log_level: read_level(root, faults),
+        trace_file: read_path(root, "trace_file", faults),
+    })
+}
+
+fn lists_itself(instance: &Option<InstanceName>, keepers: &Option<Vec<PeerAddress>>) -> bool {
+    match (instance, keepers) {
+        (Some(instance), Some(keepers)) => keepers.iter().any(|peer| peer.name == *instance),
+        _ => true,
+    }
+}
+
+fn read_listener(
+    root: &DocumentNode<'_>,
+    key: &str,
+    needed: bool,
+    faults: &mut FaultList,
+) -> Option<SocketAddr> {
+    if needed {
+        return root.required(key, faults).and_then(|node| node.parsed(parse_address, faults));
+    }
+    let unused = SocketAddr::from(([127, 0, 0, 1], 0));
+    Some(read_optional_address(root, key, faults).unwrap_or(unused))
+}
+
+fn read_optional_address(root: &DocumentNode<'_>, key: &str, faults: &mut FaultList) -> Option<SocketAddr> {
+    root.child(key).and_then(|node| node.parsed(parse_address, faults))
+}
+
+fn read_path(root: &DocumentNode<'_>, key: &str, faults: &mut FaultList) -> Option<PathBuf> {
+    root.child(key).and_then(|node| node.text(faults)).map(PathBuf::from)
+}
+
+fn read_level(root: &DocumentNode<'_>, faults: &mut FaultList) -> String {
+    let check = |text: &str| match text {
+        "error" | "warn" | "info" | "debug" | "trace" => Ok(text.to_owned()),
+        _ => Err("give error, warn, info, debug or trace"),
+    };
+    root.child("log_level").and_then(|node| node.parsed(check, faults)).unwrap_or_else(|| "info".to_owned())
+}
+
+fn read_peers(
+    root: &DocumentNode<'_>,
+    key: &str,
+    needed: bool,
+    faults: &mut FaultList,
+) -> Option<Vec<PeerAddress>> {
+    if !needed && root.child(key).is_none() {
+        return Some(Vec::new());
+    }
+    let node = root.required(key, faults)?;
+    let Some(items) = node.value().as_array() else {
+        faults.add(&node, "give a JSON array of objects with name and address");
+        return None;
+    };
+    let mut peers = Vec::new();
+    for item in items {
+        let entry = DocumentNode::root(item);
+        let before = peers.len();
+        let mut inner = FaultList::default();
+        entry.object(PEER_FIELDS, &mut inner);
+        let name = entry
+            .required("name", &mut inner)
+            .and_then(|child| child.parsed(InstanceName::parse, &mut inner));
+        let address =
+            entry.required("address", &mut inner).and_then(|child| child.parsed(parse_address, &mut inner));
+        if let (Some(name), Some(address)) = (name, address) {
+            peers.push(PeerAddress { name, address });
+        }
+        for fault in inner.finish(()).err().unwrap_or_default() {
+            faults.add(&node, format!("entry {before}, {}: {}", fault.path, fault.remedy));
+        }
+    }
+    if needed && items.is_empty() {
+        faults.add(&node, "list at least one process");
+    }
+    Some(peers)
+}
--- /dev/null
+++ b/crates/micaspool-types/src/lib.rs
@@ -0,0 +1,17 @@
+//! Names, identifiers, units and the refusal kinds that every crate of the workspace shares.
+//!
+//! Nothing here performs I/O or reads a clock.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod ids;
+mod names;
+mod placement;
+mod refusal;
+mod units;
+
+pub use ids::{Incarnation, OrderNumber, RequestId, RequestIdError, Revision, Term};
+pub use names::{CustomerName, EndpointName, HallName, InstanceName, NameError, RegionName, ServiceName};
+pub use placement::{HallMask, MAX_HALLS};
+pub use refusal::{Refusal, RefusalKind, RunState};
+pub use units::{Cost, Moment, Weight};
--- /dev/null
+++ b/crates/micaspool-wire/src/convert.rs
@@ -0,0 +1,248 @@
+//! Between protocol messages and the types of the shard core.
+
+use crate::v1;
+use micaspool_dispatch::{
+    GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent,
+};
+use micaspool_fair::ServiceLevel;
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RequestId, ServiceName,
+};
+use std::fmt;
+use std::time::Duration;
+
+/// Why a message cannot be understood.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// The message has no body; the sender speaks a newer version.
+    NoBody,
+    /// A request id does not have 16 bytes.
+    RequestId,
+    /// A name is malformed.
+    Name(NameError),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::NoBody => f.write_str("a message has no known body; run the same version everywhere"),
+            Error::RequestId => f.write_str("a request id must have 16 bytes; run the same version everywhere"),
+            Error::Name(error) => write!(f, "a message has a malformed name: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<NameError> for Error {
+    fn from(error: NameError) -> Self {
+        Error::Name(error)
+    }
+}
+
+/// A request id as bytes.
+pub fn request_bytes(request: RequestId) -> Vec<u8> {
+    request.0.to_be_bytes().to_vec()
+}
+
+/// A request id from bytes.
+pub fn request_id(bytes: &[u8]) -> Result<RequestId, Error> {
+    let bytes: [u8; 16] = bytes.try_into().map_err(|_| Error::RequestId)?;
+    Ok(RequestId(u128::from_be_bytes(bytes)))
+}
+
+/// A ticket as a message.
+pub fn submit_message(ticket: &RequestTicket) -> v1::Submit {
+    v1::Submit {
+        request: request_bytes(ticket.request),
+        customer: ticket.customer.to_string(),
+        hint: ticket.hint.0,
+        priority: u32::from(ticket.priority),
+        attempt: ticket.attempt,
+        avoid: ticket.avoid.as_ref().map(ToString::to_string).unwrap_or_default(),
+        prefixes: ticket.prefixes.clone(),
+        order: ticket.order.map_or(0, |order| order.0),
+    }
+}
+
+/// A ticket from a message.
+pub fn ticket(message: v1::Submit) -> Result<RequestTicket, Error> {
+    let avoid = match message.avoid.as_str() {
+        "" => None,
+        name => Some(EndpointName::parse(name)?),
+    };
+    Ok(RequestTicket {
+        request: request_id(&message.request)?,
+        customer: CustomerName::parse(&message.customer)?,
+        hint: Cost(message.hint),
+        priority: u8::try_from(message.priority).unwrap_or(u8::MAX),
+        attempt: message.attempt,
+        avoid,
+        prefixes: message.prefixes,
+        order: (message.order > 0).then_some(OrderNumber(message.order)),
+    })
+}
+
+/// What a router holds, as a message.
+pub fn hello_message(service: &ServiceName, hall: &str, hello: &RouterHello) -> v1::Hello {
+    v1::Hello {
+        service: service.to_string(),
+        router: hello.router.to_string(),
+        hall: hall.to_owned(),
+        incarnation: hello.incarnation.0,
+        waiting: hello.waiting.iter().map(submit_message).collect(),
+        running: hello.running.iter().map(held_message).collect(),
+        totals: hello.totals.iter().map(total_message).collect(),
+        heartbeat: hello.heartbeat,
+    }
+}
+
+fn held_message(grant: &HeldGrant) -> v1::HeldGrant {
+    v1::HeldGrant {
+        request: request_bytes(grant.request),
+        customer: grant.customer.to_string(),
+        endpoint: grant.endpoint.to_string(),
+        estimate: grant.estimate.0,
+        delivered: grant.delivered.0,
+        order: grant.order.0,
+    }
+}
+
+fn total_message(total: &HeldTotal) -> v1::Total {
+    v1::Total { customer: total.customer.to_string(), level: total.level.0, order: total.order.0 }
+}
+
+/// What a router holds, from a message.
+pub fn hello(message: v1::Hello) -> Result<RouterHello, Error> {
+    Ok(RouterHello {
+        router: InstanceName::parse(&message.router)?,
+        incarnation: Incarnation(message.incarnation),
+        waiting: message.waiting.into_iter().map(ticket).collect::<Result<_, _>>()?,
+        running: message.running.into_iter().map(held_grant).collect::<Result<_, _>>()?,
+        totals: message.totals.into_iter().map(held_total).collect::<Result<_, _>>()?,
+        heartbeat: message.heartbeat,
+    })
+}
+
+fn held_grant(message: v1::HeldGrant) -> Result<HeldGrant, Error> {
+    Ok(HeldGrant {
+        request: request_id(&message.request)?,
+        customer: CustomerName::parse(&message.customer)?,
+        endpoint: EndpointName::parse(&message.endpoint)?,
+        estimate: Cost(message.estimate),
+        delivered: Cost(message.delivered),
+        order: OrderNumber(message.order),
+    })
+}
+
+fn held_total(message: v1::Total) -> Result<HeldTotal, Error> {
+    Ok(HeldTotal {
+        customer: CustomerName::parse(&message.customer)?,
+        level: ServiceLevel(message.level),
+        order: OrderNumber(message.order),
+    })
+}
+
+/// The shard event that a router's message stands for.
+pub fn shard_event(session: SessionId, message: v1::RouterMessage) -> Result<ShardEvent, Error> {
+    use v1::router_message::Body;
+    Ok(match message.body.ok_or(Error::NoBody)? {
+        Body::Hello(body) => ShardEvent::Joined(session, hello(body)?),
+        Body::Submit(body) => ShardEvent::Submit(session, ticket(body)?),
+        Body::Cancel(body) => ShardEvent::Cancel(session, request_id(&body.request)?),
+        Body::Progress(body) => {
+            ShardEvent::Progress(session, request_id(&body.request)?, Cost(body.delivered))
+        }
+        Body::Settle(body) => {
+            let fate = grant_fate(body.fate());
+            ShardEvent::Settle(session, request_id(&body.request)?, Cost(body.cost), fate)
+        }
+        Body::Heartbeat(body) => ShardEvent::Heartbeat(session, body.number),
+        Body::Goodbye(_) => ShardEvent::Goodbye(session),
+    })
+}
+
+/// How a grant ended, as a message.
+pub fn fate_message(fate: GrantFate) -> v1::Fate {
+    match fate {
+        GrantFate::Done => v1::Fate::Done,
+        GrantFate::Refused => v1::Fate::Refused,
+        GrantFate::Unreachable => v1::Fate::Unreachable,
+        GrantFate::Draining => v1::Fate::Draining,
+        GrantFate::Broken => v1::Fate::Broken,
+        GrantFate::Unsent => v1::Fate::Unsent,
+    }
+}
+
+fn grant_fate(fate: v1::Fate) -> GrantFate {
+    match fate {
+        v1::Fate::Done => GrantFate::Done,
+        v1::Fate::Refused => GrantFate::Refused,
+        v1::Fate::Unreachable => GrantFate::Unreachable,
+        v1::Fate::Draining => GrantFate::Draining,
+        v1::Fate::Broken => GrantFate::Broken,
+        v1::Fate::Unsent => GrantFate::Unsent,
+    }
+}
+
+const CUSTOMER_FULL: &str = "customer-full";
+const SHARD_FULL: &str = "shard-full";
+const RETRY_BUDGET: &str = "retry-budget";
+
+/// Why a ticket was refused, as text.
+pub fn reason_text(reason: ReleaseReason) -> &'static str {
+    match reason {
+        ReleaseReason::CustomerFull => CUSTOMER_FULL,
+        ReleaseReason::ShardFull => SHARD_FULL,
+        ReleaseReason::RetryBudget => RETRY_BUDGET,
+    }
+}
+
+/// Why a ticket was refused, from text; an unknown text counts as a full shard.
+pub fn release_reason(text: &str) -> ReleaseReason {
+    match text {
+        CUSTOMER_FULL => ReleaseReason::CustomerFull,
+        RETRY_BUDGET => ReleaseReason::RetryBudget,
+        _ => ReleaseReason::ShardFull,
+    }
+}
+
+/// The stream that an action goes to, and its message.
+pub fn action_message(action: ShardAction, incarnation: Incarnation) -> (SessionId, v1::DispatcherMessage) {
+    use v1::dispatcher_message::Body;
+    let (session, body) = match action {
+        ShardAction::Accepted { session, request, order } => {
+            (session, Body::Accepted(v1::Accepted { request: request_bytes(request), order: order.0 }))
+        }
+        ShardAction::Grant { session, request, endpoint, estimate, level, order, heartbeat, lease, revision } => {
+            let grant = v1::Grant {
+                request: request_bytes(request),
+                endpoint: endpoint.to_string(),
+                estimate: estimate.0,
+                level: level.0,
+                order: order.0,
+                heartbeat,
+                lease_millis: millis(lease),
+                revision: revision.0,
+            };
+            (session, Body::Grant(grant))
+        }
+        ShardAction::Refuse { session, request, reason, retry_after } => {
+            let refused = v1::Refused {
+                request: request_bytes(request),
+                kind: reason_text(reason).to_owned(),
+                retry_after_millis: millis(retry_after),
+            };
+            (session, Body::Refused(refused))
+        }
+        ShardAction::Pulse { session, heartbeat } => {
+            (session, Body::Pulse(v1::Pulse { heartbeat, incarnation: incarnation.0 }))
+        }
+        ShardAction::Rejoin { session } => (session, Body::Moved(v1::Moved {})),
+    };
+    (session, v1::DispatcherMessage { body: Some(body) })
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/micaspool-wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! The protocols between the processes of the system.
+//!
+//! [`v1`] is generated from `proto/micaspool.proto` by the `xtask` crate and committed;
+//! [`convert`] turns its messages into the types of the cores and back.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod convert;
+
+/// Messages, clients and servers of version 1 of the protocols.
+#[allow(missing_docs, rust_2018_idioms, clippy::all)]
+#[rustfmt::skip]
+pub mod v1 {
+    include!("generated/micaspool.v1.rs");
+}
