feat(quorum): replicated log core with replacement of wiped members

Cause: settings and claims need durable, replicated state of our own. Found on the way: after an operator's recovery a non-voting member that held an uncommitted group entry never asked to come in; keepers that are no voters now announce themselves. The recovery test failed before and passes after. Conclusion: the keeper daemon can be built on it.

Also: HTTP edge, telemetry and counted sockets, not yet used by a daemon.

--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -29,7 +29,7 @@
             return;
         }
         while let Some((request, endpoint)) = self.next_pair(now) {
-            self.grant(now, request, endpoint, actions);
+            self.grant(request, endpoint, actions);
         }
     }
 
@@ -68,13 +68,7 @@
         cached.or_else(|| self.endpoints.least_loaded(halls, avoided))
     }
 
-    fn grant(
-        &mut self,
-        now: Moment,
-        request: RequestId,
-        endpoint: EndpointIndex,
-        actions: &mut Vec<ShardAction>,
-    ) {
+    fn grant(&mut self, request: RequestId, endpoint: EndpointIndex, actions: &mut Vec<ShardAction>) {
         let ticket = self.waiting.remove(&request).expect("the chosen ticket waits");
         let state = self.customers.get_mut(ticket.customer);
         state.queue.remove(&ticket.place);
--- /dev/null
+++ b/crates/micaspool-http/src/replay.rs
@@ -0,0 +1,100 @@
+//! A stream that first gives bytes that were read before.
+
+use async_std::io::{Read, Write};
+use async_std::net::TcpStream;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+
+/// Gives `pending` bytes and then those of the stream, up to a budget; writes go to the stream.
+///
+/// Clones share the pending bytes and the budget.
+#[derive(Clone, Debug)]
+pub struct ReplayStream {
+    stream: TcpStream,
+    state: Arc<Mutex<ReplayState>>,
+}
+
+#[derive(Debug)]
+struct ReplayState {
+    pending: Vec<u8>,
+    position: usize,
+    /// How many more bytes may be given; `None` is without limit.
+    budget: Option<u64>,
+}
+
+impl ReplayStream {
+    /// A stream that gives `pending` first, and at most `budget` bytes in all.
+    pub fn new(stream: TcpStream, pending: Vec<u8>, budget: Option<u64>) -> ReplayStream {
+        let state = ReplayState { pending, position: 0, budget };
+        ReplayStream { stream, state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// The pending bytes that were not given.
+    pub fn take_rest(&self) -> Vec<u8> {
+        let mut state = self.state.lock().expect("no reader panics while it holds the state");
+        let position = state.position;
+        let rest = state.pending.split_off(position);
+        state.pending.clear();
+        state.position = 0;
+        rest
+    }
+}
+
+impl ReplayState {
+    fn allowed(&self, wanted: usize) -> usize {
+        match self.budget {
+            Some(budget) => wanted.min(usize::try_from(budget).unwrap_or(usize::MAX)),
+            None => wanted,
+        }
+    }
+
+    fn spend(&mut self, bytes: usize) {
+        if let Some(budget) = &mut self.budget {
+            *budget = budget.saturating_sub(bytes as u64);
+        }
+    }
+
+    fn give_pending(&mut self, buf: &mut [u8]) -> usize {
+        let left = &self.pending[self.position..];
+        let count = left.len().min(buf.len());
+        buf[..count].copy_from_slice(&left[..count]);
+        self.position += count;
+        self.spend(count);
+        count
+    }
+}
+
+impl Read for ReplayStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let mut state = this.state.lock().expect("no reader panics while it holds the state");
+        let allowed = state.allowed(buf.len());
+        if allowed == 0 {
+            return Poll::Ready(Ok(0));
+        }
+        if state.position < state.pending.len() {
+            return Poll::Ready(Ok(state.give_pending(&mut buf[..allowed])));
+        }
+        let result = Pin::new(&mut this.stream).poll_read(cx, &mut buf[..allowed]);
+        if let Poll::Ready(Ok(count)) = &result {
+            state.spend(*count);
+        }
+        result
+    }
+}
+
+impl Write for ReplayStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/micaspool-quorum/src/core/forming.rs
@@ -0,0 +1,119 @@
+//! The first group, and an operator's order to form one alone.
+//!
+//! A first group forms only when every configured keeper is reachable and has an empty data
+//! folder; the one with the lowest name then names the members. Anything else is left to the
+//! leader of an existing group or to an operator.
+
+use super::{QuorumCore, RoleState};
+use crate::message::PeerBody;
+use crate::types::{EntryPayload, GroupMember, GroupMembership, KeeperIdentity, LogIndex, LogSnapshot};
+use micaspool_types::{InstanceName, Moment, Term};
+use std::collections::HashMap;
+
+/// How many announcements may be missed before a keeper no longer counts as reachable.
+const MISSED_ANNOUNCEMENTS: u32 = 3;
+
+/// What a keeper without a group has heard.
+#[derive(Debug, Default)]
+pub(super) struct FormingState {
+    heard: HashMap<InstanceName, HeardAnnouncement>,
+    announced: Option<Moment>,
+}
+
+#[derive(Debug, Clone)]
+struct HeardAnnouncement {
+    identity: KeeperIdentity,
+    empty: bool,
+    at: Moment,
+}
+
+impl QuorumCore {
+    /// Tells the others that this life of the keeper is in no group, or is no voter as far as it
+    /// knows: an operator may have formed a new group without it.
+    pub(super) fn announce(&mut self, now: Moment) {
+        let interval = self.options.announce_interval;
+        if self.forming.announced.is_some_and(|at| now.since(at) < interval) {
+            return;
+        }
+        self.forming.announced = Some(now);
+        let empty = !self.is_formed();
+        for name in self.other_keepers() {
+            self.send(&name, PeerBody::Announce { empty });
+        }
+        self.form_if_possible(now);
+    }
+
+    fn other_keepers(&self) -> Vec<InstanceName> {
+        self.options.configured.iter().filter(|name| **name != self.identity.name).cloned().collect()
+    }
+
+    pub(super) fn hear_announce(&mut self, now: Moment, from: KeeperIdentity, empty: bool) {
+        if self.is_formed() {
+            self.answer_newcomer(now, from, empty);
+            return;
+        }
+        let name = from.name.clone();
+        self.forming.heard.insert(name, HeardAnnouncement { identity: from, empty, at: now });
+    }
+
+    /// A member of a group hears a keeper that is in none, or that is not a voter.
+    fn answer_newcomer(&mut self, now: Moment, from: KeeperIdentity, empty: bool) {
+        let base = self.log.snapshot();
+        if empty && base.index == LogIndex(0) && base.membership.has(&from) {
+            let membership = base.membership.clone();
+            self.send(&from.name, PeerBody::Form { membership });
+            return;
+        }
+        if empty {
+            self.send(&from.name, PeerBody::Announce { empty: false });
+        }
+        self.admit_newcomer(now, from);
+    }
+
+    fn form_if_possible(&mut self, now: Moment) {
+        let lowest = self.options.configured.iter().min();
+        if self.is_formed() || lowest != Some(&self.identity.name) {
+            return;
+        }
+        let limit = self.options.announce_interval * MISSED_ANNOUNCEMENTS;
+        let mut identities = vec![self.identity.clone()];
+        for name in self.other_keepers() {
+            match self.forming.heard.get(&name) {
+                Some(heard) if heard.empty && now.since(heard.at) < limit => {
+                    identities.push(heard.identity.clone())
+                }
+                _ => return,
+            }
+        }
+        identities.sort();
+        let members = identities.into_iter().map(|identity| GroupMember { identity, voter: true }).collect();
+        let membership = GroupMembership { members };
+        self.adopt_group(now, membership.clone());
+        for name in self.other_keepers() {
+            self.send(&name, PeerBody::Form { membership: membership.clone() });
+        }
+    }
+
+    /// Takes the first group over, when it has exactly this life of the keeper and there is none.
+    pub(super) fn adopt_group(&mut self, now: Moment, membership: GroupMembership) {
+        if self.is_formed() || !membership.has(&self.identity) {
+            return;
+        }
+        let snapshot = LogSnapshot { membership, ..LogSnapshot::default() };
+        self.log.replace(snapshot.clone());
+        self.output.save.snapshot = Some(snapshot);
+        self.follow(now, None);
+    }
+
+    /// An operator's order: this keeper alone becomes the group, with everything in its log.
+    pub(super) fn recover_alone(&mut self, now: Moment) {
+        let alone = GroupMember { identity: self.identity.clone(), voter: true };
+        let membership = GroupMembership { members: vec![alone] };
+        self.hard.term = Term(self.hard.term.0 + 1);
+        self.hard.vote = Some(self.identity.clone());
+        self.hard_dirty = true;
+        self.role = RoleState::Follower;
+        self.append_own(EntryPayload::Members(membership));
+        self.become_leader(now);
+    }
+}
--- /dev/null
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -0,0 +1,266 @@
+//! A leader's entries on their way to the members, and a follower's side of it.
+
+use super::{QuorumCore, RoleState};
+use crate::message::PeerBody;
+use crate::options::QuorumOptions;
+use crate::types::{GroupMembership, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
+use micaspool_types::{Moment, Term};
+use std::collections::HashMap;
+
+/// What a leader knows of one member.
+#[derive(Debug, Clone)]
+pub(super) struct MemberProgress {
+    /// The last entry that is durable there.
+    pub matched: LogIndex,
+    /// The next entry to send.
+    next: LogIndex,
+    /// When the message that is not answered yet was sent.
+    in_flight: Option<Moment>,
+    /// When the newest answered message was sent; the lease runs from it.
+    pub heard: Option<Moment>,
+    last_sent: Option<Moment>,
+}
+
+/// The state of a leader.
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    pub progress: HashMap<KeeperIdentity, MemberProgress>,
+    since: Moment,
+}
+
+impl LeaderState {
+    pub fn new(now: Moment) -> LeaderState {
+        LeaderState { progress: HashMap::new(), since: now }
+    }
+
+    /// True when a majority of voters, this keeper included, was heard within the timeout. A new
+    /// leader counts its election as the first sign of life.
+    pub fn has_majority(
+        &self,
+        now: Moment,
+        own: &KeeperIdentity,
+        membership: &GroupMembership,
+        options: &QuorumOptions,
+    ) -> bool {
+        let fresh = |voter: &KeeperIdentity| {
+            let heard = self.progress.get(voter).and_then(|progress| progress.heard).unwrap_or(self.since);
+            voter == own || now.since(heard) < options.election_timeout
+        };
+        membership.voters().filter(|voter| fresh(voter)).count() >= membership.majority()
+    }
+
+    /// True when this life of a keeper was heard within the timeout.
+    pub fn heard_lately(&self, now: Moment, member: &KeeperIdentity, options: &QuorumOptions) -> bool {
+        let heard = self.progress.get(member).and_then(|progress| progress.heard);
+        heard.is_some_and(|heard| now.since(heard) < options.election_timeout)
+    }
+}
+
+impl QuorumCore {
+    /// A leader's regular work: step down without a majority, else speak to each member.
+    pub(super) fn lead(&mut self, now: Moment) {
+        let RoleState::Leader(state) = &self.role else { return };
+        if !state.has_majority(now, &self.identity, self.log.membership(), &self.options) {
+            self.follow(now, None);
+            return;
+        }
+        self.track_members();
+        for member in self.other_members() {
+            if self.is_due(now, &member) {
+                self.send_entries(now, &member);
+            }
+        }
+        self.tend_group(now);
+    }
+
+    /// Sends new entries to each member that has no unanswered message.
+    pub(super) fn replicate_idle(&mut self, now: Moment) {
+        self.track_members();
+        for member in self.other_members() {
+            if self.member(&member).is_some_and(|progress| progress.in_flight.is_none()) {
+                self.send_entries(now, &member);
+            }
+        }
+    }
+
+    fn other_members(&self) -> Vec<KeeperIdentity> {
+        let members = self.log.membership().members.iter().map(|member| &member.identity);
+        members.filter(|member| **member != self.identity).cloned().collect()
+    }
+
+    /// Brings the list of members that the leader follows in line with the group.
+    fn track_members(&mut self) {
+        let next = self.log.last_index().next();
+        let members = self.other_members();
+        let RoleState::Leader(state) = &mut self.role else { return };
+        state.progress.retain(|member, _| members.contains(member));
+        for member in members {
+            state.progress.entry(member).or_insert(MemberProgress {
+                matched: LogIndex(0),
+                next,
+                in_flight: None,
+                heard: None,
+                last_sent: None,
+            });
+        }
+    }
+
+    fn member(&mut self, member: &KeeperIdentity) -> Option<&mut MemberProgress> {
+        match &mut self.role {
+            RoleState::Leader(state) => state.progress.get_mut(member),
+            _ => None,
+        }
+    }
+
+    fn is_due(&mut self, now: Moment, member: &KeeperIdentity) -> bool {
+        let heartbeat = self.options.heartbeat;
+        let progress = self.member(member);
+        progress.is_some_and(|progress| progress.last_sent.is_none_or(|sent| now.since(sent) >= heartbeat))
+    }
+
+    fn send_entries(&mut self, now: Moment, member: &KeeperIdentity) {
+        let Some(progress) = self.member(member) else { return };
+        progress.in_flight = Some(now);
+        progress.last_sent = Some(now);
+        let next = progress.next;
+        let prev = LogIndex(next.0.saturating_sub(1));
+        let behind = next <= self.log.snapshot().index;
+        let body = match self.log.term_at(prev).filter(|_| !behind) {
+            Some(prev_term) => PeerBody::Append {
+                prev,
+                prev_term,
+                entries: self.log.range(next, self.options.max_batch),
+                commit: self.commit,
+                sent_at: now,
+            },
+            None => PeerBody::Install { snapshot: self.log.snapshot().clone(), sent_at: now },
+        };
+        self.send(&member.name, body);
+    }
+
+    /// A follower's view of a message from a leader; false when the sender leads an older term.
+    pub(super) fn accept_leader(
+        &mut self,
+        now: Moment,
+        from: &KeeperIdentity,
+        term: Term,
+        sent_at: Moment,
+    ) -> bool {
+        if term < self.hard.term {
+            let matched = LogIndex(0);
+            self.send(&from.name, PeerBody::AppendReply { accepted: false, matched, sent_at });
+            return false;
+        }
+        self.follow(now, Some(from.clone()));
+        self.leader_heard = Some(now);
+        true
+    }
+
+    pub(super) fn accept_entries(
+        &mut self,
+        from: &KeeperIdentity,
+        (prev, prev_term): (LogIndex, Term),
+        entries: Vec<LogEntry>,
+        commit: LogIndex,
+        sent_at: Moment,
+    ) {
+        let agrees = prev < self.log.snapshot().index || self.log.term_at(prev) == Some(prev_term);
+        if !agrees {
+            let matched = self.log.last_index().min(LogIndex(prev.0.saturating_sub(1))).max(self.commit);
+            self.send(&from.name, PeerBody::AppendReply { accepted: false, matched, sent_at });
+            return;
+        }
+        let matched = LogIndex(prev.0 + entries.len() as u64);
+        for entry in entries {
+            self.accept_entry(entry);
+        }
+        self.commit = self.commit.max(commit.min(matched));
+        self.hand_out();
+        self.send(&from.name, PeerBody::AppendReply { accepted: true, matched, sent_at });
+    }
+
+    /// Adds an entry unless it is there; a different one at its place is dropped with its followers.
+    fn accept_entry(&mut self, entry: LogEntry) {
+        if entry.index <= self.log.snapshot().index || self.log.term_at(entry.index) == Some(entry.term) {
+            return;
+        }
+        if entry.index <= self.log.last_index() {
+            assert!(entry.index > self.commit, "a committed entry is never replaced");
+            self.drop_from(entry.index);
+        }
+        self.output.save.append.push(entry.clone());
+        self.log.append(entry);
+    }
+
+    fn drop_from(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.saved = self.saved.min(LogIndex(index.0 - 1));
+        let save = &mut self.output.save;
+        save.append.retain(|entry| entry.index < index);
+        save.truncate_from = Some(save.truncate_from.map_or(index, |earlier| earlier.min(index)));
+    }
+
+    pub(super) fn accept_snapshot(&mut self, from: &KeeperIdentity, snapshot: LogSnapshot, sent_at: Moment) {
+        let matched = snapshot.index;
+        if snapshot.index > self.commit || !self.is_formed() {
+            self.commit = snapshot.index;
+            self.applied = snapshot.index;
+            self.log.replace(snapshot.clone());
+            self.output.committed.clear();
+            self.output.save.append.clear();
+            self.output.save.truncate_from = Some(snapshot.index.next());
+            self.output.save.snapshot = Some(snapshot.clone());
+            self.output.install = Some(snapshot);
+        }
+        self.send(&from.name, PeerBody::AppendReply { accepted: true, matched, sent_at });
+    }
+
+    /// A leader's view of an answer.
+    pub(super) fn hear_reply(
+        &mut self,
+        now: Moment,
+        from: &KeeperIdentity,
+        term: Term,
+        accepted: bool,
+        matched: LogIndex,
+        sent_at: Moment,
+    ) {
+        let current = term == self.hard.term;
+        let last = self.log.last_index();
+        let Some(progress) = self.member(from).filter(|_| current) else { return };
+        progress.heard = progress.heard.max(Some(sent_at));
+        if progress.in_flight.is_some_and(|sent| sent <= sent_at) {
+            progress.in_flight = None;
+        }
+        if accepted {
+            progress.matched = progress.matched.max(matched);
+            progress.next = progress.next.max(progress.matched.next());
+        } else {
+            progress.next = matched.next().max(progress.matched.next()).min(last.next());
+        }
+        let more = progress.next <= last && progress.in_flight.is_none();
+        self.advance_commit(now);
+        if more || !accepted {
+            self.send_entries(now, from);
+        }
+    }
+
+    /// Commits what a majority has made durable, counting only entries of this term.
+    pub(super) fn advance_commit(&mut self, now: Moment) {
+        let RoleState::Leader(state) = &self.role else { return };
+        let membership = self.log.membership();
+        let durable = |voter: &KeeperIdentity| match state.progress.get(voter) {
+            _ if *voter == self.identity => self.saved,
+            Some(progress) => progress.matched,
+            None => LogIndex(0),
+        };
+        let mut indices: Vec<LogIndex> = membership.voters().map(durable).collect();
+        indices.sort_by(|a, b| b.cmp(a));
+        let Some(agreed) = indices.get(membership.majority() - 1).copied() else { return };
+        if agreed > self.commit && self.log.term_at(agreed) == Some(self.hard.term) {
+            self.commit = agreed;
+            self.hand_out();
+            self.replicate_idle(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool-quorum/tests/harness/mod.rs
@@ -0,0 +1,322 @@
+//! Keepers in virtual time with a link that drops, delays and reorders, and disks that can be lost.
+
+use micaspool_quorum::{
+    EntryPayload, Envelope, HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot, QuorumCore,
+    QuorumEvent, QuorumOptions, QuorumOutput, RestoredState, SaveBatch,
+};
+use micaspool_types::{Incarnation, InstanceName, Moment, Term};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+const STEP_MICROS: u64 = 10_000;
+
+/// What survives a crash.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    pub hard: HardState,
+    pub snapshot: LogSnapshot,
+    pub entries: Vec<LogEntry>,
+}
+
+impl Disk {
+    fn save(&mut self, batch: SaveBatch) {
+        if let Some(snapshot) = batch.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+            self.snapshot = snapshot;
+        }
+        if let Some(from) = batch.truncate_from {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        self.entries.extend(batch.append);
+        if let Some(hard) = batch.hard {
+            self.hard = hard;
+        }
+    }
+}
+
+/// One keeper; `core` is absent while it is down.
+pub struct Node {
+    pub name: InstanceName,
+    pub incarnation: u64,
+    pub core: Option<QuorumCore>,
+    pub disk: Disk,
+    pub frozen: bool,
+    /// Commands applied since the start of the log, in order.
+    pub applied: Vec<Vec<u8>>,
+}
+
+/// All keepers, the link between them, and what must never be broken.
+pub struct Harness {
+    pub now: Moment,
+    pub nodes: Vec<Node>,
+    pub rng: ChaCha8Rng,
+    pub drop_percent: u32,
+    pub cut: BTreeSet<(usize, usize)>,
+    mail: BTreeMap<(Moment, u64), (usize, usize, Envelope)>,
+    next_mail: u64,
+    leaders: HashMap<Term, KeeperIdentity>,
+    /// Every command that was ever applied anywhere, by position.
+    pub history: Vec<Vec<u8>>,
+    pub acknowledged: Vec<Vec<u8>>,
+    waiting: HashMap<(usize, LogIndex, Term), Vec<u8>>,
+}
+
+impl Harness {
+    pub fn new(count: usize, seed: u64) -> Harness {
+        let mut harness = Harness {
+            now: Moment(1_000_000),
+            nodes: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            drop_percent: 0,
+            cut: BTreeSet::new(),
+            mail: BTreeMap::new(),
+            next_mail: 0,
+            leaders: HashMap::new(),
+            history: Vec::new(),
+            acknowledged: Vec::new(),
+            waiting: HashMap::new(),
+        };
+        for number in 0..count {
+            let name = InstanceName::parse(&format!("keeper-{number}")).expect("the name is well-formed");
+            let disk = Disk::default();
+            harness.nodes.push(Node {
+                name,
+                incarnation: 0,
+                core: None,
+                disk,
+                frozen: false,
+                applied: Vec::new(),
+            });
+        }
+        for number in 0..count {
+            harness.wipe(number);
+        }
+        harness
+    }
+
+    /// Starts a keeper from its disk.
+    pub fn start(&mut self, node: usize) {
+        let configured = self.nodes.iter().map(|node| node.name.clone()).collect();
+        let seed = self.rng.random();
+        let target = &mut self.nodes[node];
+        let identity =
+            KeeperIdentity { name: target.name.clone(), incarnation: Incarnation(target.incarnation) };
+        let disk = target.disk.clone();
+        target.applied = decode_commands(&disk.snapshot.data);
+        let restored =
+            RestoredState { identity, hard: disk.hard, snapshot: disk.snapshot, entries: disk.entries };
+        target.core = Some(QuorumCore::new(self.now, QuorumOptions::new(configured), restored, seed));
+        target.frozen = false;
+    }
+
+    /// Loses everything that is not on disk.
+    pub fn crash(&mut self, node: usize) {
+        self.nodes[node].core = None;
+        self.waiting.retain(|(owner, _, _), _| *owner != node);
+    }
+
+    /// Loses the disk too and starts again with a new one.
+    pub fn wipe(&mut self, node: usize) {
+        self.crash(node);
+        self.nodes[node].disk = Disk::default();
+        self.nodes[node].incarnation = self.rng.random();
+        self.start(node);
+    }
+
+    /// Cuts or mends the link between two keepers.
+    pub fn set_cut(&mut self, one: usize, other: usize, cut: bool) {
+        for pair in [(one, other), (other, one)] {
+            if cut {
+                self.cut.insert(pair);
+            } else {
+                self.cut.remove(&pair);
+            }
+        }
+    }
+
+    /// Cuts a keeper from all others, or mends that.
+    pub fn isolate(&mut self, node: usize, cut: bool) {
+        for other in (0..self.nodes.len()).filter(|other| *other != node) {
+            self.set_cut(node, other, cut);
+        }
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = Moment(self.now.0 + millis * 1_000);
+        while self.now < end {
+            self.now = Moment(self.now.0 + STEP_MICROS);
+            self.deliver_due();
+            for node in 0..self.nodes.len() {
+                self.feed(node, QuorumEvent::Tick);
+            }
+        }
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |node: &Node| {
+            node.core.as_ref().is_some_and(|core| core.is_leader() && core.is_confirmed(self.now))
+        };
+        let mut leaders: Vec<usize> =
+            (0..self.nodes.len()).filter(|node| leads(&self.nodes[*node])).collect();
+        leaders.sort_by_key(|node| self.nodes[*node].core.as_ref().map(|core| core.status(self.now).term));
+        leaders.pop()
+    }
+
+    /// Runs until a leader exists that has committed in its term; fails after `millis`.
+    pub fn elect(&mut self, millis: u64) -> usize {
+        let end = self.now.0 + millis * 1_000;
+        while self.now.0 < end {
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+            self.run(10);
+        }
+        panic!("no leader within {millis} ms");
+    }
+
+    /// Proposes a command at a keeper; false when it does not lead.
+    pub fn propose(&mut self, node: usize, command: &[u8]) -> bool {
+        let now = self.now;
+        if self.nodes[node].frozen {
+            return false;
+        }
+        let Some(core) = self.nodes[node].core.as_mut() else { return false };
+        let Ok((index, term)) = core.propose(now, EntryPayload::Command(command.to_vec())) else {
+            return false;
+        };
+        self.waiting.insert((node, index, term), command.to_vec());
+        self.drain(node);
+        true
+    }
+
+    /// Commits a command through whichever keeper leads; fails after `millis`.
+    pub fn commit(&mut self, command: &[u8], millis: u64) {
+        let end = self.now.0 + millis * 1_000;
+        while self.now.0 < end {
+            if let Some(leader) = self.leader() {
+                self.propose(leader, command);
+            }
+            self.run(100);
+            if self.acknowledged.iter().any(|done| done == command) {
+                return;
+            }
+        }
+        panic!("command not committed within {millis} ms");
+    }
+
+    pub fn feed(&mut self, node: usize, event: QuorumEvent) {
+        let now = self.now;
+        if self.nodes[node].frozen {
+            return;
+        }
+        if let Some(core) = self.nodes[node].core.as_mut() {
+            core.step(now, event);
+            self.drain(node);
+        }
+    }
+
+    fn drain(&mut self, node: usize) {
+        while let Some(core) = self.nodes[node].core.as_mut() {
+            let output = core.take_output();
+            if output.is_empty() {
+                break;
+            }
+            let saving = !output.save.is_empty();
+            self.act(node, output);
+            if saving {
+                let now = self.now;
+                self.nodes[node].core.as_mut().expect("the keeper runs").step(now, QuorumEvent::Saved);
+            }
+        }
+        self.note_leader(node);
+    }
+
+    fn act(&mut self, node: usize, output: QuorumOutput) {
+        self.nodes[node].disk.save(output.save);
+        for envelope in output.send {
+            self.post(node, envelope);
+        }
+        if let Some(snapshot) = output.install {
+            self.nodes[node].applied = decode_commands(&snapshot.data);
+        }
+        for entry in output.committed {
+            self.apply(node, entry);
+        }
+    }
+
+    fn apply(&mut self, node: usize, entry: LogEntry) {
+        if let Some(command) = self.waiting.remove(&(node, entry.index, entry.term)) {
+            self.acknowledged.push(command);
+        }
+        let EntryPayload::Command(command) = entry.payload else { return };
+        let position = self.nodes[node].applied.len();
+        match self.history.get(position) {
+            Some(known) => assert_eq!(*known, command, "keepers disagree at position {position}"),
+            None => self.history.push(command.clone()),
+        }
+        self.nodes[node].applied.push(command);
+    }
+
+    fn note_leader(&mut self, node: usize) {
+        let Some(core) = self.nodes[node].core.as_ref().filter(|core| core.is_leader()) else { return };
+        let term = core.status(self.now).term;
+        let identity = core.identity().clone();
+        let known = self.leaders.entry(term).or_insert_with(|| identity.clone());
+        assert_eq!(*known, identity, "two leaders in {term:?}");
+    }
+
+    fn post(&mut self, from: usize, envelope: Envelope) {
+        let to = self.nodes.iter().position(|node| node.name == envelope.to).expect("the receiver exists");
+        if self.rng.random_range(0..100) < self.drop_percent {
+            return;
+        }
+        let delay = self.rng.random_range(500..if self.drop_percent > 0 { 60_000 } else { 2_000 });
+        let due = Moment(self.now.0 + delay);
+        self.next_mail += 1;
+        self.mail.insert((due, self.next_mail), (from, to, envelope));
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.mail.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            let (from, to, envelope) = entry.remove();
+            if !self.cut.contains(&(from, to)) {
+                self.feed(to, QuorumEvent::Message(envelope.message));
+            }
+        }
+    }
+
+    /// Lets a keeper drop the entries that it has applied.
+    pub fn compact(&mut self, node: usize) {
+        let data = encode_commands(&self.nodes[node].applied);
+        let now = self.now;
+        let Some(core) = &self.nodes[node].core else { return };
+        let applied = core.status(now).commit;
+        self.feed(node, QuorumEvent::Compact(applied, data));
+    }
+
+    /// Every acknowledged command is in the history, once.
+    pub fn check_acknowledged(&self) {
+        for command in &self.acknowledged {
+            let count = self.history.iter().filter(|known| *known == command).count();
+            assert!(count >= 1, "an acknowledged command is lost");
+        }
+    }
+}
+
+fn encode_commands(commands: &[Vec<u8>]) -> Vec<u8> {
+    commands
+        .iter()
+        .flat_map(|command| std::iter::once(command.len() as u8).chain(command.iter().copied()))
+        .collect()
+}
+
+fn decode_commands(mut data: &[u8]) -> Vec<Vec<u8>> {
+    let mut commands = Vec::new();
+    while let Some((length, rest)) = data.split_first() {
+        let (command, rest) = rest.split_at(usize::from(*length));
+        commands.push(command.to_vec());
+        data = rest;
+    }
+    commands
+}
--- /dev/null
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -0,0 +1,117 @@
+//! The catalogue of log events.
+
+use log::{Level, Record};
+use std::fmt::Display;
+
+/// One kind of log event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventKind {
+    /// The number by which `docs/EVENTS.md` lists it.
+    pub number: &'static str,
+    /// How severe it is.
+    pub level: Level,
+    /// What happened.
+    pub text: &'static str,
+}
+
+/// A named value of an event.
+#[derive(Debug, Clone)]
+pub struct EventField {
+    key: &'static str,
+    value: String,
+}
+
+/// A field of an event. Customer keys and bodies must never be fields.
+pub fn field(key: &'static str, value: impl Display) -> EventField {
+    EventField { key, value: value.to_string() }
+}
+
+/// Writes an event to the log.
+pub fn record(kind: &EventKind, fields: &[EventField]) {
+    let pairs: Vec<String> = fields.iter().map(|field| format!(" {}={:?}", field.key, field.value)).collect();
+    let record_args = format!("{}{}", kind.text, pairs.concat());
+    log::logger().log(
+        &Record::builder().target(kind.number).level(kind.level).args(format_args!("{record_args}")).build(),
+    );
+}
+
+const fn kind(number: &'static str, level: Level, text: &'static str) -> EventKind {
+    EventKind { number, level, text }
+}
+
+/// A process is ready.
+pub const PROCESS_READY: EventKind = kind("MP1001", Level::Info, "process ready");
+/// A process has been told to stop and finishes what runs.
+pub const PROCESS_DRAINING: EventKind = kind("MP1002", Level::Info, "process draining");
+/// A process has stopped.
+pub const PROCESS_STOPPED: EventKind = kind("MP1003", Level::Info, "process stopped");
+/// Newer settings are in force.
+pub const SETTINGS_IN_FORCE: EventKind = kind("MP1101", Level::Info, "settings in force");
+/// No keeper answers the watch.
+pub const SETTINGS_CUT_OFF: EventKind = kind("MP1102", Level::Warn, "no keeper reached, settings may be old");
+/// A settings update could not be used.
+pub const SETTINGS_UNUSABLE: EventKind = kind("MP1103", Level::Error, "settings update not usable");
+/// A router has opened a stream to a dispatcher.
+pub const SESSION_OPEN: EventKind = kind("MP1201", Level::Info, "dispatcher stream open");
+/// A router has lost its stream to a dispatcher.
+pub const SESSION_LOST: EventKind = kind("MP1202", Level::Warn, "dispatcher stream lost");
+/// A grant was not used because its lease had ended.
+pub const LEASE_OVER: EventKind = kind("MP1203", Level::Warn, "grant not used, lease over");
+/// A grant was not used because newer settings forbid the data hall.
+pub const PLACEMENT_CHANGED: EventKind = kind("MP1204", Level::Warn, "grant not used, placement changed");
+/// An endpoint could not be reached, refused or failed.
+pub const ENDPOINT_FAILED: EventKind = kind("MP1205", Level::Warn, "endpoint failed a request");
+/// An endpoint answered with another request's id.
+pub const ANSWER_MISMATCH: EventKind = kind("MP1206", Level::Error, "endpoint answered another request");
+/// A request was refused.
+pub const REQUEST_REFUSED: EventKind = kind("MP1207", Level::Debug, "request refused");
+/// A request has ended.
+pub const REQUEST_DONE: EventKind = kind("MP1208", Level::Debug, "request done");
+/// A shard has begun to serve.
+pub const SHARD_STARTED: EventKind = kind("MP1301", Level::Info, "shard started");
+/// A message from another process could not be understood.
+pub const WIRE_MALFORMED: EventKind = kind("MP1302", Level::Warn, "message not understood");
+/// A keeper has become leader.
+pub const LEADER_ELECTED: EventKind = kind("MP1401", Level::Info, "keeper leads");
+/// A keeper is no longer leader.
+pub const LEADER_STEPPED_DOWN: EventKind = kind("MP1402", Level::Info, "keeper no longer leads");
+/// The first group of keepers has formed.
+pub const GROUP_FORMED: EventKind = kind("MP1403", Level::Info, "keeper group formed");
+/// The group of keepers has changed.
+pub const GROUP_CHANGED: EventKind = kind("MP1404", Level::Info, "keeper group changed");
+/// A write or sync failed; the keeper stops.
+pub const STORE_FAILED: EventKind = kind("MP1405", Level::Error, "keeper files failed, keeper stops");
+/// A torn record at the end of the log was cut.
+pub const STORE_CUT: EventKind = kind("MP1406", Level::Warn, "torn record cut from the end of the log");
+/// A settings change was accepted.
+pub const CHANGE_ACCEPTED: EventKind = kind("MP1407", Level::Info, "settings change accepted");
+/// A settings change was rejected.
+pub const CHANGE_REJECTED: EventKind = kind("MP1408", Level::Info, "settings change rejected");
+
+/// Every event, in number order.
+pub const CATALOGUE: &[EventKind] = &[
+    PROCESS_READY,
+    PROCESS_DRAINING,
+    PROCESS_STOPPED,
+    SETTINGS_IN_FORCE,
+    SETTINGS_CUT_OFF,
+    SETTINGS_UNUSABLE,
+    SESSION_OPEN,
+    SESSION_LOST,
+    LEASE_OVER,
+    PLACEMENT_CHANGED,
+    ENDPOINT_FAILED,
+    ANSWER_MISMATCH,
+    REQUEST_REFUSED,
+    REQUEST_DONE,
+    SHARD_STARTED,
+    WIRE_MALFORMED,
+    LEADER_ELECTED,
+    LEADER_STEPPED_DOWN,
+    GROUP_FORMED,
+    GROUP_CHANGED,
+    STORE_FAILED,
+    STORE_CUT,
+    CHANGE_ACCEPTED,
+    CHANGE_REJECTED,
+];
--- a/crates/micaspool-telemetry/src/lib.rs
+++ b/crates/micaspool-telemetry/src/lib.rs
@@ -1,1 +1,13 @@
+//! Numbered log events, spans and the counters that every process has.
+//!
+//! * [`events`] is the catalogue; `docs/EVENTS.md` explains each entry,
+//! * [`logging`] sets the log output up,
+//! * [`spans`] writes a span for each hop of a request as JSON lines,
+//! * [`traffic`] counts control bytes and messages.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
 
+pub mod events;
+pub mod logging;
+pub mod spans;
+pub mod traffic;
--- /dev/null
+++ b/crates/micaspool-telemetry/src/logging.rs
@@ -0,0 +1,86 @@
+//! Log output as JSON lines, by `fern`.
+
+use log::LevelFilter;
+use serde::Serialize;
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Where and how much to log.
+#[derive(Debug, Clone, Default)]
+pub struct LogOptions {
+    /// The file to append to; standard error when absent.
+    pub file: Option<PathBuf>,
+    /// error, warn, info, debug or trace.
+    pub level: String,
+    /// The instance name that each line carries.
+    pub instance: String,
+}
+
+/// Why the log could not be set up.
+#[derive(Debug)]
+pub enum Error {
+    /// The log file cannot be opened.
+    File(PathBuf, std::io::Error),
+    /// The process has a log already.
+    Twice,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::File(path, error) => {
+                write!(
+                    f,
+                    "the log file {} cannot be opened ({error}); make its folder writable",
+                    path.display()
+                )
+            }
+            Error::Twice => f.write_str("the log was set up before; set it up once in a process"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+#[derive(Serialize)]
+struct LogLine<'a> {
+    at_ms: u64,
+    level: &'a str,
+    instance: &'a str,
+    event: &'a str,
+    text: String,
+}
+
+/// Sets the process's log up.
+pub fn start(options: LogOptions) -> Result<(), Error> {
+    let level = options.level.parse().unwrap_or(LevelFilter::Info);
+    let instance = options.instance;
+    let dispatch = fern::Dispatch::new()
+        .filter(|metadata| metadata.target().starts_with("MP"))
+        .level(level)
+        .format(move |out, message, record| {
+            let line = LogLine {
+                at_ms: unix_millis(),
+                level: record.level().as_str(),
+                instance: &instance,
+                event: record.target(),
+                text: message.to_string(),
+            };
+            out.finish(format_args!("{}", serde_json::to_string(&line).unwrap_or_default()));
+        });
+    let dispatch = match &options.file {
+        Some(path) => dispatch.chain(open(path)?),
+        None => dispatch.chain(std::io::stderr()),
+    };
+    dispatch.apply().map_err(|_| Error::Twice)
+}
+
+fn open(path: &Path) -> Result<std::fs::File, Error> {
+    fern::log_file(path).map_err(|error| Error::File(path.to_owned(), error))
+}
+
+pub(crate) fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -2,11 +2,13 @@
 
 use crate::v1;
 use micaspool_dispatch::{
-    GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent,
+    GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello, SessionId, ShardAction,
+    ShardEvent,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RequestId, ServiceName,
+    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RequestId,
+    ServiceName,
 };
 use std::fmt;
 use std::time::Duration;
@@ -26,7 +28,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::NoBody => f.write_str("a message has no known body; run the same version everywhere"),
-            Error::RequestId => f.write_str("a request id must have 16 bytes; run the same version everywhere"),
+            Error::RequestId => {
+                f.write_str("a request id must have 16 bytes; run the same version everywhere")
+            }
             Error::Name(error) => write!(f, "a message has a malformed name: {error}"),
         }
     }
@@ -214,7 +218,17 @@
         ShardAction::Accepted { session, request, order } => {
             (session, Body::Accepted(v1::Accepted { request: request_bytes(request), order: order.0 }))
         }
-        ShardAction::Grant { session, request, endpoint, estimate, level, order, heartbeat, lease, revision } => {
+        ShardAction::Grant {
+            session,
+            request,
+            endpoint,
+            estimate,
+            level,
+            order,
+            heartbeat,
+            lease,
+            revision,
+        } => {
             let grant = v1::Grant {
                 request: request_bytes(request),
                 endpoint: endpoint.to_string(),
--- a/crates/micaspool-wire/src/lib.rs
+++ b/crates/micaspool-wire/src/lib.rs
@@ -1,11 +1,12 @@
 //! The protocols between the processes of the system.
 //!
 //! [`v1`] is generated from `proto/micaspool.proto` by the `xtask` crate and committed;
-//! [`convert`] turns its messages into the types of the cores and back.
+//! [`convert`] turns its messages into the types of the cores and back, and [`socket`] counts bytes.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 pub mod convert;
+pub mod socket;
 
 /// Messages, clients and servers of version 1 of the protocols.
 #[allow(missing_docs, rust_2018_idioms, clippy::all)]
--- /dev/null
+++ b/crates/micaspool-wire/src/socket.rs
@@ -0,0 +1,118 @@
+//! Sockets under the control protocols, with their bytes counted.
+
+use futures::Stream;
+use hyper_util::rt::TokioIo;
+use micaspool_telemetry::traffic::TrafficCounter;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tonic::transport::server::{Connected, TcpConnectInfo};
+use tonic::transport::{Channel, Endpoint, Error};
+
+/// How long a connection attempt may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// How often an idle connection is probed, and how long its peer may be silent then.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_LIMIT: Duration = Duration::from_secs(2);
+
+/// A TCP stream that counts its bytes.
+#[derive(Debug)]
+pub struct CountedStream {
+    stream: TcpStream,
+    counter: TrafficCounter,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        let result = Pin::new(&mut this.stream).poll_read(cx, buf);
+        this.counter.add_received(buf.filled().len() - before);
+        result
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = &result {
+            this.counter.add_sent(*written);
+        }
+        result
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+impl Connected for CountedStream {
+    type ConnectInfo = TcpConnectInfo;
+
+    fn connect_info(&self) -> TcpConnectInfo {
+        self.stream.connect_info()
+    }
+}
+
+/// A bound listener whose connections are counted.
+#[derive(Debug)]
+pub struct CountedListener {
+    listener: TcpListener,
+    counter: TrafficCounter,
+}
+
+impl CountedListener {
+    /// Binds an address; port 0 takes a free one.
+    pub async fn bind(address: SocketAddr, counter: TrafficCounter) -> io::Result<CountedListener> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(CountedListener { listener, counter })
+    }
+
+    /// The address that was bound.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+}
+
+impl Stream for CountedListener {
+    type Item = io::Result<CountedStream>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        match this.listener.poll_accept(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Ok((stream, _))) => {
+                let _ = stream.set_nodelay(true);
+                Poll::Ready(Some(Ok(CountedStream { stream, counter: this.counter.clone() })))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Some(Err(error))),
+        }
+    }
+}
+
+/// Connects to a process of the system.
+pub async fn connect(address: SocketAddr, counter: TrafficCounter) -> Result<Channel, Error> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(CONNECT_LIMIT)
+        .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
+        .keep_alive_timeout(KEEPALIVE_LIMIT)
+        .keep_alive_while_idle(true);
+    let connector = tower::service_fn(move |_| {
+        let counter = counter.clone();
+        async move {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            Ok::<_, io::Error>(TokioIo::new(CountedStream { stream, counter }))
+        }
+    });
+    endpoint.connect_with_connector(connector).await
+}
