--- /dev/null
+++ b/crates/micaspool-store/src/files.rs
@@ -0,0 +1,241 @@
+//! Opening, saving and compacting.
+
+use crate::error::Error;
+use crate::record::{checksum, encode_record, LogRecord};
+use crate::scan::scan_log;
+use micaspool_quorum::{HardState, KeeperIdentity, LogEntry, LogSnapshot, RestoredState, SaveBatch};
+use micaspool_types::{Incarnation, InstanceName};
+use rand::Rng;
+use serde::{de::DeserializeOwned, Serialize};
+use std::fs::{self, File, OpenOptions};
+use std::io::{Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+const IDENTITY: &str = "identity";
+const SNAPSHOT: &str = "snapshot";
+const LOG: &str = "log";
+/// The first bytes of each file: a name and the version of the format.
+const MAGIC: &[u8; 8] = b"MICASP\x00\x01";
+
+/// How the files are written.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreOptions {
+    /// False only in measurements of what syncing costs.
+    pub sync: bool,
+}
+
+impl Default for StoreOptions {
+    fn default() -> Self {
+        StoreOptions { sync: true }
+    }
+}
+
+/// What opening a data folder found.
+#[derive(Debug)]
+pub struct OpenOutcome {
+    /// The files, ready to be written.
+    pub files: KeeperFiles,
+    /// The state that they hold.
+    pub restored: RestoredState,
+    /// How many bytes of a torn record were cut from the end of the log.
+    pub cut_bytes: u64,
+}
+
+/// The open files of a keeper.
+#[derive(Debug)]
+pub struct KeeperFiles {
+    folder: PathBuf,
+    options: StoreOptions,
+    log: File,
+    buffer: Vec<u8>,
+    /// What a rewritten log must hold besides the snapshot.
+    entries: Vec<LogEntry>,
+    hard: HardState,
+    failed: bool,
+    syncs: u64,
+}
+
+impl KeeperFiles {
+    /// Opens a data folder, or begins a new one with a new incarnation.
+    pub fn open(folder: &Path, name: &InstanceName, options: StoreOptions) -> Result<OpenOutcome, Error> {
+        fs::create_dir_all(folder).map_err(|error| Error::Io(folder.to_owned(), error))?;
+        let identity = open_identity(folder, name, options)?;
+        let snapshot: LogSnapshot = read_whole(&folder.join(SNAPSHOT))?.unwrap_or_default();
+        let path = folder.join(LOG);
+        let bytes = read_log(&path, folder, options)?;
+        let scanned = scan_log(&path, &bytes, MAGIC.len())?;
+        let cut_bytes = (bytes.len() - scanned.end) as u64;
+        let log = open_log(&path, scanned.end as u64, cut_bytes > 0, options)?;
+        let entries: Vec<LogEntry> =
+            scanned.entries.into_iter().filter(|entry| entry.index > snapshot.index).collect();
+        check_sequence(&path, &snapshot, &entries)?;
+        let restored =
+            RestoredState { identity, hard: scanned.hard.clone(), snapshot, entries: entries.clone() };
+        let files = KeeperFiles {
+            folder: folder.to_owned(),
+            options,
+            log,
+            buffer: Vec::new(),
+            entries,
+            hard: scanned.hard,
+            failed: false,
+            syncs: 0,
+        };
+        Ok(OpenOutcome { files, restored, cut_bytes })
+    }
+
+    /// Makes a batch durable. After an error the files take nothing more.
+    pub fn save(&mut self, batch: SaveBatch) -> Result<(), Error> {
+        if self.failed {
+            return Err(Error::Failed);
+        }
+        let result = self.write(batch);
+        self.failed = result.is_err();
+        result
+    }
+
+    /// How often a file was synced so far.
+    pub fn sync_count(&self) -> u64 {
+        self.syncs
+    }
+
+    fn write(&mut self, batch: SaveBatch) -> Result<(), Error> {
+        self.buffer.clear();
+        if let Some(from) = batch.truncate_from {
+            self.entries.retain(|entry| entry.index < from);
+            encode_record(&LogRecord::Cut(from), &mut self.buffer);
+        }
+        if let Some(hard) = batch.hard {
+            encode_record(&LogRecord::Hard(hard.clone()), &mut self.buffer);
+            self.hard = hard;
+        }
+        for entry in batch.append {
+            encode_record(&LogRecord::Entry(entry.clone()), &mut self.buffer);
+            self.entries.push(entry);
+        }
+        match batch.snapshot {
+            Some(snapshot) => self.replace(&snapshot),
+            None => self.append(),
+        }
+    }
+
+    fn append(&mut self) -> Result<(), Error> {
+        let path = self.folder.join(LOG);
+        let failed = |error| Error::Io(path.clone(), error);
+        self.log.write_all(&self.buffer).map_err(failed)?;
+        if self.options.sync {
+            self.log.sync_data().map_err(failed)?;
+            self.syncs += 1;
+        }
+        Ok(())
+    }
+
+    /// Writes the snapshot, then a log with only what follows it. Stopping between the two
+    /// leaves entries that the snapshot covers, which the next start passes over.
+    fn replace(&mut self, snapshot: &LogSnapshot) -> Result<(), Error> {
+        write_whole(&self.folder, SNAPSHOT, snapshot, self.options)?;
+        self.entries.retain(|entry| entry.index > snapshot.index);
+        self.buffer.clear();
+        self.buffer.extend_from_slice(MAGIC);
+        encode_record(&LogRecord::Hard(self.hard.clone()), &mut self.buffer);
+        for entry in &self.entries {
+            encode_record(&LogRecord::Entry(entry.clone()), &mut self.buffer);
+        }
+        replace_file(&self.folder, LOG, &self.buffer, self.options)?;
+        let path = self.folder.join(LOG);
+        self.log = open_log(&path, self.buffer.len() as u64, false, self.options)?;
+        self.syncs += 4;
+        Ok(())
+    }
+}
+
+fn open_identity(folder: &Path, name: &InstanceName, options: StoreOptions) -> Result<KeeperIdentity, Error> {
+    let path = folder.join(IDENTITY);
+    if let Some(identity) = read_whole::<KeeperIdentity>(&path)? {
+        if identity.name != *name {
+            return Err(Error::Damaged(path, 0));
+        }
+        return Ok(identity);
+    }
+    let identity = KeeperIdentity { name: name.clone(), incarnation: Incarnation(rand::rng().random()) };
+    write_whole(folder, IDENTITY, &identity, options)?;
+    Ok(identity)
+}
+
+fn read_log(path: &Path, folder: &Path, options: StoreOptions) -> Result<Vec<u8>, Error> {
+    if !path.exists() {
+        replace_file(folder, LOG, MAGIC, options)?;
+    }
+    let bytes = fs::read(path).map_err(|error| Error::Io(path.to_owned(), error))?;
+    if !bytes.starts_with(MAGIC) {
+        return Err(Error::Version(path.to_owned()));
+    }
+    Ok(bytes)
+}
+
+/// Opens the log for writing at `end`, and cuts off what follows.
+fn open_log(path: &Path, end: u64, cut: bool, options: StoreOptions) -> Result<File, Error> {
+    let failed = |error| Error::Io(path.to_owned(), error);
+    let mut file = OpenOptions::new().write(true).open(path).map_err(failed)?;
+    if cut {
+        file.set_len(end).map_err(failed)?;
+        if options.sync {
+            file.sync_all().map_err(failed)?;
+        }
+    }
+    file.seek(SeekFrom::Start(end)).map_err(failed)?;
+    Ok(file)
+}
+
+/// The entries must follow the snapshot without a gap.
+fn check_sequence(path: &Path, snapshot: &LogSnapshot, entries: &[LogEntry]) -> Result<(), Error> {
+    let mut expected = snapshot.index;
+    for entry in entries {
+        expected = expected.next();
+        if entry.index != expected {
+            return Err(Error::Damaged(path.to_owned(), 0));
+        }
+    }
+    Ok(())
+}
+
+/// Reads a file that was written whole, if it is there.
+fn read_whole<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, Error> {
+    let bytes = match fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(Error::Io(path.to_owned(), error)),
+    };
+    let Some(rest) = bytes.strip_prefix(MAGIC) else { return Err(Error::Version(path.to_owned())) };
+    let damaged = || Error::Damaged(path.to_owned(), MAGIC.len() as u64);
+    let (sum, payload) = rest.split_first_chunk::<4>().ok_or_else(damaged)?;
+    if checksum(payload) != u32::from_le_bytes(*sum) {
+        return Err(damaged());
+    }
+    postcard::from_bytes(payload).map(Some).map_err(|_| damaged())
+}
+
+fn write_whole<T: Serialize>(folder: &Path, name: &str, value: &T, options: StoreOptions) -> Result<(), Error> {
+    let payload = postcard::to_stdvec(value).expect("stored values have nothing that cannot be encoded");
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend_from_slice(&checksum(&payload).to_le_bytes());
+    bytes.extend_from_slice(&payload);
+    replace_file(folder, name, &bytes, options)
+}
+
+/// Replaces a file by writing another, syncing it, renaming it, and syncing the folder.
+fn replace_file(folder: &Path, name: &str, bytes: &[u8], options: StoreOptions) -> Result<(), Error> {
+    let target = folder.join(name);
+    let draft = folder.join(format!("{name}.new"));
+    let failed = |error| Error::Io(target.clone(), error);
+    let mut file = File::create(&draft).map_err(failed)?;
+    file.write_all(bytes).map_err(failed)?;
+    if options.sync {
+        file.sync_all().map_err(failed)?;
+    }
+    fs::rename(&draft, &target).map_err(failed)?;
+    if options.sync {
+        File::open(folder).and_then(|folder| folder.sync_all()).map_err(failed)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/micaspool-store/src/scan.rs
@@ -0,0 +1,58 @@
+//! Reading a log file back.
+
+use crate::error::Error;
+use crate::record::{decode_record, LogRecord, RecordAt, RECORD_HEAD};
+use micaspool_quorum::{HardState, LogEntry, LogIndex};
+use std::path::Path;
+
+/// What a log file holds.
+#[derive(Debug, Default)]
+pub(crate) struct ScannedLog {
+    pub entries: Vec<LogEntry>,
+    pub hard: HardState,
+    /// Where the whole records end.
+    pub end: usize,
+}
+
+/// Reads all records from `start` on. A broken tail is left out; a broken record that whole
+/// records follow is an error.
+pub(crate) fn scan_log(path: &Path, bytes: &[u8], start: usize) -> Result<ScannedLog, Error> {
+    let mut log = ScannedLog { end: start, ..ScannedLog::default() };
+    loop {
+        match decode_record(bytes, log.end) {
+            RecordAt::End => return Ok(log),
+            RecordAt::Whole(record, next) => {
+                log.take(*record);
+                log.end = next;
+            }
+            RecordAt::Broken if has_record_after(bytes, log.end + 1) => {
+                return Err(Error::Damaged(path.to_owned(), log.end as u64));
+            }
+            RecordAt::Broken => return Ok(log),
+        }
+    }
+}
+
+fn has_record_after(bytes: &[u8], from: usize) -> bool {
+    let last = bytes.len().saturating_sub(RECORD_HEAD);
+    (from..last).any(|start| matches!(decode_record(bytes, start), RecordAt::Whole(..)))
+}
+
+impl ScannedLog {
+    fn take(&mut self, record: LogRecord) {
+        match record {
+            LogRecord::Entry(entry) => {
+                self.cut(entry.index);
+                self.entries.push(entry);
+            }
+            LogRecord::Cut(index) => self.cut(index),
+            LogRecord::Hard(hard) => self.hard = hard,
+        }
+    }
+
+    fn cut(&mut self, index: LogIndex) {
+        while self.entries.last().is_some_and(|entry| entry.index >= index) {
+            self.entries.pop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool-store/tests/files.rs
@@ -0,0 +1,168 @@
+//! The files of a keeper through restarts, torn writes and damage.
+
+use micaspool_quorum::{EntryPayload, HardState, LogEntry, LogIndex, LogSnapshot, RestoredState, SaveBatch};
+use micaspool_store::{Error, KeeperFiles, StoreOptions};
+use micaspool_types::{InstanceName, Term};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use test_case::test_case;
+
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("micaspool-store-{}-{number}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn name() -> InstanceName {
+    InstanceName::parse("keeper-1").expect("the name is well-formed")
+}
+
+fn open(folder: &Path) -> (KeeperFiles, RestoredState, u64) {
+    let outcome = KeeperFiles::open(folder, &name(), StoreOptions::default()).expect("the folder opens");
+    (outcome.files, outcome.restored, outcome.cut_bytes)
+}
+
+fn entry(index: u64, term: u64) -> LogEntry {
+    LogEntry { index: LogIndex(index), term: Term(term), payload: EntryPayload::Command(vec![index as u8; 20]) }
+}
+
+fn append(entries: Vec<LogEntry>) -> SaveBatch {
+    SaveBatch { append: entries, ..SaveBatch::default() }
+}
+
+#[test]
+fn what_was_saved_is_read_back() {
+    let folder = Folder::new();
+    let (mut files, first, _) = open(&folder.0);
+    files.save(append(vec![entry(1, 1), entry(2, 1), entry(3, 1)])).expect("saving works");
+    let hard = HardState { term: Term(2), vote: Some(first.identity.clone()) };
+    let cut = SaveBatch {
+        truncate_from: Some(LogIndex(3)),
+        append: vec![entry(3, 2)],
+        hard: Some(hard.clone()),
+        ..SaveBatch::default()
+    };
+    files.save(cut).expect("saving works");
+    drop(files);
+    let (_, second, _) = open(&folder.0);
+    assert_eq!(second.identity, first.identity);
+    assert_eq!(second.entries, vec![entry(1, 1), entry(2, 1), entry(3, 2)]);
+    assert_eq!(second.hard, hard);
+}
+
+#[test]
+fn a_new_folder_is_a_new_incarnation() {
+    let folder = Folder::new();
+    let (_, first, _) = open(&folder.0);
+    fs::remove_dir_all(&folder.0).expect("the folder is there");
+    let (_, second, _) = open(&folder.0);
+    assert_ne!(first.identity.incarnation, second.identity.incarnation);
+}
+
+#[test]
+fn a_snapshot_replaces_the_entries_before_it() {
+    let folder = Folder::new();
+    let (mut files, _, _) = open(&folder.0);
+    files.save(append((1..=10).map(|index| entry(index, 1)).collect())).expect("saving works");
+    let snapshot = LogSnapshot { index: LogIndex(7), term: Term(1), data: vec![9; 100], ..LogSnapshot::default() };
+    files.save(SaveBatch { snapshot: Some(snapshot.clone()), ..SaveBatch::default() }).expect("saving works");
+    files.save(append(vec![entry(11, 1)])).expect("saving works");
+    let (_, restored, _) = open(&folder.0);
+    assert_eq!(restored.snapshot, snapshot);
+    assert_eq!(restored.entries, (8..=11).map(|index| entry(index, 1)).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_log_left_from_before_its_snapshot_is_passed_over() {
+    let folder = Folder::new();
+    let (mut files, _, _) = open(&folder.0);
+    files.save(append((1..=10).map(|index| entry(index, 1)).collect())).expect("saving works");
+    let old_log = fs::read(folder.0.join("log")).expect("the log is there");
+    let snapshot = LogSnapshot { index: LogIndex(7), term: Term(1), ..LogSnapshot::default() };
+    files.save(SaveBatch { snapshot: Some(snapshot), ..SaveBatch::default() }).expect("saving works");
+    fs::write(folder.0.join("log"), old_log).expect("the log is there");
+    let (_, restored, _) = open(&folder.0);
+    assert_eq!(restored.entries, (8..=10).map(|index| entry(index, 1)).collect::<Vec<_>>());
+}
+
+#[test_case(1; "one byte missing")]
+#[test_case(15; "half a record missing")]
+#[test_case(27; "only part of the head left")]
+fn a_torn_tail_is_cut(missing: u64) {
+    let folder = Folder::new();
+    let (mut files, _, _) = open(&folder.0);
+    files.save(append(vec![entry(1, 1), entry(2, 1)])).expect("saving works");
+    let path = folder.0.join("log");
+    let length = fs::metadata(&path).expect("the log is there").len();
+    fs::File::options().write(true).open(&path).and_then(|log| log.set_len(length - missing)).expect("it is cut");
+    let (mut files, restored, cut) = open(&folder.0);
+    assert_eq!(restored.entries, vec![entry(1, 1)]);
+    assert!(cut > 0);
+    files.save(append(vec![entry(2, 2)])).expect("saving works");
+    let (_, restored, cut) = open(&folder.0);
+    assert_eq!(restored.entries, vec![entry(1, 1), entry(2, 2)]);
+    assert_eq!(cut, 0);
+}
+
+#[test]
+fn a_flipped_byte_in_the_middle_stops_the_keeper() {
+    let folder = Folder::new();
+    let (mut files, _, _) = open(&folder.0);
+    files.save(append((1..=5).map(|index| entry(index, 1)).collect())).expect("saving works");
+    let path = folder.0.join("log");
+    let clean = fs::read(&path).expect("the log is there");
+    for position in 8..clean.len() - 40 {
+        let mut bytes = clean.clone();
+        bytes[position] ^= 0x10;
+        fs::write(&path, &bytes).expect("the log is there");
+        let result = KeeperFiles::open(&folder.0, &name(), StoreOptions::default());
+        assert!(matches!(result, Err(Error::Damaged(..))), "byte {position}");
+    }
+}
+
+#[test_case("log"; "log")]
+#[test_case("snapshot"; "snapshot")]
+#[test_case("identity"; "identity")]
+fn another_version_is_refused(file: &str) {
+    let folder = Folder::new();
+    let (mut files, _, _) = open(&folder.0);
+    files.save(SaveBatch { snapshot: Some(LogSnapshot::default()), ..SaveBatch::default() }).expect("saving works");
+    let path = folder.0.join(file);
+    let mut bytes = fs::read(&path).expect("the file is there");
+    bytes[7] = 2;
+    fs::write(&path, bytes).expect("the file is there");
+    let result = KeeperFiles::open(&folder.0, &name(), StoreOptions::default());
+    assert!(matches!(result, Err(Error::Version(_))));
+}
+
+#[test]
+fn a_folder_of_another_keeper_is_refused() {
+    let folder = Folder::new();
+    open(&folder.0);
+    let other = InstanceName::parse("keeper-2").expect("the name is well-formed");
+    assert!(KeeperFiles::open(&folder.0, &other, StoreOptions::default()).is_err());
+}
+
+#[test]
+fn nothing_is_taken_after_a_failed_write() {
+    let folder = Folder::new();
+    let (mut files, _, _) = open(&folder.0);
+    fs::remove_dir_all(&folder.0).expect("the folder is there");
+    let snapshot = SaveBatch { snapshot: Some(LogSnapshot::default()), ..SaveBatch::default() };
+    assert!(matches!(files.save(snapshot), Err(Error::Io(..))));
+    assert!(matches!(files.save(append(vec![entry(1, 1)])), Err(Error::Failed)));
+}
