--- /dev/null
+++ b/crates/micaspool-client/src/keeper.rs
@@ -0,0 +1,227 @@
+//! Calls to whichever keeper leads.
+
+use async_std::future::timeout;
+use async_std::sync::Mutex;
+use async_std::task;
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::traffic::TrafficCounter;
+use micaspool_wire::socket;
+use micaspool_wire::v1::{self, keeper_client::KeeperClient as WireClient};
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use tonic::transport::Channel;
+use tonic::Status;
+
+/// How long one try may take.
+const TRY_LIMIT: Duration = Duration::from_secs(2);
+/// The pause after every keeper was tried without success.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// The largest message, which holds a whole settings tree.
+pub(crate) const MAX_MESSAGE: usize = 64 * 1024 * 1024;
+
+/// Why a call to the keepers gave nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallError {
+    /// No keeper that leads was reached in time. `sent` is true when a keeper may have taken the
+    /// call all the same.
+    NoLeader {
+        /// True when the call may have taken effect.
+        sent: bool,
+    },
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::NoLeader { sent: false } => {
+                f.write_str("no keeper that leads was reached; check that a majority of keepers runs, and try again")
+            }
+            CallError::NoLeader { sent: true } => f.write_str(
+                "no answer from the leading keeper; the call may have taken effect; send it again with the same id",
+            ),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// An answer that may name another leader instead.
+trait LeaderAnswer {
+    /// The address of the keeper to ask instead; empty when none is known.
+    fn redirect(&self) -> Option<&str>;
+}
+
+/// Calls keepers, the leader first.
+#[derive(Debug)]
+pub struct KeeperClient {
+    keepers: Vec<PeerAddress>,
+    counter: TrafficCounter,
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+    /// The position of the keeper that answered last.
+    preferred: AtomicUsize,
+}
+
+impl KeeperClient {
+    /// A client for these keepers.
+    pub fn new(keepers: Vec<PeerAddress>, counter: TrafficCounter) -> KeeperClient {
+        KeeperClient { keepers, counter, channels: Mutex::default(), preferred: AtomicUsize::new(0) }
+    }
+
+    /// The keepers.
+    pub fn keepers(&self) -> &[PeerAddress] {
+        &self.keepers
+    }
+
+    /// Asks for a settings change. A resend after a lost answer has the same change id.
+    pub async fn apply(&self, request: v1::ApplyRequest, limit: Duration) -> Result<v1::ApplyReply, CallError> {
+        self.call(limit, |mut client| {
+            let request = request.clone();
+            async move { client.apply(request).await.map(tonic::Response::into_inner) }
+        })
+        .await
+    }
+
+    /// Reads the settings as a majority knows them.
+    pub async fn get_confirmed(&self, limit: Duration) -> Result<v1::GetReply, CallError> {
+        let request = v1::GetRequest { confirmed: true };
+        self.call(limit, |mut client| async move { client.get(request).await.map(tonic::Response::into_inner) }).await
+    }
+
+    /// Reads the settings that one keeper has.
+    pub async fn get_local(&self, keeper: &PeerAddress) -> Option<v1::SettingsUpdate> {
+        let mut client = self.client(keeper.address).await?;
+        let reply = timeout(TRY_LIMIT, client.get(v1::GetRequest { confirmed: false })).await.ok()?.ok()?;
+        match reply.into_inner().outcome? {
+            v1::get_reply::Outcome::Settings(update) => Some(update),
+            v1::get_reply::Outcome::NotLeader(_) => None,
+        }
+    }
+
+    /// Claims a call. A resend has the same token.
+    pub async fn claim(&self, request: v1::ClaimRequest, limit: Duration) -> Result<v1::ClaimReply, CallError> {
+        self.call(limit, |mut client| {
+            let request = request.clone();
+            async move { client.claim(request).await.map(tonic::Response::into_inner) }
+        })
+        .await
+    }
+
+    /// Records how a claimed call ended.
+    pub async fn finish(&self, request: v1::FinishRequest, limit: Duration) -> Result<v1::FinishReply, CallError> {
+        self.call(limit, |mut client| {
+            let request = request.clone();
+            async move { client.finish(request).await.map(tonic::Response::into_inner) }
+        })
+        .await
+    }
+
+    /// A client for one keeper, if it can be reached.
+    pub async fn client(&self, address: SocketAddr) -> Option<WireClient<Channel>> {
+        let mut channels = self.channels.lock().await;
+        let channel = match channels.get(&address) {
+            Some(channel) => channel.clone(),
+            None => {
+                let channel = socket::connect(address, self.counter.clone()).await.ok()?;
+                channels.insert(address, channel.clone());
+                channel
+            }
+        };
+        Some(WireClient::new(channel).max_decoding_message_size(MAX_MESSAGE).max_encoding_message_size(MAX_MESSAGE))
+    }
+
+    /// Forgets the connection to a keeper, so that the next call opens a new one.
+    pub async fn forget(&self, address: SocketAddr) {
+        self.channels.lock().await.remove(&address);
+    }
+
+    async fn call<T, F>(&self, limit: Duration, attempt: impl Fn(WireClient<Channel>) -> F) -> Result<T, CallError>
+    where
+        T: LeaderAnswer,
+        F: Future<Output = Result<T, Status>>,
+    {
+        let deadline = Instant::now() + limit;
+        let mut sent = false;
+        let mut misses = 0;
+        while Instant::now() < deadline {
+            let position = self.preferred.load(Ordering::Relaxed) % self.keepers.len();
+            let address = self.keepers[position].address;
+            let left = deadline.saturating_duration_since(Instant::now()).min(TRY_LIMIT);
+            let next = match self.try_once(address, left, &attempt).await {
+                TryResult::Answer(answer) => match answer.redirect() {
+                    None => return Ok(answer),
+                    Some(leader) => self.keepers.iter().position(|keeper| keeper.address.to_string() == leader),
+                },
+                TryResult::Unreached => None,
+                TryResult::Lost => {
+                    sent = true;
+                    None
+                }
+            };
+            self.preferred.store(next.unwrap_or(position + 1), Ordering::Relaxed);
+            misses += 1;
+            if misses % self.keepers.len() == 0 {
+                task::sleep(ROUND_PAUSE).await;
+            }
+        }
+        Err(CallError::NoLeader { sent })
+    }
+
+    async fn try_once<T, F>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        attempt: impl Fn(WireClient<Channel>) -> F,
+    ) -> TryResult<T>
+    where
+        F: Future<Output = Result<T, Status>>,
+    {
+        let Some(client) = self.client(address).await else { return TryResult::Unreached };
+        match timeout(limit, attempt(client)).await {
+            Ok(Ok(answer)) => TryResult::Answer(answer),
+            Ok(Err(_)) | Err(_) => {
+                self.forget(address).await;
+                TryResult::Lost
+            }
+        }
+    }
+}
+
+enum TryResult<T> {
+    Answer(T),
+    Unreached,
+    Lost,
+}
+
+impl LeaderAnswer for v1::ApplyReply {
+    fn redirect(&self) -> Option<&str> {
+        match &self.outcome {
+            Some(v1::apply_reply::Outcome::NotLeader(other)) => Some(&other.leader),
+            _ => None,
+        }
+    }
+}
+
+impl LeaderAnswer for v1::GetReply {
+    fn redirect(&self) -> Option<&str> {
+        match &self.outcome {
+            Some(v1::get_reply::Outcome::NotLeader(other)) => Some(&other.leader),
+            _ => None,
+        }
+    }
+}
+
+impl LeaderAnswer for v1::ClaimReply {
+    fn redirect(&self) -> Option<&str> {
+        self.not_leader.as_ref().map(|other| other.leader.as_str())
+    }
+}
+
+impl LeaderAnswer for v1::FinishReply {
+    fn redirect(&self) -> Option<&str> {
+        self.not_leader.as_ref().map(|other| other.leader.as_str())
+    }
+}
--- a/crates/micaspool-dispatch/src/candidates.rs
+++ b/crates/micaspool-dispatch/src/candidates.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// The candidate asked to be connected to again; it has not failed.
+    pub fn left(&mut self, rank: usize) {
+        if self.current == Some(rank) {
+            self.current = None;
+        }
+    }
+
     /// A probe of this candidate has ended.
     pub fn probed(&mut self, now: Moment, rank: usize, answered: bool) {
         let state = &mut self.candidates[rank];
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -0,0 +1,240 @@
+//! Drives one shard core: streams, time, settings and probes in, messages out.
+
+use crate::host::HostOptions;
+use crate::shard_policy::shard_policy;
+use async_std::channel::{unbounded, Receiver, Sender};
+use async_std::future::timeout;
+use async_std::task;
+use micaspool_client::SettingsMirror;
+use micaspool_dispatch::{CacheNews, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus};
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_telemetry::spans::HopSpan;
+use micaspool_types::{EndpointName, Moment, RequestId, ServiceName};
+use micaspool_wire::convert::action_message;
+use micaspool_wire::v1::DispatcherMessage;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tonic::Status;
+
+/// How often the core looks at the time.
+const TICK: Duration = Duration::from_millis(50);
+/// How often endpoints and the platform's list are asked.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// How many messages may wait for one router; a router that reads more slowly loses its stream.
+const STREAM_QUEUE: usize = 65_536;
+/// The most spans of waiting requests; further ones are left out.
+const MAX_SPANS: usize = 10_000;
+
+/// What goes to a router's stream.
+pub(crate) type StreamItem = Result<DispatcherMessage, Status>;
+
+/// What goes into a shard.
+#[derive(Debug)]
+pub(crate) enum ShardInput {
+    /// A stream has opened; its messages go to this queue.
+    Open(SessionId, Sender<StreamItem>),
+    /// A request that is about to be submitted belongs to this trace.
+    Traced(RequestId, String),
+    /// An event of the core.
+    Event(ShardEvent),
+}
+
+/// How the rest of the process reaches a shard.
+#[derive(Debug, Clone)]
+pub(crate) struct ShardHandle {
+    pub inputs: Sender<ShardInput>,
+    pub status: Arc<Mutex<ShardStatus>>,
+}
+
+/// A monotonic clock as moments since the start of the shard.
+#[derive(Debug, Clone, Copy)]
+struct ShardClock(Instant);
+
+impl ShardClock {
+    fn now(&self) -> Moment {
+        Moment(u64::try_from(self.0.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+struct ShardDriver {
+    clock: ShardClock,
+    core: ShardCore,
+    options: HostOptions,
+    /// The spans of waiting requests that belong to a trace.
+    spans: HashMap<RequestId, HopSpan>,
+    streams: HashMap<SessionId, Sender<StreamItem>>,
+    actions: Vec<ShardAction>,
+    status: Arc<Mutex<ShardStatus>>,
+}
+
+/// Starts a shard; it runs until its handle is gone.
+pub(crate) fn start_shard(service: ServiceName, options: HostOptions, mirror: Arc<SettingsMirror>) -> ShardHandle {
+    let clock = ShardClock(Instant::now());
+    let core = ShardCore::new(clock.now(), options.shard.clone());
+    let status = Arc::new(Mutex::new(core.status()));
+    let (inputs, receiver) = unbounded();
+    let driver = ShardDriver {
+        clock,
+        core,
+        options: options.clone(),
+        spans: HashMap::new(),
+        streams: HashMap::new(),
+        actions: Vec::new(),
+        status: status.clone(),
+    };
+    record(&events::SHARD_STARTED, &[field("service", &service)]);
+    let settings = mirror.listen();
+    task::spawn(feed_settings(service.clone(), mirror.clone(), settings, inputs.clone()));
+    task::spawn(feed_probes(clock, service, options, mirror, inputs.clone(), status.clone()));
+    task::spawn(driver.run(receiver));
+    ShardHandle { inputs, status }
+}
+
+impl ShardDriver {
+    async fn run(mut self, inputs: Receiver<ShardInput>) {
+        let mut next_tick = Instant::now() + TICK;
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match timeout(wait, inputs.recv()).await {
+                Ok(Ok(input)) => self.take(input),
+                Ok(Err(_)) => return,
+                Err(_) => {}
+            }
+            if Instant::now() >= next_tick {
+                self.step(ShardEvent::Tick);
+                *self.status.lock().expect("no holder of the status panics") = self.core.status();
+                next_tick = Instant::now() + TICK;
+            }
+        }
+    }
+
+    fn take(&mut self, input: ShardInput) {
+        match input {
+            ShardInput::Open(session, stream) => {
+                self.streams.insert(session, stream);
+            }
+            ShardInput::Traced(request, traceparent) => {
+                if self.spans.len() < MAX_SPANS {
+                    let span = self.options.spans.start("dispatch", Some(&traceparent));
+                    self.spans.insert(request, span);
+                }
+            }
+            ShardInput::Event(event) => {
+                if let ShardEvent::Cancel(_, request) = &event {
+                    self.spans.remove(request);
+                }
+                let ended = match &event {
+                    ShardEvent::Left(session) => Some(*session),
+                    _ => None,
+                };
+                self.step(event);
+                if let Some(session) = ended {
+                    self.streams.remove(&session);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, event: ShardEvent) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.step(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.end_span(&action);
+            let (session, message) = action_message(action, self.options.incarnation);
+            let delivered = self.streams.get(&session).is_some_and(|stream| {
+                stream.len() < STREAM_QUEUE && stream.try_send(Ok(message)).is_ok()
+            });
+            if !delivered {
+                self.streams.remove(&session);
+            }
+        }
+        self.actions = actions;
+    }
+}
+
+impl ShardDriver {
+    /// Ends the span of a request whose wait is over.
+    fn end_span(&mut self, action: &ShardAction) {
+        match action {
+            ShardAction::Grant { request, endpoint, .. } => {
+                if let Some(mut span) = self.spans.remove(request) {
+                    span.set("endpoint", endpoint);
+                }
+            }
+            ShardAction::Refuse { request, .. } => {
+                self.spans.remove(request);
+            }
+            _ => {}
+        }
+    }
+}
+
+async fn feed_settings(
+    service: ServiceName,
+    mirror: Arc<SettingsMirror>,
+    changes: Receiver<()>,
+    inputs: Sender<ShardInput>,
+) {
+    loop {
+        let policy = shard_policy(&mirror.policy(), &service);
+        if inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err() || changes.recv().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Asks endpoints and the platform while routers use the shard.
+async fn feed_probes(
+    clock: ShardClock,
+    service: ServiceName,
+    options: HostOptions,
+    mirror: Arc<SettingsMirror>,
+    inputs: Sender<ShardInput>,
+    status: Arc<Mutex<ShardStatus>>,
+) {
+    loop {
+        let used = status.lock().expect("no holder of the status panics").routers > 0;
+        if used {
+            for (name, address) in endpoints_of(&mirror, &service) {
+                task::spawn(probe_endpoint(clock, options.clone(), name, address, inputs.clone()));
+            }
+            if let Some(leaving) = options.list.leaving().await {
+                let _ = inputs.send(ShardInput::Event(ShardEvent::Listed(leaving))).await;
+            }
+        }
+        task::sleep(PROBE_INTERVAL).await;
+        if inputs.is_closed() {
+            return;
+        }
+    }
+}
+
+fn endpoints_of(mirror: &SettingsMirror, service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
+    let policy = mirror.policy();
+    let Some(index) = policy.service_index(service.as_str()) else { return Vec::new() };
+    let endpoints = policy.services[index].endpoints.iter();
+    endpoints.map(|endpoint| (endpoint.name.clone(), endpoint.address)).collect()
+}
+
+async fn probe_endpoint(
+    clock: ShardClock,
+    options: HostOptions,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    inputs: Sender<ShardInput>,
+) {
+    let asked_at = clock.now();
+    let Some(answer) = options.probe.ask(address).await else {
+        let _ = inputs.send(ShardInput::Event(ShardEvent::Unreachable(endpoint))).await;
+        return;
+    };
+    let report =
+        LoadReport { endpoint: endpoint.clone(), running: answer.running, draining: answer.draining, asked_at };
+    let _ = inputs.send(ShardInput::Event(ShardEvent::Load(report))).await;
+    if !answer.stored.is_empty() || !answer.dropped.is_empty() {
+        let news = CacheNews { endpoint, stored: answer.stored, dropped: answer.dropped };
+        let _ = inputs.send(ShardInput::Event(ShardEvent::Cache(news))).await;
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/host.rs
@@ -0,0 +1,80 @@
+//! The shards of one dispatcher.
+
+use crate::driver::{start_shard, ShardHandle, ShardInput};
+use crate::platform::InstanceList;
+use crate::probe::EndpointProbe;
+use micaspool_client::SettingsMirror;
+use micaspool_dispatch::{SessionId, ShardEvent, ShardOptions, ShardStatus};
+use micaspool_telemetry::spans::SpanSink;
+use micaspool_types::{Incarnation, ServiceName};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// What every shard of a dispatcher shares.
+#[derive(Clone)]
+pub struct HostOptions {
+    /// Limits and times of a shard.
+    pub shard: ShardOptions,
+    /// Tells one life of the dispatcher from the next.
+    pub incarnation: Incarnation,
+    /// Where spans go.
+    pub spans: SpanSink,
+    /// How endpoints are asked for their load.
+    pub probe: Arc<dyn EndpointProbe>,
+    /// The platform's list.
+    pub list: Arc<dyn InstanceList>,
+}
+
+impl fmt::Debug for HostOptions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HostOptions").field("shard", &self.shard).finish_non_exhaustive()
+    }
+}
+
+/// Starts a shard when a router first asks for its service.
+#[derive(Debug)]
+pub struct ShardHost {
+    options: HostOptions,
+    mirror: Arc<SettingsMirror>,
+    shards: Mutex<BTreeMap<ServiceName, ShardHandle>>,
+    next_session: AtomicU64,
+}
+
+impl ShardHost {
+    /// A host without shards.
+    pub fn new(options: HostOptions, mirror: Arc<SettingsMirror>) -> ShardHost {
+        ShardHost { options, mirror, shards: Mutex::default(), next_session: AtomicU64::new(1) }
+    }
+
+    /// A number for a new stream.
+    pub(crate) fn new_session(&self) -> SessionId {
+        SessionId(self.next_session.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The shard of a service, started if need be.
+    pub(crate) fn shard(&self, service: &ServiceName) -> ShardHandle {
+        let mut shards = self.lock();
+        let start = || start_shard(service.clone(), self.options.clone(), self.mirror.clone());
+        shards.entry(service.clone()).or_insert_with(start).clone()
+    }
+
+    /// Asks the routers of every shard to go elsewhere.
+    pub fn stop(&self) {
+        for shard in self.lock().values() {
+            let _ = shard.inputs.try_send(ShardInput::Event(ShardEvent::Stop));
+        }
+    }
+
+    /// The state of every shard.
+    pub fn statuses(&self) -> Vec<(ServiceName, ShardStatus)> {
+        let shards = self.lock();
+        let status = |shard: &ShardHandle| shard.status.lock().expect("no holder of the status panics").clone();
+        shards.iter().map(|(service, shard)| (service.clone(), status(shard))).collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServiceName, ShardHandle>> {
+        self.shards.lock().expect("no holder of the shards panics")
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/platform.rs
@@ -0,0 +1,60 @@
+//! The platform's lagging list of live and leaving instances.
+
+use crate::probe::fetch;
+use async_trait::async_trait;
+use micaspool_http::client::CallLimits;
+use micaspool_types::EndpointName;
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The path of the list.
+const LIST_PATH: &str = "/instances";
+/// The largest list in bytes.
+const MAX_LIST: u64 = 4 * 1024 * 1024;
+/// The state of an instance that is leaving.
+const LEAVING: &str = "leaving";
+
+/// The platform's list; it may be some seconds old.
+#[async_trait]
+pub trait InstanceList: Send + Sync + 'static {
+    /// The endpoints that the platform lists as leaving, or `None` when the list cannot be read.
+    async fn leaving(&self) -> Option<BTreeSet<EndpointName>>;
+}
+
+/// Reads the list over HTTP: `GET /instances` gives
+/// `{"instances": [{"name": "acopio-1", "state": "live" or "leaving"}]}`.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpInstanceList {
+    address: SocketAddr,
+}
+
+impl HttpInstanceList {
+    /// The list that is served at this address.
+    pub fn new(address: SocketAddr) -> HttpInstanceList {
+        HttpInstanceList { address }
+    }
+}
+
+#[derive(Deserialize)]
+struct ListBody {
+    instances: Vec<ListEntry>,
+}
+
+#[derive(Deserialize)]
+struct ListEntry {
+    name: String,
+    state: String,
+}
+
+#[async_trait]
+impl InstanceList for HttpInstanceList {
+    async fn leaving(&self) -> Option<BTreeSet<EndpointName>> {
+        let limits = CallLimits { connect: Duration::from_millis(500), silence: Duration::from_secs(1) };
+        let body = fetch(self.address, LIST_PATH, limits, MAX_LIST).await?;
+        let list: ListBody = serde_json::from_slice(&body).ok()?;
+        let leaving = list.instances.iter().filter(|entry| entry.state == LEAVING);
+        Some(leaving.filter_map(|entry| EndpointName::parse(&entry.name).ok()).collect())
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -0,0 +1,102 @@
+//! The protocol side of a dispatcher.
+
+use crate::driver::{ShardHandle, ShardInput, StreamItem};
+use crate::host::ShardHost;
+use async_std::channel::unbounded;
+use async_std::task;
+use futures::Stream;
+use micaspool_dispatch::{SessionId, ShardEvent};
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_types::ServiceName;
+use micaspool_wire::convert::{request_id, shard_event};
+use micaspool_wire::v1::{self, dispatch_server::Dispatch, router_message::Body};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use tonic::{Request, Response, Status, Streaming};
+
+/// Answers routers and operators.
+#[derive(Clone, Debug)]
+pub struct DispatchService {
+    host: Arc<ShardHost>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl DispatchService {
+    /// A service for the shards of a host. Once `stopping` is set it takes no new stream.
+    pub fn new(host: Arc<ShardHost>, stopping: Arc<AtomicBool>) -> DispatchService {
+        DispatchService { host, stopping }
+    }
+}
+
+type MessageStream = Pin<Box<dyn Stream<Item = StreamItem> + Send>>;
+
+#[tonic::async_trait]
+impl Dispatch for DispatchService {
+    type SessionStream = MessageStream;
+
+    async fn session(
+        &self,
+        request: Request<Streaming<v1::RouterMessage>>,
+    ) -> Result<Response<Self::SessionStream>, Status> {
+        if self.stopping.load(Ordering::SeqCst) {
+            return Err(Status::unavailable("this dispatcher is stopping; use another"));
+        }
+        let mut messages = request.into_inner();
+        let first = messages.message().await?.ok_or_else(|| Status::invalid_argument("send Hello first"))?;
+        let service = service_of(&first)?;
+        let shard = self.host.shard(&service);
+        let session = self.host.new_session();
+        let (sender, receiver) = unbounded();
+        let stopped = |_| Status::unavailable("the shard has stopped; connect again");
+        shard.inputs.send(ShardInput::Open(session, sender)).await.map_err(stopped)?;
+        feed(&shard, session, first).await?;
+        task::spawn(read_router(shard, session, messages));
+        Ok(Response::new(Box::pin(receiver)))
+    }
+
+    async fn status(&self, _request: Request<v1::StatusRequest>) -> Result<Response<v1::StatusReply>, Status> {
+        let json = crate::daemon::shards_json(&self.host).to_string();
+        Ok(Response::new(v1::StatusReply { json }))
+    }
+}
+
+fn service_of(first: &v1::RouterMessage) -> Result<ServiceName, Status> {
+    match &first.body {
+        Some(Body::Hello(hello)) => {
+            ServiceName::parse(&hello.service).map_err(|error| Status::invalid_argument(error.to_string()))
+        }
+        _ => Err(Status::invalid_argument("send Hello first")),
+    }
+}
+
+async fn feed(shard: &ShardHandle, session: SessionId, message: v1::RouterMessage) -> Result<(), Status> {
+    if let Some(Body::Submit(submit)) = message.body.as_ref().filter(|body| is_traced(body)) {
+        if let Ok(request) = request_id(&submit.request) {
+            let _ = shard.inputs.send(ShardInput::Traced(request, submit.traceparent.clone())).await;
+        }
+    }
+    match shard_event(session, message) {
+        Ok(event) => {
+            let stopped = |_| Status::unavailable("the shard has stopped; connect again");
+            shard.inputs.send(ShardInput::Event(event)).await.map_err(stopped)
+        }
+        Err(error) => {
+            record(&events::WIRE_MALFORMED, &[field("error", &error)]);
+            Err(Status::invalid_argument(error.to_string()))
+        }
+    }
+}
+
+fn is_traced(body: &Body) -> bool {
+    matches!(body, Body::Submit(submit) if !submit.traceparent.is_empty())
+}
+
+async fn read_router(shard: ShardHandle, session: SessionId, mut messages: Streaming<v1::RouterMessage>) {
+    while let Ok(Some(message)) = messages.message().await {
+        if feed(&shard, session, message).await.is_err() {
+            break;
+        }
+    }
+    let _ = shard.inputs.send(ShardInput::Event(ShardEvent::Left(session))).await;
+}
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -0,0 +1,29 @@
+//! The part of the settings that one shard needs.
+
+use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
+use micaspool_settings::policy::FleetPolicy;
+use micaspool_types::ServiceName;
+
+/// The settings of one service as its shard takes them; empty when the service is not listed.
+pub fn shard_policy(fleet: &FleetPolicy, service: &ServiceName) -> ShardPolicy {
+    let halls = fleet.halls.iter().map(|hall| hall.name.clone()).collect();
+    let Some(index) = fleet.service_index(service.as_str()) else {
+        return ShardPolicy { revision: fleet.revision, halls, ..ShardPolicy::default() };
+    };
+    let endpoints = fleet.services[index].endpoints.iter().map(|endpoint| EndpointSpec {
+        name: endpoint.name.clone(),
+        hall: endpoint.hall,
+        slots: endpoint.slots,
+        leaving: endpoint.leaving,
+    });
+    let customers = fleet.customers.iter().map(|customer| {
+        let policy = &customer.services[index];
+        ShardCustomer {
+            name: customer.name.clone(),
+            weight: policy.weight,
+            halls: policy.halls,
+            max_waiting: policy.max_waiting,
+        }
+    });
+    ShardPolicy { revision: fleet.revision, halls, endpoints: endpoints.collect(), customers: customers.collect() }
+}
--- /dev/null
+++ b/crates/micaspool-keeper/src/clock.rs
@@ -0,0 +1,27 @@
+//! The clocks of a keeper.
+
+use micaspool_ledger::LedgerTime;
+use micaspool_types::Moment;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// A monotonic clock as the log core needs it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MonotonicClock {
+    start: Instant,
+}
+
+impl MonotonicClock {
+    pub fn start() -> MonotonicClock {
+        MonotonicClock { start: Instant::now() }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+/// The wall clock, which only orders the ledger's retention.
+pub(crate) fn ledger_time() -> LedgerTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    LedgerTime(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -0,0 +1,333 @@
+//! The thread that owns the log, the files and the state machines.
+//!
+//! The engine takes everything that has come in, saves once, and only then sends messages and
+//! answers callers, so that one sync serves all commands that came in meanwhile.
+
+use crate::clock::{ledger_time, MonotonicClock};
+use crate::state::{KeeperCommand, KeeperReply, KeeperState};
+use async_std::channel::{Receiver, Sender};
+use micaspool_ledger::{LedgerOptions, LedgerTime};
+use micaspool_quorum::{
+    EntryPayload, Envelope, LogEntry, LogIndex, ProposeError, QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput,
+    QuorumRole, QuorumStatus,
+};
+use micaspool_settings::apply::{self, SettingsUpdate};
+use micaspool_store::{KeeperFiles, OpenOutcome};
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_types::{InstanceName, Revision, Term};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::{Arc, Mutex};
+
+/// The most inputs that one save covers.
+const MAX_BATCH: usize = 4_096;
+/// The log is compacted once it has this many entries more than the ledger has keys, so that
+/// writing the snapshot costs a bounded share of the work.
+const COMPACT_ENTRIES: usize = 8_192;
+
+/// Why a command gave no reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EngineError {
+    /// Another keeper leads, or none; the command may have been taken if it was proposed before.
+    NotLeader(Option<InstanceName>),
+    /// The files failed; the keeper stops.
+    Stopped,
+}
+
+impl fmt::Display for EngineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            EngineError::NotLeader(Some(leader)) => write!(f, "this keeper does not lead; ask {leader}"),
+            EngineError::NotLeader(None) => f.write_str("no keeper leads now; come back shortly"),
+            EngineError::Stopped => f.write_str("the keeper has stopped; see its log, then restart it"),
+        }
+    }
+}
+
+impl std::error::Error for EngineError {}
+
+/// What a command gave, or why nothing.
+pub type EngineReply = Result<KeeperReply, EngineError>;
+
+/// What the engine is asked to do.
+#[derive(Debug)]
+pub enum EngineInput {
+    /// An event of the log core.
+    Event(QuorumEvent),
+    /// A command, and where its reply goes.
+    Command(KeeperCommand, Sender<EngineReply>),
+    /// A read barrier, and where its reply goes.
+    Barrier(Sender<EngineReply>),
+    /// Finish and close the files.
+    Stop,
+}
+
+/// What the other tasks of the process may read at any time.
+#[derive(Debug)]
+pub struct KeeperView {
+    /// The newest applied settings.
+    pub settings: apply::SettingsState,
+    /// The log.
+    pub status: QuorumStatus,
+    /// The keys in the ledger.
+    pub ledger_keys: usize,
+    /// The bytes of answers in the ledger.
+    pub ledger_answer_bytes: usize,
+    /// The number of syncs so far.
+    pub syncs: u64,
+    /// True once the engine takes nothing more.
+    pub stopped: bool,
+    listeners: Vec<Sender<()>>,
+}
+
+impl KeeperView {
+    /// A channel that gets a message after the settings or their confirmation have changed.
+    pub fn listen(&mut self) -> Receiver<()> {
+        let (sender, receiver) = async_std::channel::bounded(1);
+        self.listeners.push(sender);
+        receiver
+    }
+
+    /// What a watcher needs that holds `from`.
+    pub fn updates_since(&self, from: Revision) -> Vec<SettingsUpdate> {
+        self.settings.updates_since(from)
+    }
+
+    fn notify(&mut self) {
+        self.listeners.retain(|listener| !listener.is_closed());
+        for listener in &self.listeners {
+            let _ = listener.try_send(());
+        }
+    }
+}
+
+/// The engine of a keeper; runs on the thread that calls [`KeeperEngine::run`].
+#[derive(Debug)]
+pub struct KeeperEngine {
+    clock: MonotonicClock,
+    core: QuorumCore,
+    files: KeeperFiles,
+    state: KeeperState,
+    ledger_options: LedgerOptions,
+    applied: LogIndex,
+    waiting: BTreeMap<(LogIndex, Term), Sender<EngineReply>>,
+    outgoing: Sender<Envelope>,
+    view: Arc<Mutex<KeeperView>>,
+    stopping: bool,
+}
+
+impl KeeperEngine {
+    /// An engine that continues from opened files. Messages to other keepers go to `outgoing`.
+    pub fn new(
+        options: QuorumOptions,
+        ledger_options: LedgerOptions,
+        opened: OpenOutcome,
+        outgoing: Sender<Envelope>,
+    ) -> KeeperEngine {
+        let clock = MonotonicClock::start();
+        let snapshot = &opened.restored.snapshot;
+        let state = restore_state(&snapshot.data, ledger_options);
+        let applied = snapshot.index;
+        let seed = opened.restored.identity.incarnation.0;
+        let core = QuorumCore::new(clock.now(), options, opened.restored, seed);
+        let view = KeeperView {
+            settings: state.settings.clone(),
+            status: core.status(clock.now()),
+            ledger_keys: 0,
+            ledger_answer_bytes: 0,
+            syncs: 0,
+            stopped: false,
+            listeners: Vec::new(),
+        };
+        KeeperEngine {
+            clock,
+            core,
+            files: opened.files,
+            state,
+            ledger_options,
+            applied,
+            waiting: BTreeMap::new(),
+            outgoing,
+            view: Arc::new(Mutex::new(view)),
+            stopping: false,
+        }
+    }
+
+    /// What the other tasks of the process may read.
+    pub fn view(&self) -> Arc<Mutex<KeeperView>> {
+        self.view.clone()
+    }
+
+    /// Works until a stop is asked for, the inputs end, or the files fail.
+    pub fn run(mut self, inputs: &Receiver<EngineInput>) {
+        while let Ok(first) = inputs.recv_blocking() {
+            self.take(first);
+            for _ in 1..MAX_BATCH {
+                match inputs.try_recv() {
+                    Ok(input) => self.take(input),
+                    Err(_) => break,
+                }
+            }
+            if !self.settle() || self.stopping {
+                break;
+            }
+        }
+        self.stop();
+    }
+
+    fn take(&mut self, input: EngineInput) {
+        let now = self.clock.now();
+        match input {
+            EngineInput::Event(event) => self.core.step(now, event),
+            EngineInput::Command(command, reply) => self.propose(command, reply),
+            EngineInput::Barrier(reply) => self.propose_payload(EntryPayload::Blank, reply),
+            EngineInput::Stop => self.stopping = true,
+        }
+    }
+
+    fn propose(&mut self, command: KeeperCommand, reply: Sender<EngineReply>) {
+        if let (true, KeeperCommand::Apply(change)) = (self.core.is_leader(), &command) {
+            if let Err(error) = self.state.settings.check(change) {
+                let _ = reply.try_send(Ok(KeeperReply::Applied(Err(error))));
+                return;
+            }
+        }
+        let command = stamped(command, ledger_time());
+        let bytes = postcard::to_stdvec(&command).expect("commands have nothing that cannot be encoded");
+        self.propose_payload(EntryPayload::Command(bytes), reply);
+    }
+
+    fn propose_payload(&mut self, payload: EntryPayload, reply: Sender<EngineReply>) {
+        match self.core.propose(self.clock.now(), payload) {
+            Ok(place) => {
+                self.waiting.insert(place, reply);
+            }
+            Err(ProposeError::NotLeader(leader)) => {
+                let _ = reply.try_send(Err(EngineError::NotLeader(leader)));
+            }
+        }
+    }
+
+    /// Acts on everything that the core asks for; false when the files failed.
+    fn settle(&mut self) -> bool {
+        loop {
+            let output = self.core.take_output();
+            if output.is_empty() {
+                break;
+            }
+            let saving = !output.save.is_empty();
+            if let Err(error) = self.act(output) {
+                record(&events::STORE_FAILED, &[field("error", error)]);
+                return false;
+            }
+            if saving {
+                self.core.step(self.clock.now(), QuorumEvent::Saved);
+            }
+        }
+        self.fail_lost_commands();
+        self.compact_if_long();
+        self.publish();
+        true
+    }
+
+    fn act(&mut self, output: QuorumOutput) -> Result<(), micaspool_store::Error> {
+        if !output.save.is_empty() {
+            self.files.save(output.save)?;
+        }
+        for envelope in output.send {
+            let _ = self.outgoing.try_send(envelope);
+        }
+        if let Some(snapshot) = output.install {
+            self.state = restore_state(&snapshot.data, self.ledger_options);
+            self.applied = snapshot.index;
+        }
+        for entry in output.committed {
+            self.apply(entry);
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: LogEntry) {
+        self.applied = entry.index;
+        let reply = match &entry.payload {
+            EntryPayload::Command(bytes) => match postcard::from_bytes(bytes) {
+                Ok(command) => self.state.apply(&command),
+                Err(_) => KeeperReply::Passed,
+            },
+            EntryPayload::Blank => KeeperReply::Passed,
+            EntryPayload::Members(membership) => {
+                record(&events::GROUP_CHANGED, &[field("voters", membership.voters().count())]);
+                KeeperReply::Passed
+            }
+        };
+        if let Some(waiter) = self.waiting.remove(&(entry.index, entry.term)) {
+            let _ = waiter.try_send(Ok(reply));
+        }
+    }
+
+    /// Answers the commands of a leadership that has ended. They may still be committed.
+    fn fail_lost_commands(&mut self) {
+        if self.core.is_leader() || self.waiting.is_empty() {
+            return;
+        }
+        let leader = self.core.status(self.clock.now()).leader;
+        for reply in std::mem::take(&mut self.waiting).into_values() {
+            let _ = reply.try_send(Err(EngineError::NotLeader(leader.clone())));
+        }
+    }
+
+    fn compact_if_long(&mut self) {
+        if self.core.log_len() > COMPACT_ENTRIES + self.state.ledger.len() {
+            let event = QuorumEvent::Compact(self.applied, self.state.encode());
+            self.core.step(self.clock.now(), event);
+        }
+    }
+
+    fn publish(&mut self) {
+        let status = self.core.status(self.clock.now());
+        let mut view = self.view.lock().expect("no holder of the view panics");
+        let leads = status.role == QuorumRole::Leader;
+        if leads != (view.status.role == QuorumRole::Leader) {
+            let kind = if leads { &events::LEADER_ELECTED } else { &events::LEADER_STEPPED_DOWN };
+            record(kind, &[field("term", status.term.0)]);
+        }
+        let newer = view.settings.revision() != self.state.settings.revision();
+        let changed = newer || view.status.confirmed != status.confirmed;
+        if newer {
+            view.settings = self.state.settings.clone();
+        }
+        view.status = status;
+        view.ledger_keys = self.state.ledger.len();
+        view.ledger_answer_bytes = self.state.ledger.answer_bytes();
+        view.syncs = self.files.sync_count();
+        if changed {
+            view.notify();
+        }
+    }
+
+    fn stop(&mut self) {
+        for reply in std::mem::take(&mut self.waiting).into_values() {
+            let _ = reply.try_send(Err(EngineError::Stopped));
+        }
+        let mut view = self.view.lock().expect("no holder of the view panics");
+        view.stopped = true;
+        view.status.confirmed = false;
+        view.notify();
+    }
+}
+
+fn restore_state(data: &[u8], options: LedgerOptions) -> KeeperState {
+    if data.is_empty() {
+        return KeeperState::new(options);
+    }
+    KeeperState::decode(data).expect("a snapshot that passed its checksum was written by this version")
+}
+
+/// Gives ledger commands the leader's time.
+fn stamped(command: KeeperCommand, at: LedgerTime) -> KeeperCommand {
+    match command {
+        KeeperCommand::Claim(claim) => KeeperCommand::Claim(micaspool_ledger::ClaimCommand { at, ..claim }),
+        KeeperCommand::Finish(finish) => KeeperCommand::Finish(micaspool_ledger::FinishCommand { at, ..finish }),
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/micaspool-keeper/src/service.rs
@@ -0,0 +1,283 @@
+//! The protocol side of a keeper.
+
+use crate::engine::{EngineError, EngineInput, EngineReply, KeeperView};
+use crate::peers::decode_frame;
+use crate::state::{KeeperCommand, KeeperReply};
+use async_std::channel::{bounded, Sender};
+use async_std::future::timeout;
+use async_std::task;
+use futures::{Stream, StreamExt};
+use micaspool_ledger::{
+    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime, StoredAnswer,
+};
+use micaspool_quorum::QuorumEvent;
+use micaspool_settings::apply::{SettingsChange, SettingsUpdate};
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_types::{CustomerName, InstanceName, Revision};
+use micaspool_wire::v1::{self, keeper_server::Keeper};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tonic::{Request, Response, Status, Streaming};
+
+/// How long a command may wait for its commit.
+const COMMIT_LIMIT: Duration = Duration::from_secs(5);
+/// How many updates may wait for one watcher.
+const WATCH_QUEUE: usize = 16;
+
+/// Answers routers, dispatchers, operators and other keepers.
+#[derive(Clone, Debug)]
+pub struct KeeperService {
+    inputs: Sender<EngineInput>,
+    view: Arc<Mutex<KeeperView>>,
+    keepers: Arc<Vec<PeerAddress>>,
+}
+
+impl KeeperService {
+    /// A service in front of an engine.
+    pub fn new(
+        inputs: Sender<EngineInput>,
+        view: Arc<Mutex<KeeperView>>,
+        keepers: Arc<Vec<PeerAddress>>,
+    ) -> KeeperService {
+        KeeperService { inputs, view, keepers }
+    }
+
+    async fn ask(&self, input: impl FnOnce(Sender<EngineReply>) -> EngineInput) -> Result<EngineReply, Status> {
+        let (sender, receiver) = bounded(1);
+        let stopped = || Status::unavailable(EngineError::Stopped.to_string());
+        self.inputs.send(input(sender)).await.map_err(|_| stopped())?;
+        match timeout(COMMIT_LIMIT, receiver.recv()).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => Err(stopped()),
+            Err(_) => Err(Status::deadline_exceeded("no majority confirmed in time; send it again with the same id")),
+        }
+    }
+
+    async fn command(&self, command: KeeperCommand) -> Result<EngineReply, Status> {
+        self.ask(|reply| EngineInput::Command(command, reply)).await
+    }
+
+    fn not_leader(&self, error: EngineError) -> Result<v1::NotLeader, Status> {
+        match error {
+            EngineError::NotLeader(leader) => {
+                Ok(v1::NotLeader { leader: leader.and_then(|name| self.address(&name)).unwrap_or_default() })
+            }
+            EngineError::Stopped => Err(Status::unavailable(error.to_string())),
+        }
+    }
+
+    fn address(&self, name: &InstanceName) -> Option<String> {
+        let keeper = self.keepers.iter().find(|keeper| keeper.name == *name)?;
+        Some(keeper.address.to_string())
+    }
+
+    fn view(&self) -> std::sync::MutexGuard<'_, KeeperView> {
+        self.view.lock().expect("no holder of the view panics")
+    }
+
+    fn snapshot(&self) -> v1::SettingsUpdate {
+        let view = self.view();
+        update_message(view.settings.snapshot(), view.status.confirmed)
+    }
+}
+
+type UpdateStream = Pin<Box<dyn Stream<Item = Result<v1::SettingsUpdate, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl Keeper for KeeperService {
+    type WatchStream = UpdateStream;
+
+    async fn apply(&self, request: Request<v1::ApplyRequest>) -> Result<Response<v1::ApplyReply>, Status> {
+        use v1::apply_reply::Outcome;
+        let request = request.into_inner();
+        let (id, operator) = (request.change.clone(), request.operator.clone());
+        let change = SettingsChange {
+            id: request.change,
+            operator: request.operator,
+            base: Revision(request.base),
+            patch: request.patch,
+        };
+        let outcome = match self.command(KeeperCommand::Apply(change)).await? {
+            Ok(KeeperReply::Applied(Ok(revision))) => {
+                let fields = [field("change", id), field("operator", operator), field("revision", revision)];
+                record(&events::CHANGE_ACCEPTED, &fields);
+                Outcome::Revision(revision.0)
+            }
+            Ok(KeeperReply::Applied(Err(error))) => {
+                record(&events::CHANGE_REJECTED, &[field("change", id), field("operator", operator)]);
+                Outcome::Rejected(error.to_string())
+            }
+            Ok(_) => return Err(Status::internal("the reply does not fit the command; report this")),
+            Err(error) => Outcome::NotLeader(self.not_leader(error)?),
+        };
+        Ok(Response::new(v1::ApplyReply { outcome: Some(outcome) }))
+    }
+
+    async fn get(&self, request: Request<v1::GetRequest>) -> Result<Response<v1::GetReply>, Status> {
+        use v1::get_reply::Outcome;
+        let outcome = if request.into_inner().confirmed {
+            match self.ask(EngineInput::Barrier).await? {
+                Ok(_) => Outcome::Settings(v1::SettingsUpdate { confirmed: true, ..self.snapshot() }),
+                Err(error) => Outcome::NotLeader(self.not_leader(error)?),
+            }
+        } else {
+            Outcome::Settings(self.snapshot())
+        };
+        Ok(Response::new(v1::GetReply { outcome: Some(outcome) }))
+    }
+
+    async fn watch(&self, request: Request<v1::WatchRequest>) -> Result<Response<Self::WatchStream>, Status> {
+        let from = Revision(request.into_inner().revision);
+        let (sender, receiver) = bounded(WATCH_QUEUE);
+        task::spawn(feed_watcher(self.view.clone(), from, sender));
+        Ok(Response::new(Box::pin(receiver.map(Ok))))
+    }
+
+    async fn claim(&self, request: Request<v1::ClaimRequest>) -> Result<Response<v1::ClaimReply>, Status> {
+        let request = request.into_inner();
+        let body = <[u8; 32]>::try_from(request.body_hash.as_slice())
+            .map_err(|_| Status::invalid_argument("a body hash has 32 bytes; run the same version everywhere"))?;
+        let command = ClaimCommand {
+            key: claim_key(&request.customer, &request.key)?,
+            body: BodyDigest(body),
+            token: ClaimToken(request.token),
+            at: LedgerTime(0),
+        };
+        let reply = match self.command(KeeperCommand::Claim(command)).await? {
+            Ok(KeeperReply::Claimed(verdict)) => verdict_message(verdict),
+            Ok(_) => return Err(Status::internal("the reply does not fit the command; report this")),
+            Err(error) => v1::ClaimReply { not_leader: Some(self.not_leader(error)?), ..v1::ClaimReply::default() },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn finish(&self, request: Request<v1::FinishRequest>) -> Result<Response<v1::FinishReply>, Status> {
+        let request = request.into_inner();
+        let kind = match request.kind() {
+            v1::FinishKind::FinishReleased => FinishKind::Released,
+            v1::FinishKind::FinishUnknown => FinishKind::Unknown,
+            v1::FinishKind::FinishAnswered => FinishKind::Answered(stored_answer(request.answer.unwrap_or_default())),
+        };
+        let command = FinishCommand {
+            key: claim_key(&request.customer, &request.key)?,
+            token: ClaimToken(request.token),
+            kind,
+            at: LedgerTime(0),
+        };
+        let not_leader = match self.command(KeeperCommand::Finish(command)).await? {
+            Ok(_) => None,
+            Err(error) => Some(self.not_leader(error)?),
+        };
+        Ok(Response::new(v1::FinishReply { not_leader }))
+    }
+
+    async fn exchange(&self, request: Request<Streaming<v1::PeerFrame>>) -> Result<Response<v1::PeerAck>, Status> {
+        let mut frames = request.into_inner();
+        while let Some(frame) = frames.message().await? {
+            match decode_frame(&frame) {
+                Some(message) => {
+                    let event = EngineInput::Event(QuorumEvent::Message(message));
+                    self.inputs.send(event).await.map_err(|_| Status::unavailable("the keeper has stopped"))?;
+                }
+                None => record(&events::WIRE_MALFORMED, &[field("format", frame.format)]),
+            }
+        }
+        Ok(Response::new(v1::PeerAck {}))
+    }
+
+    async fn recover(&self, request: Request<v1::RecoverRequest>) -> Result<Response<v1::RecoverReply>, Status> {
+        let operator = request.into_inner().operator;
+        let event = EngineInput::Event(QuorumEvent::RecoverAlone);
+        self.inputs.send(event).await.map_err(|_| Status::unavailable("the keeper has stopped"))?;
+        record(&events::GROUP_FORMED, &[field("operator", operator)]);
+        let text = "this keeper now leads a group of its own; start the others with empty data folders".to_owned();
+        Ok(Response::new(v1::RecoverReply { text }))
+    }
+
+    async fn status(&self, _request: Request<v1::StatusRequest>) -> Result<Response<v1::StatusReply>, Status> {
+        let json = crate::daemon::state_json(&self.view());
+        Ok(Response::new(v1::StatusReply { json }))
+    }
+}
+
+/// Sends a watcher what it lacks, now and after each change.
+async fn feed_watcher(view: Arc<Mutex<KeeperView>>, from: Revision, sender: Sender<v1::SettingsUpdate>) {
+    let changes = view.lock().expect("no holder of the view panics").listen();
+    let mut held = from;
+    let mut told = None;
+    loop {
+        let (updates, confirmed, stopped) = {
+            let view = view.lock().expect("no holder of the view panics");
+            (view.updates_since(held), view.status.confirmed, view.stopped)
+        };
+        if updates.is_empty() && told != Some(confirmed) {
+            let news = v1::SettingsUpdate { revision: held.0, confirmed, ..v1::SettingsUpdate::default() };
+            if sender.send(news).await.is_err() {
+                return;
+            }
+        }
+        for update in updates {
+            held = update.revision;
+            if sender.send(update_message(update, confirmed)).await.is_err() {
+                return;
+            }
+        }
+        told = Some(confirmed);
+        if stopped || !wait_for_change(&changes, &sender).await {
+            return;
+        }
+    }
+}
+
+/// Waits for news; false once the watcher has left.
+async fn wait_for_change(changes: &async_std::channel::Receiver<()>, sender: &Sender<v1::SettingsUpdate>) -> bool {
+    const LOOK: Duration = Duration::from_secs(1);
+    loop {
+        match timeout(LOOK, changes.recv()).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(_)) => return false,
+            Err(_) if sender.is_closed() => return false,
+            Err(_) => {}
+        }
+    }
+}
+
+fn update_message(update: SettingsUpdate, confirmed: bool) -> v1::SettingsUpdate {
+    v1::SettingsUpdate {
+        base: update.base.0,
+        revision: update.revision.0,
+        patch: update.patch.unwrap_or_default(),
+        tree: update.tree.unwrap_or_default(),
+        confirmed,
+    }
+}
+
+fn claim_key(customer: &str, key: &str) -> Result<ClaimKey, Status> {
+    let customer = CustomerName::parse(customer).map_err(|error| Status::invalid_argument(error.to_string()))?;
+    Ok(ClaimKey { customer, key: key.into() })
+}
+
+fn stored_answer(answer: v1::StoredAnswer) -> StoredAnswer {
+    let status = u16::try_from(answer.status).unwrap_or_default();
+    StoredAnswer { status, content_type: answer.content_type, body: answer.body }
+}
+
+fn verdict_message(verdict: ClaimVerdict) -> v1::ClaimReply {
+    let (kind, answer) = match verdict {
+        ClaimVerdict::Granted => (v1::ClaimVerdict::ClaimGranted, None),
+        ClaimVerdict::Running => (v1::ClaimVerdict::ClaimRunning, None),
+        ClaimVerdict::Done(answer) => (v1::ClaimVerdict::ClaimDone, Some(answer)),
+        ClaimVerdict::AnswerDropped => (v1::ClaimVerdict::ClaimAnswerDropped, None),
+        ClaimVerdict::MayHaveRun => (v1::ClaimVerdict::ClaimMayHaveRun, None),
+        ClaimVerdict::KeyReused => (v1::ClaimVerdict::ClaimKeyReused, None),
+        ClaimVerdict::Full => (v1::ClaimVerdict::ClaimFull, None),
+    };
+    let answer = answer.map(|answer| v1::StoredAnswer {
+        status: u32::from(answer.status),
+        content_type: answer.content_type,
+        body: answer.body,
+    });
+    v1::ClaimReply { verdict: kind.into(), answer, not_leader: None }
+}
--- /dev/null
+++ b/crates/micaspool-router/src/call/model.rs
@@ -0,0 +1,76 @@
+//! What a router reads from the body of a model call.
+
+use micaspool_types::{Cost, Refusal, RefusalKind};
+use serde::Deserialize;
+
+/// A token has about this many bytes of text.
+const BYTES_PER_TOKEN: u64 = 4;
+/// The answer's length when the caller gives none, in tokens.
+const DEFAULT_ANSWER: u64 = 256;
+/// The prompt lengths in bytes whose hashes are told to the dispatcher.
+const PREFIX_LENGTHS: [usize; 4] = [256, 1_024, 4_096, 16_384];
+const HASH_START: u64 = 0xcbf2_9ce4_8422_2325;
+const HASH_FACTOR: u64 = 0x0000_0100_0000_01b3;
+
+/// The parts of a model call that matter for placement.
+#[derive(Debug)]
+pub(super) struct ModelBody {
+    pub model: String,
+    pub stream: bool,
+    pub hint: Cost,
+    pub prefixes: Vec<u64>,
+}
+
+#[derive(Deserialize)]
+struct RawBody {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    messages: Vec<RawMessage>,
+}
+
+#[derive(Deserialize)]
+struct RawMessage {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+impl ModelBody {
+    pub fn parse(body: &[u8]) -> Result<ModelBody, Refusal> {
+        let raw: RawBody =
+            serde_json::from_slice(body).map_err(|_| Refusal::not_run(RefusalKind::MalformedBody))?;
+        let prompt = prompt_text(&raw.messages);
+        let answer = raw.max_tokens.unwrap_or(DEFAULT_ANSWER);
+        let hint = Cost((prompt.len() as u64 / BYTES_PER_TOKEN).saturating_add(answer));
+        Ok(ModelBody { model: raw.model, stream: raw.stream, hint, prefixes: prefix_hashes(prompt.as_bytes()) })
+    }
+}
+
+fn prompt_text(messages: &[RawMessage]) -> String {
+    let mut text = String::new();
+    for message in messages {
+        text.push_str(&message.role);
+        text.push('\n');
+        match &message.content {
+            serde_json::Value::String(content) => text.push_str(content),
+            other => text.push_str(&other.to_string()),
+        }
+        text.push('\n');
+    }
+    text
+}
+
+/// The hashes of the prompt's growing prefixes, the shortest first.
+fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
+    let lengths = PREFIX_LENGTHS.iter().filter(|length| **length <= prompt.len());
+    lengths.map(|length| hash_bytes(&prompt[..*length])).collect()
+}
+
+fn hash_bytes(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(HASH_START, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(HASH_FACTOR))
+}
--- /dev/null
+++ b/crates/micaspool-router/src/claims.rs
@@ -0,0 +1,132 @@
+//! Claims of calls that may not be repeated.
+
+use crate::call::CallPlan;
+use async_std::task;
+use async_trait::async_trait;
+use http_types::{Response, StatusCode};
+use micaspool_client::{CallError, KeeperClient};
+use micaspool_types::{Refusal, RefusalKind};
+use micaspool_wire::v1;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a claim may take.
+const CLAIM_LIMIT: Duration = Duration::from_secs(3);
+/// For how long the outcome of a call is offered to the keepers.
+const FINISH_LIMIT: Duration = Duration::from_secs(120);
+/// When a caller may ask again about a running call, or about one that found no ledger.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// What a claim gave.
+#[derive(Debug)]
+pub enum ClaimOutcome {
+    /// Run the call; the token ends the claim.
+    Granted(u64),
+    /// The call ran before; this was its answer.
+    Answered(Response),
+}
+
+/// Where calls that may not be repeated are claimed.
+#[async_trait]
+pub trait ClaimLedger: Send + Sync + 'static {
+    /// Claims a call that has a key, before any byte of it is sent.
+    async fn claim(&self, plan: &CallPlan, traceparent: &str) -> Result<ClaimOutcome, Refusal>;
+
+    /// Provably nothing was sent: the key is free again.
+    async fn release(&self, plan: &CallPlan, token: u64);
+
+    /// The call ran and gave this answer.
+    async fn answered(&self, plan: &CallPlan, token: u64, status: u16, content_type: &str, body: &[u8]);
+
+    /// The call may have run.
+    async fn unknown(&self, plan: &CallPlan, token: u64);
+}
+
+/// The ledger of the keepers.
+#[derive(Debug, Clone)]
+pub struct KeeperLedger {
+    client: Arc<KeeperClient>,
+}
+
+impl KeeperLedger {
+    /// The ledger behind this client.
+    pub fn new(client: Arc<KeeperClient>) -> KeeperLedger {
+        KeeperLedger { client }
+    }
+
+    async fn finish(&self, plan: &CallPlan, token: u64, kind: v1::FinishKind, answer: Option<v1::StoredAnswer>) {
+        let Some(once) = &plan.once else { return };
+        let request = v1::FinishRequest {
+            customer: plan.customer.to_string(),
+            key: once.key.clone(),
+            token,
+            kind: kind.into(),
+            answer,
+        };
+        let _ = self.client.finish(request, FINISH_LIMIT).await;
+    }
+}
+
+#[async_trait]
+impl ClaimLedger for KeeperLedger {
+    async fn claim(&self, plan: &CallPlan, traceparent: &str) -> Result<ClaimOutcome, Refusal> {
+        let Some(once) = &plan.once else { return Err(Refusal::not_run(RefusalKind::NoLedger)) };
+        let token = rand::random();
+        let request = v1::ClaimRequest {
+            customer: plan.customer.to_string(),
+            key: once.key.clone(),
+            body_hash: once.digest.to_vec(),
+            token,
+            traceparent: traceparent.to_owned(),
+        };
+        match self.client.claim(request, CLAIM_LIMIT).await {
+            Ok(reply) => verdict(reply, token),
+            Err(CallError::NoLeader { sent }) => {
+                if sent {
+                    let (ledger, plan) = (self.clone(), plan.clone());
+                    task::spawn(async move { ledger.release(&plan, token).await });
+                }
+                Err(Refusal::not_run(RefusalKind::NoLedger).after(RETRY_AFTER))
+            }
+        }
+    }
+
+    async fn release(&self, plan: &CallPlan, token: u64) {
+        self.finish(plan, token, v1::FinishKind::FinishReleased, None).await;
+    }
+
+    async fn answered(&self, plan: &CallPlan, token: u64, status: u16, content_type: &str, body: &[u8]) {
+        let answer = v1::StoredAnswer {
+            status: u32::from(status),
+            content_type: content_type.to_owned(),
+            body: body.to_vec(),
+        };
+        self.finish(plan, token, v1::FinishKind::FinishAnswered, Some(answer)).await;
+    }
+
+    async fn unknown(&self, plan: &CallPlan, token: u64) {
+        self.finish(plan, token, v1::FinishKind::FinishUnknown, None).await;
+    }
+}
+
+fn verdict(reply: v1::ClaimReply, token: u64) -> Result<ClaimOutcome, Refusal> {
+    use v1::ClaimVerdict::*;
+    match reply.verdict() {
+        ClaimGranted => Ok(ClaimOutcome::Granted(token)),
+        ClaimDone => Ok(ClaimOutcome::Answered(stored_response(reply.answer.unwrap_or_default()))),
+        ClaimRunning => Err(Refusal::unknown(RefusalKind::KeyRunning).after(RETRY_AFTER)),
+        ClaimMayHaveRun => Err(Refusal::unknown(RefusalKind::KeyOutcomeUnknown)),
+        ClaimKeyReused => Err(Refusal::not_run(RefusalKind::KeyReused)),
+        ClaimAnswerDropped => Err(Refusal::unknown(RefusalKind::KeyAnswerDropped)),
+        ClaimFull => Err(Refusal::not_run(RefusalKind::NoLedger).after(RETRY_AFTER)),
+    }
+}
+
+fn stored_response(answer: v1::StoredAnswer) -> Response {
+    let status = u16::try_from(answer.status).ok().and_then(|status| StatusCode::try_from(status).ok());
+    let mut response = Response::new(status.unwrap_or(StatusCode::Ok));
+    response.set_body(answer.body);
+    response.insert_header("content-type", answer.content_type);
+    response.insert_header("micaspool-replayed", "true");
+    response
+}
--- /dev/null
+++ b/crates/micaspool-router/src/cost.rs
@@ -0,0 +1,118 @@
+//! What an answer costs, counted while it passes.
+
+use micaspool_settings::policy::ServiceKind;
+use micaspool_types::Cost;
+use serde::Deserialize;
+
+/// The media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+/// The longest line, or whole JSON answer, that is looked into.
+const MAX_BUFFER: usize = 4 * 1024 * 1024;
+const DATA: &[u8] = b"data:";
+const DONE: &[u8] = b"[DONE]";
+const USAGE: &[u8] = b"\"usage\"";
+
+/// Counts the cost of one answer.
+pub trait CostMeter: Send + Sync {
+    /// Looks at the next bytes of the answer.
+    fn observe(&mut self, bytes: &[u8]);
+
+    /// The cost so far, or the whole cost after the last byte.
+    fn cost(&self) -> Cost;
+}
+
+/// The meter for an answer of this kind and media type.
+pub fn meter_for(kind: ServiceKind, content_type: &str) -> Box<dyn CostMeter> {
+    match kind {
+        ServiceKind::Plain => Box::new(CallMeter),
+        ServiceKind::Model if content_type.starts_with(EVENT_STREAM) => Box::<StreamMeter>::default(),
+        ServiceKind::Model => Box::<JsonMeter>::default(),
+    }
+}
+
+#[derive(Deserialize)]
+struct UsageBody {
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    total_tokens: u64,
+}
+
+fn usage_cost(json: &[u8]) -> Option<Cost> {
+    let body: UsageBody = serde_json::from_slice(json).ok()?;
+    body.usage.map(|usage| Cost(usage.total_tokens))
+}
+
+/// Every call costs one unit.
+struct CallMeter;
+
+impl CostMeter for CallMeter {
+    fn observe(&mut self, _bytes: &[u8]) {}
+
+    fn cost(&self) -> Cost {
+        Cost(1)
+    }
+}
+
+/// Counts the events of a stream, one token each, until the engine gives its own count.
+#[derive(Default)]
+struct StreamMeter {
+    line: Vec<u8>,
+    events: u64,
+    usage: Option<Cost>,
+}
+
+impl StreamMeter {
+    fn end_line(&mut self) {
+        if let Some(data) = self.line.strip_prefix(DATA) {
+            let data = data.trim_ascii();
+            if data != DONE {
+                self.events += 1;
+            }
+            if contains(data, USAGE) {
+                self.usage = usage_cost(data).or(self.usage);
+            }
+        }
+        self.line.clear();
+    }
+}
+
+impl CostMeter for StreamMeter {
+    fn observe(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if *byte == b'\n' {
+                self.end_line();
+            } else if self.line.len() < MAX_BUFFER {
+                self.line.push(*byte);
+            }
+        }
+    }
+
+    fn cost(&self) -> Cost {
+        self.usage.unwrap_or(Cost(self.events))
+    }
+}
+
+/// Reads the engine's count from a JSON answer.
+#[derive(Default)]
+struct JsonMeter {
+    body: Vec<u8>,
+}
+
+impl CostMeter for JsonMeter {
+    fn observe(&mut self, bytes: &[u8]) {
+        if self.body.len() + bytes.len() <= MAX_BUFFER {
+            self.body.extend_from_slice(bytes);
+        }
+    }
+
+    fn cost(&self) -> Cost {
+        usage_cost(&self.body).unwrap_or(Cost(1))
+    }
+}
+
+fn contains(text: &[u8], part: &[u8]) -> bool {
+    text.windows(part.len()).any(|window| window == part)
+}
--- /dev/null
+++ b/crates/micaspool-router/src/daemon.rs
@@ -0,0 +1,153 @@
+//! Puts a router daemon together.
+
+use crate::claims::KeeperLedger;
+use crate::endpoint::HttpEndpointClient;
+use crate::metrics::RouterMetrics;
+use crate::router::{RequestRouter, RouterParts};
+use crate::shard_client::ShardClientOptions;
+use async_std::net::TcpListener;
+use async_std::task;
+use micaspool_client::{KeeperClient, SettingsMirror};
+use micaspool_http::server::{HttpServer, ServerOptions};
+use micaspool_http::status::{serve_status, StatusSource};
+use micaspool_settings::process::ProcessSettings;
+use micaspool_telemetry::spans::SpanSink;
+use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
+use micaspool_types::Incarnation;
+use prometheus_client::registry::Registry;
+use serde_json::json;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Why a router cannot run.
+#[derive(Debug)]
+pub enum Error {
+    /// An address cannot be bound.
+    Bind(SocketAddr, std::io::Error),
+    /// The trace file cannot be opened.
+    Trace(std::io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Bind(address, error) => {
+                write!(f, "{address} cannot be bound ({error}); choose a free port, or 0 for any")
+            }
+            Error::Trace(error) => write!(f, "the trace file cannot be opened ({error}); make its folder writable"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A running router.
+#[derive(Debug)]
+pub struct RouterDaemon {
+    /// Where it serves callers.
+    pub callers: SocketAddr,
+    /// Where it shows its status.
+    pub status: SocketAddr,
+    server: HttpServer,
+    router: RequestRouter,
+    mirror: Arc<SettingsMirror>,
+}
+
+impl RouterDaemon {
+    /// Takes no new request and waits for those in flight, at most for `limit`; true when none
+    /// was cut.
+    pub async fn stop(self, limit: Duration) -> bool {
+        self.router.drain();
+        self.server.stop();
+        self.server.drained(limit).await
+    }
+
+    /// The settings that the router follows.
+    pub fn mirror(&self) -> &Arc<SettingsMirror> {
+        &self.mirror
+    }
+}
+
+/// Starts a router.
+pub async fn run_router(settings: &ProcessSettings, incarnation: Incarnation) -> Result<RouterDaemon, Error> {
+    let keepers = TrafficCounter::default();
+    let dispatchers = TrafficCounter::default();
+    let client = Arc::new(KeeperClient::new(settings.keepers.clone(), keepers.clone()));
+    let mirror = SettingsMirror::start(client.clone(), &format!("router-{}", settings.instance));
+    let mut registry = Registry::default();
+    let metrics = RouterMetrics::register(&mut registry);
+    let traffic =
+        TrafficMetrics::default().with("router", "keeper", keepers).with("router", "dispatcher", dispatchers.clone());
+    traffic.register(&mut registry);
+    let parts = RouterParts {
+        mirror: mirror.clone(),
+        shards: ShardClientOptions {
+            router: settings.instance.clone(),
+            hall: settings.hall.to_string(),
+            incarnation,
+            dispatchers: settings.dispatchers.clone(),
+            counter: dispatchers,
+        },
+        endpoints: Arc::new(HttpEndpointClient),
+        ledger: Arc::new(KeeperLedger::new(client)),
+        spans: SpanSink::open(settings.trace_file.as_deref(), settings.instance.as_str()).map_err(Error::Trace)?,
+    };
+    let router = RequestRouter::new(parts, metrics.clone());
+    let failed = |error| Error::Bind(settings.callers, error);
+    let listener = TcpListener::bind(settings.callers).await.map_err(failed)?;
+    let callers = listener.local_addr().map_err(failed)?;
+    let server = HttpServer::new(Arc::new(router.clone()), ServerOptions::default());
+    let serving = server.clone();
+    task::spawn(async move { serving.serve(listener).await });
+    let source = RouterStatusSource { mirror: mirror.clone(), router: router.clone(), registry, traffic, metrics };
+    let status =
+        serve_status(settings.status, Arc::new(source)).await.map_err(|e| Error::Bind(settings.status, e))?;
+    Ok(RouterDaemon { callers, status, server, router, mirror })
+}
+
+struct RouterStatusSource {
+    mirror: Arc<SettingsMirror>,
+    router: RequestRouter,
+    registry: Registry,
+    traffic: TrafficMetrics,
+    metrics: RouterMetrics,
+}
+
+impl StatusSource for RouterStatusSource {
+    fn is_ready(&self) -> bool {
+        self.mirror.is_ready()
+    }
+
+    fn metrics(&self) -> String {
+        let counts = self.router.shards().iter().map(|shard| shard.counts()).collect::<Vec<_>>();
+        self.metrics.waiting.set(counts.iter().map(|(waiting, _)| *waiting as i64).sum());
+        self.metrics.running.set(counts.iter().map(|(_, running)| *running as i64).sum());
+        self.metrics.revision.set(self.mirror.policy().revision.0 as i64);
+        self.traffic.refresh();
+        let mut text = String::new();
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+
+    fn state(&self) -> String {
+        let mirror = self.mirror.state();
+        let shards = self.router.shards().into_iter().map(|shard| {
+            let (waiting, running) = shard.counts();
+            json!({
+                "service": shard.service().as_str(),
+                "linked": shard.is_linked(),
+                "waiting": waiting,
+                "running": running,
+            })
+        });
+        json!({
+            "process": "router",
+            "revision": mirror.policy.revision.0,
+            "cut_off_seconds": mirror.cut_off_since.map(|since| since.elapsed().as_secs()),
+            "shards": shards.collect::<Vec<_>>(),
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/crates/micaspool-router/src/endpoint.rs
@@ -0,0 +1,144 @@
+//! Sending requests to endpoints.
+
+use crate::call::CallPlan;
+use async_std::io::ReadExt;
+use async_trait::async_trait;
+use http_types::{Body, Method, Request, Response, Url};
+use micaspool_http::client::{call, CallLimits, Error};
+use micaspool_http::refusal::{REQUEST_HEADER, RUN_HEADER};
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// The header by which an endpoint says that it is leaving.
+const DRAINING_HEADER: &str = "micaspool-draining";
+/// How long connecting to an endpoint may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// The most bytes of a refusal that are read.
+const MAX_REFUSAL: u64 = 64 * 1024;
+
+/// One request on its way to an endpoint.
+#[derive(Debug)]
+pub struct EndpointCall<'a> {
+    /// Where it goes.
+    pub address: SocketAddr,
+    /// The request.
+    pub plan: &'a CallPlan,
+    /// The trace that it belongs to.
+    pub traceparent: &'a str,
+}
+
+/// The head of an endpoint's answer; the body is read from it.
+#[derive(Debug)]
+pub struct EndpointAnswer {
+    /// The answer.
+    pub response: Response,
+}
+
+/// Why an endpoint gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointError {
+    /// No connection could be made; nothing ran.
+    Unreachable,
+    /// The endpoint is full; `proved` when it said itself that nothing ran.
+    Refused {
+        /// True when the endpoint said that nothing ran.
+        proved: bool,
+    },
+    /// The endpoint takes no new work; `proved` when it said itself that nothing ran.
+    Draining {
+        /// True when the endpoint said that nothing ran.
+        proved: bool,
+    },
+    /// The connection broke, or was silent, after the request may have been sent.
+    Broken,
+    /// The endpoint answered another request.
+    Mismatch,
+}
+
+impl EndpointError {
+    /// True when the request provably did not run.
+    pub fn is_not_run(self) -> bool {
+        match self {
+            EndpointError::Unreachable => true,
+            EndpointError::Refused { proved } | EndpointError::Draining { proved } => proved,
+            EndpointError::Broken | EndpointError::Mismatch => false,
+        }
+    }
+}
+
+impl fmt::Display for EndpointError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            EndpointError::Unreachable => "no connection; check that the endpoint runs",
+            EndpointError::Refused { .. } => "the endpoint is full; check its slots in the settings",
+            EndpointError::Draining { .. } => "the endpoint is leaving",
+            EndpointError::Broken => "the endpoint broke off or was silent; check it",
+            EndpointError::Mismatch => "the endpoint answered another request; take it out of use",
+        })
+    }
+}
+
+impl std::error::Error for EndpointError {}
+
+/// Sends requests to endpoints.
+#[async_trait]
+pub trait EndpointClient: Send + Sync + 'static {
+    /// Sends a request and gives the answer once its head is there.
+    async fn send(&self, call: EndpointCall<'_>) -> Result<EndpointAnswer, EndpointError>;
+}
+
+/// Sends requests over HTTP/1.1, each on its own connection.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HttpEndpointClient;
+
+#[async_trait]
+impl EndpointClient for HttpEndpointClient {
+    async fn send(&self, endpoint_call: EndpointCall<'_>) -> Result<EndpointAnswer, EndpointError> {
+        let plan = endpoint_call.plan;
+        let request = build_request(&endpoint_call).ok_or(EndpointError::Unreachable)?;
+        let limits = CallLimits { connect: CONNECT_LIMIT, silence: plan.policy.silence_limit };
+        let response = call(endpoint_call.address, request, limits).await.map_err(|error| match error {
+            Error::Unreachable(_) => EndpointError::Unreachable,
+            Error::Silent | Error::Broken | Error::Length | Error::Interim => EndpointError::Broken,
+        })?;
+        let echo = response.header(REQUEST_HEADER).map(|values| values.last().as_str().to_owned());
+        if echo.is_some_and(|echo| echo != plan.request.to_string()) {
+            return Err(EndpointError::Mismatch);
+        }
+        check_refusal(response).await
+    }
+}
+
+fn build_request(call: &EndpointCall<'_>) -> Option<Request> {
+    let plan = call.plan;
+    let method = Method::from_str(&plan.method).ok()?;
+    let url = Url::parse(&format!("http://{}{}", call.address, plan.target)).ok()?;
+    let mut request = Request::new(method, url);
+    if !plan.body.is_empty() {
+        request.set_body(Body::from_bytes(plan.body.clone()));
+    }
+    if let Some(kind) = &plan.content_type {
+        request.insert_header("content-type", kind.as_str());
+    }
+    request.insert_header("connection", "close");
+    request.insert_header(REQUEST_HEADER, plan.request.to_string());
+    request.insert_header("micaspool-customer", plan.customer.as_str());
+    request.insert_header("traceparent", call.traceparent);
+    Some(request)
+}
+
+/// Turns a full or leaving endpoint's answer into an error; others pass.
+async fn check_refusal(mut response: Response) -> Result<EndpointAnswer, EndpointError> {
+    let status = u16::from(response.status());
+    if !matches!(status, 429 | 503) {
+        return Ok(EndpointAnswer { response });
+    }
+    let says = |name: &str, value: &str| response.header(name).is_some_and(|values| values.last().as_str() == value);
+    let proved = says(RUN_HEADER, "not-run");
+    let draining = says(DRAINING_HEADER, "true");
+    let mut rest = Vec::new();
+    let _ = response.take_body().take(MAX_REFUSAL).read_to_end(&mut rest).await;
+    Err(if draining { EndpointError::Draining { proved } } else { EndpointError::Refused { proved } })
+}
--- a/crates/micaspool-router/src/lib.rs
+++ b/crates/micaspool-router/src/lib.rs
@@ -1,1 +1,29 @@
+//! The router: takes requests from callers, asks a dispatcher where each may run, sends it there
+//! and streams the answer back.
+//!
+//! * [`ShardClient`] holds this router's waiting and running requests of one service, and takes
+//!   them from one dispatcher to the next,
+//! * [`RequestRouter`] is the path of a request,
+//! * [`EndpointClient`] and [`ClaimLedger`] are the borders to endpoints and keepers,
+//! * [`run_router`] puts a daemon together.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
 
+mod call;
+mod claims;
+mod cost;
+mod daemon;
+mod endpoint;
+mod limits;
+mod metrics;
+mod relay;
+mod router;
+mod shard_client;
+
+pub use call::{CallPlan, OnceKey};
+pub use claims::{ClaimLedger, ClaimOutcome, KeeperLedger};
+pub use cost::{meter_for, CostMeter};
+pub use daemon::{run_router, Error, RouterDaemon};
+pub use endpoint::{EndpointAnswer, EndpointCall, EndpointClient, EndpointError, HttpEndpointClient};
+pub use router::{RequestRouter, RouterParts};
+pub use shard_client::{GrantLease, ShardClient, ShardClientOptions};
--- /dev/null
+++ b/crates/micaspool-router/src/relay.rs
@@ -0,0 +1,132 @@
+//! An answer on its way from an endpoint to a caller.
+
+use crate::cost::CostMeter;
+use crate::metrics::RouterMetrics;
+use crate::shard_client::GrantLease;
+use async_std::io::{BufRead, Read};
+use http_types::Body;
+use micaspool_dispatch::GrantFate;
+use micaspool_telemetry::spans::HopSpan;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// How much is read from an endpoint at once.
+const BUFFER: usize = 16 * 1024;
+
+/// Reads an endpoint's body, counts its cost, and ends the grant with it.
+///
+/// An error of the endpoint's body is passed on, so that the caller sees a broken answer instead
+/// of a short one. When the caller leaves, the relay is dropped and the endpoint's connection
+/// with it.
+pub(crate) struct AnswerRelay {
+    body: Body,
+    meter: Box<dyn CostMeter>,
+    lease: Option<GrantLease>,
+    metrics: RouterMetrics,
+    span: Option<HopSpan>,
+    buffer: Vec<u8>,
+    filled: usize,
+    taken: usize,
+}
+
+impl AnswerRelay {
+    pub fn new(
+        body: Body,
+        meter: Box<dyn CostMeter>,
+        lease: GrantLease,
+        metrics: RouterMetrics,
+        span: HopSpan,
+    ) -> AnswerRelay {
+        AnswerRelay {
+            body,
+            meter,
+            lease: Some(lease),
+            metrics,
+            span: Some(span),
+            buffer: vec![0; BUFFER],
+            filled: 0,
+            taken: 0,
+        }
+    }
+
+    fn end(&mut self, fate: GrantFate) {
+        let cost = self.meter.cost();
+        if let Some(lease) = self.lease.take() {
+            lease.settle(cost, fate);
+            self.metrics.cost.inc_by(cost.0);
+        }
+        if let Some(mut span) = self.span.take() {
+            span.set("cost", cost.0);
+        }
+    }
+
+    fn note(&mut self, count: usize) {
+        if count == 0 {
+            self.end(GrantFate::Done);
+            return;
+        }
+        self.meter.observe(&self.buffer[..count]);
+        let delivered = self.meter.cost();
+        if let Some(lease) = &mut self.lease {
+            lease.progress(delivered);
+        }
+    }
+
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.taken < self.filled || self.lease.is_none() {
+            return Poll::Ready(Ok(()));
+        }
+        let result = Pin::new(&mut self.body).poll_read(cx, &mut self.buffer);
+        match result {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Ok(count)) => {
+                self.taken = 0;
+                self.filled = count;
+                self.note(count);
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(Err(error)) => {
+                self.end(GrantFate::Broken);
+                Poll::Ready(Err(error))
+            }
+        }
+    }
+}
+
+impl Drop for AnswerRelay {
+    fn drop(&mut self) {
+        self.end(GrantFate::Done);
+    }
+}
+
+impl Read for AnswerRelay {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        match self.poll_fill(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Ok(())) => {
+                let ready = &self.buffer[self.taken..self.filled];
+                let count = ready.len().min(buf.len());
+                buf[..count].copy_from_slice(&ready[..count]);
+                self.taken += count;
+                Poll::Ready(Ok(count))
+            }
+        }
+    }
+}
+
+impl BufRead for AnswerRelay {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        match this.poll_fill(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Ok(())) => Poll::Ready(Ok(&this.buffer[this.taken..this.filled])),
+        }
+    }
+
+    fn consume(self: Pin<&mut Self>, amount: usize) {
+        self.get_mut().taken += amount;
+    }
+}
--- /dev/null
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -0,0 +1,249 @@
+//! Everything that this router holds of one shard, in memory only.
+//!
+//! A dispatcher that starts empty is rebuilt from this.
+
+use super::lease::LeaseTerms;
+use super::ShardClientOptions;
+use async_std::channel::Sender;
+use micaspool_dispatch::{GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello};
+use micaspool_fair::ServiceLevel;
+use micaspool_types::{Cost, CustomerName, EndpointName, OrderNumber, Refusal, RefusalKind, RequestId};
+use micaspool_wire::convert::{fate_message, release_reason, request_bytes, request_id, submit_message};
+use micaspool_wire::v1::{self, router_message::Body};
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Levels that are older than this are not told to a new dispatcher: a customer that was idle for
+/// so long starts from the others' level in any case.
+const TOTAL_LIFE: Duration = Duration::from_secs(60);
+/// How many heartbeats are remembered, to anchor leases.
+const HEARTBEATS: usize = 64;
+
+/// What a waiting request gets.
+pub(super) type WaitResult = Result<LeaseTerms, Refusal>;
+
+/// A waiting request and whoever waits for it.
+#[derive(Debug)]
+pub(super) struct WaitingEntry {
+    pub ticket: RequestTicket,
+    pub waiter: Sender<WaitResult>,
+}
+
+#[derive(Debug)]
+struct KnownTotal {
+    level: ServiceLevel,
+    order: OrderNumber,
+    heard: Instant,
+}
+
+/// The requests, grants and levels of one shard that this router holds.
+#[derive(Debug)]
+pub(super) struct HeldWork {
+    waiting: HashMap<RequestId, WaitingEntry>,
+    running: HashMap<RequestId, HeldGrant>,
+    totals: HashMap<CustomerName, KnownTotal>,
+    link: Option<Sender<v1::RouterMessage>>,
+    unlinked_since: Option<Instant>,
+    /// The newest heartbeats and when each was sent.
+    heartbeats: VecDeque<(u64, Instant)>,
+    next_heartbeat: u64,
+    last_pulse: Instant,
+}
+
+impl HeldWork {
+    pub fn new(now: Instant) -> HeldWork {
+        HeldWork {
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            totals: HashMap::new(),
+            link: None,
+            unlinked_since: Some(now),
+            heartbeats: VecDeque::new(),
+            next_heartbeat: 1,
+            last_pulse: now,
+        }
+    }
+
+    pub fn is_linked(&self) -> bool {
+        self.link.is_some()
+    }
+
+    pub fn counts(&self) -> (usize, usize) {
+        (self.waiting.len(), self.running.len())
+    }
+
+    pub fn unreachable_for(&self) -> Duration {
+        self.unlinked_since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// Takes a new stream into use; what is sent from here on follows the hello.
+    pub fn link(&mut self, link: Sender<v1::RouterMessage>) {
+        self.link = Some(link);
+        self.last_pulse = Instant::now();
+    }
+
+    /// Notes that the dispatcher has taken the stream.
+    pub fn linked(&mut self) {
+        self.unlinked_since = None;
+        self.last_pulse = Instant::now();
+    }
+
+    /// Notes that the stream is gone.
+    pub fn unlink(&mut self) {
+        self.link = None;
+        self.unlinked_since.get_or_insert_with(Instant::now);
+    }
+
+    /// How long the dispatcher has not answered a heartbeat.
+    pub fn silence(&self) -> Duration {
+        self.last_pulse.elapsed()
+    }
+
+    pub fn hello(&mut self, options: &ShardClientOptions) -> RouterHello {
+        self.totals.retain(|_, total| total.heard.elapsed() < TOTAL_LIFE);
+        let totals = self.totals.iter().map(|(customer, total)| HeldTotal {
+            customer: customer.clone(),
+            level: total.level,
+            order: total.order,
+        });
+        RouterHello {
+            router: options.router.clone(),
+            incarnation: options.incarnation,
+            waiting: self.waiting.values().map(|entry| entry.ticket.clone()).collect(),
+            running: self.running.values().cloned().collect(),
+            totals: totals.collect(),
+            heartbeat: self.number_heartbeat(),
+        }
+    }
+
+    /// Sends a heartbeat.
+    pub fn beat(&mut self) {
+        let number = self.number_heartbeat();
+        self.send(Body::Heartbeat(v1::Heartbeat { number, revision: 0 }));
+    }
+
+    fn number_heartbeat(&mut self) -> u64 {
+        let number = self.next_heartbeat;
+        self.next_heartbeat += 1;
+        self.heartbeats.push_back((number, Instant::now()));
+        if self.heartbeats.len() > HEARTBEATS {
+            self.heartbeats.pop_front();
+        }
+        number
+    }
+
+    pub fn add_waiting(&mut self, entry: WaitingEntry, traceparent: Option<String>) {
+        let submit =
+            v1::Submit { traceparent: traceparent.unwrap_or_default(), ..submit_message(&entry.ticket) };
+        self.waiting.insert(entry.ticket.request, entry);
+        self.send(Body::Submit(submit));
+    }
+
+    /// Forgets a waiting request. A grant that comes later is given back.
+    pub fn give_up(&mut self, request: RequestId) {
+        if self.waiting.remove(&request).is_some() {
+            self.send(Body::Cancel(v1::Cancel { request: request_bytes(request) }));
+        } else if self.running.remove(&request).is_some() {
+            self.send_settle(request, Cost(0), GrantFate::Unsent);
+        }
+    }
+
+    /// Says how much a running request has delivered.
+    pub fn progress(&mut self, request: RequestId, delivered: Cost) {
+        if let Some(grant) = self.running.get_mut(&request) {
+            grant.delivered = delivered;
+            self.send(Body::Progress(v1::Progress { request: request_bytes(request), delivered: delivered.0 }));
+        }
+    }
+
+    /// Ends a grant.
+    pub fn settle(&mut self, request: RequestId, cost: Cost, fate: GrantFate) {
+        if self.running.remove(&request).is_some() {
+            self.send_settle(request, cost, fate);
+        }
+    }
+
+    fn send_settle(&mut self, request: RequestId, cost: Cost, fate: GrantFate) {
+        let fate = fate_message(fate).into();
+        self.send(Body::Settle(v1::Settle { request: request_bytes(request), cost: cost.0, fate }));
+    }
+
+    /// Takes a message of the dispatcher; false when the router shall connect anew.
+    pub fn take(&mut self, message: v1::DispatcherMessage) -> bool {
+        use v1::dispatcher_message::Body as FromDispatcher;
+        match message.body {
+            Some(FromDispatcher::Accepted(accepted)) => self.accepted(&accepted),
+            Some(FromDispatcher::Grant(grant)) => self.granted(&grant),
+            Some(FromDispatcher::Refused(refused)) => self.refused(&refused),
+            Some(FromDispatcher::Pulse(_)) => self.last_pulse = Instant::now(),
+            Some(FromDispatcher::Moved(_)) => return false,
+            None => {}
+        }
+        true
+    }
+
+    fn accepted(&mut self, accepted: &v1::Accepted) {
+        let entry = request_id(&accepted.request).ok().and_then(|request| self.waiting.get_mut(&request));
+        if let Some(entry) = entry {
+            entry.ticket.order = Some(OrderNumber(accepted.order));
+        }
+    }
+
+    fn granted(&mut self, grant: &v1::Grant) {
+        let (Ok(request), Ok(endpoint)) = (request_id(&grant.request), EndpointName::parse(&grant.endpoint)) else {
+            return;
+        };
+        let Some(entry) = self.waiting.remove(&request) else {
+            if !self.running.contains_key(&request) {
+                self.send_settle(request, Cost(0), GrantFate::Unsent);
+            }
+            return;
+        };
+        let order = OrderNumber(grant.order);
+        self.note_total(&entry.ticket.customer, ServiceLevel(grant.level), order);
+        let held = HeldGrant {
+            request,
+            customer: entry.ticket.customer.clone(),
+            endpoint: endpoint.clone(),
+            estimate: Cost(grant.estimate),
+            delivered: Cost(0),
+            order,
+        };
+        self.running.insert(request, held);
+        let lease = Duration::from_millis(grant.lease_millis);
+        let terms = LeaseTerms { endpoint, order, expires: self.heartbeat_sent(grant.heartbeat).map(|at| at + lease) };
+        if entry.waiter.try_send(Ok(terms)).is_err() {
+            self.settle(request, Cost(0), GrantFate::Unsent);
+        }
+    }
+
+    fn note_total(&mut self, customer: &CustomerName, level: ServiceLevel, order: OrderNumber) {
+        let known = self.totals.get(customer).is_some_and(|total| total.order > order && total.level > level);
+        if !known {
+            self.totals.insert(customer.clone(), KnownTotal { level, order, heard: Instant::now() });
+        }
+    }
+
+    /// When a heartbeat was sent; a lease runs from then by this router's own clock.
+    fn heartbeat_sent(&self, number: u64) -> Option<Instant> {
+        self.heartbeats.iter().find(|(known, _)| *known == number).map(|(_, at)| *at)
+    }
+
+    fn refused(&mut self, refused: &v1::Refused) {
+        let entry = request_id(&refused.request).ok().and_then(|request| self.waiting.remove(&request));
+        let Some(entry) = entry else { return };
+        let kind = match release_reason(&refused.kind) {
+            ReleaseReason::CustomerFull => RefusalKind::CustomerBacklogFull,
+            ReleaseReason::ShardFull => RefusalKind::FleetBacklogFull,
+            ReleaseReason::RetryBudget => RefusalKind::RetriesExhausted,
+        };
+        let wait = Duration::from_millis(refused.retry_after_millis);
+        let _ = entry.waiter.try_send(Err(Refusal::not_run(kind).after(wait)));
+    }
+
+    fn send(&mut self, body: Body) {
+        if let Some(link) = &self.link {
+            let _ = link.try_send(v1::RouterMessage { body: Some(body) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -0,0 +1,142 @@
+//! This router's part of one shard.
+
+mod held;
+mod lease;
+mod link;
+
+pub use lease::GrantLease;
+
+use async_std::channel::bounded;
+use async_std::task;
+use held::{HeldWork, WaitingEntry, WaitResult};
+use micaspool_dispatch::{rank_candidates, CandidateChoice, ChoiceOptions, RequestTicket};
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::traffic::TrafficCounter;
+use micaspool_types::{Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName};
+use micaspool_wire::v1;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// After this time without any dispatcher new requests are refused at once.
+const UNREACHABLE_LIMIT: Duration = Duration::from_secs(2);
+/// When a request that found no dispatcher may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Who this router is and whom it may speak to.
+#[derive(Debug, Clone)]
+pub struct ShardClientOptions {
+    /// The instance of the router.
+    pub router: InstanceName,
+    /// Its data hall.
+    pub hall: String,
+    /// Tells one life of the router from the next.
+    pub incarnation: Incarnation,
+    /// The dispatchers of the region.
+    pub dispatchers: Vec<PeerAddress>,
+    /// Counts control bytes.
+    pub counter: TrafficCounter,
+}
+
+/// Holds this router's requests of one service and speaks to the dispatcher that orders them.
+#[derive(Debug)]
+pub struct ShardClient {
+    service: ServiceName,
+    options: ShardClientOptions,
+    candidates: Vec<SocketAddr>,
+    held: Mutex<HeldWork>,
+}
+
+/// Gives a waiting request up when its caller no longer waits.
+struct WaitGuard {
+    client: Arc<ShardClient>,
+    request: RequestId,
+    armed: bool,
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        if self.armed {
+            self.client.give_up(self.request);
+        }
+    }
+}
+
+impl ShardClient {
+    /// Starts to look for a dispatcher.
+    pub fn start(service: ServiceName, options: ShardClientOptions) -> Arc<ShardClient> {
+        let names: Vec<InstanceName> = options.dispatchers.iter().map(|peer| peer.name.clone()).collect();
+        let address = |name: &InstanceName| {
+            let peer = options.dispatchers.iter().find(|peer| peer.name == *name);
+            peer.expect("each ranked name is one of the dispatchers").address
+        };
+        let candidates: Vec<SocketAddr> = rank_candidates(&service, &names).iter().map(address).collect();
+        let held = Mutex::new(HeldWork::new(Instant::now()));
+        let client = Arc::new(ShardClient { service, options, candidates, held });
+        let choice = CandidateChoice::new(client.candidates.len(), ChoiceOptions::default());
+        task::spawn(link::keep_linked(Arc::downgrade(&client), choice));
+        client
+    }
+
+    /// Waits until the request may run. Dropping the future gives the request up.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        ticket: RequestTicket,
+        traceparent: Option<String>,
+    ) -> Result<GrantLease, Refusal> {
+        let request = ticket.request;
+        let (sender, receiver) = bounded(1);
+        self.submit(ticket, sender, traceparent)?;
+        let mut guard = WaitGuard { client: self.clone(), request, armed: true };
+        let result = receiver.recv().await;
+        guard.armed = false;
+        match result {
+            Ok(Ok(grant)) => Ok(GrantLease::new(self.clone(), request, grant)),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER)),
+        }
+    }
+
+    /// The service of the shard.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// True while a dispatcher is reached.
+    pub fn is_linked(&self) -> bool {
+        self.held().is_linked()
+    }
+
+    /// The number of waiting and of running requests.
+    pub fn counts(&self) -> (usize, usize) {
+        self.held().counts()
+    }
+
+    fn submit(
+        &self,
+        ticket: RequestTicket,
+        waiter: async_std::channel::Sender<WaitResult>,
+        traceparent: Option<String>,
+    ) -> Result<(), Refusal> {
+        let mut held = self.held();
+        if held.unreachable_for() > UNREACHABLE_LIMIT {
+            return Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER));
+        }
+        held.add_waiting(WaitingEntry { ticket, waiter }, traceparent);
+        Ok(())
+    }
+
+    fn give_up(&self, request: RequestId) {
+        self.held().give_up(request);
+    }
+
+    fn held(&self) -> std::sync::MutexGuard<'_, HeldWork> {
+        self.held.lock().expect("no holder of the requests panics")
+    }
+
+    fn hello(&self, held: &mut HeldWork) -> v1::RouterMessage {
+        let hello = held.hello(&self.options);
+        let message = micaspool_wire::convert::hello_message(&self.service, &self.options.hall, &hello);
+        v1::RouterMessage { body: Some(v1::router_message::Body::Hello(message)) }
+    }
+}
--- a/crates/micaspool-settings/src/apply/mod.rs
+++ b/crates/micaspool-settings/src/apply/mod.rs
@@ -42,24 +42,37 @@
         self.changes.iter()
     }
 
-    /// Accepts or rejects a change; a resend gets the outcome of its first arrival.
-    pub fn apply(&mut self, change: &SettingsChange) -> Result<Revision, Error> {
+    /// Checks what a change would make of the tree. A change on another base than the newest
+    /// passes: [`SettingsState::accept`] rejects it.
+    pub fn check(&self, change: &SettingsChange) -> Result<(), Error> {
+        if change.base != self.revision {
+            return Ok(());
+        }
+        let tree = self.patched(change)?;
+        compile_tree(Revision(self.revision.0 + 1), &tree).map(|_| ()).map_err(Error::Invalid)
+    }
+
+    /// Accepts or rejects a change that was checked; a resend gets the outcome of its first
+    /// arrival. Checking stays outside, so that keepers of different versions never differ.
+    pub fn accept(&mut self, change: &SettingsChange) -> Result<Revision, Error> {
         if let Some(outcome) = self.earlier_outcome(change) {
             return outcome;
         }
         if change.base != self.revision {
             return Err(self.conflict(change));
         }
-        let mut tree = self.tree();
-        let patch: Value =
-            serde_json::from_str(&change.patch).map_err(|error| Error::Malformed(error.to_string()))?;
-        merge_patch(&mut tree, &patch);
-        let next = Revision(self.revision.0 + 1);
-        compile_tree(next, &tree).map_err(Error::Invalid)?;
+        let tree = self.patched(change)?;
         self.tree = tree.to_string();
-        self.revision = next;
+        self.revision = Revision(self.revision.0 + 1);
         self.remember(change);
-        Ok(next)
+        Ok(self.revision)
+    }
+
+    fn patched(&self, change: &SettingsChange) -> Result<Value, Error> {
+        let patch: Value = serde_json::from_str(&change.patch).map_err(|error| Error::Malformed(error.to_string()))?;
+        let mut tree = self.tree();
+        merge_patch(&mut tree, &patch);
+        Ok(tree)
     }
 
     /// What a watcher needs that holds `from`: the patches after it, or the whole tree when they
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -66,6 +66,7 @@
         avoid: ticket.avoid.as_ref().map(ToString::to_string).unwrap_or_default(),
         prefixes: ticket.prefixes.clone(),
         order: ticket.order.map_or(0, |order| order.0),
+        traceparent: String::new(),
     }
 }
 
