--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -77,7 +77,11 @@
     }
 
     /// Asks for a settings change. A resend after a lost answer has the same change id.
-    pub async fn apply(&self, request: v1::ApplyRequest, limit: Duration) -> Result<v1::ApplyReply, CallError> {
+    pub async fn apply(
+        &self,
+        request: v1::ApplyRequest,
+        limit: Duration,
+    ) -> Result<v1::ApplyReply, CallError> {
         self.call(limit, |mut client| {
             let request = request.clone();
             async move { client.apply(request).await.map(tonic::Response::into_inner) }
@@ -88,7 +92,11 @@
     /// Reads the settings as a majority knows them.
     pub async fn get_confirmed(&self, limit: Duration) -> Result<v1::GetReply, CallError> {
         let request = v1::GetRequest { confirmed: true };
-        self.call(limit, |mut client| async move { client.get(request).await.map(tonic::Response::into_inner) }).await
+        self.call(
+            limit,
+            |mut client| async move { client.get(request).await.map(tonic::Response::into_inner) },
+        )
+        .await
     }
 
     /// Reads the settings that one keeper has.
@@ -102,7 +110,11 @@
     }
 
     /// Claims a call. A resend has the same token.
-    pub async fn claim(&self, request: v1::ClaimRequest, limit: Duration) -> Result<v1::ClaimReply, CallError> {
+    pub async fn claim(
+        &self,
+        request: v1::ClaimRequest,
+        limit: Duration,
+    ) -> Result<v1::ClaimReply, CallError> {
         self.call(limit, |mut client| {
             let request = request.clone();
             async move { client.claim(request).await.map(tonic::Response::into_inner) }
@@ -111,7 +123,11 @@
     }
 
     /// Records how a claimed call ended.
-    pub async fn finish(&self, request: v1::FinishRequest, limit: Duration) -> Result<v1::FinishReply, CallError> {
+    pub async fn finish(
+        &self,
+        request: v1::FinishRequest,
+        limit: Duration,
+    ) -> Result<v1::FinishReply, CallError> {
         self.call(limit, |mut client| {
             let request = request.clone();
             async move { client.finish(request).await.map(tonic::Response::into_inner) }
@@ -130,7 +146,11 @@
                 channel
             }
         };
-        Some(WireClient::new(channel).max_decoding_message_size(MAX_MESSAGE).max_encoding_message_size(MAX_MESSAGE))
+        Some(
+            WireClient::new(channel)
+                .max_decoding_message_size(MAX_MESSAGE)
+                .max_encoding_message_size(MAX_MESSAGE),
+        )
     }
 
     /// Forgets the connection to a keeper, so that the next call opens a new one.
@@ -138,7 +158,11 @@
         self.channels.lock().await.remove(&address);
     }
 
-    async fn call<T, F>(&self, limit: Duration, attempt: impl Fn(WireClient<Channel>) -> F) -> Result<T, CallError>
+    async fn call<T, F>(
+        &self,
+        limit: Duration,
+        attempt: impl Fn(WireClient<Channel>) -> F,
+    ) -> Result<T, CallError>
     where
         T: LeaderAnswer,
         F: Future<Output = Result<T, Status>>,
@@ -153,7 +177,9 @@
             let next = match self.try_once(address, left, &attempt).await {
                 TryResult::Answer(answer) => match answer.redirect() {
                     None => return Ok(answer),
-                    Some(leader) => self.keepers.iter().position(|keeper| keeper.address.to_string() == leader),
+                    Some(leader) => {
+                        self.keepers.iter().position(|keeper| keeper.address.to_string() == leader)
+                    }
                 },
                 TryResult::Unreached => None,
                 TryResult::Lost => {
--- a/crates/micaspool-client/src/mirror.rs
+++ b/crates/micaspool-client/src/mirror.rs
@@ -50,9 +50,11 @@
 impl SettingsMirror {
     /// Starts to follow; `watcher` names this process in the keepers' logs.
     pub fn start(client: Arc<KeeperClient>, watcher: &str) -> Arc<SettingsMirror> {
-        let shown = MirrorState { policy: Arc::new(FleetPolicy::default()), cut_off_since: Some(Instant::now()) };
+        let shown =
+            MirrorState { policy: Arc::new(FleetPolicy::default()), cut_off_since: Some(Instant::now()) };
         let content = MirrorContent { tree: Value::Null, shown, listeners: Vec::new() };
-        let mirror = Arc::new(SettingsMirror { client, watcher: watcher.to_owned(), state: Mutex::new(content) });
+        let mirror =
+            Arc::new(SettingsMirror { client, watcher: watcher.to_owned(), state: Mutex::new(content) });
         task::spawn(mirror.clone().follow());
         mirror
     }
--- /dev/null
+++ b/crates/micaspool-daemon/src/lib.rs
@@ -0,0 +1,14 @@
+//! What the daemons share: arguments, the settings file, logs, signals and the ready line.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod arguments;
+mod signals;
+
+pub use arguments::{announce, start, DaemonStart};
+pub use signals::{stop_requested, StopSignal};
+
+/// The exit code for wrong arguments and settings.
+pub const EXIT_USAGE: i32 = 2;
+/// The exit code for a daemon that could not start or had to stop.
+pub const EXIT_FAILED: i32 = 1;
--- a/crates/micaspool-dispatcher/src/daemon.rs
+++ b/crates/micaspool-dispatcher/src/daemon.rs
@@ -47,7 +47,9 @@
             Error::Bind(address, error) => {
                 write!(f, "{address} cannot be bound ({error}); choose a free port, or 0 for any")
             }
-            Error::Trace(error) => write!(f, "the trace file cannot be opened ({error}); make its folder writable"),
+            Error::Trace(error) => {
+                write!(f, "the trace file cannot be opened ({error}); make its folder writable")
+            }
         }
     }
 }
@@ -165,8 +167,11 @@
         routers: TrafficCounter,
     ) -> DispatcherStatusSource {
         let mut registry = Registry::default();
-        let traffic =
-            TrafficMetrics::default().with("dispatcher", "keeper", keepers).with("dispatcher", "router", routers);
+        let traffic = TrafficMetrics::default().with("dispatcher", "keeper", keepers).with(
+            "dispatcher",
+            "router",
+            routers,
+        );
         traffic.register(&mut registry);
         let gauges = ShardGauges::default();
         registry.register("micaspool_waiting_requests", "Waiting requests", gauges.waiting.clone());
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -70,7 +70,11 @@
 }
 
 /// Starts a shard; it runs until its handle is gone.
-pub(crate) fn start_shard(service: ServiceName, options: HostOptions, mirror: Arc<SettingsMirror>) -> ShardHandle {
+pub(crate) fn start_shard(
+    service: ServiceName,
+    options: HostOptions,
+    mirror: Arc<SettingsMirror>,
+) -> ShardHandle {
     let clock = ShardClock(Instant::now());
     let core = ShardCore::new(clock.now(), options.shard.clone());
     let status = Arc::new(Mutex::new(core.status()));
@@ -143,9 +147,10 @@
         for action in actions.drain(..) {
             self.end_span(&action);
             let (session, message) = action_message(action, self.options.incarnation);
-            let delivered = self.streams.get(&session).is_some_and(|stream| {
-                stream.len() < STREAM_QUEUE && stream.try_send(Ok(message)).is_ok()
-            });
+            let delivered = self
+                .streams
+                .get(&session)
+                .is_some_and(|stream| stream.len() < STREAM_QUEUE && stream.try_send(Ok(message)).is_ok());
             if !delivered {
                 self.streams.remove(&session);
             }
@@ -179,7 +184,9 @@
 ) {
     loop {
         let policy = shard_policy(&mirror.policy(), &service);
-        if inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err() || changes.recv().await.is_err() {
+        if inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err()
+            || changes.recv().await.is_err()
+        {
             return;
         }
     }
@@ -230,8 +237,12 @@
         let _ = inputs.send(ShardInput::Event(ShardEvent::Unreachable(endpoint))).await;
         return;
     };
-    let report =
-        LoadReport { endpoint: endpoint.clone(), running: answer.running, draining: answer.draining, asked_at };
+    let report = LoadReport {
+        endpoint: endpoint.clone(),
+        running: answer.running,
+        draining: answer.draining,
+        asked_at,
+    };
     let _ = inputs.send(ShardInput::Event(ShardEvent::Load(report))).await;
     if !answer.stored.is_empty() || !answer.dropped.is_empty() {
         let news = CacheNews { endpoint, stored: answer.stored, dropped: answer.dropped };
--- a/crates/micaspool-dispatcher/src/host.rs
+++ b/crates/micaspool-dispatcher/src/host.rs
@@ -70,7 +70,8 @@
     /// The state of every shard.
     pub fn statuses(&self) -> Vec<(ServiceName, ShardStatus)> {
         let shards = self.lock();
-        let status = |shard: &ShardHandle| shard.status.lock().expect("no holder of the status panics").clone();
+        let status =
+            |shard: &ShardHandle| shard.status.lock().expect("no holder of the status panics").clone();
         shards.iter().map(|(service, shard)| (service.clone(), status(shard))).collect()
     }
 
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -55,7 +55,10 @@
         Ok(Response::new(Box::pin(receiver)))
     }
 
-    async fn status(&self, _request: Request<v1::StatusRequest>) -> Result<Response<v1::StatusReply>, Status> {
+    async fn status(
+        &self,
+        _request: Request<v1::StatusRequest>,
+    ) -> Result<Response<v1::StatusReply>, Status> {
         let json = crate::daemon::shards_json(&self.host).to_string();
         Ok(Response::new(v1::StatusReply { json }))
     }
--- a/crates/micaspool-dispatcher/src/shard_policy.rs
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -25,5 +25,10 @@
             max_waiting: policy.max_waiting,
         }
     });
-    ShardPolicy { revision: fleet.revision, halls, endpoints: endpoints.collect(), customers: customers.collect() }
+    ShardPolicy {
+        revision: fleet.revision,
+        halls,
+        endpoints: endpoints.collect(),
+        customers: customers.collect(),
+    }
 }
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -127,7 +127,8 @@
     let listener = CountedListener::bind(settings.wire, counter.clone()).await.map_err(failed)?;
     let wire = listener.local_address().map_err(failed)?;
     let service = KeeperService::new(inputs.clone(), view.clone(), Arc::new(settings.keepers.clone()));
-    let server = KeeperServer::new(service).max_decoding_message_size(MAX_FRAME).max_encoding_message_size(MAX_FRAME);
+    let server =
+        KeeperServer::new(service).max_decoding_message_size(MAX_FRAME).max_encoding_message_size(MAX_FRAME);
     task::spawn(async move {
         let _ = tonic::transport::Server::builder().add_service(server).serve_with_incoming(listener).await;
     });
@@ -154,16 +155,26 @@
 impl KeeperStatusSource {
     fn new(view: Arc<Mutex<KeeperView>>, counters: &KeeperCounters) -> KeeperStatusSource {
         let mut registry = Registry::default();
-        let traffic = TrafficMetrics::default()
-            .with("keeper", "keeper", counters.peers.clone())
-            .with("keeper", "client", counters.clients.clone());
+        let traffic = TrafficMetrics::default().with("keeper", "keeper", counters.peers.clone()).with(
+            "keeper",
+            "client",
+            counters.clients.clone(),
+        );
         traffic.register(&mut registry);
         let gauges = KeeperGauges::default();
         registry.register("micaspool_settings_revision", "Revision of the settings", gauges.revision.clone());
         registry.register("micaspool_keeper_leads", "1 while this keeper leads", gauges.leads.clone());
-        registry.register("micaspool_keeper_confirmed", "1 while a majority is heard", gauges.confirmed.clone());
+        registry.register(
+            "micaspool_keeper_confirmed",
+            "1 while a majority is heard",
+            gauges.confirmed.clone(),
+        );
         registry.register("micaspool_ledger_keys", "Remembered idempotency keys", gauges.keys.clone());
-        registry.register("micaspool_ledger_answer_bytes", "Bytes of kept answers", gauges.answer_bytes.clone());
+        registry.register(
+            "micaspool_ledger_answer_bytes",
+            "Bytes of kept answers",
+            gauges.answer_bytes.clone(),
+        );
         registry.register("micaspool_keeper_syncs", "Syncs of the log so far", gauges.syncs.clone());
         KeeperStatusSource { view, registry, traffic, gauges }
     }
@@ -201,9 +212,11 @@
 /// The state of a keeper as JSON.
 pub(crate) fn state_json(view: &KeeperView) -> String {
     let status = &view.status;
-    let members = status.membership.members.iter().map(|member| {
-        json!({ "name": member.identity.name.as_str(), "voter": member.voter })
-    });
+    let members = status
+        .membership
+        .members
+        .iter()
+        .map(|member| json!({ "name": member.identity.name.as_str(), "voter": member.voter }));
     json!({
         "process": "keeper",
         "role": format!("{:?}", status.role).to_lowercase(),
--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -8,8 +8,8 @@
 use async_std::channel::{Receiver, Sender};
 use micaspool_ledger::{LedgerOptions, LedgerTime};
 use micaspool_quorum::{
-    EntryPayload, Envelope, LogEntry, LogIndex, ProposeError, QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput,
-    QuorumRole, QuorumStatus,
+    EntryPayload, Envelope, LogEntry, LogIndex, ProposeError, QuorumCore, QuorumEvent, QuorumOptions,
+    QuorumOutput, QuorumRole, QuorumStatus,
 };
 use micaspool_settings::apply::{self, SettingsUpdate};
 use micaspool_store::{KeeperFiles, OpenOutcome};
@@ -327,7 +327,9 @@
 fn stamped(command: KeeperCommand, at: LedgerTime) -> KeeperCommand {
     match command {
         KeeperCommand::Claim(claim) => KeeperCommand::Claim(micaspool_ledger::ClaimCommand { at, ..claim }),
-        KeeperCommand::Finish(finish) => KeeperCommand::Finish(micaspool_ledger::FinishCommand { at, ..finish }),
+        KeeperCommand::Finish(finish) => {
+            KeeperCommand::Finish(micaspool_ledger::FinishCommand { at, ..finish })
+        }
         other => other,
     }
 }
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -8,7 +8,8 @@
 use async_std::task;
 use futures::{Stream, StreamExt};
 use micaspool_ledger::{
-    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime, StoredAnswer,
+    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime,
+    StoredAnswer,
 };
 use micaspool_quorum::QuorumEvent;
 use micaspool_settings::apply::{SettingsChange, SettingsUpdate};
@@ -44,14 +45,19 @@
         KeeperService { inputs, view, keepers }
     }
 
-    async fn ask(&self, input: impl FnOnce(Sender<EngineReply>) -> EngineInput) -> Result<EngineReply, Status> {
+    async fn ask(
+        &self,
+        input: impl FnOnce(Sender<EngineReply>) -> EngineInput,
+    ) -> Result<EngineReply, Status> {
         let (sender, receiver) = bounded(1);
         let stopped = || Status::unavailable(EngineError::Stopped.to_string());
         self.inputs.send(input(sender)).await.map_err(|_| stopped())?;
         match timeout(COMMIT_LIMIT, receiver.recv()).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) => Err(stopped()),
-            Err(_) => Err(Status::deadline_exceeded("no majority confirmed in time; send it again with the same id")),
+            Err(_) => Err(Status::deadline_exceeded(
+                "no majority confirmed in time; send it again with the same id",
+            )),
         }
     }
 
@@ -137,8 +143,9 @@
 
     async fn claim(&self, request: Request<v1::ClaimRequest>) -> Result<Response<v1::ClaimReply>, Status> {
         let request = request.into_inner();
-        let body = <[u8; 32]>::try_from(request.body_hash.as_slice())
-            .map_err(|_| Status::invalid_argument("a body hash has 32 bytes; run the same version everywhere"))?;
+        let body = <[u8; 32]>::try_from(request.body_hash.as_slice()).map_err(|_| {
+            Status::invalid_argument("a body hash has 32 bytes; run the same version everywhere")
+        })?;
         let command = ClaimCommand {
             key: claim_key(&request.customer, &request.key)?,
             body: BodyDigest(body),
@@ -148,7 +155,9 @@
         let reply = match self.command(KeeperCommand::Claim(command)).await? {
             Ok(KeeperReply::Claimed(verdict)) => verdict_message(verdict),
             Ok(_) => return Err(Status::internal("the reply does not fit the command; report this")),
-            Err(error) => v1::ClaimReply { not_leader: Some(self.not_leader(error)?), ..v1::ClaimReply::default() },
+            Err(error) => {
+                v1::ClaimReply { not_leader: Some(self.not_leader(error)?), ..v1::ClaimReply::default() }
+            }
         };
         Ok(Response::new(reply))
     }
@@ -158,7 +167,9 @@
         let kind = match request.kind() {
             v1::FinishKind::FinishReleased => FinishKind::Released,
             v1::FinishKind::FinishUnknown => FinishKind::Unknown,
-            v1::FinishKind::FinishAnswered => FinishKind::Answered(stored_answer(request.answer.unwrap_or_default())),
+            v1::FinishKind::FinishAnswered => {
+                FinishKind::Answered(stored_answer(request.answer.unwrap_or_default()))
+            }
         };
         let command = FinishCommand {
             key: claim_key(&request.customer, &request.key)?,
@@ -173,13 +184,19 @@
         Ok(Response::new(v1::FinishReply { not_leader }))
     }
 
-    async fn exchange(&self, request: Request<Streaming<v1::PeerFrame>>) -> Result<Response<v1::PeerAck>, Status> {
+    async fn exchange(
+        &self,
+        request: Request<Streaming<v1::PeerFrame>>,
+    ) -> Result<Response<v1::PeerAck>, Status> {
         let mut frames = request.into_inner();
         while let Some(frame) = frames.message().await? {
             match decode_frame(&frame) {
                 Some(message) => {
                     let event = EngineInput::Event(QuorumEvent::Message(message));
-                    self.inputs.send(event).await.map_err(|_| Status::unavailable("the keeper has stopped"))?;
+                    self.inputs
+                        .send(event)
+                        .await
+                        .map_err(|_| Status::unavailable("the keeper has stopped"))?;
                 }
                 None => record(&events::WIRE_MALFORMED, &[field("format", frame.format)]),
             }
@@ -187,16 +204,23 @@
         Ok(Response::new(v1::PeerAck {}))
     }
 
-    async fn recover(&self, request: Request<v1::RecoverRequest>) -> Result<Response<v1::RecoverReply>, Status> {
+    async fn recover(
+        &self,
+        request: Request<v1::RecoverRequest>,
+    ) -> Result<Response<v1::RecoverReply>, Status> {
         let operator = request.into_inner().operator;
         let event = EngineInput::Event(QuorumEvent::RecoverAlone);
         self.inputs.send(event).await.map_err(|_| Status::unavailable("the keeper has stopped"))?;
         record(&events::GROUP_FORMED, &[field("operator", operator)]);
-        let text = "this keeper now leads a group of its own; start the others with empty data folders".to_owned();
+        let text =
+            "this keeper now leads a group of its own; start the others with empty data folders".to_owned();
         Ok(Response::new(v1::RecoverReply { text }))
     }
 
-    async fn status(&self, _request: Request<v1::StatusRequest>) -> Result<Response<v1::StatusReply>, Status> {
+    async fn status(
+        &self,
+        _request: Request<v1::StatusRequest>,
+    ) -> Result<Response<v1::StatusReply>, Status> {
         let json = crate::daemon::state_json(&self.view());
         Ok(Response::new(v1::StatusReply { json }))
     }
@@ -232,7 +256,10 @@
 }
 
 /// Waits for news; false once the watcher has left.
-async fn wait_for_change(changes: &async_std::channel::Receiver<()>, sender: &Sender<v1::SettingsUpdate>) -> bool {
+async fn wait_for_change(
+    changes: &async_std::channel::Receiver<()>,
+    sender: &Sender<v1::SettingsUpdate>,
+) -> bool {
     const LOOK: Duration = Duration::from_secs(1);
     loop {
         match timeout(LOOK, changes.recv()).await {
@@ -255,7 +282,8 @@
 }
 
 fn claim_key(customer: &str, key: &str) -> Result<ClaimKey, Status> {
-    let customer = CustomerName::parse(customer).map_err(|error| Status::invalid_argument(error.to_string()))?;
+    let customer =
+        CustomerName::parse(customer).map_err(|error| Status::invalid_argument(error.to_string()))?;
     Ok(ClaimKey { customer, key: key.into() })
 }
 
--- a/crates/micaspool-ledger/src/lib.rs
+++ b/crates/micaspool-ledger/src/lib.rs
@@ -11,7 +11,8 @@
 mod state;
 
 pub use command::{
-    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime, StoredAnswer,
+    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime,
+    StoredAnswer,
 };
 pub use options::LedgerOptions;
 pub use state::LedgerState;
--- a/crates/micaspool-ledger/src/state.rs
+++ b/crates/micaspool-ledger/src/state.rs
@@ -1,7 +1,8 @@
 //! The state machine of the ledger.
 
 use crate::command::{
-    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime, StoredAnswer,
+    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime,
+    StoredAnswer,
 };
 use crate::options::LedgerOptions;
 use serde::{Deserialize, Serialize};
@@ -90,7 +91,8 @@
     /// Records how a call ended. Only the arrival that claimed it is heard.
     pub fn finish(&mut self, command: &FinishCommand) {
         let now = self.pass(command.at);
-        let Some(record) = self.claims.get(&command.key).filter(|record| record.token == command.token) else {
+        let Some(record) = self.claims.get(&command.key).filter(|record| record.token == command.token)
+        else {
             return;
         };
         let running = matches!(record.state, ClaimState::Running { .. });
@@ -131,7 +133,8 @@
     }
 
     fn drop_answer(&mut self, ended: &EndedKey) {
-        let Some(record) = self.claims.get_mut(&ended.key).filter(|record| record.token == ended.token) else {
+        let Some(record) = self.claims.get_mut(&ended.key).filter(|record| record.token == ended.token)
+        else {
             return;
         };
         if let ClaimState::Answered(answer) = &record.state {
--- /dev/null
+++ b/crates/micaspool-replay/src/standin/handler.rs
@@ -0,0 +1,210 @@
+//! How a stand-in endpoint treats a request.
+
+use super::answers::{json_answer, stream_answer, ModelCall};
+use async_std::task;
+use async_trait::async_trait;
+use http_types::{Response, StatusCode};
+use micaspool_http::head::RequestHead;
+use micaspool_http::refusal::{REQUEST_HEADER, RUN_HEADER};
+use micaspool_http::server::{CallerRequest, HttpHandler};
+use micaspool_types::{Refusal, RequestId};
+use serde_json::json;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// The largest request body in bytes.
+const MAX_BODY: u64 = 64 * 1024 * 1024;
+/// The path of model calls.
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// The path of the load report.
+const LOAD_PATH: &str = "/load";
+
+/// How a stand-in behaves.
+#[derive(Debug, Clone)]
+pub struct StandInOptions {
+    /// The name that it gives in its answers.
+    pub name: String,
+    /// How many requests it runs at once.
+    pub slots: usize,
+    /// The time from one token to the next, or of a plain call.
+    pub token_time: Duration,
+}
+
+/// A way to misbehave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum FaultMode {
+    /// None.
+    #[default]
+    None,
+    /// Answers with another request's id.
+    WrongEcho,
+    /// Ends bodies before their length.
+    ShortBody,
+    /// Takes requests and says nothing.
+    Silent,
+}
+
+/// A request that was begun.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The request id.
+    pub request: String,
+    /// The customer that the router named.
+    pub customer: String,
+    /// The path.
+    pub target: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What a stand-in remembers.
+#[derive(Debug)]
+pub(super) struct StandInState {
+    options: StandInOptions,
+    running: AtomicUsize,
+    draining: AtomicBool,
+    fault: Mutex<FaultMode>,
+    runs: Mutex<Vec<RunRecord>>,
+}
+
+impl StandInState {
+    pub fn new(options: StandInOptions) -> StandInState {
+        StandInState {
+            options,
+            running: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            fault: Mutex::default(),
+            runs: Mutex::default(),
+        }
+    }
+
+    pub fn runs(&self) -> Vec<RunRecord> {
+        self.runs.lock().expect("no holder of the runs panics").clone()
+    }
+
+    pub fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::SeqCst);
+    }
+
+    pub fn set_fault(&self, fault: FaultMode) {
+        *self.fault.lock().expect("no holder of the fault panics") = fault;
+    }
+
+    fn fault(&self) -> FaultMode {
+        *self.fault.lock().expect("no holder of the fault panics")
+    }
+}
+
+/// A slot that is held until this is dropped.
+pub(super) struct SlotGuard(Arc<StandInState>);
+
+impl SlotGuard {
+    fn take(state: &Arc<StandInState>) -> Option<SlotGuard> {
+        let before = state.running.fetch_add(1, Ordering::SeqCst);
+        let guard = SlotGuard(state.clone());
+        (before < state.options.slots).then_some(guard)
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+pub(super) struct StandInHandler {
+    state: Arc<StandInState>,
+    next: AtomicU64,
+}
+
+impl StandInHandler {
+    pub fn new(state: Arc<StandInState>) -> StandInHandler {
+        StandInHandler { state, next: AtomicU64::new(1) }
+    }
+
+    fn load(&self) -> Response {
+        let running = self.state.running.load(Ordering::SeqCst);
+        let draining = self.state.draining.load(Ordering::SeqCst);
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(json!({ "running": running, "draining": draining }).to_string());
+        response.insert_header("content-type", "application/json");
+        response
+    }
+
+    fn refuse(&self) -> Option<Response> {
+        let mut response = Response::new(StatusCode::ServiceUnavailable);
+        response.insert_header(RUN_HEADER, "not-run");
+        if self.state.draining.load(Ordering::SeqCst) {
+            response.insert_header("micaspool-draining", "true");
+            return Some(response);
+        }
+        None
+    }
+
+    async fn run(&self, request: CallerRequest) -> Response {
+        if let Some(refusal) = self.refuse() {
+            return refusal;
+        }
+        let Some(slot) = SlotGuard::take(&self.state) else {
+            let mut response = Response::new(StatusCode::TooManyRequests);
+            response.insert_header(RUN_HEADER, "not-run");
+            return response;
+        };
+        let header =
+            |name: &str| request.request.header(name).map(|values| values.last().as_str().to_owned());
+        let id = header(REQUEST_HEADER).unwrap_or_default();
+        let record = RunRecord {
+            request: id.clone(),
+            customer: header("micaspool-customer").unwrap_or_default(),
+            target: request.target.clone(),
+            body: request.body.clone(),
+        };
+        self.state.runs.lock().expect("no holder of the runs panics").push(record);
+        let mut response = self.answer(&request, slot).await;
+        let echo = if self.state.fault() == FaultMode::WrongEcho { "0".repeat(32) } else { id };
+        response.insert_header(REQUEST_HEADER, echo);
+        response.insert_header("micaspool-stand-in", self.state.options.name.as_str());
+        response
+    }
+
+    async fn answer(&self, request: &CallerRequest, slot: SlotGuard) -> Response {
+        let fault = self.state.fault();
+        if fault == FaultMode::Silent {
+            task::sleep(Duration::from_secs(3_600)).await;
+        }
+        let time = self.state.options.token_time;
+        if request.target.starts_with(CHAT_PATH) {
+            let call = ModelCall::read(&request.body);
+            return if call.stream {
+                stream_answer(call, time, slot, fault)
+            } else {
+                task::sleep(time * u32::try_from(call.tokens).unwrap_or(u32::MAX)).await;
+                json_answer(&call, fault)
+            };
+        }
+        task::sleep(time).await;
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(request.body.clone());
+        response.insert_header("content-type", "application/json");
+        response
+    }
+}
+
+#[async_trait]
+impl HttpHandler for StandInHandler {
+    fn admit(&self, _head: &RequestHead) -> Result<u64, Refusal> {
+        Ok(MAX_BODY)
+    }
+
+    fn next_id(&self) -> RequestId {
+        RequestId(u128::from(self.next.fetch_add(1, Ordering::Relaxed)))
+    }
+
+    async fn handle(&self, request: CallerRequest) -> Response {
+        match request.target.as_str() {
+            LOAD_PATH => self.load(),
+            _ => self.run(request).await,
+        }
+    }
+}
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -78,7 +78,8 @@
 pub(crate) fn body_limit(policy: &SharedPolicy, customer: usize, target: &str) -> Result<u64, Refusal> {
     let services = &policy.customers[customer].services;
     if path_of(target) == CHAT_PATH {
-        let models = policy.services.iter().zip(services).filter(|(service, _)| service.kind == ServiceKind::Model);
+        let models =
+            policy.services.iter().zip(services).filter(|(service, _)| service.kind == ServiceKind::Model);
         return Ok(models.map(|(_, own)| own.max_body_bytes).max().unwrap_or(0));
     }
     let service = policy.service_of_path(path_of(target));
@@ -89,11 +90,12 @@
 impl CallPlan {
     pub(crate) fn make(policy: &SharedPolicy, parts: PlanParts) -> Result<CallPlan, Refusal> {
         let refused = |kind| Refusal::not_run(kind);
-        let model = if path_of(&parts.target) == CHAT_PATH { Some(ModelBody::parse(&parts.body)?) } else { None };
+        let model =
+            if path_of(&parts.target) == CHAT_PATH { Some(ModelBody::parse(&parts.body)?) } else { None };
         let index = match &model {
-            Some(body) => policy.service_index(&body.model).filter(|index| {
-                policy.services[*index].kind == ServiceKind::Model
-            }),
+            Some(body) => policy
+                .service_index(&body.model)
+                .filter(|index| policy.services[*index].kind == ServiceKind::Model),
             None => policy.service_of_path(path_of(&parts.target)),
         };
         let index = index.ok_or_else(|| refused(RefusalKind::UnknownService))?;
--- a/crates/micaspool-router/src/call/model.rs
+++ b/crates/micaspool-router/src/call/model.rs
@@ -47,7 +47,12 @@
         let prompt = prompt_text(&raw.messages);
         let answer = raw.max_tokens.unwrap_or(DEFAULT_ANSWER);
         let hint = Cost((prompt.len() as u64 / BYTES_PER_TOKEN).saturating_add(answer));
-        Ok(ModelBody { model: raw.model, stream: raw.stream, hint, prefixes: prefix_hashes(prompt.as_bytes()) })
+        Ok(ModelBody {
+            model: raw.model,
+            stream: raw.stream,
+            hint,
+            prefixes: prefix_hashes(prompt.as_bytes()),
+        })
     }
 }
 
--- a/crates/micaspool-router/src/claims.rs
+++ b/crates/micaspool-router/src/claims.rs
@@ -54,7 +54,13 @@
         KeeperLedger { client }
     }
 
-    async fn finish(&self, plan: &CallPlan, token: u64, kind: v1::FinishKind, answer: Option<v1::StoredAnswer>) {
+    async fn finish(
+        &self,
+        plan: &CallPlan,
+        token: u64,
+        kind: v1::FinishKind,
+        answer: Option<v1::StoredAnswer>,
+    ) {
         let Some(once) = &plan.once else { return };
         let request = v1::FinishRequest {
             customer: plan.customer.to_string(),
--- a/crates/micaspool-router/src/daemon.rs
+++ b/crates/micaspool-router/src/daemon.rs
@@ -36,7 +36,9 @@
             Error::Bind(address, error) => {
                 write!(f, "{address} cannot be bound ({error}); choose a free port, or 0 for any")
             }
-            Error::Trace(error) => write!(f, "the trace file cannot be opened ({error}); make its folder writable"),
+            Error::Trace(error) => {
+                write!(f, "the trace file cannot be opened ({error}); make its folder writable")
+            }
         }
     }
 }
@@ -78,8 +80,11 @@
     let mirror = SettingsMirror::start(client.clone(), &format!("router-{}", settings.instance));
     let mut registry = Registry::default();
     let metrics = RouterMetrics::register(&mut registry);
-    let traffic =
-        TrafficMetrics::default().with("router", "keeper", keepers).with("router", "dispatcher", dispatchers.clone());
+    let traffic = TrafficMetrics::default().with("router", "keeper", keepers).with(
+        "router",
+        "dispatcher",
+        dispatchers.clone(),
+    );
     traffic.register(&mut registry);
     let parts = RouterParts {
         mirror: mirror.clone(),
@@ -92,7 +97,8 @@
         },
         endpoints: Arc::new(HttpEndpointClient),
         ledger: Arc::new(KeeperLedger::new(client)),
-        spans: SpanSink::open(settings.trace_file.as_deref(), settings.instance.as_str()).map_err(Error::Trace)?,
+        spans: SpanSink::open(settings.trace_file.as_deref(), settings.instance.as_str())
+            .map_err(Error::Trace)?,
     };
     let router = RequestRouter::new(parts, metrics.clone());
     let failed = |error| Error::Bind(settings.callers, error);
@@ -101,7 +107,8 @@
     let server = HttpServer::new(Arc::new(router.clone()), ServerOptions::default());
     let serving = server.clone();
     task::spawn(async move { serving.serve(listener).await });
-    let source = RouterStatusSource { mirror: mirror.clone(), router: router.clone(), registry, traffic, metrics };
+    let source =
+        RouterStatusSource { mirror: mirror.clone(), router: router.clone(), registry, traffic, metrics };
     let status =
         serve_status(settings.status, Arc::new(source)).await.map_err(|e| Error::Bind(settings.status, e))?;
     Ok(RouterDaemon { callers, status, server, router, mirror })
--- a/crates/micaspool-router/src/endpoint.rs
+++ b/crates/micaspool-router/src/endpoint.rs
@@ -135,7 +135,8 @@
     if !matches!(status, 429 | 503) {
         return Ok(EndpointAnswer { response });
     }
-    let says = |name: &str, value: &str| response.header(name).is_some_and(|values| values.last().as_str() == value);
+    let says =
+        |name: &str, value: &str| response.header(name).is_some_and(|values| values.last().as_str() == value);
     let proved = says(RUN_HEADER, "not-run");
     let draining = says(DRAINING_HEADER, "true");
     let mut rest = Vec::new();
--- a/crates/micaspool-router/src/router.rs
+++ b/crates/micaspool-router/src/router.rs
@@ -124,7 +124,8 @@
 
     async fn route(&self, request: CallerRequest, span: &mut HopSpan) -> Result<Response, Refusal> {
         let policy = self.parts.mirror.policy();
-        let header = |name: &str| request.request.header(name).map(|values| values.last().as_str().to_owned());
+        let header =
+            |name: &str| request.request.header(name).map(|values| values.last().as_str().to_owned());
         let customer = authenticate(&policy, header("authorization").as_deref())?;
         let parts = PlanParts {
             request: request.id,
@@ -138,7 +139,8 @@
         let plan = CallPlan::make(&policy, parts)?;
         span.set("customer", &plan.customer);
         span.set("service", &plan.service);
-        let guard = self.budget.take(&plan.customer, plan.body.len() as u64, plan.policy.max_waiting_bytes)?;
+        let guard =
+            self.budget.take(&plan.customer, plan.body.len() as u64, plan.policy.max_waiting_bytes)?;
         let traceparent = span.traceparent();
         if plan.once.is_some() {
             return self.run_detached(plan, request.watch, traceparent, guard).await;
@@ -214,14 +216,16 @@
         traceparent: &str,
         state: &mut AttemptState,
     ) -> Result<Response, AttemptEnd> {
-        let mut grant = self.usable_grant(plan, watch, traceparent, state).await.map_err(AttemptEnd::Refused)?;
+        let mut grant =
+            self.usable_grant(plan, watch, traceparent, state).await.map_err(AttemptEnd::Refused)?;
         if plan.once.is_some() && state.claim.is_none() {
             match self.claim(plan, traceparent).await.map_err(AttemptEnd::Refused)? {
                 ClaimOutcome::Granted(token) => state.claim = Some(token),
                 ClaimOutcome::Answered(response) => return Ok(response),
             }
             if !grant.lease.is_valid() {
-                grant = self.usable_grant(plan, watch, traceparent, state).await.map_err(AttemptEnd::Refused)?;
+                grant =
+                    self.usable_grant(plan, watch, traceparent, state).await.map_err(AttemptEnd::Refused)?;
             }
         }
         let mut span = self.parts.spans.start("endpoint", Some(traceparent));
@@ -345,7 +349,8 @@
         let mut response = Response::new(from.status());
         match state.claim {
             Some(token) => {
-                let body = self.collect_once(plan, token, relay, u16::from(from.status()), &content_type).await?;
+                let body =
+                    self.collect_once(plan, token, relay, u16::from(from.status()), &content_type).await?;
                 state.claim = None;
                 response.set_body(body);
             }
@@ -404,7 +409,10 @@
             }
             Err(refusal) => {
                 self.metrics.count_refusal(&refusal);
-                record(&events::REQUEST_REFUSED, &[field("request", id), field("kind", refusal.kind.as_str())]);
+                record(
+                    &events::REQUEST_REFUSED,
+                    &[field("request", id), field("kind", refusal.kind.as_str())],
+                );
                 span.set("refused", refusal.kind.as_str());
                 refusal_response(id, &refusal, None)
             }
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -152,7 +152,10 @@
     pub fn progress(&mut self, request: RequestId, delivered: Cost) {
         if let Some(grant) = self.running.get_mut(&request) {
             grant.delivered = delivered;
-            self.send(Body::Progress(v1::Progress { request: request_bytes(request), delivered: delivered.0 }));
+            self.send(Body::Progress(v1::Progress {
+                request: request_bytes(request),
+                delivered: delivered.0,
+            }));
         }
     }
 
@@ -190,7 +193,8 @@
     }
 
     fn granted(&mut self, grant: &v1::Grant) {
-        let (Ok(request), Ok(endpoint)) = (request_id(&grant.request), EndpointName::parse(&grant.endpoint)) else {
+        let (Ok(request), Ok(endpoint)) = (request_id(&grant.request), EndpointName::parse(&grant.endpoint))
+        else {
             return;
         };
         let Some(entry) = self.waiting.remove(&request) else {
@@ -211,7 +215,11 @@
         };
         self.running.insert(request, held);
         let lease = Duration::from_millis(grant.lease_millis);
-        let terms = LeaseTerms { endpoint, order, expires: self.heartbeat_sent(grant.heartbeat).map(|at| at + lease) };
+        let terms = LeaseTerms {
+            endpoint,
+            order,
+            expires: self.heartbeat_sent(grant.heartbeat).map(|at| at + lease),
+        };
         if entry.waiter.try_send(Ok(terms)).is_err() {
             self.settle(request, Cost(0), GrantFate::Unsent);
         }
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -8,7 +8,7 @@
 
 use async_std::channel::bounded;
 use async_std::task;
-use held::{HeldWork, WaitingEntry, WaitResult};
+use held::{HeldWork, WaitResult, WaitingEntry};
 use micaspool_dispatch::{rank_candidates, CandidateChoice, ChoiceOptions, RequestTicket};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
--- a/crates/micaspool-settings/src/apply/mod.rs
+++ b/crates/micaspool-settings/src/apply/mod.rs
@@ -69,7 +69,8 @@
     }
 
     fn patched(&self, change: &SettingsChange) -> Result<Value, Error> {
-        let patch: Value = serde_json::from_str(&change.patch).map_err(|error| Error::Malformed(error.to_string()))?;
+        let patch: Value =
+            serde_json::from_str(&change.patch).map_err(|error| Error::Malformed(error.to_string()))?;
         let mut tree = self.tree();
         merge_patch(&mut tree, &patch);
         Ok(tree)
--- a/crates/micaspool-store/src/error.rs
+++ b/crates/micaspool-store/src/error.rs
@@ -21,10 +21,18 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::Io(path, error) => {
-                write!(f, "{} cannot be used ({error}); check space and permissions, then restart", path.display())
+                write!(
+                    f,
+                    "{} cannot be used ({error}); check space and permissions, then restart",
+                    path.display()
+                )
             }
             Error::Version(path) => {
-                write!(f, "{} was written by another version; start that version, or move it away", path.display())
+                write!(
+                    f,
+                    "{} was written by another version; start that version, or move it away",
+                    path.display()
+                )
             }
             Error::Damaged(path, offset) => write!(
                 f,
--- a/crates/micaspool-store/src/files.rs
+++ b/crates/micaspool-store/src/files.rs
@@ -215,7 +215,12 @@
     postcard::from_bytes(payload).map(Some).map_err(|_| damaged())
 }
 
-fn write_whole<T: Serialize>(folder: &Path, name: &str, value: &T, options: StoreOptions) -> Result<(), Error> {
+fn write_whole<T: Serialize>(
+    folder: &Path,
+    name: &str,
+    value: &T,
+    options: StoreOptions,
+) -> Result<(), Error> {
     let payload = postcard::to_stdvec(value).expect("stored values have nothing that cannot be encoded");
     let mut bytes = MAGIC.to_vec();
     bytes.extend_from_slice(&checksum(&payload).to_le_bytes());
--- a/crates/micaspool-store/tests/files.rs
+++ b/crates/micaspool-store/tests/files.rs
@@ -37,7 +37,11 @@
 }
 
 fn entry(index: u64, term: u64) -> LogEntry {
-    LogEntry { index: LogIndex(index), term: Term(term), payload: EntryPayload::Command(vec![index as u8; 20]) }
+    LogEntry {
+        index: LogIndex(index),
+        term: Term(term),
+        payload: EntryPayload::Command(vec![index as u8; 20]),
+    }
 }
 
 fn append(entries: Vec<LogEntry>) -> SaveBatch {
@@ -78,7 +82,8 @@
     let folder = Folder::new();
     let (mut files, _, _) = open(&folder.0);
     files.save(append((1..=10).map(|index| entry(index, 1)).collect())).expect("saving works");
-    let snapshot = LogSnapshot { index: LogIndex(7), term: Term(1), data: vec![9; 100], ..LogSnapshot::default() };
+    let snapshot =
+        LogSnapshot { index: LogIndex(7), term: Term(1), data: vec![9; 100], ..LogSnapshot::default() };
     files.save(SaveBatch { snapshot: Some(snapshot.clone()), ..SaveBatch::default() }).expect("saving works");
     files.save(append(vec![entry(11, 1)])).expect("saving works");
     let (_, restored, _) = open(&folder.0);
@@ -108,7 +113,11 @@
     files.save(append(vec![entry(1, 1), entry(2, 1)])).expect("saving works");
     let path = folder.0.join("log");
     let length = fs::metadata(&path).expect("the log is there").len();
-    fs::File::options().write(true).open(&path).and_then(|log| log.set_len(length - missing)).expect("it is cut");
+    fs::File::options()
+        .write(true)
+        .open(&path)
+        .and_then(|log| log.set_len(length - missing))
+        .expect("it is cut");
     let (mut files, restored, cut) = open(&folder.0);
     assert_eq!(restored.entries, vec![entry(1, 1)]);
     assert!(cut > 0);
@@ -140,7 +149,9 @@
 fn another_version_is_refused(file: &str) {
     let folder = Folder::new();
     let (mut files, _, _) = open(&folder.0);
-    files.save(SaveBatch { snapshot: Some(LogSnapshot::default()), ..SaveBatch::default() }).expect("saving works");
+    files
+        .save(SaveBatch { snapshot: Some(LogSnapshot::default()), ..SaveBatch::default() })
+        .expect("saving works");
     let path = folder.0.join(file);
     let mut bytes = fs::read(&path).expect("the file is there");
     bytes[7] = 2;
--- /dev/null
+++ b/crates/micaspool/src/bin/micaspool-dispatcher.rs
@@ -0,0 +1,26 @@
+//! The dispatcher daemon.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+use micaspool_daemon::{announce, start, stop_requested, EXIT_FAILED};
+use micaspool_dispatcher::run_dispatcher;
+use micaspool_settings::process::ProcessRole;
+use micaspool_telemetry::events::{self, record};
+
+#[async_std::main]
+async fn main() {
+    let start = start(ProcessRole::Dispatcher);
+    let stop = stop_requested().expect("the signals can be taken over");
+    let daemon = match run_dispatcher(&start.settings, start.incarnation).await {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::exit(EXIT_FAILED);
+        }
+    };
+    announce("dispatcher", &[("wire", daemon.wire), ("status", daemon.status)]);
+    stop.wait().await;
+    record(&events::PROCESS_DRAINING, &[]);
+    daemon.stop().await;
+    record(&events::PROCESS_STOPPED, &[]);
+}
--- /dev/null
+++ b/crates/micaspool/src/bin/micaspool-keeper.rs
@@ -0,0 +1,36 @@
+//! The keeper daemon.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+use async_std::task;
+use micaspool_daemon::{announce, start, stop_requested, EXIT_FAILED};
+use micaspool_keeper::run_keeper;
+use micaspool_settings::process::ProcessRole;
+use micaspool_telemetry::events::{self, record};
+use std::time::Duration;
+
+/// How often the keeper looks whether it must stop.
+const LOOK: Duration = Duration::from_millis(20);
+
+#[async_std::main]
+async fn main() {
+    let start = start(ProcessRole::Keeper);
+    let stop = stop_requested().expect("the signals can be taken over");
+    let daemon = match run_keeper(&start.settings).await {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::exit(EXIT_FAILED);
+        }
+    };
+    announce("keeper", &[("wire", daemon.wire), ("status", daemon.status)]);
+    while !stop.is_set() {
+        if daemon.has_stopped() {
+            std::process::exit(EXIT_FAILED);
+        }
+        task::sleep(LOOK).await;
+    }
+    record(&events::PROCESS_DRAINING, &[]);
+    daemon.stop().await;
+    record(&events::PROCESS_STOPPED, &[]);
+}
--- /dev/null
+++ b/crates/micaspool/src/bin/micaspool-router.rs
@@ -0,0 +1,31 @@
+//! The router daemon.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+use micaspool_daemon::{announce, start, stop_requested, EXIT_FAILED};
+use micaspool_router::run_router;
+use micaspool_settings::process::ProcessRole;
+use micaspool_telemetry::events::{self, record};
+use std::time::Duration;
+
+/// How long requests in flight may take after the order to stop.
+const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+
+#[async_std::main]
+async fn main() {
+    let start = start(ProcessRole::Router);
+    let stop = stop_requested().expect("the signals can be taken over");
+    let daemon = match run_router(&start.settings, start.incarnation).await {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::exit(EXIT_FAILED);
+        }
+    };
+    announce("router", &[("callers", daemon.callers), ("status", daemon.status)]);
+    stop.wait().await;
+    record(&events::PROCESS_DRAINING, &[]);
+    let whole = daemon.stop(DRAIN_LIMIT).await;
+    record(&events::PROCESS_STOPPED, &[]);
+    std::process::exit(if whole { 0 } else { EXIT_FAILED });
+}
--- /dev/null
+++ b/crates/micaspool/src/cli/endpoint.rs
@@ -0,0 +1,49 @@
+//! `micaspool endpoint`: a stand-in endpoint, for trying a deployment out.
+
+use super::{EXIT_DONE, EXIT_FAILED};
+use argh::FromArgs;
+use micaspool::replay::standin::{StandInEndpoint, StandInOptions};
+use micaspool_daemon::stop_requested;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Run a stand-in endpoint that answers like a model engine or a plain service.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "endpoint")]
+pub struct EndpointCommand {
+    /// where to listen
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// its name
+    #[argh(option, default = "String::from(\"stand-in\")")]
+    name: String,
+
+    /// how many requests it runs at once
+    #[argh(option, default = "8")]
+    slots: usize,
+
+    /// milliseconds for a token, or for a plain call
+    #[argh(option, default = "5")]
+    token_ms: u64,
+}
+
+pub async fn run(command: EndpointCommand) -> i32 {
+    let options = StandInOptions {
+        name: command.name,
+        slots: command.slots,
+        token_time: Duration::from_millis(command.token_ms),
+    };
+    let stop = stop_requested().expect("the signals can be taken over");
+    match StandInEndpoint::start(command.listen, options).await {
+        Ok(endpoint) => {
+            println!("ready endpoint listen={}", endpoint.address());
+            stop.wait().await;
+            EXIT_DONE
+        }
+        Err(error) => {
+            eprintln!("{} can't be bound ({error}); choose a free port", command.listen);
+            EXIT_FAILED
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool/src/cli/mod.rs
@@ -0,0 +1,53 @@
+//! The commands. Exit codes: 0 done, 1 failed, 2 wrong arguments or settings, 3 conflict.
+
+mod customers;
+mod demo;
+mod endpoint;
+mod fetch;
+mod keeper;
+mod settings;
+mod status;
+
+use argh::FromArgs;
+use async_std::task;
+
+/// Done.
+pub const EXIT_DONE: i32 = 0;
+/// Something could not be reached or did not work.
+pub const EXIT_FAILED: i32 = 1;
+/// Arguments or settings have a fault.
+pub const EXIT_USAGE: i32 = 2;
+/// The change was rejected.
+pub const EXIT_REJECTED: i32 = 3;
+
+/// Operates a micaspool router fleet.
+#[derive(FromArgs, Debug)]
+pub struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+enum Command {
+    Settings(settings::SettingsCommand),
+    Status(status::StatusCommand),
+    Customers(customers::CustomersCommand),
+    Keeper(keeper::KeeperCommand),
+    Demo(demo::DemoCommand),
+    Endpoint(endpoint::EndpointCommand),
+}
+
+/// Runs a command and gives the exit code.
+pub fn run(arguments: Arguments) -> i32 {
+    task::block_on(async {
+        match arguments.command {
+            Command::Settings(command) => settings::run(command).await,
+            Command::Status(command) => status::run(command).await,
+            Command::Customers(command) => customers::run(command).await,
+            Command::Keeper(command) => keeper::run(command).await,
+            Command::Demo(command) => demo::run(command).await,
+            Command::Endpoint(command) => endpoint::run(command).await,
+        }
+    })
+}
--- a/crates/micaspool/src/main.rs
+++ b/crates/micaspool/src/main.rs
@@ -1,1 +1,9 @@
-fn main() {}
+//! The operators' command line.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod cli;
+
+fn main() {
+    std::process::exit(cli::run(argh::from_env()));
+}
--- /dev/null
+++ b/crates/micaspool/tests/harness/mod.rs
@@ -0,0 +1,277 @@
+//! Built daemons on a loopback address of their own, with stand-in endpoints in this process.
+#![allow(dead_code)]
+
+pub mod calls;
+pub mod relay;
+
+use async_std::task;
+use micaspool::client::KeeperClient;
+use micaspool::replay::standin::{StandInEndpoint, StandInOptions};
+use micaspool::settings::process::PeerAddress;
+use micaspool::telemetry::traffic::TrafficCounter;
+use micaspool::types::InstanceName;
+use micaspool::wire::v1;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+const MILK: &str = include_str!("../../../../examples/milk/tree.json");
+const KILNS: &str = include_str!("../../../../examples/kilns/tree.json");
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// The settings tree of the milk collector.
+pub fn milk() -> Value {
+    serde_json::from_str(MILK).expect("the example is JSON")
+}
+
+/// The settings tree of the kiln bookings.
+pub fn kilns() -> Value {
+    serde_json::from_str(KILNS).expect("the example is JSON")
+}
+
+/// A daemon that the test started.
+pub struct Daemon {
+    child: Child,
+    pub addresses: BTreeMap<String, SocketAddr>,
+    _output: BufReader<std::process::ChildStdout>,
+}
+
+impl Daemon {
+    fn spawn(binary: &str, settings: &PathBuf) -> Daemon {
+        let mut child = Command::new(binary)
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        let mut output = BufReader::new(child.stdout.take().expect("the output is piped"));
+        let mut line = String::new();
+        output.read_line(&mut line).expect("the daemon says that it is ready");
+        let pairs = line.split_whitespace().filter_map(|word| word.split_once('='));
+        let addresses = pairs.map(|(key, address)| (key.to_owned(), address.parse().expect("an address")));
+        Daemon { child, addresses: addresses.collect(), _output: output }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(status.expect("kill can be run").success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end of the process and gives its exit code.
+    pub fn wait(&mut self, limit: Duration) -> Option<i32> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Three entry instances with every role, and the endpoints of a tree.
+pub struct Deployment {
+    pub ip: String,
+    pub folder: PathBuf,
+    pub tree: Value,
+    pub keepers: Vec<Option<Daemon>>,
+    pub dispatchers: Vec<Option<Daemon>>,
+    pub routers: Vec<Option<Daemon>>,
+    pub endpoints: BTreeMap<String, StandInEndpoint>,
+    pub client: KeeperClient,
+    /// Where routers find dispatchers, when not at their own ports.
+    pub dispatcher_ports: Vec<u16>,
+    /// Where everyone finds keepers, when not at their own ports.
+    pub keeper_ports: Vec<u16>,
+}
+
+impl Deployment {
+    /// Starts everything and puts the tree in force.
+    pub async fn start(tree: Value, token_time: Duration) -> Deployment {
+        let mut deployment = Deployment::prepare(tree, token_time).await;
+        for number in 0..3 {
+            deployment.start_keeper(number);
+        }
+        for number in 0..3 {
+            deployment.start_dispatcher(number);
+        }
+        for number in 0..3 {
+            deployment.start_router(number);
+        }
+        let tree = deployment.tree.clone();
+        deployment.apply("first", 0, &tree).await.expect("the first tree is accepted");
+        deployment.wait_revision(1).await;
+        deployment
+    }
+
+    /// Starts the endpoints only.
+    pub async fn prepare(mut tree: Value, token_time: Duration) -> Deployment {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let ip = format!("127.{}.{}.{}", 1 + (pid >> 8) % 250, pid % 256, 1 + number);
+        let folder = std::env::temp_dir().join(format!("micaspool-test-{pid}-{number}"));
+        std::fs::create_dir_all(&folder).expect("the folder can be made");
+        let mut endpoints = BTreeMap::new();
+        let services = tree["services"].as_object_mut().expect("the tree has services");
+        for service in services.values_mut() {
+            for (name, spec) in service["endpoints"].as_object_mut().expect("the service has endpoints") {
+                let slots = spec["slots"].as_u64().expect("the endpoint has slots") as usize;
+                let options = StandInOptions { name: name.clone(), slots, token_time };
+                let address = format!("{ip}:0").parse().expect("an address");
+                let endpoint = StandInEndpoint::start(address, options).await.expect("the endpoint starts");
+                spec["address"] = json!(endpoint.address().to_string());
+                endpoints.insert(name.clone(), endpoint);
+            }
+        }
+        let peer = |number: usize| PeerAddress {
+            name: InstanceName::parse(&format!("entry-{number}")).expect("a name"),
+            address: format!("{ip}:{}", 7601 + number).parse().expect("an address"),
+        };
+        let client = KeeperClient::new((0..3).map(peer).collect(), TrafficCounter::default());
+        Deployment {
+            ip,
+            folder,
+            tree,
+            keepers: vec![None, None, None],
+            dispatchers: vec![None, None, None],
+            routers: vec![None, None, None],
+            endpoints,
+            client,
+            dispatcher_ports: vec![7611, 7612, 7613],
+            keeper_ports: vec![7601, 7602, 7603],
+        }
+    }
+
+    fn settings(&self, role: &str, number: usize) -> PathBuf {
+        let halls: Vec<&String> = self.tree["halls"].as_object().expect("halls").keys().collect();
+        let region = &self.tree["halls"][halls[number]]["region"];
+        let peers = |ports: &[u16]| -> Vec<Value> {
+            let entries = ports.iter().enumerate();
+            entries.map(|(n, port)| json!({"name": format!("entry-{n}"), "address": format!("{}:{port}", self.ip)})).collect()
+        };
+        let mut settings = json!({
+            "instance": format!("entry-{number}"),
+            "hall": halls[number],
+            "region": region,
+            "keepers": peers(&self.keeper_ports),
+            "dispatchers": peers(&self.dispatcher_ports),
+            "status": format!("{}:0", self.ip),
+            "log_file": self.folder.join(format!("{role}-{number}.log")),
+            "trace_file": self.folder.join(format!("{role}-{number}.spans")),
+        });
+        match role {
+            "keeper" => {
+                settings["wire"] = json!(format!("{}:{}", self.ip, 7601 + number));
+                settings["data_folder"] = json!(self.folder.join(format!("data-{number}")));
+            }
+            "dispatcher" => settings["wire"] = json!(format!("{}:{}", self.ip, 7611 + number)),
+            _ => settings["callers"] = json!(format!("{}:0", self.ip)),
+        }
+        let path = self.folder.join(format!("{role}-{number}.json"));
+        std::fs::write(&path, settings.to_string()).expect("the settings can be written");
+        path
+    }
+
+    pub fn start_keeper(&mut self, number: usize) {
+        let settings = self.settings("keeper", number);
+        self.keepers[number] = Some(Daemon::spawn(env!("CARGO_BIN_EXE_micaspool-keeper"), &settings));
+    }
+
+    pub fn start_dispatcher(&mut self, number: usize) {
+        let settings = self.settings("dispatcher", number);
+        self.dispatchers[number] = Some(Daemon::spawn(env!("CARGO_BIN_EXE_micaspool-dispatcher"), &settings));
+    }
+
+    pub fn start_router(&mut self, number: usize) {
+        let settings = self.settings("router", number);
+        self.routers[number] = Some(Daemon::spawn(env!("CARGO_BIN_EXE_micaspool-router"), &settings));
+    }
+
+    pub fn data_folder(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("data-{number}"))
+    }
+
+    pub fn router(&self, number: usize) -> SocketAddr {
+        self.routers[number].as_ref().expect("the router runs").addresses["callers"]
+    }
+
+    /// Asks for a change; the reason when it is rejected.
+    pub async fn apply(&self, id: &str, base: u64, patch: &Value) -> Result<u64, String> {
+        let request = v1::ApplyRequest {
+            change: id.to_owned(),
+            operator: "test".to_owned(),
+            base,
+            patch: patch.to_string(),
+        };
+        let reply = self.client.apply(request, START_LIMIT).await.map_err(|error| error.to_string())?;
+        match reply.outcome {
+            Some(v1::apply_reply::Outcome::Revision(revision)) => Ok(revision),
+            Some(v1::apply_reply::Outcome::Rejected(reason)) => Err(reason),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    /// Waits until every running router and dispatcher has at least this revision in force.
+    pub async fn wait_revision(&self, revision: u64) {
+        for daemon in self.routers.iter().chain(&self.dispatchers).flatten() {
+            let address = daemon.addresses["status"];
+            wait_for(|| async move {
+                let state = calls::state(address).await;
+                state["revision"].as_u64().unwrap_or(0) >= revision
+            })
+            .await;
+        }
+    }
+
+    /// How often endpoints began to run a request with this body.
+    pub fn runs_of(&self, body: &str) -> usize {
+        let runs = self.endpoints.values().flat_map(|endpoint| endpoint.runs());
+        runs.filter(|run| run.body == body.as_bytes()).count()
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.routers.clear();
+        self.dispatchers.clear();
+        self.keepers.clear();
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Waits until a condition holds; fails after 30 seconds.
+pub async fn wait_for<F, Fut>(condition: F)
+where
+    F: Fn() -> Fut,
+    Fut: std::future::Future<Output = bool>,
+{
+    let end = Instant::now() + Duration::from_secs(30);
+    while !condition().await {
+        assert!(Instant::now() < end, "the condition did not come to hold");
+        task::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/micaspool/tests/harness/relay.rs
@@ -0,0 +1,56 @@
+//! A small TCP relay that can be cut.
+
+use async_std::io;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::stream::StreamExt;
+use async_std::task;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Passes connections on to a target until it is cut.
+#[derive(Clone)]
+pub struct Relay {
+    pub address: SocketAddr,
+    cut: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Relay {
+    pub async fn start(listen: SocketAddr, target: SocketAddr) -> Relay {
+        let listener = TcpListener::bind(listen).await.expect("the relay binds");
+        let address = listener.local_addr().expect("the relay is bound");
+        let relay = Relay { address, cut: Arc::default(), streams: Arc::default() };
+        let serving = relay.clone();
+        task::spawn(async move {
+            let mut incoming = listener.incoming();
+            while let Some(Ok(stream)) = incoming.next().await {
+                if serving.cut.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let Ok(other) = TcpStream::connect(target).await else { continue };
+                serving.streams.lock().expect("no holder panics").extend([stream.clone(), other.clone()]);
+                pass(stream.clone(), other.clone());
+                pass(other, stream);
+            }
+        });
+        relay
+    }
+
+    /// Cuts or mends the relay; a cut ends every connection.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        if cut {
+            for stream in self.streams.lock().expect("no holder panics").drain(..) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        }
+    }
+}
+
+fn pass(from: TcpStream, to: TcpStream) {
+    task::spawn(async move {
+        let _ = io::copy(&mut &from, &mut &to).await;
+        let _ = to.shutdown(std::net::Shutdown::Both);
+    });
+}
