--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -2,7 +2,7 @@
 
 use super::ShardCore;
 use micaspool_fair::ServiceLevel;
-use micaspool_types::{CustomerName, EndpointName, Moment, Revision};
+use micaspool_types::{CustomerName, EndpointName, HallMask, Moment, Revision};
 
 /// One customer in a shard.
 #[derive(Clone, Debug, PartialEq)]
@@ -79,6 +79,12 @@
         }
     }
 
+    /// The halls that some waiting ticket may use.
+    pub fn waiting_halls(&self) -> HallMask {
+        let waiting = self.customers.iter().filter(|state| !state.queue.is_empty());
+        waiting.fold(HallMask::EMPTY, |halls, state| halls.union(state.halls))
+    }
+
     /// The number of waiting tickets.
     pub fn waiting_count(&self) -> usize {
         self.waiting.len()
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -244,15 +244,9 @@
         match body {
             PeerBody::Vote { last, last_term } => self.answer_vote(now, &from, term, (last_term, last)),
             PeerBody::VoteReply { granted } => self.count_vote(now, from, term, granted),
-            PeerBody::Append { prev, prev_term, entries, commit, sent_at } => {
-                if self.accept_leader(now, &from, term, sent_at) {
-                    self.accept_entries(&from, (prev, prev_term), entries, commit, sent_at);
-                }
-            }
-            PeerBody::Install { snapshot, sent_at } => {
-                if self.accept_leader(now, &from, term, sent_at) {
-                    self.accept_snapshot(&from, snapshot, sent_at);
-                }
+            PeerBody::Append { sent_at, .. } | PeerBody::Install { sent_at, .. } => {
+                let accepted = self.accept_leader(now, &from, term, sent_at);
+                self.follow_leader(&from, body, accepted);
             }
             PeerBody::AppendReply { accepted, matched, sent_at } => {
                 self.hear_reply(now, &from, term, accepted, matched, sent_at);
@@ -261,6 +255,19 @@
         }
     }
 
+    /// Takes over what an accepted leader sent.
+    fn follow_leader(&mut self, from: &KeeperIdentity, body: PeerBody, accepted: bool) {
+        match body {
+            PeerBody::Append { prev, prev_term, entries, commit, sent_at } if accepted => {
+                self.accept_entries(from, (prev, prev_term), entries, commit, sent_at);
+            }
+            PeerBody::Install { snapshot, sent_at } if accepted => {
+                self.accept_snapshot(from, snapshot, sent_at)
+            }
+            _ => {}
+        }
+    }
+
     /// Moves to a newer term as a follower without a vote.
     fn enter_term(&mut self, now: Moment, term: Term) {
         self.hard = HardState { term, vote: None };
--- /dev/null
+++ b/crates/micaspool-replay/src/generate.rs
@@ -0,0 +1,156 @@
+//! Records traces from a seed, at the sizes of the two deployments of today.
+
+use crate::trace::{RecordedTrace, TraceCustomer, TraceHeader, TraceRequest};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What a generated trace looks like.
+#[derive(Clone, Debug)]
+pub struct GenerateOptions {
+    /// The name of the trace.
+    pub name: String,
+    /// The seed.
+    pub seed: u64,
+    /// Seconds of arrivals.
+    pub seconds: u64,
+    /// All customers; the first few are large.
+    pub customers: usize,
+    /// The large customers, which flood during the middle third.
+    pub large: usize,
+    /// The endpoints.
+    pub endpoints: usize,
+    /// The routers.
+    pub routers: usize,
+    /// The arriving work as a part of the capacity, in percent, outside the flood.
+    pub load_percent: u64,
+    /// How many requests in a hundred are long.
+    pub long_percent: u32,
+}
+
+impl GenerateOptions {
+    /// The milk collector: many long letters, some short questions.
+    pub fn milk() -> GenerateOptions {
+        GenerateOptions {
+            name: "milk".to_owned(),
+            seed: 1,
+            seconds: 240,
+            customers: 16,
+            large: 3,
+            endpoints: 9,
+            routers: 9,
+            load_percent: 85,
+            long_percent: 30,
+        }
+    }
+
+    /// The kiln bookings: mostly short chats, some long schedules.
+    pub fn kilns() -> GenerateOptions {
+        GenerateOptions {
+            name: "kilns".to_owned(),
+            seed: 2,
+            seconds: 120,
+            customers: 16,
+            large: 3,
+            endpoints: 9,
+            routers: 8,
+            load_percent: 80,
+            long_percent: 12,
+        }
+    }
+}
+
+const HALLS: usize = 3;
+const SLOTS: u32 = 8;
+const UNIT_MICROS: u64 = 5_000;
+const WIRE_MICROS: u64 = 500;
+/// The range of costs of long and of short requests.
+const LONG: (u64, u64) = (1_500, 6_000);
+const SHORT: (u64, u64) = (30, 400);
+/// Hints are wrong by up to this factor, either way.
+const HINT_ERROR: f64 = 4.0;
+/// The flood: each large customer sends this many times its part.
+const FLOOD: u64 = 5;
+const CONVERSATIONS: u64 = 6;
+
+/// Records a trace.
+pub fn generate(options: &GenerateOptions) -> RecordedTrace {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let customers = (0..options.customers).map(|number| customer(options, number)).collect();
+    let header = TraceHeader {
+        name: options.name.clone(),
+        halls: HALLS,
+        endpoints: options.endpoints,
+        slots: SLOTS,
+        unit_micros: UNIT_MICROS,
+        routers: options.routers,
+        wire_micros: WIRE_MICROS,
+        customers,
+    };
+    let mut requests = Vec::new();
+    for number in 0..options.customers {
+        arrivals(options, number, &mut rng, &mut requests);
+    }
+    requests.sort_by_key(|request| request.at_millis);
+    RecordedTrace { header, requests }
+}
+
+/// Most customers may use every hall; every eighth is bound to one.
+fn customer(options: &GenerateOptions, number: usize) -> TraceCustomer {
+    let every = (1 << HALLS) - 1;
+    let bound = number % 8 == 7;
+    TraceCustomer {
+        name: format!("{}-{number:03}", options.name),
+        weight: if number < options.large { 2 } else { 1 },
+        halls: if bound { 1 << (number / 8 % HALLS) } else { every },
+    }
+}
+
+fn arrivals(
+    options: &GenerateOptions,
+    number: usize,
+    rng: &mut ChaCha8Rng,
+    requests: &mut Vec<TraceRequest>,
+) {
+    let large = number < options.large;
+    let capacity = options.endpoints as u64 * u64::from(SLOTS) * 1_000_000 / UNIT_MICROS;
+    let shares = (options.customers + 3 * options.large) as u64;
+    let share = if large { 4 } else { 1 };
+    let units_a_second = capacity * options.load_percent * share / (100 * shares);
+    let mean_cost = mean_cost(options);
+    let end = options.seconds * 1_000;
+    let mut at = 0.0;
+    loop {
+        let flooding = large && (at as u64) > end / 3 && (at as u64) < end * 2 / 3;
+        let rate = units_a_second as f64 / mean_cost * if flooding { FLOOD as f64 } else { 1.0 };
+        let chance: f64 = rng.random_range(1e-9..1.0);
+        at += -chance.ln() * 1_000.0 / rate;
+        if at as u64 >= end {
+            return;
+        }
+        let range = if rng.random_range(0..100) < options.long_percent { LONG } else { SHORT };
+        let cost = rng.random_range(range.0..=range.1);
+        let error = HINT_ERROR.powf(rng.random_range(-1.0..1.0));
+        requests.push(TraceRequest {
+            at_millis: at as u64,
+            customer: number,
+            router: uneven_router(options, number, rng),
+            hint: (cost as f64 * error) as u64,
+            cost,
+            conversation: rng.random_range(0..CONVERSATIONS),
+        });
+    }
+}
+
+fn mean_cost(options: &GenerateOptions) -> f64 {
+    let long = f64::from(options.long_percent) / 100.0;
+    long * (LONG.0 + LONG.1) as f64 / 2.0 + (1.0 - long) * (SHORT.0 + SHORT.1) as f64 / 2.0
+}
+
+/// Three in four requests of a customer come to the same two routers.
+fn uneven_router(options: &GenerateOptions, customer: usize, rng: &mut ChaCha8Rng) -> usize {
+    if rng.random_range(0..4) < 3 {
+        (customer + rng.random_range(0..2)) % options.routers
+    } else {
+        rng.random_range(0..options.routers)
+    }
+}
--- /dev/null
+++ b/crates/micaspool-replay/src/report.rs
@@ -0,0 +1,47 @@
+//! Reports as a table.
+
+use crate::run::ReplayReport;
+
+/// A table of reports, a line each, with a heading.
+pub fn table(reports: &[ReplayReport]) -> String {
+    let mut text = format!(
+        "{:<8} {:<9} {:>8} {:>8} {:>7} {:>7} {:>6} {:>6} {:>8} {:>8} {:>6} {:>6}\n",
+        "trace",
+        "policy",
+        "gap max",
+        "gap p99",
+        "util",
+        "bytes",
+        "msgs",
+        "done",
+        "refused",
+        "retries",
+        "sent",
+        "hits"
+    );
+    for report in reports {
+        text.push_str(&format!(
+            "{:<8} {:<9} {:>8.2} {:>8.2} {:>7.4} {:>7.0} {:>6.1} {:>6} {:>8} {:>8} {:>6.3} {:>6.3}\n",
+            report.trace,
+            report.policy,
+            report.gap_largest,
+            report.gap_p99,
+            report.utilisation,
+            report.control_bytes,
+            report.control_messages,
+            report.done,
+            report.refused,
+            report.retries,
+            report.sent_ratio,
+            report.prefix_hits
+        ));
+        if let (Some(millis), Some(bytes), Some(gap)) =
+            (report.recovery_millis, report.recovery_bytes, report.recovery_gap)
+        {
+            text.push_str(&format!(
+                "  recovery: {millis:.1} ms to the next grant, {bytes} bytes, gap after {gap:.2}\n"
+            ));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/micaspool-replay/src/run/measure.rs
@@ -0,0 +1,170 @@
+//! The measures of a replay.
+
+use super::endpoints::FakeEndpoints;
+use super::wire::WireCounter;
+use super::ReplayOptions;
+use crate::trace::RecordedTrace;
+use micaspool_fair::{GapMeter, GapReport};
+use micaspool_types::{Cost, HallMask, Moment, Weight};
+use serde::Serialize;
+
+/// What a replay measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct ReplayReport {
+    /// The trace.
+    pub trace: String,
+    /// The policy.
+    pub policy: String,
+    /// The largest fairness gap, in units of the largest single request.
+    pub gap_largest: f64,
+    /// The gap that 99 in 100 moments stay below, in the same unit.
+    pub gap_p99: f64,
+    /// Busy slot time as a part of all slot time in halls for which work waits.
+    pub utilisation: f64,
+    /// Control bytes for each request.
+    pub control_bytes: f64,
+    /// Control messages for each request.
+    pub control_messages: f64,
+    /// Requests that got their answer.
+    pub done: u64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Requests that waited again after a failure.
+    pub retries: u64,
+    /// Requests sent to endpoints, for each request of the trace.
+    pub sent_ratio: f64,
+    /// The part of requests whose longest prefix was cached where they ran.
+    pub prefix_hits: f64,
+    /// After a dispatcher was lost: milliseconds to the next grant.
+    pub recovery_millis: Option<f64>,
+    /// After a dispatcher was lost: bytes of what routers told the next one.
+    pub recovery_bytes: Option<u64>,
+    /// After a dispatcher was lost: the largest gap from then on, in the same unit.
+    pub recovery_gap: Option<f64>,
+}
+
+#[derive(Debug)]
+pub(super) struct Measures {
+    customers: Vec<(Weight, HallMask)>,
+    meter: GapMeter,
+    after_loss: Option<GapMeter>,
+    waiting: Vec<i64>,
+    busy_micros: u128,
+    slot_micros: u128,
+    pub done: u64,
+    pub refused: u64,
+    pub retries: u64,
+    pub sent: u64,
+    prefix_hits: u64,
+    prefix_asked: u64,
+    lost_at: Option<Moment>,
+    recovered_at: Option<Moment>,
+    recovery_bytes: u64,
+}
+
+impl Measures {
+    pub fn new(trace: &RecordedTrace) -> Measures {
+        let weight = |weight: u32| Weight::new(weight).unwrap_or(Weight::ONE);
+        let customers: Vec<(Weight, HallMask)> =
+            trace.header.customers.iter().map(|c| (weight(c.weight), HallMask(c.halls))).collect();
+        Measures {
+            meter: GapMeter::new(&customers),
+            after_loss: None,
+            waiting: vec![0; customers.len()],
+            customers,
+            busy_micros: 0,
+            slot_micros: 0,
+            done: 0,
+            refused: 0,
+            retries: 0,
+            sent: 0,
+            prefix_hits: 0,
+            prefix_asked: 0,
+            lost_at: None,
+            recovered_at: None,
+            recovery_bytes: 0,
+        }
+    }
+
+    /// Accounts for the time between two events, in which work waited for these halls.
+    pub fn pass(&mut self, from: Moment, to: Moment, halls: HallMask, endpoints: &FakeEndpoints) {
+        let (busy, slots) = endpoints.slots_in(halls.0);
+        let micros = to.since(from).as_micros();
+        self.busy_micros += micros * u128::from(busy);
+        self.slot_micros += micros * u128::from(slots);
+    }
+
+    /// A customer has more or fewer waiting requests.
+    pub fn waiting(&mut self, customer: usize, change: i64) {
+        self.waiting[customer] += change;
+        let waits = self.waiting[customer] > 0;
+        self.meter.set_waiting(customer, waits);
+        if let Some(meter) = &mut self.after_loss {
+            meter.set_waiting(customer, waits);
+        }
+    }
+
+    pub fn serve(&mut self, customer: usize, cost: Cost) {
+        self.meter.serve(customer, cost);
+        if let Some(meter) = &mut self.after_loss {
+            meter.serve(customer, cost);
+        }
+    }
+
+    pub fn sample(&mut self) {
+        if self.waiting.iter().filter(|count| **count > 0).count() > 1 {
+            self.meter.sample();
+        }
+    }
+
+    pub fn prefix(&mut self, hit: bool) {
+        self.prefix_asked += 1;
+        self.prefix_hits += u64::from(hit);
+    }
+
+    pub fn lose_dispatcher(&mut self, now: Moment) {
+        self.lost_at = Some(now);
+        self.recovered_at = None;
+        let mut meter = GapMeter::new(&self.customers);
+        for (customer, count) in self.waiting.iter().enumerate() {
+            meter.set_waiting(customer, *count > 0);
+        }
+        self.after_loss = Some(meter);
+    }
+
+    pub fn granted(&mut self, now: Moment) {
+        if self.lost_at.is_some() && self.recovered_at.is_none() {
+            self.recovered_at = Some(now);
+        }
+    }
+
+    pub fn note_hello(&mut self, bytes: u64) {
+        if self.lost_at.is_some() {
+            self.recovery_bytes += bytes;
+        }
+    }
+
+    pub fn report(&self, options: &ReplayOptions, trace: &RecordedTrace, wire: &WireCounter) -> ReplayReport {
+        let unit = trace.largest_cost() as f64;
+        let requests = trace.requests.len().max(1) as f64;
+        let GapReport { largest, percentile_99, .. } = self.meter.report();
+        let recovery = self.lost_at.zip(self.recovered_at);
+        ReplayReport {
+            trace: trace.header.name.clone(),
+            policy: options.policy.clone(),
+            gap_largest: largest / unit,
+            gap_p99: percentile_99 / unit,
+            utilisation: self.busy_micros as f64 / self.slot_micros.max(1) as f64,
+            control_bytes: wire.bytes as f64 / requests,
+            control_messages: wire.messages as f64 / requests,
+            done: self.done,
+            refused: self.refused,
+            retries: self.retries,
+            sent_ratio: self.sent as f64 / requests,
+            prefix_hits: self.prefix_hits as f64 / self.prefix_asked.max(1) as f64,
+            recovery_millis: recovery.map(|(lost, back)| back.since(lost).as_secs_f64() * 1_000.0),
+            recovery_bytes: self.lost_at.map(|_| self.recovery_bytes),
+            recovery_gap: self.after_loss.as_ref().map(|meter| meter.report().largest / unit),
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool-replay/src/run/mod.rs
@@ -0,0 +1,434 @@
+//! Replays a trace through one shard core in virtual time.
+//!
+//! The core is the one that dispatchers run. Around it are small fakes: routers that hold what
+//! real ones hold, endpoints with slots and a prefix cache, and a wire with a fixed delay whose
+//! messages are counted at their encoded size.
+
+mod endpoints;
+mod faults;
+mod measure;
+mod routers;
+mod wire;
+
+pub use faults::{FaultKind, ReplayFault};
+pub use measure::ReplayReport;
+
+use crate::trace::RecordedTrace;
+use endpoints::FakeEndpoints;
+use measure::Measures;
+use micaspool_dispatch::{
+    CacheNews, EndpointSpec, GrantFate, LoadReport, SessionId, ShardAction, ShardCore, ShardCustomer,
+    ShardEvent, ShardOptions, ShardPolicy,
+};
+use micaspool_fair::policy_named;
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, HallMask, HallName, Moment, RequestId, Revision, Weight,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routers::FakeRouters;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+use wire::WireCounter;
+
+/// How a trace is replayed.
+#[derive(Clone, Debug)]
+pub struct ReplayOptions {
+    /// The policy, by name.
+    pub policy: String,
+    /// What goes wrong and when.
+    pub faults: Vec<ReplayFault>,
+    /// False for choosing endpoints by load alone.
+    pub use_prefixes: bool,
+    /// How many in a hundred cache events are lost.
+    pub cache_loss_percent: u32,
+    /// By how much cache events and load reports lag.
+    pub report_lag: Duration,
+    /// The most waiting requests of one customer.
+    pub max_waiting: u32,
+}
+
+impl Default for ReplayOptions {
+    fn default() -> Self {
+        ReplayOptions {
+            policy: "progress".to_owned(),
+            faults: Vec::new(),
+            use_prefixes: true,
+            cache_loss_percent: 20,
+            report_lag: Duration::from_secs(1),
+            max_waiting: 100_000,
+        }
+    }
+}
+
+/// How often the core looks at the time.
+const TICK: Duration = Duration::from_millis(50);
+/// How often endpoints are asked for their load.
+const PROBE: Duration = Duration::from_secs(1);
+/// Cost is delivered and measured in steps of this size.
+const CHUNK: u64 = 32;
+/// A router tells of progress after this much more.
+const PROGRESS_STEP: u64 = 128;
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// How long routers take to notice that a dispatcher is gone and to reach the next.
+const DETECTION: Duration = Duration::from_millis(100);
+/// How often one request is sent at most.
+const MAX_ATTEMPTS: u32 = 3;
+
+#[derive(Debug)]
+enum ReplayEvent {
+    Arrive(usize),
+    ToShard(ShardEvent),
+    ToRouter(ShardAction),
+    Deliver { request: RequestId, run: u64 },
+    Cache(CacheNews),
+    Tick,
+    Probe,
+    Beat,
+    Fault(FaultKind),
+    NewDispatcher { held: bool },
+}
+
+#[derive(Debug)]
+struct QueuedEvent {
+    at: Moment,
+    number: u64,
+    event: ReplayEvent,
+}
+
+impl PartialEq for QueuedEvent {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for QueuedEvent {}
+
+impl PartialOrd for QueuedEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for QueuedEvent {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// A replay under way.
+struct ReplayRun<'a> {
+    trace: &'a RecordedTrace,
+    options: ReplayOptions,
+    now: Moment,
+    queue: BinaryHeap<Reverse<QueuedEvent>>,
+    next_number: u64,
+    core: Option<ShardCore>,
+    routers: FakeRouters,
+    endpoints: FakeEndpoints,
+    measures: Measures,
+    wire: WireCounter,
+    rng: ChaCha8Rng,
+    attempts: HashMap<RequestId, u32>,
+    actions: Vec<ShardAction>,
+    open: usize,
+}
+
+/// Replays a trace and measures it.
+pub fn replay(trace: &RecordedTrace, options: ReplayOptions) -> ReplayReport {
+    let mut run = ReplayRun {
+        now: Moment(1),
+        queue: BinaryHeap::new(),
+        next_number: 0,
+        core: None,
+        routers: FakeRouters::new(trace),
+        endpoints: FakeEndpoints::new(&trace.header),
+        measures: Measures::new(trace),
+        wire: WireCounter::default(),
+        rng: ChaCha8Rng::seed_from_u64(trace.requests.len() as u64),
+        attempts: HashMap::new(),
+        actions: Vec::new(),
+        open: trace.requests.len(),
+        trace,
+        options,
+    };
+    run.prepare();
+    run.work();
+    run.measures.report(&run.options, trace, &run.wire)
+}
+
+impl ReplayRun<'_> {
+    fn prepare(&mut self) {
+        self.start_dispatcher(true);
+        for (index, request) in self.trace.requests.iter().enumerate() {
+            self.at(Moment::from_millis(request.at_millis + 1_000), ReplayEvent::Arrive(index));
+        }
+        for fault in self.options.faults.clone() {
+            self.at(Moment::from_millis(fault.at_millis + 1_000), ReplayEvent::Fault(fault.kind));
+        }
+        self.after(TICK, ReplayEvent::Tick);
+        self.after(PROBE, ReplayEvent::Probe);
+        self.after(HEARTBEAT, ReplayEvent::Beat);
+    }
+
+    fn work(&mut self) {
+        while self.open > 0 {
+            let Some(Reverse(next)) = self.queue.pop() else { return };
+            let halls = self.core.as_ref().map_or(HallMask::EMPTY, ShardCore::waiting_halls);
+            self.measures.pass(self.now, next.at, halls, &self.endpoints);
+            self.now = next.at;
+            self.take(next.event);
+        }
+    }
+
+    fn at(&mut self, at: Moment, event: ReplayEvent) {
+        self.next_number += 1;
+        self.queue.push(Reverse(QueuedEvent { at, number: self.next_number, event }));
+    }
+
+    fn after(&mut self, delay: Duration, event: ReplayEvent) {
+        self.at(self.now + delay, event);
+    }
+
+    fn wire_delay(&self) -> Duration {
+        Duration::from_micros(self.trace.header.wire_micros)
+    }
+
+    fn to_shard(&mut self, event: ShardEvent) {
+        self.wire.count_event(&event);
+        self.after(self.wire_delay(), ReplayEvent::ToShard(event));
+    }
+
+    fn take(&mut self, event: ReplayEvent) {
+        match event {
+            ReplayEvent::Arrive(index) => self.arrive(index),
+            ReplayEvent::ToShard(event) => self.step(event),
+            ReplayEvent::ToRouter(action) => self.hear(action),
+            ReplayEvent::Deliver { request, run } => self.deliver(request, run),
+            ReplayEvent::Cache(news) => self.step(ShardEvent::Cache(news)),
+            ReplayEvent::Tick => {
+                self.step(ShardEvent::Tick);
+                self.measures.sample();
+                self.after(TICK, ReplayEvent::Tick);
+            }
+            ReplayEvent::Probe => self.probe(),
+            ReplayEvent::Beat => {
+                for router in 0..self.trace.header.routers {
+                    let session = self.routers.session(router);
+                    self.to_shard(ShardEvent::Heartbeat(session, 1));
+                }
+                self.after(HEARTBEAT, ReplayEvent::Beat);
+            }
+            ReplayEvent::Fault(kind) => self.fail(kind),
+            ReplayEvent::NewDispatcher { held } => self.start_dispatcher(held),
+        }
+    }
+
+    fn step(&mut self, event: ShardEvent) {
+        let Some(core) = &mut self.core else { return };
+        let mut actions = std::mem::take(&mut self.actions);
+        core.step(self.now, event, &mut actions);
+        assert!(!core.has_idle_slot(self.now), "a free slot was left to an eligible ticket");
+        for action in actions.drain(..) {
+            self.wire.count_action(&action);
+            self.after(self.wire_delay(), ReplayEvent::ToRouter(action));
+        }
+        self.actions = actions;
+    }
+
+    fn start_dispatcher(&mut self, held: bool) {
+        let policy = policy_named(&self.options.policy).expect("the caller checked the name of the policy");
+        let options = ShardOptions::builder()
+            .policy(policy)
+            .use_held_state(held)
+            .use_prefixes(self.options.use_prefixes)
+            .expected_routers(self.routers.names())
+            .cost_ceiling(Cost(self.trace.largest_cost()))
+            .build();
+        self.core = Some(ShardCore::new(self.now, options));
+        self.step(ShardEvent::Policy(self.policy()));
+        for router in 0..self.trace.header.routers {
+            let (session, hello) = self.routers.join(router);
+            let bytes = self.wire.count_hello(&hello);
+            self.measures.note_hello(bytes);
+            self.after(self.wire_delay(), ReplayEvent::ToShard(ShardEvent::Joined(session, hello)));
+        }
+    }
+
+    fn policy(&self) -> ShardPolicy {
+        let header = &self.trace.header;
+        let hall =
+            |number: usize| HallName::parse(&format!("hall-{number}")).expect("the name is well-formed");
+        let customers = header.customers.iter().map(|customer| ShardCustomer {
+            name: CustomerName::parse(&customer.name).expect("the trace has well-formed names"),
+            weight: Weight::new(customer.weight).unwrap_or(Weight::ONE),
+            halls: HallMask(customer.halls),
+            max_waiting: self.options.max_waiting,
+        });
+        let endpoints = (0..header.endpoints).map(|number| EndpointSpec {
+            name: endpoint_name(number),
+            hall: number % header.halls,
+            slots: header.slots,
+            leaving: false,
+        });
+        ShardPolicy {
+            revision: Revision(1),
+            halls: (0..header.halls).map(hall).collect(),
+            endpoints: endpoints.collect(),
+            customers: customers.collect(),
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let (session, ticket) = self.routers.arrive(self.trace, index);
+        self.measures.waiting(self.trace.requests[index].customer, 1);
+        self.to_shard(ShardEvent::Submit(session, ticket));
+    }
+
+    fn hear(&mut self, action: ShardAction) {
+        match action {
+            ShardAction::Accepted { request, order, .. } => self.routers.accepted(request, order),
+            ShardAction::Grant { session, request, endpoint, estimate, level, order, .. } => {
+                if self.routers.granted(session, request, &endpoint, estimate, level, order) {
+                    self.send(request, &endpoint);
+                }
+            }
+            ShardAction::Refuse { request, .. } => {
+                if let Some(index) = self.routers.refused(request) {
+                    self.measures.waiting(self.trace.requests[index].customer, -1);
+                    self.measures.refused += 1;
+                    self.open -= 1;
+                }
+            }
+            ShardAction::Rejoin { session } => {
+                if let Some(router) = self.routers.router_of(session) {
+                    let (session, hello) = self.routers.join(router);
+                    self.after(self.wire_delay(), ReplayEvent::ToShard(ShardEvent::Joined(session, hello)));
+                }
+            }
+            ShardAction::Pulse { .. } => {}
+        }
+    }
+
+    /// A router sends a granted request to an endpoint.
+    fn send(&mut self, request: RequestId, endpoint: &EndpointName) {
+        let index = self.routers.index_of(request);
+        let customer = self.trace.requests[index].customer;
+        self.measures.waiting(customer, -1);
+        self.measures.granted(self.now);
+        let number = endpoint_number(endpoint);
+        if !self.endpoints.is_up(number) {
+            self.retry(request, GrantFate::Unreachable);
+            return;
+        }
+        self.measures.sent += 1;
+        if self.endpoints.is_full(number) {
+            self.retry(request, GrantFate::Refused);
+            return;
+        }
+        let prefixes = self.routers.prefixes_of(self.trace, index);
+        let (hit, news) = self.endpoints.start(number, request, self.trace.requests[index].cost, &prefixes);
+        self.measures.prefix(hit);
+        if self.rng.random_range(0..100) >= self.options.cache_loss_percent {
+            self.after(self.options.report_lag, ReplayEvent::Cache(news));
+        }
+        let run = self.endpoints.run_of(request);
+        self.deliver_later(request, run);
+    }
+
+    fn deliver_later(&mut self, request: RequestId, run: u64) {
+        let left = self.endpoints.left(request);
+        let micros = left.min(CHUNK) * self.trace.header.unit_micros;
+        self.after(Duration::from_micros(micros), ReplayEvent::Deliver { request, run });
+    }
+
+    fn deliver(&mut self, request: RequestId, run: u64) {
+        if self.endpoints.run_of(request) != run {
+            return;
+        }
+        let index = self.routers.index_of(request);
+        let step = self.endpoints.deliver(request, CHUNK);
+        self.measures.serve(self.trace.requests[index].customer, Cost(step));
+        let session = self.routers.session_of(request);
+        if self.endpoints.left(request) == 0 {
+            let cost = self.endpoints.end(request);
+            self.routers.ended(request);
+            self.to_shard(ShardEvent::Settle(session, request, Cost(cost), GrantFate::Done));
+            self.measures.done += 1;
+            self.open -= 1;
+            return;
+        }
+        let delivered = self.endpoints.delivered(request);
+        if self.routers.progress_is_due(request, delivered, PROGRESS_STEP) {
+            self.to_shard(ShardEvent::Progress(session, request, Cost(delivered)));
+        }
+        self.deliver_later(request, run);
+    }
+
+    /// A request that did not end well waits again, or is given up after its last attempt.
+    fn retry(&mut self, request: RequestId, fate: GrantFate) {
+        let session = self.routers.session_of(request);
+        self.to_shard(ShardEvent::Settle(session, request, Cost(0), fate));
+        let attempt = self.attempts.entry(request).or_insert(0);
+        *attempt += 1;
+        let attempt = *attempt;
+        let index = self.routers.index_of(request);
+        if attempt >= MAX_ATTEMPTS {
+            self.routers.ended(request);
+            self.measures.refused += 1;
+            self.open -= 1;
+            return;
+        }
+        self.measures.retries += 1;
+        self.measures.waiting(self.trace.requests[index].customer, 1);
+        let ticket = self.routers.again(self.trace, request, attempt);
+        self.to_shard(ShardEvent::Submit(session, ticket));
+    }
+
+    fn probe(&mut self) {
+        for number in 0..self.trace.header.endpoints {
+            let endpoint = endpoint_name(number);
+            let event = if self.endpoints.is_up(number) {
+                let running = self.endpoints.running(number);
+                ShardEvent::Load(LoadReport { endpoint, running, draining: false, asked_at: self.now })
+            } else {
+                ShardEvent::Unreachable(endpoint)
+            };
+            self.after(self.options.report_lag, ReplayEvent::ToShard(event));
+        }
+        self.after(PROBE, ReplayEvent::Probe);
+    }
+
+    fn fail(&mut self, kind: FaultKind) {
+        match kind {
+            FaultKind::DispatcherLost { held } => {
+                self.core = None;
+                self.measures.lose_dispatcher(self.now);
+                self.after(DETECTION, ReplayEvent::NewDispatcher { held });
+            }
+            FaultKind::EndpointsLost { from, count } => {
+                for number in from..(from + count).min(self.trace.header.endpoints) {
+                    for request in self.endpoints.lose(number) {
+                        self.retry(request, GrantFate::Broken);
+                    }
+                }
+            }
+            FaultKind::EndpointsBack => self.endpoints.restore(),
+        }
+    }
+}
+
+fn endpoint_name(number: usize) -> EndpointName {
+    EndpointName::parse(&format!("endpoint-{number}")).expect("the name is well-formed")
+}
+
+fn endpoint_number(name: &EndpointName) -> usize {
+    let digits = name.as_str().trim_start_matches("endpoint-");
+    digits.parse().expect("the replay named the endpoint")
+}
+
+/// The stream of a router after so many joins.
+fn session_number(router: usize, joins: u64, routers: usize) -> SessionId {
+    SessionId(joins * routers as u64 + router as u64)
+}
--- /dev/null
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -0,0 +1,183 @@
+//! Fake routers: they hold what real ones hold.
+
+use super::session_number;
+use crate::trace::RecordedTrace;
+use micaspool_dispatch::{HeldGrant, HeldTotal, RequestTicket, RouterHello, SessionId};
+use micaspool_fair::ServiceLevel;
+use micaspool_types::{Cost, CustomerName, EndpointName, Incarnation, InstanceName, OrderNumber, RequestId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A prompt's prefixes: this many, each longer than the one before.
+const PREFIXES: u64 = 3;
+
+#[derive(Debug, Default)]
+struct FakeRouter {
+    joins: u64,
+    waiting: BTreeMap<RequestId, RequestTicket>,
+    running: BTreeMap<RequestId, HeldGrant>,
+    totals: BTreeMap<CustomerName, HeldTotal>,
+}
+
+/// All routers of a replay.
+#[derive(Debug)]
+pub(super) struct FakeRouters {
+    routers: Vec<FakeRouter>,
+    owners: BTreeMap<RequestId, usize>,
+    told: BTreeMap<RequestId, u64>,
+}
+
+impl FakeRouters {
+    pub fn new(trace: &RecordedTrace) -> FakeRouters {
+        let routers = (0..trace.header.routers).map(|_| FakeRouter::default()).collect();
+        FakeRouters { routers, owners: BTreeMap::new(), told: BTreeMap::new() }
+    }
+
+    pub fn names(&self) -> BTreeSet<InstanceName> {
+        (0..self.routers.len()).map(router_name).collect()
+    }
+
+    pub fn session(&self, router: usize) -> SessionId {
+        session_number(router, self.routers[router].joins, self.routers.len())
+    }
+
+    pub fn router_of(&self, session: SessionId) -> Option<usize> {
+        (0..self.routers.len()).find(|router| self.session(*router) == session)
+    }
+
+    pub fn session_of(&self, request: RequestId) -> SessionId {
+        self.session(self.owners[&request])
+    }
+
+    /// Opens a new stream with everything that the router holds.
+    pub fn join(&mut self, router: usize) -> (SessionId, RouterHello) {
+        self.routers[router].joins += 1;
+        let held = &self.routers[router];
+        let hello = RouterHello {
+            router: router_name(router),
+            incarnation: Incarnation(1),
+            waiting: held.waiting.values().cloned().collect(),
+            running: held.running.values().cloned().collect(),
+            totals: held.totals.values().cloned().collect(),
+            heartbeat: 1,
+        };
+        (self.session(router), hello)
+    }
+
+    pub fn arrive(&mut self, trace: &RecordedTrace, index: usize) -> (SessionId, RequestTicket) {
+        let request = &trace.requests[index];
+        let id = RequestId(index as u128);
+        self.owners.insert(id, request.router);
+        let ticket = self.ticket(trace, id, 0, None);
+        self.routers[request.router].waiting.insert(id, ticket.clone());
+        (self.session(request.router), ticket)
+    }
+
+    fn ticket(
+        &self,
+        trace: &RecordedTrace,
+        id: RequestId,
+        attempt: u32,
+        avoid: Option<EndpointName>,
+    ) -> RequestTicket {
+        let index = self.index_of(id);
+        let request = &trace.requests[index];
+        RequestTicket {
+            request: id,
+            customer: customer_name(trace, request.customer),
+            hint: Cost(request.hint),
+            priority: 5,
+            attempt,
+            avoid,
+            prefixes: self.prefixes_of(trace, index),
+            order: None,
+        }
+    }
+
+    /// The hashes of a request's prompt prefixes: the first is the customer's, the longer ones
+    /// the conversation's.
+    pub fn prefixes_of(&self, trace: &RecordedTrace, index: usize) -> Vec<u64> {
+        let request = &trace.requests[index];
+        let customer = request.customer as u64 + 1;
+        let longer =
+            (1..PREFIXES).map(|length| (customer << 32) | ((request.conversation + 1) << 8) | length);
+        std::iter::once(customer << 32).chain(longer).collect()
+    }
+
+    pub fn index_of(&self, request: RequestId) -> usize {
+        request.0 as usize
+    }
+
+    pub fn accepted(&mut self, request: RequestId, order: OrderNumber) {
+        let router = self.owners[&request];
+        if let Some(ticket) = self.routers[router].waiting.get_mut(&request) {
+            ticket.order = Some(order);
+        }
+    }
+
+    /// Takes a grant; false when it is of an earlier stream or the request no longer waits.
+    pub fn granted(
+        &mut self,
+        session: SessionId,
+        request: RequestId,
+        endpoint: &EndpointName,
+        estimate: Cost,
+        level: ServiceLevel,
+        order: OrderNumber,
+    ) -> bool {
+        let router = self.owners[&request];
+        if self.session(router) != session {
+            return false;
+        }
+        let held = &mut self.routers[router];
+        let Some(ticket) = held.waiting.remove(&request) else { return false };
+        let customer = ticket.customer;
+        held.totals.insert(customer.clone(), HeldTotal { customer: customer.clone(), level, order });
+        let endpoint = endpoint.clone();
+        let grant = HeldGrant { request, customer, endpoint, estimate, delivered: Cost(0), order };
+        held.running.insert(request, grant);
+        true
+    }
+
+    pub fn refused(&mut self, request: RequestId) -> Option<usize> {
+        let router = self.owners[&request];
+        self.routers[router].waiting.remove(&request).map(|_| self.index_of(request))
+    }
+
+    pub fn ended(&mut self, request: RequestId) {
+        let router = self.owners[&request];
+        self.routers[router].running.remove(&request);
+        self.told.remove(&request);
+    }
+
+    /// Takes a failed request back into the queue.
+    pub fn again(&mut self, trace: &RecordedTrace, request: RequestId, attempt: u32) -> RequestTicket {
+        let router = self.owners[&request];
+        let failed = self.routers[router].running.remove(&request).map(|grant| grant.endpoint);
+        self.told.remove(&request);
+        let ticket = self.ticket(trace, request, attempt, failed);
+        self.routers[router].waiting.insert(request, ticket.clone());
+        ticket
+    }
+
+    /// Notes what was delivered; true when the dispatcher should be told.
+    pub fn progress_is_due(&mut self, request: RequestId, delivered: u64, step: u64) -> bool {
+        let router = self.owners[&request];
+        if let Some(grant) = self.routers[router].running.get_mut(&request) {
+            grant.delivered = Cost(delivered);
+        }
+        let told = self.told.entry(request).or_insert(0);
+        let due = delivered - *told >= step;
+        if due {
+            *told = delivered;
+        }
+        due
+    }
+}
+
+fn router_name(router: usize) -> InstanceName {
+    InstanceName::parse(&format!("router-{router}")).expect("the name is well-formed")
+}
+
+fn customer_name(trace: &RecordedTrace, customer: usize) -> CustomerName {
+    CustomerName::parse(&trace.header.customers[customer].name).expect("the trace has well-formed names")
+}
--- /dev/null
+++ b/crates/micaspool-replay/src/run/wire.rs
@@ -0,0 +1,56 @@
+//! Control messages at their encoded size.
+
+use micaspool_dispatch::{RouterHello, ShardAction, ShardEvent};
+use micaspool_types::{Incarnation, ServiceName};
+use micaspool_wire::convert::{action_message, fate_message, hello_message, request_bytes, submit_message};
+use micaspool_wire::v1::{self, router_message::Body};
+use prost::Message;
+
+/// What HTTP/2 and gRPC add to each message, in bytes.
+const FRAMING: u64 = 14;
+
+/// Counts control messages between routers and the dispatcher.
+#[derive(Debug, Default)]
+pub(super) struct WireCounter {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+impl WireCounter {
+    pub fn count_event(&mut self, event: &ShardEvent) {
+        let body = match event {
+            ShardEvent::Submit(_, ticket) => Body::Submit(submit_message(ticket)),
+            ShardEvent::Progress(_, request, delivered) => {
+                Body::Progress(v1::Progress { request: request_bytes(*request), delivered: delivered.0 })
+            }
+            ShardEvent::Settle(_, request, cost, fate) => {
+                let fate = fate_message(*fate).into();
+                Body::Settle(v1::Settle { request: request_bytes(*request), cost: cost.0, fate })
+            }
+            ShardEvent::Heartbeat(_, number) => {
+                Body::Heartbeat(v1::Heartbeat { number: *number, revision: 0 })
+            }
+            _ => return,
+        };
+        self.add(v1::RouterMessage { body: Some(body) }.encoded_len());
+    }
+
+    pub fn count_action(&mut self, action: &ShardAction) {
+        let (_, message) = action_message(action.clone(), Incarnation(1));
+        self.add(message.encoded_len());
+    }
+
+    /// Counts a hello and gives its size.
+    pub fn count_hello(&mut self, hello: &RouterHello) -> u64 {
+        let service = ServiceName::parse("service").expect("the name is well-formed");
+        let body = Body::Hello(hello_message(&service, "hall-0", hello));
+        let length = v1::RouterMessage { body: Some(body) }.encoded_len();
+        self.add(length);
+        length as u64
+    }
+
+    fn add(&mut self, length: usize) {
+        self.messages += 1;
+        self.bytes += length as u64 + FRAMING;
+    }
+}
--- a/crates/micaspool/src/cli/mod.rs
+++ b/crates/micaspool/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod fetch;
 mod keeper;
+mod replay;
 mod settings;
 mod status;
 
@@ -35,6 +36,7 @@
     Customers(customers::CustomersCommand),
     Keeper(keeper::KeeperCommand),
     Demo(demo::DemoCommand),
+    Replay(replay::ReplayCommand),
     Endpoint(endpoint::EndpointCommand),
 }
 
@@ -46,6 +48,7 @@
             Command::Status(command) => status::run(command).await,
             Command::Customers(command) => customers::run(command).await,
             Command::Keeper(command) => keeper::run(command).await,
+            Command::Replay(command) => replay::run(&command),
             Command::Demo(command) => demo::run(command).await,
             Command::Endpoint(command) => endpoint::run(command).await,
         }
