perf(fair): charge a tenth of the estimated rest beforehand instead of a quarter

Cause: what is charged beforehand follows the errors of the estimate. Ruled out: 0, 50 and 100 percent.

--- a/crates/micaspool-fair/src/policy/counters.rs
+++ b/crates/micaspool-fair/src/policy/counters.rs
@@ -5,7 +5,7 @@
 use micaspool_types::Cost;
 
 /// The part of a running request's estimated rest that is charged beforehand, in percent.
-const DEFAULT_REST_PERCENT: u64 = 25;
+const DEFAULT_REST_PERCENT: u64 = 10;
 
 /// Charges what was delivered so far and a part of what running requests still need.
 ///
