fix(dispatch): keep tickets whose order numbers collide after a recovery

Cause: a replay that lost its dispatcher never ended. After a recovery a ticket that had no order number yet could get one that a router which joined later had been given before; the queue was keyed by priority and order, so one ticket of the customer replaced the other and its caller waited for ever. Ruled out: lost hellos and grants on old streams (both are in the fault table and passed). A replay now ends an hour after the last arrival and counts open requests.

--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -8,11 +8,13 @@
 /// The limit for a customer that the settings in force here do not name yet.
 const UNLISTED_MAX_WAITING: u32 = 64;
 
-/// The place of a ticket in its customer's queue: priority, then arrival.
+/// The place of a ticket in its customer's queue: priority, then arrival. Tickets that two
+/// dispatchers numbered may have the same order number, so the request tells them apart.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub(super) struct QueuePlace {
     pub priority: u8,
     pub order: OrderNumber,
+    pub request: RequestId,
 }
 
 /// One customer in one shard.
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -80,7 +80,7 @@
             customer: grant.customer,
             router: grant.router,
             hint: grant.hint,
-            place: QueuePlace { priority: grant.priority, order: grant.order },
+            place: QueuePlace { priority: grant.priority, order: grant.order, request },
             avoid: None,
             prefixes: Box::default(),
         };
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -85,7 +85,7 @@
     ) {
         let order = ticket.order.unwrap_or(self.next_order);
         self.note_order(order);
-        let place = QueuePlace { priority: ticket.priority, order };
+        let place = QueuePlace { priority: ticket.priority, order, request: ticket.request };
         let avoid = ticket.avoid.and_then(|name| self.endpoints.by_name(&name));
         let waiting = WaitingTicket {
             customer,
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -0,0 +1,191 @@
+//! A shard with hand-made routers, endpoints and customers.
+
+use micaspool_dispatch::{
+    EndpointSpec, GrantFate, HeldGrant, HeldTotal, LoadReport, RequestTicket, RouterHello, SessionId,
+    ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+};
+use micaspool_fair::ServiceLevel;
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, OrderNumber,
+    RequestId, Revision, Weight,
+};
+use std::time::Duration;
+
+pub const EVERY_HALL: u32 = 0b111;
+
+pub fn customer(name: &str) -> CustomerName {
+    CustomerName::parse(name).expect("a name")
+}
+
+pub fn endpoint(number: usize) -> EndpointName {
+    EndpointName::parse(&format!("e{number}")).expect("a name")
+}
+
+pub fn id(number: u128) -> RequestId {
+    RequestId(number)
+}
+
+pub fn ticket(number: u128, name: &str, hint: u64) -> RequestTicket {
+    RequestTicket {
+        request: id(number),
+        customer: customer(name),
+        hint: Cost(hint),
+        priority: 5,
+        attempt: 0,
+        avoid: None,
+        prefixes: Vec::new(),
+        order: None,
+    }
+}
+
+pub fn ordered(number: u128, name: &str, order: u64) -> RequestTicket {
+    RequestTicket { order: Some(OrderNumber(order)), ..ticket(number, name, 10) }
+}
+
+pub fn hello(router: &str, incarnation: u64) -> RouterHello {
+    RouterHello {
+        router: InstanceName::parse(router).expect("a name"),
+        incarnation: Incarnation(incarnation),
+        waiting: Vec::new(),
+        running: Vec::new(),
+        totals: Vec::new(),
+        heartbeat: 1,
+    }
+}
+
+pub fn held(number: u128, name: &str, on: usize, order: u64) -> HeldGrant {
+    HeldGrant {
+        request: id(number),
+        customer: customer(name),
+        endpoint: endpoint(on),
+        estimate: Cost(10),
+        delivered: Cost(0),
+        order: OrderNumber(order),
+    }
+}
+
+pub fn total(name: &str, level: u64, order: u64) -> HeldTotal {
+    HeldTotal { customer: customer(name), level: ServiceLevel(level), order: OrderNumber(order) }
+}
+
+/// A grant as the bench saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SeenGrant {
+    pub session: SessionId,
+    pub request: RequestId,
+    pub endpoint: EndpointName,
+    pub order: OrderNumber,
+}
+
+pub struct Bench {
+    pub now: Moment,
+    pub core: ShardCore,
+    pub seen: Vec<ShardAction>,
+    pub policy: ShardPolicy,
+}
+
+impl Bench {
+    /// A shard past its recovery window, with endpoints `e0`, `e1`, ... in halls 0, 1, 2, 0, ...,
+    /// and customers that may use every hall.
+    pub fn new(endpoints: usize, slots: u32, customers: &[&str]) -> Bench {
+        let mut bench = Bench::recovering(endpoints, slots, customers, ShardOptions::default());
+        bench.pass(1_000);
+        bench
+    }
+
+    pub fn recovering(endpoints: usize, slots: u32, customers: &[&str], options: ShardOptions) -> Bench {
+        let now = Moment::from_millis(1_000);
+        let specs = (0..endpoints).map(|number| EndpointSpec {
+            name: endpoint(number),
+            hall: number % 3,
+            slots,
+            leaving: false,
+        });
+        let named = customers.iter().map(|name| ShardCustomer {
+            name: customer(name),
+            weight: Weight::ONE,
+            halls: HallMask(EVERY_HALL),
+            max_waiting: 1_000,
+        });
+        let policy = ShardPolicy {
+            revision: Revision(1),
+            halls: (0..3).map(|number| HallName::parse(&format!("h{number}")).expect("a name")).collect(),
+            endpoints: specs.collect(),
+            customers: named.collect(),
+        };
+        let core = ShardCore::new(now, options);
+        let mut bench = Bench { now, core, seen: Vec::new(), policy: policy.clone() };
+        bench.step(ShardEvent::Policy(policy));
+        bench
+    }
+
+    /// Steps and checks that no free slot was left to an eligible ticket.
+    pub fn step(&mut self, event: ShardEvent) {
+        self.core.step(self.now, event, &mut self.seen);
+        assert!(!self.core.has_idle_slot(self.now), "a free slot was left to an eligible ticket");
+    }
+
+    /// Changes the policy as a new revision.
+    pub fn change(&mut self, change: impl FnOnce(&mut ShardPolicy)) {
+        change(&mut self.policy);
+        self.policy.revision = Revision(self.policy.revision.0 + 1);
+        self.step(ShardEvent::Policy(self.policy.clone()));
+    }
+
+    pub fn join(&mut self, session: u64, hello: RouterHello) {
+        self.step(ShardEvent::Joined(SessionId(session), hello));
+    }
+
+    pub fn submit(&mut self, session: u64, ticket: RequestTicket) {
+        self.step(ShardEvent::Submit(SessionId(session), ticket));
+    }
+
+    pub fn settle(&mut self, session: u64, request: u128, cost: u64, fate: GrantFate) {
+        self.step(ShardEvent::Settle(SessionId(session), id(request), Cost(cost), fate));
+    }
+
+    pub fn load(&mut self, on: usize, running: u32, draining: bool) {
+        let report = LoadReport { endpoint: endpoint(on), running, draining, asked_at: self.now };
+        self.step(ShardEvent::Load(report));
+    }
+
+    /// Lets time pass in ticks; routers given here stay alive.
+    pub fn pass_with(&mut self, millis: u64, alive: &[u64]) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = (self.now + Duration::from_millis(50)).min(end);
+            for session in alive {
+                self.step(ShardEvent::Heartbeat(SessionId(*session), 1));
+            }
+            self.step(ShardEvent::Tick);
+        }
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.pass_with(millis, &[]);
+    }
+
+    /// The grants since the last call.
+    pub fn grants(&mut self) -> Vec<SeenGrant> {
+        let grants = self.seen.iter().filter_map(|action| match action {
+            ShardAction::Grant { session, request, endpoint, order, .. } => Some(SeenGrant {
+                session: *session,
+                request: *request,
+                endpoint: endpoint.clone(),
+                order: *order,
+            }),
+            _ => None,
+        });
+        let grants = grants.collect();
+        self.seen.clear();
+        grants
+    }
+
+    pub fn granted_requests(&mut self) -> Vec<u128> {
+        self.grants().iter().map(|grant| grant.request.0).collect()
+    }
+
+    pub fn rejoins(&self) -> usize {
+        self.seen.iter().filter(|action| matches!(action, ShardAction::Rejoin { .. })).count()
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/faults.rs
@@ -0,0 +1,152 @@
+//! The fault table: what is lost, late, doubled, crossed, frozen or cut.
+
+use crate::bench::{held, hello, id, ordered, ticket, Bench};
+use micaspool_dispatch::{GrantFate, RouterHello, SessionId, ShardEvent};
+use micaspool_types::Cost;
+use test_case::test_case;
+
+fn one_running() -> Bench {
+    let mut bench = Bench::new(1, 1, &["a", "b"]);
+    bench.join(1, hello("r1", 1));
+    bench.join(2, hello("r2", 1));
+    bench.submit(1, ticket(1, "a", 10));
+    bench.submit(2, ticket(2, "b", 10));
+    assert_eq!(bench.granted_requests(), vec![1]);
+    bench
+}
+
+#[test]
+fn a_router_killed_with_a_grant_frees_its_slot_by_lease() {
+    let mut bench = one_running();
+    bench.step(ShardEvent::Left(SessionId(1)));
+    bench.pass_with(2_900, &[2]);
+    assert!(bench.granted_requests().is_empty(), "the request may still run");
+    bench.pass_with(300, &[2]);
+    assert_eq!(bench.granted_requests(), vec![2]);
+}
+
+#[test]
+fn a_frozen_router_is_told_to_say_what_it_holds_when_it_thaws() {
+    let mut bench = one_running();
+    bench.pass_with(4_000, &[2]);
+    assert_eq!(bench.granted_requests(), vec![2], "the lease of the frozen router has ended");
+    bench.step(ShardEvent::Settle(SessionId(1), id(1), Cost(5), GrantFate::Done));
+    assert_eq!(bench.rejoins(), 1);
+    bench.join(3, RouterHello { running: vec![held(1, "a", 0, 1)], ..hello("r1", 1) });
+    bench.settle(2, 2, 5, GrantFate::Done);
+    bench.submit(2, ticket(3, "b", 10));
+    assert!(bench.granted_requests().is_empty(), "the thawed router's request holds the slot");
+    bench.settle(3, 1, 5, GrantFate::Done);
+    assert_eq!(bench.granted_requests(), vec![3]);
+}
+
+#[test_case(&[GrantFate::Done, GrantFate::Done]; "doubled")]
+#[test_case(&[GrantFate::Done, GrantFate::Broken]; "doubled with another outcome")]
+fn a_doubled_report_frees_one_slot_once(fates: &[GrantFate]) {
+    let mut bench = Bench::new(1, 2, &["a"]);
+    bench.join(1, hello("r1", 1));
+    for number in 1..=4 {
+        bench.submit(1, ticket(number, "a", 10));
+    }
+    assert_eq!(bench.granted_requests(), vec![1, 2]);
+    for fate in fates {
+        bench.settle(1, 1, 5, *fate);
+    }
+    assert_eq!(bench.granted_requests(), vec![3]);
+}
+
+#[test]
+fn a_report_of_another_router_is_not_heard() {
+    let mut bench = one_running();
+    bench.settle(2, 1, 5, GrantFate::Done);
+    bench.step(ShardEvent::Cancel(SessionId(2), id(1)));
+    assert!(bench.granted_requests().is_empty());
+}
+
+#[test]
+fn a_late_progress_report_after_the_end_changes_nothing() {
+    let mut bench = one_running();
+    bench.settle(1, 1, 7, GrantFate::Done);
+    let before = bench.core.status();
+    bench.step(ShardEvent::Progress(SessionId(1), id(1), Cost(500)));
+    assert_eq!(bench.core.status().customers, before.customers);
+}
+
+#[test]
+fn a_lost_grant_is_given_again_after_the_router_rejoins() {
+    let mut bench = one_running();
+    bench.step(ShardEvent::Left(SessionId(1)));
+    bench.join(3, RouterHello { waiting: vec![ordered(1, "a", 1)], ..hello("r1", 1) });
+    let grants = bench.grants();
+    assert_eq!(grants.len(), 1);
+    assert_eq!((grants[0].session, grants[0].request), (SessionId(3), id(1)));
+}
+
+#[test]
+fn a_lost_report_is_made_up_for_when_the_router_rejoins() {
+    let mut bench = one_running();
+    bench.step(ShardEvent::Left(SessionId(1)));
+    bench.join(3, hello("r1", 1));
+    assert_eq!(bench.granted_requests(), vec![2]);
+}
+
+#[test]
+fn tickets_of_a_router_without_a_stream_are_not_granted() {
+    let mut bench = one_running();
+    bench.submit(1, ticket(3, "a", 10));
+    bench.step(ShardEvent::Left(SessionId(1)));
+    bench.settle(2, 2, 0, GrantFate::Done);
+    bench.pass_with(5_000, &[2]);
+    let granted = bench.granted_requests();
+    assert_eq!(granted, vec![2]);
+    assert_eq!(bench.core.status().waiting, 0);
+}
+
+#[test]
+fn two_dispatchers_at_once_overcommit_only_until_load_reports_agree() {
+    let mut one = Bench::new(1, 2, &["a"]);
+    let mut other = Bench::new(1, 2, &["a"]);
+    one.join(1, hello("r1", 1));
+    other.join(2, hello("r2", 1));
+    for number in 0..4 {
+        one.submit(1, ticket(number, "a", 10));
+        other.submit(2, ticket(10 + number, "a", 10));
+    }
+    assert_eq!((one.granted_requests().len(), other.granted_requests().len()), (2, 2));
+    for bench in [&mut one, &mut other] {
+        bench.load(0, 4, false);
+        bench.load(0, 4, false);
+    }
+    one.settle(1, 0, 5, GrantFate::Done);
+    assert!(one.granted_requests().is_empty(), "the endpoint runs as much as it may");
+    one.load(0, 1, false);
+    assert_eq!(one.granted_requests().len(), 1);
+}
+
+#[test]
+fn an_hour_of_idle_time_gives_no_credit() {
+    let mut bench = Bench::new(1, 1, &["a", "b"]);
+    bench.join(1, hello("r1", 1));
+    for number in 0..20 {
+        bench.submit(1, ticket(number, "a", 100));
+    }
+    for number in 0..10 {
+        bench.settle(1, number, 100, GrantFate::Done);
+    }
+    bench.grants();
+    for number in 100..120 {
+        bench.submit(1, ticket(number, "b", 100));
+    }
+    let mut served = (0, 0);
+    let mut running = 10;
+    for _ in 0..12 {
+        bench.settle(1, running, 100, GrantFate::Done);
+        running = bench.granted_requests()[0];
+        if running >= 100 {
+            served.1 += 1;
+        } else {
+            served.0 += 1;
+        }
+    }
+    assert!(served.0 >= 5 && served.1 >= 5, "{served:?}");
+}
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -0,0 +1,9 @@
+//! The shard core under faults, in virtual time.
+
+mod bench;
+mod bound;
+mod capacity;
+mod choice;
+mod faults;
+mod limits;
+mod recovery;
--- a/crates/micaspool-replay/src/report.rs
+++ b/crates/micaspool-replay/src/report.rs
@@ -35,6 +35,9 @@
             report.sent_ratio,
             report.prefix_hits
         ));
+        if report.unfinished > 0 {
+            text.push_str(&format!("  FAULT: {} requests had no answer at the end\n", report.unfinished));
+        }
         if let (Some(millis), Some(bytes), Some(gap)) =
             (report.recovery_millis, report.recovery_bytes, report.recovery_gap)
         {
--- a/crates/micaspool-replay/src/run/measure.rs
+++ b/crates/micaspool-replay/src/run/measure.rs
@@ -29,6 +29,8 @@
     pub done: u64,
     /// Requests that were refused.
     pub refused: u64,
+    /// Requests that had no answer when the replay ended; anything but zero is a fault.
+    pub unfinished: u64,
     /// Requests that waited again after a failure.
     pub retries: u64,
     /// Requests sent to endpoints, for each request of the trace.
@@ -53,6 +55,7 @@
     slot_micros: u128,
     pub done: u64,
     pub refused: u64,
+    pub unfinished: u64,
     pub retries: u64,
     pub sent: u64,
     prefix_hits: u64,
@@ -76,6 +79,7 @@
             slot_micros: 0,
             done: 0,
             refused: 0,
+            unfinished: 0,
             retries: 0,
             sent: 0,
             prefix_hits: 0,
@@ -159,6 +163,7 @@
             control_messages: wire.messages as f64 / requests,
             done: self.done,
             refused: self.refused,
+            unfinished: self.unfinished,
             retries: self.retries,
             sent_ratio: self.sent as f64 / requests,
             prefix_hits: self.prefix_hits as f64 / self.prefix_asked.max(1) as f64,
--- a/crates/micaspool-replay/src/run/mod.rs
+++ b/crates/micaspool-replay/src/run/mod.rs
@@ -73,6 +73,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// How long routers take to notice that a dispatcher is gone and to reach the next.
 const DETECTION: Duration = Duration::from_millis(100);
+/// A replay ends this long after the last arrival, also when requests have no answer.
+const LONGEST_TAIL: Duration = Duration::from_secs(3_600);
 /// How often one request is sent at most.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -155,6 +157,7 @@
     };
     run.prepare();
     run.work();
+    run.measures.unfinished = run.open as u64;
     run.measures.report(&run.options, trace, &run.wire)
 }
 
@@ -173,7 +176,9 @@
     }
 
     fn work(&mut self) {
-        while self.open > 0 {
+        let last = self.trace.requests.last().map_or(0, |request| request.at_millis);
+        let end = Moment::from_millis(last) + LONGEST_TAIL;
+        while self.open > 0 && self.now < end {
             let Some(Reverse(next)) = self.queue.pop() else { return };
             let halls = self.core.as_ref().map_or(HallMask::EMPTY, ShardCore::waiting_halls);
             self.measures.pass(self.now, next.at, halls, &self.endpoints);
