--- a/crates/micaspool-replay/src/run/mod.rs
+++ b/crates/micaspool-replay/src/run/mod.rs
@@ -200,7 +200,7 @@
         Duration::from_micros(self.trace.header.wire_micros)
     }
 
-    fn to_shard(&mut self, event: ShardEvent) {
+    fn post_to_shard(&mut self, event: ShardEvent) {
         self.wire.count_event(&event);
         self.after(self.wire_delay(), ReplayEvent::ToShard(event));
     }
@@ -221,7 +221,7 @@
             ReplayEvent::Beat => {
                 for router in 0..self.trace.header.routers {
                     let session = self.routers.session(router);
-                    self.to_shard(ShardEvent::Heartbeat(session, 1));
+                    self.post_to_shard(ShardEvent::Heartbeat(session, 1));
                 }
                 self.after(HEARTBEAT, ReplayEvent::Beat);
             }
@@ -288,7 +288,7 @@
     fn arrive(&mut self, index: usize) {
         let (session, ticket) = self.routers.arrive(self.trace, index);
         self.measures.waiting(self.trace.requests[index].customer, 1);
-        self.to_shard(ShardEvent::Submit(session, ticket));
+        self.post_to_shard(ShardEvent::Submit(session, ticket));
     }
 
     fn hear(&mut self, action: ShardAction) {
@@ -359,14 +359,14 @@
         if self.endpoints.left(request) == 0 {
             let cost = self.endpoints.end(request);
             self.routers.ended(request);
-            self.to_shard(ShardEvent::Settle(session, request, Cost(cost), GrantFate::Done));
+            self.post_to_shard(ShardEvent::Settle(session, request, Cost(cost), GrantFate::Done));
             self.measures.done += 1;
             self.open -= 1;
             return;
         }
         let delivered = self.endpoints.delivered(request);
         if self.routers.progress_is_due(request, delivered, PROGRESS_STEP) {
-            self.to_shard(ShardEvent::Progress(session, request, Cost(delivered)));
+            self.post_to_shard(ShardEvent::Progress(session, request, Cost(delivered)));
         }
         self.deliver_later(request, run);
     }
@@ -374,7 +374,7 @@
     /// A request that did not end well waits again, or is given up after its last attempt.
     fn retry(&mut self, request: RequestId, fate: GrantFate) {
         let session = self.routers.session_of(request);
-        self.to_shard(ShardEvent::Settle(session, request, Cost(0), fate));
+        self.post_to_shard(ShardEvent::Settle(session, request, Cost(0), fate));
         let attempt = self.attempts.entry(request).or_insert(0);
         *attempt += 1;
         let attempt = *attempt;
@@ -388,7 +388,7 @@
         self.measures.retries += 1;
         self.measures.waiting(self.trace.requests[index].customer, 1);
         let ticket = self.routers.again(self.trace, request, attempt);
-        self.to_shard(ShardEvent::Submit(session, ticket));
+        self.post_to_shard(ShardEvent::Submit(session, ticket));
     }
 
     fn probe(&mut self) {
--- a/crates/micaspool-router/src/claims.rs
+++ b/crates/micaspool-router/src/claims.rs
@@ -23,7 +23,7 @@
     /// Run the call; the token ends the claim.
     Granted(u64),
     /// The call ran before; this was its answer.
-    Answered(Response),
+    Answered(Box<Response>),
 }
 
 /// Where calls that may not be repeated are claimed.
@@ -119,7 +119,7 @@
     use v1::ClaimVerdict::*;
     match reply.verdict() {
         ClaimGranted => Ok(ClaimOutcome::Granted(token)),
-        ClaimDone => Ok(ClaimOutcome::Answered(stored_response(reply.answer.unwrap_or_default()))),
+        ClaimDone => Ok(ClaimOutcome::Answered(Box::new(stored_response(reply.answer.unwrap_or_default())))),
         ClaimRunning => Err(Refusal::unknown(RefusalKind::KeyRunning).after(RETRY_AFTER)),
         ClaimMayHaveRun => Err(Refusal::unknown(RefusalKind::KeyOutcomeUnknown)),
         ClaimKeyReused => Err(Refusal::not_run(RefusalKind::KeyReused)),
--- a/crates/micaspool-router/src/router.rs
+++ b/crates/micaspool-router/src/router.rs
@@ -221,7 +221,7 @@
         if plan.once.is_some() && state.claim.is_none() {
             match self.claim(plan, traceparent).await.map_err(AttemptEnd::Refused)? {
                 ClaimOutcome::Granted(token) => state.claim = Some(token),
-                ClaimOutcome::Answered(response) => return Ok(response),
+                ClaimOutcome::Answered(response) => return Ok(*response),
             }
             if !grant.lease.is_valid() {
                 grant =
--- /dev/null
+++ b/crates/micaspool/tests/dispatch_faults.rs
@@ -0,0 +1,244 @@
+//! Dispatchers and routers that die, freeze, stop or are cut off, as processes.
+
+mod harness;
+
+use async_std::task::{self, JoinHandle};
+use futures::future::join_all;
+use harness::calls::{Answer, Call};
+use harness::{milk, wait_for, Deployment};
+use serde_json::json;
+use std::time::Duration;
+
+const MODEL: &str = "modelo-acopio";
+const TOKEN: Duration = Duration::from_millis(10);
+
+/// A tree with few slots, so that requests wait.
+fn narrow() -> serde_json::Value {
+    let mut tree = milk();
+    for spec in tree["services"][MODEL]["endpoints"].as_object_mut().expect("endpoints").values_mut() {
+        spec["slots"] = json!(1);
+    }
+    tree
+}
+
+/// Starts streamed calls over all routers; each takes about half a second once it runs.
+fn start_calls(deployment: &Deployment, count: usize) -> Vec<JoinHandle<Option<Answer>>> {
+    let calls = (0..count).map(|number| {
+        let customer = format!("farm-{:02}", 1 + number % 10);
+        let content = format!("call {number}");
+        Call::chat(deployment.router(number % 3), &customer, MODEL, &content, 50, true)
+    });
+    calls.map(|call| task::spawn(async move { call.send().await })).collect()
+}
+
+async fn check_whole(calls: Vec<JoinHandle<Option<Answer>>>) {
+    for (number, answer) in join_all(calls).await.into_iter().enumerate() {
+        let answer = answer.expect("a whole answer");
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        let expected: String = (1..50).map(|token| format!(" t{token}")).collect();
+        assert_eq!(answer.text(), format!("call {number}{expected}"));
+    }
+}
+
+async fn wait_for_backlog(deployment: &Deployment, waiting: u64) {
+    wait_for(|| async {
+        let Some(number) = deployment.serving(MODEL).await else { return false };
+        let state = deployment.state(&deployment.dispatchers[number]).await;
+        state["shards"][0]["waiting"].as_u64().unwrap_or(0) >= waiting
+    })
+    .await;
+}
+
+#[test]
+fn a_killed_dispatcher_loses_no_request() {
+    task::block_on(async {
+        let mut deployment = Deployment::start(narrow(), TOKEN).await;
+        let calls = start_calls(&deployment, 40);
+        wait_for_backlog(&deployment, 20).await;
+        let serving = deployment.serving(MODEL).await.expect("a dispatcher serves");
+        deployment.dispatchers[serving].as_mut().expect("it runs").kill();
+        check_whole(calls).await;
+        for number in 0..40 {
+            let content = format!("call {number}");
+            let runs = deployment.endpoints.values().flat_map(|endpoint| endpoint.runs());
+            let count = runs
+                .filter(|run| String::from_utf8_lossy(&run.body).contains(&format!("\"{content}\"")))
+                .count();
+            assert_eq!(count, 1, "request {number} ran {count} times");
+        }
+    });
+}
+
+#[test]
+fn a_dispatcher_killed_again_during_recovery_loses_no_request() {
+    task::block_on(async {
+        let mut deployment = Deployment::start(narrow(), TOKEN).await;
+        let calls = start_calls(&deployment, 40);
+        wait_for_backlog(&deployment, 20).await;
+        for _ in 0..2 {
+            wait_for(|| async { deployment.serving(MODEL).await.is_some() }).await;
+            let serving = deployment.serving(MODEL).await.expect("a dispatcher serves");
+            deployment.dispatchers[serving] = None;
+        }
+        check_whole(calls).await;
+    });
+}
+
+#[test]
+fn a_planned_stop_of_a_dispatcher_cuts_nothing() {
+    task::block_on(async {
+        let mut deployment = Deployment::start(narrow(), TOKEN).await;
+        let calls = start_calls(&deployment, 30);
+        wait_for_backlog(&deployment, 10).await;
+        let serving = deployment.serving(MODEL).await.expect("a dispatcher serves");
+        let daemon = deployment.dispatchers[serving].as_mut().expect("it runs");
+        daemon.signal("TERM");
+        assert_eq!(daemon.wait(Duration::from_secs(10)), Some(0));
+        check_whole(calls).await;
+    });
+}
+
+#[test]
+fn a_planned_stop_of_a_router_cuts_nothing() {
+    task::block_on(async {
+        let mut deployment = Deployment::start(narrow(), TOKEN).await;
+        let calls = start_calls(&deployment, 30);
+        wait_for_backlog(&deployment, 10).await;
+        let daemon = deployment.routers[0].as_mut().expect("it runs");
+        daemon.signal("TERM");
+        check_whole(calls).await;
+        let daemon = deployment.routers[0].as_mut().expect("it runs");
+        assert_eq!(daemon.wait(Duration::from_secs(10)), Some(0));
+    });
+}
+
+#[test]
+fn a_killed_router_gives_its_slots_back_and_others_go_on() {
+    task::block_on(async {
+        let mut deployment = Deployment::start(narrow(), TOKEN).await;
+        let lost: Vec<_> = (0..9)
+            .map(|number| {
+                Call::chat(deployment.router(0), "coop-01", MODEL, &format!("lost {number}"), 3_000, true)
+            })
+            .map(|call| task::spawn(async move { call.send().await }))
+            .collect();
+        wait_for(|| async {
+            let runs: usize = deployment.endpoints.values().map(|endpoint| endpoint.runs().len()).sum();
+            runs == 9
+        })
+        .await;
+        deployment.routers[0].as_mut().expect("it runs").kill();
+        assert!(
+            join_all(lost).await.into_iter().all(|answer| answer.is_none()),
+            "a cut answer is seen as cut"
+        );
+        let call = Call::chat(deployment.router(1), "farm-01", MODEL, "after", 2, false);
+        assert_eq!(call.send().await.expect("an answer").text(), "after");
+        deployment.start_router(0);
+        deployment.wait_revision(1).await;
+        let call = Call::chat(deployment.router(0), "farm-01", MODEL, "again", 2, false);
+        assert_eq!(call.send().await.expect("an answer").text(), "again");
+    });
+}
+
+#[test]
+fn a_router_frozen_past_its_lease_thaws_and_serves() {
+    task::block_on(async {
+        let deployment = Deployment::start(narrow(), TOKEN).await;
+        let calls = start_calls(&deployment, 30);
+        wait_for_backlog(&deployment, 10).await;
+        deployment.routers[0].as_ref().expect("it runs").signal("STOP");
+        task::sleep(Duration::from_millis(4_500)).await;
+        deployment.routers[0].as_ref().expect("it runs").signal("CONT");
+        check_whole(calls).await;
+    });
+}
+
+#[test]
+fn a_cut_off_hall_serves_what_it_can_and_comes_back() {
+    task::block_on(async {
+        let mut deployment = Deployment::prepare(milk(), Duration::from_millis(1)).await;
+        deployment.make_remote(2).await;
+        deployment.start_processes().await;
+        for router in 0..3 {
+            let call = Call::chat(deployment.router(router), "farm-01", MODEL, "before", 2, false);
+            assert_eq!(call.send().await.expect("an answer").text(), "before");
+        }
+        deployment.set_cut(true);
+        wait_for(|| async { deployment.state(&deployment.routers[2]).await["cut_off_seconds"].is_u64() })
+            .await;
+
+        let served = Call::chat(deployment.router(2), "farm-01", MODEL, "cut off", 2, false).send().await;
+        assert_eq!(served.expect("an answer").text(), "cut off", "repeatable work goes on");
+        let pickup = |router: usize, key: &str| {
+            Call::to(deployment.router(router), "coop-01", "/rutas/recogidas", key)
+                .with("idempotency-key", key)
+        };
+        let refused = pickup(2, "k-cut").send().await.expect("an answer");
+        assert_eq!((refused.status, refused.run.as_deref()), (503, Some("not-run")));
+        assert!(refused.retry_after.is_some());
+        assert_eq!(pickup(0, "k-cut").send().await.expect("an answer").status, 200);
+
+        let patch = json!({ "policy": { "weight": 3 } });
+        assert_eq!(deployment.apply("while cut", 1, &patch).await, Ok(2));
+        deployment.set_cut(false);
+        deployment.wait_revision(2).await;
+        let again = pickup(2, "k-cut").send().await.expect("an answer");
+        assert!(again.replayed, "the other side ran it: {}", again.body);
+        assert_eq!(deployment.runs_of("k-cut"), 1);
+        wait_for(|| async {
+            let mut routers = 0;
+            for daemon in &deployment.dispatchers {
+                let state = deployment.state(daemon).await;
+                let shards = state["shards"].as_array().cloned().unwrap_or_default();
+                let model = shards.into_iter().find(|shard| shard["service"] == MODEL);
+                routers = routers.max(model.map_or(0, |shard| shard["routers"].as_u64().unwrap_or(0)));
+            }
+            routers == 3
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work() {
+    task::block_on(async {
+        let deployment = Deployment::start(milk(), Duration::from_millis(1)).await;
+        let endpoint = &deployment.endpoints["acopio-1"];
+        endpoint.drain();
+        task::sleep(Duration::from_secs(3)).await;
+        let before = endpoint.runs().len();
+        let calls = (0..60).map(|number| {
+            Call::chat(deployment.router(number % 3), "coop-01", MODEL, &format!("n {number}"), 2, false)
+        });
+        let answers = join_all(calls.map(|call| async move { call.send().await })).await;
+        assert!(answers.iter().all(|answer| answer.as_ref().is_some_and(|answer| answer.status == 200)));
+        assert_eq!(endpoint.runs().len(), before);
+    });
+}
+
+#[test]
+fn broken_crossed_and_short_answers_never_reach_a_caller_as_whole() {
+    use micaspool::replay::standin::FaultMode;
+    task::block_on(async {
+        let deployment = Deployment::start(milk(), Duration::from_millis(1)).await;
+        for fault in [FaultMode::WrongEcho, FaultMode::ShortBody] {
+            deployment.endpoints["acopio-1"].set_fault(fault);
+            deployment.endpoints["acopio-4"].set_fault(fault);
+            for number in 0..30 {
+                let content = format!("{fault:?} {number}");
+                let streamed = number % 2 == 0;
+                let call = Call::chat(deployment.router(number % 3), "coop-01", MODEL, &content, 4, streamed);
+                match call.send().await {
+                    None => {}
+                    Some(answer) if answer.status == 200 => {
+                        assert!(answer.text().starts_with(&content), "{}", answer.body);
+                    }
+                    Some(answer) => assert!(answer.status >= 500, "{}", answer.body),
+                }
+            }
+            deployment.endpoints["acopio-1"].set_fault(FaultMode::None);
+            deployment.endpoints["acopio-4"].set_fault(FaultMode::None);
+        }
+    });
+}
--- a/crates/micaspool/tests/harness/mod.rs
+++ b/crates/micaspool/tests/harness/mod.rs
@@ -99,29 +99,40 @@
     pub routers: Vec<Option<Daemon>>,
     pub endpoints: BTreeMap<String, StandInEndpoint>,
     pub client: KeeperClient,
-    /// Where routers find dispatchers, when not at their own ports.
-    pub dispatcher_ports: Vec<u16>,
-    /// Where everyone finds keepers, when not at their own ports.
-    pub keeper_ports: Vec<u16>,
+    /// The instance that can be cut off, and the relays to and from it.
+    pub remote: Option<usize>,
+    pub relays: Vec<relay::Relay>,
 }
 
+const KEEPER_PORT: u16 = 7601;
+const DISPATCHER_PORT: u16 = 7611;
+/// Relays stand this far above the ports that they pass on to: for the others, and for the
+/// instance that can be cut off.
+const RELAY_TO_REMOTE: u16 = 1_000;
+const RELAY_FROM_REMOTE: u16 = 2_000;
+
 impl Deployment {
     /// Starts everything and puts the tree in force.
     pub async fn start(tree: Value, token_time: Duration) -> Deployment {
         let mut deployment = Deployment::prepare(tree, token_time).await;
+        deployment.start_processes().await;
+        deployment
+    }
+
+    /// Starts every process and puts the tree in force.
+    pub async fn start_processes(&mut self) {
         for number in 0..3 {
-            deployment.start_keeper(number);
+            self.start_keeper(number);
         }
         for number in 0..3 {
-            deployment.start_dispatcher(number);
+            self.start_dispatcher(number);
         }
         for number in 0..3 {
-            deployment.start_router(number);
+            self.start_router(number);
         }
-        let tree = deployment.tree.clone();
-        deployment.apply("first", 0, &tree).await.expect("the first tree is accepted");
-        deployment.wait_revision(1).await;
-        deployment
+        let tree = self.tree.clone();
+        self.apply("first", 0, &tree).await.expect("the first tree is accepted");
+        self.wait_revision(1).await;
     }
 
     /// Starts the endpoints only.
@@ -157,24 +168,55 @@
             routers: vec![None, None, None],
             endpoints,
             client,
-            dispatcher_ports: vec![7611, 7612, 7613],
-            keeper_ports: vec![7601, 7602, 7603],
+            remote: None,
+            relays: Vec::new(),
+        }
+    }
+
+    /// Puts relays between an instance and the others; everything must be started after this.
+    pub async fn make_remote(&mut self, remote: usize) {
+        self.remote = Some(remote);
+        for target in 0..3 {
+            let shift = if target == remote { RELAY_TO_REMOTE } else { RELAY_FROM_REMOTE };
+            for port in [KEEPER_PORT + target as u16, DISPATCHER_PORT + target as u16] {
+                let listen = format!("{}:{}", self.ip, port + shift).parse().expect("an address");
+                let target = format!("{}:{port}", self.ip).parse().expect("an address");
+                self.relays.push(relay::Relay::start(listen, target).await);
+            }
+        }
+    }
+
+    /// Cuts the remote instance off from the others, or mends that.
+    pub fn set_cut(&self, cut: bool) {
+        for relay in &self.relays {
+            relay.set_cut(cut);
+        }
+    }
+
+    fn port_seen(&self, viewer: usize, port: u16, target: usize) -> u16 {
+        match self.remote {
+            Some(remote) if viewer == remote && target != remote => port + RELAY_FROM_REMOTE,
+            Some(remote) if viewer != remote && target == remote => port + RELAY_TO_REMOTE,
+            _ => port,
         }
     }
 
     fn settings(&self, role: &str, number: usize) -> PathBuf {
         let halls: Vec<&String> = self.tree["halls"].as_object().expect("halls").keys().collect();
         let region = &self.tree["halls"][halls[number]]["region"];
-        let peers = |ports: &[u16]| -> Vec<Value> {
-            let entries = ports.iter().enumerate();
-            entries.map(|(n, port)| json!({"name": format!("entry-{n}"), "address": format!("{}:{port}", self.ip)})).collect()
+        let peers = |port: u16| -> Vec<Value> {
+            let peer = |target: usize| {
+                let port = self.port_seen(number, port + target as u16, target);
+                json!({"name": format!("entry-{target}"), "address": format!("{}:{port}", self.ip)})
+            };
+            (0..3).map(peer).collect()
         };
         let mut settings = json!({
             "instance": format!("entry-{number}"),
             "hall": halls[number],
             "region": region,
-            "keepers": peers(&self.keeper_ports),
-            "dispatchers": peers(&self.dispatcher_ports),
+            "keepers": peers(KEEPER_PORT),
+            "dispatchers": peers(DISPATCHER_PORT),
             "status": format!("{}:0", self.ip),
             "log_file": self.folder.join(format!("{role}-{number}.log")),
             "trace_file": self.folder.join(format!("{role}-{number}.spans")),
@@ -243,6 +285,39 @@
         }
     }
 
+    /// The state that a daemon shows.
+    pub async fn state(&self, daemon: &Option<Daemon>) -> Value {
+        match daemon {
+            Some(daemon) => calls::state(daemon.addresses["status"]).await,
+            None => Value::Null,
+        }
+    }
+
+    /// The dispatcher that most routers use for a service, if any.
+    pub async fn serving(&self, service: &str) -> Option<usize> {
+        let mut best = None;
+        for (number, daemon) in self.dispatchers.iter().enumerate() {
+            let state = self.state(daemon).await;
+            let shards = state["shards"].as_array().cloned().unwrap_or_default();
+            let shard = shards.iter().find(|shard| shard["service"] == service);
+            let routers = shard.and_then(|shard| shard["routers"].as_u64()).unwrap_or(0);
+            if routers > 0 && best.is_none_or(|(most, _)| routers > most) {
+                best = Some((routers, number));
+            }
+        }
+        best.map(|(_, number)| number)
+    }
+
+    /// The keeper that leads, if any.
+    pub async fn leader(&self) -> Option<usize> {
+        for (number, daemon) in self.keepers.iter().enumerate() {
+            if self.state(daemon).await["role"] == "leader" {
+                return Some(number);
+            }
+        }
+        None
+    }
+
     /// How often endpoints began to run a request with this body.
     pub fn runs_of(&self, body: &str) -> usize {
         let runs = self.endpoints.values().flat_map(|endpoint| endpoint.runs());
