fix: report every fault of a process file, trace the first request, follow any named leader

Ruled out: lost span lines (the exporter writes each span when it ends). Conclusion: operators can give any one keeper.

--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -11,7 +11,6 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tonic::transport::Channel;
 use tonic::Status;
@@ -61,14 +60,14 @@
     keepers: Vec<PeerAddress>,
     counter: TrafficCounter,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
-    /// The position of the keeper that answered last.
-    preferred: AtomicUsize,
+    /// The keeper to ask first: the one that answered last, or that another named as leader.
+    preferred: std::sync::Mutex<Option<SocketAddr>>,
 }
 
 impl KeeperClient {
     /// A client for these keepers.
     pub fn new(keepers: Vec<PeerAddress>, counter: TrafficCounter) -> KeeperClient {
-        KeeperClient { keepers, counter, channels: Mutex::default(), preferred: AtomicUsize::new(0) }
+        KeeperClient { keepers, counter, channels: Mutex::default(), preferred: std::sync::Mutex::default() }
     }
 
     /// The keepers.
@@ -171,15 +170,12 @@
         let mut sent = false;
         let mut misses = 0;
         while Instant::now() < deadline {
-            let position = self.preferred.load(Ordering::Relaxed) % self.keepers.len();
-            let address = self.keepers[position].address;
+            let address = self.first_choice();
             let left = deadline.saturating_duration_since(Instant::now()).min(TRY_LIMIT);
-            let next = match self.try_once(address, left, &attempt).await {
+            let named = match self.try_once(address, left, &attempt).await {
                 TryResult::Answer(answer) => match answer.redirect() {
                     None => return Ok(answer),
-                    Some(leader) => {
-                        self.keepers.iter().position(|keeper| keeper.address.to_string() == leader)
-                    }
+                    Some(leader) => leader.parse().ok(),
                 },
                 TryResult::Unreached => None,
                 TryResult::Lost => {
@@ -187,7 +183,7 @@
                     None
                 }
             };
-            self.preferred.store(next.unwrap_or(position + 1), Ordering::Relaxed);
+            self.prefer(named.unwrap_or_else(|| self.listed_after(address)));
             misses += 1;
             if misses % self.keepers.len() == 0 {
                 task::sleep(ROUND_PAUSE).await;
@@ -196,6 +192,22 @@
         Err(CallError::NoLeader { sent })
     }
 
+    fn first_choice(&self) -> SocketAddr {
+        let preferred = self.preferred.lock().expect("no holder of the choice panics");
+        preferred.unwrap_or_else(|| self.keepers[0].address)
+    }
+
+    fn prefer(&self, address: SocketAddr) {
+        *self.preferred.lock().expect("no holder of the choice panics") = Some(address);
+    }
+
+    /// The keeper that is listed after this one; the first after one that is not listed.
+    fn listed_after(&self, address: SocketAddr) -> SocketAddr {
+        let position = self.keepers.iter().position(|keeper| keeper.address == address);
+        let next = position.map_or(0, |position| (position + 1) % self.keepers.len());
+        self.keepers[next].address
+    }
+
     async fn try_once<T, F>(
         &self,
         address: SocketAddr,
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -7,7 +7,7 @@
 use futures::Stream;
 use micaspool_dispatch::{SessionId, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::ServiceName;
+use micaspool_types::{RequestId, ServiceName};
 use micaspool_wire::convert::{request_id, shard_event};
 use micaspool_wire::v1::{self, dispatch_server::Dispatch, router_message::Body};
 use std::pin::Pin;
@@ -74,10 +74,8 @@
 }
 
 async fn feed(shard: &ShardHandle, session: SessionId, message: v1::RouterMessage) -> Result<(), Status> {
-    if let Some(Body::Submit(submit)) = message.body.as_ref().filter(|body| is_traced(body)) {
-        if let Ok(request) = request_id(&submit.request) {
-            let _ = shard.inputs.send(ShardInput::Traced(request, submit.traceparent.clone())).await;
-        }
+    for (request, traceparent) in traces_of(&message) {
+        let _ = shard.inputs.send(ShardInput::Traced(request, traceparent)).await;
     }
     match shard_event(session, message) {
         Ok(event) => {
@@ -91,8 +89,17 @@
     }
 }
 
-fn is_traced(body: &Body) -> bool {
-    matches!(body, Body::Submit(submit) if !submit.traceparent.is_empty())
+/// The waiting requests of a message that belong to a trace.
+fn traces_of(message: &v1::RouterMessage) -> Vec<(RequestId, String)> {
+    let submits = match &message.body {
+        Some(Body::Submit(submit)) => std::slice::from_ref(submit),
+        Some(Body::Hello(hello)) => hello.waiting.as_slice(),
+        _ => &[],
+    };
+    let traced = submits.iter().filter(|submit| !submit.traceparent.is_empty());
+    traced
+        .filter_map(|submit| Some((request_id(&submit.request).ok()?, submit.traceparent.clone())))
+        .collect()
 }
 
 async fn read_router(shard: ShardHandle, session: SessionId, mut messages: Streaming<v1::RouterMessage>) {
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -12,6 +12,7 @@
 use micaspool_settings::process::ProcessSettings;
 use micaspool_store::{KeeperFiles, StoreOptions};
 use micaspool_telemetry::events::{self, field, record};
+use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
 use micaspool_wire::socket::CountedListener;
 use micaspool_wire::v1::keeper_server::KeeperServer;
@@ -35,6 +36,8 @@
     Store(micaspool_store::Error),
     /// An address cannot be bound.
     Bind(SocketAddr, std::io::Error),
+    /// The trace file cannot be opened.
+    Trace(std::io::Error),
 }
 
 impl fmt::Display for Error {
@@ -44,6 +47,9 @@
             Error::Bind(address, error) => {
                 write!(f, "{address} cannot be bound ({error}); choose a free port, or 0 for any")
             }
+            Error::Trace(error) => {
+                write!(f, "the trace file cannot be opened ({error}); make its folder writable")
+            }
         }
     }
 }
@@ -126,7 +132,9 @@
     let failed = |error| Error::Bind(settings.wire, error);
     let listener = CountedListener::bind(settings.wire, counter.clone()).await.map_err(failed)?;
     let wire = listener.local_address().map_err(failed)?;
-    let service = KeeperService::new(inputs.clone(), view.clone(), Arc::new(settings.keepers.clone()));
+    let spans =
+        SpanSink::open(settings.trace_file.as_deref(), settings.instance.as_str()).map_err(Error::Trace)?;
+    let service = KeeperService::new(inputs.clone(), view.clone(), Arc::new(settings.keepers.clone()), spans);
     let server =
         KeeperServer::new(service).max_decoding_message_size(MAX_FRAME).max_encoding_message_size(MAX_FRAME);
     task::spawn(async move {
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -15,6 +15,7 @@
 use micaspool_settings::apply::{SettingsChange, SettingsUpdate};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
+use micaspool_telemetry::spans::SpanSink;
 use micaspool_types::{CustomerName, InstanceName, Revision};
 use micaspool_wire::v1::{self, keeper_server::Keeper};
 use std::pin::Pin;
@@ -33,6 +34,7 @@
     inputs: Sender<EngineInput>,
     view: Arc<Mutex<KeeperView>>,
     keepers: Arc<Vec<PeerAddress>>,
+    spans: SpanSink,
 }
 
 impl KeeperService {
@@ -41,8 +43,9 @@
         inputs: Sender<EngineInput>,
         view: Arc<Mutex<KeeperView>>,
         keepers: Arc<Vec<PeerAddress>>,
+        spans: SpanSink,
     ) -> KeeperService {
-        KeeperService { inputs, view, keepers }
+        KeeperService { inputs, view, keepers, spans }
     }
 
     async fn ask(
@@ -143,6 +146,8 @@
 
     async fn claim(&self, request: Request<v1::ClaimRequest>) -> Result<Response<v1::ClaimReply>, Status> {
         let request = request.into_inner();
+        let traced = Some(request.traceparent.as_str()).filter(|parent| !parent.is_empty());
+        let _span = traced.map(|parent| self.spans.start("keeper", Some(parent)));
         let body = <[u8; 32]>::try_from(request.body_hash.as_slice()).map_err(|_| {
             Status::invalid_argument("a body hash has 32 bytes; run the same version everywhere")
         })?;
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub(super) struct WaitingEntry {
     pub ticket: RequestTicket,
+    /// The trace that the wait belongs to; empty for none.
+    pub traceparent: String,
     pub waiter: Sender<WaitResult>,
 }
 
@@ -132,9 +134,14 @@
         number
     }
 
-    pub fn add_waiting(&mut self, entry: WaitingEntry, traceparent: Option<String>) {
-        let submit =
-            v1::Submit { traceparent: traceparent.unwrap_or_default(), ..submit_message(&entry.ticket) };
+    /// The trace that a request's wait belongs to.
+    pub fn traceparent_of(&self, request: &[u8]) -> String {
+        let entry = request_id(request).ok().and_then(|request| self.waiting.get(&request));
+        entry.map(|entry| entry.traceparent.clone()).unwrap_or_default()
+    }
+
+    pub fn add_waiting(&mut self, entry: WaitingEntry) {
+        let submit = v1::Submit { traceparent: entry.traceparent.clone(), ..submit_message(&entry.ticket) };
         self.waiting.insert(entry.ticket.request, entry);
         self.send(Body::Submit(submit));
     }
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -122,7 +122,7 @@
         if held.unreachable_for() > UNREACHABLE_LIMIT {
             return Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER));
         }
-        held.add_waiting(WaitingEntry { ticket, waiter }, traceparent);
+        held.add_waiting(WaitingEntry { ticket, traceparent: traceparent.unwrap_or_default(), waiter });
         Ok(())
     }
 
@@ -136,7 +136,10 @@
 
     fn hello(&self, held: &mut HeldWork) -> v1::RouterMessage {
         let hello = held.hello(&self.options);
-        let message = micaspool_wire::convert::hello_message(&self.service, &self.options.hall, &hello);
+        let mut message = micaspool_wire::convert::hello_message(&self.service, &self.options.hall, &hello);
+        for submit in &mut message.waiting {
+            submit.traceparent = held.traceparent_of(&submit.request);
+        }
         v1::RouterMessage { body: Some(v1::router_message::Body::Hello(message)) }
     }
 }
--- a/crates/micaspool-settings/src/process.rs
+++ b/crates/micaspool-settings/src/process.rs
@@ -118,6 +118,10 @@
     if role == ProcessRole::Keeper && !lists_itself(&instance, &keepers) {
         faults.add(root, "list this instance under 'keepers' too, by its instance name");
     }
+    let instance_list = read_optional_address(root, "instance_list", faults);
+    let log_file = read_path(root, "log_file", faults);
+    let log_level = read_level(root, faults);
+    let trace_file = read_path(root, "trace_file", faults);
     Some(ProcessSettings {
         instance: instance?,
         hall: hall?,
@@ -128,10 +132,10 @@
         data_folder: data_folder.unwrap_or_default(),
         keepers: keepers?,
         dispatchers: dispatchers?,
-        instance_list: read_optional_address(root, "instance_list", faults),
-        log_file: read_path(root, "log_file", faults),
-        log_level: read_level(root, faults),
-        trace_file: read_path(root, "trace_file", faults),
+        instance_list,
+        log_file,
+        log_level,
+        trace_file,
     })
 }
 
--- /dev/null
+++ b/crates/micaspool/tests/operations.rs
@@ -0,0 +1,154 @@
+//! What operators see: traces, metrics, status, the command line.
+
+mod harness;
+
+use async_std::task;
+use harness::calls::{get, Call};
+use harness::{milk, wait_for, Deployment};
+use serde_json::Value;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+const FAST: Duration = Duration::from_millis(1);
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+
+fn spans(deployment: &Deployment, role: &str) -> Vec<Value> {
+    let texts = (0..3)
+        .map(|number| std::fs::read_to_string(deployment.folder.join(format!("{role}-{number}.spans"))));
+    let lines: Vec<String> = texts
+        .filter_map(Result::ok)
+        .flat_map(|text| text.lines().map(str::to_owned).collect::<Vec<_>>())
+        .collect();
+    let values = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    values.filter(|span| span["trace"] == TRACE).collect()
+}
+
+#[test]
+fn one_request_is_followed_through_its_processes_by_its_trace() {
+    task::block_on(async {
+        let deployment = Deployment::start(milk(), FAST).await;
+        let parent = format!("00-{TRACE}-b7ad6b7169203331-01");
+        let call = Call::to(deployment.router(0), "coop-01", "/rutas/recogidas", "traced")
+            .with("idempotency-key", "traced")
+            .with("traceparent", &parent);
+        let answer = call.send().await.expect("an answer");
+        assert!(answer.traceparent.expect("a traceparent").contains(TRACE));
+        wait_for(|| async { spans(&deployment, "router").len() >= 4 }).await;
+        let router = spans(&deployment, "router");
+        let hop = |name: &str| {
+            router.iter().find(|span| span["hop"] == name).unwrap_or_else(|| panic!("no {name}"))
+        };
+        let root = hop("router")["span"].clone();
+        assert_eq!(hop("router")["parent"], "b7ad6b7169203331");
+        for name in ["wait", "claim", "endpoint"] {
+            assert_eq!(hop(name)["parent"], root, "{name}");
+        }
+        let dispatcher = spans(&deployment, "dispatcher");
+        assert_eq!(dispatcher.len(), 1);
+        assert_eq!(dispatcher[0]["parent"], hop("wait")["span"]);
+        let keeper = spans(&deployment, "keeper");
+        assert_eq!(keeper.len(), 1);
+        assert_eq!(keeper[0]["parent"], hop("claim")["span"]);
+    });
+}
+
+#[test]
+fn metrics_show_the_three_measures_and_nothing_secret_is_logged() {
+    task::block_on(async {
+        let deployment = Deployment::start(milk(), FAST).await;
+        let call =
+            Call::chat(deployment.router(0), "coop-01", "modelo-acopio", "very secret words", 4, false);
+        call.send().await.expect("an answer");
+        let expected = [
+            (
+                &deployment.routers[0],
+                vec!["micaspool_requests_total", "micaspool_wait_seconds", "micaspool_control_bytes"],
+            ),
+            (
+                &deployment.keepers[0],
+                vec!["micaspool_ledger_keys", "micaspool_control_bytes", "micaspool_keeper_leads"],
+            ),
+        ];
+        for (daemon, names) in expected {
+            let address = daemon.as_ref().expect("it runs").addresses["status"];
+            let text = get(address, "/metrics").await;
+            for name in names {
+                assert!(text.contains(name), "{name} is not in {text}");
+            }
+            assert_eq!(get(address, "/healthz").await, "ok\n");
+            assert_eq!(get(address, "/readyz").await, "ready\n");
+        }
+        wait_for(|| async { deployment.serving("modelo-acopio").await.is_some() }).await;
+        let serving = deployment.serving("modelo-acopio").await.expect("a dispatcher serves");
+        let address = deployment.dispatchers[serving].as_ref().expect("it runs").addresses["status"];
+        let text = get(address, "/metrics").await;
+        for name in ["micaspool_fairness_gap", "micaspool_running_requests", "micaspool_open_slots"] {
+            assert!(text.contains(name), "{name} is not in {text}");
+        }
+        for entry in std::fs::read_dir(&deployment.folder).expect("the folder is there") {
+            let path = entry.expect("an entry").path();
+            if path.extension().is_some_and(|kind| kind == "log" || kind == "spans") {
+                let text = std::fs::read_to_string(&path).expect("it can be read");
+                assert!(!text.contains("secret") && !text.contains("demo-coop"), "{}", path.display());
+            }
+        }
+    });
+}
+
+fn micaspool(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_micaspool")).args(arguments).output().expect("it runs")
+}
+
+#[test]
+fn the_command_line_reads_changes_and_explains_settings() {
+    task::block_on(async {
+        let deployment = Deployment::start(milk(), FAST).await;
+        let keeper = format!("{}:7601", deployment.ip);
+        let patch = deployment.folder.join("patch.json");
+        std::fs::write(&patch, r#"{"policy":{"weight":4}}"#).expect("it can be written");
+        let patch = patch.to_str().expect("a path");
+        let base = ["--operator", "me", "--keeper", &keeper, "--base", "1", "--id", "c-1"];
+        let applied = micaspool(&[&["settings", "apply", patch], &base[..]].concat());
+        assert_eq!(applied.status.code(), Some(0), "{applied:?}");
+        let again = micaspool(&[&["settings", "apply", patch], &base[..]].concat());
+        assert!(String::from_utf8_lossy(&again.stdout).contains("revision 2"));
+        let base = ["--operator", "you", "--keeper", &keeper, "--base", "1", "--id", "c-2"];
+        let conflict = micaspool(&[&["settings", "apply", patch], &base[..]].concat());
+        assert_eq!(conflict.status.code(), Some(3));
+        assert!(String::from_utf8_lossy(&conflict.stderr).contains("c-1"));
+        let shown =
+            micaspool(&["settings", "get", "--keeper", &keeper, "--effective", "farm-11/modelo-acopio"]);
+        let shown = String::from_utf8_lossy(&shown.stdout).into_owned();
+        assert!(
+            shown.contains("groups.small-farms.customers.farm-11.policy") && shown.contains("from policy"),
+            "{shown}"
+        );
+        let status = deployment.keepers[0].as_ref().expect("it runs").addresses["status"].to_string();
+        let shown = micaspool(&["status", &status]);
+        assert!(String::from_utf8_lossy(&shown.stdout).contains("revision=2"));
+    });
+}
+
+#[test]
+fn wrong_settings_end_a_daemon_with_code_two_and_every_fault() {
+    let path = std::env::temp_dir().join(format!("micaspool-wrong-{}.json", std::process::id()));
+    std::fs::write(&path, r#"{"instance":"x","hall":"h","extra":1}"#).expect("it can be written");
+    for binary in [
+        env!("CARGO_BIN_EXE_micaspool-router"),
+        env!("CARGO_BIN_EXE_micaspool-dispatcher"),
+        env!("CARGO_BIN_EXE_micaspool-keeper"),
+    ] {
+        let output = Command::new(binary).arg("--settings").arg(&path).output().expect("it runs");
+        assert_eq!(output.status.code(), Some(2));
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        for part in ["extra", "region", "keepers", "status"] {
+            assert!(text.contains(part), "{part} is not in {text}");
+        }
+    }
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/milk/router-1.json");
+    let checked = Command::new(env!("CARGO_BIN_EXE_micaspool-router"))
+        .args(["--settings", example, "--check"])
+        .output();
+    assert_eq!(checked.expect("it runs").status.code(), Some(0));
+    let _ = std::fs::remove_file(path);
+}
