feat(bench): decisions and slopes of each role

Cause: docs/CAPACITY.md must rest on measured slopes. Ruled out: timing inside one process, which cannot tell the roles apart; the slopes read processor time, memory and control bytes of built daemons.

--- /dev/null
+++ b/crates/micaspool/benches/decisions.rs
@@ -0,0 +1,144 @@
+//! What one decision of the shard core costs, by customers, endpoints and waiting tickets.
+//!
+//! Run with `cargo bench -p micaspool --bench decisions`. A decision is: a grant ends, the freed
+//! slot goes to the next ticket, and a new ticket begins to wait.
+
+use micaspool::dispatch::{
+    EndpointSpec, GrantFate, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer,
+    ShardEvent, ShardOptions, ShardPolicy,
+};
+use micaspool::types::{
+    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestId,
+    Revision, Weight,
+};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+const SLOTS: u32 = 8;
+const DECISIONS: usize = 100_000;
+const SESSION: SessionId = SessionId(1);
+
+struct Load {
+    core: ShardCore,
+    now: Moment,
+    actions: Vec<ShardAction>,
+    running: VecDeque<RequestId>,
+    next: u128,
+    customers: usize,
+}
+
+fn customer(number: usize) -> CustomerName {
+    CustomerName::parse(&format!("customer-{number:04}")).expect("a name")
+}
+
+fn policy(customers: usize, endpoints: usize) -> ShardPolicy {
+    let halls = (0..4).map(|number| HallName::parse(&format!("hall-{number}")).expect("a name"));
+    let specs = (0..endpoints).map(|number| EndpointSpec {
+        name: EndpointName::parse(&format!("endpoint-{number}")).expect("a name"),
+        hall: number % 4,
+        slots: SLOTS,
+        leaving: false,
+    });
+    let named = (0..customers).map(|number| ShardCustomer {
+        name: customer(number),
+        weight: Weight::ONE,
+        halls: HallMask(if number % 8 == 7 { 1 << (number / 8 % 4) } else { 0b1111 }),
+        max_waiting: u32::MAX,
+    });
+    ShardPolicy {
+        revision: Revision(1),
+        halls: halls.collect(),
+        endpoints: specs.collect(),
+        customers: named.collect(),
+    }
+}
+
+impl Load {
+    fn new(customers: usize, endpoints: usize, waiting: usize) -> Load {
+        let options = ShardOptions::builder().recovery_window(Duration::ZERO).max_waiting(usize::MAX).build();
+        let now = Moment::from_millis(1_000);
+        let mut load = Load {
+            core: ShardCore::new(now, options),
+            now,
+            actions: Vec::new(),
+            running: VecDeque::new(),
+            next: 0,
+            customers,
+        };
+        load.step(ShardEvent::Policy(policy(customers, endpoints)));
+        let hello = RouterHello {
+            router: InstanceName::parse("router").expect("a name"),
+            incarnation: Incarnation(1),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            totals: Vec::new(),
+            heartbeat: 1,
+        };
+        load.step(ShardEvent::Joined(SESSION, hello));
+        for _ in 0..waiting + endpoints * SLOTS as usize {
+            load.submit();
+        }
+        load
+    }
+
+    fn step(&mut self, event: ShardEvent) {
+        self.core.step(self.now, event, &mut self.actions);
+        for action in self.actions.drain(..) {
+            if let ShardAction::Grant { request, .. } = action {
+                self.running.push_back(request);
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        self.next += 1;
+        let number = (self.next as usize).wrapping_mul(7_919) % self.customers;
+        let ticket = RequestTicket {
+            request: RequestId(self.next.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c834)),
+            customer: customer(number),
+            hint: Cost(100 + self.next as u64 % 900),
+            priority: 5,
+            attempt: 0,
+            avoid: None,
+            prefixes: vec![number as u64, self.next as u64 % 5_000],
+            order: None,
+        };
+        self.step(ShardEvent::Submit(SESSION, ticket));
+    }
+
+    fn decide(&mut self) {
+        let request = self.running.pop_front().expect("every slot is busy");
+        self.step(ShardEvent::Settle(SESSION, request, Cost(500), GrantFate::Done));
+        self.submit();
+    }
+}
+
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1_024
+}
+
+fn main() {
+    println!(
+        "{:>10} {:>10} {:>9} {:>14} {:>16}",
+        "customers", "endpoints", "waiting", "us a decision", "bytes a ticket"
+    );
+    for (customers, endpoints) in [(84, 60), (840, 600)] {
+        for waiting in [1_000, 10_000, 100_000] {
+            let before = resident_bytes();
+            let mut load = Load::new(customers, endpoints, waiting);
+            let bytes = resident_bytes().saturating_sub(before) / waiting as u64;
+            for _ in 0..DECISIONS / 10 {
+                load.decide();
+            }
+            let started = Instant::now();
+            for _ in 0..DECISIONS {
+                load.decide();
+            }
+            let micros = started.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64;
+            println!("{customers:>10} {endpoints:>10} {waiting:>9} {micros:>14.2} {bytes:>16}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool/benches/parts/mod.rs
@@ -0,0 +1,8 @@
+//! The parts of the slopes benchmark.
+
+pub mod claims;
+pub mod delay;
+pub mod requests;
+pub mod sessions;
+pub mod usage;
+pub mod watchers;
--- /dev/null
+++ b/crates/micaspool/benches/parts/requests.rs
@@ -0,0 +1,75 @@
+//! What a request costs each role.
+
+use super::usage::Usage;
+use crate::harness::calls::Call;
+use crate::harness::{milk, wait_for, Deployment};
+use async_std::task;
+use futures::future::join_all;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SECONDS: u64 = 5;
+
+pub async fn run() {
+    println!("streamed model calls of 64 tokens over three routers, for {SECONDS} s at each rate");
+    println!(
+        "{:>10} {:>8} {:>14} {:>16} {:>15} {:>18} {:>14} {:>12}",
+        "requests/s",
+        "whole",
+        "router us/req",
+        "router bytes/req",
+        "dispatch us/req",
+        "dispatch bytes/req",
+        "router MB",
+        "dispatch MB"
+    );
+    for rate in [20, 60, 180] {
+        let deployment = Arc::new(Deployment::start(milk(), Duration::from_millis(4)).await);
+        let warm =
+            Call::chat(deployment.router(0), "coop-01", "modelo-acopio", "warm", 2, false).send().await;
+        assert!(warm.is_some());
+        wait_for(|| async { deployment.serving("modelo-acopio").await.is_some() }).await;
+        let serving = deployment.serving("modelo-acopio").await.expect("a dispatcher serves");
+        let before = (routers(&deployment).await, dispatcher(&deployment, serving).await);
+        let whole = call_at(&deployment, rate).await;
+        let after = (routers(&deployment).await, dispatcher(&deployment, serving).await);
+        let count = (rate * SECONDS) as f64;
+        let spent: Vec<_> =
+            after.0.iter().zip(&before.0).map(|(after, before)| after.since(before)).collect();
+        let dispatch = after.1.since(&before.1);
+        println!(
+            "{rate:>10} {whole:>8} {:>14.0} {:>16.0} {:>15.0} {:>18.0} {:>14.1} {:>12.1}",
+            spent.iter().map(|spent| spent.cpu_micros).sum::<f64>() / count,
+            spent.iter().map(|spent| spent.bytes).sum::<f64>() / count,
+            dispatch.cpu_micros / count,
+            dispatch.bytes / count,
+            after.0[0].resident as f64 / 1e6,
+            after.1.resident as f64 / 1e6
+        );
+    }
+}
+
+async fn routers(deployment: &Deployment) -> Vec<Usage> {
+    let reads = deployment.routers.iter().map(|daemon| Usage::read(daemon.as_ref().expect("it runs")));
+    join_all(reads).await
+}
+
+async fn dispatcher(deployment: &Deployment, number: usize) -> Usage {
+    Usage::read(deployment.dispatchers[number].as_ref().expect("it runs")).await
+}
+
+async fn call_at(deployment: &Arc<Deployment>, rate: u64) -> usize {
+    let started = Instant::now();
+    let calls = (0..rate * SECONDS).map(|number| {
+        let deployment = deployment.clone();
+        task::spawn(async move {
+            let due = Duration::from_micros(number * 1_000_000 / rate);
+            task::sleep(due.saturating_sub(started.elapsed())).await;
+            let customer = format!("farm-{:02}", 1 + number % 10);
+            let router = deployment.router(number as usize % 3);
+            let call = Call::chat(router, &customer, "modelo-acopio", "a question at the tank", 64, true);
+            call.send().await.is_some_and(|answer| answer.status == 200)
+        })
+    });
+    join_all(calls.collect::<Vec<_>>()).await.into_iter().filter(|whole| *whole).count()
+}
--- /dev/null
+++ b/crates/micaspool/benches/parts/watchers.rs
@@ -0,0 +1,70 @@
+//! What settings watchers cost a keeper, and how soon a change is with all of them.
+
+use super::usage::Usage;
+use crate::harness::{milk, wait_for, Deployment};
+use async_std::task;
+use micaspool::client::{KeeperClient, SettingsMirror};
+use micaspool::settings::process::PeerAddress;
+use micaspool::telemetry::traffic::TrafficCounter;
+use micaspool::types::InstanceName;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const IDLE: Duration = Duration::from_secs(5);
+const CHANGES: u64 = 20;
+
+pub async fn run() {
+    println!("watchers on one keeper (the group has three), idle and with {CHANGES} changes");
+    println!(
+        "{:>9} {:>12} {:>12} {:>12} {:>14} {:>14} {:>14}",
+        "watchers",
+        "idle core %",
+        "idle KB/s",
+        "resident MB",
+        "us a change",
+        "bytes a change",
+        "ms to all, max"
+    );
+    for count in [50, 150, 420] {
+        let deployment = Deployment::start(milk(), Duration::from_millis(1)).await;
+        let keeper = deployment.keepers[0].as_ref().expect("it runs");
+        let mirrors: Vec<Arc<SettingsMirror>> =
+            (0..count).map(|number| watcher(&deployment, number)).collect();
+        wait_for(|| async { mirrors.iter().all(|mirror| mirror.is_ready()) }).await;
+        task::sleep(Duration::from_secs(2)).await;
+        let start = Usage::read(keeper).await;
+        task::sleep(IDLE).await;
+        let idle = Usage::read(keeper).await;
+        let mut slowest = Duration::ZERO;
+        for number in 0..CHANGES {
+            let patch = json!({ "policy": { "weight": 2 + number } });
+            let started = Instant::now();
+            let revision =
+                deployment.apply(&format!("w{number}"), 1 + number, &patch).await.expect("accepted");
+            while mirrors.iter().any(|mirror| mirror.policy().revision.0 < revision) {
+                task::sleep(Duration::from_millis(1)).await;
+            }
+            slowest = slowest.max(started.elapsed());
+        }
+        let end = Usage::read(keeper).await;
+        let (resting, changing) = (idle.since(&start), end.since(&idle));
+        let idle_cpu = resting.cpu_micros / resting.seconds * changing.seconds;
+        println!(
+            "{count:>9} {:>12.2} {:>12.2} {:>12.1} {:>14.0} {:>14.0} {:>14.1}",
+            resting.core_percent(),
+            resting.kilobytes_a_second(),
+            end.resident as f64 / 1e6,
+            (changing.cpu_micros - idle_cpu) / CHANGES as f64,
+            changing.bytes / CHANGES as f64,
+            slowest.as_secs_f64() * 1e3
+        );
+    }
+}
+
+fn watcher(deployment: &Deployment, number: usize) -> Arc<SettingsMirror> {
+    let address = format!("{}:7601", deployment.ip).parse().expect("an address");
+    let keeper = PeerAddress { name: InstanceName::parse("entry-0").expect("a name"), address };
+    let client = KeeperClient::new(vec![keeper], TrafficCounter::default());
+    SettingsMirror::start(Arc::new(client), &format!("watcher-{number}"))
+}
--- a/crates/micaspool/tests/harness/mod.rs
+++ b/crates/micaspool/tests/harness/mod.rs
@@ -60,6 +60,10 @@
         Daemon { child, addresses: addresses.collect(), _output: output }
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(status.expect("kill can be run").success());
