perf(http): wait for events instead of polling, one stall timer for each body

Cause: idle daemons used 3 to 5 percent of a core; servers, idle connections and signal handlers woke up 10 to 50 times a second each, and each read and write of a stream made and dropped a timer.

--- a/crates/micaspool-http/src/client.rs
+++ b/crates/micaspool-http/src/client.rs
@@ -1,12 +1,12 @@
 //! Calling endpoints and other HTTP/1.1 servers; each request has its own connection.
 
+use crate::stall::StallTimer;
 use async_std::future::timeout;
 use async_std::io::Read;
 use async_std::net::TcpStream;
 use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_types::{Body, Request, Response, StatusCode};
 use std::fmt;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -110,30 +110,20 @@
 struct WatchedBody {
     body: Body,
     missing: Option<u64>,
-    silence: Duration,
-    timer: Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>,
+    stall: StallTimer,
 }
 
 impl WatchedBody {
     fn new(body: Body, missing: Option<u64>, silence: Duration) -> WatchedBody {
-        WatchedBody { body, missing, silence, timer: None }
+        WatchedBody { body, missing, stall: StallTimer::new(silence) }
     }
 
     fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let silence = self.silence;
-        let timer = self.timer.get_or_insert_with(|| {
-            Box::pin(async move {
-                let _ = timeout(silence, std::future::pending::<()>()).await;
-            })
-        });
-        match timer.as_mut().poll(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-        }
+        self.stall.poll_stalled(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
 
     fn account(&mut self, count: usize) -> io::Result<usize> {
-        self.timer = None;
+        self.stall.moved();
         match &mut self.missing {
             Some(missing) if count == 0 && *missing > 0 => Err(io::ErrorKind::UnexpectedEof.into()),
             Some(missing) => {
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod refusal;
 pub mod replay;
 pub mod server;
+pub mod stall;
 pub mod status;
--- a/crates/micaspool-http/src/server.rs
+++ b/crates/micaspool-http/src/server.rs
@@ -3,16 +3,23 @@
 use crate::head::{check_head, head_end, BodyLength, RequestHead};
 use crate::refusal::refusal_response;
 use crate::replay::ReplayStream;
+use crate::stall::StallTimer;
+use async_std::channel::{bounded, Receiver, Sender};
 use async_std::future::timeout;
-use async_std::io::{ReadExt, WriteExt};
+use async_std::io::{ReadExt, Write};
 use async_std::net::{TcpListener, TcpStream};
-use async_std::stream::StreamExt;
 use async_std::task;
 use async_trait::async_trait;
+use futures::future::{select, Either};
+use futures::pin_mut;
 use http_types::{Method, Request, Response};
 use micaspool_types::{Refusal, RefusalKind, RequestId};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 /// How much is read from a connection at once.
@@ -21,8 +28,10 @@
 /// answer instead of a reset.
 const DISCARD_BYTES: usize = 256 * 1024;
 const DISCARD_LIMIT: Duration = Duration::from_millis(500);
-/// How often a server without connections looks whether it shall stop.
-const STOP_POLL: Duration = Duration::from_millis(20);
+/// How often a draining server counts its requests.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// The pause after an error of the listener.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
@@ -114,7 +123,8 @@
     options: ServerOptions,
     open: Arc<AtomicUsize>,
     busy: Arc<AtomicUsize>,
-    stopping: Arc<AtomicBool>,
+    /// Closed once the server shall stop; nothing is ever sent.
+    stop: (Sender<()>, Receiver<()>),
 }
 
 impl std::fmt::Debug for HttpServer {
@@ -149,25 +159,30 @@
 impl HttpServer {
     /// A server that answers with this handler.
     pub fn new(handler: Arc<dyn HttpHandler>, options: ServerOptions) -> HttpServer {
-        HttpServer { handler, options, open: Arc::default(), busy: Arc::default(), stopping: Arc::default() }
+        HttpServer { handler, options, open: Arc::default(), busy: Arc::default(), stop: bounded(1) }
     }
 
     /// Accepts connections until [`HttpServer::stop`] is called.
     pub async fn serve(&self, listener: TcpListener) {
-        let mut incoming = listener.incoming();
-        while !self.stopping.load(Ordering::SeqCst) {
-            match timeout(STOP_POLL, incoming.next()).await {
-                Ok(Some(Ok(stream))) => self.accept(stream),
-                Ok(Some(Err(_))) => task::sleep(STOP_POLL).await,
-                Ok(None) => return,
-                Err(_) => {}
+        while !self.is_stopping() {
+            let accepted = listener.accept();
+            let stopped = self.stop.1.recv();
+            pin_mut!(accepted, stopped);
+            match select(accepted, stopped).await {
+                Either::Left((Ok((stream, _)), _)) => self.accept(stream),
+                Either::Left((Err(_), _)) => task::sleep(ACCEPT_PAUSE).await,
+                Either::Right(_) => return,
             }
         }
     }
 
     /// Takes no new connection and no new request from now on.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
+        self.stop.0.close();
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stop.1.is_closed()
     }
 
     /// The number of requests that are being answered.
@@ -179,7 +194,7 @@
     pub async fn drained(&self, limit: Duration) -> bool {
         let wait = async {
             while self.busy() > 0 {
-                task::sleep(STOP_POLL).await;
+                task::sleep(DRAIN_LOOK).await;
             }
         };
         timeout(limit, wait).await.is_ok()
@@ -251,23 +266,26 @@
     async fn read_some(&self, stream: &TcpStream, pending: &mut Vec<u8>, limit: Duration) -> ReadResult {
         let mut chunk = [0; READ_BYTES];
         let mut reader = stream;
-        let waiting_idle = pending.is_empty();
-        let read = async {
-            loop {
-                match timeout(STOP_POLL.max(Duration::from_millis(100)), reader.read(&mut chunk)).await {
-                    Ok(result) => return result,
-                    Err(_) if waiting_idle && self.stopping.load(Ordering::SeqCst) => return Ok(0),
-                    Err(_) => {}
+        let fresh = pending.is_empty();
+        let result = {
+            let read = reader.read(&mut chunk);
+            let stopped = async {
+                match fresh {
+                    true => self.stop.1.recv().await.is_ok(),
+                    false => std::future::pending().await,
                 }
+            };
+            pin_mut!(read, stopped);
+            match timeout(limit, select(read, stopped)).await {
+                Err(_) => return ReadResult::Late,
+                Ok(Either::Left((Ok(count), _))) => count,
+                Ok(_) => 0,
             }
         };
-        match timeout(limit, read).await {
-            Err(_) => ReadResult::Late,
-            Ok(Ok(0)) | Ok(Err(_)) => ReadResult::End,
-            Ok(Ok(count)) => {
-                pending.extend_from_slice(&chunk[..count]);
-                ReadResult::Some
-            }
+        pending.extend_from_slice(&chunk[..result]);
+        match result {
+            0 => ReadResult::End,
+            _ => ReadResult::Some,
         }
     }
 
@@ -331,8 +349,7 @@
     async fn answer(&self, stream: &TcpStream, head: &RequestHead, request: CallerRequest) -> AfterRequest {
         let method = request.request.method();
         let mut response = self.handler.handle(request).await;
-        let reusable =
-            head.keep_alive && head.body != BodyLength::Chunked && !self.stopping.load(Ordering::SeqCst);
+        let reusable = head.keep_alive && head.body != BodyLength::Chunked && !self.is_stopping();
         if !reusable {
             response.insert_header("connection", "close");
         }
@@ -349,7 +366,7 @@
     async fn write_response(&self, stream: &TcpStream, response: Response, method: Method) -> bool {
         let mut encoder = async_h1::server::Encoder::new(response, method);
         let mut chunk = vec![0; READ_BYTES];
-        let mut writer = stream;
+        let mut stall = StallTimer::new(self.options.write_limit);
         loop {
             let count = match encoder.read(&mut chunk).await {
                 Ok(0) => return true,
@@ -359,10 +376,8 @@
                     return false;
                 }
             };
-            if !matches!(
-                timeout(self.options.write_limit, writer.write_all(&chunk[..count])).await,
-                Ok(Ok(()))
-            ) {
+            stall.moved();
+            if write_all(stream, &chunk[..count], &mut stall).await.is_err() {
                 return false;
             }
         }
@@ -377,6 +392,26 @@
     }
 }
 
+/// Writes all bytes, unless the caller takes nothing for too long.
+async fn write_all(stream: &TcpStream, mut bytes: &[u8], stall: &mut StallTimer) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let written = poll_fn(|cx| {
+            let mut writer = stream;
+            match Pin::new(&mut writer).poll_write(cx, bytes) {
+                Poll::Pending => stall.poll_stalled(cx).map(|()| Err(io::ErrorKind::TimedOut.into())),
+                ready => ready,
+            }
+        });
+        let count = written.await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        stall.moved();
+        bytes = &bytes[count..];
+    }
+    Ok(())
+}
+
 enum HeadResult {
     Whole(usize),
     Closed,
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 /// How often the log core looks at the time.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(50);
 /// How many inputs may wait for the engine.
 const INPUT_QUEUE: usize = 8_192;
 
--- a/crates/micaspool/src/bin/micaspool-keeper.rs
+++ b/crates/micaspool/src/bin/micaspool-keeper.rs
@@ -2,15 +2,15 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
-use async_std::task;
+use async_std::future::timeout;
 use micaspool_daemon::{announce, start, stop_requested, EXIT_FAILED};
 use micaspool_keeper::run_keeper;
 use micaspool_settings::process::ProcessRole;
 use micaspool_telemetry::events::{self, record};
 use std::time::Duration;
 
-/// How often the keeper looks whether it must stop.
-const LOOK: Duration = Duration::from_millis(20);
+/// How often the keeper looks whether its files have failed.
+const LOOK: Duration = Duration::from_millis(500);
 
 #[async_std::main]
 async fn main() {
@@ -24,11 +24,10 @@
         }
     };
     announce("keeper", &[("wire", daemon.wire), ("status", daemon.status)]);
-    while !stop.is_set() {
+    while timeout(LOOK, stop.wait()).await.is_err() {
         if daemon.has_stopped() {
             std::process::exit(EXIT_FAILED);
         }
-        task::sleep(LOOK).await;
     }
     record(&events::PROCESS_DRAINING, &[]);
     daemon.stop().await;
