perf(daemon): one worker thread by default, set by worker_threads

Cause: perf showed a streamed token's time going into waking threads: async-std and tokio start one thread a core and hand each event on to another. Conclusion: entry instances are small and many; large ones set worker_threads.

--- a/crates/micaspool-daemon/src/arguments.rs
+++ b/crates/micaspool-daemon/src/arguments.rs
@@ -30,7 +30,7 @@
     pub incarnation: Incarnation,
 }
 
-/// Reads arguments and settings and sets the log up. Ends the process with code 2 when the
+/// Reads arguments and settings and sets the log up; call it before the first task runs. Ends the process with code 2 when the
 /// settings have a fault, and with code 0 after `--check`.
 pub fn start(role: ProcessRole) -> DaemonStart {
     let arguments: DaemonArguments = argh::from_env();
@@ -56,9 +56,17 @@
         eprintln!("{error}");
         std::process::exit(EXIT_FAILED);
     }
+    limit_threads(settings.worker_threads);
     DaemonStart { settings, incarnation: Incarnation(rand::random()) }
 }
 
+/// Tells both runtimes how many threads to start; they read it when the first task runs.
+fn limit_threads(count: usize) {
+    for variable in ["ASYNC_STD_THREAD_COUNT", "TOKIO_WORKER_THREADS"] {
+        std::env::set_var(variable, count.to_string());
+    }
+}
+
 /// Prints the one line that says that the daemon is ready, with its bound addresses.
 pub fn announce(process: &str, addresses: &[(&str, SocketAddr)]) {
     let pairs: Vec<String> = addresses.iter().map(|(key, address)| format!(" {key}={address}")).collect();
--- a/crates/micaspool-settings/src/process.rs
+++ b/crates/micaspool-settings/src/process.rs
@@ -21,9 +21,13 @@
     "log_file",
     "log_level",
     "trace_file",
+    "worker_threads",
 ];
 const PEER_FIELDS: &[&str] = &["name", "hall", "address"];
 
+/// The most threads that may run a process's tasks.
+const MAX_THREADS: u64 = 64;
+
 /// A process of another instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerAddress {
@@ -73,6 +77,9 @@
     pub log_level: String,
     /// The file of spans; none are written when absent.
     pub trace_file: Option<PathBuf>,
+    /// How many threads run its tasks. One does most work for its processor time; more serve an
+    /// instance on which one core is not enough.
+    pub worker_threads: usize,
 }
 
 /// Reads and checks a settings file for a role; every fault is reported at once.
@@ -122,7 +129,9 @@
     let log_file = read_path(root, "log_file", faults);
     let log_level = read_level(root, faults);
     let trace_file = read_path(root, "trace_file", faults);
+    let threads = root.child("worker_threads").and_then(|node| node.number(1, MAX_THREADS, faults));
     Some(ProcessSettings {
+        worker_threads: threads.unwrap_or(1) as usize,
         instance: instance?,
         hall: hall?,
         region: region?,
--- a/crates/micaspool/src/bin/micaspool-dispatcher.rs
+++ b/crates/micaspool/src/bin/micaspool-dispatcher.rs
@@ -2,14 +2,18 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
-use micaspool_daemon::{announce, start, stop_requested, EXIT_FAILED};
+use async_std::task;
+use micaspool_daemon::{announce, start, stop_requested, DaemonStart, EXIT_FAILED};
 use micaspool_dispatcher::run_dispatcher;
 use micaspool_settings::process::ProcessRole;
 use micaspool_telemetry::events::{self, record};
 
-#[async_std::main]
-async fn main() {
+fn main() {
     let start = start(ProcessRole::Dispatcher);
+    task::block_on(run(start));
+}
+
+async fn run(start: DaemonStart) {
     let stop = stop_requested().expect("the signals can be taken over");
     let daemon = match run_dispatcher(&start.settings, start.incarnation).await {
         Ok(daemon) => daemon,
--- a/crates/micaspool/src/bin/micaspool-keeper.rs
+++ b/crates/micaspool/src/bin/micaspool-keeper.rs
@@ -3,7 +3,8 @@
 #![forbid(unsafe_code)]
 
 use async_std::future::timeout;
-use micaspool_daemon::{announce, start, stop_requested, EXIT_FAILED};
+use async_std::task;
+use micaspool_daemon::{announce, start, stop_requested, DaemonStart, EXIT_FAILED};
 use micaspool_keeper::run_keeper;
 use micaspool_settings::process::ProcessRole;
 use micaspool_telemetry::events::{self, record};
@@ -12,9 +13,12 @@
 /// How often the keeper looks whether its files have failed.
 const LOOK: Duration = Duration::from_millis(500);
 
-#[async_std::main]
-async fn main() {
+fn main() {
     let start = start(ProcessRole::Keeper);
+    task::block_on(run(start));
+}
+
+async fn run(start: DaemonStart) {
     let stop = stop_requested().expect("the signals can be taken over");
     let daemon = match run_keeper(&start.settings).await {
         Ok(daemon) => daemon,
--- a/crates/micaspool/src/bin/micaspool-router.rs
+++ b/crates/micaspool/src/bin/micaspool-router.rs
@@ -2,7 +2,8 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
-use micaspool_daemon::{announce, start, stop_requested, EXIT_FAILED};
+use async_std::task;
+use micaspool_daemon::{announce, start, stop_requested, DaemonStart, EXIT_FAILED};
 use micaspool_router::run_router;
 use micaspool_settings::process::ProcessRole;
 use micaspool_telemetry::events::{self, record};
@@ -11,9 +12,12 @@
 /// How long requests in flight may take after the order to stop.
 const DRAIN_LIMIT: Duration = Duration::from_secs(600);
 
-#[async_std::main]
-async fn main() {
+fn main() {
     let start = start(ProcessRole::Router);
+    task::block_on(run(start));
+}
+
+async fn run(start: DaemonStart) {
     let stop = stop_requested().expect("the signals can be taken over");
     let daemon = match run_router(&start.settings, start.incarnation).await {
         Ok(daemon) => daemon,
--- a/crates/micaspool/src/fleet.rs
+++ b/crates/micaspool/src/fleet.rs
@@ -104,6 +104,7 @@
         log_file: None,
         log_level: "warn".to_owned(),
         trace_file: None,
+        worker_threads: 1,
     }
 }
 
