--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -135,7 +135,7 @@
         match event {
             QuorumEvent::Tick => self.tick(now),
             QuorumEvent::Message(message) => self.receive(now, message),
-            QuorumEvent::Saved => self.note_saved(),
+            QuorumEvent::Saved => self.note_saved(now),
             QuorumEvent::Compact(index, data) => self.compact(index, data),
             QuorumEvent::RecoverAlone => self.recover_alone(now),
         }
@@ -323,10 +323,10 @@
         self.output.save.snapshot = Some(snapshot);
     }
 
-    fn note_saved(&mut self) {
+    fn note_saved(&mut self, now: Moment) {
         self.saved = self.log.last_index();
         if self.is_leader() {
-            self.advance_commit();
+            self.advance_commit(now);
         }
     }
 }
--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -239,15 +239,14 @@
             progress.next = matched.next().max(progress.matched.next()).min(last.next());
         }
         let more = progress.next <= last && progress.in_flight.is_none();
-        self.advance_commit();
+        self.advance_commit(now);
         if more || !accepted {
             self.send_entries(now, from);
         }
     }
 
-    /// Commits what a majority has made durable, counting only entries of this term. Followers
-    /// hear of it with the next entries or heartbeat.
-    pub(super) fn advance_commit(&mut self) {
+    /// Commits what a majority has made durable, counting only entries of this term.
+    pub(super) fn advance_commit(&mut self, now: Moment) {
         let RoleState::Leader(state) = &self.role else { return };
         let membership = self.log.membership();
         let durable = |voter: &KeeperIdentity| match state.progress.get(voter) {
@@ -261,6 +260,7 @@
         if agreed > self.commit && self.log.term_at(agreed) == Some(self.hard.term) {
             self.commit = agreed;
             self.hand_out();
+            self.replicate_idle(now);
         }
     }
 }
