fix(keeper): answer callers only once the view shows what was applied

The engine answered while it applied; the view that reads come from was brought up to date only after everything else of the step, syncs included. Ruled out: a stale keeper (the log shows that the leader answered) and the client's redirects. Conclusion: a confirmed read now sees every change that was answered before it.

--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -111,6 +111,8 @@
     ledger_options: LedgerOptions,
     applied: LogIndex,
     waiting: BTreeMap<(LogIndex, Term), Sender<EngineReply>>,
+    /// Replies that go out once the view shows what they are about.
+    replies: Vec<(Sender<EngineReply>, EngineReply)>,
     outgoing: Sender<Envelope>,
     view: Arc<Mutex<KeeperView>>,
     stopping: bool,
@@ -147,6 +149,7 @@
             ledger_options,
             applied,
             waiting: BTreeMap::new(),
+            replies: Vec::new(),
             outgoing,
             view: Arc::new(Mutex::new(view)),
             stopping: false,
@@ -227,6 +230,9 @@
         self.fail_lost_commands();
         self.compact_if_long();
         self.publish();
+        for (waiter, reply) in self.replies.drain(..) {
+            let _ = waiter.try_send(reply);
+        }
         true
     }
 
@@ -261,7 +267,7 @@
             }
         };
         if let Some(waiter) = self.waiting.remove(&(entry.index, entry.term)) {
-            let _ = waiter.try_send(Ok(reply));
+            self.replies.push((waiter, Ok(reply)));
         }
     }
 
