--- a/crates/micaspool-ledger/src/options.rs
+++ b/crates/micaspool-ledger/src/options.rs
@@ -23,7 +23,7 @@
         LedgerOptions {
             retention: Duration::from_secs(24 * 3_600),
             running_limit: Duration::from_secs(15 * 60),
-            max_keys: 1_000_000,
+            max_keys: 200_000,
             max_answer_bytes: 64 * 1024 * 1024,
             max_answer: 256 * 1024,
         }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -7,6 +7,10 @@
     EndpointSpec, GrantFate, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer,
     ShardEvent, ShardOptions, ShardPolicy,
 };
+use micaspool::ledger::{
+    BodyDigest, ClaimCommand, ClaimKey, ClaimToken, FinishCommand, FinishKind, LedgerOptions, LedgerState,
+    LedgerTime, StoredAnswer,
+};
 use micaspool::types::{
     Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestId,
     Revision, Weight,
@@ -120,7 +124,35 @@
     kilobytes.unwrap_or(0) * 1_024
 }
 
+/// What a remembered key of the ledger takes, with an answer of 256 bytes and without.
+fn ledger_bytes() {
+    const KEYS: u64 = 200_000;
+    for answer in [0, 256] {
+        let before = resident_bytes();
+        let mut ledger = LedgerState::new(LedgerOptions::default());
+        for number in 0..KEYS {
+            let key = ClaimKey {
+                customer: customer(number as usize % 84),
+                key: format!("key-{number:020}").into(),
+            };
+            let token = ClaimToken(number);
+            let at = LedgerTime(number);
+            ledger.claim(&ClaimCommand { key: key.clone(), body: BodyDigest([7; 32]), token, at });
+            let stored = StoredAnswer {
+                status: 200,
+                content_type: "application/json".to_owned(),
+                body: vec![1; answer],
+            };
+            ledger.finish(&FinishCommand { key, token, kind: FinishKind::Answered(stored), at });
+        }
+        let bytes = resident_bytes().saturating_sub(before) / KEYS;
+        println!("ledger: {bytes} bytes a key with an answer of {answer} bytes, {} keys", ledger.len());
+        std::mem::forget(ledger);
+    }
+}
+
 fn main() {
+    ledger_bytes();
     println!(
         "{:>10} {:>10} {:>9} {:>14} {:>16}",
         "customers", "endpoints", "waiting", "us a decision", "bytes a ticket"
