feat(dispatch): levels count what other regions deliver

Cause: a customer with work in two regions was served twice its share. Ruled out: sending differences, which a lost or doubled message would falsify; sums that only grow do no harm then.

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -3,7 +3,7 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, OrderNumber,
-    RequestId, Revision, Weight,
+    RegionName, RequestId, Revision, Weight,
 };
 use std::collections::BTreeSet;
 
@@ -157,6 +157,27 @@
     pub dropped: Vec<u64>,
 }
 
+/// What the shard of another region has delivered to customers since it began. Sums only grow, so
+/// that lost, doubled and late messages do no harm.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionTotals {
+    /// The region.
+    pub region: RegionName,
+    /// Tells one life of the other shard's dispatcher from the next.
+    pub incarnation: Incarnation,
+    /// The sum for each customer.
+    pub totals: Vec<CustomerTotal>,
+}
+
+/// What one customer has received from a shard since it began.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CustomerTotal {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The sum of delivered cost.
+    pub served: Cost,
+}
+
 /// One thing that happens to a shard.
 #[derive(Clone, Debug)]
 pub enum ShardEvent {
@@ -186,6 +207,8 @@
     Listed(BTreeSet<EndpointName>),
     /// An endpoint's cache has changed.
     Cache(CacheNews),
+    /// The shard of another region tells what it has delivered.
+    Shared(RegionTotals),
     /// Time has passed.
     Tick,
     /// The dispatcher stops; routers shall go elsewhere.
--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -27,6 +27,8 @@
     pub estimator: CostEstimator,
     pub queue: BTreeMap<QueuePlace, RequestId>,
     pub running: u32,
+    /// What this shard has delivered to the customer since it began.
+    pub served: Cost,
     /// The halls and rank under which the customer stands in the index.
     pub indexed: Option<(HallMask, Rank)>,
     /// The order number of the newest grant whose level is in the account.
@@ -78,6 +80,7 @@
             estimator: CostEstimator::new(self.ceiling),
             queue: BTreeMap::new(),
             running: 0,
+            served: Cost(0),
             indexed: None,
             level_order: OrderNumber(0),
         });
@@ -105,6 +108,12 @@
         self.account.base().plus(policy.level(&self.account))
     }
 
+    /// Charges the progress of a running request.
+    pub fn note_delivered(&mut self, estimate: Cost, before: Cost, after: Cost) {
+        self.account.charge_progress(estimate, before, after);
+        self.served = self.served.plus(after.minus(before));
+    }
+
     /// Keeps what was received under the old weight and counts on under the new one.
     fn change_weight(&mut self, weight: Weight, policy: &dyn OrderPolicy) {
         if weight == self.account.weight() {
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -116,7 +116,7 @@
         }
         let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
         grant.delivered = delivered;
-        self.customers.get_mut(customer).account.charge_progress(estimate, before, delivered);
+        self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
         self.reindex(customer);
     }
 
@@ -146,6 +146,7 @@
             GrantFate::Done | GrantFate::Broken => {
                 let cost = cost.unwrap_or(grant.delivered);
                 state.account.charge_end(grant.estimate, grant.delivered, cost);
+                state.served = state.served.plus(cost.minus(grant.delivered));
                 if fate == GrantFate::Done && cost > Cost(0) {
                     state.estimator.learn(grant.hint, cost);
                 }
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -92,7 +92,7 @@
         let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
         if delivered > before {
             grant.delivered = delivered;
-            self.customers.get_mut(customer).account.charge_progress(estimate, before, delivered);
+            self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
             self.reindex(customer);
         }
     }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -12,6 +12,7 @@
 mod prefixes;
 mod retries;
 mod routers;
+mod sharing;
 mod status;
 mod tickets;
 
@@ -29,6 +30,7 @@
 use prefixes::PrefixMemory;
 use retries::RetryBudgets;
 use routers::RouterTable;
+use sharing::RemoteTotals;
 use std::collections::HashMap;
 use tickets::WaitingTicket;
 
@@ -48,6 +50,7 @@
     index: RankIndex,
     prefixes: PrefixMemory,
     retries: RetryBudgets,
+    remote: RemoteTotals,
     pace: GrantPace,
     next_order: OrderNumber,
     /// Until when a new shard collects what routers hold; `None` once it grants.
@@ -69,6 +72,7 @@
             index: RankIndex::default(),
             prefixes: PrefixMemory::new(options.prefix_capacity),
             retries: RetryBudgets::default(),
+            remote: RemoteTotals::default(),
             pace: GrantPace::new(now),
             next_order: OrderNumber(1),
             recovering_until: Some(now + options.recovery_window),
@@ -110,6 +114,7 @@
             ShardEvent::Unreachable(endpoint) => self.endpoints.fail_probe(now, &endpoint),
             ShardEvent::Listed(leaving) => self.endpoints.list_leaving(&leaving),
             ShardEvent::Cache(news) => self.learn_cache(&news),
+            ShardEvent::Shared(totals) => self.take_shared(&totals),
             ShardEvent::Tick => self.expire(now),
             ShardEvent::Stop => self.ask_all_to_rejoin(actions),
         }
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -7,3 +7,4 @@
 mod faults;
 mod limits;
 mod recovery;
+mod regions;
--- a/crates/micaspool-fair/src/account.rs
+++ b/crates/micaspool-fair/src/account.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Raises the base by service that was received elsewhere.
+    pub fn raise(&mut self, level: ServiceLevel) {
+        self.base = self.base.plus(level);
+    }
+
     /// Starts new sums at a known level, with a new weight; running charges stay.
     pub fn rebase(&mut self, base: ServiceLevel, weight: Weight) {
         self.base = base;
