feat(dispatcher): exchange totals between the dispatchers of two regions

Cause: the core counts what other regions deliver; nothing told it. Before: a customer's level knew one region only. After: in two deployments of nine processes each, calls in one raise the level in the other (one test).

--- a/crates/micaspool-dispatcher/src/daemon.rs
+++ b/crates/micaspool-dispatcher/src/daemon.rs
@@ -94,6 +94,7 @@
 ) -> Result<DispatcherDaemon, Error> {
     let keepers = TrafficCounter::default();
     let routers = TrafficCounter::default();
+    let remote = TrafficCounter::default();
     let client = Arc::new(KeeperClient::new(settings.keepers.clone(), keepers.clone()));
     let mirror = SettingsMirror::start(client, &format!("dispatcher-{}", settings.instance));
     let list: Arc<dyn InstanceList> = match settings.instance_list {
@@ -103,6 +104,9 @@
     let options = HostOptions {
         shard: ShardOptions::default(),
         incarnation,
+        region: settings.region.clone(),
+        remote: settings.remote_dispatchers.clone(),
+        remote_counter: remote.clone(),
         spans: open_spans(settings)?,
         probe: Arc::new(HttpEndpointProbe::default()),
         list,
@@ -110,7 +114,11 @@
     let host = Arc::new(ShardHost::new(options, mirror.clone()));
     let stopping = Arc::new(AtomicBool::new(false));
     let wire = serve_wire(settings.wire, &host, &stopping, &routers).await?;
-    let source = Arc::new(DispatcherStatusSource::new(host.clone(), mirror, keepers, routers));
+    let source = Arc::new(DispatcherStatusSource::new(
+        host.clone(),
+        mirror,
+        DispatcherCounters { keepers, routers, remote },
+    ));
     let status =
         serve_status(settings.status, source).await.map_err(|error| Error::Bind(settings.status, error))?;
     Ok(DispatcherDaemon { wire, status, host, stopping })
@@ -142,6 +150,13 @@
     service: String,
 }
 
+/// Control bytes by kind of peer.
+struct DispatcherCounters {
+    keepers: TrafficCounter,
+    routers: TrafficCounter,
+    remote: TrafficCounter,
+}
+
 struct DispatcherStatusSource {
     host: Arc<ShardHost>,
     mirror: Arc<SettingsMirror>,
@@ -163,15 +178,13 @@
     fn new(
         host: Arc<ShardHost>,
         mirror: Arc<SettingsMirror>,
-        keepers: TrafficCounter,
-        routers: TrafficCounter,
+        counters: DispatcherCounters,
     ) -> DispatcherStatusSource {
         let mut registry = Registry::default();
-        let traffic = TrafficMetrics::default().with("dispatcher", "keeper", keepers).with(
-            "dispatcher",
-            "router",
-            routers,
-        );
+        let traffic = TrafficMetrics::default()
+            .with("dispatcher", "keeper", counters.keepers)
+            .with("dispatcher", "router", counters.routers)
+            .with("dispatcher", "dispatcher", counters.remote);
         traffic.register(&mut registry);
         let gauges = ShardGauges::default();
         registry.register("micaspool_waiting_requests", "Waiting requests", gauges.waiting.clone());
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -2,11 +2,14 @@
 
 use crate::host::HostOptions;
 use crate::shard_policy::shard_policy;
+use crate::sharing::share_totals;
 use async_std::channel::{unbounded, Receiver, Sender};
 use async_std::future::timeout;
 use async_std::task;
 use micaspool_client::SettingsMirror;
-use micaspool_dispatch::{CacheNews, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus};
+use micaspool_dispatch::{
+    CacheNews, CustomerTotal, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus,
+};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::HopSpan;
 use micaspool_types::{EndpointName, Moment, RequestId, ServiceName};
@@ -46,6 +49,20 @@
 pub(crate) struct ShardHandle {
     pub inputs: Sender<ShardInput>,
     pub status: Arc<Mutex<ShardStatus>>,
+    /// What the shard has delivered, for other regions.
+    pub totals: Arc<Mutex<Vec<CustomerTotal>>>,
+}
+
+impl ShardHandle {
+    /// True while routers use the shard.
+    pub fn is_used(&self) -> bool {
+        self.status.lock().expect("no holder of the status panics").routers > 0
+    }
+
+    /// What the shard has delivered so far.
+    pub fn totals(&self) -> Vec<CustomerTotal> {
+        self.totals.lock().expect("no holder of the totals panics").clone()
+    }
 }
 
 /// A monotonic clock as moments since the start of the shard.
@@ -67,6 +84,7 @@
     streams: HashMap<SessionId, Sender<StreamItem>>,
     actions: Vec<ShardAction>,
     status: Arc<Mutex<ShardStatus>>,
+    totals: Arc<Mutex<Vec<CustomerTotal>>>,
 }
 
 /// Starts a shard; it runs until its handle is gone.
@@ -78,6 +96,7 @@
     let clock = ShardClock(Instant::now());
     let core = ShardCore::new(clock.now(), options.shard.clone());
     let status = Arc::new(Mutex::new(core.status()));
+    let totals: Arc<Mutex<Vec<CustomerTotal>>> = Arc::default();
     let (inputs, receiver) = unbounded();
     let driver = ShardDriver {
         clock,
@@ -87,13 +106,16 @@
         streams: HashMap::new(),
         actions: Vec::new(),
         status: status.clone(),
+        totals: totals.clone(),
     };
     record(&events::SHARD_STARTED, &[field("service", &service)]);
     let settings = mirror.listen();
     task::spawn(feed_settings(service.clone(), mirror.clone(), settings, inputs.clone()));
-    task::spawn(feed_probes(clock, service, options, mirror, inputs.clone(), status.clone()));
+    let handle = ShardHandle { inputs: inputs.clone(), status: status.clone(), totals };
+    task::spawn(share_totals(service.clone(), options.clone(), handle.clone()));
+    task::spawn(feed_probes(clock, service, options, mirror, inputs, status));
     task::spawn(driver.run(receiver));
-    ShardHandle { inputs, status }
+    handle
 }
 
 impl ShardDriver {
@@ -109,6 +131,7 @@
             if Instant::now() >= next_tick {
                 self.step(ShardEvent::Tick);
                 *self.status.lock().expect("no holder of the status panics") = self.core.status();
+                *self.totals.lock().expect("no holder of the totals panics") = self.core.totals();
                 next_tick = Instant::now() + TICK;
             }
         }
--- a/crates/micaspool-dispatcher/src/host.rs
+++ b/crates/micaspool-dispatcher/src/host.rs
@@ -5,8 +5,10 @@
 use crate::probe::EndpointProbe;
 use micaspool_client::SettingsMirror;
 use micaspool_dispatch::{SessionId, ShardEvent, ShardOptions, ShardStatus};
+use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::spans::SpanSink;
-use micaspool_types::{Incarnation, ServiceName};
+use micaspool_telemetry::traffic::TrafficCounter;
+use micaspool_types::{Incarnation, RegionName, ServiceName};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -19,6 +21,12 @@
     pub shard: ShardOptions,
     /// Tells one life of the dispatcher from the next.
     pub incarnation: Incarnation,
+    /// The region of this dispatcher.
+    pub region: RegionName,
+    /// Dispatchers of other regions.
+    pub remote: Vec<PeerAddress>,
+    /// Counts the bytes of the exchange with them.
+    pub remote_counter: TrafficCounter,
     /// Where spans go.
     pub spans: SpanSink,
     /// How endpoints are asked for their load.
@@ -48,6 +56,11 @@
         ShardHost { options, mirror, shards: Mutex::default(), next_session: AtomicU64::new(1) }
     }
 
+    /// What every shard shares.
+    pub(crate) fn options(&self) -> &HostOptions {
+        &self.options
+    }
+
     /// A number for a new stream.
     pub(crate) fn new_session(&self) -> SessionId {
         SessionId(self.next_session.fetch_add(1, Ordering::Relaxed))
@@ -75,6 +88,12 @@
         shards.iter().map(|(service, shard)| (service.clone(), status(shard))).collect()
     }
 
+    /// The shard of a service, when routers use it.
+    pub(crate) fn used_shard(&self, service: &ServiceName) -> Option<ShardHandle> {
+        let shard = self.lock().get(service).cloned()?;
+        shard.is_used().then_some(shard)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServiceName, ShardHandle>> {
         self.shards.lock().expect("no holder of the shards panics")
     }
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -13,6 +13,7 @@
 mod probe;
 mod service;
 mod shard_policy;
+mod sharing;
 
 pub use daemon::{run_dispatcher, DispatcherDaemon, Error};
 pub use host::{HostOptions, ShardHost};
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -2,13 +2,14 @@
 
 use crate::driver::{ShardHandle, ShardInput, StreamItem};
 use crate::host::ShardHost;
+use crate::sharing::{own_totals, take_totals};
 use async_std::channel::unbounded;
 use async_std::task;
 use futures::Stream;
 use micaspool_dispatch::{SessionId, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{RequestId, ServiceName};
-use micaspool_wire::convert::{request_id, shard_event};
+use micaspool_wire::convert::{request_id, shard_event, shared_message};
 use micaspool_wire::v1::{self, dispatch_server::Dispatch, router_message::Body};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -55,6 +56,18 @@
         Ok(Response::new(Box::pin(receiver)))
     }
 
+    async fn share(&self, request: Request<v1::SharedTotals>) -> Result<Response<v1::SharedTotals>, Status> {
+        let message = request.into_inner();
+        let service = ServiceName::parse(&message.service)
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let Some(shard) = self.host.used_shard(&service) else {
+            return Ok(Response::new(v1::SharedTotals::default()));
+        };
+        let own = own_totals(self.host.options(), &shard);
+        take_totals(&shard, message).await;
+        Ok(Response::new(shared_message(&service, &own)))
+    }
+
     async fn status(
         &self,
         _request: Request<v1::StatusRequest>,
--- a/crates/micaspool-settings/src/process.rs
+++ b/crates/micaspool-settings/src/process.rs
@@ -17,6 +17,7 @@
     "data_folder",
     "keepers",
     "dispatchers",
+    "remote_dispatchers",
     "instance_list",
     "log_file",
     "log_level",
@@ -69,6 +70,8 @@
     pub keepers: Vec<PeerAddress>,
     /// Every dispatcher of the region.
     pub dispatchers: Vec<PeerAddress>,
+    /// Dispatchers of other regions, with whose shards totals are exchanged.
+    pub remote_dispatchers: Vec<PeerAddress>,
     /// Where the platform's list of instances is served, if anywhere.
     pub instance_list: Option<SocketAddr>,
     /// The log file; standard error when absent.
@@ -125,6 +128,7 @@
     if role == ProcessRole::Keeper && !lists_itself(&instance, &keepers) {
         faults.add(root, "list this instance under 'keepers' too, by its instance name");
     }
+    let remote_dispatchers = read_peers(root, "remote_dispatchers", false, faults);
     let instance_list = read_optional_address(root, "instance_list", faults);
     let log_file = read_path(root, "log_file", faults);
     let log_level = read_level(root, faults);
@@ -141,6 +145,7 @@
         data_folder: data_folder.unwrap_or_default(),
         keepers: keepers?,
         dispatchers: dispatchers?,
+        remote_dispatchers: remote_dispatchers?,
         instance_list,
         log_file,
         log_level,
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -2,13 +2,13 @@
 
 use crate::v1;
 use micaspool_dispatch::{
-    GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello, SessionId, ShardAction,
-    ShardEvent,
+    CustomerTotal, GrantFate, HeldGrant, HeldTotal, RegionTotals, ReleaseReason, RequestTicket, RouterHello,
+    SessionId, ShardAction, ShardEvent,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RequestId,
-    ServiceName,
+    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RegionName,
+    RequestId, ServiceName,
 };
 use std::fmt;
 use std::time::Duration;
@@ -167,6 +167,32 @@
     })
 }
 
+/// What a shard has delivered, as a message.
+pub fn shared_message(service: &ServiceName, totals: &RegionTotals) -> v1::SharedTotals {
+    let each = totals
+        .totals
+        .iter()
+        .map(|total| v1::SharedTotal { customer: total.customer.to_string(), served: total.served.0 });
+    v1::SharedTotals {
+        service: service.to_string(),
+        region: totals.region.to_string(),
+        incarnation: totals.incarnation.0,
+        totals: each.collect(),
+    }
+}
+
+/// What a shard has delivered, from a message.
+pub fn region_totals(message: v1::SharedTotals) -> Result<RegionTotals, Error> {
+    let each = message.totals.into_iter().map(|total| {
+        Ok(CustomerTotal { customer: CustomerName::parse(&total.customer)?, served: Cost(total.served) })
+    });
+    Ok(RegionTotals {
+        region: RegionName::parse(&message.region)?,
+        incarnation: Incarnation(message.incarnation),
+        totals: each.collect::<Result<_, Error>>()?,
+    })
+}
+
 /// How a grant ended, as a message.
 pub fn fate_message(fate: GrantFate) -> v1::Fate {
     match fate {
--- a/crates/micaspool/src/fleet.rs
+++ b/crates/micaspool/src/fleet.rs
@@ -100,6 +100,7 @@
         data_folder: options.data_folder.join(format!("keeper-{}", number + 1)),
         keepers: peers(KEEPER_PORT),
         dispatchers: peers(DISPATCHER_PORT),
+        remote_dispatchers: Vec::new(),
         instance_list: None,
         log_file: None,
         log_level: "warn".to_owned(),
--- a/crates/micaspool/tests/dispatch_faults.rs
+++ b/crates/micaspool/tests/dispatch_faults.rs
@@ -245,3 +245,41 @@
         }
     });
 }
+
+#[test]
+fn what_one_region_delivers_raises_the_customers_level_in_the_other() {
+    task::block_on(async {
+        let mut far_tree = milk();
+        for hall in far_tree["halls"].as_object_mut().expect("halls").values_mut() {
+            hall["region"] = json!("otra");
+        }
+        let mut near = Deployment::prepare(milk(), TOKEN).await;
+        let mut far = Deployment::prepare(far_tree, Duration::from_millis(1)).await;
+        let wires = |ip: &str| (7611..7614).map(|port| format!("{ip}:{port}")).collect::<Vec<_>>();
+        near.remote_dispatchers = wires(&far.ip);
+        far.remote_dispatchers = wires(&near.ip);
+        near.start_processes().await;
+        far.start_processes().await;
+        let long = Call::chat(near.router(0), "farm-01", MODEL, "long", 1_500, true);
+        let running = task::spawn(async move { long.send().await });
+        wait_for(|| async { near.serving(MODEL).await.is_some() }).await;
+        for _ in 0..2 {
+            let call = Call::chat(far.router(0), "farm-01", MODEL, "far", 200, false);
+            assert_eq!(call.send().await.expect("an answer").status, 200);
+        }
+        task::sleep(Duration::from_millis(1_500)).await;
+        for _ in 0..20 {
+            let call = Call::chat(far.router(0), "farm-01", MODEL, "far", 200, false);
+            assert_eq!(call.send().await.expect("an answer").status, 200);
+        }
+        wait_for(|| async {
+            let Some(number) = near.serving(MODEL).await else { return false };
+            let state = near.state(&near.dispatchers[number]).await;
+            let customers = state["shards"][0]["customers"].as_array().cloned().unwrap_or_default();
+            let farm = customers.into_iter().find(|customer| customer["name"] == "farm-01");
+            farm.is_some_and(|farm| farm["level"].as_u64().unwrap_or(0) > 2_000)
+        })
+        .await;
+        drop(running);
+    });
+}
--- a/crates/micaspool/tests/harness/mod.rs
+++ b/crates/micaspool/tests/harness/mod.rs
@@ -103,6 +103,8 @@
     pub routers: Vec<Option<Daemon>>,
     pub endpoints: BTreeMap<String, StandInEndpoint>,
     pub client: KeeperClient,
+    /// Dispatchers of another region.
+    pub remote_dispatchers: Vec<String>,
     /// The instance that can be cut off, and the relays to and from it.
     pub remote: Option<usize>,
     pub relays: Vec<relay::Relay>,
@@ -172,6 +174,7 @@
             routers: vec![None, None, None],
             endpoints,
             client,
+            remote_dispatchers: Vec::new(),
             remote: None,
             relays: Vec::new(),
         }
@@ -230,7 +233,12 @@
                 settings["wire"] = json!(format!("{}:{}", self.ip, 7601 + number));
                 settings["data_folder"] = json!(self.folder.join(format!("data-{number}")));
             }
-            "dispatcher" => settings["wire"] = json!(format!("{}:{}", self.ip, 7611 + number)),
+            "dispatcher" => {
+                settings["wire"] = json!(format!("{}:{}", self.ip, 7611 + number));
+                let others = self.remote_dispatchers.iter().enumerate();
+                let peer = |(n, address): (usize, &String)| json!({ "name": format!("far-{n}"), "address": address });
+                settings["remote_dispatchers"] = others.map(peer).collect();
+            }
             _ => settings["callers"] = json!(format!("{}:0", self.ip)),
         }
         let path = self.folder.join(format!("{role}-{number}.json"));
