fix(http): let a caller that still sends read its refusal; split grown files

Ruled out: the router's limits (the refusal was written). Conclusion: larger bodies than 16 MB may still meet a reset.

--- a/crates/micaspool-daemon/src/lib.rs
+++ b/crates/micaspool-daemon/src/lib.rs
@@ -1,11 +1,14 @@
-//! What the daemons share: arguments, the settings file, logs, signals and the ready line.
+//! What the daemons share: arguments, the settings file, logs, spans, signals, the ready line, and
+//! why one cannot start.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 mod arguments;
+mod error;
 mod signals;
 
 pub use arguments::{announce, start, DaemonStart};
+pub use error::{open_spans, StartError};
 pub use signals::{stop_requested, StopSignal};
 
 /// The exit code for wrong arguments and settings.
--- a/crates/micaspool-dispatcher/src/daemon.rs
+++ b/crates/micaspool-dispatcher/src/daemon.rs
@@ -7,10 +7,11 @@
 use async_std::task;
 use async_trait::async_trait;
 use micaspool_client::{KeeperClient, SettingsMirror};
+use micaspool_daemon::{open_spans, StartError};
 use micaspool_dispatch::{ShardOptions, ShardStatus};
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_settings::process::ProcessSettings;
-use micaspool_telemetry::spans::SpanSink;
+use micaspool_telemetry::metrics::encode_text;
 use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
 use micaspool_types::{EndpointName, Incarnation};
 use micaspool_wire::socket::CountedListener;
@@ -21,7 +22,6 @@
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -32,30 +32,6 @@
 /// The largest message, which holds everything that a router has.
 const MAX_MESSAGE: usize = 64 * 1024 * 1024;
 
-/// Why a dispatcher cannot run.
-#[derive(Debug)]
-pub enum Error {
-    /// An address cannot be bound.
-    Bind(SocketAddr, std::io::Error),
-    /// The trace file cannot be opened.
-    Trace(std::io::Error),
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Error::Bind(address, error) => {
-                write!(f, "{address} cannot be bound ({error}); choose a free port, or 0 for any")
-            }
-            Error::Trace(error) => {
-                write!(f, "the trace file cannot be opened ({error}); make its folder writable")
-            }
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
 /// A running dispatcher.
 #[derive(Debug)]
 pub struct DispatcherDaemon {
@@ -91,7 +67,7 @@
 pub async fn run_dispatcher(
     settings: &ProcessSettings,
     incarnation: Incarnation,
-) -> Result<DispatcherDaemon, Error> {
+) -> Result<DispatcherDaemon, StartError> {
     let keepers = TrafficCounter::default();
     let routers = TrafficCounter::default();
     let remote = TrafficCounter::default();
@@ -119,24 +95,19 @@
         mirror,
         DispatcherCounters { keepers, routers, remote },
     ));
-    let status =
-        serve_status(settings.status, source).await.map_err(|error| Error::Bind(settings.status, error))?;
+    let status = serve_status(settings.status, source).await.map_err(StartError::bind(settings.status))?;
     Ok(DispatcherDaemon { wire, status, host, stopping })
 }
 
-fn open_spans(settings: &ProcessSettings) -> Result<SpanSink, Error> {
-    SpanSink::open(settings.trace_file.as_deref(), settings.instance.as_str()).map_err(Error::Trace)
-}
-
 async fn serve_wire(
     address: SocketAddr,
     host: &Arc<ShardHost>,
     stopping: &Arc<AtomicBool>,
     counter: &TrafficCounter,
-) -> Result<SocketAddr, Error> {
-    let failed = |error| Error::Bind(address, error);
-    let listener = CountedListener::bind(address, counter.clone()).await.map_err(failed)?;
-    let wire = listener.local_address().map_err(failed)?;
+) -> Result<SocketAddr, StartError> {
+    let failed = StartError::bind(address);
+    let listener = CountedListener::bind(address, counter.clone()).await.map_err(&failed)?;
+    let wire = listener.local_address().map_err(&failed)?;
     let service = DispatchService::new(host.clone(), stopping.clone());
     let server = DispatchServer::new(service).max_decoding_message_size(MAX_MESSAGE);
     task::spawn(async move {
@@ -224,9 +195,7 @@
 
     fn metrics(&self) -> String {
         self.refresh();
-        let mut text = String::new();
-        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
-        text
+        encode_text(&self.registry)
     }
 
     fn state(&self) -> String {
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -15,7 +15,7 @@
 mod shard_policy;
 mod sharing;
 
-pub use daemon::{run_dispatcher, DispatcherDaemon, Error};
+pub use daemon::{run_dispatcher, DispatcherDaemon};
 pub use host::{HostOptions, ShardHost};
 pub use platform::{HttpInstanceList, InstanceList};
 pub use probe::{EndpointProbe, HttpEndpointProbe, ProbeAnswer};
--- a/crates/micaspool-http/src/server.rs
+++ b/crates/micaspool-http/src/server/connection.rs
@@ -1,24 +1,20 @@
-//! Serving HTTP/1.1 callers.
+//! One connection: reading heads and bodies, answering, refusing.
 
+use super::{CallerRequest, CallerWatch, CountGuard, HttpServer};
 use crate::head::{check_head, head_end, BodyLength, RequestHead};
 use crate::refusal::refusal_response;
 use crate::replay::ReplayStream;
 use crate::stall::StallTimer;
-use async_std::channel::{bounded, Receiver, Sender};
 use async_std::future::timeout;
 use async_std::io::{ReadExt, Write};
-use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
-use async_trait::async_trait;
+use async_std::net::TcpStream;
 use futures::future::{select, Either};
 use futures::pin_mut;
 use http_types::{Method, Request, Response};
-use micaspool_types::{Refusal, RefusalKind, RequestId};
+use micaspool_types::{Refusal, RefusalKind};
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -26,128 +22,8 @@
 const READ_BYTES: usize = 8 * 1024;
 /// How much unread input is thrown away before a connection closes, so that the caller reads the
 /// answer instead of a reset.
-const DISCARD_BYTES: usize = 256 * 1024;
-const DISCARD_LIMIT: Duration = Duration::from_millis(500);
-/// How often a draining server counts its requests.
-const DRAIN_LOOK: Duration = Duration::from_millis(20);
-/// The pause after an error of the listener.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
-/// Limits of a server.
-#[derive(Debug, Clone, Copy)]
-pub struct ServerOptions {
-    /// The largest head in bytes.
-    pub max_head_bytes: usize,
-    /// How long a head may take from its first byte.
-    pub head_limit: Duration,
-    /// How long a body may take.
-    pub body_limit: Duration,
-    /// How long a connection may be idle between requests.
-    pub idle_limit: Duration,
-    /// How long one write to the caller may take.
-    pub write_limit: Duration,
-    /// The most connections at once.
-    pub max_connections: usize,
-}
-
-impl Default for ServerOptions {
-    fn default() -> Self {
-        ServerOptions {
-            max_head_bytes: 32 * 1024,
-            head_limit: Duration::from_secs(5),
-            body_limit: Duration::from_secs(30),
-            idle_limit: Duration::from_secs(60),
-            write_limit: Duration::from_secs(30),
-            max_connections: 4_096,
-        }
-    }
-}
-
-/// A whole request.
-#[derive(Debug)]
-pub struct CallerRequest {
-    /// The id that the server gave it.
-    pub id: RequestId,
-    /// The request with its headers; the body is in `body`.
-    pub request: Request,
-    /// The path with its query.
-    pub target: String,
-    /// The whole body.
-    pub body: Vec<u8>,
-    /// Tells whether the caller is still there.
-    pub watch: CallerWatch,
-}
-
-/// Tells whether a caller is still there.
-#[derive(Debug, Clone)]
-pub struct CallerWatch {
-    stream: Option<TcpStream>,
-}
-
-impl CallerWatch {
-    /// A caller that never leaves, for those that embed a handler.
-    pub fn detached() -> CallerWatch {
-        CallerWatch { stream: None }
-    }
-
-    /// Ends when the caller has closed its connection; never when it sends more instead.
-    pub async fn hung_up(&self) {
-        let mut byte = [0];
-        match &self.stream {
-            Some(stream) => match stream.peek(&mut byte).await {
-                Ok(0) | Err(_) => {}
-                Ok(_) => std::future::pending().await,
-            },
-            None => std::future::pending().await,
-        }
-    }
-}
-
-/// What answers requests.
-#[async_trait]
-pub trait HttpHandler: Send + Sync + 'static {
-    /// Looks at a head before the body is read, and says how large the body may be.
-    fn admit(&self, head: &RequestHead) -> Result<u64, Refusal>;
-
-    /// A new request id.
-    fn next_id(&self) -> RequestId;
-
-    /// Answers a request.
-    async fn handle(&self, request: CallerRequest) -> Response;
-}
-
-/// A server with the number of its open connections.
-#[derive(Clone)]
-pub struct HttpServer {
-    handler: Arc<dyn HttpHandler>,
-    options: ServerOptions,
-    open: Arc<AtomicUsize>,
-    busy: Arc<AtomicUsize>,
-    /// Closed once the server shall stop; nothing is ever sent.
-    stop: (Sender<()>, Receiver<()>),
-}
-
-impl std::fmt::Debug for HttpServer {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "HttpServer({} open)", self.open.load(Ordering::Relaxed))
-    }
-}
-
-/// Ends the count of a connection or request when dropped.
-struct CountGuard(Arc<AtomicUsize>);
-
-impl CountGuard {
-    fn new(count: &Arc<AtomicUsize>) -> CountGuard {
-        count.fetch_add(1, Ordering::SeqCst);
-        CountGuard(count.clone())
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
+const DISCARD_BYTES: usize = 16 * 1024 * 1024;
+const DISCARD_LIMIT: Duration = Duration::from_secs(2);
 
 /// How a connection goes on after a request.
 #[derive(PartialEq, Eq)]
@@ -157,65 +33,7 @@
 }
 
 impl HttpServer {
-    /// A server that answers with this handler.
-    pub fn new(handler: Arc<dyn HttpHandler>, options: ServerOptions) -> HttpServer {
-        HttpServer { handler, options, open: Arc::default(), busy: Arc::default(), stop: bounded(1) }
-    }
-
-    /// Accepts connections until [`HttpServer::stop`] is called.
-    pub async fn serve(&self, listener: TcpListener) {
-        while !self.is_stopping() {
-            let accepted = listener.accept();
-            let stopped = self.stop.1.recv();
-            pin_mut!(accepted, stopped);
-            match select(accepted, stopped).await {
-                Either::Left((Ok((stream, _)), _)) => self.accept(stream),
-                Either::Left((Err(_), _)) => task::sleep(ACCEPT_PAUSE).await,
-                Either::Right(_) => return,
-            }
-        }
-    }
-
-    /// Takes no new connection and no new request from now on.
-    pub fn stop(&self) {
-        self.stop.0.close();
-    }
-
-    fn is_stopping(&self) -> bool {
-        self.stop.1.is_closed()
-    }
-
-    /// The number of requests that are being answered.
-    pub fn busy(&self) -> usize {
-        self.busy.load(Ordering::SeqCst)
-    }
-
-    /// Waits until no request is being answered, at most for `limit`; true when none is.
-    pub async fn drained(&self, limit: Duration) -> bool {
-        let wait = async {
-            while self.busy() > 0 {
-                task::sleep(DRAIN_LOOK).await;
-            }
-        };
-        timeout(limit, wait).await.is_ok()
-    }
-
-    fn accept(&self, stream: TcpStream) {
-        let server = self.clone();
-        let guard = CountGuard::new(&self.open);
-        task::spawn(async move {
-            let _guard = guard;
-            let _ = stream.set_nodelay(true);
-            if server.open.load(Ordering::SeqCst) > server.options.max_connections {
-                let refusal = Refusal::not_run(RefusalKind::TooManyConnections).after(Duration::from_secs(1));
-                server.refuse(&stream, &refusal, None).await;
-                return;
-            }
-            server.run_connection(stream).await;
-        });
-    }
-
-    async fn run_connection(&self, stream: TcpStream) {
+    pub(super) async fn run_connection(&self, stream: TcpStream) {
         let mut pending = Vec::new();
         loop {
             match self.read_head(&stream, &mut pending).await {
@@ -383,7 +201,7 @@
         }
     }
 
-    async fn refuse(&self, stream: &TcpStream, refusal: &Refusal, detail: Option<&str>) {
+    pub(super) async fn refuse(&self, stream: &TcpStream, refusal: &Refusal, detail: Option<&str>) {
         let mut response = refusal_response(self.handler.next_id(), refusal, detail);
         response.insert_header("connection", "close");
         self.write_response(stream, response, Method::Get).await;
--- a/crates/micaspool-http/tests/edge.rs
+++ b/crates/micaspool-http/tests/edge.rs
@@ -99,6 +99,17 @@
     });
 }
 
+#[test]
+fn a_caller_that_is_still_sending_a_large_body_reads_its_refusal() {
+    task::block_on(async {
+        let (address, _) = start(quick()).await;
+        let body = "x".repeat(4_000_000);
+        let head = format!("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", body.len());
+        let answer = raw(address, &format!("{head}{body}"), false).await;
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    });
+}
+
 #[test]
 fn requests_on_one_connection_are_answered_in_turn_also_when_sent_together() {
     task::block_on(async {
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -6,13 +6,14 @@
 use async_std::channel::{bounded, unbounded, Sender};
 use async_std::task;
 use futures::channel::oneshot;
+use micaspool_daemon::{open_spans, StartError};
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_ledger::LedgerOptions;
 use micaspool_quorum::{QuorumEvent, QuorumOptions};
 use micaspool_settings::process::ProcessSettings;
 use micaspool_store::{KeeperFiles, StoreOptions};
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_telemetry::spans::SpanSink;
+use micaspool_telemetry::metrics::encode_text;
 use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
 use micaspool_wire::socket::CountedListener;
 use micaspool_wire::v1::keeper_server::KeeperServer;
@@ -34,28 +35,27 @@
 pub enum Error {
     /// The data folder cannot be used.
     Store(micaspool_store::Error),
-    /// An address cannot be bound.
-    Bind(SocketAddr, std::io::Error),
-    /// The trace file cannot be opened.
-    Trace(std::io::Error),
+    /// The process cannot start.
+    Start(StartError),
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::Store(error) => error.fmt(f),
-            Error::Bind(address, error) => {
-                write!(f, "{address} cannot be bound ({error}); choose a free port, or 0 for any")
-            }
-            Error::Trace(error) => {
-                write!(f, "the trace file cannot be opened ({error}); make its folder writable")
-            }
+            Error::Start(error) => error.fmt(f),
         }
     }
 }
 
 impl std::error::Error for Error {}
 
+impl From<StartError> for Error {
+    fn from(error: StartError) -> Self {
+        Error::Start(error)
+    }
+}
+
 /// A running keeper.
 #[derive(Debug)]
 pub struct KeeperDaemon {
@@ -104,8 +104,7 @@
     start_ticks(inputs.clone());
     let wire = serve_wire(settings, &inputs, &view, &counters.clients).await?;
     let source = Arc::new(KeeperStatusSource::new(view.clone(), &counters));
-    let status =
-        serve_status(settings.status, source).await.map_err(|error| Error::Bind(settings.status, error))?;
+    let status = serve_status(settings.status, source).await.map_err(StartError::bind(settings.status))?;
     Ok(KeeperDaemon { wire, status, inputs, finished, view })
 }
 
@@ -129,11 +128,10 @@
     view: &Arc<Mutex<KeeperView>>,
     counter: &TrafficCounter,
 ) -> Result<SocketAddr, Error> {
-    let failed = |error| Error::Bind(settings.wire, error);
-    let listener = CountedListener::bind(settings.wire, counter.clone()).await.map_err(failed)?;
-    let wire = listener.local_address().map_err(failed)?;
-    let spans =
-        SpanSink::open(settings.trace_file.as_deref(), settings.instance.as_str()).map_err(Error::Trace)?;
+    let failed = StartError::bind(settings.wire);
+    let listener = CountedListener::bind(settings.wire, counter.clone()).await.map_err(&failed)?;
+    let wire = listener.local_address().map_err(&failed)?;
+    let spans = open_spans(settings)?;
     let service = KeeperService::new(inputs.clone(), view.clone(), Arc::new(settings.keepers.clone()), spans);
     let server =
         KeeperServer::new(service).max_decoding_message_size(MAX_FRAME).max_encoding_message_size(MAX_FRAME);
@@ -207,9 +205,7 @@
 
     fn metrics(&self) -> String {
         self.refresh();
-        let mut text = String::new();
-        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
-        text
+        encode_text(&self.registry)
     }
 
     fn state(&self) -> String {
--- a/crates/micaspool-keeper/src/lib.rs
+++ b/crates/micaspool-keeper/src/lib.rs
@@ -12,7 +12,7 @@
 mod service;
 mod state;
 
-pub use daemon::{run_keeper, KeeperDaemon};
+pub use daemon::{run_keeper, Error, KeeperDaemon};
 pub use engine::{EngineError, EngineInput, EngineReply, KeeperEngine};
 pub use service::KeeperService;
 pub use state::{KeeperCommand, KeeperReply, KeeperState};
--- a/crates/micaspool-replay/src/run/endpoints.rs
+++ b/crates/micaspool-replay/src/run/endpoints.rs
@@ -1,6 +1,6 @@
 //! Fake endpoints: slots, delivery in steps, and a prefix cache in limited memory.
 
-use super::endpoint_name;
+use super::setup::endpoint_name;
 use crate::trace::TraceHeader;
 use micaspool_dispatch::CacheNews;
 use micaspool_types::RequestId;
--- a/crates/micaspool-replay/src/run/mod.rs
+++ b/crates/micaspool-replay/src/run/mod.rs
@@ -7,7 +7,9 @@
 mod endpoints;
 mod faults;
 mod measure;
+mod queue;
 mod routers;
+mod setup;
 mod wire;
 
 pub use faults::{FaultKind, ReplayFault};
@@ -16,17 +18,13 @@
 use crate::trace::RecordedTrace;
 use endpoints::FakeEndpoints;
 use measure::Measures;
-use micaspool_dispatch::{
-    CacheNews, EndpointSpec, GrantFate, LoadReport, SessionId, ShardAction, ShardCore, ShardCustomer,
-    ShardEvent, ShardOptions, ShardPolicy,
-};
-use micaspool_fair::policy_named;
-use micaspool_types::{
-    Cost, CustomerName, EndpointName, HallMask, HallName, Moment, RequestId, Revision, Weight,
-};
+use micaspool_dispatch::{GrantFate, LoadReport, ShardAction, ShardCore, ShardEvent};
+use micaspool_types::{Cost, EndpointName, HallMask, Moment, RequestId};
+use queue::{QueuedEvent, ReplayEvent};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routers::FakeRouters;
+use setup::{endpoint_name, endpoint_number};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
@@ -78,47 +76,6 @@
 /// How often one request is sent at most.
 const MAX_ATTEMPTS: u32 = 3;
 
-#[derive(Debug)]
-enum ReplayEvent {
-    Arrive(usize),
-    ToShard(ShardEvent),
-    ToRouter(ShardAction),
-    Deliver { request: RequestId, run: u64 },
-    Cache(CacheNews),
-    Tick,
-    Probe,
-    Beat,
-    Fault(FaultKind),
-    NewDispatcher { held: bool },
-}
-
-#[derive(Debug)]
-struct QueuedEvent {
-    at: Moment,
-    number: u64,
-    event: ReplayEvent,
-}
-
-impl PartialEq for QueuedEvent {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for QueuedEvent {}
-
-impl PartialOrd for QueuedEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for QueuedEvent {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.number).cmp(&(other.at, other.number))
-    }
-}
-
 /// A replay under way.
 struct ReplayRun<'a> {
     trace: &'a RecordedTrace,
@@ -162,19 +119,6 @@
 }
 
 impl ReplayRun<'_> {
-    fn prepare(&mut self) {
-        self.start_dispatcher(true);
-        for (index, request) in self.trace.requests.iter().enumerate() {
-            self.at(Moment::from_millis(request.at_millis + 1_000), ReplayEvent::Arrive(index));
-        }
-        for fault in self.options.faults.clone() {
-            self.at(Moment::from_millis(fault.at_millis + 1_000), ReplayEvent::Fault(fault.kind));
-        }
-        self.after(TICK, ReplayEvent::Tick);
-        self.after(PROBE, ReplayEvent::Probe);
-        self.after(HEARTBEAT, ReplayEvent::Beat);
-    }
-
     fn work(&mut self) {
         let last = self.trace.requests.last().map_or(0, |request| request.at_millis);
         let end = Moment::from_millis(last) + LONGEST_TAIL;
@@ -242,49 +186,6 @@
         self.actions = actions;
     }
 
-    fn start_dispatcher(&mut self, held: bool) {
-        let policy = policy_named(&self.options.policy).expect("the caller checked the name of the policy");
-        let options = ShardOptions::builder()
-            .policy(policy)
-            .use_held_state(held)
-            .use_prefixes(self.options.use_prefixes)
-            .expected_routers(self.routers.names())
-            .cost_ceiling(Cost(self.trace.largest_cost()))
-            .build();
-        self.core = Some(ShardCore::new(self.now, options));
-        self.step(ShardEvent::Policy(self.policy()));
-        for router in 0..self.trace.header.routers {
-            let (session, hello) = self.routers.join(router);
-            let bytes = self.wire.count_hello(&hello);
-            self.measures.note_hello(bytes);
-            self.after(self.wire_delay(), ReplayEvent::ToShard(ShardEvent::Joined(session, hello)));
-        }
-    }
-
-    fn policy(&self) -> ShardPolicy {
-        let header = &self.trace.header;
-        let hall =
-            |number: usize| HallName::parse(&format!("hall-{number}")).expect("the name is well-formed");
-        let customers = header.customers.iter().map(|customer| ShardCustomer {
-            name: CustomerName::parse(&customer.name).expect("the trace has well-formed names"),
-            weight: Weight::new(customer.weight).unwrap_or(Weight::ONE),
-            halls: HallMask(customer.halls),
-            max_waiting: self.options.max_waiting,
-        });
-        let endpoints = (0..header.endpoints).map(|number| EndpointSpec {
-            name: endpoint_name(number),
-            hall: number % header.halls,
-            slots: header.slots,
-            leaving: false,
-        });
-        ShardPolicy {
-            revision: Revision(1),
-            halls: (0..header.halls).map(hall).collect(),
-            endpoints: endpoints.collect(),
-            customers: customers.collect(),
-        }
-    }
-
     fn arrive(&mut self, index: usize) {
         let (session, ticket) = self.routers.arrive(self.trace, index);
         self.measures.waiting(self.trace.requests[index].customer, 1);
@@ -423,17 +324,3 @@
         }
     }
 }
-
-fn endpoint_name(number: usize) -> EndpointName {
-    EndpointName::parse(&format!("endpoint-{number}")).expect("the name is well-formed")
-}
-
-fn endpoint_number(name: &EndpointName) -> usize {
-    let digits = name.as_str().trim_start_matches("endpoint-");
-    digits.parse().expect("the replay named the endpoint")
-}
-
-/// The stream of a router after so many joins.
-fn session_number(router: usize, joins: u64, routers: usize) -> SessionId {
-    SessionId(joins * routers as u64 + router as u64)
-}
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -1,6 +1,6 @@
 //! Fake routers: they hold what real ones hold.
 
-use super::session_number;
+use super::setup::session_number;
 use crate::trace::RecordedTrace;
 use micaspool_dispatch::{HeldGrant, HeldTotal, RequestTicket, RouterHello, SessionId};
 use micaspool_fair::ServiceLevel;
--- /dev/null
+++ b/crates/micaspool-replay/src/run/setup.rs
@@ -0,0 +1,85 @@
+//! How a replay begins: its dispatcher, its settings and the names in them.
+
+use super::queue::ReplayEvent;
+use super::{ReplayRun, HEARTBEAT, PROBE, TICK};
+use micaspool_dispatch::{
+    EndpointSpec, SessionId, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+};
+use micaspool_fair::policy_named;
+use micaspool_types::{Cost, CustomerName, EndpointName, HallMask, HallName, Moment, Revision, Weight};
+
+impl ReplayRun<'_> {
+    /// Queues everything that is known beforehand.
+    pub(super) fn prepare(&mut self) {
+        self.start_dispatcher(true);
+        for (index, request) in self.trace.requests.iter().enumerate() {
+            self.at(Moment::from_millis(request.at_millis + 1_000), ReplayEvent::Arrive(index));
+        }
+        for fault in self.options.faults.clone() {
+            self.at(Moment::from_millis(fault.at_millis + 1_000), ReplayEvent::Fault(fault.kind));
+        }
+        self.after(TICK, ReplayEvent::Tick);
+        self.after(PROBE, ReplayEvent::Probe);
+        self.after(HEARTBEAT, ReplayEvent::Beat);
+    }
+
+    /// Starts a dispatcher that every router joins.
+    pub(super) fn start_dispatcher(&mut self, held: bool) {
+        let policy = policy_named(&self.options.policy).expect("the caller checked the name of the policy");
+        let options = ShardOptions::builder()
+            .policy(policy)
+            .use_held_state(held)
+            .use_prefixes(self.options.use_prefixes)
+            .expected_routers(self.routers.names())
+            .cost_ceiling(Cost(self.trace.largest_cost()))
+            .build();
+        self.core = Some(ShardCore::new(self.now, options));
+        self.step(ShardEvent::Policy(self.policy()));
+        for router in 0..self.trace.header.routers {
+            let (session, hello) = self.routers.join(router);
+            let bytes = self.wire.count_hello(&hello);
+            self.measures.note_hello(bytes);
+            self.after(self.wire_delay(), ReplayEvent::ToShard(ShardEvent::Joined(session, hello)));
+        }
+    }
+
+    fn policy(&self) -> ShardPolicy {
+        let header = &self.trace.header;
+        let hall =
+            |number: usize| HallName::parse(&format!("hall-{number}")).expect("the name is well-formed");
+        let customers = header.customers.iter().map(|customer| ShardCustomer {
+            name: CustomerName::parse(&customer.name).expect("the trace has well-formed names"),
+            weight: Weight::new(customer.weight).unwrap_or(Weight::ONE),
+            halls: HallMask(customer.halls),
+            max_waiting: self.options.max_waiting,
+        });
+        let endpoints = (0..header.endpoints).map(|number| EndpointSpec {
+            name: endpoint_name(number),
+            hall: number % header.halls,
+            slots: header.slots,
+            leaving: false,
+        });
+        ShardPolicy {
+            revision: Revision(1),
+            halls: (0..header.halls).map(hall).collect(),
+            endpoints: endpoints.collect(),
+            customers: customers.collect(),
+        }
+    }
+}
+
+/// The name of an endpoint.
+pub(super) fn endpoint_name(number: usize) -> EndpointName {
+    EndpointName::parse(&format!("endpoint-{number}")).expect("the name is well-formed")
+}
+
+/// The number in an endpoint's name.
+pub(super) fn endpoint_number(name: &EndpointName) -> usize {
+    let digits = name.as_str().trim_start_matches("endpoint-");
+    digits.parse().expect("the replay named the endpoint")
+}
+
+/// The stream of a router after so many joins.
+pub(super) fn session_number(router: usize, joins: u64, routers: usize) -> SessionId {
+    SessionId(joins * routers as u64 + router as u64)
+}
--- a/crates/micaspool-router/src/daemon.rs
+++ b/crates/micaspool-router/src/daemon.rs
@@ -8,43 +8,19 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use micaspool_client::{KeeperClient, SettingsMirror};
+use micaspool_daemon::{open_spans, StartError};
 use micaspool_http::server::{HttpServer, ServerOptions};
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_settings::process::ProcessSettings;
-use micaspool_telemetry::spans::SpanSink;
+use micaspool_telemetry::metrics::encode_text;
 use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
 use micaspool_types::Incarnation;
 use prometheus_client::registry::Registry;
 use serde_json::json;
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Why a router cannot run.
-#[derive(Debug)]
-pub enum Error {
-    /// An address cannot be bound.
-    Bind(SocketAddr, std::io::Error),
-    /// The trace file cannot be opened.
-    Trace(std::io::Error),
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Error::Bind(address, error) => {
-                write!(f, "{address} cannot be bound ({error}); choose a free port, or 0 for any")
-            }
-            Error::Trace(error) => {
-                write!(f, "the trace file cannot be opened ({error}); make its folder writable")
-            }
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
 /// A running router.
 #[derive(Debug)]
 pub struct RouterDaemon {
@@ -73,7 +49,10 @@
 }
 
 /// Starts a router.
-pub async fn run_router(settings: &ProcessSettings, incarnation: Incarnation) -> Result<RouterDaemon, Error> {
+pub async fn run_router(
+    settings: &ProcessSettings,
+    incarnation: Incarnation,
+) -> Result<RouterDaemon, StartError> {
     let keepers = TrafficCounter::default();
     let dispatchers = TrafficCounter::default();
     let client = Arc::new(KeeperClient::new(settings.keepers.clone(), keepers.clone()));
@@ -97,20 +76,19 @@
         },
         endpoints: Arc::new(HttpEndpointClient),
         ledger: Arc::new(KeeperLedger::new(client)),
-        spans: SpanSink::open(settings.trace_file.as_deref(), settings.instance.as_str())
-            .map_err(Error::Trace)?,
+        spans: open_spans(settings)?,
     };
     let router = RequestRouter::new(parts, metrics.clone());
-    let failed = |error| Error::Bind(settings.callers, error);
-    let listener = TcpListener::bind(settings.callers).await.map_err(failed)?;
-    let callers = listener.local_addr().map_err(failed)?;
+    let failed = StartError::bind(settings.callers);
+    let listener = TcpListener::bind(settings.callers).await.map_err(&failed)?;
+    let callers = listener.local_addr().map_err(&failed)?;
     let server = HttpServer::new(Arc::new(router.clone()), ServerOptions::default());
     let serving = server.clone();
     task::spawn(async move { serving.serve(listener).await });
     let source =
         RouterStatusSource { mirror: mirror.clone(), router: router.clone(), registry, traffic, metrics };
     let status =
-        serve_status(settings.status, Arc::new(source)).await.map_err(|e| Error::Bind(settings.status, e))?;
+        serve_status(settings.status, Arc::new(source)).await.map_err(StartError::bind(settings.status))?;
     Ok(RouterDaemon { callers, status, server, router, mirror })
 }
 
@@ -133,9 +111,7 @@
         self.metrics.running.set(counts.iter().map(|(_, running)| *running as i64).sum());
         self.metrics.revision.set(self.mirror.policy().revision.0 as i64);
         self.traffic.refresh();
-        let mut text = String::new();
-        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
-        text
+        encode_text(&self.registry)
     }
 
     fn state(&self) -> String {
--- a/crates/micaspool-router/src/lib.rs
+++ b/crates/micaspool-router/src/lib.rs
@@ -23,7 +23,7 @@
 pub use call::{CallPlan, OnceKey};
 pub use claims::{ClaimLedger, ClaimOutcome, KeeperLedger};
 pub use cost::{meter_for, CostMeter};
-pub use daemon::{run_router, Error, RouterDaemon};
+pub use daemon::{run_router, RouterDaemon};
 pub use endpoint::{EndpointAnswer, EndpointCall, EndpointClient, EndpointError, HttpEndpointClient};
 pub use router::{RequestRouter, RouterParts};
 pub use shard_client::{GrantLease, ShardClient, ShardClientOptions};
--- /dev/null
+++ b/crates/micaspool-router/src/router/attempt.rs
@@ -0,0 +1,224 @@
+//! One attempt: a grant, a claim where one is needed, the call, and its answer.
+
+use super::{RequestRouter, RETRY_AFTER};
+use crate::call::CallPlan;
+use crate::claims::ClaimOutcome;
+use crate::cost::meter_for;
+use crate::endpoint::{EndpointAnswer, EndpointCall, EndpointError};
+use crate::relay::AnswerRelay;
+use crate::shard_client::GrantLease;
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use async_std::task;
+use futures::future::{select, Either};
+use futures::pin_mut;
+use http_types::{Body, Response};
+use micaspool_dispatch::GrantFate;
+use micaspool_http::server::CallerWatch;
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_telemetry::spans::HopSpan;
+use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How often a grant that can't be used is exchanged for another.
+const MAX_UNUSABLE_GRANTS: u32 = 5;
+/// The largest answer of a call that may not be repeated.
+const MAX_ONCE_ANSWER: u64 = 32 * 1024 * 1024;
+
+/// A grant whose endpoint may be used by the newest settings.
+struct UsableGrant {
+    lease: GrantLease,
+    address: SocketAddr,
+}
+
+/// The state of one request between attempts.
+pub(super) struct AttemptState {
+    pub attempt: u32,
+    pub avoid: Option<EndpointName>,
+    pub deadline: Instant,
+    pub claim: Option<u64>,
+}
+
+/// Why a request did not get its answer yet.
+pub(super) enum AttemptEnd {
+    /// Try again, with the endpoint that failed left out.
+    Again(EndpointName),
+    /// This is the final answer.
+    Refused(Refusal),
+}
+
+impl RequestRouter {
+    /// Takes a request one attempt further.
+    pub(super) async fn attempt(
+        &self,
+        plan: &CallPlan,
+        watch: &CallerWatch,
+        traceparent: &str,
+        state: &mut AttemptState,
+    ) -> Result<Response, AttemptEnd> {
+        let mut grant =
+            self.usable_grant(plan, watch, traceparent, state).await.map_err(AttemptEnd::Refused)?;
+        if plan.once.is_some() && state.claim.is_none() {
+            match self.claim(plan, traceparent).await.map_err(AttemptEnd::Refused)? {
+                ClaimOutcome::Granted(token) => state.claim = Some(token),
+                ClaimOutcome::Answered(response) => return Ok(*response),
+            }
+            if !grant.lease.is_valid() {
+                grant =
+                    self.usable_grant(plan, watch, traceparent, state).await.map_err(AttemptEnd::Refused)?;
+            }
+        }
+        let mut span = self.parts.spans.start("endpoint", Some(traceparent));
+        span.set("endpoint", grant.lease.endpoint());
+        span.set("attempt", state.attempt);
+        grant.lease.mark_sent();
+        let call = EndpointCall { address: grant.address, plan, traceparent: &span.traceparent() };
+        match self.parts.endpoints.send(call).await {
+            Ok(answer) => self.deliver(plan, grant, answer, span, state).await,
+            Err(error) => Err(self.note_failure(plan, grant, error)),
+        }
+    }
+
+    async fn claim(&self, plan: &CallPlan, traceparent: &str) -> Result<ClaimOutcome, Refusal> {
+        let span = self.parts.spans.start("claim", Some(traceparent));
+        self.parts.ledger.claim(plan, &span.traceparent()).await
+    }
+
+    /// Waits for a grant whose endpoint the newest settings allow and whose lease still runs.
+    async fn usable_grant(
+        &self,
+        plan: &CallPlan,
+        watch: &CallerWatch,
+        traceparent: &str,
+        state: &AttemptState,
+    ) -> Result<UsableGrant, Refusal> {
+        for _ in 0..MAX_UNUSABLE_GRANTS {
+            let span = self.parts.spans.start("wait", Some(traceparent));
+            let lease = self.wait_for_grant(plan, watch, &span, state).await?;
+            drop(span);
+            if !lease.is_valid() {
+                record(&events::LEASE_OVER, &[field("request", plan.request)]);
+                lease.settle(Cost(0), GrantFate::Unsent);
+                continue;
+            }
+            match self.allowed_address(plan, lease.endpoint()) {
+                Some(address) => return Ok(UsableGrant { lease, address }),
+                None => {
+                    let fields = [field("request", plan.request), field("endpoint", lease.endpoint())];
+                    record(&events::PLACEMENT_CHANGED, &fields);
+                    lease.settle(Cost(0), GrantFate::Unsent);
+                    task::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+        Err(Refusal::not_run(RefusalKind::NoEndpoint).after(RETRY_AFTER))
+    }
+
+    async fn wait_for_grant(
+        &self,
+        plan: &CallPlan,
+        watch: &CallerWatch,
+        span: &HopSpan,
+        state: &AttemptState,
+    ) -> Result<GrantLease, Refusal> {
+        let started = Instant::now();
+        let left = state.deadline.saturating_duration_since(started);
+        let shard = self.shard(&plan.service);
+        let ticket = plan.ticket(state.attempt, state.avoid.clone());
+        let grant = shard.acquire(ticket, Some(span.traceparent()));
+        let hung_up = watch.hung_up();
+        pin_mut!(grant, hung_up);
+        match timeout(left, select(grant, hung_up)).await {
+            Ok(Either::Left((result, _))) => {
+                self.metrics.wait_seconds.observe(started.elapsed().as_secs_f64());
+                result
+            }
+            Ok(Either::Right(_)) => Err(Refusal::not_run(RefusalKind::DeadlinePassed)),
+            Err(_) => Err(Refusal::not_run(RefusalKind::DeadlinePassed).after(RETRY_AFTER)),
+        }
+    }
+
+    /// The address of an endpoint, when the newest settings allow the customer to use its hall.
+    fn allowed_address(&self, plan: &CallPlan, endpoint: &EndpointName) -> Option<SocketAddr> {
+        let policy = self.parts.mirror.policy();
+        let service = policy.service_index(plan.service.as_str())?;
+        let customer = policy.customer_index(&plan.customer)?;
+        let halls = policy.request_policy(customer, service).halls;
+        let endpoints = policy.services[service].endpoints.iter();
+        let mut matching = endpoints.filter(|spec| spec.name == *endpoint && halls.contains(spec.hall));
+        matching.next().map(|spec| spec.address)
+    }
+
+    fn note_failure(&self, plan: &CallPlan, grant: UsableGrant, error: EndpointError) -> AttemptEnd {
+        let endpoint = grant.lease.endpoint().clone();
+        let kind = match error {
+            EndpointError::Mismatch => &events::ANSWER_MISMATCH,
+            _ => &events::ENDPOINT_FAILED,
+        };
+        let fields = [field("request", plan.request), field("endpoint", &endpoint), field("error", error)];
+        record(kind, &fields);
+        let fate = match error {
+            EndpointError::Unreachable => GrantFate::Unreachable,
+            EndpointError::Refused { .. } => GrantFate::Refused,
+            EndpointError::Draining { .. } => GrantFate::Draining,
+            EndpointError::Broken | EndpointError::Mismatch => GrantFate::Broken,
+        };
+        grant.lease.settle(Cost(0), fate);
+        if error.is_not_run() || plan.repeatable {
+            AttemptEnd::Again(endpoint)
+        } else {
+            AttemptEnd::Refused(Refusal::unknown(RefusalKind::EndpointFailed))
+        }
+    }
+
+    async fn deliver(
+        &self,
+        plan: &CallPlan,
+        grant: UsableGrant,
+        answer: EndpointAnswer,
+        span: HopSpan,
+        state: &mut AttemptState,
+    ) -> Result<Response, AttemptEnd> {
+        let mut from = answer.response;
+        let content_type = from.header("content-type").map(|values| values.last().as_str().to_owned());
+        let content_type = content_type.unwrap_or_else(|| "application/octet-stream".to_owned());
+        let endpoint = grant.lease.endpoint().clone();
+        let length = from.len();
+        let meter = meter_for(plan.kind, &content_type);
+        let relay = AnswerRelay::new(from.take_body(), meter, grant.lease, self.metrics.clone(), span);
+        let mut response = Response::new(from.status());
+        match state.claim {
+            Some(token) => {
+                let body =
+                    self.collect_once(plan, token, relay, u16::from(from.status()), &content_type).await?;
+                state.claim = None;
+                response.set_body(body);
+            }
+            None => response.set_body(Body::from_reader(relay, length)),
+        }
+        response.insert_header("content-type", content_type);
+        response.insert_header("micaspool-endpoint", endpoint.as_str());
+        Ok(response)
+    }
+
+    /// Reads the whole answer of a call that may not be repeated and records it before anyone
+    /// sees it.
+    async fn collect_once(
+        &self,
+        plan: &CallPlan,
+        token: u64,
+        relay: AnswerRelay,
+        status: u16,
+        content_type: &str,
+    ) -> Result<Vec<u8>, AttemptEnd> {
+        let mut body = Vec::new();
+        let mut reader = relay.take(MAX_ONCE_ANSWER);
+        let read = reader.read_to_end(&mut body).await;
+        if read.is_err() || status >= 500 {
+            return Err(AttemptEnd::Refused(Refusal::unknown(RefusalKind::EndpointFailed)));
+        }
+        self.parts.ledger.answered(plan, token, status, content_type, &body).await;
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/crates/micaspool-router/src/router/mod.rs
@@ -0,0 +1,177 @@
+//! The path of a request.
+
+mod attempt;
+mod handler;
+
+use crate::call::{authenticate, CallPlan, PlanParts};
+use crate::claims::ClaimLedger;
+use crate::endpoint::EndpointClient;
+use crate::limits::BodyBudget;
+use crate::metrics::RouterMetrics;
+use crate::shard_client::{ShardClient, ShardClientOptions};
+use async_std::task;
+use attempt::{AttemptEnd, AttemptState};
+use futures::channel::oneshot;
+use http_types::Response;
+use micaspool_client::SettingsMirror;
+use micaspool_http::server::{CallerRequest, CallerWatch};
+use micaspool_telemetry::spans::{HopSpan, SpanSink};
+use micaspool_types::{Refusal, RefusalKind, ServiceName};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How often one request is sent at most.
+const MAX_ATTEMPTS: u32 = 3;
+/// When a request that failed for lack of endpoints may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// What a router is made of.
+pub struct RouterParts {
+    /// The settings.
+    pub mirror: Arc<SettingsMirror>,
+    /// How dispatchers are reached.
+    pub shards: ShardClientOptions,
+    /// How endpoints are reached.
+    pub endpoints: Arc<dyn EndpointClient>,
+    /// Where calls that may not be repeated are claimed.
+    pub ledger: Arc<dyn ClaimLedger>,
+    /// Where spans go.
+    pub spans: SpanSink,
+}
+
+/// Takes requests along their path; cheap to clone.
+#[derive(Clone)]
+pub struct RequestRouter {
+    parts: Arc<RouterParts>,
+    shards: Arc<Mutex<BTreeMap<ServiceName, Arc<ShardClient>>>>,
+    budget: BodyBudget,
+    metrics: RouterMetrics,
+    draining: Arc<AtomicBool>,
+}
+
+impl std::fmt::Debug for RequestRouter {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RequestRouter").finish_non_exhaustive()
+    }
+}
+
+impl RequestRouter {
+    pub(crate) fn new(parts: RouterParts, metrics: RouterMetrics) -> RequestRouter {
+        RequestRouter {
+            parts: Arc::new(parts),
+            shards: Arc::default(),
+            budget: BodyBudget::default(),
+            metrics,
+            draining: Arc::default(),
+        }
+    }
+
+    /// Takes no new request from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// The shards in use.
+    pub fn shards(&self) -> Vec<Arc<ShardClient>> {
+        self.lock_shards().values().cloned().collect()
+    }
+
+    fn lock_shards(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServiceName, Arc<ShardClient>>> {
+        self.shards.lock().expect("no holder of the shards panics")
+    }
+
+    fn shard(&self, service: &ServiceName) -> Arc<ShardClient> {
+        let mut shards = self.lock_shards();
+        let start = || ShardClient::start(service.clone(), self.parts.shards.clone());
+        shards.entry(service.clone()).or_insert_with(start).clone()
+    }
+
+    async fn route(&self, request: CallerRequest, span: &mut HopSpan) -> Result<Response, Refusal> {
+        let policy = self.parts.mirror.policy();
+        let header =
+            |name: &str| request.request.header(name).map(|values| values.last().as_str().to_owned());
+        let customer = authenticate(&policy, header("authorization").as_deref())?;
+        let parts = PlanParts {
+            request: request.id,
+            customer,
+            method: request.request.method().to_string(),
+            target: request.target,
+            content_type: header("content-type"),
+            key: header("idempotency-key"),
+            body: request.body,
+        };
+        let plan = CallPlan::make(&policy, parts)?;
+        span.set("customer", &plan.customer);
+        span.set("service", &plan.service);
+        let guard =
+            self.budget.take(&plan.customer, plan.body.len() as u64, plan.policy.max_waiting_bytes)?;
+        let traceparent = span.traceparent();
+        if plan.once.is_some() {
+            return self.run_detached(plan, request.watch, traceparent, guard).await;
+        }
+        let _guard = guard;
+        self.run_attempts(&plan, &request.watch, &traceparent).await
+    }
+
+    /// Runs a call that may not be repeated in a task of its own, so that it goes on when its
+    /// caller leaves.
+    async fn run_detached(
+        &self,
+        plan: CallPlan,
+        watch: CallerWatch,
+        traceparent: String,
+        guard: crate::limits::BodyGuard,
+    ) -> Result<Response, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let router = self.clone();
+        task::spawn(async move {
+            let _guard = guard;
+            let result = router.run_attempts(&plan, &watch, &traceparent).await;
+            let _ = sender.send(result);
+        });
+        receiver.await.unwrap_or_else(|_| Err(Refusal::unknown(RefusalKind::EndpointFailed)))
+    }
+
+    async fn run_attempts(
+        &self,
+        plan: &CallPlan,
+        watch: &CallerWatch,
+        traceparent: &str,
+    ) -> Result<Response, Refusal> {
+        let mut state = AttemptState {
+            attempt: 0,
+            avoid: None,
+            deadline: Instant::now() + plan.policy.wait_limit,
+            claim: None,
+        };
+        let result = loop {
+            match self.attempt(plan, watch, traceparent, &mut state).await {
+                Ok(response) => return Ok(response),
+                Err(AttemptEnd::Refused(refusal)) => break refusal,
+                Err(AttemptEnd::Again(_)) if state.attempt + 1 >= MAX_ATTEMPTS => {
+                    break Refusal::not_run(RefusalKind::RetriesExhausted).after(RETRY_AFTER);
+                }
+                Err(AttemptEnd::Again(endpoint)) => {
+                    self.metrics.retries.inc();
+                    state.attempt += 1;
+                    state.avoid = Some(endpoint);
+                }
+            }
+        };
+        if let Some(token) = state.claim {
+            self.end_claim(plan, token, &result).await;
+        }
+        Err(result)
+    }
+
+    /// Frees the key of a call that provably did not run; otherwise records that it may have.
+    async fn end_claim(&self, plan: &CallPlan, token: u64, refusal: &Refusal) {
+        if refusal.run == micaspool_types::RunState::NotRun {
+            self.parts.ledger.release(plan, token).await;
+        } else {
+            self.parts.ledger.unknown(plan, token).await;
+        }
+    }
+}
--- a/crates/micaspool-settings/src/apply/mod.rs
+++ b/crates/micaspool-settings/src/apply/mod.rs
@@ -17,6 +17,8 @@
 
 /// How many accepted changes are kept, to answer resends and to send deltas.
 pub const REMEMBERED_CHANGES: usize = 2_048;
+/// A watcher that is further behind than this many revisions gets the whole tree.
+const SNAPSHOT_DISTANCE: u64 = 128;
 
 /// The settings tree with its revision and its newest changes.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -125,6 +127,3 @@
         }
     }
 }
-
-/// A watcher that is further behind than this many revisions gets the whole tree.
-const SNAPSHOT_DISTANCE: u64 = 128;
--- a/crates/micaspool-telemetry/src/lib.rs
+++ b/crates/micaspool-telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`events`] is the catalogue; `docs/EVENTS.md` explains each entry,
 //! * [`logging`] sets the log output up,
+//! * [`metrics`] writes metrics as text,
 //! * [`spans`] writes a span for each hop of a request as JSON lines,
 //! * [`traffic`] counts control bytes and messages.
 #![deny(missing_docs, rust_2018_idioms)]
@@ -9,5 +10,6 @@
 
 pub mod events;
 pub mod logging;
+pub mod metrics;
 pub mod spans;
 pub mod traffic;
