fix(client): reach a named leader where this process lists it

A keeper had named its leader by the address that it sees itself, and the router followed it past the relay that was cut. Where instances see each other under different numbers, such an address leads nowhere. Ruled out: a claim without a majority (the other side answered it, and it ran once). It failed when the keeper asked first was not the leader.

--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -50,8 +50,8 @@
 
 /// An answer that may name another leader instead.
 trait LeaderAnswer {
-    /// The address of the keeper to ask instead; empty when none is known.
-    fn redirect(&self) -> Option<&str>;
+    /// The keeper to ask instead, when this one does not lead.
+    fn redirect(&self) -> Option<&v1::NotLeader>;
 }
 
 /// Calls keepers, the leader first.
@@ -175,7 +175,7 @@
             let named = match self.try_once(address, left, &attempt).await {
                 TryResult::Answer(answer) => match answer.redirect() {
                     None => return Ok(answer),
-                    Some(leader) => leader.parse().ok(),
+                    Some(leader) => self.address_of(leader),
                 },
                 TryResult::Unreached => None,
                 TryResult::Lost => {
@@ -192,6 +192,13 @@
         Err(CallError::NoLeader { sent })
     }
 
+    /// The address of a leader: the one that this process lists for its name, since the other
+    /// keeper may see it elsewhere, else the one that was named.
+    fn address_of(&self, leader: &v1::NotLeader) -> Option<SocketAddr> {
+        let listed = self.keepers.iter().find(|keeper| keeper.name.as_str() == leader.name);
+        listed.map(|keeper| keeper.address).or_else(|| leader.leader.parse().ok())
+    }
+
     fn first_choice(&self) -> SocketAddr {
         let preferred = self.preferred.lock().expect("no holder of the choice panics");
         preferred.unwrap_or_else(|| self.keepers[0].address)
@@ -235,31 +242,31 @@
 }
 
 impl LeaderAnswer for v1::ApplyReply {
-    fn redirect(&self) -> Option<&str> {
+    fn redirect(&self) -> Option<&v1::NotLeader> {
         match &self.outcome {
-            Some(v1::apply_reply::Outcome::NotLeader(other)) => Some(&other.leader),
+            Some(v1::apply_reply::Outcome::NotLeader(other)) => Some(other),
             _ => None,
         }
     }
 }
 
 impl LeaderAnswer for v1::GetReply {
-    fn redirect(&self) -> Option<&str> {
+    fn redirect(&self) -> Option<&v1::NotLeader> {
         match &self.outcome {
-            Some(v1::get_reply::Outcome::NotLeader(other)) => Some(&other.leader),
+            Some(v1::get_reply::Outcome::NotLeader(other)) => Some(other),
             _ => None,
         }
     }
 }
 
 impl LeaderAnswer for v1::ClaimReply {
-    fn redirect(&self) -> Option<&str> {
-        self.not_leader.as_ref().map(|other| other.leader.as_str())
+    fn redirect(&self) -> Option<&v1::NotLeader> {
+        self.not_leader.as_ref()
     }
 }
 
 impl LeaderAnswer for v1::FinishReply {
-    fn redirect(&self) -> Option<&str> {
-        self.not_leader.as_ref().map(|other| other.leader.as_str())
+    fn redirect(&self) -> Option<&v1::NotLeader> {
+        self.not_leader.as_ref()
     }
 }
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -70,9 +70,10 @@
 
     fn not_leader(&self, error: EngineError) -> Result<v1::NotLeader, Status> {
         match error {
-            EngineError::NotLeader(leader) => {
-                Ok(v1::NotLeader { leader: leader.and_then(|name| self.address(&name)).unwrap_or_default() })
-            }
+            EngineError::NotLeader(leader) => Ok(v1::NotLeader {
+                leader: leader.as_ref().and_then(|name| self.address(name)).unwrap_or_default(),
+                name: leader.map(|name| name.to_string()).unwrap_or_default(),
+            }),
             EngineError::Stopped => Err(Status::unavailable(error.to_string())),
         }
     }
