test: begin each deployment of a test with an empty folder

Cause: a row failed once with 'used this change id with other content': process numbers had come round, and an earlier failed run had left its data folder under the same name, with a settings tree in it. Ruled out: two daemons at one address (none was left running, and the harness now also insists on the ready line). Conclusion: a fault of the harness, not of the daemons.

--- a/crates/micaspool/tests/harness/mod.rs
+++ b/crates/micaspool/tests/harness/mod.rs
@@ -56,6 +56,7 @@
         let mut line = String::new();
         output.read_line(&mut line).expect("the daemon says that it is ready");
         let pairs = line.split_whitespace().filter_map(|word| word.split_once('='));
+        assert!(line.starts_with("ready "), "the daemon did not start: {line:?}");
         let addresses = pairs.map(|(key, address)| (key.to_owned(), address.parse().expect("an address")));
         Daemon { child, addresses: addresses.collect(), _output: output }
     }
@@ -147,6 +148,8 @@
         let pid = std::process::id();
         let ip = format!("127.{}.{}.{}", 1 + (pid >> 8) % 250, pid % 256, 1 + number);
         let folder = std::env::temp_dir().join(format!("micaspool-test-{pid}-{number}"));
+        // A failed run of an earlier process with the same number may have left its folder.
+        let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("the folder can be made");
         let mut endpoints = BTreeMap::new();
         let services = tree["services"].as_object_mut().expect("the tree has services");
