--- a/crates/micaspool-replay/src/run/mod.rs
+++ b/crates/micaspool-replay/src/run/mod.rs
@@ -68,7 +68,8 @@
 const CHUNK: u64 = 32;
 /// A router tells of progress after this much more.
 const PROGRESS_STEP: u64 = 128;
-const HEARTBEAT: Duration = Duration::from_millis(500);
+/// How often a router says that it is alive, as real ones do.
+const HEARTBEAT: Duration = Duration::from_secs(1);
 /// How long routers take to notice that a dispatcher is gone and to reach the next.
 const DETECTION: Duration = Duration::from_millis(100);
 /// A replay ends this long after the last arrival, also when requests have no answer.
--- a/crates/micaspool/tests/keeper_faults.rs
+++ b/crates/micaspool/tests/keeper_faults.rs
@@ -141,6 +141,14 @@
     });
 }
 
+/// The first revision that a router that starts empty has in force.
+async fn first_revision(deployment: &Deployment, router: usize) -> u64 {
+    let address = deployment.routers[router].as_ref().expect("it runs").addresses["status"];
+    let revision = || async { harness::calls::state(address).await["revision"].as_u64().unwrap_or(0) };
+    wait_for(|| async { revision().await > 0 }).await;
+    revision().await
+}
+
 #[test]
 fn a_router_that_restarts_empty_beside_a_stale_keeper_does_not_go_back() {
     task::block_on(async {
@@ -153,10 +161,7 @@
         deployment.routers[0] = None;
         deployment.keepers[stale].as_ref().expect("it runs").signal("CONT");
         deployment.start_router(0);
-        let address = deployment.routers[0].as_ref().expect("it runs").addresses["status"];
-        wait_for(|| async { harness::calls::state(address).await["revision"].as_u64().unwrap_or(0) > 0 })
-            .await;
-        assert_eq!(harness::calls::state(address).await["revision"], 2);
+        assert_eq!(first_revision(&deployment, 0).await, 2);
     });
 }
 
@@ -174,10 +179,7 @@
         deployment.remote = None;
         deployment.routers[0] = None;
         deployment.start_router(0);
-        let address = deployment.routers[0].as_ref().expect("it runs").addresses["status"];
-        wait_for(|| async { harness::calls::state(address).await["revision"].as_u64().unwrap_or(0) > 0 })
-            .await;
-        assert_eq!(harness::calls::state(address).await["revision"], 2);
+        assert_eq!(first_revision(&deployment, 0).await, 2);
     });
 }
 
