fix(router): never call a request not run after an attempt that may have run

Cause: read as a newcomer: a request that may be repeated and was sent in vain got 'retries-exhausted' with micaspool-run: not-run, though each endpoint had taken it and may have worked on it. The same held for any refusal that followed such an attempt (no dispatcher, deadline, limits). Ruled out: calls that may not be repeated; they were refused as unknown already. Before: the new row failed ('not-run'). After: it passes; the attempts remember whether one may have had an effect. Conclusion: 'not run' is said only when no attempt reached an endpoint, or each was proved not to have run.

--- a/crates/micaspool-router/src/router/attempt.rs
+++ b/crates/micaspool-router/src/router/attempt.rs
@@ -38,6 +38,8 @@
     pub avoid: Option<EndpointName>,
     pub deadline: Instant,
     pub claim: Option<u64>,
+    /// True once an attempt may have had an effect; no later refusal says "not run" then.
+    pub may_have_run: bool,
 }
 
 /// Why a request did not get its answer yet.
@@ -76,7 +78,10 @@
         let call = EndpointCall { address: grant.address, plan, traceparent: &span.traceparent() };
         match self.parts.endpoints.send(call).await {
             Ok(answer) => self.deliver(plan, grant, answer, span, state).await,
-            Err(error) => Err(self.note_failure(plan, grant, error)),
+            Err(error) => {
+                state.may_have_run |= !error.is_not_run();
+                Err(self.note_failure(plan, grant, error))
+            }
         }
     }
 
--- a/crates/micaspool-router/src/router/mod.rs
+++ b/crates/micaspool-router/src/router/mod.rs
@@ -16,7 +16,7 @@
 use micaspool_client::SettingsMirror;
 use micaspool_http::server::{CallerRequest, CallerWatch};
 use micaspool_telemetry::spans::{HopSpan, SpanSink};
-use micaspool_types::{Refusal, RefusalKind, ServiceName};
+use micaspool_types::{Refusal, RefusalKind, RunState, ServiceName};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -145,8 +145,9 @@
             avoid: None,
             deadline: Instant::now() + plan.policy.wait_limit,
             claim: None,
+            may_have_run: false,
         };
-        let result = loop {
+        let mut result = loop {
             match self.attempt(plan, watch, traceparent, &mut state).await {
                 Ok(response) => return Ok(response),
                 Err(AttemptEnd::Refused(refusal)) => break refusal,
@@ -160,6 +161,9 @@
                 }
             }
         };
+        if state.may_have_run {
+            result.run = RunState::Unknown;
+        }
         if let Some(token) = state.claim {
             self.end_claim(plan, token, &result).await;
         }
@@ -168,7 +172,7 @@
 
     /// Frees the key of a call that provably did not run; otherwise records that it may have.
     async fn end_claim(&self, plan: &CallPlan, token: u64, refusal: &Refusal) {
-        if refusal.run == micaspool_types::RunState::NotRun {
+        if refusal.run == RunState::NotRun {
             self.parts.ledger.release(plan, token).await;
         } else {
             self.parts.ledger.unknown(plan, token).await;
--- a/crates/micaspool/tests/dispatch_faults.rs
+++ b/crates/micaspool/tests/dispatch_faults.rs
@@ -283,3 +283,20 @@
         drop(running);
     });
 }
+
+#[test]
+fn a_request_that_was_sent_in_vain_is_not_called_not_run() {
+    use micaspool::replay::standin::FaultMode;
+    task::block_on(async {
+        let mut tree = milk();
+        tree["services"][MODEL]["policy"]["silence_limit_ms"] = json!(200);
+        let deployment = Deployment::start(tree, Duration::from_millis(1)).await;
+        for endpoint in deployment.endpoints.values() {
+            endpoint.set_fault(FaultMode::Silent);
+        }
+        let call = Call::chat(deployment.router(0), "coop-01", MODEL, "in vain", 2, false);
+        let answer = call.send().await.expect("an answer");
+        assert!(answer.status >= 500, "{}", answer.body);
+        assert_eq!(answer.run.as_deref(), Some("unknown"), "it may have run: {}", answer.body);
+    });
+}
