fix(router): go back to the present dispatcher when a better one takes no stream

Cause: read as a newcomer: a router that left its dispatcher for a higher-ranked one, and found that it answers but takes no stream (one that is stopping), still held the left one for its present one. It had no stream, looked every millisecond for something to do, and its requests waited until their deadline. Ruled out: the choice itself; its rows cover a candidate that comes and goes. Before: the new row, against two small fakes, failed (no grant within 3 s). Conclusion: such a dispatcher is tried again after each hold-down of 2 s.

--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -56,8 +56,7 @@
                             record(&events::SESSION_LOST, &[field("service", client.service())]);
                             choice.failed(now(), rank);
                         }
-                        LinkEnd::Moved => choice.left(rank),
-                        LinkEnd::Better => {}
+                        LinkEnd::Moved | LinkEnd::Better => choice.left(rank),
                         LinkEnd::Unused => return,
                     }
                 }
--- /dev/null
+++ b/crates/micaspool-router/tests/link.rs
@@ -0,0 +1,152 @@
+//! The contract between a router and its dispatchers, against small fakes.
+
+use async_std::channel::{unbounded, Sender};
+use async_std::task;
+use futures::Stream;
+use micaspool_dispatch::{rank_candidates, RequestTicket};
+use micaspool_router::{ShardClient, ShardClientOptions};
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::traffic::TrafficCounter;
+use micaspool_types::{Cost, CustomerName, Incarnation, InstanceName, RequestId, ServiceName};
+use micaspool_wire::socket::CountedListener;
+use micaspool_wire::v1::{self, dispatch_server::Dispatch, dispatch_server::DispatchServer};
+use micaspool_wire::v1::{dispatcher_message, router_message};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tonic::{Request, Response, Status, Streaming};
+
+/// A dispatcher that grants everything at once, or refuses every stream.
+struct FakeDispatcher {
+    refuses: bool,
+}
+
+type Messages = Pin<Box<dyn Stream<Item = Result<v1::DispatcherMessage, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl Dispatch for FakeDispatcher {
+    type SessionStream = Messages;
+
+    async fn session(
+        &self,
+        request: Request<Streaming<v1::RouterMessage>>,
+    ) -> Result<Response<Messages>, Status> {
+        if self.refuses {
+            return Err(Status::unavailable("no streams"));
+        }
+        let (sender, receiver) = unbounded();
+        task::spawn(answer(request.into_inner(), sender));
+        Ok(Response::new(Box::pin(receiver)))
+    }
+
+    async fn status(
+        &self,
+        _request: Request<v1::StatusRequest>,
+    ) -> Result<Response<v1::StatusReply>, Status> {
+        Ok(Response::new(v1::StatusReply::default()))
+    }
+
+    async fn share(&self, _request: Request<v1::SharedTotals>) -> Result<Response<v1::SharedTotals>, Status> {
+        Ok(Response::new(v1::SharedTotals::default()))
+    }
+}
+
+async fn answer(
+    mut messages: Streaming<v1::RouterMessage>,
+    sender: Sender<Result<v1::DispatcherMessage, Status>>,
+) {
+    while let Ok(Some(message)) = messages.message().await {
+        let submits = match message.body {
+            Some(router_message::Body::Hello(hello)) => hello.waiting,
+            Some(router_message::Body::Submit(submit)) => vec![submit],
+            Some(router_message::Body::Heartbeat(beat)) => {
+                let pulse = v1::Pulse { heartbeat: beat.number, incarnation: 1 };
+                send(&sender, dispatcher_message::Body::Pulse(pulse)).await;
+                Vec::new()
+            }
+            _ => Vec::new(),
+        };
+        for submit in submits {
+            let grant = v1::Grant {
+                request: submit.request,
+                endpoint: "endpoint-1".to_owned(),
+                heartbeat: 1,
+                lease_millis: 60_000,
+                ..v1::Grant::default()
+            };
+            send(&sender, dispatcher_message::Body::Grant(grant)).await;
+        }
+    }
+}
+
+async fn send(sender: &Sender<Result<v1::DispatcherMessage, Status>>, body: dispatcher_message::Body) {
+    let _ = sender.send(Ok(v1::DispatcherMessage { body: Some(body) })).await;
+}
+
+async fn start(refuses: bool) -> SocketAddr {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let listener = CountedListener::bind(any, TrafficCounter::default()).await.expect("a free port");
+    let address = listener.local_address().expect("it is bound");
+    let server = DispatchServer::new(FakeDispatcher { refuses });
+    task::spawn(tonic::transport::Server::builder().add_service(server).serve_with_incoming(listener));
+    address
+}
+
+fn ticket(number: u128) -> RequestTicket {
+    RequestTicket {
+        request: RequestId(number),
+        customer: CustomerName::parse("coop-01").expect("a name"),
+        hint: Cost(1),
+        priority: 5,
+        attempt: 0,
+        avoid: None,
+        prefixes: Vec::new(),
+        order: None,
+    }
+}
+
+fn name(text: &str) -> InstanceName {
+    InstanceName::parse(text).expect("a name")
+}
+
+/// A client whose first choice and second choice among dispatchers are these.
+fn client(first: SocketAddr, second: SocketAddr) -> Arc<ShardClient> {
+    let service = ServiceName::parse("modelo-acopio").expect("a name");
+    let ranked = rank_candidates(&service, &[name("entry-1"), name("entry-2")]);
+    let addresses = ranked.into_iter().zip([first, second]);
+    let options = ShardClientOptions {
+        router: name("entry-3"),
+        hall: "sala-ubate".to_owned(),
+        incarnation: Incarnation(1),
+        dispatchers: addresses.map(|(name, address)| PeerAddress { name, address }).collect(),
+        counter: TrafficCounter::default(),
+    };
+    ShardClient::start(service, options)
+}
+
+#[test]
+fn a_better_dispatcher_that_takes_no_streams_does_not_cost_the_present_one() {
+    task::block_on(async {
+        let client = client(start(true).await, start(false).await);
+        let granted = client.acquire(ticket(1), None).await.expect("the second choice grants");
+        assert_eq!(granted.endpoint().as_str(), "endpoint-1");
+        assert!(granted.is_valid());
+        // Longer than the hold-down after which the better one is tried.
+        task::sleep(Duration::from_millis(3_500)).await;
+        let again = async_std::future::timeout(Duration::from_secs(3), client.acquire(ticket(2), None)).await;
+        assert!(again.expect("in time").is_ok());
+    });
+}
+
+#[test]
+fn a_request_waits_for_a_dispatcher_only_for_a_while() {
+    task::block_on(async {
+        let nowhere = "127.0.0.1:1".parse().expect("an address");
+        let client = client(nowhere, nowhere);
+        task::sleep(Duration::from_millis(2_200)).await;
+        let refusal = client.acquire(ticket(1), None).await.expect_err("there is no dispatcher");
+        assert_eq!(refusal.kind.as_str(), "no-dispatcher");
+        assert!(refusal.retry_after.is_some());
+    });
+}
