refactor: one stable hash, one pacing of benchmark calls, one way to make a ticket

Ruled out: merging the three programs' main functions and the rows of fault tables, which are alike in shape only. Conclusion: behaviour, checks and assertions are unchanged.

--- a/crates/micaspool-dispatch/src/candidates.rs
+++ b/crates/micaspool-dispatch/src/candidates.rs
@@ -5,12 +5,9 @@
 //! uses the first that it can reach. While it uses a lower-ranked one it tries the higher-ranked
 //! ones, and moves once one of them has answered for the whole hold-down time.
 
-use micaspool_types::{InstanceName, Moment, ServiceName};
+use micaspool_types::{stable_hash, InstanceName, Moment, ServiceName};
 use std::time::Duration;
 
-const HASH_START: u64 = 0xcbf2_9ce4_8422_2325;
-const HASH_FACTOR: u64 = 0x0000_0100_0000_01b3;
-
 /// The dispatchers for a service, the first choice first.
 pub fn rank_candidates(service: &ServiceName, dispatchers: &[InstanceName]) -> Vec<InstanceName> {
     let mut ranked: Vec<(u64, InstanceName)> =
@@ -23,7 +20,7 @@
 /// A hash of service and instance that is the same in every process (FNV-1a with a final mix).
 fn candidate_score(service: &ServiceName, name: &InstanceName) -> u64 {
     let bytes = service.as_str().bytes().chain([0]).chain(name.as_str().bytes());
-    let hash = bytes.fold(HASH_START, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(HASH_FACTOR));
+    let hash = stable_hash(bytes);
     let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     mixed ^ (mixed >> 33)
 }
--- a/crates/micaspool-dispatch/tests/shard/bound.rs
+++ b/crates/micaspool-dispatch/tests/shard/bound.rs
@@ -4,10 +4,8 @@
 //! divided by weight, by at most `(slots + 1) * (1 + rest)` of the largest request, twice; see
 //! `docs/design/001-order.md`.
 
-use crate::bench::{customer, endpoint, hello, id, Bench};
-use micaspool_dispatch::{
-    GrantFate, RequestTicket, SessionId, ShardAction, ShardCore, ShardEvent, ShardOptions,
-};
+use crate::bench::{endpoint, hello, id, ticket, Bench};
+use micaspool_dispatch::{GrantFate, SessionId, ShardAction, ShardCore, ShardEvent, ShardOptions};
 use micaspool_fair::{policies::ProgressCounters, GapMeter};
 use micaspool_types::{Cost, HallMask, Weight};
 use proptest::prelude::*;
@@ -59,16 +57,7 @@
         self.next += 1;
         let cost = self.rng.random_range(1..=LARGEST);
         let hint = (cost as f64 * 4f64.powf(self.rng.random_range(-1.0..1.0))) as u64;
-        let ticket = RequestTicket {
-            request: id(request),
-            customer: customer(&format!("c{number}")),
-            hint: Cost(hint),
-            priority: 5,
-            attempt: 0,
-            avoid: None,
-            prefixes: Vec::new(),
-            order: None,
-        };
+        let ticket = ticket(request, &format!("c{number}"), hint);
         self.waiting[number].push(request);
         self.meter.set_waiting(number, true);
         self.running.insert(request, (number, cost, u64::MAX));
--- a/crates/micaspool-router/src/call/model.rs
+++ b/crates/micaspool-router/src/call/model.rs
@@ -1,6 +1,6 @@
 //! What a router reads from the body of a model call.
 
-use micaspool_types::{Cost, Refusal, RefusalKind};
+use micaspool_types::{stable_hash, Cost, Refusal, RefusalKind};
 use serde::Deserialize;
 
 /// A token has about this many bytes of text.
@@ -9,8 +9,6 @@
 const DEFAULT_ANSWER: u64 = 256;
 /// The prompt lengths in bytes whose hashes are told to the dispatcher.
 const PREFIX_LENGTHS: [usize; 4] = [256, 1_024, 4_096, 16_384];
-const HASH_START: u64 = 0xcbf2_9ce4_8422_2325;
-const HASH_FACTOR: u64 = 0x0000_0100_0000_01b3;
 
 /// The parts of a model call that matter for placement.
 #[derive(Debug)]
@@ -73,9 +71,5 @@
 /// The hashes of the prompt's growing prefixes, the shortest first.
 fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
     let lengths = PREFIX_LENGTHS.iter().filter(|length| **length <= prompt.len());
-    lengths.map(|length| hash_bytes(&prompt[..*length])).collect()
-}
-
-fn hash_bytes(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(HASH_START, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(HASH_FACTOR))
+    lengths.map(|length| stable_hash(prompt[..*length].iter().copied())).collect()
 }
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -4,12 +4,14 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod hash;
 mod ids;
 mod names;
 mod placement;
 mod refusal;
 mod units;
 
+pub use hash::stable_hash;
 pub use ids::{Incarnation, OrderNumber, RequestId, RequestIdError, Revision, Term};
 pub use names::{CustomerName, EndpointName, HallName, InstanceName, NameError, RegionName, ServiceName};
 pub use placement::{HallMask, MAX_HALLS};
--- a/crates/micaspool/benches/parts/claims.rs
+++ b/crates/micaspool/benches/parts/claims.rs
@@ -1,6 +1,6 @@
 //! What claims cost the leading keeper and a follower.
 
-use super::usage::{Spent, Usage};
+use super::usage::{wait_for_turn, Spent, Usage};
 use crate::harness::{milk, wait_for, Deployment};
 use async_std::task;
 use futures::future::join_all;
@@ -66,8 +66,7 @@
     let calls = (0..rate * SECONDS).map(|number| {
         let deployment = deployment.clone();
         task::spawn(async move {
-            let due = Duration::from_micros(number * 1_000_000 / rate);
-            task::sleep(due.saturating_sub(started.elapsed())).await;
+            wait_for_turn(started, number, rate).await;
             claim(&deployment, rate, number).await
         })
     });
--- a/crates/micaspool/benches/parts/requests.rs
+++ b/crates/micaspool/benches/parts/requests.rs
@@ -1,6 +1,6 @@
 //! What a request costs each role.
 
-use super::usage::Usage;
+use super::usage::{wait_for_turn, Usage};
 use crate::harness::calls::Call;
 use crate::harness::{milk, wait_for, Deployment};
 use async_std::task;
@@ -78,8 +78,7 @@
     let calls = (0..rate * SECONDS).map(|number| {
         let deployment = deployment.clone();
         task::spawn(async move {
-            let due = Duration::from_micros(number * 1_000_000 / rate);
-            task::sleep(due.saturating_sub(started.elapsed())).await;
+            wait_for_turn(started, number, rate).await;
             let customer = format!("farm-{:02}", 1 + number % 10);
             let router = deployment.router(number as usize % 3);
             let call = Call::chat(router, &customer, "modelo-acopio", "a question at the tank", 64, true);
--- a/crates/micaspool/benches/parts/usage.rs
+++ b/crates/micaspool/benches/parts/usage.rs
@@ -49,6 +49,12 @@
     }
 }
 
+/// Waits until the call with this number is due at a rate a second.
+pub async fn wait_for_turn(started: Instant, number: u64, rate: u64) {
+    let due = Duration::from_micros(number * 1_000_000 / rate);
+    async_std::task::sleep(due.saturating_sub(started.elapsed())).await;
+}
+
 /// The time on a processor of every thread of a process.
 fn cpu_time(pid: u32) -> Duration {
     let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).into_iter().flatten().flatten();
