--- /dev/null
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -0,0 +1,187 @@
+//! What the keepers told, merged.
+
+use super::{notify, KeeperSight};
+use crate::directory::PeerDirectory;
+use async_std::channel::Sender;
+use micaspool_registry::{EndpointRegistry, EndpointStage, MergeOutcome};
+use micaspool_routes::{NumberedPlan, PlanFormat};
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_types::{HallName, InstanceName, Moment};
+use micaspool_wire::convert::endpoint_record;
+use micaspool_wire::v1;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// What is known of one keeper.
+#[derive(Debug, Default)]
+pub(super) struct KeeperState {
+    pub reached: bool,
+    pub confirmed: bool,
+}
+
+/// Plan, endpoints and keepers.
+#[derive(Debug)]
+pub(super) struct FleetTable {
+    start: Instant,
+    pub plan: NumberedPlan,
+    pub registry: EndpointRegistry,
+    pub halls: Vec<HallName>,
+    pub seeds: Vec<InstanceName>,
+    /// The members as a confirmed keeper last named them.
+    members: Vec<InstanceName>,
+    pub keepers: BTreeMap<InstanceName, KeeperState>,
+    pub listeners: Vec<Sender<()>>,
+}
+
+impl FleetTable {
+    pub fn new(seeds: Vec<InstanceName>) -> FleetTable {
+        FleetTable {
+            start: Instant::now(),
+            plan: NumberedPlan::default(),
+            registry: EndpointRegistry::default(),
+            halls: Vec::new(),
+            seeds,
+            members: Vec::new(),
+            keepers: BTreeMap::new(),
+            listeners: Vec::new(),
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Names that should be followed and are not yet; they count as followed from here on.
+    pub fn take_unfollowed(&mut self) -> Vec<InstanceName> {
+        let wanted = self.seeds.iter().chain(&self.members).cloned();
+        let new: Vec<InstanceName> = wanted.filter(|name| !self.keepers.contains_key(name)).collect();
+        for name in &new {
+            self.keepers.insert(name.clone(), KeeperState::default());
+        }
+        new
+    }
+
+    /// True while settings or the group name this keeper.
+    pub fn is_wanted(&self, name: &InstanceName) -> bool {
+        self.seeds.contains(name) || self.members.contains(name)
+    }
+
+    pub fn sights(&self, directory: &dyn PeerDirectory) -> Vec<KeeperSight> {
+        let sights = self.keepers.iter().filter_map(|(name, state)| {
+            let address = directory.address(name)?;
+            let peer = PeerAddress { name: name.clone(), address };
+            Some(KeeperSight { peer, reached: state.reached, confirmed: state.confirmed })
+        });
+        sights.collect()
+    }
+
+    /// Notes whether a keeper is reached and hears a majority.
+    pub fn note_keeper(&mut self, name: &InstanceName, reached: bool, confirmed: bool) {
+        let Some(state) = self.keepers.get_mut(name) else { return };
+        if state.reached == reached && state.confirmed == confirmed {
+            return;
+        }
+        let kind = if reached { &events::KEEPER_FOLLOWED } else { &events::KEEPER_LOST };
+        record(kind, &[field("keeper", name), field("hears_majority", confirmed)]);
+        *state = KeeperState { reached, confirmed };
+        notify(&mut self.listeners);
+    }
+
+    /// Takes what a keeper tells; true when it named members that are not followed yet.
+    pub fn take(&mut self, from: &InstanceName, news: &v1::FleetNews, format: &dyn PlanFormat) -> bool {
+        self.note_keeper(from, true, news.confirmed);
+        let mut changed = news.plan.as_ref().is_some_and(|plan| self.take_plan(from, plan, format));
+        for endpoint in &news.endpoints {
+            changed |= self.take_endpoint(from, endpoint);
+        }
+        if changed {
+            notify(&mut self.listeners);
+        }
+        self.take_members(news)
+    }
+
+    /// Puts a plan in force when its number is higher than that in force.
+    fn take_plan(
+        &mut self,
+        from: &InstanceName,
+        document: &v1::PlanDocument,
+        format: &dyn PlanFormat,
+    ) -> bool {
+        let before = self.plan.number;
+        if document.number <= before {
+            return false;
+        }
+        match format.decode(&document.document) {
+            Ok(plan) => {
+                self.plan = NumberedPlan { number: document.number, ..plan };
+                let fields =
+                    [field("number", document.number), field("before", before), field("keeper", from)];
+                record(&events::PLAN_IN_FORCE, &fields);
+                true
+            }
+            Err(error) => {
+                let fields = [field("number", document.number), field("error", error)];
+                record(&events::PLAN_UNUSABLE, &fields);
+                false
+            }
+        }
+    }
+
+    fn take_endpoint(&mut self, from: &InstanceName, message: &v1::EndpointNews) -> bool {
+        let endpoint = match endpoint_record(message) {
+            Ok(endpoint) => endpoint,
+            Err(error) => {
+                record(&events::WIRE_MALFORMED, &[field("keeper", from), field("error", error)]);
+                return false;
+            }
+        };
+        if !self.halls.contains(&endpoint.hall) {
+            self.halls.push(endpoint.hall.clone());
+        }
+        let fields = [
+            field("endpoint", &endpoint.name),
+            field("service", &endpoint.service),
+            field("stage", format!("{:?}", endpoint.stage)),
+            field("sequence", endpoint.sequence),
+            field("keeper", from),
+        ];
+        let changed = self.registry.merge(self.now(), endpoint) == MergeOutcome::Changed;
+        if changed {
+            record(&events::ENDPOINT_STAGE, &fields);
+        }
+        changed
+    }
+
+    fn take_members(&mut self, news: &v1::FleetNews) -> bool {
+        if !news.confirmed || news.keepers.is_empty() {
+            return false;
+        }
+        // Names come from keepers, which checked them when they took the member in.
+        let named = news.keepers.iter().filter_map(|name| InstanceName::parse(name).ok());
+        self.members = named.collect();
+        self.members.iter().any(|name| !self.keepers.contains_key(name))
+    }
+
+    /// Forgets endpoints that no keeper heard for `life`. Without a keeper in reach nobody could
+    /// have told of them, so everything stays.
+    pub fn forget_silent(&mut self, life: Duration) {
+        if !self.keepers.values().any(|keeper| keeper.confirmed) {
+            return;
+        }
+        let now = self.now();
+        let silent: Vec<String> = self
+            .registry
+            .iter()
+            .filter(|endpoint| endpoint.stage != EndpointStage::Left)
+            .filter(|endpoint| self.registry.age(now, &endpoint.name).is_some_and(|age| age > life))
+            .map(|endpoint| endpoint.name.to_string())
+            .collect();
+        self.registry.expire(now, life);
+        if silent.is_empty() {
+            return;
+        }
+        record(&events::ENDPOINT_EXPIRED, &[field("endpoints", silent.join(","))]);
+        notify(&mut self.listeners);
+    }
+}
--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -57,7 +57,7 @@
 /// Calls keepers, the leader first.
 #[derive(Debug)]
 pub struct KeeperClient {
-    keepers: Vec<PeerAddress>,
+    keepers: std::sync::RwLock<Vec<PeerAddress>>,
     counter: TrafficCounter,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
     /// The keeper to ask first: the one that answered last, or that another named as leader.
@@ -67,12 +67,49 @@
 impl KeeperClient {
     /// A client for these keepers.
     pub fn new(keepers: Vec<PeerAddress>, counter: TrafficCounter) -> KeeperClient {
-        KeeperClient { keepers, counter, channels: Mutex::default(), preferred: std::sync::Mutex::default() }
+        KeeperClient {
+            keepers: std::sync::RwLock::new(keepers),
+            counter,
+            channels: Mutex::default(),
+            preferred: std::sync::Mutex::default(),
+        }
     }
 
     /// The keepers.
-    pub fn keepers(&self) -> &[PeerAddress] {
-        &self.keepers
+    pub fn keepers(&self) -> Vec<PeerAddress> {
+        self.listed().clone()
+    }
+
+    /// Replaces the keepers; an empty list is ignored, since it would leave nobody to ask.
+    pub fn set_keepers(&self, keepers: Vec<PeerAddress>) {
+        if !keepers.is_empty() {
+            *self.keepers.write().expect("no holder of the keepers panics") = keepers;
+        }
+    }
+
+    fn listed(&self) -> std::sync::RwLockReadGuard<'_, Vec<PeerAddress>> {
+        self.keepers.read().expect("no holder of the keepers panics")
+    }
+
+    /// Offers a route plan. A resend does no harm.
+    pub async fn publish(
+        &self,
+        request: v1::PublishRequest,
+        limit: Duration,
+    ) -> Result<v1::PublishReply, CallError> {
+        self.call(limit, |mut client| {
+            let request = request.clone();
+            async move { client.publish(request).await.map(tonic::Response::into_inner) }
+        })
+        .await
+    }
+
+    /// Reads the route plan as a majority knows it.
+    pub async fn plan_confirmed(&self, limit: Duration) -> Result<v1::PlanReply, CallError> {
+        self.call(limit, |mut client| async move {
+            client.plan(v1::PlanRequest {}).await.map(tonic::Response::into_inner)
+        })
+        .await
     }
 
     /// Asks for a settings change. A resend after a lost answer has the same change id.
@@ -185,7 +222,7 @@
             };
             self.prefer(named.unwrap_or_else(|| self.listed_after(address)));
             misses += 1;
-            if misses % self.keepers.len() == 0 {
+            if misses % self.listed().len() == 0 {
                 task::sleep(ROUND_PAUSE).await;
             }
         }
@@ -195,13 +232,14 @@
     /// The address of a leader: the one that this process lists for its name, since the other
     /// keeper may see it elsewhere, else the one that was named.
     fn address_of(&self, leader: &v1::NotLeader) -> Option<SocketAddr> {
-        let listed = self.keepers.iter().find(|keeper| keeper.name.as_str() == leader.name);
+        let keepers = self.listed();
+        let listed = keepers.iter().find(|keeper| keeper.name.as_str() == leader.name);
         listed.map(|keeper| keeper.address).or_else(|| leader.leader.parse().ok())
     }
 
     fn first_choice(&self) -> SocketAddr {
         let preferred = self.preferred.lock().expect("no holder of the choice panics");
-        preferred.unwrap_or_else(|| self.keepers[0].address)
+        preferred.unwrap_or_else(|| self.listed()[0].address)
     }
 
     fn prefer(&self, address: SocketAddr) {
@@ -210,9 +248,10 @@
 
     /// The keeper that is listed after this one; the first after one that is not listed.
     fn listed_after(&self, address: SocketAddr) -> SocketAddr {
-        let position = self.keepers.iter().position(|keeper| keeper.address == address);
-        let next = position.map_or(0, |position| (position + 1) % self.keepers.len());
-        self.keepers[next].address
+        let keepers = self.listed();
+        let position = keepers.iter().position(|keeper| keeper.address == address);
+        let next = position.map_or(0, |position| (position + 1) % keepers.len());
+        keepers[next].address
     }
 
     async fn try_once<T, F>(
@@ -270,3 +309,15 @@
         self.not_leader.as_ref()
     }
 }
+
+impl LeaderAnswer for v1::PublishReply {
+    fn redirect(&self) -> Option<&v1::NotLeader> {
+        self.not_leader.as_ref()
+    }
+}
+
+impl LeaderAnswer for v1::PlanReply {
+    fn redirect(&self) -> Option<&v1::NotLeader> {
+        self.not_leader.as_ref()
+    }
+}
--- a/crates/micaspool-client/src/mirror.rs
+++ b/crates/micaspool-client/src/mirror.rs
@@ -87,7 +87,7 @@
 
     async fn follow(self: Arc<Self>) {
         self.start_from_majority().await;
-        let keepers = self.client.keepers().to_vec();
+        let keepers = self.client.keepers();
         for position in (0..keepers.len()).cycle().skip(first_keeper(&self.watcher, keepers.len())) {
             self.watch(&keepers[position]).await;
             self.note_confirmed(false);
@@ -105,7 +105,7 @@
             }
         }
         for keeper in self.client.keepers() {
-            if let Some(update) = self.client.get_local(keeper).await {
+            if let Some(update) = self.client.get_local(&keeper).await {
                 self.take(v1::SettingsUpdate { confirmed: false, ..update });
             }
         }
--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -28,6 +28,10 @@
     pub avoid: Option<EndpointName>,
     /// Hashes of growing prefixes of the prompt, the shortest first.
     pub prefixes: Vec<u64>,
+    /// The tokens that each prefix adds to the one before; empty when not known.
+    pub prefix_tokens: Vec<u32>,
+    /// The tokens of the whole prompt; zero when not known.
+    pub prompt_tokens: Cost,
     /// The order number that it was given before, if any.
     pub order: Option<OrderNumber>,
 }
@@ -103,8 +107,11 @@
     pub hall: usize,
     /// How many requests it runs at once.
     pub slots: u32,
-    /// True when operators have taken it out of use.
+    /// True when operators have taken it out of use, or it drains.
     pub leaving: bool,
+    /// The tokens that the memory of its engine holds; zero for one that is no language model or
+    /// whose size is not known.
+    pub memory_tokens: u64,
 }
 
 /// A customer as settings describe it for this shard's service.
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -1,7 +1,8 @@
 //! The endpoints of a shard: slots, and whether they may take new work.
 
+use super::engine::{EngineState, PromptShape};
 use crate::event::{EndpointSpec, GrantFate, LoadReport};
-use micaspool_types::{EndpointName, HallMask, Moment};
+use micaspool_types::{Cost, EndpointName, HallMask, Moment};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     /// Slots that something else uses, as two reports in a row agree.
     pub foreign: u32,
     doors: EndpointDoors,
+    /// Set for a language model whose memory size is known.
+    engine: Option<EngineState>,
     /// Failures in a row.
     failures: u32,
     /// The surplus of the last report over our own grants, and when it came.
@@ -52,6 +55,7 @@
 /// Every endpoint that the shard has met, and which have a free slot.
 #[derive(Debug, Default)]
 pub(super) struct EndpointTable {
+    read_ahead: u64,
     states: Vec<EndpointState>,
     names: HashMap<EndpointName, EndpointIndex>,
     free: Vec<BTreeSet<(u32, EndpointIndex)>>,
@@ -65,6 +69,14 @@
         !doors.settings && !doors.listed && doors.draining_since.is_none() && doors.paused_until.is_none()
     }
 
+    fn size_engine(&mut self, memory: u64) {
+        match &mut self.engine {
+            Some(engine) => engine.resize(memory),
+            None if memory > 0 => self.engine = Some(EngineState::new(memory)),
+            None => {}
+        }
+    }
+
     /// The slots that may be used now. After failures an endpoint gets one request at a time
     /// until one succeeds.
     fn usable_slots(&self) -> u32 {
@@ -75,15 +87,21 @@
         }
     }
 
-    /// The load in parts of the slots, when there is a free one.
-    fn free_load(&self) -> Option<u32> {
+    /// The load in parts of the slots, when there is a free one and an engine has not too much to
+    /// read.
+    fn free_load(&self, read_ahead: u64) -> Option<u32> {
         let taken = self.busy + self.foreign;
-        let free = self.is_open() && taken < self.usable_slots();
+        let reads = self.engine.as_ref().is_none_or(|engine| engine.unread() < read_ahead);
+        let free = self.is_open() && taken < self.usable_slots() && reads;
         free.then(|| taken * LOAD_PARTS / self.slots.max(1))
     }
 }
 
 impl EndpointTable {
+    pub fn new(read_ahead: Cost) -> EndpointTable {
+        EndpointTable { read_ahead: read_ahead.0, ..EndpointTable::default() }
+    }
+
     pub fn by_name(&self, name: &EndpointName) -> Option<EndpointIndex> {
         self.names.get(name).copied()
     }
@@ -114,6 +132,7 @@
             busy: 0,
             foreign: 0,
             doors: EndpointDoors { settings: true, ..EndpointDoors::default() },
+            engine: None,
             failures: 0,
             last_surplus: None,
             indexed: None,
@@ -133,6 +152,7 @@
             state.hall = spec.hall;
             state.slots = spec.slots;
             state.doors.settings = spec.leaving;
+            state.size_engine(spec.memory_tokens);
         }
         let halls = self.states.iter().map(|state| state.hall + 1).max().unwrap_or(0);
         self.free.resize_with(halls.max(self.free.len()), BTreeSet::new);
@@ -166,6 +186,36 @@
         heads.min().map(|(_, endpoint)| *endpoint)
     }
 
+    /// The engine among the usable ones that would give this prompt its first token soonest.
+    pub fn soonest_engine(
+        &self,
+        prompt: &PromptShape,
+        usable: impl Fn(&EndpointIndex) -> bool,
+    ) -> Option<EndpointIndex> {
+        let free = self.free.iter().flatten().map(|(_, endpoint)| *endpoint).filter(usable);
+        let delays = free.filter_map(|endpoint| {
+            let state = self.state(endpoint);
+            Some((state.engine.as_ref()?.delay(prompt, state.busy), endpoint))
+        });
+        delays.min().map(|(_, endpoint)| endpoint)
+    }
+
+    /// Notes that an engine got a prompt; gives the tokens that it has to read for it.
+    pub fn admit(&mut self, endpoint: EndpointIndex, prompt: &PromptShape) -> u64 {
+        let engine = self.state_mut(endpoint).engine.as_mut();
+        engine.map_or(0, |engine| engine.admit(prompt))
+    }
+
+    /// Notes that an engine has these tokens no longer before it.
+    pub fn release(&mut self, endpoint: EndpointIndex, tokens: u64) {
+        if tokens > 0 {
+            if let Some(engine) = &mut self.state_mut(endpoint).engine {
+                engine.release(tokens);
+            }
+            self.reindex(endpoint);
+        }
+    }
+
     /// Takes one slot.
     pub fn occupy(&mut self, endpoint: EndpointIndex) {
         self.state_mut(endpoint).busy += 1;
@@ -243,7 +293,7 @@
 
     fn reindex(&mut self, endpoint: EndpointIndex) {
         let state = self.state(endpoint);
-        let load = state.free_load();
+        let load = state.free_load(self.read_ahead);
         if load == state.indexed {
             return;
         }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -1,6 +1,7 @@
 //! Grants: giving free slots to waiting tickets, charging, and ending grants.
 
 use super::endpoints::EndpointIndex;
+use super::engine::PromptShape;
 use super::routers::RouterIndex;
 use super::tickets::WaitingTicket;
 use super::ShardCore;
@@ -20,6 +21,9 @@
     pub delivered: Cost,
     pub order: OrderNumber,
     pub priority: u8,
+    pub prompt: PromptShape,
+    /// What it adds to the unread tokens of its endpoint, until it begins.
+    pub unread: u64,
 }
 
 impl ShardCore {
@@ -57,13 +61,19 @@
         })
     }
 
-    /// The free endpoint with the longest known prefix of the prompt, else the least loaded.
+    /// The free engine that would begin first; for others the free endpoint with the longest known
+    /// prefix of the prompt, else the least loaded.
     fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<EndpointIndex> {
         let halls = self.customers.get(ticket.customer).halls;
         let avoided = ticket.avoided(now);
         let usable =
             |endpoint: &EndpointIndex| Some(*endpoint) != avoided && self.endpoints.is_free(*endpoint, halls);
-        let known = ticket.prefixes.iter().rev().filter_map(|prefix| self.prefixes.holder(*prefix));
+        if self.options.use_prefixes {
+            if let Some(engine) = self.endpoints.soonest_engine(&ticket.prompt, usable) {
+                return Some(engine);
+            }
+        }
+        let known = ticket.prompt.prefixes.iter().rev().filter_map(|prefix| self.prefixes.holder(*prefix));
         let cached = known.filter(|_| self.options.use_prefixes).find(usable);
         cached.or_else(|| self.endpoints.least_loaded(halls, avoided))
     }
@@ -80,8 +90,9 @@
         let level = state.level(self.options.policy.as_ref());
         self.reindex(ticket.customer);
         self.raise_floor(endpoint, served_rank);
+        let unread = self.endpoints.admit(endpoint, &ticket.prompt);
         self.endpoints.occupy(endpoint);
-        self.prefixes.remember(&ticket.prefixes, endpoint);
+        self.prefixes.remember(&ticket.prompt.prefixes, endpoint);
         self.pace.count();
         if let Some(session) = self.routers.session(ticket.router) {
             actions.push(ShardAction::Grant {
@@ -96,7 +107,7 @@
                 revision: self.revision,
             });
         }
-        self.running.insert(request, RunningGrant::start(&ticket, endpoint, estimate));
+        self.running.insert(request, RunningGrant::start(ticket, endpoint, estimate, unread));
     }
 
     fn raise_floor(&mut self, endpoint: EndpointIndex, rank: Rank) {
@@ -116,6 +127,8 @@
         }
         let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
         grant.delivered = delivered;
+        let (endpoint, unread) = (grant.endpoint, std::mem::take(&mut grant.unread));
+        self.endpoints.release(endpoint, unread);
         self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
         self.reindex(customer);
     }
@@ -139,6 +152,7 @@
     pub(super) fn end_grant(&mut self, now: Moment, request: RequestId, cost: Option<Cost>, fate: GrantFate) {
         let Some(grant) = self.running.remove(&request) else { return };
         self.routers.release(grant.router, request);
+        self.endpoints.release(grant.endpoint, grant.unread);
         self.endpoints.vacate(now, grant.endpoint, fate);
         let state = self.customers.get_mut(grant.customer);
         state.running -= 1;
@@ -166,7 +180,7 @@
 }
 
 impl RunningGrant {
-    fn start(ticket: &WaitingTicket, endpoint: EndpointIndex, estimate: Cost) -> RunningGrant {
+    fn start(ticket: WaitingTicket, endpoint: EndpointIndex, estimate: Cost, unread: u64) -> RunningGrant {
         RunningGrant {
             customer: ticket.customer,
             router: ticket.router,
@@ -176,6 +190,8 @@
             delivered: Cost(0),
             order: ticket.place.order,
             priority: ticket.place.priority,
+            prompt: ticket.prompt,
+            unread,
         }
     }
 }
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -6,6 +6,7 @@
 //! Zwaenepoel), where messages and the order of their receipt are logged in the volatile memory
 //! of the senders; `docs/design/002-recovery.md` has the measurement.
 
+use super::engine::PromptShape;
 use super::grants::RunningGrant;
 use super::routers::RouterIndex;
 use super::tickets::WaitingTicket;
@@ -82,7 +83,7 @@
             hint: grant.hint,
             place: QueuePlace { priority: grant.priority, order: grant.order, request },
             avoid: None,
-            prefixes: Box::default(),
+            prompt: grant.prompt,
         };
         self.insert_waiting(request, ticket);
     }
@@ -141,6 +142,8 @@
             delivered: held.delivered,
             order: held.order,
             priority: 0,
+            prompt: PromptShape::default(),
+            unread: 0,
         };
         self.running.insert(held.request, grant);
     }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -6,6 +6,7 @@
 
 mod customers;
 mod endpoints;
+mod engine;
 mod grants;
 mod joining;
 mod pace;
@@ -65,7 +66,7 @@
             halls: Vec::new(),
             floors: Vec::new(),
             customers: CustomerTable::new(options.cost_ceiling),
-            endpoints: EndpointTable::default(),
+            endpoints: EndpointTable::new(options.read_ahead),
             routers: RouterTable::default(),
             waiting: HashMap::new(),
             running: HashMap::new(),
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -6,6 +6,7 @@
 use crate::action::{ReleaseReason, ShardAction};
 use crate::event::{RequestTicket, SessionId};
 use crate::shard::endpoints::EndpointIndex;
+use crate::shard::engine::PromptShape;
 use micaspool_fair::{CustomerIndex, HeadTicket};
 use micaspool_types::{Cost, Moment, OrderNumber, RequestId};
 use std::time::Duration;
@@ -21,7 +22,7 @@
     pub hint: Cost,
     pub place: QueuePlace,
     pub avoid: Option<Avoidance>,
-    pub prefixes: Box<[u64]>,
+    pub prompt: PromptShape,
 }
 
 /// The endpoint that a ticket stays away from, and until when.
@@ -93,7 +94,11 @@
             hint: ticket.hint,
             place,
             avoid: avoid.map(|endpoint| Avoidance { endpoint, until: now + AVOIDANCE }),
-            prefixes: ticket.prefixes.into_boxed_slice(),
+            prompt: PromptShape {
+                prefixes: ticket.prefixes.into_boxed_slice(),
+                tokens: ticket.prefix_tokens.into_boxed_slice(),
+                total: ticket.prompt_tokens.0,
+            },
         };
         self.insert_waiting(ticket.request, waiting);
     }
--- a/crates/micaspool-dispatch/tests/shard/bench.rs
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -34,6 +34,8 @@
         attempt: 0,
         avoid: None,
         prefixes: Vec::new(),
+        prefix_tokens: Vec::new(),
+        prompt_tokens: Cost(0),
         order: None,
     }
 }
@@ -100,6 +102,7 @@
             hall: number % 3,
             slots,
             leaving: false,
+            memory_tokens: 0,
         });
         let named = customers.iter().map(|name| ShardCustomer {
             name: customer(name),
--- a/crates/micaspool-dispatcher/src/daemon.rs
+++ b/crates/micaspool-dispatcher/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::host::{HostOptions, ShardHost};
 use crate::platform::{HttpInstanceList, InstanceList};
+use crate::policy_source::TreeSource;
 use crate::probe::HttpEndpointProbe;
 use crate::service::DispatchService;
 use async_std::task;
@@ -87,7 +88,7 @@
         probe: Arc::new(HttpEndpointProbe::default()),
         list,
     };
-    let host = Arc::new(ShardHost::new(options, mirror.clone()));
+    let host = Arc::new(ShardHost::new(options, Arc::new(TreeSource(mirror.clone()))));
     let stopping = Arc::new(AtomicBool::new(false));
     let wire = serve_wire(settings.wire, &host, &stopping, &routers).await?;
     let source = Arc::new(DispatcherStatusSource::new(
@@ -99,7 +100,7 @@
     Ok(DispatcherDaemon { wire, status, host, stopping })
 }
 
-async fn serve_wire(
+pub(crate) async fn serve_wire(
     address: SocketAddr,
     host: &Arc<ShardHost>,
     stopping: &Arc<AtomicBool>,
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -1,12 +1,11 @@
 //! Drives one shard core: streams, time, settings and probes in, messages out.
 
 use crate::host::HostOptions;
-use crate::shard_policy::shard_policy;
+use crate::policy_source::PolicySource;
 use crate::sharing::share_totals;
 use async_std::channel::{unbounded, Receiver, Sender};
 use async_std::future::timeout;
 use async_std::task;
-use micaspool_client::SettingsMirror;
 use micaspool_dispatch::{
     CacheNews, CustomerTotal, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus,
 };
@@ -91,7 +90,7 @@
 pub(crate) fn start_shard(
     service: ServiceName,
     options: HostOptions,
-    mirror: Arc<SettingsMirror>,
+    source: Arc<dyn PolicySource>,
 ) -> ShardHandle {
     let clock = ShardClock(Instant::now());
     let core = ShardCore::new(clock.now(), options.shard.clone());
@@ -109,11 +108,11 @@
         totals: totals.clone(),
     };
     record(&events::SHARD_STARTED, &[field("service", &service)]);
-    let settings = mirror.listen();
-    task::spawn(feed_settings(service.clone(), mirror.clone(), settings, inputs.clone()));
+    let changes = source.listen();
+    task::spawn(feed_policy(service.clone(), source.clone(), changes, inputs.clone()));
     let handle = ShardHandle { inputs: inputs.clone(), status: status.clone(), totals };
     task::spawn(share_totals(service.clone(), options.clone(), handle.clone()));
-    task::spawn(feed_probes(clock, service, options, mirror, inputs, status));
+    task::spawn(feed_probes(clock, service, options, source, inputs, status));
     task::spawn(driver.run(receiver));
     handle
 }
@@ -199,14 +198,14 @@
     }
 }
 
-async fn feed_settings(
+async fn feed_policy(
     service: ServiceName,
-    mirror: Arc<SettingsMirror>,
+    source: Arc<dyn PolicySource>,
     changes: Receiver<()>,
     inputs: Sender<ShardInput>,
 ) {
     loop {
-        let policy = shard_policy(&mirror.policy(), &service);
+        let policy = source.policy(&service);
         if inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err()
             || changes.recv().await.is_err()
         {
@@ -220,14 +219,14 @@
     clock: ShardClock,
     service: ServiceName,
     options: HostOptions,
-    mirror: Arc<SettingsMirror>,
+    source: Arc<dyn PolicySource>,
     inputs: Sender<ShardInput>,
     status: Arc<Mutex<ShardStatus>>,
 ) {
     loop {
         let used = status.lock().expect("no holder of the status panics").routers > 0;
         if used {
-            for (name, address) in endpoints_of(&mirror, &service) {
+            for (name, address) in source.probed(&service) {
                 task::spawn(probe_endpoint(clock, options.clone(), name, address, inputs.clone()));
             }
             if let Some(leaving) = options.list.leaving().await {
@@ -241,13 +240,6 @@
     }
 }
 
-fn endpoints_of(mirror: &SettingsMirror, service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
-    let policy = mirror.policy();
-    let Some(index) = policy.service_index(service.as_str()) else { return Vec::new() };
-    let endpoints = policy.services[index].endpoints.iter();
-    endpoints.map(|endpoint| (endpoint.name.clone(), endpoint.address)).collect()
-}
-
 async fn probe_endpoint(
     clock: ShardClock,
     options: HostOptions,
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/fleet.rs
@@ -0,0 +1,122 @@
+//! A dispatcher that follows the route plan and the registered endpoints.
+//!
+//! It serves the routers that reach it over the wire, or, inside a router, that router alone while
+//! it reaches no other dispatcher.
+
+use crate::daemon::serve_wire;
+use crate::fleet_source::FleetSource;
+use crate::host::{HostOptions, ShardHost};
+use crate::platform::InstanceList;
+use crate::probe::{EndpointProbe, ProbeAnswer};
+use crate::service::open_session;
+use async_std::channel::Receiver;
+use async_trait::async_trait;
+use futures::StreamExt;
+use micaspool_client::FleetMirror;
+use micaspool_daemon::StartError;
+use micaspool_dispatch::{ShardOptions, ShardStatus};
+use micaspool_telemetry::spans::SpanSink;
+use micaspool_telemetry::traffic::TrafficCounter;
+use micaspool_types::{Cost, EndpointName, Incarnation, RegionName, ServiceName};
+use micaspool_wire::v1::{DispatcherMessage, RouterMessage};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tonic::Status;
+
+/// The most that one request can cost: the largest prompts have some 100,000 tokens.
+const COST_CEILING: Cost = Cost(262_144);
+/// How long a new shard collects what routers hold. Routers notice a lost dispatcher within some
+/// hundred milliseconds when its process ended.
+const RECOVERY_WINDOW: Duration = Duration::from_millis(300);
+
+/// What a fleet dispatcher is made with.
+#[derive(Debug, Clone)]
+pub struct FleetDispatcherOptions {
+    /// The region that it serves.
+    pub region: RegionName,
+    /// Tells one life of the process from the next.
+    pub incarnation: Incarnation,
+    /// The fleet as this process knows it.
+    pub mirror: Arc<FleetMirror>,
+    /// Where spans go.
+    pub spans: SpanSink,
+}
+
+/// A dispatcher of a fleet without lists.
+#[derive(Debug, Clone)]
+pub struct FleetDispatcher {
+    host: Arc<ShardHost>,
+    stopping: Arc<AtomicBool>,
+}
+
+/// Endpoints of a fleet register themselves and are not asked.
+struct NoProbe;
+
+#[async_trait]
+impl EndpointProbe for NoProbe {
+    async fn ask(&self, _address: SocketAddr) -> Option<ProbeAnswer> {
+        None
+    }
+}
+
+/// Endpoints say themselves that they leave.
+struct NoList;
+
+#[async_trait]
+impl InstanceList for NoList {
+    async fn leaving(&self) -> Option<BTreeSet<EndpointName>> {
+        None
+    }
+}
+
+impl FleetDispatcher {
+    /// A dispatcher that is reached inside the process only.
+    pub fn new(options: FleetDispatcherOptions) -> FleetDispatcher {
+        let shard =
+            ShardOptions::builder().cost_ceiling(COST_CEILING).recovery_window(RECOVERY_WINDOW).build();
+        let host = HostOptions {
+            shard,
+            incarnation: options.incarnation,
+            region: options.region,
+            remote: Vec::new(),
+            remote_counter: TrafficCounter::default(),
+            spans: options.spans,
+            probe: Arc::new(NoProbe),
+            list: Arc::new(NoList),
+        };
+        let source = Arc::new(FleetSource::new(options.mirror));
+        FleetDispatcher { host: Arc::new(ShardHost::new(host, source)), stopping: Arc::default() }
+    }
+
+    /// Serves routers at an address; gives the bound one.
+    pub async fn serve(
+        &self,
+        address: SocketAddr,
+        counter: &TrafficCounter,
+    ) -> Result<SocketAddr, StartError> {
+        serve_wire(address, &self.host, &self.stopping, counter).await
+    }
+
+    /// Opens a session for a router in this process; its messages come from the channel, the hello
+    /// first.
+    pub async fn open(
+        &self,
+        messages: Receiver<RouterMessage>,
+    ) -> Result<Receiver<Result<DispatcherMessage, Status>>, Status> {
+        open_session(&self.host, messages.map(Ok)).await
+    }
+
+    /// The state of every shard.
+    pub fn statuses(&self) -> Vec<(ServiceName, ShardStatus)> {
+        self.host.statuses()
+    }
+
+    /// Takes no new session and asks routers to go elsewhere.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        self.host.stop();
+    }
+}
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -0,0 +1,72 @@
+//! Route plan and registered endpoints as the policy of shards.
+
+use crate::policy_source::PolicySource;
+use async_std::channel::Receiver;
+use micaspool_client::FleetMirror;
+use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
+use micaspool_registry::EndpointStage;
+use micaspool_routes::RoutePlan;
+use micaspool_types::{CustomerName, EndpointName, HallMask, Revision, ServiceName, Weight};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+/// The customer under which requests of public routes wait.
+pub const PUBLIC_CUSTOMER: &str = "_public";
+/// The most waiting requests of one customer. They wait in the routers' memory with bodies of some
+/// 20 KB, so 16 customers may hold 80 MB in all routers together.
+const MAX_WAITING: u32 = 256;
+
+/// The fleet as a source. Every policy that it gives has a higher revision than the one before.
+#[derive(Debug)]
+pub struct FleetSource {
+    mirror: Arc<FleetMirror>,
+    given: AtomicU64,
+}
+
+impl FleetSource {
+    /// A source that follows a mirror.
+    pub fn new(mirror: Arc<FleetMirror>) -> FleetSource {
+        FleetSource { mirror, given: AtomicU64::new(1) }
+    }
+}
+
+impl PolicySource for FleetSource {
+    fn policy(&self, service: &ServiceName) -> ShardPolicy {
+        let revision = Revision(self.given.fetch_add(1, Ordering::SeqCst));
+        let plan = self.mirror.plan().plan;
+        let halls = self.mirror.halls();
+        let engine = plan.service(service.as_str()).and_then(|rule| rule.engine);
+        let records = self.mirror.endpoints_of(service);
+        let endpoints = records.into_iter().map(|record| EndpointSpec {
+            hall: halls.iter().position(|hall| *hall == record.hall).unwrap_or_default(),
+            leaving: record.stage != EndpointStage::Serving,
+            slots: record.slots,
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            name: record.name,
+        });
+        let endpoints = endpoints.collect();
+        ShardPolicy { revision, endpoints, customers: customers(&plan), halls }
+    }
+
+    fn listen(&self) -> Receiver<()> {
+        self.mirror.listen()
+    }
+
+    fn probed(&self, _service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
+        Vec::new()
+    }
+}
+
+/// Every customer of the plan and the one of public routes, with equal weights in every hall.
+fn customers(plan: &RoutePlan) -> Vec<ShardCustomer> {
+    let public = CustomerName::parse(PUBLIC_CUSTOMER).expect("a constant of valid characters");
+    let named = plan.parts().customers.iter().map(|customer| customer.name.clone());
+    let all = named.chain([public]).map(|name| ShardCustomer {
+        name,
+        weight: Weight::ONE,
+        halls: HallMask(u32::MAX),
+        max_waiting: MAX_WAITING,
+    });
+    all.collect()
+}
--- a/crates/micaspool-dispatcher/src/host.rs
+++ b/crates/micaspool-dispatcher/src/host.rs
@@ -2,8 +2,8 @@
 
 use crate::driver::{start_shard, ShardHandle, ShardInput};
 use crate::platform::InstanceList;
+use crate::policy_source::PolicySource;
 use crate::probe::EndpointProbe;
-use micaspool_client::SettingsMirror;
 use micaspool_dispatch::{SessionId, ShardEvent, ShardOptions, ShardStatus};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::spans::SpanSink;
@@ -45,15 +45,15 @@
 #[derive(Debug)]
 pub struct ShardHost {
     options: HostOptions,
-    mirror: Arc<SettingsMirror>,
+    source: Arc<dyn PolicySource>,
     shards: Mutex<BTreeMap<ServiceName, ShardHandle>>,
     next_session: AtomicU64,
 }
 
 impl ShardHost {
     /// A host without shards.
-    pub fn new(options: HostOptions, mirror: Arc<SettingsMirror>) -> ShardHost {
-        ShardHost { options, mirror, shards: Mutex::default(), next_session: AtomicU64::new(1) }
+    pub fn new(options: HostOptions, source: Arc<dyn PolicySource>) -> ShardHost {
+        ShardHost { options, source, shards: Mutex::default(), next_session: AtomicU64::new(1) }
     }
 
     /// What every shard shares.
@@ -69,7 +69,7 @@
     /// The shard of a service, started if need be.
     pub(crate) fn shard(&self, service: &ServiceName) -> ShardHandle {
         let mut shards = self.lock();
-        let start = || start_shard(service.clone(), self.options.clone(), self.mirror.clone());
+        let start = || start_shard(service.clone(), self.options.clone(), self.source.clone());
         shards.entry(service.clone()).or_insert_with(start).clone()
     }
 
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -2,22 +2,30 @@
 //! endpoints and the platform.
 //!
 //! [`ShardHost`] starts shards when routers ask for them; [`EndpointProbe`] and [`InstanceList`]
-//! are the borders to endpoints and the platform; [`run_dispatcher`] puts a daemon together.
+//! are the borders to endpoints and the platform, [`PolicySource`] that to the fleet's state.
+//! [`run_dispatcher`] puts a daemon together; [`FleetDispatcher`] is one for a fleet whose endpoints
+//! register themselves.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 mod daemon;
 mod driver;
+mod fleet;
+mod fleet_source;
 mod host;
 mod platform;
+mod policy_source;
 mod probe;
 mod service;
 mod shard_policy;
 mod sharing;
 
 pub use daemon::{run_dispatcher, DispatcherDaemon};
+pub use fleet::{FleetDispatcher, FleetDispatcherOptions};
+pub use fleet_source::{FleetSource, PUBLIC_CUSTOMER};
 pub use host::{HostOptions, ShardHost};
 pub use platform::{HttpInstanceList, InstanceList};
+pub use policy_source::{PolicySource, TreeSource};
 pub use probe::{EndpointProbe, HttpEndpointProbe, ProbeAnswer};
 pub use service::DispatchService;
 pub use shard_policy::shard_policy;
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -3,9 +3,9 @@
 use crate::driver::{ShardHandle, ShardInput, StreamItem};
 use crate::host::ShardHost;
 use crate::sharing::{own_totals, take_totals};
-use async_std::channel::unbounded;
+use async_std::channel::{unbounded, Receiver};
 use async_std::task;
-use futures::Stream;
+use futures::{Stream, StreamExt};
 use micaspool_dispatch::{SessionId, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{RequestId, ServiceName};
@@ -43,16 +43,7 @@
         if self.stopping.load(Ordering::SeqCst) {
             return Err(Status::unavailable("this dispatcher is stopping; use another"));
         }
-        let mut messages = request.into_inner();
-        let first = messages.message().await?.ok_or_else(|| Status::invalid_argument("send Hello first"))?;
-        let service = service_of(&first)?;
-        let shard = self.host.shard(&service);
-        let session = self.host.new_session();
-        let (sender, receiver) = unbounded();
-        let stopped = |_| Status::unavailable("the shard has stopped; connect again");
-        shard.inputs.send(ShardInput::Open(session, sender)).await.map_err(stopped)?;
-        feed(&shard, session, first).await?;
-        task::spawn(read_router(shard, session, messages));
+        let receiver = open_session(&self.host, request.into_inner()).await?;
         Ok(Response::new(Box::pin(receiver)))
     }
 
@@ -77,6 +68,23 @@
     }
 }
 
+/// Opens a session of a router whose messages come from a stream, the hello first.
+pub(crate) async fn open_session<S>(host: &ShardHost, mut messages: S) -> Result<Receiver<StreamItem>, Status>
+where
+    S: Stream<Item = Result<v1::RouterMessage, Status>> + Send + Unpin + 'static,
+{
+    let first = messages.next().await.unwrap_or_else(|| Err(Status::invalid_argument("send Hello first")))?;
+    let service = service_of(&first)?;
+    let shard = host.shard(&service);
+    let session = host.new_session();
+    let (sender, receiver) = unbounded();
+    let stopped = |_| Status::unavailable("the shard has stopped; connect again");
+    shard.inputs.send(ShardInput::Open(session, sender)).await.map_err(stopped)?;
+    feed(&shard, session, first).await?;
+    task::spawn(read_router(shard, session, messages));
+    Ok(receiver)
+}
+
 fn service_of(first: &v1::RouterMessage) -> Result<ServiceName, Status> {
     match &first.body {
         Some(Body::Hello(hello)) => {
@@ -115,8 +123,11 @@
         .collect()
 }
 
-async fn read_router(shard: ShardHandle, session: SessionId, mut messages: Streaming<v1::RouterMessage>) {
-    while let Ok(Some(message)) = messages.message().await {
+async fn read_router<S>(shard: ShardHandle, session: SessionId, mut messages: S)
+where
+    S: Stream<Item = Result<v1::RouterMessage, Status>> + Send + Unpin,
+{
+    while let Some(Ok(message)) = messages.next().await {
         if feed(&shard, session, message).await.is_err() {
             break;
         }
--- a/crates/micaspool-dispatcher/src/shard_policy.rs
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -15,6 +15,7 @@
         hall: endpoint.hall,
         slots: endpoint.slots,
         leaving: endpoint.leaving,
+        memory_tokens: 0,
     });
     let customers = fleet.customers.iter().map(|customer| {
         let policy = &customer.services[index];
--- /dev/null
+++ b/crates/micaspool-http/src/edge.rs
@@ -0,0 +1,203 @@
+//! Serving HTTP/1.1 requests on kept connections, by `hyper`.
+//!
+//! A caller that closes its connection ends the handling of its request: the handler's future, or the
+//! body that is being sent, is dropped. An answer whose body breaks ends with its connection, never
+//! with what looks like its end.
+
+use crate::socket::tune;
+use async_std::task;
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::future::{select, Either};
+use futures::pin_mut;
+use http::header::{HeaderValue, CONNECTION};
+use http::{Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The pause after accepting failed, for instance for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often a draining server looks whether everything has ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Why the body of an answer broke.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The body of an answer.
+pub type EdgeBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// A body that is there as a whole.
+pub fn whole_body(bytes: impl Into<Bytes>) -> EdgeBody {
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// Handles requests.
+#[async_trait]
+pub trait EdgeHandler: Send + Sync + 'static {
+    /// The answer to a request. The future is dropped when the caller leaves.
+    async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody>;
+}
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct EdgeOptions {
+    /// The largest head, in bytes.
+    pub head_bytes: usize,
+    /// How long a connection may rest, and a head may take.
+    pub idle: Duration,
+    /// The most open connections; further ones wait unaccepted.
+    pub connections: usize,
+}
+
+impl Default for EdgeOptions {
+    fn default() -> Self {
+        EdgeOptions { head_bytes: 32 * 1024, idle: Duration::from_secs(20), connections: 3_000 }
+    }
+}
+
+/// A server and its open connections.
+#[derive(Clone)]
+pub struct EdgeServer {
+    shared: Arc<SharedState>,
+}
+
+struct SharedState {
+    handler: Arc<dyn EdgeHandler>,
+    options: EdgeOptions,
+    open: AtomicUsize,
+    draining: AtomicBool,
+    closing: (async_std::channel::Sender<()>, async_std::channel::Receiver<()>),
+}
+
+impl fmt::Debug for EdgeServer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EdgeServer").field("open", &self.open()).finish_non_exhaustive()
+    }
+}
+
+/// Counts a connection for as long as it is open.
+struct OpenConnection(Arc<SharedState>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl EdgeServer {
+    /// A server that listens nowhere yet.
+    pub fn new(handler: Arc<dyn EdgeHandler>, options: EdgeOptions) -> EdgeServer {
+        let shared = SharedState {
+            handler,
+            options,
+            open: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            closing: async_std::channel::bounded(1),
+        };
+        EdgeServer { shared: Arc::new(shared) }
+    }
+
+    /// Binds an address and serves it until the process ends; gives the bound address.
+    pub async fn listen(&self, address: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        task::spawn(accept(self.shared.clone(), listener));
+        Ok(bound)
+    }
+
+    /// The number of open connections.
+    pub fn open(&self) -> usize {
+        self.shared.open.load(Ordering::SeqCst)
+    }
+
+    /// Ends each connection after its next answer. New ones are still accepted, since balancers learn
+    /// late that this server stops.
+    pub fn drain(&self) {
+        self.shared.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits until every connection has ended, at least until `earliest`. Connections that rest are
+    /// closed from `close_idle` on, and the wait is over at `latest`; true when nothing was left.
+    pub async fn drained(&self, earliest: Instant, close_idle: Instant, latest: Instant) -> bool {
+        loop {
+            let now = Instant::now();
+            if now >= close_idle {
+                self.shared.closing.0.close();
+            }
+            if self.open() == 0 && now >= earliest {
+                return true;
+            }
+            if now >= latest {
+                return false;
+            }
+            task::sleep(DRAIN_LOOK).await;
+        }
+    }
+}
+
+async fn accept(shared: Arc<SharedState>, listener: TcpListener) {
+    loop {
+        if shared.open.load(Ordering::SeqCst) >= shared.options.connections {
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                shared.open.fetch_add(1, Ordering::SeqCst);
+                let connection = OpenConnection(shared.clone());
+                task::spawn(serve(connection, stream));
+            }
+            // The peer reset before it was accepted, or descriptors ran out; both pass.
+            Err(_) => task::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve(connection: OpenConnection, stream: TcpStream) {
+    let shared = &connection.0;
+    if tune(&stream).is_err() {
+        return;
+    }
+    let service = service_fn(|request| answer(shared, request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(shared.options.idle)
+        .max_buf_size(shared.options.head_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let closing = shared.closing.1.recv();
+    pin_mut!(served, closing);
+    // A connection that breaks concerns its caller alone; the handler has logged its request.
+    match select(served.as_mut(), closing).await {
+        Either::Left(_) => {}
+        Either::Right(_) => {
+            served.as_mut().graceful_shutdown();
+            let _ = served.await;
+        }
+    }
+}
+
+/// The smallest buffer that `hyper` accepts.
+const MIN_BUFFER: usize = 8 * 1024;
+
+async fn answer(
+    shared: &Arc<SharedState>,
+    request: Request<Incoming>,
+) -> Result<Response<EdgeBody>, Infallible> {
+    let mut response = shared.handler.handle(request).await;
+    if shared.draining.load(Ordering::SeqCst) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -1,20 +1,24 @@
 //! Puts a keeper daemon together.
 
-use crate::engine::{EngineInput, KeeperEngine, KeeperView};
+use crate::engine::{EngineInput, EngineOptions, KeeperEngine, KeeperView, ReopenPlace};
 use crate::peers::{start_peers, MAX_FRAME};
+use crate::registry_hub::RegistryHub;
 use crate::service::KeeperService;
 use async_std::channel::{bounded, unbounded, Sender};
 use async_std::task;
 use futures::channel::oneshot;
+use micaspool_client::{ListedPeers, PeerDirectory};
 use micaspool_daemon::{open_spans, StartError};
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_ledger::LedgerOptions;
-use micaspool_quorum::{QuorumEvent, QuorumOptions};
+use micaspool_quorum::{OpenGroupOptions, QuorumEvent, QuorumOptions};
 use micaspool_settings::process::ProcessSettings;
 use micaspool_store::{KeeperFiles, StoreOptions};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::metrics::encode_text;
+use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
+use micaspool_types::InstanceName;
 use micaspool_wire::socket::CountedListener;
 use micaspool_wire::v1::keeper_server::KeeperServer;
 use prometheus_client::metrics::gauge::Gauge;
@@ -22,6 +26,7 @@
 use serde_json::json;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -56,6 +61,96 @@
     }
 }
 
+/// What a keeper runs with; made by [`KeeperOptions::builder`].
+#[derive(Clone, Debug)]
+pub struct KeeperOptions {
+    instance: InstanceName,
+    wire: SocketAddr,
+    status: SocketAddr,
+    data_folder: PathBuf,
+    directory: Arc<dyn PeerDirectory>,
+    quorum: QuorumOptions,
+    reopens: bool,
+    spans: SpanSink,
+}
+
+/// Builds [`KeeperOptions`].
+#[derive(Clone, Debug)]
+pub struct KeeperOptionsBuilder {
+    options: KeeperOptions,
+}
+
+impl KeeperOptions {
+    /// Options of a keeper that forms its first group with `configured` keepers.
+    pub fn builder(
+        instance: InstanceName,
+        configured: Vec<InstanceName>,
+        directory: Arc<dyn PeerDirectory>,
+    ) -> KeeperOptionsBuilder {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let options = KeeperOptions {
+            instance,
+            wire: any,
+            status: any,
+            data_folder: PathBuf::from("."),
+            directory,
+            quorum: QuorumOptions::new(configured),
+            reopens: false,
+            spans: SpanSink::default(),
+        };
+        KeeperOptionsBuilder { options }
+    }
+}
+
+impl KeeperOptionsBuilder {
+    /// Where it answers other processes.
+    pub fn wire(mut self, address: SocketAddr) -> Self {
+        self.options.wire = address;
+        self
+    }
+
+    /// Where it shows its status.
+    pub fn status(mut self, address: SocketAddr) -> Self {
+        self.options.status = address;
+        self
+    }
+
+    /// Where its files are.
+    pub fn data_folder(mut self, folder: PathBuf) -> Self {
+        self.options.data_folder = folder;
+        self
+    }
+
+    /// False for a keeper that may only join a group.
+    pub fn may_form(mut self, allowed: bool) -> Self {
+        self.options.quorum.may_form = allowed;
+        self
+    }
+
+    /// Lets keepers come and go without an operator.
+    pub fn open_group(mut self, options: OpenGroupOptions) -> Self {
+        self.options.quorum.open_group = Some(options);
+        self
+    }
+
+    /// True to open the files again after they failed, instead of stopping.
+    pub fn reopens(mut self, reopens: bool) -> Self {
+        self.options.reopens = reopens;
+        self
+    }
+
+    /// Where spans go.
+    pub fn spans(mut self, spans: SpanSink) -> Self {
+        self.options.spans = spans;
+        self
+    }
+
+    /// The options.
+    pub fn build(self) -> KeeperOptions {
+        self.options
+    }
+}
+
 /// A running keeper.
 #[derive(Debug)]
 pub struct KeeperDaemon {
@@ -66,6 +161,7 @@
     inputs: Sender<EngineInput>,
     finished: oneshot::Receiver<()>,
     view: Arc<Mutex<KeeperView>>,
+    hub: Arc<RegistryHub>,
 }
 
 impl KeeperDaemon {
@@ -79,19 +175,42 @@
     pub fn has_stopped(&self) -> bool {
         self.view.lock().expect("no holder of the view panics").stopped
     }
+
+    /// The endpoints that registered here.
+    pub fn hub(&self) -> &Arc<RegistryHub> {
+        &self.hub
+    }
 }
 
-/// Starts a keeper; it runs until it is stopped or its files fail.
+/// Starts a keeper as its settings file says.
 pub async fn run_keeper(settings: &ProcessSettings) -> Result<KeeperDaemon, Error> {
-    let opened = KeeperFiles::open(&settings.data_folder, &settings.instance, StoreOptions::default())
-        .map_err(Error::Store)?;
+    let configured = settings.keepers.iter().map(|keeper| keeper.name.clone()).collect();
+    let directory = Arc::new(ListedPeers(settings.keepers.clone()));
+    let options = KeeperOptions::builder(settings.instance.clone(), configured, directory)
+        .wire(settings.wire)
+        .status(settings.status)
+        .data_folder(settings.data_folder.clone())
+        .spans(open_spans(settings)?)
+        .build();
+    start_keeper(options).await
+}
+
+/// Starts a keeper; it runs until it is stopped or its files fail for good.
+pub async fn start_keeper(options: KeeperOptions) -> Result<KeeperDaemon, Error> {
+    let folder = &options.data_folder;
+    let opened =
+        KeeperFiles::open(folder, &options.instance, StoreOptions::default()).map_err(Error::Store)?;
     if opened.cut_bytes > 0 {
         record(&events::STORE_CUT, &[field("bytes", opened.cut_bytes)]);
     }
-    let configured = settings.keepers.iter().map(|keeper| keeper.name.clone()).collect();
     let (outgoing, envelopes) = unbounded();
-    let ledger = LedgerOptions::default();
-    let engine = KeeperEngine::new(QuorumOptions::new(configured), ledger, opened, outgoing);
+    let reopen = ReopenPlace { folder: folder.clone(), name: options.instance.clone() };
+    let engine_options = EngineOptions {
+        quorum: options.quorum.clone(),
+        ledger: LedgerOptions::default(),
+        reopen: options.reopens.then_some(reopen),
+    };
+    let engine = KeeperEngine::new(engine_options, opened, outgoing);
     let view = engine.view();
     let (inputs, receiver) = bounded(INPUT_QUEUE);
     let (done, finished) = oneshot::channel();
@@ -100,12 +219,20 @@
         let _ = done.send(());
     });
     let counters = KeeperCounters::default();
-    start_peers(&settings.instance, &settings.keepers, &counters.peers, envelopes);
+    start_peers(options.directory.clone(), &counters.peers, envelopes);
     start_ticks(inputs.clone());
-    let wire = serve_wire(settings, &inputs, &view, &counters.clients).await?;
+    let hub: Arc<RegistryHub> = Arc::default();
+    let service = KeeperService::new(
+        inputs.clone(),
+        view.clone(),
+        hub.clone(),
+        options.directory.clone(),
+        options.spans.clone(),
+    );
+    let wire = serve_wire(options.wire, service, &counters.clients).await?;
     let source = Arc::new(KeeperStatusSource::new(view.clone(), &counters));
-    let status = serve_status(settings.status, source).await.map_err(StartError::bind(settings.status))?;
-    Ok(KeeperDaemon { wire, status, inputs, finished, view })
+    let status = serve_status(options.status, source).await.map_err(StartError::bind(options.status))?;
+    Ok(KeeperDaemon { wire, status, inputs, finished, view, hub })
 }
 
 #[derive(Clone, Debug, Default)]
@@ -123,16 +250,13 @@
 }
 
 async fn serve_wire(
-    settings: &ProcessSettings,
-    inputs: &Sender<EngineInput>,
-    view: &Arc<Mutex<KeeperView>>,
+    address: SocketAddr,
+    service: KeeperService,
     counter: &TrafficCounter,
 ) -> Result<SocketAddr, Error> {
-    let failed = StartError::bind(settings.wire);
-    let listener = CountedListener::bind(settings.wire, counter.clone()).await.map_err(&failed)?;
+    let failed = StartError::bind(address);
+    let listener = CountedListener::bind(address, counter.clone()).await.map_err(&failed)?;
     let wire = listener.local_address().map_err(&failed)?;
-    let spans = open_spans(settings)?;
-    let service = KeeperService::new(inputs.clone(), view.clone(), Arc::new(settings.keepers.clone()), spans);
     let server =
         KeeperServer::new(service).max_decoding_message_size(MAX_FRAME).max_encoding_message_size(MAX_FRAME);
     task::spawn(async move {
@@ -228,6 +352,7 @@
         "term": status.term.0,
         "commit": status.commit.0,
         "revision": view.settings.revision().0,
+        "plan": view.plan.number,
         "confirmed": status.confirmed,
         "members": members.collect::<Vec<_>>(),
         "ledger_keys": view.ledger_keys,
--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -4,26 +4,33 @@
 //! answers callers, so that one sync serves all commands that came in meanwhile.
 
 use crate::clock::{ledger_time, MonotonicClock};
-use crate::state::{KeeperCommand, KeeperReply, KeeperState};
+use crate::state::{KeeperCommand, KeeperReply, KeeperState, PlanDocument};
 use async_std::channel::{Receiver, Sender};
 use micaspool_ledger::{LedgerOptions, LedgerTime};
 use micaspool_quorum::{
     EntryPayload, Envelope, LogEntry, LogIndex, ProposeError, QuorumCore, QuorumEvent, QuorumOptions,
-    QuorumOutput, QuorumRole, QuorumStatus,
+    QuorumOutput, QuorumRole, QuorumStatus, RestoredState,
 };
 use micaspool_settings::apply::{self, SettingsUpdate};
-use micaspool_store::{KeeperFiles, OpenOutcome};
+use micaspool_store::{KeeperFiles, OpenOutcome, StoreOptions};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{InstanceName, Revision, Term};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// The most inputs that one save covers.
 const MAX_BATCH: usize = 4_096;
 /// The log is compacted once it has this many entries more than the ledger has keys, so that
 /// writing the snapshot costs a bounded share of the work.
 const COMPACT_ENTRIES: usize = 8_192;
+/// The log is compacted as well once its commands have this many bytes: whole route plans of 100 KB
+/// would fill a small disk long before the entries are many.
+const COMPACT_BYTES: usize = 4 * 1024 * 1024;
+/// The pause before files that failed are opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
 /// Why a command gave no reply.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,6 +74,8 @@
 pub struct KeeperView {
     /// The newest applied settings.
     pub settings: apply::SettingsState,
+    /// The newest applied route plan.
+    pub plan: PlanDocument,
     /// The log.
     pub status: QuorumStatus,
     /// The keys in the ledger.
@@ -101,15 +110,37 @@
     }
 }
 
+/// What an engine is made with.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Times and sizes of the log.
+    pub quorum: QuorumOptions,
+    /// Limits of the ledger.
+    pub ledger: LedgerOptions,
+    /// Where the files are opened again after they failed; `None` stops the engine then.
+    pub reopen: Option<ReopenPlace>,
+}
+
+/// A data folder and the keeper that owns it.
+#[derive(Debug, Clone)]
+pub struct ReopenPlace {
+    /// The folder.
+    pub folder: PathBuf,
+    /// The keeper.
+    pub name: InstanceName,
+}
+
 /// The engine of a keeper; runs on the thread that calls [`KeeperEngine::run`].
 #[derive(Debug)]
 pub struct KeeperEngine {
+    options: EngineOptions,
     clock: MonotonicClock,
     core: QuorumCore,
     files: KeeperFiles,
     state: KeeperState,
-    ledger_options: LedgerOptions,
     applied: LogIndex,
+    /// The bytes of the commands applied since the last compaction.
+    command_bytes: usize,
     waiting: BTreeMap<(LogIndex, Term), Sender<EngineReply>>,
     /// Replies that go out once the view shows what they are about.
     replies: Vec<(Sender<EngineReply>, EngineReply)>,
@@ -120,20 +151,15 @@
 
 impl KeeperEngine {
     /// An engine that continues from opened files. Messages to other keepers go to `outgoing`.
-    pub fn new(
-        options: QuorumOptions,
-        ledger_options: LedgerOptions,
-        opened: OpenOutcome,
-        outgoing: Sender<Envelope>,
-    ) -> KeeperEngine {
+    pub fn new(options: EngineOptions, opened: OpenOutcome, outgoing: Sender<Envelope>) -> KeeperEngine {
         let clock = MonotonicClock::start();
         let snapshot = &opened.restored.snapshot;
-        let state = restore_state(&snapshot.data, ledger_options);
+        let state = restore_state(&snapshot.data, options.ledger);
         let applied = snapshot.index;
-        let seed = opened.restored.identity.incarnation.0;
-        let core = QuorumCore::new(clock.now(), options, opened.restored, seed);
+        let core = start_core(&options, clock, opened.restored);
         let view = KeeperView {
             settings: state.settings.clone(),
+            plan: state.plan.clone(),
             status: core.status(clock.now()),
             ledger_keys: 0,
             ledger_answer_bytes: 0,
@@ -142,12 +168,13 @@
             listeners: Vec::new(),
         };
         KeeperEngine {
+            options,
             clock,
             core,
             files: opened.files,
             state,
-            ledger_options,
             applied,
+            command_bytes: 0,
             waiting: BTreeMap::new(),
             replies: Vec::new(),
             outgoing,
@@ -171,13 +198,70 @@
                     Err(_) => break,
                 }
             }
-            if !self.settle() || self.stopping {
+            let working = self.settle() || self.reopen(inputs);
+            if !working || self.stopping {
                 break;
             }
         }
         self.stop();
     }
 
+    /// Starts anew from the files after they failed, like a process that was restarted; false when
+    /// that is not wanted. Everything that was read is written again first, since what an earlier
+    /// failure left in the system's cache need not be on the disk.
+    fn reopen(&mut self, inputs: &Receiver<EngineInput>) -> bool {
+        let Some(place) = self.options.reopen.clone() else { return false };
+        self.fail_waiting(&EngineError::NotLeader(None));
+        self.replies.clear();
+        while !self.stopping {
+            self.note_unconfirmed();
+            std::thread::sleep(REOPEN_PAUSE);
+            while let Ok(input) = inputs.try_recv() {
+                self.turn_away(input);
+            }
+            let opened = KeeperFiles::open(&place.folder, &place.name, StoreOptions::default());
+            let rewritten = opened.and_then(|mut opened| opened.files.rewrite().map(|()| opened));
+            match rewritten {
+                Ok(opened) => {
+                    self.restart(opened);
+                    record(&events::STORE_REOPENED, &[field("index", self.applied.0)]);
+                    return true;
+                }
+                Err(error) => record(&events::STORE_FAILED, &[field("error", error)]),
+            }
+        }
+        false
+    }
+
+    fn restart(&mut self, opened: OpenOutcome) {
+        let snapshot = &opened.restored.snapshot;
+        self.state = restore_state(&snapshot.data, self.options.ledger);
+        self.applied = snapshot.index;
+        self.command_bytes = 0;
+        self.core = start_core(&self.options, self.clock, opened.restored);
+        self.files = opened.files;
+    }
+
+    /// Answers an input that comes while there are no files.
+    fn turn_away(&mut self, input: EngineInput) {
+        match input {
+            EngineInput::Event(_) => {}
+            EngineInput::Command(_, reply) | EngineInput::Barrier(reply) => {
+                let _ = reply.try_send(Err(EngineError::NotLeader(None)));
+            }
+            EngineInput::Stop => self.stopping = true,
+        }
+    }
+
+    /// Shows that this keeper hears no majority.
+    fn note_unconfirmed(&self) {
+        let mut view = self.view.lock().expect("no holder of the view panics");
+        if view.status.confirmed {
+            view.status.confirmed = false;
+            view.notify();
+        }
+    }
+
     fn take(&mut self, input: EngineInput) {
         let now = self.clock.now();
         match input {
@@ -244,7 +328,8 @@
             let _ = self.outgoing.try_send(envelope);
         }
         if let Some(snapshot) = output.install {
-            self.state = restore_state(&snapshot.data, self.ledger_options);
+            self.state = restore_state(&snapshot.data, self.options.ledger);
+            self.command_bytes = 0;
             self.applied = snapshot.index;
         }
         for entry in output.committed {
@@ -256,10 +341,13 @@
     fn apply(&mut self, entry: LogEntry) {
         self.applied = entry.index;
         let reply = match &entry.payload {
-            EntryPayload::Command(bytes) => match postcard::from_bytes(bytes) {
-                Ok(command) => self.state.apply(&command),
-                Err(_) => KeeperReply::Passed,
-            },
+            EntryPayload::Command(bytes) => {
+                self.command_bytes += bytes.len();
+                match postcard::from_bytes(bytes) {
+                    Ok(command) => self.state.apply(&command),
+                    Err(_) => KeeperReply::Passed,
+                }
+            }
             EntryPayload::Blank => KeeperReply::Passed,
             EntryPayload::Members(membership) => {
                 record(&events::GROUP_CHANGED, &[field("voters", membership.voters().count())]);
@@ -277,13 +365,19 @@
             return;
         }
         let leader = self.core.status(self.clock.now()).leader;
+        self.fail_waiting(&EngineError::NotLeader(leader));
+    }
+
+    fn fail_waiting(&mut self, error: &EngineError) {
         for reply in std::mem::take(&mut self.waiting).into_values() {
-            let _ = reply.try_send(Err(EngineError::NotLeader(leader.clone())));
+            let _ = reply.try_send(Err(error.clone()));
         }
     }
 
     fn compact_if_long(&mut self) {
-        if self.core.log_len() > COMPACT_ENTRIES + self.state.ledger.len() {
+        let many = self.core.log_len() > COMPACT_ENTRIES + self.state.ledger.len();
+        if many || self.command_bytes > COMPACT_BYTES {
+            self.command_bytes = 0;
             let event = QuorumEvent::Compact(self.applied, self.state.encode());
             self.core.step(self.clock.now(), event);
         }
@@ -298,10 +392,17 @@
             record(kind, &[field("term", status.term.0)]);
         }
         let newer = view.settings.revision() != self.state.settings.revision();
-        let changed = newer || view.status.confirmed != status.confirmed;
+        let planned = view.plan.number != self.state.plan.number;
+        let changed = newer
+            || planned
+            || view.status.confirmed != status.confirmed
+            || view.status.membership != status.membership;
         if newer {
             view.settings = self.state.settings.clone();
         }
+        if planned {
+            view.plan = self.state.plan.clone();
+        }
         view.status = status;
         view.ledger_keys = self.state.ledger.len();
         view.ledger_answer_bytes = self.state.ledger.answer_bytes();
@@ -312,9 +413,7 @@
     }
 
     fn stop(&mut self) {
-        for reply in std::mem::take(&mut self.waiting).into_values() {
-            let _ = reply.try_send(Err(EngineError::Stopped));
-        }
+        self.fail_waiting(&EngineError::Stopped);
         let mut view = self.view.lock().expect("no holder of the view panics");
         view.stopped = true;
         view.status.confirmed = false;
@@ -322,6 +421,11 @@
     }
 }
 
+fn start_core(options: &EngineOptions, clock: MonotonicClock, restored: RestoredState) -> QuorumCore {
+    let seed = restored.identity.incarnation.0;
+    QuorumCore::new(clock.now(), options.quorum.clone(), restored, seed)
+}
+
 fn restore_state(data: &[u8], options: LedgerOptions) -> KeeperState {
     if data.is_empty() {
         return KeeperState::new(options);
--- /dev/null
+++ b/crates/micaspool-keeper/src/follow.rs
@@ -0,0 +1,75 @@
+//! Tells followers of the fleet: the route plan, the endpoints heard here, and the members.
+
+use crate::engine::KeeperView;
+use crate::registry_hub::{HubCursor, RegistryHub};
+use async_std::channel::{Receiver, Sender};
+use async_std::future::timeout;
+use futures::future::select;
+use futures::pin_mut;
+use micaspool_wire::convert::endpoint_message;
+use micaspool_wire::v1;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tonic::Status;
+
+/// How often a follower hears of this keeper when nothing changes. A follower takes a keeper for
+/// lost after three times as long.
+const PULSE: Duration = Duration::from_millis(500);
+
+/// What a follower has been told.
+struct ToldState {
+    number: u64,
+    cursor: HubCursor,
+    keepers: Vec<String>,
+}
+
+/// Sends a follower everything, then what changes, until it leaves or the keeper stops.
+pub(crate) async fn feed_follower(
+    view: Arc<Mutex<KeeperView>>,
+    hub: Arc<RegistryHub>,
+    number: u64,
+    sender: Sender<Result<v1::FleetNews, Status>>,
+) {
+    let changes = view.lock().expect("no holder of the view panics").listen();
+    let records = hub.listen();
+    let mut told = ToldState { number, cursor: HubCursor::default(), keepers: Vec::new() };
+    loop {
+        let (news, stopped) = told.next_news(&view, &hub);
+        if sender.send(Ok(news)).await.is_err() || stopped {
+            return;
+        }
+        wait_for_news(&changes, &records).await;
+    }
+}
+
+async fn wait_for_news(changes: &Receiver<()>, records: &Receiver<()>) {
+    let change = changes.recv();
+    let endpoint = records.recv();
+    pin_mut!(change, endpoint);
+    // Both an event and a pulse lead to the next message, so which of them came does not matter.
+    let _ = timeout(PULSE, select(change, endpoint)).await;
+}
+
+impl ToldState {
+    fn next_news(&mut self, view: &Mutex<KeeperView>, hub: &RegistryHub) -> (v1::FleetNews, bool) {
+        let view = view.lock().expect("no holder of the view panics");
+        let mut news = v1::FleetNews { confirmed: view.status.confirmed, ..v1::FleetNews::default() };
+        if view.plan.number > self.number {
+            self.number = view.plan.number;
+            news.plan =
+                Some(v1::PlanDocument { number: view.plan.number, document: view.plan.text.to_string() });
+        }
+        let members = view.status.membership.members.iter();
+        let keepers: Vec<String> = members.map(|member| member.identity.name.to_string()).collect();
+        if keepers != self.keepers {
+            news.keepers.clone_from(&keepers);
+            self.keepers = keepers;
+        }
+        let stopped = view.stopped;
+        drop(view);
+        let (records, cursor) = hub.since(self.cursor);
+        self.cursor = cursor;
+        news.endpoints = records.iter().map(endpoint_message).collect();
+        (news, stopped)
+    }
+}
--- a/crates/micaspool-keeper/src/lib.rs
+++ b/crates/micaspool-keeper/src/lib.rs
@@ -8,11 +8,14 @@
 mod clock;
 mod daemon;
 mod engine;
+mod follow;
 mod peers;
+mod registry_hub;
 mod service;
 mod state;
 
-pub use daemon::{run_keeper, Error, KeeperDaemon};
-pub use engine::{EngineError, EngineInput, EngineReply, KeeperEngine};
+pub use daemon::{run_keeper, start_keeper, Error, KeeperDaemon, KeeperOptions, KeeperOptionsBuilder};
+pub use engine::{EngineError, EngineInput, EngineOptions, EngineReply, KeeperEngine, ReopenPlace};
+pub use registry_hub::RegistryHub;
 pub use service::KeeperService;
-pub use state::{KeeperCommand, KeeperReply, KeeperState};
+pub use state::{KeeperCommand, KeeperReply, KeeperState, PlanDocument};
--- a/crates/micaspool-keeper/src/peers.rs
+++ b/crates/micaspool-keeper/src/peers.rs
@@ -3,13 +3,15 @@
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::task;
 use futures::StreamExt;
+use micaspool_client::PeerDirectory;
 use micaspool_quorum::{Envelope, PeerMessage};
-use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::InstanceName;
 use micaspool_wire::socket;
 use micaspool_wire::v1::{keeper_client::KeeperClient, PeerFrame};
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The version of the encoding of [`PeerMessage`] in frames.
@@ -20,32 +22,32 @@
 const QUEUE: usize = 256;
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Starts a task for each other keeper and one that hands messages out to them.
+/// Starts the task that hands messages out. A stream to a keeper opens with the first message for
+/// it, at the address that the directory gives.
 pub(crate) fn start_peers(
-    own: &InstanceName,
-    keepers: &[PeerAddress],
+    directory: Arc<dyn PeerDirectory>,
     counter: &TrafficCounter,
     outgoing: Receiver<Envelope>,
 ) {
-    let mut queues: HashMap<InstanceName, Sender<PeerMessage>> = HashMap::new();
-    for keeper in keepers.iter().filter(|keeper| keeper.name != *own) {
-        let (sender, receiver) = bounded(QUEUE);
-        queues.insert(keeper.name.clone(), sender);
-        task::spawn(feed_peer(keeper.clone(), counter.clone(), receiver));
-    }
+    let counter = counter.clone();
     task::spawn(async move {
+        let mut queues: HashMap<InstanceName, Sender<PeerMessage>> = HashMap::new();
         while let Ok(envelope) = outgoing.recv().await {
-            if let Some(queue) = queues.get(&envelope.to) {
-                let _ = queue.try_send(envelope.message);
-            }
+            let Some(address) = directory.address(&envelope.to) else { continue };
+            let queue = queues.entry(envelope.to).or_insert_with(|| {
+                let (sender, receiver) = bounded(QUEUE);
+                task::spawn(feed_peer(address, counter.clone(), receiver));
+                sender
+            });
+            let _ = queue.try_send(envelope.message);
         }
     });
 }
 
 /// Keeps one stream to a keeper open. What could not be sent is dropped.
-async fn feed_peer(keeper: PeerAddress, counter: TrafficCounter, queue: Receiver<PeerMessage>) {
+async fn feed_peer(address: SocketAddr, counter: TrafficCounter, queue: Receiver<PeerMessage>) {
     while !queue.is_closed() {
-        if let Ok(channel) = socket::connect(keeper.address, counter.clone()).await {
+        if let Ok(channel) = socket::connect(address, counter.clone()).await {
             let mut client = KeeperClient::new(channel).max_encoding_message_size(MAX_FRAME);
             while queue.try_recv().is_ok() {}
             let frames = queue.clone().map(|message| encode_frame(&message));
--- /dev/null
+++ b/crates/micaspool-keeper/src/registry_hub.rs
@@ -0,0 +1,121 @@
+//! The endpoints that registered at this keeper, and who wants to hear of them.
+
+use crate::clock::MonotonicClock;
+use async_std::channel::{bounded, Receiver, Sender};
+use micaspool_registry::{EndpointRecord, EndpointRegistry, EndpointStage, MergeOutcome};
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_types::EndpointName;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+/// How long an endpoint may be silent at this keeper before it is forgotten here. Others may hear it
+/// elsewhere, so this only bounds memory.
+const RECORD_LIFE: Duration = Duration::from_secs(60);
+
+/// Marks what a follower has seen; rises with each record that comes in.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
+pub(crate) struct HubCursor(u64);
+
+/// What this keeper heard from endpoints. Followers merge what all keepers heard.
+#[derive(Debug)]
+pub struct RegistryHub {
+    clock: MonotonicClock,
+    content: Mutex<HubContent>,
+}
+
+#[derive(Debug, Default)]
+struct HubContent {
+    registry: EndpointRegistry,
+    touched: HashMap<EndpointName, u64>,
+    version: u64,
+    listeners: Vec<Sender<()>>,
+}
+
+impl Default for RegistryHub {
+    fn default() -> Self {
+        RegistryHub { clock: MonotonicClock::start(), content: Mutex::default() }
+    }
+}
+
+impl RegistryHub {
+    /// Takes a record of an endpoint in.
+    pub fn register(&self, endpoint: EndpointRecord) -> MergeOutcome {
+        let mut content = self.lock();
+        let (name, stage, sequence) = (endpoint.name.clone(), endpoint.stage, endpoint.sequence);
+        let service = endpoint.service.clone();
+        let outcome = content.registry.merge(self.clock.now(), endpoint);
+        if outcome != MergeOutcome::Stale {
+            content.touch(&name);
+        }
+        if outcome == MergeOutcome::Changed {
+            let stage = format!("{stage:?}");
+            let fields = [
+                field("endpoint", &name),
+                field("service", service),
+                field("stage", stage),
+                field("sequence", sequence),
+            ];
+            record(&events::ENDPOINT_STAGE, &fields);
+            content.notify();
+        }
+        content.forget_silent(&self.clock);
+        outcome
+    }
+
+    /// Notes that an endpoint has left. One that never registered here is known by its name alone,
+    /// which is no use to anyone, so the caller may ask it to register elsewhere first.
+    pub fn leave(&self, name: &EndpointName) -> bool {
+        let mut content = self.lock();
+        let known = content.registry.leave(self.clock.now(), name);
+        if known {
+            content.touch(name);
+            let stage = format!("{:?}", EndpointStage::Left);
+            record(&events::ENDPOINT_STAGE, &[field("endpoint", name), field("stage", stage)]);
+            content.notify();
+        }
+        known
+    }
+
+    /// A channel that gets a message after an endpoint has said something new.
+    pub(crate) fn listen(&self) -> Receiver<()> {
+        let (sender, receiver) = bounded(1);
+        self.lock().listeners.push(sender);
+        receiver
+    }
+
+    /// The records that came in after a cursor, and the cursor after them.
+    pub(crate) fn since(&self, cursor: HubCursor) -> (Vec<EndpointRecord>, HubCursor) {
+        let content = self.lock();
+        let newer = |endpoint: &&EndpointRecord| {
+            content.touched.get(&endpoint.name).is_some_and(|version| *version > cursor.0)
+        };
+        let records = content.registry.iter().filter(newer).cloned().collect();
+        (records, HubCursor(content.version))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HubContent> {
+        self.content.lock().expect("no holder of the registry panics")
+    }
+}
+
+impl HubContent {
+    fn touch(&mut self, name: &EndpointName) {
+        self.version += 1;
+        self.touched.insert(name.clone(), self.version);
+    }
+
+    fn notify(&mut self) {
+        self.listeners.retain(|listener| !listener.is_closed());
+        for listener in &self.listeners {
+            let _ = listener.try_send(());
+        }
+    }
+
+    fn forget_silent(&mut self, clock: &MonotonicClock) {
+        if self.registry.expire(clock.now(), RECORD_LIFE) {
+            let registry = &self.registry;
+            self.touched.retain(|name, _| registry.get(name).is_some());
+        }
+    }
+}
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -1,19 +1,21 @@
 //! The protocol side of a keeper.
 
 use crate::engine::{EngineError, EngineInput, EngineReply, KeeperView};
+use crate::follow::feed_follower;
 use crate::peers::decode_frame;
-use crate::state::{KeeperCommand, KeeperReply};
+use crate::registry_hub::RegistryHub;
+use crate::state::{KeeperCommand, KeeperReply, PlanDocument};
 use async_std::channel::{bounded, Sender};
 use async_std::future::timeout;
 use async_std::task;
 use futures::{Stream, StreamExt};
+use micaspool_client::PeerDirectory;
 use micaspool_ledger::{
     BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime,
     StoredAnswer,
 };
 use micaspool_quorum::QuorumEvent;
 use micaspool_settings::apply::{SettingsChange, SettingsUpdate};
-use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_types::{CustomerName, InstanceName, Revision};
@@ -33,7 +35,8 @@
 pub struct KeeperService {
     inputs: Sender<EngineInput>,
     view: Arc<Mutex<KeeperView>>,
-    keepers: Arc<Vec<PeerAddress>>,
+    hub: Arc<RegistryHub>,
+    directory: Arc<dyn PeerDirectory>,
     spans: SpanSink,
 }
 
@@ -42,10 +45,11 @@
     pub fn new(
         inputs: Sender<EngineInput>,
         view: Arc<Mutex<KeeperView>>,
-        keepers: Arc<Vec<PeerAddress>>,
+        hub: Arc<RegistryHub>,
+        directory: Arc<dyn PeerDirectory>,
         spans: SpanSink,
     ) -> KeeperService {
-        KeeperService { inputs, view, keepers, spans }
+        KeeperService { inputs, view, hub, directory, spans }
     }
 
     async fn ask(
@@ -79,8 +83,7 @@
     }
 
     fn address(&self, name: &InstanceName) -> Option<String> {
-        let keeper = self.keepers.iter().find(|keeper| keeper.name == *name)?;
-        Some(keeper.address.to_string())
+        self.directory.address(name).map(|address| address.to_string())
     }
 
     fn view(&self) -> std::sync::MutexGuard<'_, KeeperView> {
@@ -93,11 +96,13 @@
     }
 }
 
+type NewsStream = Pin<Box<dyn Stream<Item = Result<v1::FleetNews, Status>> + Send>>;
 type UpdateStream = Pin<Box<dyn Stream<Item = Result<v1::SettingsUpdate, Status>> + Send>>;
 
 #[tonic::async_trait]
 impl Keeper for KeeperService {
     type WatchStream = UpdateStream;
+    type FollowStream = NewsStream;
 
     async fn apply(&self, request: Request<v1::ApplyRequest>) -> Result<Response<v1::ApplyReply>, Status> {
         use v1::apply_reply::Outcome;
@@ -190,6 +195,42 @@
         Ok(Response::new(v1::FinishReply { not_leader }))
     }
 
+    async fn publish(
+        &self,
+        request: Request<v1::PublishRequest>,
+    ) -> Result<Response<v1::PublishReply>, Status> {
+        let request = request.into_inner();
+        let document = PlanDocument { number: request.number, text: request.document.into() };
+        let reply = match self.command(KeeperCommand::Publish(document)).await? {
+            Ok(KeeperReply::Published(number)) => v1::PublishReply { in_force: number, not_leader: None },
+            Ok(_) => return Err(Status::internal("the reply does not fit the command; report this")),
+            Err(error) => v1::PublishReply { in_force: 0, not_leader: Some(self.not_leader(error)?) },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn plan(&self, _request: Request<v1::PlanRequest>) -> Result<Response<v1::PlanReply>, Status> {
+        let reply = match self.ask(EngineInput::Barrier).await? {
+            Ok(_) => {
+                let plan = self.view().plan.clone();
+                let document = v1::PlanDocument { number: plan.number, document: plan.text.to_string() };
+                v1::PlanReply { plan: Some(document), not_leader: None }
+            }
+            Err(error) => v1::PlanReply { plan: None, not_leader: Some(self.not_leader(error)?) },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn follow(
+        &self,
+        request: Request<v1::FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let (sender, receiver) = bounded(WATCH_QUEUE);
+        let number = request.into_inner().number;
+        task::spawn(feed_follower(self.view.clone(), self.hub.clone(), number, sender));
+        Ok(Response::new(Box::pin(receiver)))
+    }
+
     async fn exchange(
         &self,
         request: Request<Streaming<v1::PeerFrame>>,
--- a/crates/micaspool-keeper/src/state.rs
+++ b/crates/micaspool-keeper/src/state.rs
@@ -4,6 +4,7 @@
 use micaspool_settings::apply::{self, SettingsChange, SettingsState};
 use micaspool_types::Revision;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// A command of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -14,6 +15,18 @@
     Claim(ClaimCommand),
     /// Record how a call ended.
     Finish(FinishCommand),
+    /// Offer a route plan.
+    Publish(PlanDocument),
+}
+
+/// A route plan as its operator sent it. Keepers check it before they propose it, and never read it
+/// afterwards, so that keepers of two versions can't differ about it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlanDocument {
+    /// The operator's number; zero when there is no plan.
+    pub number: u64,
+    /// The text.
+    pub text: Arc<str>,
 }
 
 /// What a command gave.
@@ -27,21 +40,36 @@
     Finished,
     /// A read barrier was passed.
     Passed,
+    /// The number of the plan in force after an offer.
+    Published(u64),
 }
 
-/// Both state machines.
+/// All state machines.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct KeeperState {
     /// The settings tree.
     pub settings: SettingsState,
     /// The claims.
     pub ledger: LedgerState,
+    /// The route plan in force.
+    pub plan: PlanDocument,
+}
+
+/// The state as versions without route plans wrote it.
+#[derive(Deserialize)]
+struct OldState {
+    settings: SettingsState,
+    ledger: LedgerState,
 }
 
 impl KeeperState {
     /// Empty state machines.
     pub fn new(options: LedgerOptions) -> KeeperState {
-        KeeperState { settings: SettingsState::default(), ledger: LedgerState::new(options) }
+        KeeperState {
+            settings: SettingsState::default(),
+            ledger: LedgerState::new(options),
+            plan: PlanDocument::default(),
+        }
     }
 
     /// Applies a command.
@@ -53,6 +81,12 @@
                 self.ledger.finish(command);
                 KeeperReply::Finished
             }
+            KeeperCommand::Publish(document) => {
+                if document.number > self.plan.number {
+                    self.plan = document.clone();
+                }
+                KeeperReply::Published(self.plan.number)
+            }
         }
     }
 
@@ -63,6 +97,9 @@
 
     /// The state from bytes.
     pub fn decode(bytes: &[u8]) -> Result<KeeperState, postcard::Error> {
-        postcard::from_bytes(bytes)
+        postcard::from_bytes(bytes).or_else(|_| {
+            let old: OldState = postcard::from_bytes(bytes)?;
+            Ok(KeeperState { settings: old.settings, ledger: old.ledger, plan: PlanDocument::default() })
+        })
     }
 }
--- a/crates/micaspool-quorum/src/core/forming.rs
+++ b/crates/micaspool-quorum/src/core/forming.rs
@@ -8,7 +8,7 @@
 use crate::message::PeerBody;
 use crate::types::{EntryPayload, GroupMember, GroupMembership, KeeperIdentity, LogIndex, LogSnapshot};
 use micaspool_types::{InstanceName, Moment, Term};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// How many announcements may be missed before a keeper no longer counts as reachable.
 const MISSED_ANNOUNCEMENTS: u32 = 3;
@@ -18,6 +18,8 @@
 pub(super) struct FormingState {
     heard: HashMap<InstanceName, HeardAnnouncement>,
     announced: Option<Moment>,
+    /// Keepers that others named, besides the configured ones.
+    named: BTreeSet<InstanceName>,
 }
 
 #[derive(Debug, Clone)]
@@ -37,42 +39,65 @@
         }
         self.forming.announced = Some(now);
         let empty = !self.is_formed();
-        for name in self.other_keepers() {
-            self.send(&name, PeerBody::Announce { empty });
+        for name in self.known_keepers() {
+            self.send(&name, PeerBody::Announce { empty, members: self.member_names() });
         }
         self.form_if_possible(now);
     }
 
+    /// Every other keeper that may lead or know who does.
+    fn known_keepers(&self) -> BTreeSet<InstanceName> {
+        let mut known: BTreeSet<InstanceName> = self.other_keepers().into_iter().collect();
+        known.extend(self.forming.named.iter().cloned());
+        known.extend(self.member_names());
+        known.remove(&self.identity.name);
+        known
+    }
+
+    fn member_names(&self) -> Vec<InstanceName> {
+        self.log.membership().members.iter().map(|member| member.identity.name.clone()).collect()
+    }
+
     fn other_keepers(&self) -> Vec<InstanceName> {
         self.options.configured.iter().filter(|name| **name != self.identity.name).cloned().collect()
     }
 
-    pub(super) fn hear_announce(&mut self, now: Moment, from: KeeperIdentity, empty: bool) {
+    pub(super) fn hear_announce(
+        &mut self,
+        now: Moment,
+        from: KeeperIdentity,
+        empty: bool,
+        members: Vec<InstanceName>,
+    ) {
+        if self.is_formed() && empty {
+            self.answer_newcomer(now, from);
+            return;
+        }
         if self.is_formed() {
-            self.answer_newcomer(now, from, empty);
+            self.admit_newcomer(now, from);
             return;
         }
         let name = from.name.clone();
+        self.forming.named.extend(members);
         self.forming.heard.insert(name, HeardAnnouncement { identity: from, empty, at: now });
     }
 
-    /// A member of a group hears a keeper that is in none, or that is not a voter.
-    fn answer_newcomer(&mut self, now: Moment, from: KeeperIdentity, empty: bool) {
+    /// A member of a group hears a keeper that is in none.
+    fn answer_newcomer(&mut self, now: Moment, from: KeeperIdentity) {
         let base = self.log.snapshot();
-        if empty && base.index == LogIndex(0) && base.membership.has(&from) {
+        if base.index == LogIndex(0) && base.membership.has(&from) {
             let membership = base.membership.clone();
             self.send(&from.name, PeerBody::Form { membership });
             return;
         }
-        if empty {
-            self.send(&from.name, PeerBody::Announce { empty: false });
-        }
+        let members = self.member_names();
+        self.send(&from.name, PeerBody::Announce { empty: false, members });
         self.admit_newcomer(now, from);
     }
 
     fn form_if_possible(&mut self, now: Moment) {
         let lowest = self.options.configured.iter().min();
-        if self.is_formed() || lowest != Some(&self.identity.name) {
+        if self.is_formed() || !self.options.may_form || lowest != Some(&self.identity.name) {
             return;
         }
         let limit = self.options.announce_interval * MISSED_ANNOUNCEMENTS;
--- a/crates/micaspool-quorum/src/core/group.rs
+++ b/crates/micaspool-quorum/src/core/group.rs
@@ -18,8 +18,8 @@
     /// A keeper with a new data folder asks to come in.
     pub(super) fn admit_newcomer(&mut self, now: Moment, newcomer: KeeperIdentity) {
         let membership = self.log.membership();
-        let listed = self.options.configured.contains(&newcomer.name);
-        if !listed || membership.has(&newcomer) || !self.group_is_settled() {
+        let allowed = self.options.open_group.is_some() || self.options.configured.contains(&newcomer.name);
+        if !allowed || membership.has(&newcomer) || !self.group_is_settled() {
             return;
         }
         let RoleState::Leader(state) = &self.role else { return };
@@ -33,20 +33,54 @@
         self.replicate_idle(now);
     }
 
-    /// Makes the first caught-up newcomer count.
+    /// A member of the group that was dropped while it was silent, and knows nothing of it, asks
+    /// for votes: an open group lets it in again.
+    pub(super) fn readmit_dropped(&mut self, now: Moment, from: &KeeperIdentity) {
+        if self.options.open_group.is_some() && self.is_formed() {
+            self.admit_newcomer(now, from.clone());
+        }
+    }
+
+    /// Changes the group by one member when something is due.
     pub(super) fn tend_group(&mut self, now: Moment) {
         if !self.group_is_settled() {
             return;
         }
-        let RoleState::Leader(state) = &self.role else { return };
-        let membership = self.log.membership();
+        let newcomer = self.caught_up_newcomer();
+        let changed = match (self.silent_voter(now, newcomer.is_some()), newcomer) {
+            (Some(silent), _) => self.log.membership().without(&silent),
+            (None, Some(identity)) => self.log.membership().with(GroupMember { identity, voter: true }),
+            (None, None) => return,
+        };
+        self.append_own(EntryPayload::Members(changed));
+        self.replicate_idle(now);
+    }
+
+    /// The first member that does not count yet and has everything committed durable.
+    fn caught_up_newcomer(&self) -> Option<KeeperIdentity> {
+        let RoleState::Leader(state) = &self.role else { return None };
         let caught_up = |member: &&GroupMember| {
             let progress = state.progress.get(&member.identity);
             !member.voter && progress.is_some_and(|progress| progress.matched >= self.commit)
         };
-        let Some(member) = membership.members.iter().find(caught_up) else { return };
-        let changed = membership.with(GroupMember { identity: member.identity.clone(), voter: true });
-        self.append_own(EntryPayload::Members(changed));
-        self.replicate_idle(now);
+        self.log.membership().members.iter().find(caught_up).map(|member| member.identity.clone())
+    }
+
+    /// The voter that has been silent longest, when an open group may do without it: a newcomer
+    /// stands ready for its place, or there are more voters than needed.
+    fn silent_voter(&self, now: Moment, newcomer: bool) -> Option<KeeperIdentity> {
+        let options = self.options.open_group?;
+        let RoleState::Leader(state) = &self.role else { return None };
+        let membership = self.log.membership();
+        let spare = membership.voters().count() > options.target_voters;
+        let limit = match (newcomer, spare) {
+            (true, _) => options.replace_after,
+            (false, true) => options.drop_after,
+            (false, false) => return None,
+        };
+        let others = membership.voters().filter(|voter| **voter != self.identity);
+        let silent = others.map(|voter| (state.silence(now, voter), voter));
+        let (silence, voter) = silent.max_by_key(|(silence, _)| *silence)?;
+        (silence > limit).then(|| voter.clone())
     }
 }
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -230,9 +230,10 @@
     fn receive(&mut self, now: Moment, message: PeerMessage) {
         let PeerMessage { from, term, body } = message;
         match body {
-            PeerBody::Announce { empty } => return self.hear_announce(now, from, empty),
+            PeerBody::Announce { empty, members } => return self.hear_announce(now, from, empty, members),
             PeerBody::Form { membership } => return self.adopt_group(now, membership),
             PeerBody::PreVote { next, last, last_term } => {
+                self.readmit_dropped(now, &from);
                 return self.answer_pre_vote(now, &from, next, (last_term, last));
             }
             PeerBody::PreVoteReply { next, granted } => return self.count_pre_vote(now, from, next, granted),
--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -6,6 +6,7 @@
 use crate::types::{GroupMembership, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
 use micaspool_types::{Moment, Term};
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// What a leader knows of one member.
 #[derive(Debug, Clone)]
@@ -49,6 +50,12 @@
         membership.voters().filter(|voter| fresh(voter)).count() >= membership.majority()
     }
 
+    /// How long a member was not heard; from the election on when it never was.
+    pub fn silence(&self, now: Moment, member: &KeeperIdentity) -> Duration {
+        let heard = self.progress.get(member).and_then(|progress| progress.heard).unwrap_or(self.since);
+        now.since(heard.max(self.since))
+    }
+
     /// True when this life of a keeper was heard within the timeout.
     pub fn heard_lately(&self, now: Moment, member: &KeeperIdentity, options: &QuorumOptions) -> bool {
         let heard = self.progress.get(member).and_then(|progress| progress.heard);
--- a/crates/micaspool-quorum/src/lib.rs
+++ b/crates/micaspool-quorum/src/lib.rs
@@ -17,7 +17,7 @@
 pub use crate::core::{ProposeError, QuorumCore, QuorumRole, QuorumStatus};
 pub use log::EntryLog;
 pub use message::{PeerBody, PeerMessage};
-pub use options::QuorumOptions;
+pub use options::{OpenGroupOptions, QuorumOptions};
 pub use output::{Envelope, QuorumEvent, QuorumOutput, SaveBatch};
 pub use types::{
     EntryPayload, GroupMember, GroupMembership, HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot,
--- a/crates/micaspool-quorum/src/message.rs
+++ b/crates/micaspool-quorum/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between keepers.
 
 use crate::types::{GroupMembership, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
-use micaspool_types::{Moment, Term};
+use micaspool_types::{InstanceName, Moment, Term};
 use serde::{Deserialize, Serialize};
 
 /// A message with its sender and the sender's term.
@@ -22,6 +22,8 @@
     Announce {
         /// True when the sender has no log.
         empty: bool,
+        /// The members that the sender knows, so that a newcomer finds the leader.
+        members: Vec<InstanceName>,
     },
     /// The first group.
     Form {
--- a/crates/micaspool-quorum/src/types.rs
+++ b/crates/micaspool-quorum/src/types.rs
@@ -65,6 +65,12 @@
         self.members.iter().find(|member| member.identity.name == *name)
     }
 
+    /// The same group without this life of a keeper.
+    pub fn without(&self, identity: &KeeperIdentity) -> GroupMembership {
+        let others = self.members.iter().filter(|member| member.identity != *identity);
+        GroupMembership { members: others.cloned().collect() }
+    }
+
     /// The same group with this member in place of any other life of it.
     pub fn with(&self, member: GroupMember) -> GroupMembership {
         let others = self.members.iter().filter(|other| other.identity.name != member.identity.name);
--- /dev/null
+++ b/crates/micaspool-registry/src/record.rs
@@ -0,0 +1,35 @@
+//! What an endpoint says of itself.
+
+use micaspool_types::{EndpointName, HallName, ServiceName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Where an endpoint stands in its life.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+pub enum EndpointStage {
+    /// It takes requests.
+    Serving,
+    /// It finishes what runs and takes nothing new.
+    Draining,
+    /// It has said goodbye.
+    Left,
+}
+
+/// One record of an endpoint. Each start of an endpoint has a new name.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct EndpointRecord {
+    /// The name of this life of the endpoint.
+    pub name: EndpointName,
+    /// The service that it offers.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: HallName,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Where it stands in its life.
+    pub stage: EndpointStage,
+    /// Rises with each record of this endpoint.
+    pub sequence: u64,
+}
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -89,6 +89,8 @@
             attempt,
             avoid,
             prefixes: self.prefixes_of(trace, index),
+            prefix_tokens: Vec::new(),
+            prompt_tokens: Cost(0),
             order: None,
         }
     }
--- a/crates/micaspool-replay/src/run/setup.rs
+++ b/crates/micaspool-replay/src/run/setup.rs
@@ -58,6 +58,7 @@
             hall: number % header.halls,
             slots: header.slots,
             leaving: false,
+            memory_tokens: 0,
         });
         ShardPolicy {
             revision: Revision(1),
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -138,6 +138,8 @@
             attempt,
             avoid,
             prefixes: self.prefixes.clone(),
+            prefix_tokens: Vec::new(),
+            prompt_tokens: Cost(0),
             order: None,
         }
     }
--- a/crates/micaspool-router/src/daemon.rs
+++ b/crates/micaspool-router/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::endpoint::HttpEndpointClient;
 use crate::metrics::RouterMetrics;
 use crate::router::{RequestRouter, RouterParts};
-use crate::shard_client::ShardClientOptions;
+use crate::shard_client::{ListedDispatchers, ShardClientOptions};
 use async_std::net::TcpListener;
 use async_std::task;
 use micaspool_client::{KeeperClient, SettingsMirror};
@@ -71,7 +71,7 @@
             router: settings.instance.clone(),
             hall: settings.hall.to_string(),
             incarnation,
-            dispatchers: settings.dispatchers.clone(),
+            dispatchers: Arc::new(ListedDispatchers(settings.dispatchers.clone())),
             counter: dispatchers,
         },
         endpoints: Arc::new(HttpEndpointClient),
--- a/crates/micaspool-router/src/lib.rs
+++ b/crates/micaspool-router/src/lib.rs
@@ -26,4 +26,7 @@
 pub use daemon::{run_router, RouterDaemon};
 pub use endpoint::{EndpointAnswer, EndpointCall, EndpointClient, EndpointError, HttpEndpointClient};
 pub use router::{RequestRouter, RouterParts};
-pub use shard_client::{GrantLease, ShardClient, ShardClientOptions};
+pub use shard_client::{
+    DispatcherAddress, DispatcherList, GrantLease, ListedDispatchers, LocalDispatcher, MessageStream,
+    ShardClient, ShardClientOptions,
+};
--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -1,12 +1,13 @@
 //! Keeps a stream to the best reachable dispatcher open.
 
+use super::dispatchers::{DispatcherAddress, MessageStream};
 use super::ShardClient;
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use async_std::future::timeout;
 use async_std::task;
 use futures::future::{select, Either};
-use futures::pin_mut;
-use micaspool_dispatch::{CandidateChoice, ChoiceStep};
+use futures::{pin_mut, StreamExt};
+use micaspool_dispatch::{CandidateChoice, ChoiceOptions, ChoiceStep};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::Moment;
@@ -15,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
-use tonic::Streaming;
+use tonic::transport::Channel;
 
 /// How often a heartbeat is sent.
 const HEARTBEAT: Duration = Duration::from_secs(1);
@@ -23,6 +24,9 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long opening a stream may take.
 const OPEN_LIMIT: Duration = Duration::from_secs(1);
+/// The bounds of a pause before the next step.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
 /// The largest message from a dispatcher.
 const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 
@@ -38,77 +42,135 @@
     Unused,
 }
 
+/// The dispatchers of a service and the choice among them.
+struct LinkChoice {
+    addresses: Vec<DispatcherAddress>,
+    choice: CandidateChoice,
+    start: Instant,
+}
+
+impl LinkChoice {
+    fn new(client: &ShardClient) -> LinkChoice {
+        let addresses = client.options.dispatchers.ranked(&client.service);
+        let choice = CandidateChoice::new(addresses.len(), ChoiceOptions::default());
+        LinkChoice { addresses, choice, start: Instant::now() }
+    }
+
+    fn now(&self) -> Moment {
+        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Takes a changed list over; false when the present dispatcher is no longer on it.
+    fn refresh(&mut self, client: &ShardClient) -> bool {
+        let addresses = client.options.dispatchers.ranked(&client.service);
+        if addresses == self.addresses {
+            return true;
+        }
+        let current = self.choice.current().map(|rank| self.addresses[rank].clone());
+        let place = current.as_ref().and_then(|address| addresses.iter().position(|other| other == address));
+        self.choice = CandidateChoice::new(addresses.len(), ChoiceOptions::default());
+        self.addresses = addresses;
+        if let Some(rank) = place {
+            self.choice.connected(rank);
+        }
+        current.is_none() || place.is_some()
+    }
+}
+
 /// Works until the client is gone.
-pub(super) async fn keep_linked(client: Weak<ShardClient>, mut choice: CandidateChoice) {
-    let start = Instant::now();
-    let now = move || Moment(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX));
+pub(super) async fn keep_linked(client: Weak<ShardClient>) {
+    let Some(mut link) = client.upgrade().map(|client| LinkChoice::new(&client)) else { return };
     loop {
         let Some(client) = client.upgrade() else { return };
-        match choice.next(now()) {
-            ChoiceStep::Connect(rank) => match open_stream(&client, rank).await {
-                Some(messages) => {
-                    choice.connected(rank);
-                    client.held().linked();
-                    let end = run_stream(&client, messages, &mut choice, &now).await;
-                    client.held().unlink();
-                    match end {
-                        LinkEnd::Lost => {
-                            record(&events::SESSION_LOST, &[field("service", client.service())]);
-                            choice.failed(now(), rank);
-                        }
-                        LinkEnd::Moved | LinkEnd::Better => choice.left(rank),
-                        LinkEnd::Unused => return,
-                    }
-                }
-                None => {
-                    client.held().unlink();
-                    choice.failed(now(), rank);
+        link.refresh(&client);
+        match link.choice.next(link.now()) {
+            ChoiceStep::Connect(rank) => {
+                if let LinkEnd::Unused = use_candidate(&client, &mut link, rank).await {
+                    return;
                 }
-            },
+            }
             ChoiceStep::Wait(until) => {
                 drop(client);
-                task::sleep(until.since(now()).max(Duration::from_millis(1))).await;
+                let wait = until.since(link.now()).clamp(SHORTEST_WAIT, LONGEST_WAIT);
+                task::sleep(wait).await;
             }
-            ChoiceStep::Probe(_) => task::sleep(Duration::from_millis(1)).await,
+            ChoiceStep::Probe(_) => task::sleep(SHORTEST_WAIT).await,
         }
     }
 }
 
+/// Speaks to one candidate for as long as that goes.
+async fn use_candidate(client: &Arc<ShardClient>, link: &mut LinkChoice, rank: usize) -> LinkEnd {
+    let Some(messages) = open_stream(client, &link.addresses[rank]).await else {
+        client.held().unlink();
+        link.choice.failed(link.now(), rank);
+        return LinkEnd::Lost;
+    };
+    link.choice.connected(rank);
+    client.held().linked();
+    let end = run_stream(client, messages, link).await;
+    client.held().unlink();
+    let Some(rank) = link.choice.current() else { return end };
+    match end {
+        LinkEnd::Lost => {
+            record(&events::SESSION_LOST, &[field("service", client.service())]);
+            link.choice.failed(link.now(), rank);
+        }
+        LinkEnd::Moved | LinkEnd::Better => link.choice.left(rank),
+        LinkEnd::Unused => {}
+    }
+    end
+}
+
 /// Opens a stream whose first message says everything that this router holds.
-async fn open_stream(client: &Arc<ShardClient>, rank: usize) -> Option<Streaming<v1::DispatcherMessage>> {
-    let address = client.candidates[rank];
-    let channel = socket::connect(address, client.options.counter.clone()).await.ok()?;
+async fn open_stream(client: &Arc<ShardClient>, address: &DispatcherAddress) -> Option<MessageStream> {
+    let (sender, receiver) = unbounded();
+    let messages = match address {
+        DispatcherAddress::Remote(remote) => {
+            let channel = socket::connect(*remote, client.options.counter.clone()).await.ok()?;
+            greet(client, sender);
+            open_remote(channel, receiver).await?
+        }
+        DispatcherAddress::Local(local) => {
+            greet(client, sender);
+            timeout(OPEN_LIMIT, local.open(receiver)).await.ok()??
+        }
+    };
+    record(&events::SESSION_OPEN, &[field("service", client.service()), field("dispatcher", address)]);
+    Some(messages)
+}
+
+/// Queues the hello; what is sent from here on follows it.
+fn greet(client: &ShardClient, sender: Sender<v1::RouterMessage>) {
+    let mut held = client.held();
+    let hello = client.hello(&mut held);
+    sender.try_send(hello).expect("a new channel without a bound takes a message");
+    held.link(sender);
+}
+
+async fn open_remote(channel: Channel, messages: Receiver<v1::RouterMessage>) -> Option<MessageStream> {
     let mut wire = DispatchClient::new(channel)
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(usize::MAX);
-    let (sender, receiver) = unbounded();
-    {
-        let mut held = client.held();
-        let hello = client.hello(&mut held);
-        let _ = sender.try_send(hello);
-        held.link(sender);
-    }
-    let reply = timeout(OPEN_LIMIT, wire.session(receiver)).await.ok()?.ok()?;
-    record(&events::SESSION_OPEN, &[field("service", client.service()), field("dispatcher", address)]);
-    Some(reply.into_inner())
+    let reply = timeout(OPEN_LIMIT, wire.session(messages)).await.ok()?.ok()?;
+    Some(Box::pin(reply.into_inner()))
 }
 
 async fn run_stream(
     client: &Arc<ShardClient>,
-    mut messages: Streaming<v1::DispatcherMessage>,
-    choice: &mut CandidateChoice,
-    now: &impl Fn() -> Moment,
+    mut messages: MessageStream,
+    link: &mut LinkChoice,
 ) -> LinkEnd {
     let (probes, probe_results) = bounded(1);
     let mut probing = false;
     let mut next_beat = Instant::now() + HEARTBEAT;
     loop {
         if !probing {
-            match choice.next(now()) {
+            match link.choice.next(link.now()) {
                 ChoiceStep::Connect(_) => return LinkEnd::Better,
                 ChoiceStep::Probe(rank) => {
                     probing = true;
-                    start_probe(client, rank, probes.clone());
+                    start_probe(client, link.addresses[rank].clone(), probes.clone());
                 }
                 ChoiceStep::Wait(_) => {}
             }
@@ -121,14 +183,16 @@
                 }
             }
             StreamNews::End => return LinkEnd::Lost,
-            StreamNews::Probed(rank, answered) => {
+            StreamNews::Probed(address, answered) => {
                 probing = false;
-                choice.probed(now(), rank, answered);
+                if let Some(rank) = link.addresses.iter().position(|other| *other == address) {
+                    link.choice.probed(link.now(), rank, answered);
+                }
             }
             StreamNews::BeatDue => {
                 next_beat = Instant::now() + HEARTBEAT;
                 client.held().beat();
-                if client.held().silence() > SILENCE_LIMIT {
+                if client.held().silence() > SILENCE_LIMIT || !link.refresh(client) {
                     return LinkEnd::Lost;
                 }
                 if Arc::strong_count(client) == 1 {
@@ -142,35 +206,38 @@
 enum StreamNews {
     Message(v1::DispatcherMessage),
     End,
-    Probed(usize, bool),
+    Probed(DispatcherAddress, bool),
     BeatDue,
 }
 
 async fn next_message(
-    messages: &mut Streaming<v1::DispatcherMessage>,
-    probes: &Receiver<(usize, bool)>,
+    messages: &mut MessageStream,
+    probes: &Receiver<(DispatcherAddress, bool)>,
     next_beat: Instant,
 ) -> StreamNews {
     let wait = next_beat.saturating_duration_since(Instant::now());
-    let message = messages.message();
+    let message = messages.next();
     let probe = probes.recv();
     pin_mut!(message, probe);
     match timeout(wait, select(message, probe)).await {
         Err(_) => StreamNews::BeatDue,
-        Ok(Either::Left((Ok(Some(message)), _))) => StreamNews::Message(message),
+        Ok(Either::Left((Some(Ok(message)), _))) => StreamNews::Message(message),
         Ok(Either::Left(_)) => StreamNews::End,
-        Ok(Either::Right((Ok((rank, answered)), _))) => StreamNews::Probed(rank, answered),
+        Ok(Either::Right((Ok((address, answered)), _))) => StreamNews::Probed(address, answered),
         Ok(Either::Right((Err(_), _))) => StreamNews::BeatDue,
     }
 }
 
 /// Sees whether a dispatcher can be reached.
-fn start_probe(client: &Arc<ShardClient>, rank: usize, results: Sender<(usize, bool)>) {
-    let address = client.candidates[rank];
+fn start_probe(client: &ShardClient, address: DispatcherAddress, results: Sender<(DispatcherAddress, bool)>) {
     let counter = client.options.counter.clone();
     task::spawn(async move {
-        let answered = answers(address, counter).await;
-        let _ = results.send((rank, answered)).await;
+        let answered = match &address {
+            DispatcherAddress::Remote(remote) => answers(*remote, counter).await,
+            DispatcherAddress::Local(_) => true,
+        };
+        // The stream that wanted to know may have ended meanwhile.
+        let _ = results.send((address, answered)).await;
     });
 }
 
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -1,20 +1,20 @@
 //! This router's part of one shard.
 
+mod dispatchers;
 mod held;
 mod lease;
 mod link;
 
+pub use dispatchers::{DispatcherAddress, DispatcherList, ListedDispatchers, LocalDispatcher, MessageStream};
 pub use lease::GrantLease;
 
 use async_std::channel::bounded;
 use async_std::task;
 use held::{HeldWork, WaitResult, WaitingEntry};
-use micaspool_dispatch::{rank_candidates, CandidateChoice, ChoiceOptions, RequestTicket};
-use micaspool_settings::process::PeerAddress;
+use micaspool_dispatch::RequestTicket;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName};
 use micaspool_wire::v1;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -33,7 +33,7 @@
     /// Tells one life of the router from the next.
     pub incarnation: Incarnation,
     /// The dispatchers of the region.
-    pub dispatchers: Vec<PeerAddress>,
+    pub dispatchers: Arc<dyn DispatcherList>,
     /// Counts control bytes.
     pub counter: TrafficCounter,
 }
@@ -43,7 +43,6 @@
 pub struct ShardClient {
     service: ServiceName,
     options: ShardClientOptions,
-    candidates: Vec<SocketAddr>,
     held: Mutex<HeldWork>,
 }
 
@@ -65,16 +64,9 @@
 impl ShardClient {
     /// Starts to look for a dispatcher.
     pub fn start(service: ServiceName, options: ShardClientOptions) -> Arc<ShardClient> {
-        let names: Vec<InstanceName> = options.dispatchers.iter().map(|peer| peer.name.clone()).collect();
-        let address = |name: &InstanceName| {
-            let peer = options.dispatchers.iter().find(|peer| peer.name == *name);
-            peer.expect("each ranked name is one of the dispatchers").address
-        };
-        let candidates: Vec<SocketAddr> = rank_candidates(&service, &names).iter().map(address).collect();
         let held = Mutex::new(HeldWork::new(Instant::now()));
-        let client = Arc::new(ShardClient { service, options, candidates, held });
-        let choice = CandidateChoice::new(client.candidates.len(), ChoiceOptions::default());
-        task::spawn(link::keep_linked(Arc::downgrade(&client), choice));
+        let client = Arc::new(ShardClient { service, options, held });
+        task::spawn(link::keep_linked(Arc::downgrade(&client)));
         client
     }
 
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -4,7 +4,7 @@
 use async_std::task;
 use futures::Stream;
 use micaspool_dispatch::{rank_candidates, RequestTicket};
-use micaspool_router::{ShardClient, ShardClientOptions};
+use micaspool_router::{ListedDispatchers, ShardClient, ShardClientOptions};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{Cost, CustomerName, Incarnation, InstanceName, RequestId, ServiceName};
@@ -102,6 +102,8 @@
         attempt: 0,
         avoid: None,
         prefixes: Vec::new(),
+        prefix_tokens: Vec::new(),
+        prompt_tokens: Cost(0),
         order: None,
     }
 }
@@ -119,7 +121,9 @@
         router: name("entry-3"),
         hall: "sala-ubate".to_owned(),
         incarnation: Incarnation(1),
-        dispatchers: addresses.map(|(name, address)| PeerAddress { name, address }).collect(),
+        dispatchers: Arc::new(ListedDispatchers(
+            addresses.map(|(name, address)| PeerAddress { name, address }).collect(),
+        )),
         counter: TrafficCounter::default(),
     };
     ShardClient::start(service, options)
--- a/crates/micaspool-store/src/files.rs
+++ b/crates/micaspool-store/src/files.rs
@@ -94,6 +94,13 @@
         result
     }
 
+    /// Writes everything that the log holds into a new file and makes it durable.
+    pub fn rewrite(&mut self) -> Result<(), Error> {
+        let result = self.replace_log();
+        self.failed = result.is_err();
+        result
+    }
+
     /// How often a file was synced so far.
     pub fn sync_count(&self) -> u64 {
         self.syncs
@@ -135,6 +142,12 @@
     fn replace(&mut self, snapshot: &LogSnapshot) -> Result<(), Error> {
         write_whole(&self.folder, SNAPSHOT, snapshot, self.options)?;
         self.entries.retain(|entry| entry.index > snapshot.index);
+        self.replace_log()?;
+        self.syncs += 2;
+        Ok(())
+    }
+
+    fn replace_log(&mut self) -> Result<(), Error> {
         self.buffer.clear();
         self.buffer.extend_from_slice(MAGIC);
         encode_record(&LogRecord::Hard(self.hard.clone()), &mut self.buffer);
@@ -144,7 +157,7 @@
         replace_file(&self.folder, LOG, &self.buffer, self.options)?;
         let path = self.folder.join(LOG);
         self.log = open_log(&path, self.buffer.len() as u64, false, self.options)?;
-        self.syncs += 4;
+        self.syncs += 2;
         Ok(())
     }
 }
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -88,6 +88,30 @@
 /// A settings change was rejected.
 pub const CHANGE_REJECTED: EventKind = kind("MP1408", Level::Info, "settings change rejected");
 
+/// Files that had failed were opened again.
+pub const STORE_REOPENED: EventKind =
+    kind("MP1409", Level::Warn, "keeper files opened again after a failure");
+/// A route plan was taken by a majority.
+pub const PLAN_ACCEPTED: EventKind = kind("MP1410", Level::Info, "route plan taken");
+/// A route plan was refused as faulty.
+pub const PLAN_REFUSED: EventKind = kind("MP1411", Level::Warn, "route plan refused");
+/// An order on the route plan got no clear answer from a majority.
+pub const PLAN_UNCERTAIN: EventKind = kind("MP1412", Level::Warn, "route plan order without a majority");
+/// An endpoint has registered, or says that it drains or leaves.
+pub const ENDPOINT_STAGE: EventKind = kind("MP1501", Level::Info, "endpoint changed its stage");
+/// An endpoint was not heard for too long.
+pub const ENDPOINT_EXPIRED: EventKind = kind("MP1502", Level::Warn, "endpoint not heard, forgotten");
+/// A newer route plan is in force in this process.
+pub const PLAN_IN_FORCE: EventKind = kind("MP1503", Level::Info, "route plan in force");
+/// A route plan that the keepers hold cannot be read here.
+pub const PLAN_UNUSABLE: EventKind = kind("MP1504", Level::Error, "route plan not usable");
+/// A keeper is followed.
+pub const KEEPER_FOLLOWED: EventKind = kind("MP1505", Level::Info, "keeper followed");
+/// A keeper that was followed is gone or silent.
+pub const KEEPER_LOST: EventKind = kind("MP1506", Level::Warn, "keeper lost");
+/// The settings file of the process was read again.
+pub const SETTINGS_RELOADED: EventKind = kind("MP1507", Level::Info, "process settings read again");
+
 /// Every event, in number order.
 pub const CATALOGUE: &[EventKind] = &[
     PROCESS_READY,
@@ -114,4 +138,15 @@
     STORE_CUT,
     CHANGE_ACCEPTED,
     CHANGE_REJECTED,
+    STORE_REOPENED,
+    PLAN_ACCEPTED,
+    PLAN_REFUSED,
+    PLAN_UNCERTAIN,
+    ENDPOINT_STAGE,
+    ENDPOINT_EXPIRED,
+    PLAN_IN_FORCE,
+    PLAN_UNUSABLE,
+    KEEPER_FOLLOWED,
+    KEEPER_LOST,
+    SETTINGS_RELOADED,
 ];
--- a/crates/micaspool-telemetry/src/spans.rs
+++ b/crates/micaspool-telemetry/src/spans.rs
@@ -48,6 +48,13 @@
     file: Option<Mutex<File>>,
 }
 
+impl Default for SpanSink {
+    /// A sink that writes nothing.
+    fn default() -> Self {
+        SpanSink::open(None, "").expect("without a file nothing is opened")
+    }
+}
+
 impl SpanSink {
     /// A sink that appends to a file, or writes nothing when there is none.
     pub fn open(file: Option<&Path>, instance: &str) -> std::io::Result<SpanSink> {
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -6,9 +6,10 @@
     SessionId, ShardAction, ShardEvent,
 };
 use micaspool_fair::ServiceLevel;
+use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RegionName,
-    RequestId, ServiceName,
+    Cost, CustomerName, EndpointName, HallName, Incarnation, InstanceName, NameError, OrderNumber,
+    RegionName, RequestId, ServiceName,
 };
 use std::fmt;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     RequestId,
     /// A name is malformed.
     Name(NameError),
+    /// An address is malformed.
+    Address,
 }
 
 impl fmt::Display for Error {
@@ -31,6 +34,9 @@
             Error::RequestId => {
                 f.write_str("a request id must have 16 bytes; run the same version everywhere")
             }
+            Error::Address => f.write_str(
+                "an endpoint's address is no IP address with a port; run the same version everywhere",
+            ),
             Error::Name(error) => write!(f, "a message has a malformed name: {error}"),
         }
     }
@@ -67,6 +73,8 @@
         prefixes: ticket.prefixes.clone(),
         order: ticket.order.map_or(0, |order| order.0),
         traceparent: String::new(),
+        prefix_tokens: ticket.prefix_tokens.clone(),
+        prompt_tokens: ticket.prompt_tokens.0,
     }
 }
 
@@ -84,6 +92,8 @@
         attempt: message.attempt,
         avoid,
         prefixes: message.prefixes,
+        prefix_tokens: message.prefix_tokens,
+        prompt_tokens: Cost(message.prompt_tokens),
         order: (message.order > 0).then_some(OrderNumber(message.order)),
     })
 }
@@ -287,3 +297,39 @@
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// An endpoint's record as a message.
+pub fn endpoint_message(record: &EndpointRecord) -> v1::EndpointNews {
+    let stage = match record.stage {
+        EndpointStage::Serving => v1::EndpointStage::EndpointServing,
+        EndpointStage::Draining => v1::EndpointStage::EndpointDraining,
+        EndpointStage::Left => v1::EndpointStage::EndpointLeft,
+    };
+    v1::EndpointNews {
+        name: record.name.to_string(),
+        service: record.service.to_string(),
+        address: record.address.to_string(),
+        hall: record.hall.to_string(),
+        slots: record.slots,
+        stage: stage.into(),
+        sequence: record.sequence,
+    }
+}
+
+/// An endpoint's record from a message.
+pub fn endpoint_record(message: &v1::EndpointNews) -> Result<EndpointRecord, Error> {
+    let stage = match message.stage() {
+        v1::EndpointStage::EndpointServing => EndpointStage::Serving,
+        v1::EndpointStage::EndpointDraining => EndpointStage::Draining,
+        v1::EndpointStage::EndpointLeft => EndpointStage::Left,
+    };
+    Ok(EndpointRecord {
+        name: EndpointName::parse(&message.name)?,
+        service: ServiceName::parse(&message.service)?,
+        address: message.address.parse().map_err(|_| Error::Address)?,
+        hall: HallName::parse(&message.hall)?,
+        slots: message.slots,
+        stage,
+        sequence: message.sequence,
+    })
+}
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -42,6 +42,7 @@
         hall: number % 4,
         slots: SLOTS,
         leaving: false,
+        memory_tokens: 0,
     });
     let named = (0..customers).map(|number| ShardCustomer {
         name: customer(number),
@@ -105,6 +106,8 @@
             attempt: 0,
             avoid: None,
             prefixes: vec![number as u64, self.next as u64 % 5_000],
+            prefix_tokens: Vec::new(),
+            prompt_tokens: Cost(0),
             order: None,
         };
         self.step(ShardEvent::Submit(SESSION, ticket));
