--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -204,11 +204,13 @@
         F: Future<Output = Result<T, Status>>,
     {
         let deadline = Instant::now() + limit;
+        // A keeper that is silent must leave time for another.
+        let longest_try = limit * 2 / 3;
         let mut sent = false;
         let mut misses = 0;
         while Instant::now() < deadline {
             let address = self.first_choice();
-            let left = deadline.saturating_duration_since(Instant::now()).min(TRY_LIMIT);
+            let left = deadline.saturating_duration_since(Instant::now()).min(TRY_LIMIT).min(longest_try);
             let named = match self.try_once(address, left, &attempt).await {
                 TryResult::Answer(answer) => match answer.redirect() {
                     None => return Ok(answer),
--- /dev/null
+++ b/crates/micaspool-core/src/daemon.rs
@@ -0,0 +1,187 @@
+//! Puts a core daemon together.
+
+use crate::desk::ControlDesk;
+use micaspool_client::{FleetMirror, FleetMirrorOptions, KeeperClient, PeerDirectory};
+use micaspool_dispatcher::{FleetDispatcher, FleetDispatcherOptions};
+use micaspool_keeper::{start_keeper, KeeperDaemon, KeeperOptions};
+use micaspool_quorum::OpenGroupOptions;
+use micaspool_routes::PlanFormat;
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::spans::SpanSink;
+use micaspool_telemetry::traffic::TrafficCounter;
+use micaspool_types::{Incarnation, InstanceName, RegionName};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long an endpoint may be silent before it is forgotten; see the gateway's figure.
+const ENDPOINT_LIFE: Duration = Duration::from_secs(10);
+/// How long routers get to go to another dispatcher.
+const STOP_GRACE: Duration = Duration::from_millis(400);
+
+/// What a core daemon runs with; made by [`CoreOptions::builder`].
+#[derive(Debug, Clone)]
+pub struct CoreOptions {
+    instance: InstanceName,
+    region: RegionName,
+    seeds: Vec<InstanceName>,
+    keepers: Arc<dyn PeerDirectory>,
+    format: Arc<dyn PlanFormat>,
+    keeper_address: SocketAddr,
+    dispatcher_address: SocketAddr,
+    status: SocketAddr,
+    data_folder: PathBuf,
+    may_form: bool,
+    borne_losses: usize,
+}
+
+/// Builds [`CoreOptions`].
+#[derive(Debug, Clone)]
+pub struct CoreOptionsBuilder {
+    options: CoreOptions,
+}
+
+impl CoreOptions {
+    /// Options of the core on this instance.
+    pub fn builder(
+        instance: InstanceName,
+        region: RegionName,
+        keepers: Arc<dyn PeerDirectory>,
+        format: Arc<dyn PlanFormat>,
+    ) -> CoreOptionsBuilder {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let options = CoreOptions {
+            instance,
+            region,
+            seeds: Vec::new(),
+            keepers,
+            format,
+            keeper_address: any,
+            dispatcher_address: any,
+            status: any,
+            data_folder: PathBuf::from("."),
+            may_form: true,
+            borne_losses: 1,
+        };
+        CoreOptionsBuilder { options }
+    }
+}
+
+impl CoreOptionsBuilder {
+    /// The keepers to begin with.
+    pub fn seeds(mut self, seeds: Vec<InstanceName>) -> Self {
+        self.options.seeds = seeds;
+        self
+    }
+
+    /// Where keeper and dispatcher listen for other processes.
+    pub fn addresses(mut self, keeper: SocketAddr, dispatcher: SocketAddr) -> Self {
+        self.options.keeper_address = keeper;
+        self.options.dispatcher_address = dispatcher;
+        self
+    }
+
+    /// Where it shows its status.
+    pub fn status(mut self, address: SocketAddr) -> Self {
+        self.options.status = address;
+        self
+    }
+
+    /// Where its files are.
+    pub fn data_folder(mut self, folder: PathBuf) -> Self {
+        self.options.data_folder = folder;
+        self
+    }
+
+    /// True when the seeds may form the first group.
+    pub fn may_form(mut self, allowed: bool) -> Self {
+        self.options.may_form = allowed;
+        self
+    }
+
+    /// The number of keepers whose loss at once the fleet is to bear.
+    pub fn borne_losses(mut self, losses: usize) -> Self {
+        self.options.borne_losses = losses;
+        self
+    }
+
+    /// The options.
+    pub fn build(self) -> CoreOptions {
+        self.options
+    }
+}
+
+/// A running core daemon.
+#[derive(Debug)]
+pub struct CoreDaemon {
+    keeper: KeeperDaemon,
+    dispatcher: FleetDispatcher,
+    mirror: Arc<FleetMirror>,
+    desk: ControlDesk,
+}
+
+impl CoreDaemon {
+    /// Where operators and endpoints are served.
+    pub fn desk(&self) -> &ControlDesk {
+        &self.desk
+    }
+
+    /// The fleet as this process knows it.
+    pub fn mirror(&self) -> &Arc<FleetMirror> {
+        &self.mirror
+    }
+
+    /// Sends routers elsewhere, saves what is under way, and stops.
+    pub async fn stop(self) {
+        self.dispatcher.stop();
+        async_std::task::sleep(STOP_GRACE).await;
+        self.keeper.stop().await;
+    }
+}
+
+/// Starts a core daemon; it runs until it is stopped.
+pub async fn start_core(options: CoreOptions) -> Result<CoreDaemon, micaspool_keeper::Error> {
+    let keeper = start_keeper(keeper_options(&options)).await?;
+    let mirror = FleetMirror::start(FleetMirrorOptions {
+        follower: format!("core-{}", options.instance),
+        seeds: with_own(&options),
+        directory: options.keepers.clone(),
+        format: options.format.clone(),
+        counter: TrafficCounter::default(),
+        endpoint_life: ENDPOINT_LIFE,
+    });
+    let dispatcher = FleetDispatcher::new(FleetDispatcherOptions {
+        region: options.region.clone(),
+        incarnation: Incarnation(rand::random()),
+        mirror: mirror.clone(),
+        spans: SpanSink::default(),
+    });
+    let address = options.dispatcher_address;
+    dispatcher.serve(address, &TrafficCounter::default()).await.map_err(micaspool_keeper::Error::Start)?;
+    let own = PeerAddress { name: options.instance.clone(), address: keeper.wire };
+    let client = Arc::new(KeeperClient::new(vec![own.clone()], TrafficCounter::default()));
+    let desk =
+        ControlDesk::new(client, own, keeper.hub().clone(), mirror.clone(), options.format.clone());
+    Ok(CoreDaemon { keeper, dispatcher, mirror, desk })
+}
+
+fn keeper_options(options: &CoreOptions) -> KeeperOptions {
+    KeeperOptions::builder(options.instance.clone(), options.seeds.clone(), options.keepers.clone())
+        .wire(options.keeper_address)
+        .status(options.status)
+        .data_folder(options.data_folder.clone())
+        .may_form(options.may_form)
+        .open_group(OpenGroupOptions::bearing(options.borne_losses))
+        .reopens(true)
+        .build()
+}
+
+/// The keepers that this process follows: the seeds and its own.
+fn with_own(options: &CoreOptions) -> Vec<InstanceName> {
+    let mut names = options.seeds.clone();
+    if !names.contains(&options.instance) {
+        names.push(options.instance.clone());
+    }
+    names
+}
--- /dev/null
+++ b/crates/micaspool-core/src/desk.rs
@@ -0,0 +1,130 @@
+//! What operators and endpoints ask of the core.
+
+use micaspool_client::{FleetMirror, KeeperClient};
+use micaspool_keeper::RegistryHub;
+use micaspool_registry::{EndpointRecord, EndpointStage, MergeOutcome};
+use micaspool_routes::{FormatError, PlanFormat};
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::events::{self, field, record};
+use micaspool_types::EndpointName;
+use micaspool_wire::v1;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long an order may take. Its caller turns to another instance after a second.
+const ORDER_LIMIT: Duration = Duration::from_millis(900);
+
+/// Why an order was not carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderError {
+    /// The plan cannot be used.
+    Faulty(FormatError),
+    /// No majority of keepers answered in time. An offered plan may come into force all the same.
+    NoMajority,
+    /// There is no plan yet.
+    NoPlan,
+}
+
+impl fmt::Display for OrderError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OrderError::Faulty(error) => error.fmt(f),
+            OrderError::NoMajority => {
+                f.write_str("no majority of keepers answered in time; send the order again, here or elsewhere")
+            }
+            OrderError::NoPlan => f.write_str("there is no plan yet; send one"),
+        }
+    }
+}
+
+impl std::error::Error for OrderError {}
+
+/// Serves operators and endpoints; whichever core instance they ask, the leading keeper decides.
+#[derive(Debug, Clone)]
+pub struct ControlDesk {
+    client: Arc<KeeperClient>,
+    own: PeerAddress,
+    hub: Arc<RegistryHub>,
+    mirror: Arc<FleetMirror>,
+    format: Arc<dyn PlanFormat>,
+}
+
+impl ControlDesk {
+    /// A desk of the instance whose keeper is `own`.
+    pub fn new(
+        client: Arc<KeeperClient>,
+        own: PeerAddress,
+        hub: Arc<RegistryHub>,
+        mirror: Arc<FleetMirror>,
+        format: Arc<dyn PlanFormat>,
+    ) -> ControlDesk {
+        ControlDesk { client, own, hub, mirror, format }
+    }
+
+    /// Offers a plan; gives the number in force afterwards, at least its own.
+    pub async fn publish(&self, text: &str) -> Result<u64, OrderError> {
+        let offered = self.format.decode(text).map_err(|error| {
+            record(&events::PLAN_REFUSED, &[field("error", &error)]);
+            OrderError::Faulty(error)
+        })?;
+        self.list_keepers();
+        let request = v1::PublishRequest { number: offered.number, document: text.to_owned() };
+        match self.client.publish(request, ORDER_LIMIT).await {
+            Ok(reply) => {
+                let fields = [field("number", offered.number), field("in_force", reply.in_force)];
+                record(&events::PLAN_ACCEPTED, &fields);
+                Ok(reply.in_force)
+            }
+            Err(error) => {
+                record(
+                    &events::PLAN_UNCERTAIN,
+                    &[field("number", offered.number), field("error", error)],
+                );
+                Err(OrderError::NoMajority)
+            }
+        }
+    }
+
+    /// The newest plan as its operator sent it, confirmed by a majority.
+    pub async fn read(&self) -> Result<String, OrderError> {
+        self.list_keepers();
+        let reply = self.client.plan_confirmed(ORDER_LIMIT).await.map_err(|error| {
+            record(&events::PLAN_UNCERTAIN, &[field("order", "read"), field("error", error)]);
+            OrderError::NoMajority
+        })?;
+        match reply.plan {
+            Some(plan) if plan.number > 0 => Ok(plan.document),
+            _ => Err(OrderError::NoPlan),
+        }
+    }
+
+    /// Takes a record of an endpoint.
+    pub fn register(&self, endpoint: EndpointRecord) -> MergeOutcome {
+        self.hub.register(endpoint)
+    }
+
+    /// Notes that an endpoint has left, also when it registered elsewhere.
+    pub fn leave(&self, name: &EndpointName) {
+        if self.hub.leave(name) {
+            return;
+        }
+        match self.mirror.endpoint(name) {
+            Some(known) => {
+                self.hub.register(EndpointRecord { stage: EndpointStage::Left, ..known });
+            }
+            None => record(&events::ENDPOINT_STAGE, &[field("endpoint", name), field("stage", "unknown")]),
+        }
+    }
+
+    /// Tells the client which keepers there are, those first that are reached.
+    fn list_keepers(&self) {
+        let sights = self.mirror.keepers();
+        let others = |reached: bool| {
+            let matching = sights.iter().filter(move |sight| sight.reached == reached);
+            matching.map(|sight| sight.peer.clone()).filter(|peer| peer.name != self.own.name)
+        };
+        let own = std::iter::once(self.own.clone());
+        self.client.set_keepers(own.chain(others(true)).chain(others(false)).collect());
+    }
+}
--- a/crates/micaspool-daemon/src/arguments.rs
+++ b/crates/micaspool-daemon/src/arguments.rs
@@ -4,7 +4,7 @@
 use argh::FromArgs;
 use micaspool_settings::process::{read_file, ProcessRole, ProcessSettings};
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_telemetry::logging::{self, LogOptions};
+use micaspool_telemetry::logging::{self, LogOptions, LogTarget};
 use micaspool_types::Incarnation;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -48,7 +48,7 @@
         std::process::exit(0);
     }
     let options = LogOptions {
-        file: settings.log_file.clone(),
+        target: settings.log_file.clone().map_or(LogTarget::Error, LogTarget::File),
         level: settings.log_level.clone(),
         instance: settings.instance.to_string(),
     };
--- a/crates/micaspool-daemon/src/lib.rs
+++ b/crates/micaspool-daemon/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use arguments::{announce, start, DaemonStart};
 pub use error::{open_spans, StartError};
-pub use signals::{stop_requested, StopSignal};
+pub use signals::{stop_requested, watch_signals, ReloadSignal, StopSignal};
 
 /// The exit code for wrong arguments and settings.
 pub const EXIT_USAGE: i32 = 2;
--- a/crates/micaspool-daemon/src/signals.rs
+++ b/crates/micaspool-daemon/src/signals.rs
@@ -1,7 +1,8 @@
 //! Waiting for the order to stop.
 
 use async_std::channel::{bounded, Receiver};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use micaspool_telemetry::events::{self, field, record};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 /// Set once the process is told to stop.
@@ -11,15 +12,37 @@
     closed: Receiver<()>,
 }
 
-/// Takes SIGTERM and SIGINT over.
-pub fn stop_requested() -> std::io::Result<StopSignal> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+/// Gets a message each time the process is told to read its settings file again.
+pub type ReloadSignal = Receiver<()>;
+
+/// Takes SIGTERM, SIGINT and SIGHUP over.
+pub fn watch_signals() -> std::io::Result<(StopSignal, ReloadSignal)> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let (sender, closed) = bounded(1);
+    let (reloads, reload) = bounded(1);
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                sender.close();
+                return;
+            }
+            // One reload that waits covers those that come meanwhile.
+            let _ = reloads.try_send(());
+        }
+    });
+    Ok((StopSignal { closed }, reload))
+}
+
+/// Takes SIGTERM and SIGINT over, for a process that reads its settings once. It goes on after a
+/// SIGHUP and says so.
+pub fn stop_requested() -> std::io::Result<StopSignal> {
+    let (stop, reload) = watch_signals()?;
     std::thread::spawn(move || {
-        signals.forever().next();
-        sender.close();
+        while reload.recv_blocking().is_ok() {
+            record(&events::SETTINGS_KEPT, &[field("remedy", "restart the process to change its settings")]);
+        }
     });
-    Ok(StopSignal { closed })
+    Ok(stop)
 }
 
 impl StopSignal {
--- /dev/null
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -0,0 +1,290 @@
+//! Puts a gateway together.
+
+use crate::dialect::GatewayDialect;
+use crate::metrics::GatewayMetrics;
+use crate::native::NativeDialect;
+use crate::path::{Gateway, GatewayParts};
+use async_std::task;
+use micaspool_client::{AddressNamed, FleetMirror, FleetMirrorOptions, PeerDirectory};
+use micaspool_daemon::StartError;
+use micaspool_dispatcher::{FleetDispatcher, FleetDispatcherOptions};
+use micaspool_http::edge::{EdgeOptions, EdgeServer};
+use micaspool_http::pool::{EndpointPool, PoolOptions};
+use micaspool_http::status::{serve_status, StatusSource};
+use micaspool_routes::{JsonFormat, PlanFormat};
+use micaspool_telemetry::metrics::encode_text;
+use micaspool_telemetry::spans::SpanSink;
+use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
+use micaspool_types::{HallName, Incarnation, InstanceName, RegionName};
+use prometheus_client::registry::Registry;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long an endpoint may be silent before it is forgotten. Records may come seconds late, and one
+/// that crashed is noticed by its failures first.
+pub(crate) const ENDPOINT_LIFE: Duration = Duration::from_secs(10);
+/// How often resting connections are looked at.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// How long balancers may need to notice that a gateway stops: two questions a second apart, and one
+/// more for the answer.
+const NOTICE_TIME: Duration = Duration::from_millis(3_200);
+/// How long before the end of a stop resting connections are closed.
+const CLOSE_IDLE: Duration = Duration::from_millis(1_500);
+
+/// What a gateway runs with; made by [`GatewayOptions::builder`].
+#[derive(Debug, Clone)]
+pub struct GatewayOptions {
+    instance: InstanceName,
+    hall: HallName,
+    region: RegionName,
+    callers: SocketAddr,
+    status: Vec<SocketAddr>,
+    seeds: Vec<InstanceName>,
+    keepers: Arc<dyn PeerDirectory>,
+    dispatchers: Arc<dyn PeerDirectory>,
+    dialect: Arc<dyn GatewayDialect>,
+    format: Arc<dyn PlanFormat>,
+}
+
+/// Builds [`GatewayOptions`].
+#[derive(Debug, Clone)]
+pub struct GatewayOptionsBuilder {
+    options: GatewayOptions,
+}
+
+impl GatewayOptions {
+    /// Options of a gateway on this instance.
+    pub fn builder(instance: InstanceName, hall: HallName, region: RegionName) -> GatewayOptionsBuilder {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let options = GatewayOptions {
+            instance,
+            hall,
+            region,
+            callers: any,
+            status: vec![any],
+            seeds: Vec::new(),
+            keepers: Arc::new(AddressNamed { port: 7_400 }),
+            dispatchers: Arc::new(AddressNamed { port: 7_401 }),
+            dialect: Arc::new(NativeDialect),
+            format: Arc::new(JsonFormat),
+        };
+        GatewayOptionsBuilder { options }
+    }
+}
+
+impl GatewayOptionsBuilder {
+    /// Where it serves callers.
+    pub fn callers(mut self, address: SocketAddr) -> Self {
+        self.options.callers = address;
+        self
+    }
+
+    /// Where it shows readiness, metrics and state; one or more addresses.
+    pub fn status(mut self, addresses: Vec<SocketAddr>) -> Self {
+        self.options.status = addresses;
+        self
+    }
+
+    /// The keepers to begin with.
+    pub fn seeds(mut self, seeds: Vec<InstanceName>) -> Self {
+        self.options.seeds = seeds;
+        self
+    }
+
+    /// Where keepers and dispatchers are found.
+    pub fn directories(mut self, keepers: Arc<dyn PeerDirectory>, dispatchers: Arc<dyn PeerDirectory>) -> Self {
+        self.options.keepers = keepers;
+        self.options.dispatchers = dispatchers;
+        self
+    }
+
+    /// How callers and endpoints speak.
+    pub fn dialect(mut self, dialect: Arc<dyn GatewayDialect>) -> Self {
+        self.options.dialect = dialect;
+        self
+    }
+
+    /// How plans are written.
+    pub fn format(mut self, format: Arc<dyn PlanFormat>) -> Self {
+        self.options.format = format;
+        self
+    }
+
+    /// The options.
+    pub fn build(self) -> GatewayOptions {
+        self.options
+    }
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct GatewayDaemon {
+    /// Where it serves callers.
+    pub callers: SocketAddr,
+    /// Where it shows readiness, metrics and state.
+    pub status: Vec<SocketAddr>,
+    server: EdgeServer,
+    mirror: Arc<FleetMirror>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl GatewayDaemon {
+    /// The fleet as this process knows it.
+    pub fn mirror(&self) -> &Arc<FleetMirror> {
+        &self.mirror
+    }
+
+    /// Is no longer ready, serves what still comes, and waits for what runs, at most for `limit`;
+    /// true when nothing was cut.
+    pub async fn stop(self, limit: Duration) -> bool {
+        self.stopping.store(true, Ordering::SeqCst);
+        self.server.drain();
+        let now = Instant::now();
+        let latest = now + limit;
+        self.server.drained(now + NOTICE_TIME.min(limit), latest - CLOSE_IDLE.min(limit), latest).await
+    }
+}
+
+/// Starts a gateway; it serves until it is stopped.
+pub async fn start_gateway(options: GatewayOptions) -> Result<GatewayDaemon, StartError> {
+    let incarnation = Incarnation(rand::random());
+    let counters = GatewayCounters::default();
+    let mirror = FleetMirror::start(FleetMirrorOptions {
+        follower: format!("gateway-{}", options.instance),
+        seeds: options.seeds.clone(),
+        directory: options.keepers.clone(),
+        format: options.format.clone(),
+        counter: counters.keepers.clone(),
+        endpoint_life: ENDPOINT_LIFE,
+    });
+    let spans = SpanSink::default();
+    let own_dispatcher = FleetDispatcher::new(FleetDispatcherOptions {
+        region: options.region.clone(),
+        incarnation,
+        mirror: mirror.clone(),
+        spans: spans.clone(),
+    });
+    let mut registry = Registry::default();
+    let metrics = GatewayMetrics::register(&mut registry);
+    let pool = EndpointPool::new(PoolOptions::default());
+    let gateway = Gateway::new(GatewayParts {
+        instance: options.instance.clone(),
+        hall: options.hall.to_string(),
+        incarnation,
+        mirror: mirror.clone(),
+        dispatchers: options.dispatchers.clone(),
+        own_dispatcher,
+        pool: pool.clone(),
+        dialect: options.dialect.clone(),
+        spans,
+        counter: counters.dispatchers.clone(),
+        metrics: metrics.clone(),
+    });
+    let server = EdgeServer::new(Arc::new(gateway.clone()), EdgeOptions::default());
+    let callers = server.listen(options.callers).await.map_err(StartError::bind(options.callers))?;
+    task::spawn(tend(gateway.clone(), mirror.clone(), pool.clone()));
+    let stopping: Arc<AtomicBool> = Arc::default();
+    let traffic = counters.register(&mut registry);
+    let source = Arc::new(GatewayStatusSource {
+        mirror: mirror.clone(),
+        gateway,
+        pool,
+        server: server.clone(),
+        registry,
+        traffic,
+        metrics,
+        stopping: stopping.clone(),
+    });
+    let mut status = Vec::new();
+    for address in &options.status {
+        status.push(serve_status(*address, source.clone()).await.map_err(StartError::bind(*address))?);
+    }
+    Ok(GatewayDaemon { callers, status, server, mirror, stopping })
+}
+
+/// Opens shards as plans name them and closes connections that rested for too long.
+async fn tend(gateway: Gateway, mirror: Arc<FleetMirror>, pool: Arc<EndpointPool>) {
+    let mut prepared = 0;
+    loop {
+        let number = mirror.plan().number;
+        if number != prepared {
+            prepared = number;
+            gateway.prepare_shards();
+        }
+        pool.sweep();
+        task::sleep(SWEEP_INTERVAL).await;
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct GatewayCounters {
+    keepers: TrafficCounter,
+    dispatchers: TrafficCounter,
+}
+
+impl GatewayCounters {
+    fn register(self, registry: &mut Registry) -> TrafficMetrics {
+        let traffic = TrafficMetrics::default().with("gateway", "keeper", self.keepers).with(
+            "gateway",
+            "dispatcher",
+            self.dispatchers,
+        );
+        traffic.register(registry);
+        traffic
+    }
+}
+
+struct GatewayStatusSource {
+    mirror: Arc<FleetMirror>,
+    gateway: Gateway,
+    pool: Arc<EndpointPool>,
+    server: EdgeServer,
+    registry: Registry,
+    traffic: TrafficMetrics,
+    metrics: GatewayMetrics,
+    stopping: Arc<AtomicBool>,
+}
+
+impl StatusSource for GatewayStatusSource {
+    /// True while requests can be served: with a plan, also while no keeper is reached.
+    fn is_ready(&self) -> bool {
+        self.mirror.has_plan() && !self.stopping.load(Ordering::SeqCst)
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.connections_opened.set(i64::try_from(self.pool.opened()).unwrap_or(i64::MAX));
+        self.metrics.callers_open.set(i64::try_from(self.server.open()).unwrap_or(i64::MAX));
+        self.metrics.plan_number.set(i64::try_from(self.mirror.plan().number).unwrap_or(i64::MAX));
+        self.traffic.refresh();
+        encode_text(&self.registry)
+    }
+
+    fn state(&self) -> String {
+        let shards = self.gateway.shards().into_iter().map(|shard| {
+            let (waiting, running) = shard.counts();
+            json!({
+                "service": shard.service().as_str(),
+                "linked": shard.is_linked(),
+                "waiting": waiting,
+                "running": running,
+            })
+        });
+        let keepers = self.mirror.keepers().into_iter().map(|sight| {
+            json!({
+                "name": sight.peer.name.as_str(),
+                "reached": sight.reached,
+                "hears_majority": sight.confirmed,
+            })
+        });
+        json!({
+            "process": "gateway",
+            "plan": self.mirror.plan().number,
+            "keepers": keepers.collect::<Vec<_>>(),
+            "shards": shards.collect::<Vec<_>>(),
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -0,0 +1,96 @@
+//! The border to how callers and endpoints speak.
+
+use http::{request, response, HeaderMap, Response};
+use micaspool_http::edge::EdgeBody;
+use micaspool_types::{CustomerName, EndpointName, Refusal};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One part of a prompt that other prompts may share.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PromptPart {
+    /// A hash of this part and of all parts before it.
+    pub prefix: u64,
+    /// The tokens of this part alone.
+    pub tokens: u32,
+}
+
+/// What a caller says of the prompt in its body.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct PromptOutline {
+    /// The tokens of the whole prompt.
+    pub prompt_tokens: u64,
+    /// The most tokens that the answer may have.
+    pub most_output_tokens: u64,
+    /// The parts in their order.
+    pub parts: Vec<PromptPart>,
+}
+
+/// What a caller says in the head of its request, beside what HTTP says itself.
+#[derive(Clone, Debug)]
+pub struct CallerHead {
+    /// The caller's name for this attempt; also what logs call it.
+    pub id: Arc<str>,
+    /// How long the caller waits from now on; `None` when it does not tell.
+    pub patience: Option<Duration>,
+    /// The key that names the customer.
+    pub key: Option<Arc<str>>,
+    /// Set for a call of a language model.
+    pub prompt: Option<PromptOutline>,
+}
+
+/// What is told to an endpoint with a request.
+#[derive(Clone, Debug)]
+pub struct SendOrder<'a> {
+    /// The caller's name for its attempt.
+    pub id: &'a str,
+    /// The endpoint that shall run the request, and no other at its address.
+    pub endpoint: &'a EndpointName,
+    /// The customer; `None` on public routes.
+    pub customer: Option<&'a CustomerName>,
+    /// The time left until nobody waits any more.
+    pub left: Duration,
+    /// The last event that the caller has; set to go on with a stream that broke.
+    pub last_event: Option<&'a str>,
+}
+
+/// Why an endpoint says that it did not run a request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum NotRunReason {
+    /// It has no room, or the deadline passed while the request waited there.
+    Full,
+    /// Another endpoint has the address now.
+    OtherEndpoint,
+    /// It did not understand the request.
+    Malformed,
+}
+
+/// What the head of an endpoint's answer means.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AnswerVerdict {
+    /// It is the answer; body and status go to the caller.
+    Answer,
+    /// The endpoint says that the request did not run.
+    NotRun(NotRunReason),
+    /// It answers another request.
+    Foreign,
+    /// It lacks what every whole answer of an endpoint has.
+    Unproven,
+}
+
+/// How callers and endpoints speak.
+pub trait GatewayDialect: fmt::Debug + Send + Sync + 'static {
+    /// Reads what a caller says of its request.
+    fn read(&self, head: &request::Parts) -> Result<CallerHead, Refusal>;
+
+    /// The answer to a caller whose request is refused.
+    fn refuse(&self, id: Option<&str>, refusal: &Refusal) -> Response<EdgeBody>;
+
+    /// Changes a caller's headers into those that an endpoint gets. Headers that concern a single
+    /// connection are gone already.
+    fn prepare(&self, headers: &mut HeaderMap, order: &SendOrder<'_>);
+
+    /// What the head of an endpoint's answer means.
+    fn judge(&self, head: &response::Parts, id: &str) -> AnswerVerdict;
+}
--- /dev/null
+++ b/crates/micaspool-gateway/src/metrics.rs
@@ -0,0 +1,101 @@
+//! Counters and histograms of a gateway.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+
+/// The smallest bucket of the latency histograms, in seconds, and how many there are; each is twice
+/// as long as the one before, up to some 16 s.
+const FIRST_BUCKET: f64 = 0.002;
+const BUCKETS: u16 = 14;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+/// What a gateway counts.
+#[derive(Clone, Debug)]
+pub struct GatewayMetrics {
+    /// Answers of endpoints that were passed on whole.
+    pub answered: Counter,
+    refused: Family<KindLabel, Counter>,
+    failures: Family<KindLabel, Counter>,
+    /// Requests whose caller left before the end.
+    pub left: Counter,
+    /// Answers that broke on their way.
+    pub broken: Counter,
+    /// Streams that went on at another endpoint.
+    pub resumed: Counter,
+    /// Seconds between a ticket and its grant.
+    pub wait_seconds: Histogram,
+    /// Seconds from the arrival of a request to the first byte of its answer.
+    pub first_byte_seconds: Histogram,
+    /// Seconds from the arrival of a request to the end of its answer.
+    pub total_seconds: Histogram,
+    /// Connections to endpoints opened so far.
+    pub connections_opened: Gauge,
+    /// Connections of callers that are open.
+    pub callers_open: Gauge,
+    /// The number of the plan in force.
+    pub plan_number: Gauge,
+}
+
+impl GatewayMetrics {
+    /// Makes the metrics and registers them.
+    pub fn register(registry: &mut Registry) -> GatewayMetrics {
+        let histogram = || Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS));
+        let metrics = GatewayMetrics {
+            answered: Counter::default(),
+            refused: Family::default(),
+            failures: Family::default(),
+            left: Counter::default(),
+            broken: Counter::default(),
+            resumed: Counter::default(),
+            wait_seconds: histogram(),
+            first_byte_seconds: histogram(),
+            total_seconds: histogram(),
+            connections_opened: Gauge::default(),
+            callers_open: Gauge::default(),
+            plan_number: Gauge::default(),
+        };
+        metrics.name_counters(registry);
+        metrics.name_times(registry);
+        metrics
+    }
+
+    fn name_counters(&self, registry: &mut Registry) {
+        registry.register("micaspool_gateway_answers", "Whole answers passed on", self.answered.clone());
+        registry.register("micaspool_gateway_refusals", "Refused requests by kind", self.refused.clone());
+        registry.register("micaspool_gateway_failures", "Failed sends by kind", self.failures.clone());
+        registry.register("micaspool_gateway_left", "Requests whose caller left", self.left.clone());
+        registry.register("micaspool_gateway_broken", "Answers that broke", self.broken.clone());
+        registry.register("micaspool_gateway_resumed", "Streams resumed elsewhere", self.resumed.clone());
+    }
+
+    fn name_times(&self, registry: &mut Registry) {
+        let waits = "Seconds from ticket to grant";
+        registry.register("micaspool_gateway_wait_seconds", waits, self.wait_seconds.clone());
+        let firsts = "Seconds from arrival to the first byte of the answer";
+        registry.register("micaspool_gateway_first_byte_seconds", firsts, self.first_byte_seconds.clone());
+        let totals = "Seconds from arrival to the end of the answer";
+        registry.register("micaspool_gateway_total_seconds", totals, self.total_seconds.clone());
+        let opened = "Connections to endpoints opened so far";
+        registry.register("micaspool_gateway_opened", opened, self.connections_opened.clone());
+        registry.register("micaspool_gateway_callers", "Open connections", self.callers_open.clone());
+        registry.register("micaspool_gateway_plan", "Plan in force", self.plan_number.clone());
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, kind: &'static str) {
+        self.refused.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts a send that failed.
+    pub fn count_failure(&self, kind: &'static str) {
+        self.failures.get_or_create(&KindLabel { kind }).inc();
+    }
+}
--- /dev/null
+++ b/crates/micaspool-gateway/src/native.rs
@@ -0,0 +1,105 @@
+//! The product's own headers.
+
+use crate::dialect::{
+    AnswerVerdict, CallerHead, GatewayDialect, NotRunReason, PromptOutline, PromptPart, SendOrder,
+};
+use http::header::{HeaderName, HeaderValue, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use http::{request, response, HeaderMap, Response};
+use micaspool_http::edge::{whole_body, EdgeBody};
+use micaspool_types::{stable_hash, Refusal, RequestId};
+use serde_json::json;
+use std::time::Duration;
+
+const ID: HeaderName = HeaderName::from_static("micaspool-request");
+const PATIENCE: HeaderName = HeaderName::from_static("micaspool-patience-ms");
+const PROMPT: HeaderName = HeaderName::from_static("micaspool-prompt");
+const ENDPOINT: HeaderName = HeaderName::from_static("micaspool-endpoint");
+const CUSTOMER: HeaderName = HeaderName::from_static("micaspool-customer");
+const RUN: HeaderName = HeaderName::from_static("micaspool-run");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
+/// The product's own way to speak: `micaspool-request` names the attempt, `micaspool-patience-ms`
+/// tells how long the caller waits, `micaspool-prompt` has the tokens of the prompt, the most tokens
+/// out, and the prompt's parts as `ID:TOKENS`, all by commas.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NativeDialect;
+
+/// The text of a header, if it is there and is text.
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn read_prompt(value: &str) -> Option<PromptOutline> {
+    let mut fields = value.split(',').map(str::trim);
+    let prompt_tokens = fields.next()?.parse().ok()?;
+    let most_output_tokens = fields.next()?.parse().ok()?;
+    let mut prefix = 0;
+    let parts = fields.map_while(|field| {
+        let (id, tokens) = field.split_once(':')?;
+        prefix = stable_hash(u64::to_be_bytes(prefix).into_iter().chain(id.bytes()));
+        Some(PromptPart { prefix, tokens: tokens.parse().ok()? })
+    });
+    Some(PromptOutline { prompt_tokens, most_output_tokens, parts: parts.collect() })
+}
+
+impl GatewayDialect for NativeDialect {
+    fn read(&self, head: &request::Parts) -> Result<CallerHead, Refusal> {
+        let headers = &head.headers;
+        let id = text(headers, &ID).map_or_else(|| RequestId(rand::random()).to_string(), str::to_owned);
+        let patience = text(headers, &PATIENCE).and_then(|value| value.parse().ok());
+        let key = text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
+        Ok(CallerHead {
+            id: id.into(),
+            patience: patience.map(Duration::from_millis),
+            key: key.map(|key| key.trim().into()),
+            prompt: text(headers, &PROMPT).and_then(read_prompt),
+        })
+    }
+
+    fn refuse(&self, id: Option<&str>, refusal: &Refusal) -> Response<EdgeBody> {
+        let body = json!({
+            "kind": refusal.kind.as_str(),
+            "remedy": refusal.kind.remedy(),
+            "micaspool-run": refusal.run.as_str(),
+        });
+        let mut response = Response::builder()
+            .status(refusal.kind.status_for(refusal.run))
+            .header(CONTENT_TYPE, "application/json")
+            .header(RUN, refusal.run.as_str());
+        if let Some(id) = id {
+            response = response.header(ID, id);
+        }
+        if let Some(wait) = refusal.retry_after {
+            response = response.header(RETRY_AFTER, wait.as_secs().max(1));
+        }
+        response.body(whole_body(body.to_string())).expect("the headers are valid")
+    }
+
+    fn prepare(&self, headers: &mut HeaderMap, order: &SendOrder<'_>) {
+        headers.remove(AUTHORIZATION);
+        headers.remove(CUSTOMER);
+        let millis = order.left.as_millis().to_string();
+        let customer = order.customer.map(|customer| (CUSTOMER, customer.as_str()));
+        let event = order.last_event.map(|event| (LAST_EVENT, event));
+        let own = [(ID, order.id), (ENDPOINT, order.endpoint.as_str()), (PATIENCE, millis.as_str())];
+        for (name, value) in own.into_iter().chain(customer).chain(event) {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name, value);
+            }
+        }
+    }
+
+    fn judge(&self, head: &response::Parts, id: &str) -> AnswerVerdict {
+        let said = text(&head.headers, &ID);
+        if said.is_some_and(|said| said != id) {
+            return AnswerVerdict::Foreign;
+        }
+        match (text(&head.headers, &RUN), head.status.as_u16()) {
+            (Some("not-run"), 421) => AnswerVerdict::NotRun(NotRunReason::OtherEndpoint),
+            (Some("not-run"), 400) => AnswerVerdict::NotRun(NotRunReason::Malformed),
+            (Some("not-run"), _) => AnswerVerdict::NotRun(NotRunReason::Full),
+            (None, _) if said.is_none() => AnswerVerdict::Unproven,
+            _ => AnswerVerdict::Answer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/micaspool-gateway/src/path/headers.rs
@@ -0,0 +1,47 @@
+//! Headers that concern a single connection.
+
+use http::header::{
+    HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::HeaderMap;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// The headers that are never passed on (RFC 9110, section 7.6.1).
+const SINGLE_HOP: [HeaderName; 10] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    EXPECT,
+];
+
+/// Removes what concerns a single connection, also what `Connection` names.
+pub(super) fn strip_single_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&SINGLE_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// The headers of a request as an endpoint gets them, before the dialect adds its own. The length is
+/// written anew, since the body is sent whole.
+pub(super) fn request_headers(from: &HeaderMap) -> HeaderMap {
+    let mut headers = from.clone();
+    strip_single_hop(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers
+}
--- /dev/null
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -0,0 +1,236 @@
+//! An answer on its way from an endpoint to a caller.
+
+use crate::dialect::PromptOutline;
+use crate::events::{count_ends, EventSplitter};
+use crate::path::{Attempts, Gateway};
+use crate::trail::RequestTrail;
+use async_std::task;
+use bytes::Bytes;
+use futures::future::{select, BoxFuture, Either};
+use futures::stream::unfold;
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, StreamBody};
+use micaspool_dispatch::GrantFate;
+use micaspool_http::edge::{BodyError, EdgeBody};
+use micaspool_http::pool::PooledBody;
+use micaspool_router::GrantLease;
+use micaspool_routes::EngineProfile;
+use micaspool_types::Cost;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+/// How long after the deadline an answer may still flow: the endpoint stops at the deadline by
+/// itself, and its end is better than ours.
+const LATE_LIMIT: Duration = Duration::from_millis(150);
+
+/// What a token made costs, in tokens read.
+const MADE_COST: u64 = 2;
+
+/// Why an answer broke.
+#[derive(Debug)]
+enum RelayError {
+    /// The endpoint's body broke.
+    Endpoint(hyper::Error),
+    /// Nobody waits any more.
+    Deadline,
+}
+
+impl fmt::Display for RelayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RelayError::Endpoint(error) => write!(f, "the endpoint broke off ({error}); check it"),
+            RelayError::Deadline => f.write_str("the answer took longer than the route allows"),
+        }
+    }
+}
+
+impl std::error::Error for RelayError {}
+
+/// Counts what an answer delivers, in tokens: the prompt with the first event, then each event.
+#[derive(Debug)]
+pub(crate) struct EventMeter {
+    prompt: u64,
+    event: u64,
+    events: u64,
+    after_line: bool,
+}
+
+impl EventMeter {
+    pub fn new(prompt: Option<&PromptOutline>, engine: Option<EngineProfile>) -> EventMeter {
+        let event = engine.map_or(1, |engine| u64::from(engine.event_tokens.max(1)));
+        EventMeter {
+            prompt: prompt.map_or(0, |prompt| prompt.prompt_tokens),
+            event: event * MADE_COST,
+            events: 0,
+            after_line: false,
+        }
+    }
+
+    fn observe(&mut self, chunk: &[u8]) {
+        self.events += u64::from(count_ends(&mut self.after_line, chunk));
+    }
+
+    /// What was delivered so far; a call of a plain service costs one unit.
+    fn cost(&self) -> Cost {
+        match (self.prompt, self.events) {
+            (0, _) => Cost(1),
+            (_, 0) => Cost(0),
+            (prompt, events) => Cost(prompt + events * self.event),
+        }
+    }
+}
+
+/// Reads an endpoint's answer, charges it, and goes on elsewhere when it breaks and may be resumed.
+///
+/// When the caller leaves, the relay is dropped and the endpoint's connection with it.
+pub(crate) struct AnswerRelay {
+    gateway: Gateway,
+    attempts: Attempts,
+    body: PooledBody,
+    lease: Option<GrantLease>,
+    meter: EventMeter,
+    splitter: Option<EventSplitter>,
+    trail: RequestTrail,
+    expiry: BoxFuture<'static, ()>,
+    ended: bool,
+}
+
+impl AnswerRelay {
+    pub fn new(
+        gateway: Gateway,
+        attempts: Attempts,
+        body: PooledBody,
+        lease: GrantLease,
+        meter: EventMeter,
+        trail: RequestTrail,
+    ) -> AnswerRelay {
+        let left = attempts.deadline().saturating_duration_since(Instant::now());
+        AnswerRelay {
+            gateway,
+            splitter: attempts.is_resumable().then(EventSplitter::default),
+            attempts,
+            body,
+            lease: Some(lease),
+            meter,
+            trail,
+            expiry: Box::pin(task::sleep(left + LATE_LIMIT)),
+            ended: false,
+        }
+    }
+
+    /// The next bytes for the caller; `None` after the end.
+    async fn next_chunk(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        while !self.ended {
+            match self.read().await {
+                Ok(Some(chunk)) => {
+                    if let Some(bytes) = self.take(chunk) {
+                        return Some(Ok(Frame::data(bytes)));
+                    }
+                }
+                Ok(None) => return self.finish(),
+                Err(error) => {
+                    if !self.resume(&error).await {
+                        return Some(Err(self.break_off(error)));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, RelayError> {
+        loop {
+            match select(self.body.frame(), &mut self.expiry).await {
+                Either::Left((Some(Ok(frame)), _)) => {
+                    // Trailers carry nothing that callers of this fleet know.
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Either::Left((Some(Err(error)), _)) => return Err(RelayError::Endpoint(error)),
+                Either::Left((None, _)) => return Ok(None),
+                Either::Right(_) => return Err(RelayError::Deadline),
+            }
+        }
+    }
+
+    /// Charges a chunk and gives what of it may be passed on now.
+    fn take(&mut self, chunk: Bytes) -> Option<Bytes> {
+        self.meter.observe(&chunk);
+        let delivered = self.meter.cost();
+        if let Some(lease) = &mut self.lease {
+            lease.progress(delivered);
+        }
+        let bytes = match &mut self.splitter {
+            Some(splitter) => splitter.push(&chunk).whole,
+            None => chunk,
+        };
+        if bytes.is_empty() {
+            return None;
+        }
+        self.trail.note_first_byte();
+        Some(bytes)
+    }
+
+    fn finish(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        self.ended = true;
+        self.settle(GrantFate::Done);
+        self.trail.finish();
+        let rest = self.splitter.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
+        (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
+    }
+
+    fn break_off(&mut self, error: RelayError) -> BodyError {
+        self.ended = true;
+        self.settle(GrantFate::Broken);
+        self.trail.break_off(&error.to_string());
+        Box::new(error)
+    }
+
+    fn settle(&mut self, fate: GrantFate) {
+        if let Some(lease) = self.lease.take() {
+            lease.settle(self.meter.cost(), fate);
+        }
+    }
+
+    /// Goes on with a stream at another endpoint after its last whole event; false when that may not
+    /// be or failed.
+    async fn resume(&mut self, error: &RelayError) -> bool {
+        let RelayError::Endpoint(cause) = error else { return false };
+        let Some(last) = self.splitter.as_ref().and_then(EventSplitter::last_id) else { return false };
+        if !self.attempts.may_run_again() {
+            return false;
+        }
+        self.trail.note_failure("stream-broken", &cause.to_string(), false);
+        self.settle(GrantFate::Broken);
+        let last_event = last.to_string();
+        let next = self.attempts.next_answer(&self.gateway, &mut self.trail, Some(&last_event)).await;
+        match next {
+            Ok(answer) if answer.response.status().is_success() => {
+                self.trail.note_resume(last);
+                if let Some(splitter) = &mut self.splitter {
+                    splitter.drop_partial();
+                }
+                self.lease = Some(answer.lease);
+                self.body = answer.response.into_body();
+                true
+            }
+            // The failure is in the log; the caller sees its stream break.
+            _ => false,
+        }
+    }
+}
+
+/// The relay as a body. Its length is that of the endpoint's answer where it has one.
+pub(crate) fn relay_body(relay: AnswerRelay) -> EdgeBody {
+    if relay.body.is_end_stream() {
+        let mut relay = relay;
+        let _ = relay.finish();
+        return micaspool_http::edge::whole_body(Bytes::new());
+    }
+    let chunks = unfold(relay, |mut relay| async move {
+        let chunk = relay.next_chunk().await?;
+        Some((chunk, relay))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(chunks))
+}
--- /dev/null
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -0,0 +1,163 @@
+//! What is logged of a request: one line at its end.
+
+use crate::metrics::GatewayMetrics;
+use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
+use micaspool_types::{EndpointName, Refusal};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What happened to a request so far. One that is dropped before its end had a caller that left.
+#[derive(Debug)]
+pub(crate) struct RequestTrail {
+    metrics: GatewayMetrics,
+    id: Arc<str>,
+    arrived: Instant,
+    ended: bool,
+    /// The route, once it is known.
+    pub route: Arc<str>,
+    /// The number of the plan that decided.
+    pub plan: u64,
+    /// The customer.
+    pub customer: Arc<str>,
+    /// The endpoint that the request was sent to last.
+    pub endpoint: Option<EndpointName>,
+    /// How often it was sent.
+    pub sent: u32,
+    /// How long it waited for grants.
+    pub waited: Duration,
+    first_byte: Option<Duration>,
+    status: u16,
+}
+
+impl RequestTrail {
+    pub fn new(metrics: GatewayMetrics, id: Arc<str>, arrived: Instant) -> RequestTrail {
+        RequestTrail {
+            metrics,
+            id,
+            arrived,
+            ended: false,
+            route: Arc::from(""),
+            plan: 0,
+            customer: Arc::from(""),
+            endpoint: None,
+            sent: 0,
+            waited: Duration::ZERO,
+            first_byte: None,
+            status: 0,
+        }
+    }
+
+    /// When the request arrived.
+    pub fn arrived(&self) -> Instant {
+        self.arrived
+    }
+
+    /// The caller's name for its attempt.
+    pub fn id(&self) -> &Arc<str> {
+        &self.id
+    }
+
+    /// Notes a grant that took this long.
+    pub fn note_wait(&mut self, wait: Duration) {
+        self.waited += wait;
+        self.metrics.wait_seconds.observe(wait.as_secs_f64());
+    }
+
+    /// Notes the head of the answer.
+    pub fn note_status(&mut self, status: u16) {
+        self.status = status;
+    }
+
+    /// Notes the first byte of the answer's body.
+    pub fn note_first_byte(&mut self) {
+        if self.first_byte.is_none() {
+            let passed = self.arrived.elapsed();
+            self.first_byte = Some(passed);
+            self.metrics.first_byte_seconds.observe(passed.as_secs_f64());
+        }
+    }
+
+    /// Logs a send that failed; the request may go on.
+    pub fn note_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
+        self.metrics.count_failure(kind);
+        let mut fields = self.fields();
+        fields.push(field("failure", kind));
+        fields.push(field("cause", cause));
+        fields.push(field("proved_not_run", not_run));
+        record(&events::SEND_FAILED, &fields);
+    }
+
+    /// Logs that a stream goes on elsewhere after this event.
+    pub fn note_resume(&self, last_event: u64) {
+        self.metrics.resumed.inc();
+        let mut fields = self.fields();
+        fields.push(field("last_event", last_event));
+        record(&events::STREAM_RESUMED, &fields);
+    }
+
+    /// Ends with a whole answer.
+    pub fn finish(&mut self) {
+        self.metrics.answered.inc();
+        self.end(&events::REQUEST_ANSWERED, &[]);
+    }
+
+    /// Ends with an answer that broke.
+    pub fn break_off(&mut self, cause: &str) {
+        self.metrics.broken.inc();
+        self.end(&events::ANSWER_BROKEN, &[field("cause", cause)]);
+    }
+
+    /// Ends with a refusal.
+    pub fn refuse(&mut self, refusal: &Refusal) {
+        self.metrics.count_refusal(refusal.kind.as_str());
+        let after = refusal.retry_after.map_or(0, |wait| wait.as_millis());
+        let fields = [
+            field("kind", refusal.kind.as_str()),
+            field("run", refusal.run.as_str()),
+            field("retry_after_ms", after),
+        ];
+        self.end(&events::REQUEST_TURNED_AWAY, &fields);
+    }
+
+    fn end(&mut self, kind: &EventKind, more: &[EventField]) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        self.metrics.total_seconds.observe(self.arrived.elapsed().as_secs_f64());
+        let mut fields = self.fields();
+        fields.extend_from_slice(more);
+        record(kind, &fields);
+    }
+
+    fn fields(&self) -> Vec<EventField> {
+        let mut fields = vec![
+            field("request", &self.id),
+            field("route", &self.route),
+            field("plan", self.plan),
+            field("customer", &self.customer),
+            field("sent", self.sent),
+            field("waited_ms", self.waited.as_millis()),
+            field("total_ms", self.arrived.elapsed().as_millis()),
+        ];
+        if let Some(endpoint) = &self.endpoint {
+            fields.push(field("endpoint", endpoint));
+        }
+        if self.status > 0 {
+            fields.push(field("status", self.status));
+        }
+        if let Some(first) = self.first_byte {
+            fields.push(field("first_ms", first.as_millis()));
+        }
+        fields
+    }
+}
+
+impl Drop for RequestTrail {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.metrics.left.inc();
+            self.end(&events::CALLER_LEFT, &[]);
+        }
+    }
+}
--- a/crates/micaspool-router/src/shard_client/lease.rs
+++ b/crates/micaspool-router/src/shard_client/lease.rs
@@ -68,11 +68,12 @@
         self.sent = true;
     }
 
-    /// Notes how much was delivered, and tells the dispatcher now and then.
+    /// Notes how much was delivered, and tells the dispatcher at the beginning and now and then.
     pub fn progress(&mut self, delivered: Cost) {
         self.delivered = delivered;
         let grown = delivered.0.saturating_sub(self.told.0);
-        let due = grown >= PROGRESS_STEP || (grown > 0 && self.told_at.elapsed() >= PROGRESS_INTERVAL);
+        let begins = self.told == Cost(0) && grown > 0;
+        let due = begins || grown >= PROGRESS_STEP || (grown > 0 && self.told_at.elapsed() >= PROGRESS_INTERVAL);
         if due {
             self.told = delivered;
             self.told_at = Instant::now();
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -112,6 +112,23 @@
 /// The settings file of the process was read again.
 pub const SETTINGS_RELOADED: EventKind = kind("MP1507", Level::Info, "process settings read again");
 
+/// The process was told to read its settings again, which it does not do.
+pub const SETTINGS_KEPT: EventKind = kind("MP1508", Level::Warn, "process settings kept");
+/// A request was answered by an endpoint, whole.
+pub const REQUEST_ANSWERED: EventKind = kind("MP1601", Level::Info, "request answered");
+/// A request was refused or given up.
+pub const REQUEST_TURNED_AWAY: EventKind = kind("MP1602", Level::Info, "request turned away");
+/// The caller left before the end.
+pub const CALLER_LEFT: EventKind = kind("MP1603", Level::Info, "caller left");
+/// An answer broke after its head had been passed on.
+pub const ANSWER_BROKEN: EventKind = kind("MP1604", Level::Warn, "answer broke off");
+/// A request was sent to an endpoint and failed there.
+pub const SEND_FAILED: EventKind = kind("MP1605", Level::Warn, "send to endpoint failed");
+/// A stream that broke goes on at another endpoint.
+pub const STREAM_RESUMED: EventKind = kind("MP1606", Level::Info, "stream resumed");
+/// Log lines were dropped because they could not be written fast enough.
+pub const LINES_DROPPED: EventKind = kind("MP1607", Level::Warn, "log lines dropped");
+
 /// Every event, in number order.
 pub const CATALOGUE: &[EventKind] = &[
     PROCESS_READY,
@@ -149,4 +166,12 @@
     KEEPER_FOLLOWED,
     KEEPER_LOST,
     SETTINGS_RELOADED,
+    SETTINGS_KEPT,
+    REQUEST_ANSWERED,
+    REQUEST_TURNED_AWAY,
+    CALLER_LEFT,
+    ANSWER_BROKEN,
+    SEND_FAILED,
+    STREAM_RESUMED,
+    LINES_DROPPED,
 ];
--- a/crates/micaspool-telemetry/src/logging.rs
+++ b/crates/micaspool-telemetry/src/logging.rs
@@ -1,16 +1,33 @@
 //! Log output as JSON lines, by `fern`.
 
+mod queue;
+
 use log::LevelFilter;
+use queue::LineQueue;
 use serde::Serialize;
 use std::fmt;
 use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// Where log lines go.
+#[derive(Debug, Clone, Default)]
+pub enum LogTarget {
+    /// Standard error, written by whoever logs.
+    #[default]
+    Error,
+    /// Standard output, written by a thread of its own. Whoever logs never waits: lines that cannot
+    /// be written fast enough are dropped and counted.
+    Output,
+    /// A file to append to.
+    File(PathBuf),
+}
+
 /// Where and how much to log.
 #[derive(Debug, Clone, Default)]
 pub struct LogOptions {
-    /// The file to append to; standard error when absent.
-    pub file: Option<PathBuf>,
+    /// Where lines go.
+    pub target: LogTarget,
     /// error, warn, info, debug or trace.
     pub level: String,
     /// The instance name that each line carries.
@@ -52,6 +69,9 @@
     text: String,
 }
 
+/// The queue of the process, when it logs to standard output.
+static QUEUE: OnceLock<LineQueue> = OnceLock::new();
+
 /// Sets the process's log up.
 pub fn start(options: LogOptions) -> Result<(), Error> {
     let level = options.level.parse().unwrap_or(LevelFilter::Info);
@@ -69,13 +89,24 @@
             };
             out.finish(format_args!("{}", serde_json::to_string(&line).unwrap_or_default()));
         });
-    let dispatch = match &options.file {
-        Some(path) => dispatch.chain(open(path)?),
-        None => dispatch.chain(std::io::stderr()),
+    let dispatch = match &options.target {
+        LogTarget::File(path) => dispatch.chain(open(path)?),
+        LogTarget::Error => dispatch.chain(std::io::stderr()),
+        LogTarget::Output => {
+            let queue = QUEUE.get_or_init(LineQueue::start).clone();
+            dispatch.chain(fern::Output::writer(Box::new(queue), "\n"))
+        }
     };
     dispatch.apply().map_err(|_| Error::Twice)
 }
 
+/// Waits until the lines logged so far are written, for a process that ends.
+pub fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        queue.drain();
+    }
+}
+
 fn open(path: &Path) -> Result<std::fs::File, Error> {
     fern::log_file(path).map_err(|error| Error::File(path.to_owned(), error))
 }
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -97,6 +97,15 @@
         }
     }
 
+    /// The HTTP status of a refusal with this run state. One that may have run never gets a status
+    /// that callers take for a promise that it has not.
+    pub fn status_for(self, run: RunState) -> u16 {
+        match (run, self.status()) {
+            (RunState::Unknown, 408 | 421 | 429 | 503) => 502,
+            (_, status) => status,
+        }
+    }
+
     /// The value of the `kind` field in the answer.
     pub fn as_str(self) -> &'static str {
         use RefusalKind::*;
