fix(gateway): take nothing more 2.6 s after the order to stop

Ruled out: balancers sending late (all were on kept connections).

Kept connections and the listener are closed once balancers had two questions' time.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -28,11 +28,9 @@
 pub(crate) const ENDPOINT_LIFE: Duration = Duration::from_secs(10);
 /// How often resting connections are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// How long balancers may need to notice that a gateway stops: two questions a second apart, and one
-/// more for the answer.
-const NOTICE_TIME: Duration = Duration::from_millis(3_200);
-/// How long before the end of a stop resting connections are closed.
-const CLOSE_IDLE: Duration = Duration::from_millis(1_500);
+/// How long balancers may need to notice that a gateway stops: two questions a second apart, and the
+/// answer. What comes later would have too little time left.
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
 
 /// What a gateway runs with; made by [`GatewayOptions::builder`].
 #[derive(Debug, Clone)]
@@ -148,7 +146,7 @@
         self.server.drain();
         let now = Instant::now();
         let latest = now + limit;
-        self.server.drained(now + NOTICE_TIME.min(limit), latest - CLOSE_IDLE.min(limit), latest).await
+        self.server.drained(now + NOTICE_TIME.min(limit), latest).await
     }
 }
 
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -128,15 +128,16 @@
         self.shared.draining.store(true, Ordering::SeqCst);
     }
 
-    /// Waits until every connection has ended, at least until `earliest`. Connections that rest are
-    /// closed from `close_idle` on, and the wait is over at `latest`; true when nothing was left.
-    pub async fn drained(&self, earliest: Instant, close_idle: Instant, latest: Instant) -> bool {
+    /// Takes nothing more from `close` on: connections that rest are closed, and new ones refused.
+    /// Waits until every connection has ended, from `close` on until `latest` at most; true when
+    /// nothing was left.
+    pub async fn drained(&self, close: Instant, latest: Instant) -> bool {
         loop {
             let now = Instant::now();
-            if now >= close_idle {
+            if now >= close {
                 self.shared.closing.0.close();
             }
-            if self.open() == 0 && now >= earliest {
+            if self.open() == 0 && now >= close {
                 return true;
             }
             if now >= latest {
@@ -153,7 +154,14 @@
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         }
-        match listener.accept().await {
+        let accepted = listener.accept();
+        let closing = shared.closing.1.recv();
+        pin_mut!(accepted, closing);
+        let accepted = match select(accepted, closing).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 shared.open.fetch_add(1, Ordering::SeqCst);
                 let connection = OpenConnection(shared.clone());
