fix(dispatch): do not refuse the next in line

Cause: tickets are refused after a quarter of their objective, and engines are closed for longer than that while they read a long prompt.

Tickets of a customer whose level is below the highest that was served are kept up to their whole objective.

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -141,6 +141,10 @@
     pub endpoints: Vec<EndpointSpec>,
     /// Every customer.
     pub customers: Vec<ShardCustomer>,
+    /// How much less than the others a customer that begins to wait may have received. Zero lets idle
+    /// time earn nothing; where requests are refused early, customers wait in short spells, and
+    /// without such a credit each spell would forget that they were refused.
+    pub idle_credit: Cost,
 }
 
 /// What an endpoint says of itself, some time after it was true.
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -84,7 +84,7 @@
             place: QueuePlace { priority: grant.priority, order: grant.order, request },
             avoid: None,
             prompt: grant.prompt,
-            refuse_at: None,
+            patience: None,
         };
         self.insert_waiting(request, ticket);
     }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod grants;
 mod joining;
+mod overdue;
 mod pace;
 mod prefixes;
 mod retries;
@@ -26,7 +27,7 @@
 use endpoints::EndpointTable;
 use grants::RunningGrant;
 use micaspool_fair::{Rank, RankIndex};
-use micaspool_types::{HallMask, HallName, Moment, OrderNumber, RequestId, Revision};
+use micaspool_types::{Cost, HallMask, HallName, Moment, OrderNumber, RequestId, Revision};
 use pace::GrantPace;
 use prefixes::PrefixMemory;
 use retries::RetryBudgets;
@@ -40,6 +41,7 @@
 pub struct ShardCore {
     options: ShardOptions,
     revision: Revision,
+    idle_credit: Cost,
     halls: Vec<HallName>,
     /// For each hall the highest rank that was served there; idle customers start from it.
     floors: Vec<Rank>,
@@ -65,6 +67,7 @@
     pub fn new(now: Moment, options: ShardOptions) -> ShardCore {
         ShardCore {
             revision: Revision(0),
+            idle_credit: Cost(0),
             halls: Vec::new(),
             floors: Vec::new(),
             customers: CustomerTable::new(options.cost_ceiling),
@@ -140,6 +143,7 @@
             return;
         }
         self.revision = policy.revision;
+        self.idle_credit = policy.idle_credit;
         self.remap_floors(&policy.halls);
         self.halls = policy.halls;
         self.endpoints.adopt(&policy.endpoints);
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -1,13 +1,14 @@
 //! Waiting tickets: taking them in, ranking their customers, giving them up.
 
 use super::customers::QueuePlace;
+use super::overdue::Patience;
 use super::routers::RouterIndex;
 use super::ShardCore;
 use crate::action::{ReleaseReason, ShardAction};
 use crate::event::{RequestTicket, SessionId};
 use crate::shard::endpoints::EndpointIndex;
 use crate::shard::engine::PromptShape;
-use micaspool_fair::{CustomerIndex, HeadTicket};
+use micaspool_fair::{CustomerIndex, HeadTicket, ServiceLevel};
 use micaspool_types::{Cost, Moment, OrderNumber, RequestId};
 use std::time::Duration;
 
@@ -23,8 +24,8 @@
     pub place: QueuePlace,
     pub avoid: Option<Avoidance>,
     pub prompt: PromptShape,
-    /// When it is refused if it still waits.
-    pub refuse_at: Option<Moment>,
+    /// How long it may wait; `None` for ever.
+    pub patience: Option<Patience>,
 }
 
 /// The endpoint that a ticket stays away from, and until when.
@@ -101,7 +102,7 @@
                 tokens: ticket.prefix_tokens.into_boxed_slice(),
                 total: ticket.prompt_tokens.0,
             },
-            refuse_at: ticket.patience.map(|patience| now + patience),
+            patience: ticket.patience.map(|patience| Patience::new(now, patience)),
         };
         self.insert_waiting(ticket.request, waiting);
     }
@@ -113,7 +114,7 @@
         }
         self.routers.hold(ticket.router, request);
         self.customers.get_mut(customer).queue.insert(ticket.place, request);
-        self.overdue.extend(ticket.refuse_at.map(|at| (at, request)));
+        self.overdue.extend(ticket.patience.map(|patience| (patience.ends, request)));
         self.waiting.insert(request, ticket);
         self.reindex(customer);
     }
@@ -130,8 +131,10 @@
         }
         let state = self.customers.get(customer);
         let level = self.options.policy.level(&state.account);
+        let credit = ServiceLevel::of(self.idle_credit, state.account.weight());
         if let Some(floor) = self.floor_for(state.halls) {
-            self.customers.get_mut(customer).account.lift(level, micaspool_fair::ServiceLevel(floor.0));
+            let floor = ServiceLevel(floor.0.saturating_sub(credit.0));
+            self.customers.get_mut(customer).account.lift(level, floor);
         }
     }
 
@@ -158,30 +161,6 @@
         Some(ticket)
     }
 
-    /// A ticket that no longer waits is not refused either.
-    pub(super) fn forget_overdue(&mut self, request: RequestId, ticket: &WaitingTicket) {
-        if let Some(at) = ticket.refuse_at {
-            self.overdue.remove(&(at, request));
-        }
-    }
-
-    /// Refuses the tickets that have waited as long as they may.
-    pub(super) fn refuse_overdue(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
-        while let Some((_, request)) = self.overdue.first().copied().filter(|(at, _)| *at <= now) {
-            self.overdue.pop_first();
-            let Some(ticket) = self.drop_waiting(request) else { continue };
-            if let Some(session) = self.routers.session(ticket.router) {
-                let retry_after = self.retry_after(ticket.customer);
-                actions.push(ShardAction::Refuse {
-                    session,
-                    request,
-                    reason: ReleaseReason::Overdue,
-                    retry_after,
-                });
-            }
-        }
-    }
-
     /// Takes a customer out of the index.
     pub(super) fn unindex(&mut self, customer: CustomerIndex) {
         if let Some((halls, rank)) = self.customers.get_mut(customer).indexed.take() {
@@ -208,7 +187,7 @@
     }
 
     /// When a refused request of the customer may find room.
-    fn retry_after(&self, customer: CustomerIndex) -> Duration {
+    pub(super) fn retry_after(&self, customer: CustomerIndex) -> Duration {
         let ahead = self.customers.get(customer).queue.len() + 1;
         let backlogged = self.customers.iter().filter(|state| !state.queue.is_empty()).count();
         self.pace.wait_for(ahead * backlogged.max(1))
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -0,0 +1,173 @@
+//! Engines: where prompts are read, how much an engine gets ahead, and what is refused in time.
+
+use crate::bench::{endpoint, hello, ticket, Bench};
+use micaspool_dispatch::{GrantFate, ReleaseReason, RequestTicket, SessionId, ShardAction, ShardEvent};
+use micaspool_types::{Cost, RequestId};
+use std::collections::HashMap;
+use std::time::Duration;
+
+const MEMORY: u64 = 500_000;
+
+/// A shard of engines with many slots.
+fn engines(count: usize, customers: &[&str]) -> Bench {
+    let mut bench = Bench::new(count, 64, customers);
+    bench.change(|policy| {
+        for spec in &mut policy.endpoints {
+            spec.memory_tokens = MEMORY;
+        }
+    });
+    bench.join(1, hello("r1", 1));
+    bench
+}
+
+/// A ticket with a shared part and one of its own.
+fn prompt(number: u128, name: &str, shared: (u64, u32), own: u32) -> RequestTicket {
+    RequestTicket {
+        prefixes: vec![shared.0, 1_000_000 + number as u64],
+        prefix_tokens: vec![shared.1, own],
+        prompt_tokens: Cost(u64::from(shared.1 + own)),
+        ..ticket(number, name, u64::from(shared.1 + own))
+    }
+}
+
+/// The first event of a request, then its end.
+fn run(bench: &mut Bench, number: u128, cost: u64) {
+    bench.step(ShardEvent::Progress(SessionId(1), RequestId(number), Cost(cost)));
+    bench.settle(1, number, cost, GrantFate::Done);
+}
+
+#[test]
+fn a_prompt_waits_for_the_engine_that_keeps_its_long_part() {
+    let mut bench = engines(2, &["a"]);
+    bench.submit(1, prompt(1, "a", (7, 13_000), 500));
+    let first = bench.grants()[0].endpoint.clone();
+    run(&mut bench, 1, 13_500);
+    bench.pass_with(1_000, &[1]);
+    bench.submit(1, prompt(2, "a", (7, 13_000), 8_000));
+    assert_eq!(bench.grants()[0].endpoint, first);
+    bench.submit(1, prompt(3, "a", (7, 13_000), 500));
+    assert!(bench.grants().is_empty(), "the keeper is busy for 186 ms; reading anew takes 300 ms");
+    run(&mut bench, 2, 21_000);
+    bench.pass_with(250, &[1]);
+    assert_eq!(bench.grants()[0].endpoint, first);
+}
+
+#[test]
+fn a_short_shared_part_is_read_again_rather_than_waited_for() {
+    let mut bench = engines(2, &["a"]);
+    bench.submit(1, prompt(1, "a", (7, 300), 500));
+    run(&mut bench, 1, 800);
+    bench.submit(1, prompt(2, "a", (7, 300), 20_000));
+    bench.grants();
+    bench.submit(1, prompt(3, "a", (7, 300), 500));
+    assert_eq!(bench.grants().len(), 1, "another engine reads 300 tokens sooner");
+}
+
+#[test]
+fn an_engine_gets_little_ahead_and_more_as_time_passes() {
+    let mut bench = engines(1, &["a"]);
+    for number in 0..40 {
+        bench.submit(1, prompt(number, "a", (number as u64, 1_000), 1_000));
+    }
+    let at_once = bench.grants().len();
+    assert!((2..=4).contains(&at_once), "{at_once} prompts of 2,000 tokens at once");
+    for number in 0..at_once as u128 {
+        run(&mut bench, number, 2_000);
+    }
+    bench.pass_with(1_000, &[1]);
+    let later = bench.grants().len();
+    assert!((2..=9).contains(&later), "unread prompts hold an engine back, {later} followed");
+}
+
+#[test]
+fn parts_that_no_longer_fit_are_not_counted_on() {
+    let mut bench = engines(2, &["a"]);
+    bench.submit(1, prompt(0, "a", (7, 13_000), 10));
+    let first = bench.grants()[0].endpoint.clone();
+    run(&mut bench, 0, 13_010);
+    for number in 1..60 {
+        bench.pass_with(1_000, &[1]);
+        let filler = RequestTicket {
+            avoid: Some(other(&first)),
+            ..prompt(number, "a", (100 + number as u64, 13_000), 10)
+        };
+        bench.submit(1, filler);
+        run(&mut bench, number, 13_010);
+    }
+    let busy = RequestTicket { avoid: Some(other(&first)), ..prompt(98, "a", (98, 10), 10) };
+    bench.submit(1, busy);
+    bench.pass_with(1_000, &[1]);
+    bench.grants();
+    bench.submit(1, prompt(99, "a", (7, 13_000), 10));
+    assert_ne!(bench.grants()[0].endpoint, first, "both read it anew, and the other one is idle");
+}
+
+fn other(name: &micaspool_types::EndpointName) -> micaspool_types::EndpointName {
+    if *name == endpoint(0) {
+        endpoint(1)
+    } else {
+        endpoint(0)
+    }
+}
+
+#[test]
+fn a_ticket_that_waited_as_long_as_it_may_is_refused() {
+    let mut bench = engines(1, &["a"]);
+    bench.submit(1, prompt(1, "a", (1, 40_000), 10));
+    let impatient =
+        RequestTicket { patience: Some(Duration::from_millis(180)), ..prompt(2, "a", (2, 1_000), 10) };
+    bench.submit(1, impatient);
+    bench.pass_with(150, &[1]);
+    assert!(refused(&bench).is_empty());
+    assert!(bench.core.next_wake().is_some(), "the driver is told when to look again");
+    bench.pass_with(50, &[1]);
+    assert_eq!(refused(&bench), [(2, ReleaseReason::Overdue)]);
+}
+
+fn refused(bench: &Bench) -> Vec<(u128, ReleaseReason)> {
+    let refusals = bench.seen.iter().filter_map(|action| match action {
+        ShardAction::Refuse { request, reason, .. } => Some((request.0, *reason)),
+        _ => None,
+    });
+    refusals.collect()
+}
+
+/// Two customers ask for more than there is, one ten times as often. Long prompts keep the engine
+/// closed for longer than a request waits before it is refused, so that the flood has a ticket ready
+/// whenever it opens, and the small customer seldom has. Still it must get its share.
+#[test]
+fn a_customer_that_is_owed_service_is_not_refused_before_the_next_opening() {
+    let mut bench = engines(1, &["flood", "small"]);
+    bench.change(|policy| policy.idle_credit = Cost(100_000));
+    let mut served = HashMap::from([("flood", 0_u64), ("small", 0)]);
+    let mut asked = 0;
+    let mut running: Vec<(u128, &str)> = Vec::new();
+    let mut number = 0;
+    for round in 0..600 {
+        let mut send = |bench: &mut Bench, name: &'static str| {
+            number += 1;
+            let patience = Some(Duration::from_millis(180));
+            bench.submit(1, RequestTicket { patience, ..prompt(number, name, (number as u64, 10), 20_000) });
+            running.push((number, name));
+        };
+        for _ in 0..2 {
+            send(&mut bench, "flood");
+        }
+        if round % 20 == 0 {
+            send(&mut bench, "small");
+            asked += 20_010;
+        }
+        bench.pass_with(50, &[1]);
+        let granted = bench.granted_requests();
+        running.retain(|(request, name)| {
+            if granted.contains(request) {
+                *served.get_mut(name).expect("both are in the map") += 20_010;
+                run(&mut bench, *request, 20_010);
+                return false;
+            }
+            true
+        });
+    }
+    let small = served["small"];
+    assert!(small * 10 >= asked * 9, "small asked for {asked} and got {small}, flood {}", served["flood"]);
+}
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -4,6 +4,7 @@
 mod bound;
 mod capacity;
 mod choice;
+mod engines;
 mod faults;
 mod limits;
 mod recovery;
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -6,13 +6,16 @@
 use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
 use micaspool_registry::EndpointStage;
 use micaspool_routes::RoutePlan;
-use micaspool_types::{CustomerName, EndpointName, HallMask, Revision, ServiceName, Weight};
+use micaspool_types::{Cost, CustomerName, EndpointName, HallMask, Revision, ServiceName, Weight};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
 /// The customer under which requests of public routes wait.
 pub const PUBLIC_CUSTOMER: &str = "_public";
+/// The credit that a customer keeps while it does not wait, in seconds of what all endpoints deliver.
+/// Shares are meant over some four seconds, in which a few customers at most take a large part.
+const IDLE_CREDIT_SECONDS: u64 = 1;
 /// The most waiting requests of one customer. They wait in the routers' memory with bodies of some
 /// 20 KB, so 16 customers may hold 80 MB in all routers together.
 const MAX_WAITING: u32 = 256;
@@ -46,7 +49,8 @@
             name: record.name,
         });
         let endpoints = endpoints.collect();
-        ShardPolicy { revision, endpoints, customers: customers(&plan), halls }
+        let idle_credit = Cost(plan.parts().capacity * IDLE_CREDIT_SECONDS);
+        ShardPolicy { revision, endpoints, customers: customers(&plan), halls, idle_credit }
     }
 
     fn listen(&self) -> Receiver<()> {
--- a/crates/micaspool-dispatcher/src/shard_policy.rs
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -2,7 +2,7 @@
 
 use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
 use micaspool_settings::policy::FleetPolicy;
-use micaspool_types::ServiceName;
+use micaspool_types::{Cost, ServiceName};
 
 /// The settings of one service as its shard takes them; empty when the service is not listed.
 pub fn shard_policy(fleet: &FleetPolicy, service: &ServiceName) -> ShardPolicy {
@@ -31,5 +31,6 @@
         halls,
         endpoints: endpoints.collect(),
         customers: customers.collect(),
+        idle_credit: Cost(0),
     }
 }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -52,6 +52,7 @@
     });
     ShardPolicy {
         revision: Revision(1),
+        idle_credit: Cost(0),
         halls: halls.collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
