feat(dispatch): let reports of engines bound what they are given

Engines are asked twice a second, while a shard is used; one at which more than one request waits gets nothing more for 70 ms each. A dispatcher that gets no report goes on without.

--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::desk::ControlDesk;
 use micaspool_client::{FleetMirror, FleetMirrorOptions, KeeperClient, PeerDirectory};
-use micaspool_dispatcher::{FleetDispatcher, FleetDispatcherOptions};
+use micaspool_dispatcher::{EndpointProbe, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe};
 use micaspool_keeper::{start_keeper, KeeperDaemon, KeeperOptions};
 use micaspool_quorum::OpenGroupOptions;
 use micaspool_routes::PlanFormat;
@@ -34,6 +34,7 @@
     data_folder: PathBuf,
     may_form: bool,
     borne_losses: usize,
+    probe: Arc<dyn EndpointProbe>,
 }
 
 /// Builds [`CoreOptions`].
@@ -63,6 +64,7 @@
             data_folder: PathBuf::from("."),
             may_form: true,
             borne_losses: 1,
+            probe: Arc::new(HttpEndpointProbe::default()),
         };
         CoreOptionsBuilder { options }
     }
@@ -106,6 +108,12 @@
         self
     }
 
+    /// How engines are asked for their load.
+    pub fn probe(mut self, probe: Arc<dyn EndpointProbe>) -> Self {
+        self.options.probe = probe;
+        self
+    }
+
     /// The options.
     pub fn build(self) -> CoreOptions {
         self.options
@@ -156,6 +164,7 @@
         incarnation: Incarnation(rand::random()),
         mirror: mirror.clone(),
         spans: SpanSink::default(),
+        probe: options.probe.clone(),
     });
     let address = options.dispatcher_address;
     dispatcher.serve(address, &TrafficCounter::default()).await.map_err(micaspool_keeper::Error::Start)?;
--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -154,6 +154,8 @@
     pub endpoint: EndpointName,
     /// How many requests it runs.
     pub running: u32,
+    /// How many requests wait there to be read.
+    pub waiting: u32,
     /// True when it takes no new work.
     pub draining: bool,
     /// When the report was asked for.
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -275,11 +275,15 @@
         let before = state.last_surplus.filter(|(_, at)| now.since(*at) < REPORT_LIFE);
         state.foreign = before.map_or(0, |(earlier, _)| earlier.min(surplus));
         state.last_surplus = Some((surplus, now));
+        if let Some(engine) = &mut state.engine {
+            engine.note_waiting(now, report.waiting);
+        }
         if report.draining {
             state.doors.draining_since = Some(now);
         } else if state.doors.draining_since.is_some_and(|since| report.asked_at > since) {
             state.doors.draining_since = None;
         }
+        self.watch_reading(now, endpoint);
         self.reindex(endpoint);
     }
 
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -25,6 +25,13 @@
 /// What a running request adds to the delay of the next one, in microseconds.
 const RUNNING_MICROS: u64 = 1_000;
 
+/// How many requests may wait at an engine that is not given too much.
+const USUAL_WAITING: u32 = 1;
+/// How long an engine reads for one that waits: prompts of both sites lack some 3,000 tokens.
+const WAITING_TIME: Duration = Duration::from_millis(70);
+/// The longest time for which a report keeps an engine from getting more.
+const LONGEST_HOLD: Duration = Duration::from_secs(1);
+
 /// The prompt of a ticket, as far as placing it needs.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct PromptShape {
@@ -107,6 +114,15 @@
         missing
     }
 
+    /// Takes over that requests wait at the engine, whoever sent them: other dispatchers may use it
+    /// at the same time. One may be our newest; more mean that the engine reads without a pause.
+    pub fn note_waiting(&mut self, now: Moment, waiting: u32) {
+        if waiting > USUAL_WAITING {
+            let held = (WAITING_TIME * waiting).min(LONGEST_HOLD);
+            self.reads_until = self.reads_until.max(now + held);
+        }
+    }
+
     /// Notes that this many tokens no longer wait to be read.
     pub fn release(&mut self, tokens: u64) {
         self.unread = self.unread.saturating_sub(tokens);
--- a/crates/micaspool-dispatch/tests/shard/capacity.rs
+++ b/crates/micaspool-dispatch/tests/shard/capacity.rs
@@ -70,8 +70,13 @@
     bench.submit(1, ticket(1, "a", 10));
     bench.settle(1, 1, 0, GrantFate::Draining);
     bench.grants();
-    let report =
-        micaspool_dispatch::LoadReport { endpoint: endpoint(0), running: 0, draining: false, asked_at };
+    let report = micaspool_dispatch::LoadReport {
+        endpoint: endpoint(0),
+        running: 0,
+        waiting: 0,
+        draining: false,
+        asked_at,
+    };
     bench.step(ShardEvent::Load(report));
     bench.submit(1, ticket(2, "a", 10));
     assert!(bench.granted_requests().is_empty());
--- a/crates/micaspool-dispatcher/src/daemon.rs
+++ b/crates/micaspool-dispatcher/src/daemon.rs
@@ -30,6 +30,8 @@
 
 /// How long routers get to go elsewhere when the dispatcher stops.
 const STOP_GRACE: Duration = Duration::from_millis(500);
+/// How often endpoints and the platform's list are asked.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The largest message, which holds everything that a router has.
 const MAX_MESSAGE: usize = 64 * 1024 * 1024;
 
@@ -86,6 +88,8 @@
         remote_counter: remote.clone(),
         spans: open_spans(settings)?,
         probe: Arc::new(HttpEndpointProbe::default()),
+        probe_interval: PROBE_INTERVAL,
+        silence_counts: true,
         list,
     };
     let host = Arc::new(ShardHost::new(options, Arc::new(TreeSource(mirror.clone()))));
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -24,8 +24,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Timers go off a little early at times; this keeps a wake-up from coming twice.
 const WAKE_MARGIN: Duration = Duration::from_micros(200);
-/// How often endpoints and the platform's list are asked.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// How many messages may wait for one router; a router that reads more slowly loses its stream.
 const STREAM_QUEUE: usize = 65_536;
 /// The most spans of waiting requests; further ones are left out.
@@ -242,7 +240,7 @@
                 let _ = inputs.send(ShardInput::Event(ShardEvent::Listed(leaving))).await;
             }
         }
-        task::sleep(PROBE_INTERVAL).await;
+        task::sleep(options.probe_interval).await;
         if inputs.is_closed() {
             return;
         }
@@ -258,12 +256,16 @@
 ) {
     let asked_at = clock.now();
     let Some(answer) = options.probe.ask(address).await else {
+        if !options.silence_counts {
+            return;
+        }
         let _ = inputs.send(ShardInput::Event(ShardEvent::Unreachable(endpoint))).await;
         return;
     };
     let report = LoadReport {
         endpoint: endpoint.clone(),
         running: answer.running,
+        waiting: answer.waiting,
         draining: answer.draining,
         asked_at,
     };
--- a/crates/micaspool-dispatcher/src/fleet.rs
+++ b/crates/micaspool-dispatcher/src/fleet.rs
@@ -7,7 +7,7 @@
 use crate::fleet_source::FleetSource;
 use crate::host::{HostOptions, ShardHost};
 use crate::platform::InstanceList;
-use crate::probe::{EndpointProbe, ProbeAnswer};
+use crate::probe::EndpointProbe;
 use crate::service::open_session;
 use async_std::channel::Receiver;
 use async_trait::async_trait;
@@ -32,6 +32,10 @@
 /// hundred milliseconds when its process ended.
 const RECOVERY_WINDOW: Duration = Duration::from_millis(300);
 
+/// How often engines are asked for their load. Another dispatcher may use them at the same time, and
+/// twice a second bounds how long both give an engine too much.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What a fleet dispatcher is made with.
 #[derive(Debug, Clone)]
 pub struct FleetDispatcherOptions {
@@ -43,6 +47,8 @@
     pub mirror: Arc<FleetMirror>,
     /// Where spans go.
     pub spans: SpanSink,
+    /// How engines are asked for their load.
+    pub probe: Arc<dyn EndpointProbe>,
 }
 
 /// A dispatcher of a fleet without lists.
@@ -52,16 +58,6 @@
     stopping: Arc<AtomicBool>,
 }
 
-/// Endpoints of a fleet register themselves and are not asked.
-struct NoProbe;
-
-#[async_trait]
-impl EndpointProbe for NoProbe {
-    async fn ask(&self, _address: SocketAddr) -> Option<ProbeAnswer> {
-        None
-    }
-}
-
 /// Endpoints say themselves that they leave.
 struct NoList;
 
@@ -84,7 +80,9 @@
             remote: Vec::new(),
             remote_counter: TrafficCounter::default(),
             spans: options.spans,
-            probe: Arc::new(NoProbe),
+            probe: options.probe,
+            probe_interval: PROBE_INTERVAL,
+            silence_counts: false,
             list: Arc::new(NoList),
         };
         let source = Arc::new(FleetSource::new(options.mirror));
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -57,8 +57,12 @@
         self.mirror.listen()
     }
 
-    fn probed(&self, _service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
-        Vec::new()
+    /// Engines only: others have no load that would decide anything.
+    fn probed(&self, service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
+        let plan = self.mirror.plan().plan;
+        let is_engine = plan.service(service.as_str()).is_some_and(|rule| rule.engine.is_some());
+        let records = if is_engine { self.mirror.endpoints_of(service) } else { Vec::new() };
+        records.into_iter().map(|record| (record.name, record.address)).collect()
     }
 }
 
--- a/crates/micaspool-dispatcher/src/host.rs
+++ b/crates/micaspool-dispatcher/src/host.rs
@@ -13,6 +13,7 @@
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// What every shard of a dispatcher shares.
 #[derive(Clone)]
@@ -31,6 +32,11 @@
     pub spans: SpanSink,
     /// How endpoints are asked for their load.
     pub probe: Arc<dyn EndpointProbe>,
+    /// How often endpoints and the platform's list are asked.
+    pub probe_interval: Duration,
+    /// True when an endpoint that does not answer is left alone for a while. False where routers may
+    /// reach endpoints that this dispatcher does not.
+    pub silence_counts: bool,
     /// The platform's list.
     pub list: Arc<dyn InstanceList>,
 }
--- a/crates/micaspool-dispatcher/src/probe.rs
+++ b/crates/micaspool-dispatcher/src/probe.rs
@@ -18,6 +18,9 @@
 pub struct ProbeAnswer {
     /// How many requests it runs.
     pub running: u32,
+    /// How many requests wait there to be read.
+    #[serde(default)]
+    pub waiting: u32,
     /// True when it takes no new work.
     #[serde(default)]
     pub draining: bool,
@@ -31,7 +34,7 @@
 
 /// Asks an endpoint for its load.
 #[async_trait]
-pub trait EndpointProbe: Send + Sync + 'static {
+pub trait EndpointProbe: std::fmt::Debug + Send + Sync + 'static {
     /// The report of the endpoint at this address, or `None` when it does not answer in time.
     async fn ask(&self, address: SocketAddr) -> Option<ProbeAnswer>;
 }
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use micaspool_client::{AddressNamed, FleetMirror, FleetMirrorOptions, PeerDirectory};
 use micaspool_daemon::StartError;
-use micaspool_dispatcher::{FleetDispatcher, FleetDispatcherOptions};
+use micaspool_dispatcher::{EndpointProbe, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe};
 use micaspool_http::edge::{EdgeOptions, EdgeServer};
 use micaspool_http::pool::{EndpointPool, PoolOptions};
 use micaspool_http::status::{serve_status, StatusSource};
@@ -45,6 +45,7 @@
     dispatchers: Arc<dyn PeerDirectory>,
     dialect: Arc<dyn GatewayDialect>,
     format: Arc<dyn PlanFormat>,
+    probe: Arc<dyn EndpointProbe>,
 }
 
 /// Builds [`GatewayOptions`].
@@ -68,6 +69,7 @@
             dispatchers: Arc::new(AddressNamed { port: 7_401 }),
             dialect: Arc::new(NativeDialect),
             format: Arc::new(JsonFormat),
+            probe: Arc::new(HttpEndpointProbe::default()),
         };
         GatewayOptionsBuilder { options }
     }
@@ -115,6 +117,12 @@
         self
     }
 
+    /// How engines are asked for their load.
+    pub fn probe(mut self, probe: Arc<dyn EndpointProbe>) -> Self {
+        self.options.probe = probe;
+        self
+    }
+
     /// The options.
     pub fn build(self) -> GatewayOptions {
         self.options
@@ -168,6 +176,7 @@
         incarnation,
         mirror: mirror.clone(),
         spans: spans.clone(),
+        probe: options.probe.clone(),
     });
     let mut registry = Registry::default();
     let metrics = GatewayMetrics::register(&mut registry);
--- a/crates/micaspool-replay/src/run/mod.rs
+++ b/crates/micaspool-replay/src/run/mod.rs
@@ -298,7 +298,13 @@
             let endpoint = endpoint_name(number);
             let event = if self.endpoints.is_up(number) {
                 let running = self.endpoints.running(number);
-                ShardEvent::Load(LoadReport { endpoint, running, draining: false, asked_at: self.now })
+                ShardEvent::Load(LoadReport {
+                    endpoint,
+                    running,
+                    waiting: 0,
+                    draining: false,
+                    asked_at: self.now,
+                })
             } else {
                 ShardEvent::Unreachable(endpoint)
             };
