perf(dispatch): tolerate two breaks in a row

Cause: an endpoint was left alone for half a second after every request that broke there.

Ruled out: overload (the engines that were left had time).

Two breaks in a row are tolerated in a fleet; an endpoint that can't be reached is still left at once. New rows in breaks.rs.

--- a/crates/micaspool-dispatch/src/options.rs
+++ b/crates/micaspool-dispatch/src/options.rs
@@ -18,6 +18,7 @@
     pub(crate) prefix_capacity: usize,
     pub(crate) use_held_state: bool,
     pub(crate) use_prefixes: bool,
+    pub(crate) tolerated_breaks: u32,
 }
 
 /// Builds [`ShardOptions`]; what is not set keeps its default.
@@ -38,6 +39,7 @@
             prefix_capacity: 65_536,
             use_held_state: true,
             use_prefixes: true,
+            tolerated_breaks: 0,
         }
     }
 }
@@ -97,6 +99,13 @@
         self
     }
 
+    /// How many requests in a row may break at an endpoint before it is left alone for a while.
+    /// Endpoints that lose an answer now and then serve the others well.
+    pub fn tolerated_breaks(mut self, breaks: u32) -> Self {
+        self.options.tolerated_breaks = breaks;
+        self
+    }
+
     /// False for the baseline that chooses endpoints by load alone.
     pub fn use_prefixes(mut self, used: bool) -> Self {
         self.options.use_prefixes = used;
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -48,6 +48,8 @@
     reading: bool,
     /// Failures in a row.
     failures: u32,
+    /// Requests in a row that broke and were tolerated.
+    breaks: u32,
     /// The surplus of the last report over our own grants, and when it came.
     last_surplus: Option<(u32, Moment)>,
     /// The load under which the endpoint stands in its hall's set of free endpoints.
@@ -57,6 +59,8 @@
 /// Every endpoint that the shard has met, and which have a free slot.
 #[derive(Debug, Default)]
 pub(super) struct EndpointTable {
+    /// How many requests in a row may break before an endpoint is paused.
+    tolerated_breaks: u32,
     states: Vec<EndpointState>,
     names: HashMap<EndpointName, EndpointIndex>,
     free: Vec<BTreeSet<(u32, EndpointIndex)>>,
@@ -105,6 +109,10 @@
 }
 
 impl EndpointTable {
+    pub fn new(tolerated_breaks: u32) -> EndpointTable {
+        EndpointTable { tolerated_breaks, ..EndpointTable::default() }
+    }
+
     pub fn by_name(&self, name: &EndpointName) -> Option<EndpointIndex> {
         self.names.get(name).copied()
     }
@@ -138,6 +146,7 @@
             engine: None,
             reading: false,
             failures: 0,
+            breaks: 0,
             last_surplus: None,
             indexed: None,
         });
@@ -255,11 +264,15 @@
 
     /// Gives one slot back and learns from how the grant ended.
     pub fn vacate(&mut self, now: Moment, endpoint: EndpointIndex, fate: GrantFate) {
-        let state = self.state_mut(endpoint);
+        let state = &mut self.states[endpoint.0 as usize];
         state.busy = state.busy.saturating_sub(1);
         match fate {
-            GrantFate::Done => state.failures = 0,
+            GrantFate::Done => {
+                state.failures = 0;
+                state.breaks = 0;
+            }
             GrantFate::Draining => state.doors.draining_since = Some(now),
+            GrantFate::Broken if state.breaks < self.tolerated_breaks => state.breaks += 1,
             GrantFate::Refused | GrantFate::Unreachable | GrantFate::Broken => self.pause(now, endpoint),
             GrantFate::Unsent => {}
         }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -71,7 +71,7 @@
             halls: Vec::new(),
             floors: Vec::new(),
             customers: CustomerTable::new(options.cost_ceiling),
-            endpoints: EndpointTable::default(),
+            endpoints: EndpointTable::new(options.tolerated_breaks),
             routers: RouterTable::default(),
             waiting: HashMap::new(),
             overdue: BTreeSet::new(),
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod bound;
+mod breaks;
 mod capacity;
 mod choice;
 mod engines;
--- a/crates/micaspool-dispatcher/src/fleet.rs
+++ b/crates/micaspool-dispatcher/src/fleet.rs
@@ -32,6 +32,9 @@
 /// hundred milliseconds when its process ended.
 const RECOVERY_WINDOW: Duration = Duration::from_millis(300);
 
+/// How many requests in a row may break at an endpoint before it is left alone. One that loses every
+/// twentieth answer breaks three in a row once in 8,000; one that is gone breaks them at once.
+const TOLERATED_BREAKS: u32 = 2;
 /// How often engines are asked for their load. Another dispatcher may use them at the same time, and
 /// twice a second bounds how long both give an engine too much.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -71,8 +74,11 @@
 impl FleetDispatcher {
     /// A dispatcher that is reached inside the process only.
     pub fn new(options: FleetDispatcherOptions) -> FleetDispatcher {
-        let shard =
-            ShardOptions::builder().cost_ceiling(COST_CEILING).recovery_window(RECOVERY_WINDOW).build();
+        let shard = ShardOptions::builder()
+            .cost_ceiling(COST_CEILING)
+            .recovery_window(RECOVERY_WINDOW)
+            .tolerated_breaks(TOLERATED_BREAKS)
+            .build();
         let host = HostOptions {
             shard,
             incarnation: options.incarnation,
