--- /dev/null
+++ b/crates/micaspool-http/tests/edge_server.rs
@@ -0,0 +1,122 @@
+//! The server for callers: who leaves, who stays, and what a stop does.
+
+use async_std::task;
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use http::{Request, Response};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use micaspool_http::edge::{whole_body, BodyError, EdgeBody, EdgeHandler, EdgeOptions, EdgeServer};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Answers by path: `/slow` after 400 ms, `/stuck` never, `/broken` with a body that breaks.
+#[derive(Default)]
+struct PathHandler {
+    dropped: Arc<AtomicUsize>,
+}
+
+struct CountDrop(Arc<AtomicUsize>);
+
+impl Drop for CountDrop {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+#[async_trait]
+impl EdgeHandler for PathHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody> {
+        match request.uri().path() {
+            "/slow" => task::sleep(Duration::from_millis(400)).await,
+            "/stuck" => {
+                let _count = CountDrop(self.dropped.clone());
+                std::future::pending::<()>().await;
+            }
+            "/broken" => {
+                let first = futures::stream::iter([Ok(Frame::data(Bytes::from_static(b"part")))]);
+                let later = futures::stream::once(async {
+                    task::sleep(Duration::from_millis(50)).await;
+                    Err::<Frame<Bytes>, BodyError>("broke".into())
+                });
+                let body = StreamBody::new(Box::pin(first.chain(later)));
+                return Response::new(BodyExt::boxed_unsync(body));
+            }
+            _ => {}
+        }
+        Response::new(whole_body("ok"))
+    }
+}
+
+fn start() -> (EdgeServer, SocketAddr, Arc<AtomicUsize>) {
+    let handler = PathHandler::default();
+    let dropped = handler.dropped.clone();
+    let server = EdgeServer::new(Arc::new(handler), EdgeOptions::default());
+    let address = task::block_on(server.listen(([127, 0, 0, 1], 0).into())).expect("a free port");
+    (server, address, dropped)
+}
+
+fn send(address: SocketAddr, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a time");
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: h\r\n\r\n").expect("sent");
+    stream
+}
+
+/// Everything until the server closes.
+fn read_all(mut stream: TcpStream) -> String {
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_handling_of_its_request() {
+    let (_server, address, dropped) = start();
+    let stream = send(address, "/stuck");
+    std::thread::sleep(Duration::from_millis(100));
+    drop(stream);
+    let limit = Instant::now() + Duration::from_millis(500);
+    while dropped.load(Ordering::SeqCst) == 0 && Instant::now() < limit {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(dropped.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn a_body_that_breaks_does_not_look_complete() {
+    let (_server, address, _) = start();
+    let text = read_all(send(address, "/broken"));
+    assert!(text.contains("part") && !text.contains("\r\n0\r\n"), "{text}");
+}
+
+#[test]
+fn a_stop_finishes_what_runs_and_closes_what_rests() {
+    let (server, address, _) = start();
+    let resting = TcpStream::connect(address).expect("it listens");
+    let running = send(address, "/slow");
+    std::thread::sleep(Duration::from_millis(100));
+    server.drain();
+    let now = Instant::now();
+    let close = now + Duration::from_millis(200);
+    let whole = task::block_on(server.drained(close, now + Duration::from_secs(5)));
+    assert!(whole);
+    assert!(now.elapsed() < Duration::from_secs(2), "{:?}", now.elapsed());
+    let answer = read_all(running);
+    assert!(answer.contains("200 OK") && answer.contains("connection: close"), "{answer}");
+    assert_eq!(read_all(resting), "");
+    assert!(TcpStream::connect(address).is_err(), "nothing new is taken after the close");
+}
+
+#[test]
+fn a_stop_answers_new_requests_until_balancers_had_time_to_notice() {
+    let (server, address, _) = start();
+    server.drain();
+    let answer = read_all(send(address, "/"));
+    assert!(answer.contains("200 OK") && answer.contains("connection: close"), "{answer}");
+}
--- /dev/null
+++ b/crates/micaspool-http/tests/pool.rs
@@ -0,0 +1,188 @@
+//! How answers of endpoints are framed, against endpoints written by hand.
+
+use async_std::task;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use micaspool_http::pool::{EndpointPool, PoolOptions, SendError, WholeRequest};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use test_case::test_case;
+
+/// What an endpoint does on one connection.
+#[derive(Clone, Copy)]
+enum Ending {
+    /// Waits for the next request.
+    Keep,
+    /// Closes properly.
+    Close,
+    /// Closes with a reset.
+    Reset,
+}
+
+fn reset(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).expect("the option is known");
+}
+
+/// Reads a head and the body that it announces; false at the end of the connection.
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if !matches!(stream.read(&mut byte), Ok(1)) {
+            return false;
+        }
+        head.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&head).to_lowercase();
+    let length = text.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.map_or(0, |value| value.trim().parse().expect("a number"));
+    stream.read_exact(&mut vec![0; length]).is_ok()
+}
+
+/// An endpoint that gives the same bytes to each request and counts its connections.
+fn endpoint(answer: &'static str, ending: Ending) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counted = connections.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            counted.fetch_add(1, Ordering::SeqCst);
+            let mut stream = stream.expect("a connection");
+            std::thread::spawn(move || {
+                while read_request(&mut stream) {
+                    let _ = stream.write_all(answer.as_bytes());
+                    match ending {
+                        Ending::Keep => {}
+                        Ending::Close => return drop(stream.shutdown(Shutdown::Both)),
+                        Ending::Reset => {
+                            std::thread::sleep(Duration::from_millis(20));
+                            return reset(&stream);
+                        }
+                    }
+                }
+            });
+        }
+    });
+    (address, connections)
+}
+
+fn request() -> WholeRequest {
+    Request::post("/x").header("host", "h").body(Full::new(Bytes::from_static(b"body"))).expect("valid")
+}
+
+/// The status and the whole body, or whether head or body broke.
+async fn fetch(pool: &Arc<EndpointPool>, address: SocketAddr) -> Result<(u16, Bytes), &'static str> {
+    let response = pool.send(address, request()).await.map_err(|_| "head")?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.map_err(|_| "body")?;
+    Ok((status, body.to_bytes()))
+}
+
+fn fetched(answer: &'static str, ending: Ending) -> Result<String, &'static str> {
+    let (address, _) = endpoint(answer, ending);
+    let pool = EndpointPool::new(PoolOptions::default());
+    let result = task::block_on(fetch(&pool, address));
+    result.map(|(status, body)| format!("{status} {}", String::from_utf8_lossy(&body)))
+}
+
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc", Ending::Keep => Ok("200 abc".into()); "whole")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc", Ending::Close => Err("body"); "shorter than its length")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", Ending::Keep => Ok("200 abc".into()); "chunks")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n", Ending::Close => Err("body"); "no last chunk")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\nabc", Ending::Close => Ok("200 abc".into()); "ends with its connection")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\nabc", Ending::Reset => Err("body"); "reset instead of an end")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd", Ending::Keep => Err("head"); "two lengths")]
+#[test_case("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na", Ending::Keep => Ok("200 a".into()); "an interim answer first")]
+#[test_case("garbage\r\n\r\n", Ending::Close => Err("head"); "no answer")]
+#[test_case("", Ending::Close => Err("head"); "closed without an answer")]
+fn an_answer(answer: &'static str, ending: Ending) -> Result<String, &'static str> {
+    fetched(answer, ending)
+}
+
+#[test]
+fn a_connection_is_used_again_after_a_whole_answer_only() {
+    let whole = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
+    let extra =
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx";
+    let leaving = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 3\r\n\r\nabc";
+    let short_rest = "HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\ncontent-length: 3\r\n\r\nabc";
+    for (answer, expected) in [(whole, 1), (extra, 3), (leaving, 3), (short_rest, 3)] {
+        let (address, connections) = endpoint(answer, Ending::Keep);
+        let pool = EndpointPool::new(PoolOptions::default());
+        for _ in 0..3 {
+            let result = task::block_on(fetch(&pool, address)).expect("a whole answer");
+            assert_eq!(result, (200, Bytes::from_static(b"abc")), "{answer}");
+            // The connection's task sees what lies behind the answer.
+            std::thread::sleep(Duration::from_millis(30));
+        }
+        assert_eq!(connections.load(Ordering::SeqCst), expected, "{answer}");
+    }
+}
+
+#[test]
+fn a_kept_connection_that_the_endpoint_closed_costs_no_request() {
+    let (address, connections) = endpoint("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc", Ending::Close);
+    let pool = EndpointPool::new(PoolOptions::default());
+    for _ in 0..20 {
+        assert!(task::block_on(fetch(&pool, address)).is_ok());
+    }
+    assert!(connections.load(Ordering::SeqCst) >= 20);
+}
+
+#[test]
+fn a_port_without_a_listener_proves_that_nothing_was_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    drop(listener);
+    let pool = EndpointPool::new(PoolOptions::default());
+    let error = task::block_on(pool.send(address, request())).expect_err("nobody listens");
+    assert!(matches!(error, SendError::Unreachable(_)) && error.is_not_sent());
+}
+
+#[test]
+fn a_break_after_the_request_was_written_proves_nothing() {
+    let (address, _) = endpoint("", Ending::Reset);
+    let pool = EndpointPool::new(PoolOptions::default());
+    let error = task::block_on(pool.send(address, request())).expect_err("there is no answer");
+    assert!(!error.is_not_sent(), "{error}");
+}
+
+/// An endpoint that answers before it has read a long body gets the rest of that body, and nothing
+/// else in its place.
+#[test]
+fn the_rest_of_a_body_follows_an_early_answer() {
+    const LENGTH: usize = 8 * 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let reader = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte).expect("a head");
+            head.push(byte[0]);
+        }
+        stream.write_all(b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 2\r\n\r\nno").expect("sent");
+        std::thread::sleep(Duration::from_millis(100));
+        let mut body = vec![0; LENGTH];
+        let whole = stream.read_exact(&mut body).is_ok();
+        !whole || body.iter().all(|byte| *byte == b'b')
+    });
+    let pool = EndpointPool::new(PoolOptions::default());
+    let body = Full::new(Bytes::from(vec![b'b'; LENGTH]));
+    let long = Request::post("/x").header("host", "h").body(body).expect("valid");
+    task::block_on(async {
+        if let Ok(response) = pool.send(address, long).await {
+            let _ = response.into_body().collect().await;
+        }
+        let next = async_std::future::timeout(Duration::from_millis(300), fetch(&pool, address)).await;
+        assert!(next.is_err() || next.is_ok_and(|result| result.is_err()), "one connection was accepted");
+    });
+    assert!(reader.join().expect("the endpoint ran"), "other bytes came where the body was due");
+}
