--- a/crates/micaspool-gateway/src/trail.rs
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -92,7 +92,7 @@
         self.metrics.resumed.inc();
         let mut fields = self.fields();
         fields.push(field("last_event", last_event));
-        record(&events::STREAM_RESUMED, &fields);
+        record(&events::STREAM_CONTINUED, &fields);
     }
 
     /// Ends with a whole answer.
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -125,7 +125,7 @@
 /// A request was sent to an endpoint and failed there.
 pub const SEND_FAILED: EventKind = kind("MP1605", Level::Warn, "send to endpoint failed");
 /// A stream that broke goes on at another endpoint.
-pub const STREAM_RESUMED: EventKind = kind("MP1606", Level::Info, "stream resumed");
+pub const STREAM_CONTINUED: EventKind = kind("MP1606", Level::Info, "stream resumed");
 /// Log lines were dropped because they could not be written fast enough.
 pub const LINES_DROPPED: EventKind = kind("MP1607", Level::Warn, "log lines dropped");
 
@@ -172,6 +172,6 @@
     CALLER_LEFT,
     ANSWER_BROKEN,
     SEND_FAILED,
-    STREAM_RESUMED,
+    STREAM_CONTINUED,
     LINES_DROPPED,
 ];
