feat: share engines by their reports; shards on the core's status page

Cause: the dispatcher of a router that is cut off and that of the core each used an engine at its full pace. Reports of two probes in a row that show more requests than a shard's own now leave the others their part; a dispatcher inside a router begins with a fifth.

Ruled out: closing an engine at which requests wait (kept, not enough alone).

New row: an_engine_that_others_use_is_given_its_part_only.

--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -2,7 +2,9 @@
 
 use crate::desk::ControlDesk;
 use micaspool_client::{FleetMirror, FleetMirrorOptions, KeeperClient, PeerDirectory};
+use micaspool_daemon::StartError;
 use micaspool_dispatcher::{EndpointProbe, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe};
+use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_keeper::{start_keeper, KeeperDaemon, KeeperOptions};
 use micaspool_quorum::OpenGroupOptions;
 use micaspool_routes::PlanFormat;
@@ -30,7 +32,7 @@
     format: Arc<dyn PlanFormat>,
     keeper_address: SocketAddr,
     dispatcher_address: SocketAddr,
-    status: SocketAddr,
+    status: Vec<SocketAddr>,
     data_folder: PathBuf,
     may_form: bool,
     borne_losses: usize,
@@ -60,7 +62,7 @@
             format,
             keeper_address: any,
             dispatcher_address: any,
-            status: any,
+            status: Vec::new(),
             data_folder: PathBuf::from("."),
             may_form: true,
             borne_losses: 1,
@@ -84,9 +86,9 @@
         self
     }
 
-    /// Where it shows its status.
-    pub fn status(mut self, address: SocketAddr) -> Self {
-        self.options.status = address;
+    /// Where it shows the status of keeper and dispatcher.
+    pub fn status(mut self, addresses: Vec<SocketAddr>) -> Self {
+        self.options.status = addresses;
         self
     }
 
@@ -165,19 +167,53 @@
         mirror: mirror.clone(),
         spans: SpanSink::default(),
         probe: options.probe.clone(),
+        beside_others: false,
     });
     let address = options.dispatcher_address;
     dispatcher.serve(address, &TrafficCounter::default()).await.map_err(micaspool_keeper::Error::Start)?;
+    let source =
+        Arc::new(CoreStatusSource { keeper: keeper.status_source(), dispatcher: dispatcher.status_source() });
+    for address in &options.status {
+        let failed = |error| micaspool_keeper::Error::Start(StartError::bind(*address)(error));
+        serve_status(*address, source.clone()).await.map_err(failed)?;
+    }
     let own = PeerAddress { name: options.instance.clone(), address: keeper.wire };
     let client = Arc::new(KeeperClient::new(vec![own.clone()], TrafficCounter::default()));
     let desk = ControlDesk::new(client, own, keeper.hub().clone(), mirror.clone(), options.format.clone());
     Ok(CoreDaemon { keeper, dispatcher, mirror, desk })
 }
 
+/// Keeper and dispatcher on one page.
+struct CoreStatusSource {
+    keeper: Arc<dyn StatusSource>,
+    dispatcher: Arc<dyn StatusSource>,
+}
+
+/// The end of a text in the OpenMetrics format; it may stand once.
+const METRICS_END: &str = "# EOF\n";
+
+impl StatusSource for CoreStatusSource {
+    fn is_ready(&self) -> bool {
+        self.keeper.is_ready()
+    }
+
+    fn metrics(&self) -> String {
+        let keeper = self.keeper.metrics();
+        let dispatcher = self.dispatcher.metrics();
+        // Both know a revision under the same name; the keeper's is that of the settings tree.
+        let named = "micaspool_settings_revision";
+        let own = dispatcher.lines().filter(|line| !line.contains(named)).map(|line| format!("{line}\n"));
+        keeper.trim_end_matches(METRICS_END).chars().chain(own.collect::<String>().chars()).collect()
+    }
+
+    fn state(&self) -> String {
+        format!("{{\"keeper\":{},\"dispatcher\":{}}}", self.keeper.state(), self.dispatcher.state())
+    }
+}
+
 fn keeper_options(options: &CoreOptions) -> KeeperOptions {
     KeeperOptions::builder(options.instance.clone(), options.seeds.clone(), options.keepers.clone())
         .wire(options.keeper_address)
-        .status(options.status)
         .data_folder(options.data_folder.clone())
         .may_form(options.may_form)
         .open_group(OpenGroupOptions::bearing(options.borne_losses))
--- a/crates/micaspool-dispatch/src/options.rs
+++ b/crates/micaspool-dispatch/src/options.rs
@@ -19,6 +19,7 @@
     pub(crate) use_held_state: bool,
     pub(crate) use_prefixes: bool,
     pub(crate) tolerated_breaks: u32,
+    pub(crate) first_share: u64,
 }
 
 /// Builds [`ShardOptions`]; what is not set keeps its default.
@@ -40,6 +41,7 @@
             use_held_state: true,
             use_prefixes: true,
             tolerated_breaks: 0,
+            first_share: 100,
         }
     }
 }
@@ -99,6 +101,12 @@
         self
     }
 
+    /// The part of an engine's pace that is used before its reports tell who else uses it, in percent.
+    pub fn first_share(mut self, percent: u64) -> Self {
+        self.options.first_share = percent.clamp(1, 100);
+        self
+    }
+
     /// How many requests in a row may break at an endpoint before it is left alone for a while.
     /// Endpoints that lose an answer now and then serve the others well.
     pub fn tolerated_breaks(mut self, breaks: u32) -> Self {
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -61,6 +61,8 @@
 pub(super) struct EndpointTable {
     /// How many requests in a row may break before an endpoint is paused.
     tolerated_breaks: u32,
+    /// The part of an engine's pace that is used before reports came, in percent.
+    first_share: u64,
     states: Vec<EndpointState>,
     names: HashMap<EndpointName, EndpointIndex>,
     free: Vec<BTreeSet<(u32, EndpointIndex)>>,
@@ -76,10 +78,10 @@
         !doors.settings && !doors.listed && doors.draining_since.is_none() && doors.paused_until.is_none()
     }
 
-    fn size_engine(&mut self, memory: u64) {
+    fn size_engine(&mut self, memory: u64, first_share: u64) {
         match &mut self.engine {
             Some(engine) => engine.resize(memory),
-            None if memory > 0 => self.engine = Some(EngineState::new(memory)),
+            None if memory > 0 => self.engine = Some(EngineState::new(memory, first_share)),
             None => {}
         }
     }
@@ -109,8 +111,8 @@
 }
 
 impl EndpointTable {
-    pub fn new(tolerated_breaks: u32) -> EndpointTable {
-        EndpointTable { tolerated_breaks, ..EndpointTable::default() }
+    pub fn new(tolerated_breaks: u32, first_share: u64) -> EndpointTable {
+        EndpointTable { tolerated_breaks, first_share, ..EndpointTable::default() }
     }
 
     pub fn by_name(&self, name: &EndpointName) -> Option<EndpointIndex> {
@@ -155,6 +157,7 @@
 
     /// Takes over the endpoints of new settings; others get nothing new and finish what runs.
     pub fn adopt(&mut self, specs: &[EndpointSpec]) {
+        let first_share = self.first_share;
         for index in 0..self.states.len() as u32 {
             self.unindex(EndpointIndex(index));
             self.states[index as usize].doors.settings = true;
@@ -165,7 +168,7 @@
             state.hall = spec.hall;
             state.slots = spec.slots;
             state.doors.settings = spec.leaving;
-            state.size_engine(spec.memory_tokens);
+            state.size_engine(spec.memory_tokens, first_share);
         }
         let halls = self.states.iter().map(|state| state.hall + 1).max().unwrap_or(0);
         self.free.resize_with(halls.max(self.free.len()), BTreeSet::new);
@@ -287,9 +290,13 @@
         let surplus = report.running.saturating_sub(state.busy);
         let before = state.last_surplus.filter(|(_, at)| now.since(*at) < REPORT_LIFE);
         state.foreign = before.map_or(0, |(earlier, _)| earlier.min(surplus));
+        let (busy, foreign) = (state.busy, state.foreign);
         state.last_surplus = Some((surplus, now));
         if let Some(engine) = &mut state.engine {
             engine.note_waiting(now, report.waiting);
+            if before.is_some() {
+                engine.share_with(busy, foreign);
+            }
         }
         if report.draining {
             state.doors.draining_since = Some(now);
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -25,6 +25,10 @@
 /// What a running request adds to the delay of the next one, in microseconds.
 const RUNNING_MICROS: u64 = 1_000;
 
+/// How many requests beyond our own need not be anybody's: reports are some hundred milliseconds old.
+const STRAY_REQUESTS: u32 = 2;
+/// The smallest part of an engine's pace that is used, in percent, so that one who comes late gets in.
+const SMALLEST_SHARE: u64 = 15;
 /// How many requests may wait at an engine that is not given too much.
 const USUAL_WAITING: u32 = 1;
 /// How long an engine reads for one that waits: prompts of both sites lack some 3,000 tokens.
@@ -57,14 +61,16 @@
     memory: u64,
     /// Tokens of prompts that were granted and have not begun.
     unread: u64,
+    /// The part of its pace that this shard may use, in percent.
+    share: u64,
     /// When it will have read everything at the given pace.
     reads_until: Moment,
     kept: PartCache,
 }
 
 impl EngineState {
-    pub fn new(memory: u64) -> EngineState {
-        EngineState { memory, unread: 0, reads_until: Moment(0), kept: PartCache::default() }
+    pub fn new(memory: u64, share: u64) -> EngineState {
+        EngineState { memory, unread: 0, share, reads_until: Moment(0), kept: PartCache::default() }
     }
 
     /// Takes the memory size of newer settings over.
@@ -106,7 +112,8 @@
     pub fn admit(&mut self, now: Moment, prompt: &PromptShape) -> u64 {
         let missing = self.missing(prompt);
         self.unread += missing;
-        self.reads_until = self.reads_until.max(now) + Duration::from_micros(micros_of(missing));
+        let reading = micros_of(missing) * 100 / self.share;
+        self.reads_until = self.reads_until.max(now) + Duration::from_micros(reading);
         for (prefix, tokens) in prompt.parts() {
             self.kept.touch(prefix, tokens);
         }
@@ -123,6 +130,15 @@
         }
     }
 
+    /// Leaves others their part of the pace: what runs here tells how much each uses.
+    pub fn share_with(&mut self, own: u32, foreign: u32) {
+        let all = u64::from(own + foreign);
+        self.share = match foreign {
+            0..=STRAY_REQUESTS => 100,
+            _ => (u64::from(own) * 100 / all).max(SMALLEST_SHARE),
+        };
+    }
+
     /// Notes that this many tokens no longer wait to be read.
     pub fn release(&mut self, tokens: u64) {
         self.unread = self.unread.saturating_sub(tokens);
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -71,7 +71,7 @@
             halls: Vec::new(),
             floors: Vec::new(),
             customers: CustomerTable::new(options.cost_ceiling),
-            endpoints: EndpointTable::new(options.tolerated_breaks),
+            endpoints: EndpointTable::new(options.tolerated_breaks, options.first_share),
             routers: RouterTable::default(),
             waiting: HashMap::new(),
             overdue: BTreeSet::new(),
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -1,7 +1,9 @@
 //! Engines: where prompts are read, how much an engine gets ahead, and what is refused in time.
 
 use crate::bench::{endpoint, hello, ticket, Bench};
-use micaspool_dispatch::{GrantFate, ReleaseReason, RequestTicket, SessionId, ShardAction, ShardEvent};
+use micaspool_dispatch::{
+    GrantFate, ReleaseReason, RequestTicket, SessionId, ShardAction, ShardEvent, ShardOptions,
+};
 use micaspool_types::{Cost, RequestId};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -171,3 +173,46 @@
     let small = served["small"];
     assert!(small * 10 >= asked * 9, "small asked for {asked} and got {small}, flood {}", served["flood"]);
 }
+
+/// How many prompts of 2,000 tokens an engine gets within a second after two reports, while it runs
+/// `foreign` requests of others beside ten of ours.
+fn granted_beside(foreign: u32, first_share: u64) -> usize {
+    let options = ShardOptions::builder().first_share(first_share).build();
+    let mut bench = Bench::recovering(1, 64, &["a"], options);
+    bench.change(|policy| policy.endpoints[0].memory_tokens = MEMORY);
+    bench.pass(1_000);
+    bench.join(1, hello("r1", 1));
+    for number in 0..10 {
+        bench.submit(1, prompt(number, "a", (number as u64, 10), 10));
+        bench.step(ShardEvent::Progress(SessionId(1), RequestId(number), Cost(20)));
+        bench.pass_with(100, &[1]);
+    }
+    for _ in 0..2 {
+        bench.load(0, 10 + foreign, false);
+        bench.pass_with(500, &[1]);
+    }
+    bench.grants();
+    for number in 100..140 {
+        bench.submit(1, prompt(number, "a", (number as u64, 1_000), 1_000));
+    }
+    let mut granted = 0;
+    for _ in 0..20 {
+        for request in bench.granted_requests() {
+            granted += 1;
+            bench.step(ShardEvent::Progress(SessionId(1), RequestId(request), Cost(2_000)));
+        }
+        bench.pass_with(50, &[1]);
+    }
+    granted
+}
+
+#[test]
+fn an_engine_that_others_use_is_given_its_part_only() {
+    let alone = granted_beside(0, 100);
+    let beside = granted_beside(10, 100);
+    let crowded = granted_beside(40, 100);
+    assert!((20..=26).contains(&alone), "{alone}");
+    assert!((9..=14).contains(&beside), "half is ours: {beside}");
+    assert!((4..=8).contains(&crowded), "a fifth is ours: {crowded}");
+    assert_eq!(granted_beside(0, 20), alone, "reports without others lift the first share");
+}
--- a/crates/micaspool-dispatcher/src/daemon.rs
+++ b/crates/micaspool-dispatcher/src/daemon.rs
@@ -5,11 +5,12 @@
 use crate::policy_source::TreeSource;
 use crate::probe::HttpEndpointProbe;
 use crate::service::DispatchService;
+use crate::shard_view::{shards_json, ShardGauges};
 use async_std::task;
 use async_trait::async_trait;
 use micaspool_client::{KeeperClient, SettingsMirror};
 use micaspool_daemon::{open_spans, StartError};
-use micaspool_dispatch::{ShardOptions, ShardStatus};
+use micaspool_dispatch::ShardOptions;
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_settings::process::ProcessSettings;
 use micaspool_telemetry::metrics::encode_text;
@@ -17,9 +18,6 @@
 use micaspool_types::{EndpointName, Incarnation};
 use micaspool_wire::socket::CountedListener;
 use micaspool_wire::v1::dispatch_server::DispatchServer;
-use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -121,11 +119,6 @@
     Ok(wire)
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ShardLabels {
-    service: String,
-}
-
 /// Control bytes by kind of peer.
 struct DispatcherCounters {
     keepers: TrafficCounter,
@@ -141,15 +134,6 @@
     gauges: ShardGauges,
 }
 
-#[derive(Default)]
-struct ShardGauges {
-    waiting: Family<ShardLabels, Gauge>,
-    running: Family<ShardLabels, Gauge>,
-    open_slots: Family<ShardLabels, Gauge>,
-    gap: Family<ShardLabels, Gauge>,
-    revision: Gauge,
-}
-
 impl DispatcherStatusSource {
     fn new(
         host: Arc<ShardHost>,
@@ -162,37 +146,17 @@
             .with("dispatcher", "router", counters.routers)
             .with("dispatcher", "dispatcher", counters.remote);
         traffic.register(&mut registry);
-        let gauges = ShardGauges::default();
-        registry.register("micaspool_waiting_requests", "Waiting requests", gauges.waiting.clone());
-        registry.register("micaspool_running_requests", "Running requests", gauges.running.clone());
-        registry.register("micaspool_open_slots", "Slots that may take work", gauges.open_slots.clone());
-        let gap_help = "Difference of service levels of waiting customers, in cost at weight 1";
-        registry.register("micaspool_fairness_gap", gap_help, gauges.gap.clone());
-        registry.register("micaspool_settings_revision", "Revision in force", gauges.revision.clone());
+        let gauges = ShardGauges::register(&mut registry);
         DispatcherStatusSource { host, mirror, registry, traffic, gauges }
     }
 
     fn refresh(&self) {
-        for (service, status) in self.host.statuses() {
-            let labels = ShardLabels { service: service.to_string() };
-            let open: u32 = status.endpoints.iter().filter(|e| e.open).map(|e| e.slots).sum();
-            self.gauges.waiting.get_or_create(&labels).set(status.waiting as i64);
-            self.gauges.running.get_or_create(&labels).set(status.running as i64);
-            self.gauges.open_slots.get_or_create(&labels).set(i64::from(open));
-            self.gauges.gap.get_or_create(&labels).set(level_gap(&status) as i64);
-        }
+        self.gauges.refresh(&self.host);
         self.gauges.revision.set(self.mirror.policy().revision.0 as i64);
         self.traffic.refresh();
     }
 }
 
-/// The spread of levels among customers that wait, in cost at weight 1.
-fn level_gap(status: &ShardStatus) -> u64 {
-    let levels = || status.customers.iter().filter(|customer| customer.waiting > 0).map(|c| c.level.0);
-    let spread = levels().max().unwrap_or(0) - levels().min().unwrap_or(0);
-    spread / micaspool_fair::LEVEL_SCALE
-}
-
 impl StatusSource for DispatcherStatusSource {
     fn is_ready(&self) -> bool {
         self.mirror.is_ready()
@@ -214,38 +178,3 @@
         .to_string()
     }
 }
-
-/// The state of every shard as JSON.
-pub(crate) fn shards_json(host: &ShardHost) -> serde_json::Value {
-    let shards = host.statuses().into_iter().map(|(service, status)| {
-        let customers = status.customers.iter().map(|customer| {
-            json!({
-                "name": customer.name.as_str(),
-                "waiting": customer.waiting,
-                "running": customer.running,
-                "level": customer.level.0 / micaspool_fair::LEVEL_SCALE,
-            })
-        });
-        let endpoints = status.endpoints.iter().map(|endpoint| {
-            json!({
-                "name": endpoint.name.as_str(),
-                "busy": endpoint.busy,
-                "foreign": endpoint.foreign,
-                "slots": endpoint.slots,
-                "open": endpoint.open,
-            })
-        });
-        json!({
-            "service": service.as_str(),
-            "revision": status.revision.0,
-            "recovering": status.recovering,
-            "routers": status.routers,
-            "waiting": status.waiting,
-            "running": status.running,
-            "gap": level_gap(&status),
-            "customers": customers.collect::<Vec<_>>(),
-            "endpoints": endpoints.collect::<Vec<_>>(),
-        })
-    });
-    shards.collect()
-}
--- a/crates/micaspool-dispatcher/src/fleet.rs
+++ b/crates/micaspool-dispatcher/src/fleet.rs
@@ -9,16 +9,21 @@
 use crate::platform::InstanceList;
 use crate::probe::EndpointProbe;
 use crate::service::open_session;
+use crate::shard_view::{shards_json, ShardGauges};
 use async_std::channel::Receiver;
 use async_trait::async_trait;
 use futures::StreamExt;
 use micaspool_client::FleetMirror;
 use micaspool_daemon::StartError;
-use micaspool_dispatch::{ShardOptions, ShardStatus};
+use micaspool_dispatch::ShardOptions;
+use micaspool_http::status::StatusSource;
+use micaspool_telemetry::metrics::encode_text;
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{Cost, EndpointName, Incarnation, RegionName, ServiceName};
+use micaspool_types::{Cost, EndpointName, Incarnation, RegionName};
 use micaspool_wire::v1::{DispatcherMessage, RouterMessage};
+use prometheus_client::registry::Registry;
+use serde_json::json;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -35,6 +40,8 @@
 /// How many requests in a row may break at an endpoint before it is left alone. One that loses every
 /// twentieth answer breaks three in a row once in 8,000; one that is gone breaks them at once.
 const TOLERATED_BREAKS: u32 = 2;
+/// The part of an engine's pace that a dispatcher inside a router uses until reports tell it more.
+const SHARE_BESIDE_OTHERS: u64 = 20;
 /// How often engines are asked for their load. Another dispatcher may use them at the same time, and
 /// twice a second bounds how long both give an engine too much.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -52,15 +59,43 @@
     pub spans: SpanSink,
     /// How engines are asked for their load.
     pub probe: Arc<dyn EndpointProbe>,
+    /// True when other dispatchers probably use the engines too: those of other routers that are cut
+    /// off, and that of the core.
+    pub beside_others: bool,
 }
 
 /// A dispatcher of a fleet without lists.
 #[derive(Debug, Clone)]
 pub struct FleetDispatcher {
     host: Arc<ShardHost>,
+    mirror: Arc<FleetMirror>,
     stopping: Arc<AtomicBool>,
 }
 
+struct FleetStatusSource {
+    host: Arc<ShardHost>,
+    mirror: Arc<FleetMirror>,
+    registry: Registry,
+    gauges: ShardGauges,
+}
+
+impl StatusSource for FleetStatusSource {
+    fn is_ready(&self) -> bool {
+        self.mirror.has_plan()
+    }
+
+    fn metrics(&self) -> String {
+        self.gauges.refresh(&self.host);
+        self.gauges.revision.set(i64::try_from(self.mirror.plan().number).unwrap_or(i64::MAX));
+        encode_text(&self.registry)
+    }
+
+    fn state(&self) -> String {
+        json!({ "process": "dispatcher", "plan": self.mirror.plan().number, "shards": shards_json(&self.host) })
+            .to_string()
+    }
+}
+
 /// Endpoints say themselves that they leave.
 struct NoList;
 
@@ -78,6 +113,7 @@
             .cost_ceiling(COST_CEILING)
             .recovery_window(RECOVERY_WINDOW)
             .tolerated_breaks(TOLERATED_BREAKS)
+            .first_share(if options.beside_others { SHARE_BESIDE_OTHERS } else { 100 })
             .build();
         let host = HostOptions {
             shard,
@@ -91,8 +127,9 @@
             silence_counts: false,
             list: Arc::new(NoList),
         };
-        let source = Arc::new(FleetSource::new(options.mirror));
-        FleetDispatcher { host: Arc::new(ShardHost::new(host, source)), stopping: Arc::default() }
+        let source = Arc::new(FleetSource::new(options.mirror.clone()));
+        let host = Arc::new(ShardHost::new(host, source));
+        FleetDispatcher { host, mirror: options.mirror, stopping: Arc::default() }
     }
 
     /// Serves routers at an address; gives the bound one.
@@ -113,9 +150,11 @@
         open_session(&self.host, messages.map(Ok)).await
     }
 
-    /// The state of every shard.
-    pub fn statuses(&self) -> Vec<(ServiceName, ShardStatus)> {
-        self.host.statuses()
+    /// What it shows of itself.
+    pub fn status_source(&self) -> Arc<dyn StatusSource> {
+        let mut registry = Registry::default();
+        let gauges = ShardGauges::register(&mut registry);
+        Arc::new(FleetStatusSource { host: self.host.clone(), mirror: self.mirror.clone(), registry, gauges })
     }
 
     /// Takes no new session and asks routers to go elsewhere.
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -18,6 +18,7 @@
 mod probe;
 mod service;
 mod shard_policy;
+mod shard_view;
 mod sharing;
 
 pub use daemon::{run_dispatcher, DispatcherDaemon};
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -63,7 +63,7 @@
         &self,
         _request: Request<v1::StatusRequest>,
     ) -> Result<Response<v1::StatusReply>, Status> {
-        let json = crate::daemon::shards_json(&self.host).to_string();
+        let json = crate::shard_view::shards_json(&self.host).to_string();
         Ok(Response::new(v1::StatusReply { json }))
     }
 }
--- /dev/null
+++ b/crates/micaspool-dispatcher/src/shard_view.rs
@@ -0,0 +1,93 @@
+//! The shards of a dispatcher as operators see them.
+
+use crate::host::ShardHost;
+use micaspool_dispatch::ShardStatus;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use serde_json::json;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ShardLabels {
+    service: String,
+}
+
+/// Gauges of every shard.
+#[derive(Default)]
+pub(crate) struct ShardGauges {
+    waiting: Family<ShardLabels, Gauge>,
+    running: Family<ShardLabels, Gauge>,
+    open_slots: Family<ShardLabels, Gauge>,
+    gap: Family<ShardLabels, Gauge>,
+    /// The revision of what the shards follow.
+    pub revision: Gauge,
+}
+
+impl ShardGauges {
+    /// Makes the gauges and registers them.
+    pub fn register(registry: &mut Registry) -> ShardGauges {
+        let gauges = ShardGauges::default();
+        registry.register("micaspool_waiting_requests", "Waiting requests", gauges.waiting.clone());
+        registry.register("micaspool_running_requests", "Running requests", gauges.running.clone());
+        registry.register("micaspool_open_slots", "Slots that may take work", gauges.open_slots.clone());
+        let gap_help = "Difference of service levels of waiting customers, in cost at weight 1";
+        registry.register("micaspool_fairness_gap", gap_help, gauges.gap.clone());
+        registry.register("micaspool_settings_revision", "Revision in force", gauges.revision.clone());
+        gauges
+    }
+
+    /// Sets the gauges to what the shards are now.
+    pub fn refresh(&self, host: &ShardHost) {
+        for (service, status) in host.statuses() {
+            let labels = ShardLabels { service: service.to_string() };
+            let open: u32 = status.endpoints.iter().filter(|e| e.open).map(|e| e.slots).sum();
+            self.waiting.get_or_create(&labels).set(status.waiting as i64);
+            self.running.get_or_create(&labels).set(status.running as i64);
+            self.open_slots.get_or_create(&labels).set(i64::from(open));
+            self.gap.get_or_create(&labels).set(level_gap(&status) as i64);
+        }
+    }
+}
+
+/// The spread of levels among customers that wait, in cost at weight 1.
+fn level_gap(status: &ShardStatus) -> u64 {
+    let levels = || status.customers.iter().filter(|customer| customer.waiting > 0).map(|c| c.level.0);
+    let spread = levels().max().unwrap_or(0) - levels().min().unwrap_or(0);
+    spread / micaspool_fair::LEVEL_SCALE
+}
+
+/// The state of every shard as JSON.
+pub(crate) fn shards_json(host: &ShardHost) -> serde_json::Value {
+    let shards = host.statuses().into_iter().map(|(service, status)| {
+        let customers = status.customers.iter().map(|customer| {
+            json!({
+                "name": customer.name.as_str(),
+                "waiting": customer.waiting,
+                "running": customer.running,
+                "level": customer.level.0 / micaspool_fair::LEVEL_SCALE,
+            })
+        });
+        let endpoints = status.endpoints.iter().map(|endpoint| {
+            json!({
+                "name": endpoint.name.as_str(),
+                "busy": endpoint.busy,
+                "foreign": endpoint.foreign,
+                "slots": endpoint.slots,
+                "open": endpoint.open,
+            })
+        });
+        json!({
+            "service": service.as_str(),
+            "revision": status.revision.0,
+            "recovering": status.recovering,
+            "routers": status.routers,
+            "waiting": status.waiting,
+            "running": status.running,
+            "gap": level_gap(&status),
+            "customers": customers.collect::<Vec<_>>(),
+            "endpoints": endpoints.collect::<Vec<_>>(),
+        })
+    });
+    shards.collect()
+}
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -177,6 +177,7 @@
         mirror: mirror.clone(),
         spans: spans.clone(),
         probe: options.probe.clone(),
+        beside_others: true,
     });
     let mut registry = Registry::default();
     let metrics = GatewayMetrics::register(&mut registry);
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -66,7 +66,7 @@
 pub struct KeeperOptions {
     instance: InstanceName,
     wire: SocketAddr,
-    status: SocketAddr,
+    status: Option<SocketAddr>,
     data_folder: PathBuf,
     directory: Arc<dyn PeerDirectory>,
     quorum: QuorumOptions,
@@ -91,7 +91,7 @@
         let options = KeeperOptions {
             instance,
             wire: any,
-            status: any,
+            status: None,
             data_folder: PathBuf::from("."),
             directory,
             quorum: QuorumOptions::new(configured),
@@ -109,9 +109,9 @@
         self
     }
 
-    /// Where it shows its status.
+    /// Where it shows its status; nowhere unless this is set.
     pub fn status(mut self, address: SocketAddr) -> Self {
-        self.options.status = address;
+        self.options.status = Some(address);
         self
     }
 
@@ -152,18 +152,24 @@
 }
 
 /// A running keeper.
-#[derive(Debug)]
 pub struct KeeperDaemon {
     /// Where it answers other processes.
     pub wire: SocketAddr,
-    /// Where it shows its status.
-    pub status: SocketAddr,
+    /// Where it shows its status, if anywhere.
+    pub status: Option<SocketAddr>,
+    source: Arc<dyn StatusSource>,
     inputs: Sender<EngineInput>,
     finished: oneshot::Receiver<()>,
     view: Arc<Mutex<KeeperView>>,
     hub: Arc<RegistryHub>,
 }
 
+impl fmt::Debug for KeeperDaemon {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeeperDaemon").field("wire", &self.wire).finish_non_exhaustive()
+    }
+}
+
 impl KeeperDaemon {
     /// Saves what is under way and stops.
     pub async fn stop(self) {
@@ -176,6 +182,11 @@
         self.view.lock().expect("no holder of the view panics").stopped
     }
 
+    /// What it shows of itself.
+    pub fn status_source(&self) -> Arc<dyn StatusSource> {
+        self.source.clone()
+    }
+
     /// The endpoints that registered here.
     pub fn hub(&self) -> &Arc<RegistryHub> {
         &self.hub
@@ -230,9 +241,14 @@
         options.spans.clone(),
     );
     let wire = serve_wire(options.wire, service, &counters.clients).await?;
-    let source = Arc::new(KeeperStatusSource::new(view.clone(), &counters));
-    let status = serve_status(options.status, source).await.map_err(StartError::bind(options.status))?;
-    Ok(KeeperDaemon { wire, status, inputs, finished, view, hub })
+    let source: Arc<dyn StatusSource> = Arc::new(KeeperStatusSource::new(view.clone(), &counters));
+    let status = match options.status {
+        Some(address) => {
+            Some(serve_status(address, source.clone()).await.map_err(StartError::bind(address))?)
+        }
+        None => None,
+    };
+    Ok(KeeperDaemon { wire, status, source, inputs, finished, view, hub })
 }
 
 #[derive(Clone, Debug, Default)]
--- a/crates/micaspool/src/bin/micaspool-keeper.rs
+++ b/crates/micaspool/src/bin/micaspool-keeper.rs
@@ -27,7 +27,9 @@
             std::process::exit(EXIT_FAILED);
         }
     };
-    announce("keeper", &[("wire", daemon.wire), ("status", daemon.status)]);
+    let status = daemon.status.map(|address| ("status", address));
+    let addresses: Vec<_> = [("wire", daemon.wire)].into_iter().chain(status).collect();
+    announce("keeper", &addresses);
     while timeout(LOOK, stop.wait()).await.is_err() {
         if daemon.has_stopped() {
             std::process::exit(EXIT_FAILED);
