--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -12,9 +12,9 @@
 /// The part of an engine's memory that is counted on for kept prompt parts, in percent. The rest is
 /// taken by what running requests make.
 const KEPT_PERCENT: u64 = 80;
-/// The pace at which an engine is given tokens to read, in tokens a millisecond: 85% of the 51 that
+/// The pace at which an engine is given tokens to read, in tokens a millisecond: 70% of the 51 that
 /// the engines of both sites read.
-const READ_PACE: u64 = 43;
+const READ_PACE: u64 = 35;
 /// An engine that has this much to read gets nothing more. It bounds what can't be overtaken any more
 /// by a request of another customer; a shorter time lets engines run dry between two grants.
 const READ_AHEAD: Duration = Duration::from_millis(120);
