fix(dispatch): a small credit, refused customers keep their place, narrow recovered levels

A credit of a second let all others stand far below it when they came back; a credit counted from the lowest that waits adds up over customers; and levels that routers bring after a recovery come from dispatchers that began to count at different times. Without any credit a small customer is refused before its turn instead.

Now the credit is a tenth of a second of what all endpoints deliver, counted from the highest level that was served; a customer that was refused within 3 s keeps its level; levels are brought within a credit when a recovery ends.

--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -2,7 +2,7 @@
 
 use crate::event::ShardCustomer;
 use micaspool_fair::{CostEstimator, CustomerIndex, OrderPolicy, Rank, ServiceAccount, ServiceLevel};
-use micaspool_types::{Cost, CustomerName, HallMask, OrderNumber, RequestId, Weight};
+use micaspool_types::{Cost, CustomerName, HallMask, Moment, OrderNumber, RequestId, Weight};
 use std::collections::{BTreeMap, HashMap};
 
 /// The limit for a customer that the settings in force here do not name yet.
@@ -33,6 +33,8 @@
     pub indexed: Option<(HallMask, Rank)>,
     /// The order number of the newest grant whose level is in the account.
     pub level_order: OrderNumber,
+    /// When a ticket of it was last refused because it had waited for too long.
+    pub refused_at: Option<Moment>,
 }
 
 /// Every customer that the shard has met.
@@ -83,6 +85,7 @@
             served: Cost(0),
             indexed: None,
             level_order: OrderNumber(0),
+            refused_at: None,
         });
         index
     }
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -14,6 +14,7 @@
 use crate::action::ShardAction;
 use crate::event::{GrantFate, HeldGrant, HeldTotal, RequestTicket, RouterHello, SessionId};
 use crate::shard::customers::QueuePlace;
+use micaspool_fair::{CustomerIndex, Rank, ServiceLevel};
 use micaspool_types::{Cost, Moment, RequestId};
 use std::collections::HashMap;
 
@@ -86,7 +87,7 @@
             prompt: grant.prompt,
             patience: None,
         };
-        self.insert_waiting(request, ticket);
+        self.insert_waiting(now, request, ticket);
     }
 
     fn update_delivered(&mut self, request: RequestId, delivered: Cost) {
@@ -149,6 +150,36 @@
         self.running.insert(held.request, grant);
     }
 
+    /// Brings recovered levels within an idle credit of each other. Routers bring what they heard from
+    /// different dispatchers, their own among them, whose levels began at different times; without this
+    /// a customer with a level from a longer count would be served nothing until all others reached it.
+    pub(super) fn narrow_levels(&mut self) {
+        let levels = self.customers.iter().map(|state| state.level(self.options.policy.as_ref()));
+        let Some(lowest) = levels.filter(|level| level.0 > 0).min() else { return };
+        if self.idle_credit == Cost(0) {
+            return;
+        }
+        for customer in self.customers.indices() {
+            self.lower_to(customer, lowest);
+        }
+        for floor in &mut self.floors {
+            *floor = (*floor).max(Rank(lowest.0));
+        }
+    }
+
+    /// Lowers a level to at most an idle credit above another.
+    fn lower_to(&mut self, customer: CustomerIndex, lowest: ServiceLevel) {
+        let state = self.customers.get(customer);
+        let weight = state.account.weight();
+        let highest = lowest.plus(ServiceLevel::of(self.idle_credit, weight));
+        let running = self.options.policy.level(&state.account);
+        if state.level(self.options.policy.as_ref()) > highest {
+            let base = ServiceLevel(highest.0.saturating_sub(running.0));
+            self.customers.get_mut(customer).account.rebase(base, weight);
+            self.reindex(customer);
+        }
+    }
+
     /// Takes a level over when the shard has none of its own for the customer, or an older one
     /// of the same recovery.
     fn recover_level(&mut self, total: &HeldTotal) {
@@ -156,7 +187,8 @@
         let recovering = self.recovering_until.is_some();
         let state = self.customers.get_mut(customer);
         let fresh = state.level_order.0 == 0;
-        if total.order <= state.level_order || !(recovering || fresh) {
+        let comparable = recovering || self.idle_credit == Cost(0);
+        if total.order <= state.level_order || !(recovering || fresh) || !comparable {
             return;
         }
         let weight = state.account.weight();
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -183,6 +183,7 @@
             && self.routers.all_joined(&self.options.expected_routers);
         if now >= until || all_joined {
             self.recovering_until = None;
+            self.narrow_levels();
         }
     }
 
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -50,7 +50,7 @@
         while let Some((_, request)) = self.overdue.first().copied().filter(|(at, _)| *at <= now) {
             self.overdue.pop_first();
             if !self.keep_owed(now, request) {
-                self.refuse(request, actions);
+                self.refuse(now, request, actions);
             }
         }
     }
@@ -76,8 +76,9 @@
         rank.zip(served).is_some_and(|(rank, served)| rank < *served)
     }
 
-    fn refuse(&mut self, request: RequestId, actions: &mut Vec<ShardAction>) {
+    fn refuse(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
         let Some(ticket) = self.drop_waiting(request) else { return };
+        self.customers.get_mut(ticket.customer).refused_at = Some(now);
         if let Some(session) = self.routers.session(ticket.router) {
             let retry_after = self.retry_after(ticket.customer);
             actions.push(ShardAction::Refuse {
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -15,6 +15,9 @@
 /// How long a ticket stays away from the endpoint that failed it.
 const AVOIDANCE: Duration = Duration::from_secs(5);
 
+/// How long a refused ticket counts as if it still waited. Callers come back after a second or two.
+const REFUSAL_MEMORY: Duration = Duration::from_secs(3);
+
 /// A ticket that waits.
 #[derive(Debug, Clone)]
 pub(super) struct WaitingTicket {
@@ -104,13 +107,13 @@
             },
             patience: ticket.patience.map(|patience| Patience::new(now, patience)),
         };
-        self.insert_waiting(ticket.request, waiting);
+        self.insert_waiting(now, ticket.request, waiting);
     }
 
-    pub(super) fn insert_waiting(&mut self, request: RequestId, ticket: WaitingTicket) {
+    pub(super) fn insert_waiting(&mut self, now: Moment, request: RequestId, ticket: WaitingTicket) {
         let customer = ticket.customer;
         if self.customers.get(customer).queue.is_empty() {
-            self.lift(customer);
+            self.lift(now, customer);
         }
         self.routers.hold(ticket.router, request);
         self.customers.get_mut(customer).queue.insert(ticket.place, request);
@@ -124,20 +127,35 @@
         self.next_order = self.next_order.max(OrderNumber(order.0 + 1));
     }
 
-    /// A customer that begins to wait starts no lower than those that wait already.
-    fn lift(&mut self, customer: CustomerIndex) {
+    /// A customer that begins to wait starts no lower than those that wait already. One whose tickets
+    /// were refused lately never ceased to wait, in effect, and keeps its level.
+    fn lift(&mut self, now: Moment, customer: CustomerIndex) {
         if !self.options.policy.lifts() || self.recovering_until.is_some() {
             return;
         }
         let state = self.customers.get(customer);
+        if state.refused_at.is_some_and(|at| now.since(at) < REFUSAL_MEMORY) {
+            return;
+        }
         let level = self.options.policy.level(&state.account);
-        let credit = ServiceLevel::of(self.idle_credit, state.account.weight());
-        if let Some(floor) = self.floor_for(state.halls) {
-            let floor = ServiceLevel(floor.0.saturating_sub(credit.0));
+        if let Some(floor) = self.lift_target(customer) {
             self.customers.get_mut(customer).account.lift(level, floor);
         }
     }
 
+    /// The level that a customer which begins to wait has at least. With an idle credit it counts from
+    /// the highest level that was served: counted from the lowest that waits, each customer that comes
+    /// back would stand a credit below the one before.
+    fn lift_target(&self, customer: CustomerIndex) -> Option<ServiceLevel> {
+        let state = self.customers.get(customer);
+        if self.idle_credit == Cost(0) {
+            return self.floor_for(state.halls).map(|floor| ServiceLevel(floor.0));
+        }
+        let credit = ServiceLevel::of(self.idle_credit, state.account.weight());
+        let served = state.halls.indices().filter_map(|hall| self.floors.get(hall)).max()?;
+        Some(ServiceLevel(served.0.saturating_sub(credit.0)))
+    }
+
     /// Gives a waiting ticket up.
     pub(super) fn cancel(&mut self, now: Moment, session: SessionId, request: RequestId) {
         let owner = self.routers.by_session(session);
--- a/crates/micaspool-dispatch/tests/shard/recovery.rs
+++ b/crates/micaspool-dispatch/tests/shard/recovery.rs
@@ -2,7 +2,7 @@
 
 use crate::bench::{customer, held, hello, id, ordered, ticket, total, Bench};
 use micaspool_dispatch::{GrantFate, RouterHello, SessionId, ShardEvent, ShardOptions};
-use micaspool_types::InstanceName;
+use micaspool_types::{Cost, InstanceName};
 use std::time::Duration;
 
 fn waiting_hello(router: &str, tickets: Vec<micaspool_dispatch::RequestTicket>) -> RouterHello {
@@ -71,6 +71,34 @@
     assert_eq!(bench.granted_requests(), vec![1], "a is at 900000 and b at 950000");
 }
 
+/// Routers that were cut off used dispatchers of their own, whose levels began later. What they bring
+/// together must not starve the customer with the longest count.
+#[test]
+fn levels_of_different_dispatchers_do_not_starve_a_customer() {
+    let mut bench = Bench::recovering(1, 1, &["long", "short"], ShardOptions::default());
+    bench.change(|policy| policy.idle_credit = Cost(50));
+    let long = RouterHello { totals: vec![total("long", 9_000_000, 900)], ..hello("r1", 1) };
+    let short = RouterHello { totals: vec![total("short", 20_000, 7)], ..hello("r2", 2) };
+    bench.join(1, long);
+    bench.join(2, short);
+    // Both wait already while the shard recovers, so neither begins to wait beside the other.
+    for number in 0..40 {
+        bench.submit(1, ticket(number, "long", 10));
+        bench.submit(2, ticket(100 + number, "short", 10));
+    }
+    bench.pass_with(500, &[1, 2]);
+    let mut served = Vec::new();
+    for _ in 0..20 {
+        for request in bench.granted_requests() {
+            served.push(request);
+            let session = if request < 100 { 1 } else { 2 };
+            bench.settle(session, request, 10, GrantFate::Done);
+        }
+    }
+    let long = served.iter().filter(|request| **request < 100).count();
+    assert!((6..=14).contains(&long), "long got {long} of {}", served.len());
+}
+
 #[test]
 fn killed_again_during_recovery() {
     let held_by_routers = || {
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -13,9 +13,11 @@
 
 /// The customer under which requests of public routes wait.
 pub const PUBLIC_CUSTOMER: &str = "_public";
-/// The credit that a customer keeps while it does not wait, in seconds of what all endpoints deliver.
-/// Shares are meant over some four seconds, in which a few customers at most take a large part.
-const IDLE_CREDIT_SECONDS: u64 = 1;
+/// The credit that a customer keeps while it does not wait, in milliseconds of what all endpoints
+/// deliver: one or two large requests. Without any, a customer that comes back stands level with a
+/// flood and is refused before it is next; with a second of it, a customer that took what nobody
+/// wanted is starved when all others come back.
+const IDLE_CREDIT_MILLIS: u64 = 100;
 /// The most waiting requests of one customer. They wait in the routers' memory with bodies of some
 /// 20 KB, so 16 customers may hold 80 MB in all routers together.
 const MAX_WAITING: u32 = 256;
@@ -49,7 +51,7 @@
             name: record.name,
         });
         let endpoints = endpoints.collect();
-        let idle_credit = Cost(plan.parts().capacity * IDLE_CREDIT_SECONDS);
+        let idle_credit = Cost(plan.parts().capacity * IDLE_CREDIT_MILLIS / 1_000);
         ShardPolicy { revision, endpoints, customers: customers(&plan), halls, idle_credit }
     }
 
