fix(quorum): replace a silent voter before a newcomer counts, find the group without seeds

Cause: an empty keeper that came within 1.5 s of a loss was caught up and made a voter beside the lost one: four voters, a majority of three, and the next loss stopped the group until the silent one was dropped after 8 s. A keeper that lost its disk and whose seeds were all gone never found the group, though its leader spoke to the earlier life all the time.

A newcomer counts only while every voter is heard; voters above the needed number are dropped after 3 s instead of 8; a keeper without a group remembers who speaks to it.

--- a/crates/micaspool-quorum/src/core/forming.rs
+++ b/crates/micaspool-quorum/src/core/forming.rs
@@ -45,6 +45,14 @@
         self.form_if_possible(now);
     }
 
+    /// A keeper without a group remembers whoever speaks to it: the leader still speaks to the earlier
+    /// life of one that lost its disk, also when all its seeds are gone.
+    pub(super) fn note_sender(&mut self, from: &KeeperIdentity) {
+        if self.options.open_group.is_some() && !self.is_formed() {
+            self.forming.named.insert(from.name.clone());
+        }
+    }
+
     /// Every other keeper that may lead or know who does.
     fn known_keepers(&self) -> BTreeSet<InstanceName> {
         let mut known: BTreeSet<InstanceName> = self.other_keepers().into_iter().collect();
--- a/crates/micaspool-quorum/src/core/group.rs
+++ b/crates/micaspool-quorum/src/core/group.rs
@@ -49,8 +49,10 @@
         let newcomer = self.caught_up_newcomer();
         let changed = match (self.silent_voter(now, newcomer.is_some()), newcomer) {
             (Some(silent), _) => self.log.membership().without(&silent),
-            (None, Some(identity)) => self.log.membership().with(GroupMember { identity, voter: true }),
-            (None, None) => return,
+            (None, Some(identity)) if self.hears_every_voter(now) => {
+                self.log.membership().with(GroupMember { identity, voter: true })
+            }
+            _ => return,
         };
         self.append_own(EntryPayload::Members(changed));
         self.replicate_idle(now);
@@ -66,6 +68,17 @@
         self.log.membership().members.iter().find(caught_up).map(|member| member.identity.clone())
     }
 
+    /// False while a voter is silent that a newcomer may have to replace: made a voter beside it, the
+    /// newcomer would raise the majority and the group could not bear another loss. A closed group
+    /// replaces lives of the same keeper only and need not wait.
+    fn hears_every_voter(&self, now: Moment) -> bool {
+        let RoleState::Leader(state) = &self.role else { return false };
+        let heard = |voter: &KeeperIdentity| {
+            *voter == self.identity || state.silence(now, voter) < self.options.election_timeout
+        };
+        self.options.open_group.is_none() || self.log.membership().voters().all(heard)
+    }
+
     /// The voter that has been silent longest, when an open group may do without it: a newcomer
     /// stands ready for its place, or there are more voters than needed.
     fn silent_voter(&self, now: Moment, newcomer: bool) -> Option<KeeperIdentity> {
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -229,6 +229,7 @@
 
     fn receive(&mut self, now: Moment, message: PeerMessage) {
         let PeerMessage { from, term, body } = message;
+        self.note_sender(&from);
         match body {
             PeerBody::Announce { empty, members } => return self.hear_announce(now, from, empty, members),
             PeerBody::Form { membership } => return self.adopt_group(now, membership),
--- a/crates/micaspool-quorum/src/options.rs
+++ b/crates/micaspool-quorum/src/options.rs
@@ -43,7 +43,7 @@
         OpenGroupOptions {
             target_voters: 2 * losses + 1,
             replace_after: Duration::from_millis(1_500),
-            drop_after: Duration::from_secs(8),
+            drop_after: Duration::from_secs(3),
         }
     }
 }
--- a/crates/micaspool-quorum/tests/harness/mod.rs
+++ b/crates/micaspool-quorum/tests/harness/mod.rs
@@ -1,8 +1,10 @@
 //! Keepers in virtual time with a link that drops, delays and reorders, and disks that can be lost.
 
+#![allow(dead_code, reason = "each test file is a crate of its own and uses a part of this")]
+
 use micaspool_quorum::{
-    EntryPayload, Envelope, HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot, QuorumCore,
-    QuorumEvent, QuorumOptions, QuorumOutput, RestoredState, SaveBatch,
+    EntryPayload, Envelope, HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot, OpenGroupOptions,
+    QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput, RestoredState, SaveBatch,
 };
 use micaspool_types::{Incarnation, InstanceName, Moment, Term};
 use rand::{Rng, SeedableRng};
@@ -10,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 const STEP_MICROS: u64 = 10_000;
+const START_MICROS: u64 = 1_000_000;
 
 /// What survives a crash.
 #[derive(Clone, Debug, Default)]
@@ -52,6 +55,8 @@
     pub nodes: Vec<Node>,
     pub rng: ChaCha8Rng,
     pub drop_percent: u32,
+    /// Set for a group that changes without an operator, formed by the first `seeds` keepers.
+    pub open: Option<(OpenGroupOptions, usize)>,
     pub cut: BTreeSet<(usize, usize)>,
     mail: BTreeMap<(Moment, u64), (usize, usize, Envelope)>,
     next_mail: u64,
@@ -64,11 +69,21 @@
 
 impl Harness {
     pub fn new(count: usize, seed: u64) -> Harness {
+        Harness::with_group(count, seed, None)
+    }
+
+    /// A group that bears the loss of one keeper and changes without an operator.
+    pub fn open(count: usize, seed: u64) -> Harness {
+        Harness::with_group(count, seed, Some((OpenGroupOptions::bearing(1), count)))
+    }
+
+    fn with_group(count: usize, seed: u64, open: Option<(OpenGroupOptions, usize)>) -> Harness {
         let mut harness = Harness {
-            now: Moment(1_000_000),
+            now: Moment(START_MICROS),
             nodes: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             drop_percent: 0,
+            open,
             cut: BTreeSet::new(),
             mail: BTreeMap::new(),
             next_mail: 0,
@@ -97,7 +112,13 @@
 
     /// Starts a keeper from its disk.
     pub fn start(&mut self, node: usize) {
-        let configured = self.nodes.iter().map(|node| node.name.clone()).collect();
+        let seeds = self.open.map_or(self.nodes.len(), |(_, seeds)| seeds);
+        let configured = self.nodes.iter().take(seeds).map(|node| node.name.clone()).collect();
+        let options = QuorumOptions {
+            open_group: self.open.map(|(options, _)| options),
+            may_form: self.open.is_none() || self.now == Moment(START_MICROS),
+            ..QuorumOptions::new(configured)
+        };
         let seed = self.rng.random();
         let target = &mut self.nodes[node];
         let identity =
@@ -106,10 +127,21 @@
         target.applied = decode_commands(&disk.snapshot.data);
         let restored =
             RestoredState { identity, hard: disk.hard, snapshot: disk.snapshot, entries: disk.entries };
-        target.core = Some(QuorumCore::new(self.now, QuorumOptions::new(configured), restored, seed));
+        target.core = Some(QuorumCore::new(self.now, options, restored, seed));
         target.frozen = false;
     }
 
+    /// Adds an empty keeper under a new name, which knows the seeds only.
+    pub fn add(&mut self) -> usize {
+        let number = self.nodes.len();
+        let name = InstanceName::parse(&format!("keeper-{number}")).expect("the name is well-formed");
+        let disk = Disk::default();
+        let incarnation = self.rng.random();
+        self.nodes.push(Node { name, incarnation, core: None, disk, frozen: false, applied: Vec::new() });
+        self.start(number);
+        number
+    }
+
     /// Loses everything that is not on disk.
     pub fn crash(&mut self, node: usize) {
         self.nodes[node].core = None;
