--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -171,6 +171,17 @@
     pub stored: Vec<u64>,
     /// Hashes of prefixes that it no longer holds.
     pub dropped: Vec<u64>,
+    /// Prompt parts that an engine keeps, the ones used longest ago first, if that is known.
+    pub kept: Vec<KeptPart>,
+}
+
+/// A prompt part that an engine keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptPart {
+    /// What tickets call the part.
+    pub prefix: u64,
+    /// Its tokens.
+    pub tokens: u32,
 }
 
 /// What the shard of another region has delivered to customers since it began. Sums only grow, so
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -18,8 +18,8 @@
 pub use action::{ReleaseReason, ShardAction};
 pub use candidates::{rank_candidates, CandidateChoice, ChoiceOptions, ChoiceStep};
 pub use event::{
-    CacheNews, CustomerTotal, EndpointSpec, GrantFate, HeldGrant, HeldTotal, LoadReport, RegionTotals,
-    RequestTicket, RouterHello, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
+    CacheNews, CustomerTotal, EndpointSpec, GrantFate, HeldGrant, HeldTotal, KeptPart, LoadReport,
+    RegionTotals, RequestTicket, RouterHello, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
 };
 pub use options::{ShardOptions, ShardOptionsBuilder};
 pub use shard::{CustomerStatus, EndpointStatus, ShardCore, ShardStatus};
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -1,7 +1,7 @@
 //! The endpoints of a shard: slots, and whether they may take new work.
 
 use super::engine::{EngineState, PromptShape};
-use crate::event::{EndpointSpec, GrantFate, LoadReport};
+use crate::event::{EndpointSpec, GrantFate, KeptPart, LoadReport};
 use micaspool_types::{EndpointName, HallMask, Moment};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -220,6 +220,13 @@
         delays.min().map(|(_, index)| index)
     }
 
+    /// Takes over which prompt parts an engine keeps.
+    pub fn learn_kept(&mut self, endpoint: EndpointIndex, parts: &[KeptPart]) {
+        if let Some(engine) = &mut self.state_mut(endpoint).engine {
+            engine.learn_kept(parts);
+        }
+    }
+
     /// Notes that an engine got a prompt; gives the tokens that it has to read for it.
     pub fn admit(&mut self, now: Moment, endpoint: EndpointIndex, prompt: &PromptShape) -> u64 {
         let state = self.state_mut(endpoint);
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -5,6 +5,7 @@
 //! keeps. Between two pieces of a prompt it makes one token of each running request, so an engine that
 //! reads without a pause slows every stream down. It is therefore given less than it could read.
 
+use crate::event::KeptPart;
 use micaspool_types::Moment;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -139,6 +140,14 @@
         };
     }
 
+    /// Takes over parts that the engine keeps, from before this shard knew it.
+    pub fn learn_kept(&mut self, parts: &[KeptPart]) {
+        for part in parts {
+            self.kept.touch(part.prefix, u64::from(part.tokens));
+        }
+        self.kept.shrink(self.memory * KEPT_PERCENT / 100);
+    }
+
     /// Notes that this many tokens no longer wait to be read.
     pub fn release(&mut self, tokens: u64) {
         self.unread = self.unread.saturating_sub(tokens);
@@ -153,14 +162,14 @@
 /// Kept parts; the ones unused the longest go first.
 #[derive(Debug, Default)]
 struct PartCache {
-    parts: HashMap<u64, KeptPart>,
+    parts: HashMap<u64, CachedPart>,
     ages: BTreeMap<u64, u64>,
     tokens: u64,
     clock: u64,
 }
 
 #[derive(Debug)]
-struct KeptPart {
+struct CachedPart {
     tokens: u64,
     used: u64,
 }
@@ -179,7 +188,7 @@
                 part.used = used;
             }
             None => {
-                self.parts.insert(prefix, KeptPart { tokens, used });
+                self.parts.insert(prefix, CachedPart { tokens, used });
                 self.tokens += tokens;
             }
         }
--- a/crates/micaspool-dispatch/tests/shard/capacity.rs
+++ b/crates/micaspool-dispatch/tests/shard/capacity.rs
@@ -169,7 +169,12 @@
 fn a_known_prefix_is_preferred_but_never_at_the_price_of_an_idle_slot() {
     let mut bench = Bench::new(2, 1, &["a"]);
     bench.join(1, hello("r1", 1));
-    bench.step(ShardEvent::Cache(CacheNews { endpoint: endpoint(1), stored: vec![7, 8], dropped: vec![] }));
+    bench.step(ShardEvent::Cache(CacheNews {
+        endpoint: endpoint(1),
+        stored: vec![7, 8],
+        dropped: vec![],
+        kept: vec![],
+    }));
     let with_prefix = |number| RequestTicket { prefixes: vec![7, 8], ..ticket(number, "a", 10) };
     bench.submit(1, with_prefix(1));
     bench.submit(1, with_prefix(2));
@@ -182,8 +187,18 @@
 fn a_dropped_prefix_is_forgotten() {
     let mut bench = Bench::new(2, 1, &["a"]);
     bench.join(1, hello("r1", 1));
-    bench.step(ShardEvent::Cache(CacheNews { endpoint: endpoint(1), stored: vec![7], dropped: vec![] }));
-    bench.step(ShardEvent::Cache(CacheNews { endpoint: endpoint(1), stored: vec![], dropped: vec![7] }));
+    bench.step(ShardEvent::Cache(CacheNews {
+        endpoint: endpoint(1),
+        stored: vec![7],
+        dropped: vec![],
+        kept: vec![],
+    }));
+    bench.step(ShardEvent::Cache(CacheNews {
+        endpoint: endpoint(1),
+        stored: vec![],
+        dropped: vec![7],
+        kept: vec![],
+    }));
     bench.submit(1, RequestTicket { prefixes: vec![7], ..ticket(1, "a", 10) });
     assert_eq!(bench.grants()[0].endpoint, endpoint(0));
 }
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -2,7 +2,8 @@
 
 use crate::bench::{endpoint, hello, ticket, Bench};
 use micaspool_dispatch::{
-    GrantFate, ReleaseReason, RequestTicket, SessionId, ShardAction, ShardEvent, ShardOptions,
+    CacheNews, GrantFate, KeptPart, ReleaseReason, RequestTicket, SessionId, ShardAction, ShardEvent,
+    ShardOptions,
 };
 use micaspool_types::{Cost, RequestId};
 use std::collections::HashMap;
@@ -247,3 +248,18 @@
     let (least, most) = (served.values().min(), served.values().max());
     assert!(served.len() == 4 && most <= least.map(|least| least * 2).as_ref(), "{served:?}");
 }
+
+/// A shard that begins beside engines that ran before counts on what they keep, once they told.
+#[test]
+fn what_an_engine_kept_before_is_counted_on() {
+    let mut bench = engines(2, &["a"]);
+    let kept = vec![KeptPart { prefix: 7, tokens: 13_000 }];
+    let news = CacheNews { endpoint: endpoint(1), stored: Vec::new(), dropped: Vec::new(), kept };
+    bench.step(ShardEvent::Cache(news));
+    for number in 0..3 {
+        bench.submit(1, prompt(number, "a", (7, 13_000), 1_000));
+        assert_eq!(bench.grants().first().map(|grant| grant.endpoint.clone()), Some(endpoint(1)));
+        run(&mut bench, number, 14_000);
+        bench.pass_with(50, &[1]);
+    }
+}
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -14,7 +14,7 @@
 use micaspool_types::{EndpointName, Moment, RequestId, ServiceName};
 use micaspool_wire::convert::action_message;
 use micaspool_wire::v1::DispatcherMessage;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -230,10 +230,14 @@
     inputs: Sender<ShardInput>,
     status: Arc<Mutex<ShardStatus>>,
 ) {
+    let mut met = HashSet::new();
     loop {
         let used = status.lock().expect("no holder of the status panics").routers > 0;
         if used {
             for (name, address) in source.probed(&service) {
+                if met.insert(name.clone()) {
+                    task::spawn(meet_engine(options.clone(), name.clone(), address, inputs.clone()));
+                }
                 task::spawn(probe_endpoint(clock, options.clone(), name, address, inputs.clone()));
             }
             if let Some(leaving) = options.list.leaving().await {
@@ -247,6 +251,20 @@
     }
 }
 
+/// Learns what an engine keeps from before this shard.
+async fn meet_engine(
+    options: HostOptions,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    inputs: Sender<ShardInput>,
+) {
+    let Some(kept) = options.probe.kept_parts(address).await else { return };
+    record(&events::ENGINE_MET, &[field("endpoint", &endpoint), field("kept_parts", kept.len())]);
+    let news = CacheNews { endpoint, stored: Vec::new(), dropped: Vec::new(), kept };
+    // The shard may have ended meanwhile.
+    let _ = inputs.send(ShardInput::Event(ShardEvent::Cache(news))).await;
+}
+
 async fn probe_endpoint(
     clock: ShardClock,
     options: HostOptions,
@@ -271,7 +289,7 @@
     };
     let _ = inputs.send(ShardInput::Event(ShardEvent::Load(report))).await;
     if !answer.stored.is_empty() || !answer.dropped.is_empty() {
-        let news = CacheNews { endpoint, stored: answer.stored, dropped: answer.dropped };
+        let news = CacheNews { endpoint, stored: answer.stored, dropped: answer.dropped, kept: Vec::new() };
         let _ = inputs.send(ShardInput::Event(ShardEvent::Cache(news))).await;
     }
 }
--- a/crates/micaspool-dispatcher/src/probe.rs
+++ b/crates/micaspool-dispatcher/src/probe.rs
@@ -3,6 +3,7 @@
 use async_std::io::ReadExt;
 use async_trait::async_trait;
 use http_types::{Method, Request, Url};
+use micaspool_dispatch::KeptPart;
 use micaspool_http::client::{call, CallLimits};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -37,6 +38,12 @@
 pub trait EndpointProbe: std::fmt::Debug + Send + Sync + 'static {
     /// The report of the endpoint at this address, or `None` when it does not answer in time.
     async fn ask(&self, address: SocketAddr) -> Option<ProbeAnswer>;
+
+    /// The prompt parts that the engine at this address keeps. Asked once, when a shard meets the
+    /// engine: it may have run for long under another dispatcher. `None` when it can't be told.
+    async fn kept_parts(&self, _address: SocketAddr) -> Option<Vec<KeptPart>> {
+        None
+    }
 }
 
 /// Asks over HTTP: `GET /load` gives `{"running": n, "draining": false}`.
--- a/crates/micaspool-gateway/src/dialect.rs
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -10,7 +10,7 @@
 /// One part of a prompt that other prompts may share.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PromptPart {
-    /// A hash of this part and of all parts before it.
+    /// Names this part: a hash of it and of all parts before it, or of an id that is unique.
     pub prefix: u64,
     /// The tokens of this part alone.
     pub tokens: u32,
--- a/crates/micaspool-replay/src/run/endpoints.rs
+++ b/crates/micaspool-replay/src/run/endpoints.rs
@@ -84,7 +84,8 @@
         target.cache.extend(prefixes);
         let surplus = target.cache.len().saturating_sub(CACHE);
         let dropped = target.cache.drain(..surplus).collect();
-        (hit, CacheNews { endpoint: endpoint_name(endpoint), stored: prefixes.to_vec(), dropped })
+        let (endpoint, stored) = (endpoint_name(endpoint), prefixes.to_vec());
+        (hit, CacheNews { endpoint, stored, dropped, kept: Vec::new() })
     }
 
     /// The number of the present run of a request; zero when it does not run.
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -69,6 +69,8 @@
 pub const REQUEST_DONE: EventKind = kind("MP1208", Level::Debug, "request done");
 /// A shard has begun to serve.
 pub const SHARD_STARTED: EventKind = kind("MP1301", Level::Info, "shard started");
+/// A shard has learnt which prompt parts an engine keeps.
+pub const ENGINE_MET: EventKind = kind("MP1303", Level::Info, "engine met");
 /// A message from another process could not be understood.
 pub const WIRE_MALFORMED: EventKind = kind("MP1302", Level::Warn, "message not understood");
 /// A keeper has become leader.
@@ -147,6 +149,7 @@
     REQUEST_DONE,
     SHARD_STARTED,
     WIRE_MALFORMED,
+    ENGINE_MET,
     LEADER_ELECTED,
     LEADER_STEPPED_DOWN,
     GROUP_FORMED,
