refactor: one way to read a header's text, one life of an endpoint, one state of a shard client

Cause: gateway and adapter read headers with the same three lines, gateway and core had the same constant, gateway and router wrote the same JSON.

Ruled out: sharing the prompt's parsing between the two dialects, whose parts are named differently on purpose.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -23,6 +23,10 @@
 /// How often endpoints that fell silent are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long an endpoint may be silent before it is forgotten, unless options say otherwise. Records
+/// may come seconds late, and one that crashed is noticed by its failures first.
+pub const ENDPOINT_LIFE: Duration = Duration::from_secs(10);
+
 /// What a mirror is made with.
 #[derive(Debug, Clone)]
 pub struct FleetMirrorOptions {
--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Puts a core daemon together.
 
 use crate::desk::ControlDesk;
-use micaspool_client::{FleetMirror, FleetMirrorOptions, KeeperClient, PeerDirectory};
+use micaspool_client::{FleetMirror, FleetMirrorOptions, KeeperClient, PeerDirectory, ENDPOINT_LIFE};
 use micaspool_daemon::StartError;
 use micaspool_dispatcher::{EndpointProbe, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe};
 use micaspool_http::status::{serve_status, StatusSource};
@@ -17,8 +17,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long an endpoint may be silent before it is forgotten; see the gateway's figure.
-const ENDPOINT_LIFE: Duration = Duration::from_secs(10);
 /// How long routers get to go to another dispatcher.
 const STOP_GRACE: Duration = Duration::from_millis(400);
 
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -5,7 +5,7 @@
 use crate::native::NativeDialect;
 use crate::path::{Gateway, GatewayParts};
 use async_std::task;
-use micaspool_client::{AddressNamed, FleetMirror, FleetMirrorOptions, PeerDirectory};
+use micaspool_client::{AddressNamed, FleetMirror, FleetMirrorOptions, PeerDirectory, ENDPOINT_LIFE};
 use micaspool_daemon::StartError;
 use micaspool_dispatcher::{EndpointProbe, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe};
 use micaspool_http::edge::{EdgeOptions, EdgeServer};
@@ -23,9 +23,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How long an endpoint may be silent before it is forgotten. Records may come seconds late, and one
-/// that crashed is noticed by its failures first.
-pub(crate) const ENDPOINT_LIFE: Duration = Duration::from_secs(10);
 /// How often resting connections are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// How long balancers may need to notice that a gateway stops: two questions a second apart, and the
@@ -275,15 +272,7 @@
     }
 
     fn state(&self) -> String {
-        let shards = self.gateway.shards().into_iter().map(|shard| {
-            let (waiting, running) = shard.counts();
-            json!({
-                "service": shard.service().as_str(),
-                "linked": shard.is_linked(),
-                "waiting": waiting,
-                "running": running,
-            })
-        });
+        let shards = self.gateway.shards().into_iter().map(|shard| shard.state());
         let keepers = self.mirror.keepers().into_iter().map(|sight| {
             json!({
                 "name": sight.peer.name.as_str(),
--- a/crates/micaspool-gateway/src/dialect.rs
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -1,5 +1,6 @@
 //! The border to how callers and endpoints speak.
 
+use http::header::HeaderName;
 use http::{request, response, HeaderMap, Response};
 use micaspool_http::edge::EdgeBody;
 use micaspool_types::{CustomerName, EndpointName, Refusal};
@@ -7,6 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The text of a header, if it is there and is text.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
 /// One part of a prompt that other prompts may share.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PromptPart {
--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -20,7 +20,8 @@
 
 pub use daemon::{start_gateway, GatewayDaemon, GatewayOptions, GatewayOptionsBuilder};
 pub use dialect::{
-    AnswerVerdict, CallerHead, GatewayDialect, NotRunReason, PromptOutline, PromptPart, SendOrder,
+    header_text, AnswerVerdict, CallerHead, GatewayDialect, NotRunReason, PromptOutline, PromptPart,
+    SendOrder,
 };
 pub use events::{EventSplitter, SplitChunk};
 pub use metrics::GatewayMetrics;
--- a/crates/micaspool-gateway/src/native.rs
+++ b/crates/micaspool-gateway/src/native.rs
@@ -1,7 +1,8 @@
 //! The product's own headers.
 
 use crate::dialect::{
-    AnswerVerdict, CallerHead, GatewayDialect, NotRunReason, PromptOutline, PromptPart, SendOrder,
+    header_text, AnswerVerdict, CallerHead, GatewayDialect, NotRunReason, PromptOutline, PromptPart,
+    SendOrder,
 };
 use http::header::{HeaderName, HeaderValue, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use http::{request, response, HeaderMap, Response};
@@ -24,11 +25,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeDialect;
 
-/// The text of a header, if it is there and is text.
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 fn read_prompt(value: &str) -> Option<PromptOutline> {
     let mut fields = value.split(',').map(str::trim);
     let prompt_tokens = fields.next()?.parse().ok()?;
@@ -45,14 +41,15 @@
 impl GatewayDialect for NativeDialect {
     fn read(&self, head: &request::Parts) -> Result<CallerHead, Refusal> {
         let headers = &head.headers;
-        let id = text(headers, &ID).map_or_else(|| RequestId(rand::random()).to_string(), str::to_owned);
-        let patience = text(headers, &PATIENCE).and_then(|value| value.parse().ok());
-        let key = text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
+        let id =
+            header_text(headers, &ID).map_or_else(|| RequestId(rand::random()).to_string(), str::to_owned);
+        let patience = header_text(headers, &PATIENCE).and_then(|value| value.parse().ok());
+        let key = header_text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
         Ok(CallerHead {
             id: id.into(),
             patience: patience.map(Duration::from_millis),
             key: key.map(|key| key.trim().into()),
-            prompt: text(headers, &PROMPT).and_then(read_prompt),
+            prompt: header_text(headers, &PROMPT).and_then(read_prompt),
         })
     }
 
@@ -90,11 +87,11 @@
     }
 
     fn judge(&self, head: &response::Parts, id: &str) -> AnswerVerdict {
-        let said = text(&head.headers, &ID);
+        let said = header_text(&head.headers, &ID);
         if said.is_some_and(|said| said != id) {
             return AnswerVerdict::Foreign;
         }
-        match (text(&head.headers, &RUN), head.status.as_u16()) {
+        match (header_text(&head.headers, &RUN), head.status.as_u16()) {
             (Some("not-run"), 421) => AnswerVerdict::NotRun(NotRunReason::OtherEndpoint),
             (Some("not-run"), 400) => AnswerVerdict::NotRun(NotRunReason::Malformed),
             (Some("not-run"), _) => AnswerVerdict::NotRun(NotRunReason::Full),
--- a/crates/micaspool-router/src/daemon.rs
+++ b/crates/micaspool-router/src/daemon.rs
@@ -116,15 +116,7 @@
 
     fn state(&self) -> String {
         let mirror = self.mirror.state();
-        let shards = self.router.shards().into_iter().map(|shard| {
-            let (waiting, running) = shard.counts();
-            json!({
-                "service": shard.service().as_str(),
-                "linked": shard.is_linked(),
-                "waiting": waiting,
-                "running": running,
-            })
-        });
+        let shards = self.router.shards().into_iter().map(|shard| shard.state());
         json!({
             "process": "router",
             "revision": mirror.policy.revision.0,
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -15,6 +15,7 @@
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName};
 use micaspool_wire::v1;
+use serde_json::json;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -104,6 +105,17 @@
         self.held().counts()
     }
 
+    /// What operators see of it.
+    pub fn state(&self) -> serde_json::Value {
+        let (waiting, running) = self.counts();
+        json!({
+            "service": self.service.as_str(),
+            "linked": self.is_linked(),
+            "waiting": waiting,
+            "running": running,
+        })
+    }
+
     fn submit(
         &self,
         ticket: RequestTicket,
