test(http): wait for what a connection shows instead of 30 ms

Ruled out: a request lost on a connection whose end had arrived (the pool passes over those; the rows now wait for exactly that and ask for no failure).

Both wait for the state that they are about.

--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -128,6 +128,14 @@
         self.opened.load(std::sync::atomic::Ordering::Relaxed)
     }
 
+    /// How many connections rest, and how many of them could take a request at this moment.
+    pub fn resting(&self) -> (usize, usize) {
+        self.sweep();
+        let idle = self.lock();
+        let connections = || idle.values().flatten();
+        (connections().count(), connections().filter(|connection| connection.sender.is_ready()).count())
+    }
+
     /// Closes connections that rested for too long, and those whose peer has closed.
     pub fn sweep(&self) {
         let now = Instant::now();
--- a/crates/micaspool-http/tests/pool.rs
+++ b/crates/micaspool-http/tests/pool.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 /// What an endpoint does on one connection.
@@ -118,19 +118,31 @@
         for _ in 0..3 {
             let result = task::block_on(fetch(&pool, address)).expect("a whole answer");
             assert_eq!(result, (200, Bytes::from_static(b"abc")), "{answer}");
-            // The connection's task sees what lies behind the answer.
-            std::thread::sleep(Duration::from_millis(30));
+            // The connection's task sees what lies behind the answer, or that it ended.
+            wait_for_resting(&pool, usize::from(expected == 1));
         }
         assert_eq!(connections.load(Ordering::SeqCst), expected, "{answer}");
     }
 }
 
+/// Waits until this many connections rest and can take a request.
+fn wait_for_resting(pool: &EndpointPool, count: usize) {
+    let end = Instant::now() + Duration::from_secs(10);
+    while pool.resting() != (count, count) {
+        assert!(Instant::now() < end, "{:?} rest instead of {count}", pool.resting());
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Once the end of a kept connection has arrived, nothing is sent on it any more. Before that nobody can
+/// tell, and the request counts as one that may have run.
 #[test]
 fn a_kept_connection_that_the_endpoint_closed_costs_no_request() {
     let (address, connections) = endpoint("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc", Ending::Close);
     let pool = EndpointPool::new(PoolOptions::default());
     for _ in 0..20 {
         assert!(task::block_on(fetch(&pool, address)).is_ok());
+        wait_for_resting(&pool, 0);
     }
     assert!(connections.load(Ordering::SeqCst) >= 20);
 }
