--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -3,6 +3,8 @@
 //! The engine takes everything that has come in, saves once, and only then sends messages and
 //! answers callers, so that one sync serves all commands that came in meanwhile.
 
+mod reopen;
+
 use crate::clock::{ledger_time, MonotonicClock};
 use crate::state::{KeeperCommand, KeeperReply, KeeperState, PlanDocument};
 use async_std::channel::{Receiver, Sender};
@@ -12,14 +14,13 @@
     QuorumOutput, QuorumRole, QuorumStatus, RestoredState,
 };
 use micaspool_settings::apply::{self, SettingsUpdate};
-use micaspool_store::{KeeperFiles, OpenOutcome, StoreOptions};
+use micaspool_store::{KeeperFiles, OpenOutcome};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{InstanceName, Revision, Term};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 /// The most inputs that one save covers.
 const MAX_BATCH: usize = 4_096;
@@ -29,8 +30,6 @@
 /// The log is compacted as well once its commands have this many bytes: whole route plans of 100 KB
 /// would fill a small disk long before the entries are many.
 const COMPACT_BYTES: usize = 4 * 1024 * 1024;
-/// The pause before files that failed are opened again.
-const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
 /// Why a command gave no reply.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -206,62 +205,6 @@
         self.stop();
     }
 
-    /// Starts anew from the files after they failed, like a process that was restarted; false when
-    /// that is not wanted. Everything that was read is written again first, since what an earlier
-    /// failure left in the system's cache need not be on the disk.
-    fn reopen(&mut self, inputs: &Receiver<EngineInput>) -> bool {
-        let Some(place) = self.options.reopen.clone() else { return false };
-        self.fail_waiting(&EngineError::NotLeader(None));
-        self.replies.clear();
-        while !self.stopping {
-            self.note_unconfirmed();
-            std::thread::sleep(REOPEN_PAUSE);
-            while let Ok(input) = inputs.try_recv() {
-                self.turn_away(input);
-            }
-            let opened = KeeperFiles::open(&place.folder, &place.name, StoreOptions::default());
-            let rewritten = opened.and_then(|mut opened| opened.files.rewrite().map(|()| opened));
-            match rewritten {
-                Ok(opened) => {
-                    self.restart(opened);
-                    record(&events::STORE_REOPENED, &[field("index", self.applied.0)]);
-                    return true;
-                }
-                Err(error) => record(&events::STORE_FAILED, &[field("error", error)]),
-            }
-        }
-        false
-    }
-
-    fn restart(&mut self, opened: OpenOutcome) {
-        let snapshot = &opened.restored.snapshot;
-        self.state = restore_state(&snapshot.data, self.options.ledger);
-        self.applied = snapshot.index;
-        self.command_bytes = 0;
-        self.core = start_core(&self.options, self.clock, opened.restored);
-        self.files = opened.files;
-    }
-
-    /// Answers an input that comes while there are no files.
-    fn turn_away(&mut self, input: EngineInput) {
-        match input {
-            EngineInput::Event(_) => {}
-            EngineInput::Command(_, reply) | EngineInput::Barrier(reply) => {
-                let _ = reply.try_send(Err(EngineError::NotLeader(None)));
-            }
-            EngineInput::Stop => self.stopping = true,
-        }
-    }
-
-    /// Shows that this keeper hears no majority.
-    fn note_unconfirmed(&self) {
-        let mut view = self.view.lock().expect("no holder of the view panics");
-        if view.status.confirmed {
-            view.status.confirmed = false;
-            view.notify();
-        }
-    }
-
     fn take(&mut self, input: EngineInput) {
         let now = self.clock.now();
         match input {
--- /dev/null
+++ b/crates/micaspool-keeper/src/engine/reopen.rs
@@ -0,0 +1,68 @@
+//! Going on after the files failed: a full disk, or one that refused a write.
+
+use super::{restore_state, start_core, EngineError, EngineInput, KeeperEngine};
+use async_std::channel::Receiver;
+use micaspool_store::{KeeperFiles, OpenOutcome, StoreOptions};
+use micaspool_telemetry::events::{self, field, record};
+use std::time::Duration;
+
+/// The pause before files that failed are opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+
+impl KeeperEngine {
+    /// Starts anew from the files after they failed, like a process that was restarted; false when
+    /// that is not wanted. Everything that was read is written again first, since what an earlier
+    /// failure left in the system's cache need not be on the disk.
+    pub(super) fn reopen(&mut self, inputs: &Receiver<EngineInput>) -> bool {
+        let Some(place) = self.options.reopen.clone() else { return false };
+        self.fail_waiting(&EngineError::NotLeader(None));
+        self.replies.clear();
+        while !self.stopping {
+            self.note_unconfirmed();
+            std::thread::sleep(REOPEN_PAUSE);
+            while let Ok(input) = inputs.try_recv() {
+                self.turn_away(input);
+            }
+            let opened = KeeperFiles::open(&place.folder, &place.name, StoreOptions::default());
+            let rewritten = opened.and_then(|mut opened| opened.files.rewrite().map(|()| opened));
+            match rewritten {
+                Ok(opened) => {
+                    self.restart(opened);
+                    record(&events::STORE_REOPENED, &[field("index", self.applied.0)]);
+                    return true;
+                }
+                Err(error) => record(&events::STORE_FAILED, &[field("error", error)]),
+            }
+        }
+        false
+    }
+
+    fn restart(&mut self, opened: OpenOutcome) {
+        let snapshot = &opened.restored.snapshot;
+        self.state = restore_state(&snapshot.data, self.options.ledger);
+        self.applied = snapshot.index;
+        self.command_bytes = 0;
+        self.core = start_core(&self.options, self.clock, opened.restored);
+        self.files = opened.files;
+    }
+
+    /// Answers an input that comes while there are no files.
+    fn turn_away(&mut self, input: EngineInput) {
+        match input {
+            EngineInput::Event(_) => {}
+            EngineInput::Command(_, reply) | EngineInput::Barrier(reply) => {
+                let _ = reply.try_send(Err(EngineError::NotLeader(None)));
+            }
+            EngineInput::Stop => self.stopping = true,
+        }
+    }
+
+    /// Shows that this keeper hears no majority.
+    fn note_unconfirmed(&self) {
+        let mut view = self.view.lock().expect("no holder of the view panics");
+        if view.status.confirmed {
+            view.status.confirmed = false;
+            view.notify();
+        }
+    }
+}
