perf: run connection tasks on the thread that waits for their sockets

Cause: tasks of connections, of the stream to the dispatcher and of shards ran on async-std's executor while their sockets and HTTP/2 streams belong to tokio's: each event of a stream woke a second thread, and each bounded wait set a timer in a third.

Ruled out: code of ours (38% of the gateway's time by perf, flat); choosing engines (the commit before).

Change: these tasks and their timers are tokio's; everything else stays with async-std.

--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -4,8 +4,6 @@
 use crate::policy_source::PolicySource;
 use crate::sharing::share_totals;
 use async_std::channel::{unbounded, Receiver, Sender};
-use async_std::future::timeout;
-use async_std::task;
 use micaspool_dispatch::{
     CacheNews, CustomerTotal, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus,
 };
@@ -18,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::time::timeout;
 use tonic::Status;
 
 /// How often the core looks at the time.
@@ -109,11 +108,11 @@
     };
     record(&events::SHARD_STARTED, &[field("service", &service)]);
     let changes = source.listen();
-    task::spawn(feed_policy(service.clone(), source.clone(), changes, inputs.clone()));
+    tokio::spawn(feed_policy(service.clone(), source.clone(), changes, inputs.clone()));
     let handle = ShardHandle { inputs: inputs.clone(), status: status.clone(), totals };
-    task::spawn(share_totals(service.clone(), options.clone(), handle.clone()));
-    task::spawn(feed_probes(clock, service, options, source, inputs, status));
-    task::spawn(driver.run(receiver));
+    tokio::spawn(share_totals(service.clone(), options.clone(), handle.clone()));
+    tokio::spawn(feed_probes(clock, service, options, source, inputs, status));
+    tokio::spawn(driver.run(receiver));
     handle
 }
 
@@ -236,15 +235,15 @@
         if used {
             for (name, address) in source.probed(&service) {
                 if met.insert(name.clone()) {
-                    task::spawn(meet_engine(options.clone(), name.clone(), address, inputs.clone()));
+                    tokio::spawn(meet_engine(options.clone(), name.clone(), address, inputs.clone()));
                 }
-                task::spawn(probe_endpoint(clock, options.clone(), name, address, inputs.clone()));
+                tokio::spawn(probe_endpoint(clock, options.clone(), name, address, inputs.clone()));
             }
             if let Some(leaving) = options.list.leaving().await {
                 let _ = inputs.send(ShardInput::Event(ShardEvent::Listed(leaving))).await;
             }
         }
-        task::sleep(options.probe_interval).await;
+        tokio::time::sleep(options.probe_interval).await;
         if inputs.is_closed() {
             return;
         }
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -4,7 +4,6 @@
 use crate::host::ShardHost;
 use crate::sharing::{own_totals, take_totals};
 use async_std::channel::{unbounded, Receiver};
-use async_std::task;
 use futures::{Stream, StreamExt};
 use micaspool_dispatch::{SessionId, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
@@ -81,7 +80,7 @@
     let stopped = |_| Status::unavailable("the shard has stopped; connect again");
     shard.inputs.send(ShardInput::Open(session, sender)).await.map_err(stopped)?;
     feed(&shard, session, first).await?;
-    task::spawn(read_router(shard, session, messages));
+    tokio::spawn(read_router(shard, session, messages));
     Ok(receiver)
 }
 
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -6,7 +6,6 @@
 use crate::dialect::{AnswerVerdict, NotRunReason, SendOrder};
 use crate::relay::{relay_body, AnswerRelay, EventMeter};
 use crate::trail::RequestTrail;
-use async_std::future::timeout;
 use http::{Request, Response, StatusCode, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
@@ -19,6 +18,7 @@
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind, RequestId};
 use std::time::{Duration, Instant};
+use tokio::time::timeout;
 
 /// How many grants in a row may be unusable before a request is given up.
 const MAX_UNUSABLE_GRANTS: u32 = 8;
--- a/crates/micaspool-gateway/src/path/mod.rs
+++ b/crates/micaspool-gateway/src/path/mod.rs
@@ -8,7 +8,6 @@
 use crate::dispatchers::FleetDispatchers;
 use crate::metrics::GatewayMetrics;
 use crate::trail::RequestTrail;
-use async_std::future::timeout;
 use async_trait::async_trait;
 pub(crate) use attempt::Attempts;
 use bytes::Bytes;
@@ -28,6 +27,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use target::CallTarget;
+use tokio::time::timeout;
 
 /// When a request may come back that found no plan, no dispatcher or no endpoint.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -4,7 +4,6 @@
 use crate::events::{count_ends, EventSplitter};
 use crate::path::{Attempts, Gateway};
 use crate::trail::RequestTrail;
-use async_std::task;
 use bytes::Bytes;
 use futures::future::{select, BoxFuture, Either};
 use futures::stream::unfold;
@@ -113,7 +112,7 @@
             lease: Some(lease),
             meter,
             trail,
-            expiry: Box::pin(task::sleep(left + LATE_LIMIT)),
+            expiry: Box::pin(tokio::time::sleep(left + LATE_LIMIT)),
             ended: false,
         }
     }
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -5,7 +5,6 @@
 //! with what looks like its end.
 
 use crate::socket::tune;
-use async_std::task;
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::future::{select, Either};
@@ -113,7 +112,7 @@
     pub async fn listen(&self, address: SocketAddr) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(address).await?;
         let bound = listener.local_addr()?;
-        task::spawn(accept(self.shared.clone(), listener));
+        tokio::spawn(accept(self.shared.clone(), listener));
         Ok(bound)
     }
 
@@ -143,7 +142,7 @@
             if now >= latest {
                 return false;
             }
-            task::sleep(DRAIN_LOOK).await;
+            tokio::time::sleep(DRAIN_LOOK).await;
         }
     }
 }
@@ -151,7 +150,7 @@
 async fn accept(shared: Arc<SharedState>, listener: TcpListener) {
     loop {
         if shared.open.load(Ordering::SeqCst) >= shared.options.connections {
-            task::sleep(ACCEPT_PAUSE).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         }
         let accepted = listener.accept();
@@ -165,10 +164,10 @@
             Ok((stream, _)) => {
                 shared.open.fetch_add(1, Ordering::SeqCst);
                 let connection = OpenConnection(shared.clone());
-                task::spawn(serve(connection, stream));
+                tokio::spawn(serve(connection, stream));
             }
             // The peer reset before it was accepted, or descriptors ran out; both pass.
-            Err(_) => task::sleep(ACCEPT_PAUSE).await,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -6,7 +6,6 @@
 //! run.
 
 use crate::socket;
-use async_std::task;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body::{Body, Frame, SizeHint};
@@ -153,7 +152,7 @@
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendError::NotSent)?;
         // How the connection ends shows in the answer that was read from it.
-        task::spawn(async move { drop(connection.await) });
+        tokio::spawn(async move { drop(connection.await) });
         Ok(sender)
     }
 
--- a/crates/micaspool-http/src/socket.rs
+++ b/crates/micaspool-http/src/socket.rs
@@ -27,7 +27,7 @@
 
 /// Connects within a time limit.
 pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-    let stream = async_std::future::timeout(limit, TcpStream::connect(address))
+    let stream = tokio::time::timeout(limit, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time"))??;
     tune(&stream)?;
--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -3,8 +3,6 @@
 use super::dispatchers::{DispatcherAddress, MessageStream};
 use super::ShardClient;
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
-use async_std::future::timeout;
-use async_std::task;
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
 use micaspool_dispatch::{CandidateChoice, ChoiceOptions, ChoiceStep};
@@ -16,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
+use tokio::time::timeout;
 use tonic::transport::Channel;
 
 /// How often a heartbeat is sent.
@@ -92,9 +91,9 @@
             ChoiceStep::Wait(until) => {
                 drop(client);
                 let wait = until.since(link.now()).clamp(SHORTEST_WAIT, LONGEST_WAIT);
-                task::sleep(wait).await;
+                tokio::time::sleep(wait).await;
             }
-            ChoiceStep::Probe(_) => task::sleep(SHORTEST_WAIT).await,
+            ChoiceStep::Probe(_) => tokio::time::sleep(SHORTEST_WAIT).await,
         }
     }
 }
@@ -231,7 +230,7 @@
 /// Sees whether a dispatcher can be reached.
 fn start_probe(client: &ShardClient, address: DispatcherAddress, results: Sender<(DispatcherAddress, bool)>) {
     let counter = client.options.counter.clone();
-    task::spawn(async move {
+    tokio::spawn(async move {
         let answered = match &address {
             DispatcherAddress::Remote(remote) => answers(*remote, counter).await,
             DispatcherAddress::Local(_) => true,
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -9,7 +9,6 @@
 pub use lease::GrantLease;
 
 use async_std::channel::bounded;
-use async_std::task;
 use held::{HeldWork, WaitResult, WaitingEntry};
 use micaspool_dispatch::RequestTicket;
 use micaspool_telemetry::traffic::TrafficCounter;
@@ -67,7 +66,7 @@
     pub fn start(service: ServiceName, options: ShardClientOptions) -> Arc<ShardClient> {
         let held = Mutex::new(HeldWork::new(Instant::now()));
         let client = Arc::new(ShardClient { service, options, held });
-        task::spawn(link::keep_linked(Arc::downgrade(&client)));
+        tokio::spawn(link::keep_linked(Arc::downgrade(&client)));
         client
     }
 
