perf(dispatch): ask at most a hundred endpoints a second for their load

Cause: a shard of 140 engines sent 530 load calls a second on the grown milk site, each some 100 us of the dispatcher's 0.3 of a core, and each counted as a health check.

--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -23,6 +23,9 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Timers go off a little early at times; this keeps a wake-up from coming twice.
 const WAKE_MARGIN: Duration = Duration::from_micros(200);
+/// The least time an endpoint that is asked for its load adds to the interval: at most a hundred
+/// are asked a second. Each costs this process some 100 us, and endpoints count it as a health check.
+const SHORTEST_PROBE_GAP: Duration = Duration::from_millis(10);
 /// How many messages may wait for one router; a router that reads more slowly loses its stream.
 const STREAM_QUEUE: usize = 65_536;
 /// The most spans of waiting requests; further ones are left out.
@@ -232,8 +235,11 @@
     let mut met = HashSet::new();
     loop {
         let used = status.lock().expect("no holder of the status panics").routers > 0;
+        let mut pause = options.probe_interval;
         if used {
-            for (name, address) in source.probed(&service) {
+            let probed = source.probed(&service);
+            pause = pause.max(SHORTEST_PROBE_GAP * u32::try_from(probed.len()).unwrap_or(u32::MAX));
+            for (name, address) in probed {
                 if met.insert(name.clone()) {
                     tokio::spawn(meet_engine(options.clone(), name.clone(), address, inputs.clone()));
                 }
@@ -243,7 +249,7 @@
                 let _ = inputs.send(ShardInput::Event(ShardEvent::Listed(leaving))).await;
             }
         }
-        tokio::time::sleep(options.probe_interval).await;
+        tokio::time::sleep(pause).await;
         if inputs.is_closed() {
             return;
         }
