fix(dispatch): a router on its own uses twelve engines; shards say what they decide

Ruled out: gateways split over dispatchers (MP1201: all went to the same one, at 6.0 to 7.0 s).

Change: a dispatcher inside a router uses twelve engines, of its own hall first, by rendezvous hashing; sites with twelve or fewer are used as before. A shard logs MP1304 every 2 s: grants, refusals, endpoints by state.

--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -165,7 +165,7 @@
         mirror: mirror.clone(),
         spans: SpanSink::default(),
         probe: options.probe.clone(),
-        beside_others: false,
+        subset: None,
     });
     let address = options.dispatcher_address;
     dispatcher.serve(address, &TrafficCounter::default()).await.map_err(micaspool_keeper::Error::Start)?;
--- a/crates/micaspool-dispatch/src/candidates.rs
+++ b/crates/micaspool-dispatch/src/candidates.rs
@@ -5,26 +5,20 @@
 //! uses the first that it can reach. While it uses a lower-ranked one it tries the higher-ranked
 //! ones, and moves once one of them has answered for the whole hold-down time.
 
-use micaspool_types::{stable_hash, InstanceName, Moment, ServiceName};
+use micaspool_types::{rendezvous_score, InstanceName, Moment, ServiceName};
 use std::time::Duration;
 
 /// The dispatchers for a service, the first choice first.
 pub fn rank_candidates(service: &ServiceName, dispatchers: &[InstanceName]) -> Vec<InstanceName> {
-    let mut ranked: Vec<(u64, InstanceName)> =
-        dispatchers.iter().map(|name| (candidate_score(service, name), name.clone())).collect();
+    let mut ranked: Vec<(u64, InstanceName)> = dispatchers
+        .iter()
+        .map(|name| (rendezvous_score(service.as_str(), name.as_str()), name.clone()))
+        .collect();
     ranked.sort_by(|a, b| b.cmp(a));
     ranked.dedup();
     ranked.into_iter().map(|(_, name)| name).collect()
 }
 
-/// A hash of service and instance that is the same in every process (FNV-1a with a final mix).
-fn candidate_score(service: &ServiceName, name: &InstanceName) -> u64 {
-    let bytes = service.as_str().bytes().chain([0]).chain(name.as_str().bytes());
-    let hash = stable_hash(bytes);
-    let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    mixed ^ (mixed >> 33)
-}
-
 /// Times of a [`CandidateChoice`].
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceOptions {
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -51,9 +51,9 @@
     /// Set for a language model whose memory size is known.
     engine: Option<EngineState>,
     /// True while its engine has too much to read to get more.
-    reading: bool,
+    pub reading: bool,
     /// Failures in a row.
-    failures: u32,
+    pub failures: u32,
     /// Requests in a row that broke and were tolerated.
     breaks: u32,
     /// The surplus of the last report over our own grants, and when it came.
@@ -89,6 +89,11 @@
         !doors.settings && !doors.listed && doors.draining_since.is_none() && doors.paused_until.is_none()
     }
 
+    /// True when it has a free slot and little enough to read.
+    pub fn is_free(&self) -> bool {
+        self.indexed.is_some()
+    }
+
     fn size_engine(&mut self, memory: u64, first_share: u64) {
         match &mut self.engine {
             Some(engine) => engine.resize(memory),
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -30,6 +30,12 @@
     pub slots: u32,
     /// True when it may take new work.
     pub open: bool,
+    /// True when it has a free slot and little enough to read.
+    pub free: bool,
+    /// True while its engine has too much to read to get more.
+    pub reading: bool,
+    /// Failures in a row.
+    pub failures: u32,
 }
 
 /// A whole shard.
@@ -67,6 +73,9 @@
             foreign: state.foreign,
             slots: state.slots,
             open: state.is_open(),
+            free: state.is_free(),
+            reading: state.reading,
+            failures: state.failures,
         });
         ShardStatus {
             revision: self.revision,
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::host::HostOptions;
 use crate::policy_source::PolicySource;
 use crate::sharing::share_totals;
+use crate::tally::ShardTally;
 use async_std::channel::{unbounded, Receiver, Sender};
 use micaspool_dispatch::{
     CacheNews, CustomerTotal, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus,
@@ -86,6 +87,7 @@
     actions: Vec<ShardAction>,
     status: Arc<Mutex<ShardStatus>>,
     totals: Arc<Mutex<Vec<CustomerTotal>>>,
+    tally: ShardTally,
 }
 
 /// Starts a shard; it runs until its handle is gone.
@@ -108,6 +110,7 @@
         actions: Vec::new(),
         status: status.clone(),
         totals: totals.clone(),
+        tally: ShardTally::new(service.clone()),
     };
     record(&events::SHARD_STARTED, &[field("service", &service)]);
     let changes = source.listen();
@@ -131,7 +134,9 @@
             }
             if Instant::now() >= next_tick {
                 self.step(ShardEvent::Tick);
-                *self.status.lock().expect("no holder of the status panics") = self.core.status();
+                let status = self.core.status();
+                self.tally.tell(&status);
+                *self.status.lock().expect("no holder of the status panics") = status;
                 *self.totals.lock().expect("no holder of the totals panics") = self.core.totals();
                 next_tick = Instant::now() + TICK;
             }
@@ -177,6 +182,7 @@
         self.core.step(self.clock.now(), event, &mut actions);
         for action in actions.drain(..) {
             self.end_span(&action);
+            self.tally.count(&action);
             let (session, message) = action_message(action, self.options.incarnation);
             let delivered = self
                 .streams
--- a/crates/micaspool-dispatcher/src/fleet.rs
+++ b/crates/micaspool-dispatcher/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::probe::EndpointProbe;
 use crate::service::open_session;
 use crate::shard_view::{shards_json, ShardGauges};
+use crate::subset::EngineSubset;
 use async_std::channel::Receiver;
 use async_trait::async_trait;
 use futures::StreamExt;
@@ -59,9 +60,9 @@
     pub spans: SpanSink,
     /// How engines are asked for their load.
     pub probe: Arc<dyn EndpointProbe>,
-    /// True when other dispatchers probably use the engines too: those of other routers that are cut
-    /// off, and that of the core.
-    pub beside_others: bool,
+    /// Set for a dispatcher inside a router: the engines that it uses. Other dispatchers probably use
+    /// them too, those of other routers that are cut off, and that of the core.
+    pub subset: Option<EngineSubset>,
 }
 
 /// A dispatcher of a fleet without lists.
@@ -113,7 +114,7 @@
             .cost_ceiling(COST_CEILING)
             .recovery_window(RECOVERY_WINDOW)
             .tolerated_breaks(TOLERATED_BREAKS)
-            .first_share(if options.beside_others { SHARE_BESIDE_OTHERS } else { 100 })
+            .first_share(if options.subset.is_some() { SHARE_BESIDE_OTHERS } else { 100 })
             .build();
         let host = HostOptions {
             shard,
@@ -127,7 +128,7 @@
             silence_counts: false,
             list: Arc::new(NoList),
         };
-        let source = Arc::new(FleetSource::new(options.mirror.clone()));
+        let source = Arc::new(FleetSource::new(options.mirror.clone(), options.subset));
         let host = Arc::new(ShardHost::new(host, source));
         FleetDispatcher { host, mirror: options.mirror, stopping: Arc::default() }
     }
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -1,10 +1,11 @@
 //! Route plan and registered endpoints as the policy of shards.
 
 use crate::policy_source::PolicySource;
+use crate::subset::EngineSubset;
 use async_std::channel::Receiver;
 use micaspool_client::FleetMirror;
 use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
-use micaspool_registry::EndpointStage;
+use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_routes::RoutePlan;
 use micaspool_types::{Cost, CustomerName, EndpointName, HallMask, Revision, ServiceName, Weight};
 use std::net::SocketAddr;
@@ -26,13 +27,24 @@
 #[derive(Debug)]
 pub struct FleetSource {
     mirror: Arc<FleetMirror>,
+    /// The engines to use; all when not set.
+    subset: Option<EngineSubset>,
     given: AtomicU64,
 }
 
 impl FleetSource {
     /// A source that follows a mirror.
-    pub fn new(mirror: Arc<FleetMirror>) -> FleetSource {
-        FleetSource { mirror, given: AtomicU64::new(1) }
+    pub fn new(mirror: Arc<FleetMirror>, subset: Option<EngineSubset>) -> FleetSource {
+        FleetSource { mirror, subset, given: AtomicU64::new(1) }
+    }
+
+    /// The engines of a service that are used.
+    fn engines_of(&self, service: &ServiceName) -> Vec<EndpointRecord> {
+        let engines = self.mirror.endpoints_of(service);
+        match &self.subset {
+            Some(subset) => subset.choose(engines),
+            None => engines,
+        }
     }
 }
 
@@ -42,7 +54,10 @@
         let plan = self.mirror.plan().plan;
         let halls = self.mirror.halls();
         let engine = plan.service(service.as_str()).and_then(|rule| rule.engine);
-        let records = self.mirror.endpoints_of(service);
+        let records = match engine {
+            Some(_) => self.engines_of(service),
+            None => self.mirror.endpoints_of(service),
+        };
         let endpoints = records.into_iter().map(|record| EndpointSpec {
             hall: halls.iter().position(|hall| *hall == record.hall).unwrap_or_default(),
             leaving: record.stage != EndpointStage::Serving,
@@ -63,7 +78,7 @@
     fn probed(&self, service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
         let plan = self.mirror.plan().plan;
         let is_engine = plan.service(service.as_str()).is_some_and(|rule| rule.engine.is_some());
-        let records = if is_engine { self.mirror.endpoints_of(service) } else { Vec::new() };
+        let records = if is_engine { self.engines_of(service) } else { Vec::new() };
         records.into_iter().map(|record| (record.name, record.address)).collect()
     }
 }
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -20,6 +20,8 @@
 mod shard_policy;
 mod shard_view;
 mod sharing;
+mod subset;
+mod tally;
 
 pub use daemon::{run_dispatcher, DispatcherDaemon};
 pub use fleet::{FleetDispatcher, FleetDispatcherOptions};
@@ -30,3 +32,4 @@
 pub use probe::{EndpointProbe, HttpEndpointProbe, ProbeAnswer};
 pub use service::DispatchService;
 pub use shard_policy::shard_policy;
+pub use subset::EngineSubset;
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -7,7 +7,9 @@
 use async_std::task;
 use micaspool_client::{AddressNamed, FleetMirror, FleetMirrorOptions, PeerDirectory, ENDPOINT_LIFE};
 use micaspool_daemon::StartError;
-use micaspool_dispatcher::{EndpointProbe, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe};
+use micaspool_dispatcher::{
+    EndpointProbe, EngineSubset, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe,
+};
 use micaspool_http::edge::{EdgeOptions, EdgeServer};
 use micaspool_http::pool::{EndpointPool, PoolOptions};
 use micaspool_http::status::{serve_status, StatusSource};
@@ -174,7 +176,7 @@
         mirror: mirror.clone(),
         spans: spans.clone(),
         probe: options.probe.clone(),
-        beside_others: true,
+        subset: Some(EngineSubset { instance: options.instance.clone(), hall: options.hall.clone() }),
     });
     let mut registry = Registry::default();
     let metrics = GatewayMetrics::register(&mut registry);
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -71,6 +71,8 @@
 pub const SHARD_STARTED: EventKind = kind("MP1301", Level::Info, "shard started");
 /// A shard has learnt which prompt parts an engine keeps.
 pub const ENGINE_MET: EventKind = kind("MP1303", Level::Info, "engine met");
+/// What a shard granted and refused lately, and in what state its endpoints are.
+pub const SHARD_DECIDED: EventKind = kind("MP1304", Level::Info, "shard decisions");
 /// A message from another process could not be understood.
 pub const WIRE_MALFORMED: EventKind = kind("MP1302", Level::Warn, "message not understood");
 /// A keeper has become leader.
@@ -150,6 +152,7 @@
     SHARD_STARTED,
     WIRE_MALFORMED,
     ENGINE_MET,
+    SHARD_DECIDED,
     LEADER_ELECTED,
     LEADER_STEPPED_DOWN,
     GROUP_FORMED,
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -11,7 +11,7 @@
 mod refusal;
 mod units;
 
-pub use hash::stable_hash;
+pub use hash::{rendezvous_score, stable_hash};
 pub use ids::{Incarnation, OrderNumber, RequestId, RequestIdError, Revision, Term};
 pub use names::{CustomerName, EndpointName, HallName, InstanceName, NameError, RegionName, ServiceName};
 pub use placement::{HallMask, MAX_HALLS};
