fix(keeper): tell followers the members once a majority is heard

Cause: a keeper that starts told its list of members at once, before it heard a majority; followers believe such a list only from a keeper that hears one, and it was never told again. So after all of the core had been killed, each core process and each gateway that started followed the three seeds alone: MP1304 of the dispatcher showed 48 of 90 engines known, MP1505 four of eight keepers followed, MP1501 of an unlisted keeper the engines that were missing. Sites with three keepers are all seeds and never showed it.

Ruled out: endpoints that did not register again (MP1501 of the other keepers has all of them by 4.4 s).

--- a/crates/micaspool-keeper/src/follow.rs
+++ b/crates/micaspool-keeper/src/follow.rs
@@ -61,7 +61,8 @@
         }
         let members = view.status.membership.members.iter();
         let keepers: Vec<String> = members.map(|member| member.identity.name.to_string()).collect();
-        if keepers != self.keepers {
+        // Followers believe a list only from a keeper that hears a majority; until then it is not told.
+        if view.status.confirmed && keepers != self.keepers {
             news.keepers.clone_from(&keepers);
             self.keepers = keepers;
         }
