--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -142,7 +142,7 @@
         let subject = scatter(self.arrived, 1) % SUBJECTS;
         let own = 1_000 + (scatter(self.arrived, 2) % 5_000) as u32;
         // Half of the requests belong to one customer.
-        let from = if scatter(self.arrived, 3) % 2 == 0 { 0 } else { scatter(self.arrived, 4) };
+        let from = if scatter(self.arrived, 3).is_multiple_of(2) { 0 } else { scatter(self.arrived, 4) };
         RequestTicket {
             request: RequestId(self.arrived.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c834)),
             customer: customer(from % CUSTOMERS as u64),
