--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -17,9 +17,9 @@
 const LOAD_PARTS: u32 = 1_000;
 /// How many engines that keep a part of a prompt are compared. Parts that more of them keep are short
 /// and common, and any free engine probably keeps them.
-const MOST_KEEPERS: usize = 16;
+const MOST_HOLDERS: usize = 16;
 /// How many of the least loaded engines of a hall are compared.
-const FEW: usize = 4;
+const LEAST_LOADED_PER_HALL: usize = 4;
 
 /// The position of an endpoint in its shard's list.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
@@ -228,8 +228,8 @@
         halls: HallMask,
         avoided: Option<EndpointIndex>,
     ) -> Option<EndpointIndex> {
-        let keepers = self.keepers_of(prompt, halls);
-        let candidates = keepers.chain(self.least_loaded_few(halls));
+        let holders = self.holders_of(prompt, halls);
+        let candidates = holders.chain(self.least_loaded_few(halls));
         let delays = candidates.filter(|index| Some(*index) != avoided).filter_map(|index| {
             let state = self.state(index);
             let engine = state.engine.as_ref()?;
@@ -239,7 +239,7 @@
     }
 
     /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps.
-    fn keepers_of<'a>(
+    fn holders_of<'a>(
         &'a self,
         prompt: &'a PromptShape,
         halls: HallMask,
@@ -250,13 +250,13 @@
         };
         let levels = prompt.prefixes.iter().rev().map(|prefix| self.holders.of(*prefix));
         let deepest = levels.filter(move |engines| engines.iter().any(usable)).take(1);
-        deepest.flatten().copied().filter(usable).take(MOST_KEEPERS)
+        deepest.flatten().copied().filter(usable).take(MOST_HOLDERS)
     }
 
     /// The few least loaded free endpoints of each hall.
     fn least_loaded_few(&self, halls: HallMask) -> impl Iterator<Item = EndpointIndex> + '_ {
         let sets = self.free.iter().enumerate().filter(move |(hall, _)| halls.contains(*hall));
-        sets.flat_map(|(_, set)| set.iter().take(FEW).map(|(_, endpoint)| *endpoint))
+        sets.flat_map(|(_, set)| set.iter().take(LEAST_LOADED_PER_HALL).map(|(_, endpoint)| *endpoint))
     }
 
     /// True when an endpoint has become free since the last call.
