--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -0,0 +1,61 @@
+//! Which endpoint suits a ticket best.
+
+use super::endpoints::{EndpointIndex, EndpointTable};
+use super::engine::PromptShape;
+use micaspool_types::{HallMask, Moment};
+
+/// How many engines that keep a part of a prompt are compared. Parts that more of them keep are short
+/// and common, and any free engine probably keeps them.
+const MOST_HOLDERS: usize = 16;
+/// How many of the least loaded engines of a hall are compared.
+const LEAST_LOADED_PER_HALL: usize = 4;
+
+impl EndpointTable {
+    /// The free endpoint with the lowest load in one of `halls`, other than `avoided`.
+    pub fn least_loaded(&self, halls: HallMask, avoided: Option<EndpointIndex>) -> Option<EndpointIndex> {
+        let sets = self.free.iter().enumerate().filter(|(hall, _)| halls.contains(*hall));
+        let heads = sets.filter_map(|(_, set)| set.iter().find(|(_, endpoint)| Some(*endpoint) != avoided));
+        heads.min().map(|(_, endpoint)| *endpoint)
+    }
+
+    /// The engine in one of `halls` that would give this prompt its first token soonest: one that
+    /// keeps a part of it, free or not, or one of the least loaded free ones. `None` when there is
+    /// neither.
+    pub fn soonest_engine(
+        &self,
+        now: Moment,
+        prompt: &PromptShape,
+        halls: HallMask,
+        avoided: Option<EndpointIndex>,
+    ) -> Option<EndpointIndex> {
+        let holders = self.holders_of(prompt, halls);
+        let candidates = holders.chain(self.least_loaded_few(halls));
+        let delays = candidates.filter(|index| Some(*index) != avoided).filter_map(|index| {
+            let state = self.state(index);
+            let engine = state.engine.as_ref()?;
+            Some((engine.delay(now, prompt, state.busy), index))
+        });
+        delays.min().map(|(_, index)| index)
+    }
+
+    /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps.
+    fn holders_of<'a>(
+        &'a self,
+        prompt: &'a PromptShape,
+        halls: HallMask,
+    ) -> impl Iterator<Item = EndpointIndex> + 'a {
+        let usable = move |index: &EndpointIndex| {
+            let state = self.state(*index);
+            state.has_slot() && halls.contains(state.hall)
+        };
+        let levels = prompt.prefixes.iter().rev().map(|prefix| self.holders.of(*prefix));
+        let deepest = levels.filter(move |engines| engines.iter().any(usable)).take(1);
+        deepest.flatten().copied().filter(usable).take(MOST_HOLDERS)
+    }
+
+    /// The few least loaded free endpoints of each hall.
+    fn least_loaded_few(&self, halls: HallMask) -> impl Iterator<Item = EndpointIndex> + '_ {
+        let sets = self.free.iter().enumerate().filter(move |(hall, _)| halls.contains(*hall));
+        sets.flat_map(|(_, set)| set.iter().take(LEAST_LOADED_PER_HALL).map(|(_, endpoint)| *endpoint))
+    }
+}
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -15,12 +15,6 @@
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 /// Load is compared in this many parts of an endpoint's slots.
 const LOAD_PARTS: u32 = 1_000;
-/// How many engines that keep a part of a prompt are compared. Parts that more of them keep are short
-/// and common, and any free engine probably keeps them.
-const MOST_HOLDERS: usize = 16;
-/// How many of the least loaded engines of a hall are compared.
-const LEAST_LOADED_PER_HALL: usize = 4;
-
 /// The position of an endpoint in its shard's list.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub(super) struct EndpointIndex(u32);
@@ -49,7 +43,7 @@
     pub foreign: u32,
     doors: EndpointDoors,
     /// Set for a language model whose memory size is known.
-    engine: Option<EngineState>,
+    pub(super) engine: Option<EngineState>,
     /// True while its engine has too much to read to get more.
     pub reading: bool,
     /// Failures in a row.
@@ -69,13 +63,13 @@
     tolerated_breaks: u32,
     /// The part of an engine's pace that is used before reports came, in percent.
     first_share: u64,
-    states: Vec<EndpointState>,
+    pub(super) states: Vec<EndpointState>,
     names: HashMap<EndpointName, EndpointIndex>,
-    free: Vec<BTreeSet<(u32, EndpointIndex)>>,
+    pub(super) free: Vec<BTreeSet<(u32, EndpointIndex)>>,
     pauses: BTreeSet<(Moment, EndpointIndex)>,
     /// When engines that read will have read enough to get more.
     readers: BTreeSet<(Moment, EndpointIndex)>,
-    holders: PartHolders,
+    pub(super) holders: PartHolders,
     /// Reused to carry what changed about an engine's kept parts.
     part_changes: Vec<PartChange>,
     /// True when an endpoint has become free since this was last asked for.
@@ -113,7 +107,7 @@
     }
 
     /// True when it is open and not all its slots are taken.
-    fn has_slot(&self) -> bool {
+    pub(super) fn has_slot(&self) -> bool {
         self.is_open() && self.busy + self.foreign < self.usable_slots()
     }
 
@@ -211,54 +205,6 @@
         state.indexed.is_some() && halls.contains(state.hall)
     }
 
-    /// The free endpoint with the lowest load in one of `halls`, other than `avoided`.
-    pub fn least_loaded(&self, halls: HallMask, avoided: Option<EndpointIndex>) -> Option<EndpointIndex> {
-        let sets = self.free.iter().enumerate().filter(|(hall, _)| halls.contains(*hall));
-        let heads = sets.filter_map(|(_, set)| set.iter().find(|(_, endpoint)| Some(*endpoint) != avoided));
-        heads.min().map(|(_, endpoint)| *endpoint)
-    }
-
-    /// The engine in one of `halls` that would give this prompt its first token soonest: one that
-    /// keeps a part of it, free or not, or one of the least loaded free ones. `None` when there is
-    /// neither.
-    pub fn soonest_engine(
-        &self,
-        now: Moment,
-        prompt: &PromptShape,
-        halls: HallMask,
-        avoided: Option<EndpointIndex>,
-    ) -> Option<EndpointIndex> {
-        let holders = self.holders_of(prompt, halls);
-        let candidates = holders.chain(self.least_loaded_few(halls));
-        let delays = candidates.filter(|index| Some(*index) != avoided).filter_map(|index| {
-            let state = self.state(index);
-            let engine = state.engine.as_ref()?;
-            Some((engine.delay(now, prompt, state.busy), index))
-        });
-        delays.min().map(|(_, index)| index)
-    }
-
-    /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps.
-    fn holders_of<'a>(
-        &'a self,
-        prompt: &'a PromptShape,
-        halls: HallMask,
-    ) -> impl Iterator<Item = EndpointIndex> + 'a {
-        let usable = move |index: &EndpointIndex| {
-            let state = self.state(*index);
-            state.has_slot() && halls.contains(state.hall)
-        };
-        let levels = prompt.prefixes.iter().rev().map(|prefix| self.holders.of(*prefix));
-        let deepest = levels.filter(move |engines| engines.iter().any(usable)).take(1);
-        deepest.flatten().copied().filter(usable).take(MOST_HOLDERS)
-    }
-
-    /// The few least loaded free endpoints of each hall.
-    fn least_loaded_few(&self, halls: HallMask) -> impl Iterator<Item = EndpointIndex> + '_ {
-        let sets = self.free.iter().enumerate().filter(move |(hall, _)| halls.contains(*hall));
-        sets.flat_map(|(_, set)| set.iter().take(LEAST_LOADED_PER_HALL).map(|(_, endpoint)| *endpoint))
-    }
-
     /// True when an endpoint has become free since the last call.
     pub fn take_opened(&mut self) -> bool {
         std::mem::take(&mut self.opened)
@@ -428,7 +374,7 @@
         }
     }
 
-    fn state(&self, endpoint: EndpointIndex) -> &EndpointState {
+    pub(super) fn state(&self, endpoint: EndpointIndex) -> &EndpointState {
         &self.states[endpoint.0 as usize]
     }
 
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! every free slot to the lowest-ranked customer that may use it. After each step no slot is free
 //! that a waiting ticket may use.
 
+mod choice;
 mod customers;
 mod endpoints;
 mod engine;
