feat(dispatch): the pace of each engine is learnt

Change: each engine has an estimate of its latency and its time a token from grants and first events (reading.rs), starting from what settings plan or what the other engines need. Reports add what waits for others, and shares bound the time ahead rather than the pace, so that several dispatchers do not count it twice. RUNNING_MICROS and WAITING_TIME follow from the pace. /status types, MP1304 tell pace, age, spread. Tests: pace.rs plays engines of 10 to 400 tokens a millisecond, slow by 4 and 8 times, two shards on one engine, pauses and errors. It replaces an_engine_that_others_use_is_given_its_part_only, which counted grants at the constant pace; shares and the flooding of an engine are now checked from what the engine sees.

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -145,6 +145,9 @@
     /// time earn nothing; where requests are refused early, customers wait in short spells, and
     /// without such a credit each spell would forget that they were refused.
     pub idle_credit: Cost,
+    /// What one engine probably delivers, in tokens a millisecond; zero when settings do not tell. An engine's
+    /// pace is learnt, and starts here.
+    pub planned_pace: f64,
 }
 
 /// What an endpoint says of itself, some time after it was true.
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -3,7 +3,7 @@
 use super::engine::{EngineState, PartChange, PromptShape};
 use super::holders::PartHolders;
 use crate::event::{EndpointSpec, GrantFate, KeptPart, LoadReport};
-use micaspool_types::{EndpointName, HallMask, Moment};
+use micaspool_types::{EndpointName, HallMask, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -88,10 +88,13 @@
         self.indexed.is_some()
     }
 
-    fn size_engine(&mut self, memory: u64, first_share: u64) {
+    fn size_engine(&mut self, memory: u64, first_share: u64, per_token: Option<f64>) {
         match &mut self.engine {
-            Some(engine) => engine.resize(memory),
-            None if memory > 0 => self.engine = Some(EngineState::new(memory, first_share)),
+            Some(engine) => {
+                engine.resize(memory);
+                engine.assume_pace(per_token);
+            }
+            None if memory > 0 => self.engine = Some(EngineState::new(memory, first_share, per_token)),
             None => {}
         }
     }
@@ -166,8 +169,9 @@
     }
 
     /// Takes over the endpoints of new settings; others get nothing new and finish what runs.
-    pub fn adopt(&mut self, specs: &[EndpointSpec]) {
+    pub fn adopt(&mut self, specs: &[EndpointSpec], planned_pace: f64) {
         let first_share = self.first_share;
+        let per_token = self.usual_per_token(planned_pace);
         for index in 0..self.states.len() as u32 {
             self.unindex(EndpointIndex(index));
             self.states[index as usize].doors.settings = true;
@@ -178,7 +182,7 @@
             state.hall = spec.hall;
             state.slots = spec.slots;
             state.doors.settings = spec.leaving;
-            state.size_engine(spec.memory_tokens, first_share);
+            state.size_engine(spec.memory_tokens, first_share, per_token);
         }
         let halls = self.states.iter().map(|state| state.hall + 1).max().unwrap_or(0);
         self.free.resize_with(halls.max(self.free.len()), BTreeSet::new);
@@ -187,6 +191,17 @@
         }
     }
 
+    /// Where an engine that nothing is known of starts, in microseconds a token: the mean of the
+    /// engines that were observed, else what settings plan.
+    fn usual_per_token(&self, planned_pace: f64) -> Option<f64> {
+        let engines = self.states.iter().filter_map(|state| state.engine.as_ref());
+        let known: Vec<f64> = engines.filter_map(|engine| engine.pace().settled_per_token()).collect();
+        if known.is_empty() {
+            return (planned_pace > 0.0).then(|| 1_000.0 / planned_pace);
+        }
+        Some(known.iter().sum::<f64>() / known.len() as f64)
+    }
+
     /// The halls that have an endpoint in the settings in force.
     pub fn halls_present(&self) -> HallMask {
         let present = self.states.iter().filter(|state| state.slots > 0);
@@ -220,26 +235,31 @@
         self.part_changes = changes;
     }
 
-    /// Notes that an engine got a prompt; gives the tokens that it has to read for it.
-    pub fn admit(&mut self, now: Moment, endpoint: EndpointIndex, prompt: &PromptShape) -> u64 {
+    /// Notes that an engine got a prompt.
+    pub fn admit(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId, prompt: &PromptShape) {
         let mut changes = std::mem::take(&mut self.part_changes);
-        let engine = self.state_mut(endpoint).engine.as_mut();
-        let missing = engine.map_or(0, |engine| engine.admit(now, prompt, &mut changes));
+        if let Some(engine) = &mut self.state_mut(endpoint).engine {
+            engine.admit(now, request, prompt, &mut changes);
+        }
         self.holders.take(endpoint, &mut changes);
         self.part_changes = changes;
         self.watch_reading(now, endpoint);
-        missing
     }
 
-    /// Notes that an engine has these tokens no longer before it.
-    pub fn release(&mut self, now: Moment, endpoint: EndpointIndex, tokens: u64) {
-        if tokens == 0 {
-            return;
+    /// Notes that a request has begun at its engine.
+    pub fn begin(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId) {
+        if let Some(engine) = &mut self.state_mut(endpoint).engine {
+            engine.begin(now, request);
+            self.watch_reading(now, endpoint);
         }
+    }
+
+    /// Notes that an engine has a prompt no longer before it, though it did not begin.
+    pub fn withdraw(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId) {
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
-            engine.release(tokens);
+            engine.withdraw(request);
+            self.watch_reading(now, endpoint);
         }
-        self.watch_reading(now, endpoint);
     }
 
     /// Closes an engine while it has too much to read.
@@ -247,7 +267,7 @@
         let state = self.state_mut(endpoint);
         let Some(engine) = &state.engine else { return };
         state.reading = !engine.has_time(now);
-        let wake = engine.has_time_at();
+        let wake = engine.has_time_at(now);
         if state.reading && wake > now {
             self.readers.insert((wake, endpoint));
         }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -1,41 +1,46 @@
 //! What a shard believes of a language model engine: how long it reads the prompts that it got, and
 //! which prompt parts it keeps in memory.
 //!
-//! An engine reads prompts in order of arrival, at a fixed pace, and skips the leading parts that it
-//! keeps. Between two pieces of a prompt it makes one token of each running request, so an engine that
-//! reads without a pause slows every stream down. It is therefore given less than it could read.
+//! An engine reads prompts in order of arrival and skips the leading parts that it keeps. Between two
+//! pieces of a prompt it makes one token of each running request, so an engine that reads without a pause
+//! slows every stream down. How fast it reads is learnt (see [`ReadingPace`]).
 
+use super::parts::PartCache;
+use super::reading::ReadingPace;
 use crate::event::KeptPart;
-use micaspool_types::Moment;
-use std::collections::{BTreeMap, HashMap};
+use micaspool_types::{Moment, RequestId};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// The part of an engine's memory that is counted on for kept prompt parts, in percent. The rest is
 /// taken by what running requests make.
 const KEPT_PERCENT: u64 = 80;
-/// The pace at which an engine is given tokens to read, in tokens a millisecond: 70% of the 51 that
-/// the engines of both sites read.
-const READ_PACE: u64 = 35;
+/// The part of the learnt pace at which an engine is given tokens to read, in percent. Mean worth of the days
+/// with trouble on three sites, seven days each: 0.594 at 90, 0.588 at 80.
+const PACE_PERCENT: u32 = 90;
 /// An engine that has this much to read gets nothing more. It bounds what can't be overtaken any more
-/// by a request of another customer; a shorter time lets engines run dry between two grants.
-const READ_AHEAD: Duration = Duration::from_millis(120);
+/// by a request of another customer, and how late first events are; a shorter time lets engines run dry
+/// between two grants.
+const READ_AHEAD: Duration = Duration::from_millis(80);
 /// What a token counts that an engine has to read although another engine may keep it, in percent: its
 /// reading takes capacity from all, and it pushes other parts out of memory. At 400 a part of 13,000
 /// tokens is waited for up to 0.9 s longer. 125 and 250 were measured as worse (docs/MEASURES.md).
 const MISSING_PERCENT: u64 = 400;
-/// What a running request adds to the delay of the next one, in microseconds.
-const RUNNING_MICROS: u64 = 1_000;
+/// What a running request adds to the delay of the next one, in tokens to read: engines that run less are
+/// preferred where reading takes equally long.
+const RUNNING_TOKENS: u64 = 35;
 
 /// How many requests beyond our own need not be anybody's: reports are some hundred milliseconds old.
 const STRAY_REQUESTS: u32 = 2;
-/// The smallest part of an engine's pace that is used, in percent, so that one who comes late gets in.
+/// The smallest part of the time ahead that is used, in percent, so that one who comes late gets in.
 const SMALLEST_SHARE: u64 = 15;
-/// How many requests may wait at an engine that is not given too much.
+/// How many requests may wait at an engine beyond those that this shard knows of.
 const USUAL_WAITING: u32 = 1;
-/// How long an engine reads for one that waits: prompts of both sites lack some 3,000 tokens.
-const WAITING_TIME: Duration = Duration::from_millis(70);
 /// The longest time for which a report keeps an engine from getting more.
 const LONGEST_HOLD: Duration = Duration::from_secs(1);
+/// A prompt that takes this many times its expected reading is late, and its engine is expected to be
+/// late for as long again.
+const LATE_FACTOR: u32 = 3;
 
 /// The prompt of a ticket, as far as placing it needs.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -63,22 +68,47 @@
     Dropped(u64),
 }
 
+/// A prompt that an engine got and that has not begun.
+#[derive(Debug, Clone, Copy)]
+struct UnreadPrompt {
+    request: RequestId,
+    tokens: u64,
+    granted: Moment,
+}
+
 /// One engine.
 #[derive(Debug)]
 pub(super) struct EngineState {
     memory: u64,
-    /// Tokens of prompts that were granted and have not begun.
-    unread: u64,
-    /// The part of its pace that this shard may use, in percent.
+    /// Prompts that were granted and have not begun, in the order of their grants.
+    unread: VecDeque<UnreadPrompt>,
+    unread_tokens: u64,
+    /// When the newest first event came.
+    last_first: Moment,
+    /// The part of the time ahead that this shard may use, in percent.
     share: u64,
-    /// When it will have read everything at the given pace.
-    reads_until: Moment,
+    /// When it will have read everything at the pace that it is given.
+    paced_until: Moment,
+    /// Until when it reads for others, as far as its reports tell.
+    others_until: Moment,
+    pace: ReadingPace,
     kept: PartCache,
 }
 
 impl EngineState {
-    pub fn new(memory: u64, share: u64) -> EngineState {
-        EngineState { memory, unread: 0, share, reads_until: Moment(0), kept: PartCache::default() }
+    /// An engine that got nothing yet; `per_token` is the pace to start from, in microseconds a token.
+    pub fn new(memory: u64, share: u64, per_token: Option<f64>) -> EngineState {
+        EngineState {
+            memory,
+            unread: VecDeque::new(),
+            unread_tokens: 0,
+            last_first: Moment(0),
+            share,
+            paced_until: Moment(0),
+            others_until: Moment(0),
+            pace: ReadingPace::new(per_token),
+            kept: PartCache::default(),
+        }
     }
 
     /// Takes the memory size of newer settings over.
@@ -86,19 +116,50 @@
         self.memory = memory;
     }
 
+    /// What is known of its pace.
+    pub fn pace(&self) -> &ReadingPace {
+        &self.pace
+    }
+
+    /// Starts from another pace, while nothing was observed.
+    pub fn assume_pace(&mut self, per_token: Option<f64>) {
+        self.pace.assume(per_token);
+    }
+
     /// True while it has little enough to read to get more.
     pub fn has_time(&self, now: Moment) -> bool {
-        self.reading_time(now) < READ_AHEAD && micros_of(self.unread) < 3 * READ_AHEAD.as_micros() as u64
+        self.reading_time(now) < self.time_ahead()
+    }
+
+    /// When its reading will have become short enough, if everything begins as expected.
+    pub fn has_time_at(&self, now: Moment) -> Moment {
+        let excess = self.reading_time(now).saturating_sub(self.time_ahead());
+        now + excess + Duration::from_micros(1)
     }
 
-    /// When its reading will have become short enough at the given pace.
-    pub fn has_time_at(&self) -> Moment {
-        let ahead = READ_AHEAD.as_micros() as u64;
-        Moment(self.reads_until.0.saturating_sub(ahead) + 1)
+    fn time_ahead(&self) -> Duration {
+        READ_AHEAD * u32::try_from(self.share).unwrap_or(100) / 100
     }
 
+    /// How long it will read what it got.
     fn reading_time(&self, now: Moment) -> Duration {
-        self.reads_until.since(now)
+        let own = self.own_reading(now).max(self.paced_until.since(now));
+        own + self.others_until.since(now)
+    }
+
+    /// How long it will read what this shard gave it.
+    fn own_reading(&self, now: Moment) -> Duration {
+        let Some(oldest) = self.unread.front() else { return Duration::ZERO };
+        let passed = now.since(self.begun(oldest, self.pace.latency()));
+        let rest = self.pace.reading(self.unread_tokens).saturating_sub(passed);
+        let usual = self.pace.reading(oldest.tokens) * LATE_FACTOR + self.pace.latency() * 2;
+        rest + passed.saturating_sub(usual)
+    }
+
+    /// When it began to read the oldest prompt: at the grant, or when it had read the one before.
+    fn begun(&self, oldest: &UnreadPrompt, latency: Duration) -> Moment {
+        let latency = latency.as_micros() as u64;
+        oldest.granted.max(Moment(self.last_first.0.saturating_sub(latency)))
     }
 
     /// The tokens that the engine would have to read for a prompt.
@@ -111,35 +172,68 @@
     /// How long a prompt would wait for its first token, in microseconds. Tokens that the engine
     /// lacks count more than their reading: they push other parts out of memory.
     pub fn delay(&self, now: Moment, prompt: &PromptShape, running: u32) -> u64 {
-        let reading = (self.reading_time(now).as_micros() as u64).max(micros_of(self.unread));
-        let own = micros_of(self.missing(prompt)) * MISSING_PERCENT / 100;
-        reading + own + u64::from(running) * RUNNING_MICROS
-    }
-
-    /// Notes that a prompt was granted here; gives the tokens that it adds to the unread ones. What
-    /// that changes about its kept parts is added to `changes`.
-    pub fn admit(&mut self, now: Moment, prompt: &PromptShape, changes: &mut Vec<PartChange>) -> u64 {
-        let missing = self.missing(prompt);
-        self.unread += missing;
-        let reading = micros_of(missing) * 100 / self.share;
-        self.reads_until = self.reads_until.max(now) + Duration::from_micros(reading);
+        let missing = self.missing(prompt) * MISSING_PERCENT / 100;
+        let tokens = missing + u64::from(running) * RUNNING_TOKENS;
+        (self.reading_time(now) + self.pace.reading(tokens)).as_micros() as u64
+    }
+
+    /// Notes that a prompt was granted here. What that changes about its kept parts is added to `changes`.
+    pub fn admit(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        prompt: &PromptShape,
+        changes: &mut Vec<PartChange>,
+    ) {
+        let tokens = self.missing(prompt);
+        self.unread.push_back(UnreadPrompt { request, tokens, granted: now });
+        self.unread_tokens += tokens;
+        let paced = self.pace.reading(tokens) * 100 / PACE_PERCENT;
+        self.paced_until = self.paced_until.max(now) + paced;
         for (prefix, tokens) in prompt.parts() {
             self.kept.touch(prefix, tokens, changes);
         }
         self.kept.shrink(self.memory * KEPT_PERCENT / 100, changes);
-        missing
+    }
+
+    /// The first event of a prompt has come: learns from it. Engines read in order of arrival, so those
+    /// that were granted clearly earlier are read too, and only their news is late.
+    pub fn begin(&mut self, now: Moment, request: RequestId) {
+        let Some(prompt) = self.unread.iter().find(|prompt| prompt.request == request).copied() else {
+            return;
+        };
+        let begun = self.begun(&prompt, self.pace.latency());
+        let idle = begun == prompt.granted;
+        let since = if idle { prompt.granted } else { self.last_first };
+        self.pace.observe(now, prompt.tokens, now.since(since), idle);
+        self.last_first = now;
+        let latency = self.pace.latency();
+        self.retain_unread(|other| other.request != request && other.granted + latency >= prompt.granted);
+    }
+
+    /// A prompt will not be read here any more, or its request ended in another way.
+    pub fn withdraw(&mut self, request: RequestId) {
+        self.retain_unread(|prompt| prompt.request != request);
+    }
+
+    fn retain_unread(&mut self, keep: impl Fn(&UnreadPrompt) -> bool) {
+        self.unread.retain(keep);
+        self.unread_tokens = self.unread.iter().map(|prompt| prompt.tokens).sum();
     }
 
     /// Takes over that requests wait at the engine, whoever sent them: other dispatchers may use it
-    /// at the same time. One may be our newest; more mean that the engine reads without a pause.
+    /// at the same time. Those beyond ours mean that it reads for others first.
     pub fn note_waiting(&mut self, now: Moment, waiting: u32) {
-        if waiting > USUAL_WAITING {
-            let held = (WAITING_TIME * waiting).min(LONGEST_HOLD);
-            self.reads_until = self.reads_until.max(now + held);
+        let known = u32::try_from(self.unread.len()).unwrap_or(u32::MAX);
+        let others = waiting.saturating_sub(known);
+        if others > USUAL_WAITING {
+            let held = (self.pace.usual_reading() * others).min(LONGEST_HOLD);
+            self.others_until = self.others_until.max(now + held);
         }
     }
 
-    /// Leaves others their part of the pace: what runs here tells how much each uses.
+    /// Leaves others their part of the engine: what runs here tells how much each uses. The pace itself
+    /// is learnt with the others at work, so only the time ahead is shared.
     pub fn share_with(&mut self, own: u32, foreign: u32) {
         let all = u64::from(own + foreign);
         self.share = match foreign {
@@ -155,62 +249,4 @@
         }
         self.kept.shrink(self.memory * KEPT_PERCENT / 100, changes);
     }
-
-    /// Notes that this many tokens no longer wait to be read.
-    pub fn release(&mut self, tokens: u64) {
-        self.unread = self.unread.saturating_sub(tokens);
-    }
-}
-
-/// How long an engine reads this many tokens at the given pace.
-fn micros_of(tokens: u64) -> u64 {
-    tokens * 1_000 / READ_PACE
-}
-
-/// Kept parts; the ones unused the longest go first.
-#[derive(Debug, Default)]
-struct PartCache {
-    parts: HashMap<u64, CachedPart>,
-    ages: BTreeMap<u64, u64>,
-    tokens: u64,
-    clock: u64,
-}
-
-#[derive(Debug)]
-struct CachedPart {
-    tokens: u64,
-    used: u64,
-}
-
-impl PartCache {
-    fn has(&self, prefix: u64) -> bool {
-        self.parts.contains_key(&prefix)
-    }
-
-    fn touch(&mut self, prefix: u64, tokens: u64, changes: &mut Vec<PartChange>) {
-        self.clock += 1;
-        let used = self.clock;
-        match self.parts.get_mut(&prefix) {
-            Some(part) => {
-                self.ages.remove(&part.used);
-                part.used = used;
-            }
-            None => {
-                self.parts.insert(prefix, CachedPart { tokens, used });
-                self.tokens += tokens;
-                changes.push(PartChange::Kept(prefix));
-            }
-        }
-        self.ages.insert(used, prefix);
-    }
-
-    fn shrink(&mut self, limit: u64, changes: &mut Vec<PartChange>) {
-        while self.tokens > limit {
-            let Some((_, prefix)) = self.ages.pop_first() else { return };
-            if let Some(part) = self.parts.remove(&prefix) {
-                self.tokens -= part.tokens;
-                changes.push(PartChange::Dropped(prefix));
-            }
-        }
-    }
 }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -32,8 +32,8 @@
     pub order: OrderNumber,
     pub priority: u8,
     pub prompt: PromptShape,
-    /// What it adds to the unread tokens of its endpoint, until it begins.
-    pub unread: u64,
+    /// True until its first event has come.
+    pub unread: bool,
 }
 
 impl ShardCore {
@@ -150,7 +150,7 @@
         let level = state.level(self.options.policy.as_ref());
         self.reindex(ticket.customer);
         self.raise_floor(endpoint, served_rank);
-        let unread = self.endpoints.admit(now, endpoint, &ticket.prompt);
+        self.endpoints.admit(now, endpoint, request, &ticket.prompt);
         self.endpoints.occupy(endpoint);
         self.prefixes.remember(&ticket.prompt.prefixes, endpoint);
         self.pace.count();
@@ -167,7 +167,7 @@
                 revision: self.revision,
             });
         }
-        self.running.insert(request, RunningGrant::start(ticket, endpoint, estimate, unread));
+        self.running.insert(request, RunningGrant::start(ticket, endpoint, estimate));
     }
 
     fn raise_floor(&mut self, endpoint: EndpointIndex, rank: Rank) {
@@ -187,8 +187,10 @@
         }
         let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
         grant.delivered = delivered;
-        let (endpoint, unread) = (grant.endpoint, std::mem::take(&mut grant.unread));
-        self.endpoints.release(now, endpoint, unread);
+        let (endpoint, begins) = (grant.endpoint, std::mem::take(&mut grant.unread));
+        if begins {
+            self.endpoints.begin(now, endpoint, request);
+        }
         self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
         self.reindex(customer);
     }
@@ -212,7 +214,9 @@
     pub(super) fn end_grant(&mut self, now: Moment, request: RequestId, cost: Option<Cost>, fate: GrantFate) {
         let Some(grant) = self.running.remove(&request) else { return };
         self.routers.release(grant.router, request);
-        self.endpoints.release(now, grant.endpoint, grant.unread);
+        if grant.unread {
+            self.endpoints.withdraw(now, grant.endpoint, request);
+        }
         self.endpoints.vacate(now, grant.endpoint, fate);
         let state = self.customers.get_mut(grant.customer);
         state.running -= 1;
@@ -241,7 +245,7 @@
 }
 
 impl RunningGrant {
-    fn start(ticket: WaitingTicket, endpoint: EndpointIndex, estimate: Cost, unread: u64) -> RunningGrant {
+    fn start(ticket: WaitingTicket, endpoint: EndpointIndex, estimate: Cost) -> RunningGrant {
         RunningGrant {
             customer: ticket.customer,
             router: ticket.router,
@@ -252,7 +256,7 @@
             order: ticket.place.order,
             priority: ticket.place.priority,
             prompt: ticket.prompt,
-            unread,
+            unread: true,
         }
     }
 }
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -147,7 +147,7 @@
             order: held.order,
             priority: 0,
             prompt: PromptShape::default(),
-            unread: 0,
+            unread: false,
         };
         self.running.insert(held.request, grant);
     }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -13,14 +13,16 @@
 mod joining;
 mod overdue;
 mod pace;
+mod parts;
 mod prefixes;
+mod reading;
 mod retries;
 mod routers;
 mod sharing;
 mod status;
 mod tickets;
 
-pub use status::{CustomerStatus, EndpointStatus, ShardStatus};
+pub use status::{CustomerStatus, EndpointStatus, PaceStatus, ShardStatus};
 
 use crate::action::ShardAction;
 use crate::event::{GrantFate, SessionId, ShardEvent, ShardPolicy};
@@ -154,7 +156,7 @@
         self.idle_credit = policy.idle_credit;
         self.remap_floors(&policy.halls);
         self.halls = policy.halls;
-        self.endpoints.adopt(&policy.endpoints);
+        self.endpoints.adopt(&policy.endpoints, policy.planned_pace);
         let present = self.endpoints.halls_present();
         for customer in self.customers.indices() {
             self.unindex(customer);
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/parts.rs
@@ -0,0 +1,52 @@
+//! Which prompt parts an engine probably keeps in memory.
+
+use super::engine::PartChange;
+use std::collections::{BTreeMap, HashMap};
+
+/// Kept parts; the ones unused the longest go first.
+#[derive(Debug, Default)]
+pub(super) struct PartCache {
+    parts: HashMap<u64, CachedPart>,
+    ages: BTreeMap<u64, u64>,
+    tokens: u64,
+    clock: u64,
+}
+
+#[derive(Debug)]
+struct CachedPart {
+    tokens: u64,
+    used: u64,
+}
+
+impl PartCache {
+    pub fn has(&self, prefix: u64) -> bool {
+        self.parts.contains_key(&prefix)
+    }
+
+    pub fn touch(&mut self, prefix: u64, tokens: u64, changes: &mut Vec<PartChange>) {
+        self.clock += 1;
+        let used = self.clock;
+        match self.parts.get_mut(&prefix) {
+            Some(part) => {
+                self.ages.remove(&part.used);
+                part.used = used;
+            }
+            None => {
+                self.parts.insert(prefix, CachedPart { tokens, used });
+                self.tokens += tokens;
+                changes.push(PartChange::Kept(prefix));
+            }
+        }
+        self.ages.insert(used, prefix);
+    }
+
+    pub fn shrink(&mut self, limit: u64, changes: &mut Vec<PartChange>) {
+        while self.tokens > limit {
+            let Some((_, prefix)) = self.ages.pop_first() else { return };
+            if let Some(part) = self.parts.remove(&prefix) {
+                self.tokens -= part.tokens;
+                changes.push(PartChange::Dropped(prefix));
+            }
+        }
+    }
+}
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -1,8 +1,10 @@
 //! What operators and tests may see of a shard.
 
+use super::reading::ReadingPace;
 use super::ShardCore;
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{CustomerName, EndpointName, HallMask, Moment, Revision};
+use std::time::Duration;
 
 /// One customer in a shard.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,6 +38,21 @@
     pub reading: bool,
     /// Failures in a row.
     pub failures: u32,
+    /// How fast its engine reads; `None` for other endpoints.
+    pub pace: Option<PaceStatus>,
+}
+
+/// What a shard has learnt of how fast an engine reads.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaceStatus {
+    /// Tokens a millisecond, with what runs beside.
+    pub tokens_per_milli: f64,
+    /// From a grant to the first event, apart from reading.
+    pub latency: Duration,
+    /// The age of the newest observation; `None` while the pace is assumed.
+    pub age: Option<Duration>,
+    /// How far observations lie from the pace, as a mean part of what was expected.
+    pub spread: f64,
 }
 
 /// A whole shard.
@@ -57,9 +74,20 @@
     pub endpoints: Vec<EndpointStatus>,
 }
 
+impl PaceStatus {
+    fn of(now: Moment, pace: &ReadingPace) -> PaceStatus {
+        PaceStatus {
+            tokens_per_milli: pace.tokens_per_milli(),
+            latency: pace.latency(),
+            age: pace.newest().map(|newest| now.since(newest)),
+            spread: pace.spread(),
+        }
+    }
+}
+
 impl ShardCore {
     /// The state of the shard.
-    pub fn status(&self) -> ShardStatus {
+    pub fn status(&self, now: Moment) -> ShardStatus {
         let active = self.customers.iter().filter(|state| !state.queue.is_empty() || state.running > 0);
         let customers = active.map(|state| CustomerStatus {
             name: state.name.clone(),
@@ -76,6 +104,7 @@
             free: state.is_free(),
             reading: state.reading,
             failures: state.failures,
+            pace: state.engine.as_ref().map(|engine| PaceStatus::of(now, engine.pace())),
         });
         ShardStatus {
             revision: self.revision,
--- a/crates/micaspool-dispatch/tests/shard/bench.rs
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -114,6 +114,7 @@
         let policy = ShardPolicy {
             revision: Revision(1),
             idle_credit: Cost(0),
+            planned_pace: 0.0,
             halls: (0..3).map(|number| HallName::parse(&format!("h{number}")).expect("a name")).collect(),
             endpoints: specs.collect(),
             customers: named.collect(),
--- a/crates/micaspool-dispatch/tests/shard/bound.rs
+++ b/crates/micaspool-dispatch/tests/shard/bound.rs
@@ -163,5 +163,5 @@
 #[test]
 fn the_core_starts_empty() {
     let core = ShardCore::new(micaspool_types::Moment(0), ShardOptions::default());
-    assert_eq!(core.status().waiting, 0);
+    assert_eq!(core.status(micaspool_types::Moment(0)).waiting, 0);
 }
--- a/crates/micaspool-dispatch/tests/shard/capacity.rs
+++ b/crates/micaspool-dispatch/tests/shard/capacity.rs
@@ -44,9 +44,9 @@
     bench.settle(1, 1, 5, GrantFate::Done);
     bench.pass_with(10_000, &[1]);
     assert!(bench.granted_requests().is_empty());
-    assert_eq!(bench.core.status().running, 1, "what runs there goes on");
+    assert_eq!(bench.core.status(bench.now).running, 1, "what runs there goes on");
     bench.settle(1, 2, 5, GrantFate::Done);
-    assert_eq!(bench.core.status().running, 0);
+    assert_eq!(bench.core.status(bench.now).running, 0);
 }
 
 #[test]
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -3,7 +3,6 @@
 use crate::bench::{endpoint, hello, ticket, Bench};
 use micaspool_dispatch::{
     CacheNews, GrantFate, KeptPart, ReleaseReason, RequestTicket, SessionId, ShardAction, ShardEvent,
-    ShardOptions,
 };
 use micaspool_types::{Cost, RequestId};
 use std::collections::HashMap;
@@ -13,6 +12,9 @@
 /// What a customer that comes back may have received less than the others, as on the users' sites.
 const CREDIT: Cost = Cost(29_000);
 
+/// The pace that settings plan for an engine, in tokens a millisecond; the engines here keep it.
+const PACE: u64 = 35;
+
 /// A shard of engines with many slots.
 fn engines(count: usize, customers: &[&str]) -> Bench {
     let mut bench = Bench::new(count, 64, customers);
@@ -20,6 +22,7 @@
         for spec in &mut policy.endpoints {
             spec.memory_tokens = MEMORY;
         }
+        policy.planned_pace = PACE as f64;
     });
     bench.join(1, hello("r1", 1));
     bench
@@ -41,19 +44,25 @@
     bench.settle(1, number, cost, GrantFate::Done);
 }
 
+/// The engine reads what it lacks of a prompt, then the request runs.
+fn read(bench: &mut Bench, number: u128, missing: u64, cost: u64) {
+    bench.pass_with(missing / PACE + 30, &[1]);
+    run(bench, number, cost);
+}
+
 #[test]
 fn a_prompt_waits_for_the_engine_that_keeps_its_long_part() {
     let mut bench = engines(2, &["a"]);
     bench.submit(1, prompt(1, "a", (7, 13_000), 500));
     let first = bench.grants()[0].endpoint.clone();
-    run(&mut bench, 1, 13_500);
+    read(&mut bench, 1, 13_500, 13_500);
     bench.pass_with(1_000, &[1]);
     bench.submit(1, prompt(2, "a", (7, 13_000), 8_000));
     assert_eq!(bench.grants()[0].endpoint, first);
     bench.submit(1, prompt(3, "a", (7, 13_000), 500));
-    assert!(bench.grants().is_empty(), "the keeper is busy for 186 ms; reading anew takes 300 ms");
-    run(&mut bench, 2, 21_000);
-    bench.pass_with(250, &[1]);
+    assert!(bench.grants().is_empty(), "the keeper is busy for 229 ms; reading anew takes 371 ms");
+    read(&mut bench, 2, 8_000, 21_000);
+    bench.pass_with(50, &[1]);
     assert_eq!(bench.grants()[0].endpoint, first);
 }
 
@@ -77,7 +86,7 @@
     let at_once = bench.grants().len();
     assert!((2..=4).contains(&at_once), "{at_once} prompts of 2,000 tokens at once");
     for number in 0..at_once as u128 {
-        run(&mut bench, number, 2_000);
+        read(&mut bench, number, 2_000, 2_000);
     }
     bench.pass_with(1_000, &[1]);
     let later = bench.grants().len();
@@ -89,7 +98,7 @@
     let mut bench = engines(2, &["a"]);
     bench.submit(1, prompt(0, "a", (7, 13_000), 10));
     let first = bench.grants()[0].endpoint.clone();
-    run(&mut bench, 0, 13_010);
+    read(&mut bench, 0, 13_010, 13_010);
     for number in 1..60 {
         bench.pass_with(1_000, &[1]);
         let filler = RequestTicket {
@@ -97,7 +106,7 @@
             ..prompt(number, "a", (100 + number as u64, 13_000), 10)
         };
         bench.submit(1, filler);
-        run(&mut bench, number, 13_010);
+        read(&mut bench, number, 13_010, 13_010);
     }
     let busy = RequestTicket { avoid: Some(other(&first)), ..prompt(98, "a", (98, 10), 10) };
     bench.submit(1, busy);
@@ -177,49 +186,6 @@
     assert!(small * 10 >= asked * 9, "small asked for {asked} and got {small}, flood {}", served["flood"]);
 }
 
-/// How many prompts of 2,000 tokens an engine gets within a second after two reports, while it runs
-/// `foreign` requests of others beside ten of ours.
-fn granted_beside(foreign: u32, first_share: u64) -> usize {
-    let options = ShardOptions::builder().first_share(first_share).build();
-    let mut bench = Bench::recovering(1, 64, &["a"], options);
-    bench.change(|policy| policy.endpoints[0].memory_tokens = MEMORY);
-    bench.pass(1_000);
-    bench.join(1, hello("r1", 1));
-    for number in 0..10 {
-        bench.submit(1, prompt(number, "a", (number as u64, 10), 10));
-        bench.step(ShardEvent::Progress(SessionId(1), RequestId(number), Cost(20)));
-        bench.pass_with(100, &[1]);
-    }
-    for _ in 0..2 {
-        bench.load(0, 10 + foreign, false);
-        bench.pass_with(500, &[1]);
-    }
-    bench.grants();
-    for number in 100..140 {
-        bench.submit(1, prompt(number, "a", (number as u64, 1_000), 1_000));
-    }
-    let mut granted = 0;
-    for _ in 0..20 {
-        for request in bench.granted_requests() {
-            granted += 1;
-            bench.step(ShardEvent::Progress(SessionId(1), RequestId(request), Cost(2_000)));
-        }
-        bench.pass_with(50, &[1]);
-    }
-    granted
-}
-
-#[test]
-fn an_engine_that_others_use_is_given_its_part_only() {
-    let alone = granted_beside(0, 100);
-    let beside = granted_beside(10, 100);
-    let crowded = granted_beside(40, 100);
-    assert!((16..=22).contains(&alone), "35 tokens a millisecond: {alone}");
-    assert!((8..=12).contains(&beside), "half is ours: {beside}");
-    assert!((3..=7).contains(&crowded), "a fifth is ours: {crowded}");
-    assert_eq!(granted_beside(0, 20), alone, "reports without others lift the first share");
-}
-
 /// A customer that took what nobody else wanted is not made to wait for it later: when others come, all
 /// get the same from then on.
 #[test]
@@ -259,7 +225,7 @@
     for number in 0..3 {
         bench.submit(1, prompt(number, "a", (7, 13_000), 1_000));
         assert_eq!(bench.grants().first().map(|grant| grant.endpoint.clone()), Some(endpoint(1)));
-        run(&mut bench, number, 14_000);
+        read(&mut bench, number, 1_000, 14_000);
         bench.pass_with(50, &[1]);
     }
 }
--- a/crates/micaspool-dispatch/tests/shard/faults.rs
+++ b/crates/micaspool-dispatch/tests/shard/faults.rs
@@ -67,9 +67,9 @@
 fn a_late_progress_report_after_the_end_changes_nothing() {
     let mut bench = one_running();
     bench.settle(1, 1, 7, GrantFate::Done);
-    let before = bench.core.status();
+    let before = bench.core.status(bench.now);
     bench.step(ShardEvent::Progress(SessionId(1), id(1), Cost(500)));
-    assert_eq!(bench.core.status().customers, before.customers);
+    assert_eq!(bench.core.status(bench.now).customers, before.customers);
 }
 
 #[test]
@@ -99,7 +99,7 @@
     bench.pass_with(5_000, &[2]);
     let granted = bench.granted_requests();
     assert_eq!(granted, vec![2]);
-    assert_eq!(bench.core.status().waiting, 0);
+    assert_eq!(bench.core.status(bench.now).waiting, 0);
 }
 
 #[test]
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -8,5 +8,6 @@
 mod engines;
 mod faults;
 mod limits;
+mod pace;
 mod recovery;
 mod regions;
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/pace.rs
@@ -0,0 +1,241 @@
+//! How shards learn the pace of engines: modelled engines that read in order of arrival.
+
+use crate::bench::{endpoint, hello, ticket, Bench};
+use micaspool_dispatch::{
+    GrantFate, LoadReport, PaceStatus, RequestTicket, SessionId, ShardEvent, ShardOptions,
+};
+use micaspool_types::{Cost, RequestId};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use test_case::test_case;
+
+/// From the end of reading to the first event at the shard, in milliseconds.
+const LATENCY: f64 = 50.0;
+/// How long a request runs after its first event, in milliseconds.
+const RUN: u64 = 500;
+/// How long a ticket may wait, in milliseconds.
+const PATIENCE: u64 = 100;
+
+/// An engine that reads one prompt after the other.
+#[derive(Debug)]
+struct EngineModel {
+    /// Tokens a millisecond.
+    pace: f64,
+    /// When it will have read everything, in milliseconds of the play.
+    busy_until: f64,
+    /// The tokens that each shard had read, and how long its prompts waited, by the moment of the grant.
+    read: HashMap<usize, Vec<(u64, u64, f64)>>,
+}
+
+impl EngineModel {
+    fn new(pace: f64) -> EngineModel {
+        EngineModel { pace, busy_until: 0.0, read: HashMap::new() }
+    }
+
+    /// Takes a prompt in; gives when its first event comes.
+    fn take(&mut self, shard: usize, now: u64, tokens: u64) -> u64 {
+        let start = self.busy_until.max(now as f64 + 1.0);
+        self.busy_until = start + tokens as f64 / self.pace;
+        self.read.entry(shard).or_default().push((now, tokens, start - now as f64));
+        (self.busy_until + LATENCY).ceil() as u64
+    }
+
+    fn tokens(&self, shard: usize, from: u64, to: u64) -> u64 {
+        let read = self.read.get(&shard).map(Vec::as_slice).unwrap_or_default();
+        read.iter().filter(|(at, ..)| (from..to).contains(at)).map(|(_, tokens, _)| tokens).sum()
+    }
+
+    /// The wait that nineteen of twenty prompts did not exceed, in milliseconds.
+    fn usual_wait(&self, from: u64, to: u64) -> f64 {
+        let all = self.read.values().flatten().filter(|(at, ..)| (from..to).contains(at));
+        let mut waits: Vec<f64> = all.map(|(_, _, wait)| *wait).collect();
+        waits.sort_by(f64::total_cmp);
+        waits[waits.len() * 19 / 20]
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Begin(u128, u64),
+    End(u128, u64),
+}
+
+/// A shard whose callers ask for more than its engine gives.
+struct BusyShard {
+    index: usize,
+    bench: Bench,
+    number: u128,
+    sizes: HashMap<u128, u64>,
+    due: BTreeMap<(u64, u128), Step>,
+    running: u32,
+}
+
+impl BusyShard {
+    fn new(index: usize, options: ShardOptions, planned_pace: f64) -> BusyShard {
+        let mut bench = Bench::recovering(1, 400, &["a"], options);
+        bench.change(|policy| {
+            policy.endpoints[0].memory_tokens = 1_000_000;
+            policy.planned_pace = planned_pace;
+        });
+        bench.pass(1_000);
+        bench.join(1, hello("r1", 1));
+        BusyShard { index, bench, number: 0, sizes: HashMap::new(), due: BTreeMap::new(), running: 0 }
+    }
+
+    /// One millisecond in which the shard is asked for `tokens` or more.
+    fn play(&mut self, now: u64, engine: &mut EngineModel, wanted: &mut f64) {
+        self.bench.now = self.bench.now + Duration::from_millis(1);
+        while *wanted > 0.0 {
+            self.number += 1;
+            let tokens = 500 + (self.number as u64 * 2_654_435_761) % 7_000;
+            *wanted -= tokens as f64;
+            self.sizes.insert(self.number, tokens);
+            self.bench.submit(1, prompt(self.number, tokens));
+        }
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
+            match entry.remove() {
+                Step::Begin(number, tokens) => {
+                    self.bench.step(ShardEvent::Progress(SessionId(1), RequestId(number), Cost(tokens)));
+                    self.due.insert((now + RUN, number), Step::End(number, tokens));
+                }
+                Step::End(number, tokens) => {
+                    self.running -= 1;
+                    self.bench.settle(1, number, tokens, GrantFate::Done);
+                }
+            }
+        }
+        self.bench.step(ShardEvent::Wake);
+        if now % 50 == 0 {
+            self.bench.step(ShardEvent::Heartbeat(SessionId(1), 1));
+            self.bench.step(ShardEvent::Tick);
+        }
+        for number in self.bench.granted_requests() {
+            let tokens = self.sizes[&number];
+            self.running += 1;
+            self.due.insert((engine.take(self.index, now, tokens), number), Step::Begin(number, tokens));
+        }
+    }
+
+    fn report(&mut self, running: u32) {
+        let asked_at = self.bench.now;
+        let report = LoadReport { endpoint: endpoint(0), running, waiting: 0, draining: false, asked_at };
+        self.bench.step(ShardEvent::Load(report));
+    }
+
+    fn pace(&self) -> PaceStatus {
+        self.bench.core.status(self.bench.now).endpoints[0].pace.expect("it is an engine")
+    }
+}
+
+fn prompt(number: u128, tokens: u64) -> RequestTicket {
+    RequestTicket {
+        prefixes: vec![number as u64],
+        prefix_tokens: vec![tokens as u32],
+        prompt_tokens: Cost(tokens),
+        patience: Some(Duration::from_millis(PATIENCE)),
+        ..ticket(number, "a", tokens)
+    }
+}
+
+/// Plays shards on one engine whose pace changes at times; each shard is asked for one and a half times
+/// what the engine reads.
+fn play(shards: &mut [BusyShard], engine: &mut EngineModel, paces: &[(u64, f64)], end: u64) {
+    let mut wanted = vec![0.0; shards.len()];
+    for now in 0..end {
+        if let Some((_, pace)) = paces.iter().find(|(at, _)| *at == now) {
+            engine.pace = *pace;
+        }
+        for (shard, wanted) in shards.iter_mut().zip(&mut wanted) {
+            *wanted += 1.5 * engine.pace;
+            shard.play(now, engine, wanted);
+        }
+        if now % 500 == 0 {
+            let running = shards.iter().map(|shard| shard.running).sum();
+            shards.iter_mut().for_each(|shard| shard.report(running));
+        }
+    }
+}
+
+/// Engines of any pace are kept busy, with little to read ahead, whatever settings planned.
+#[test_case(10.0, 0.0)]
+#[test_case(35.0, 0.0)]
+#[test_case(51.0, 33.0)]
+#[test_case(112.0, 48.0)]
+#[test_case(400.0, 48.0)]
+#[test_case(10.0, 48.0; "planned far too fast")]
+fn the_pace_of_an_engine_is_learnt(pace: f64, planned: f64) {
+    let mut shards = [BusyShard::new(0, ShardOptions::default(), planned)];
+    let mut engine = EngineModel::new(pace);
+    play(&mut shards, &mut engine, &[], 12_000);
+    let learnt = shards[0].pace();
+    assert!((0.75..=1.3).contains(&(learnt.tokens_per_milli / pace)), "{learnt:?}");
+    assert!(learnt.age.is_some_and(|age| age < Duration::from_secs(2)), "{learnt:?}");
+    let used = engine.tokens(0, 2_000, 12_000) as f64 / (pace * 10_000.0);
+    assert!(used > 0.7, "{used}");
+    let longest = 7_500.0 / pace;
+    let wait = engine.usual_wait(2_000, 12_000);
+    assert!(wait < 150.0 + longest, "{wait}");
+}
+
+/// A shard that has just begun does not flood its engine before the first event came.
+#[test_case(0.0, 2; "nothing is known")]
+#[test_case(48.0, 4; "settings plan")]
+fn a_new_shard_begins_carefully(planned: f64, most: usize) {
+    let mut shards = [BusyShard::new(0, ShardOptions::default(), planned)];
+    let mut engine = EngineModel::new(51.0);
+    play(&mut shards, &mut engine, &[], 60);
+    let granted = engine.read[&0].len();
+    assert!((1..=most).contains(&granted), "{granted}");
+}
+
+/// An engine that turns slow is followed within two seconds, and found again when it is well.
+#[test_case(4.0)]
+#[test_case(8.0)]
+fn a_slow_engine_is_followed(times: f64) {
+    let mut shards = [BusyShard::new(0, ShardOptions::default(), 48.0)];
+    let mut engine = EngineModel::new(100.0);
+    play(&mut shards, &mut engine, &[(5_000, 100.0 / times), (12_000, 100.0)], 18_000);
+    let longest = 7_500.0 / (100.0 / times);
+    let wait = engine.usual_wait(7_000, 12_000);
+    assert!(wait < 150.0 + longest, "{wait}");
+    let used = engine.tokens(0, 16_000, 18_000) as f64 / (100.0 * 2_000.0);
+    assert!(used > 0.55, "{used}");
+}
+
+/// Two shards on one engine: neither starves, and together they leave it little more to read.
+#[test]
+fn two_shards_share_an_engine() {
+    let late = ShardOptions::builder().first_share(20).build();
+    let mut shards = [BusyShard::new(0, ShardOptions::default(), 48.0), BusyShard::new(1, late, 48.0)];
+    let mut engine = EngineModel::new(80.0);
+    play(&mut shards, &mut engine, &[], 15_000);
+    let all = 80.0 * 10_000.0;
+    for shard in 0..2 {
+        let part = engine.tokens(shard, 5_000, 15_000) as f64 / all;
+        assert!(part > 0.3, "shard {shard} got {part}");
+    }
+    let wait = engine.usual_wait(5_000, 15_000);
+    assert!(wait < 300.0, "{wait}");
+}
+
+/// Endpoints' errors and a process that did not run for a while say nothing lasting of the pace.
+#[test]
+fn a_pause_and_errors_do_not_spoil_the_pace() {
+    let mut shards = [BusyShard::new(0, ShardOptions::default(), 48.0)];
+    let mut engine = EngineModel::new(80.0);
+    play(&mut shards, &mut engine, &[], 5_000);
+    let shard = &mut shards[0];
+    let before = shard.pace().tokens_per_milli;
+    shard.bench.now = shard.bench.now + Duration::from_secs(2);
+    let due: Vec<Step> = std::mem::take(&mut shard.due).into_values().collect();
+    for (place, step) in due.iter().enumerate() {
+        let (Step::Begin(number, tokens) | Step::End(number, tokens)) = *step;
+        if place % 2 == 0 {
+            shard.bench.settle(1, number, 0, GrantFate::Broken);
+        } else {
+            shard.bench.step(ShardEvent::Progress(SessionId(1), RequestId(number), Cost(tokens)));
+        }
+    }
+    let after = shard.pace().tokens_per_milli;
+    assert!(after > before * 0.6, "{before} {after}");
+}
--- a/crates/micaspool-dispatch/tests/shard/recovery.rs
+++ b/crates/micaspool-dispatch/tests/shard/recovery.rs
@@ -146,9 +146,9 @@
     bench.join(1, RouterHello { running: vec![held(1, "a", 0, 1)], ..hello("r1", 1) });
     bench.submit(1, ticket(1, "a", 10));
     assert!(bench.granted_requests().is_empty());
-    let status = bench.core.status();
+    let status = bench.core.status(bench.now);
     assert_eq!((status.waiting, status.running), (0, 1));
     assert_eq!(status.customers[0].name, customer("a"));
     bench.step(ShardEvent::Cancel(SessionId(1), id(1)));
-    assert_eq!(bench.core.status().running, 0);
+    assert_eq!(bench.core.status(bench.now).running, 0);
 }
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -98,7 +98,7 @@
 ) -> ShardHandle {
     let clock = ShardClock(Instant::now());
     let core = ShardCore::new(clock.now(), options.shard.clone());
-    let status = Arc::new(Mutex::new(core.status()));
+    let status = Arc::new(Mutex::new(core.status(clock.now())));
     let totals: Arc<Mutex<Vec<CustomerTotal>>> = Arc::default();
     let (inputs, receiver) = unbounded();
     let driver = ShardDriver {
@@ -134,7 +134,7 @@
             }
             if Instant::now() >= next_tick {
                 self.step(ShardEvent::Tick);
-                let status = self.core.status();
+                let status = self.core.status(self.clock.now());
                 self.tally.tell(&status);
                 *self.status.lock().expect("no holder of the status panics") = status;
                 *self.totals.lock().expect("no holder of the totals panics") = self.core.totals();
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -66,8 +66,9 @@
             name: record.name,
         });
         let endpoints = endpoints.collect();
+        let planned_pace = planned_pace(plan.parts().capacity, self.mirror.endpoints_of(service).len());
         let idle_credit = Cost(plan.parts().capacity * IDLE_CREDIT_MILLIS / 1_000);
-        ShardPolicy { revision, endpoints, customers: customers(&plan), halls, idle_credit }
+        ShardPolicy { revision, endpoints, customers: customers(&plan), halls, idle_credit, planned_pace }
     }
 
     fn listen(&self) -> Receiver<()> {
@@ -83,6 +84,11 @@
     }
 }
 
+/// An engine's part of what all engines together deliver, in tokens a millisecond.
+fn planned_pace(capacity: u64, engines: usize) -> f64 {
+    capacity as f64 / engines.max(1) as f64 / 1_000.0
+}
+
 /// Every customer of the plan and the one of public routes, with equal weights in every hall.
 fn customers(plan: &RoutePlan) -> Vec<ShardCustomer> {
     let public = CustomerName::parse(PUBLIC_CUSTOMER).expect("a constant of valid characters");
--- a/crates/micaspool-dispatcher/src/shard_policy.rs
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -32,5 +32,6 @@
         endpoints: endpoints.collect(),
         customers: customers.collect(),
         idle_credit: Cost(0),
+        planned_pace: 0.0,
     }
 }
--- a/crates/micaspool-dispatcher/src/tally.rs
+++ b/crates/micaspool-dispatcher/src/tally.rs
@@ -1,6 +1,6 @@
 //! What a shard decided lately, as one log line now and then.
 
-use micaspool_dispatch::{EndpointStatus, ShardAction, ShardStatus};
+use micaspool_dispatch::{EndpointStatus, PaceStatus, ShardAction, ShardStatus};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::ServiceName;
 use std::time::{Duration, Instant};
@@ -47,6 +47,11 @@
     fn write(&self, status: &ShardStatus) {
         let count =
             |wanted: fn(&EndpointStatus) -> bool| status.endpoints.iter().filter(|e| wanted(e)).count();
+        let paces = status.endpoints.iter().filter_map(|endpoint| endpoint.pace);
+        let observed: Vec<PaceStatus> = paces.filter(|pace| pace.age.is_some()).collect();
+        let speeds = || observed.iter().map(|pace| pace.tokens_per_milli);
+        let latencies: Duration = observed.iter().map(|pace| pace.latency).sum();
+        let engines = u32::try_from(observed.len()).unwrap_or(u32::MAX).max(1);
         let fields = [
             field("service", &self.service),
             field("revision", status.revision.0),
@@ -60,6 +65,10 @@
             field("endpoints_reading", count(|endpoint| endpoint.reading)),
             field("endpoints_failing", count(|endpoint| endpoint.failures > 0)),
             field("foreign", status.endpoints.iter().map(|endpoint| endpoint.foreign).sum::<u32>()),
+            field("paces_learnt", observed.len()),
+            field("slowest_tokens_per_ms", format!("{:.1}", speeds().reduce(f64::min).unwrap_or(0.0))),
+            field("fastest_tokens_per_ms", format!("{:.1}", speeds().reduce(f64::max).unwrap_or(0.0))),
+            field("mean_latency_ms", (latencies / engines).as_millis()),
         ];
         record(&events::SHARD_DECIDED, &fields);
     }
--- a/crates/micaspool-replay/src/run/setup.rs
+++ b/crates/micaspool-replay/src/run/setup.rs
@@ -63,6 +63,7 @@
         ShardPolicy {
             revision: Revision(1),
             idle_credit: Cost(0),
+            planned_pace: 0.0,
             halls: (0..header.halls).map(hall).collect(),
             endpoints: endpoints.collect(),
             customers: customers.collect(),
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -53,6 +53,7 @@
     ShardPolicy {
         revision: Revision(1),
         idle_credit: Cost(0),
+        planned_pace: 0.0,
         halls: halls.collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -75,6 +75,7 @@
     ShardPolicy {
         revision: Revision(1),
         idle_credit: Cost(100_000),
+        planned_pace: 0.0,
         halls: (0..3).map(|number| HallName::parse(&format!("hall-{number}")).expect("a name")).collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
