feat(dispatch): refuse on arrival what can't begin in time

Cause: a ticket waited for a quarter of its objective, or all of it when its customer was owed service, and was refused then. What could not be served was known earlier, and the wait was charged to the caller. Change: tickets carry the objective itself. One is refused on arrival when its customer's queue, at the pace at which the customer was served lately or at an even share of what the engines read, takes more than half of the time that it may wait; an accepted one is refused as soon as its first event can't come in time any more. The wait of a quarter and its extension for owed customers are gone. Tests: two rows that fail without the estimate; FAIR rows of engines.rs hold.

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -33,8 +33,9 @@
     pub prefix_tokens: Vec<u32>,
     /// The tokens of the whole prompt; zero when not known.
     pub prompt_tokens: Cost,
-    /// How long it may wait before it is refused instead; `None` for as long as its router waits.
-    pub patience: Option<Duration>,
+    /// The time within which its first event is wanted. It is refused once that can't be kept any more;
+    /// `None` lets it wait for as long as its router does.
+    pub objective: Option<Duration>,
     /// The order number that it was given before, if any.
     pub order: Option<OrderNumber>,
 }
--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -3,6 +3,7 @@
 use super::endpoints::{EndpointIndex, EndpointTable};
 use super::engine::PromptShape;
 use micaspool_types::{HallMask, Moment};
+use std::time::Duration;
 
 /// How many engines that keep a part of a prompt are compared. Parts that more of them keep are short
 /// and common, and any free engine probably keeps them.
@@ -38,6 +39,21 @@
         delays.min().map(|(_, index)| index)
     }
 
+    /// What the open engines read together.
+    pub fn tokens_per_second(&self) -> f64 {
+        let open = self.iter().filter(|state| state.is_open()).filter_map(|state| state.engine.as_ref());
+        open.map(|engine| engine.pace().tokens_per_milli() * 1_000.0).sum()
+    }
+
+    /// From a grant to the first event at the engine that would begin soonest without a queue; zero where
+    /// there are no engines.
+    pub fn shortest_begin(&self, now: Moment, prompt: &PromptShape) -> Duration {
+        let every = HallMask(u32::MAX);
+        let best = self.soonest_engine(now, prompt, every, None);
+        let engine = best.and_then(|index| self.state(index).engine.as_ref());
+        engine.map_or(Duration::ZERO, |engine| engine.begin_time(prompt))
+    }
+
     /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps.
     fn holders_of<'a>(
         &'a self,
--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -1,5 +1,7 @@
 //! The customers of a shard: accounts, queues and limits.
 
+use super::rate::FadingRate;
+use super::tickets::WaitingTicket;
 use crate::event::ShardCustomer;
 use micaspool_fair::{CostEstimator, CustomerIndex, OrderPolicy, Rank, ServiceAccount, ServiceLevel};
 use micaspool_types::{Cost, CustomerName, HallMask, Moment, OrderNumber, RequestId, Weight};
@@ -26,6 +28,10 @@
     pub account: ServiceAccount,
     pub estimator: CostEstimator,
     pub queue: BTreeMap<QueuePlace, RequestId>,
+    /// The prompt tokens of the queue.
+    pub queued_tokens: u64,
+    /// The prompt tokens of its grants a second.
+    pub grant_rate: FadingRate,
     pub running: u32,
     /// What this shard has delivered to the customer since it began.
     pub served: Cost,
@@ -81,6 +87,8 @@
             account: ServiceAccount::new(Weight::ONE),
             estimator: CostEstimator::new(self.ceiling),
             queue: BTreeMap::new(),
+            queued_tokens: 0,
+            grant_rate: FadingRate::default(),
             running: 0,
             served: Cost(0),
             indexed: None,
@@ -111,6 +119,13 @@
         self.account.base().plus(policy.level(&self.account))
     }
 
+    /// Takes a ticket out of the queue.
+    pub fn take_from_queue(&mut self, ticket: &WaitingTicket) {
+        if self.queue.remove(&ticket.place).is_some() {
+            self.queued_tokens -= ticket.prompt.total;
+        }
+    }
+
     /// Charges the progress of a running request.
     pub fn note_delivered(&mut self, estimate: Cost, before: Cost, after: Cost) {
         self.account.charge_progress(estimate, before, after);
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -7,7 +7,7 @@
 
 use super::parts::PartCache;
 use super::reading::ReadingPace;
-use crate::event::CacheNews;
+use crate::event::{CacheNews, RequestTicket};
 use micaspool_types::{Moment, RequestId};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -57,6 +57,15 @@
 }
 
 impl PromptShape {
+    /// The prompt that a ticket tells of.
+    pub fn of(ticket: &RequestTicket) -> PromptShape {
+        PromptShape {
+            prefixes: ticket.prefixes.as_slice().into(),
+            tokens: ticket.prefix_tokens.as_slice().into(),
+            total: ticket.prompt_tokens.0,
+        }
+    }
+
     /// Each prefix with the tokens that it adds; unknown sizes count as one token.
     fn parts(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         let tokens = self.tokens.iter().map(|tokens| u64::from(*tokens)).chain(std::iter::repeat(1));
@@ -183,6 +192,11 @@
         (self.reading_time(now) + self.pace.reading(tokens)).as_micros() as u64
     }
 
+    /// From a grant to the first event of a prompt, if the engine had nothing else to read.
+    pub fn begin_time(&self, prompt: &PromptShape) -> Duration {
+        self.pace.latency() + self.pace.reading(self.missing(prompt))
+    }
+
     /// Notes that a prompt was granted here. What that changes about its kept parts is added to `changes`.
     pub fn admit(
         &mut self,
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -141,7 +141,8 @@
         let ticket = self.waiting.remove(&request).expect("the chosen ticket waits");
         self.forget_overdue(request, &ticket);
         let state = self.customers.get_mut(ticket.customer);
-        state.queue.remove(&ticket.place);
+        state.take_from_queue(&ticket);
+        state.grant_rate.add(now, ticket.prompt.total);
         let served_rank = state.indexed.map(|(_, rank)| rank).unwrap_or_default();
         let estimate = state.estimator.predict(ticket.hint);
         state.account.charge_grant(estimate);
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -86,7 +86,7 @@
             place: QueuePlace { priority: grant.priority, order: grant.order, request },
             avoid: None,
             prompt: grant.prompt,
-            patience: None,
+            ends: None,
             waits_for: Cell::new(None),
         };
         self.insert_waiting(now, request, ticket);
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod parts;
 mod prefixes;
+mod rate;
 mod reading;
 mod retries;
 mod routers;
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -1,79 +1,76 @@
-//! Tickets that wait for too long.
-//!
-//! A ticket is refused once its patience ends, so that its caller can come back in time. One whose
-//! customer is owed service is kept for a while longer: it is next for the engine that suits it, and
-//! refusing it would give its turn to whoever sends most.
+//! Tickets that can't be served in time: refused on arrival where that is known, else as soon as it is.
 
+use super::customers::CustomerState;
 use super::tickets::WaitingTicket;
 use super::ShardCore;
 use crate::action::{ReleaseReason, ShardAction};
+use crate::event::RequestTicket;
+use crate::shard::engine::PromptShape;
 use micaspool_fair::CustomerIndex;
 use micaspool_types::{Moment, RequestId};
 use std::time::Duration;
 
-/// How many times its patience a ticket of a customer that is owed service may wait. Patience is a
-/// quarter of the objective, so this is the whole objective.
-const OWED_PATIENCES: u32 = 4;
+/// The shortest time that a ticket may wait, however long its reading takes: the longest prompts begin late
+/// everywhere, and would otherwise never run.
+const SHORTEST_WAIT: Duration = Duration::from_millis(100);
+/// The part of the time that a ticket may wait that the tickets before it may need, in percent. Estimates are
+/// rough, and a queue that uses all the time makes every first event late.
+const QUEUE_PERCENT: u32 = 50;
+/// How many tickets of a customer may wait whatever the estimate says, so that one without any service
+/// lately has a ticket ready.
+const FREE_TICKETS: usize = 2;
 
-/// How long a ticket may wait.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Patience {
-    span: Duration,
-    /// When it is refused unless its customer is owed service.
-    pub ends: Moment,
-    /// When it is refused in any case.
-    last: Moment,
-}
-
-impl Patience {
-    pub fn new(now: Moment, span: Duration) -> Patience {
-        Patience { span, ends: now + span, last: now + span * OWED_PATIENCES }
+impl ShardCore {
+    /// How long a ticket may wait so that its first event still comes in time; `None` for ever.
+    pub(super) fn longest_wait(
+        &self,
+        now: Moment,
+        objective: Option<Duration>,
+        prompt: &PromptShape,
+    ) -> Option<Duration> {
+        let begins = self.endpoints.shortest_begin(now, prompt);
+        objective.map(|objective| objective.saturating_sub(begins).max(SHORTEST_WAIT))
     }
 
-    /// The same ticket after it was kept once more; `None` when it waited for long enough.
-    fn extended(self, now: Moment) -> Option<Patience> {
-        let ends = (now + self.span).min(self.last);
-        (now < self.last).then_some(Patience { ends, ..self })
+    /// True when the customer's tickets before this one will take longer than it may wait.
+    pub(super) fn comes_too_late(
+        &self,
+        now: Moment,
+        customer: CustomerIndex,
+        ticket: &RequestTicket,
+    ) -> bool {
+        let state = self.customers.get(customer);
+        if ticket.order.is_some() || state.queue.len() < FREE_TICKETS {
+            return false;
+        }
+        let prompt = PromptShape::of(ticket);
+        let longest = self.longest_wait(now, ticket.objective, &prompt);
+        let queue = self.queue_time(now, state);
+        longest.is_some_and(|longest| queue > longest * QUEUE_PERCENT / 100)
     }
-}
 
-impl ShardCore {
     /// A ticket that no longer waits is not refused either.
     pub(super) fn forget_overdue(&mut self, request: RequestId, ticket: &WaitingTicket) {
-        if let Some(patience) = ticket.patience {
-            self.overdue.remove(&(patience.ends, request));
+        if let Some(ends) = ticket.ends {
+            self.overdue.remove(&(ends, request));
         }
     }
 
-    /// Refuses the tickets that have waited as long as they may.
+    /// Refuses the tickets that can't begin in time any more.
     pub(super) fn refuse_overdue(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
         while let Some((_, request)) = self.overdue.first().copied().filter(|(at, _)| *at <= now) {
             self.overdue.pop_first();
-            if !self.keep_owed(now, request) {
-                self.refuse(now, request, actions);
-            }
-        }
-    }
-
-    /// Keeps a ticket whose customer is owed service, while that helps.
-    fn keep_owed(&mut self, now: Moment, request: RequestId) -> bool {
-        let Some(ticket) = self.waiting.get(&request) else { return true };
-        if !self.is_owed(ticket.customer) {
-            return false;
+            self.refuse(now, request, actions);
         }
-        let extended = ticket.patience.and_then(|patience| patience.extended(now));
-        let Some(patience) = extended else { return false };
-        self.overdue.insert((patience.ends, request));
-        self.waiting.get_mut(&request).expect("it was found above").patience = Some(patience);
-        true
     }
 
-    /// True when a customer with a higher level was served last where this one may be served.
-    fn is_owed(&self, customer: CustomerIndex) -> bool {
-        let state = self.customers.get(customer);
-        let served = state.halls.indices().filter_map(|hall| self.floors.get(hall)).max();
-        let rank = state.indexed.map(|(_, rank)| rank);
-        rank.zip(served).is_some_and(|(rank, served)| rank < *served)
+    /// How long the customer's waiting tickets will take: at the pace at which it was served lately, or at
+    /// an even share of what the engines read, if that is more.
+    fn queue_time(&self, now: Moment, state: &CustomerState) -> Duration {
+        let backlogged = self.customers.iter().filter(|other| !other.queue.is_empty()).count();
+        let share = self.endpoints.tokens_per_second() / backlogged.max(1) as f64;
+        let rate = state.grant_rate.per_second(now).max(share);
+        Duration::try_from_secs_f64(state.queued_tokens as f64 / rate).unwrap_or(Duration::MAX)
     }
 
     fn refuse(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -1,7 +1,6 @@
 //! Waiting tickets: taking them in, ranking their customers, giving them up.
 
 use super::customers::QueuePlace;
-use super::overdue::Patience;
 use super::routers::RouterIndex;
 use super::ShardCore;
 use crate::action::{ReleaseReason, ShardAction};
@@ -28,8 +27,8 @@
     pub place: QueuePlace,
     pub avoid: Option<Avoidance>,
     pub prompt: PromptShape,
-    /// How long it may wait; `None` for ever.
-    pub patience: Option<Patience>,
+    /// When it is refused, since it can't begin in time any more; `None` for never.
+    pub ends: Option<Moment>,
     /// The engine that suits it best though it is not free, and until when that holds.
     pub waits_for: Cell<Option<(EndpointIndex, Moment)>>,
 }
@@ -61,7 +60,7 @@
         let known = self.waiting.contains_key(&request) || self.running.contains_key(&request);
         let Some(router) = self.routers.by_session(session).filter(|_| !known) else { return };
         let customer = self.customers.ensure(&ticket.customer);
-        if let Some(reason) = self.reason_to_refuse(customer, &ticket) {
+        if let Some(reason) = self.reason_to_refuse(now, customer, &ticket) {
             let retry_after = self.retry_after(customer);
             actions.push(ShardAction::Refuse { session, request, reason, retry_after });
             return;
@@ -73,7 +72,12 @@
         }
     }
 
-    fn reason_to_refuse(&mut self, customer: CustomerIndex, ticket: &RequestTicket) -> Option<ReleaseReason> {
+    fn reason_to_refuse(
+        &mut self,
+        now: Moment,
+        customer: CustomerIndex,
+        ticket: &RequestTicket,
+    ) -> Option<ReleaseReason> {
         let state = self.customers.get(customer);
         if self.waiting.len() >= self.options.max_waiting {
             return Some(ReleaseReason::ShardFull);
@@ -81,6 +85,10 @@
         if state.queue.len() >= state.max_waiting as usize {
             return Some(ReleaseReason::CustomerFull);
         }
+        if self.comes_too_late(now, customer, ticket) {
+            self.customers.get_mut(customer).refused_at = Some(now);
+            return Some(ReleaseReason::Overdue);
+        }
         let allowed = self.retries.admit(customer, ticket.attempt);
         (!allowed).then_some(ReleaseReason::RetryBudget)
     }
@@ -96,6 +104,8 @@
         let order = ticket.order.unwrap_or(self.next_order);
         self.note_order(order);
         let place = QueuePlace { priority: ticket.priority, order, request: ticket.request };
+        let prompt = PromptShape::of(&ticket);
+        let longest = self.longest_wait(now, ticket.objective, &prompt);
         let avoid = ticket.avoid.and_then(|name| self.endpoints.by_name(&name));
         let waiting = WaitingTicket {
             customer,
@@ -103,12 +113,8 @@
             hint: ticket.hint,
             place,
             avoid: avoid.map(|endpoint| Avoidance { endpoint, until: now + AVOIDANCE }),
-            prompt: PromptShape {
-                prefixes: ticket.prefixes.into_boxed_slice(),
-                tokens: ticket.prefix_tokens.into_boxed_slice(),
-                total: ticket.prompt_tokens.0,
-            },
-            patience: ticket.patience.map(|patience| Patience::new(now, patience)),
+            ends: longest.map(|longest| now + longest),
+            prompt,
             waits_for: Cell::new(None),
         };
         self.insert_waiting(now, ticket.request, waiting);
@@ -120,8 +126,10 @@
             self.lift(now, customer);
         }
         self.routers.hold(ticket.router, request);
-        self.customers.get_mut(customer).queue.insert(ticket.place, request);
-        self.overdue.extend(ticket.patience.map(|patience| (patience.ends, request)));
+        let state = self.customers.get_mut(customer);
+        state.queue.insert(ticket.place, request);
+        state.queued_tokens += ticket.prompt.total;
+        self.overdue.extend(ticket.ends.map(|ends| (ends, request)));
         self.waiting.insert(request, ticket);
         self.reindex(customer);
     }
@@ -177,7 +185,7 @@
     pub(super) fn drop_waiting(&mut self, request: RequestId) -> Option<WaitingTicket> {
         let ticket = self.waiting.remove(&request)?;
         self.forget_overdue(request, &ticket);
-        self.customers.get_mut(ticket.customer).queue.remove(&ticket.place);
+        self.customers.get_mut(ticket.customer).take_from_queue(&ticket);
         self.routers.release(ticket.router, request);
         self.reindex(ticket.customer);
         Some(ticket)
--- a/crates/micaspool-dispatch/tests/shard/bench.rs
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -36,7 +36,7 @@
         prefixes: Vec::new(),
         prefix_tokens: Vec::new(),
         prompt_tokens: Cost(0),
-        patience: None,
+        objective: None,
         order: None,
     }
 }
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -129,7 +129,7 @@
     let mut bench = engines(1, &["a"]);
     bench.submit(1, prompt(1, "a", (1, 40_000), 10));
     let impatient =
-        RequestTicket { patience: Some(Duration::from_millis(180)), ..prompt(2, "a", (2, 1_000), 10) };
+        RequestTicket { objective: Some(Duration::from_millis(180)), ..prompt(2, "a", (2, 1_000), 10) };
     bench.submit(1, impatient);
     bench.pass_with(150, &[1]);
     assert!(refused(&bench).is_empty());
@@ -161,7 +161,10 @@
         let mut send = |bench: &mut Bench, name: &'static str| {
             number += 1;
             let patience = Some(Duration::from_millis(180));
-            bench.submit(1, RequestTicket { patience, ..prompt(number, name, (number as u64, 10), 20_000) });
+            bench.submit(
+                1,
+                RequestTicket { objective: patience, ..prompt(number, name, (number as u64, 10), 20_000) },
+            );
             running.push((number, name));
         };
         for _ in 0..2 {
@@ -200,7 +203,10 @@
         for name in names {
             number += 1;
             let patience = Some(Duration::from_millis(180));
-            bench.submit(1, RequestTicket { patience, ..prompt(number, name, (number as u64, 10), 2_000) });
+            bench.submit(
+                1,
+                RequestTicket { objective: patience, ..prompt(number, name, (number as u64, 10), 2_000) },
+            );
             owners.insert(number, *name);
         }
         bench.pass_with(50, &[1]);
@@ -257,3 +263,32 @@
         whole: false,
     }
 }
+
+/// What a customer's queue can't give in time is refused as it arrives; others still get in.
+#[test]
+fn a_ticket_that_would_come_too_late_is_refused_on_arrival() {
+    let mut bench = engines(1, &["flood", "small"]);
+    let wanted = |number: u128, name: &str| RequestTicket {
+        objective: Some(Duration::from_millis(800)),
+        ..prompt(number, name, (number as u64, 10), 8_000)
+    };
+    for number in 0..20 {
+        bench.submit(1, wanted(number, "flood"));
+    }
+    let late = refused(&bench);
+    assert!((15..20).contains(&late.len()), "one runs and two or three may wait: {late:?}");
+    assert!(late.iter().all(|(_, reason)| *reason == ReleaseReason::Overdue));
+    bench.submit(1, wanted(100, "small"));
+    assert_eq!(refused(&bench).len(), late.len(), "the small customer has nothing in the queue");
+}
+
+/// A queue of what engines read soon is no reason to refuse, however little its customer got lately.
+#[test]
+fn a_burst_that_idle_engines_can_take_is_not_refused() {
+    let mut bench = engines(6, &["a"]);
+    for number in 0..30 {
+        let ticket = prompt(number, "a", (number as u64, 10), 600);
+        bench.submit(1, RequestTicket { objective: Some(Duration::from_millis(600)), ..ticket });
+    }
+    assert!(refused(&bench).is_empty(), "18,000 tokens are read in 90 ms");
+}
--- a/crates/micaspool-dispatch/tests/shard/pace.rs
+++ b/crates/micaspool-dispatch/tests/shard/pace.rs
@@ -132,7 +132,7 @@
         prefixes: vec![number as u64],
         prefix_tokens: vec![tokens as u32],
         prompt_tokens: Cost(tokens),
-        patience: Some(Duration::from_millis(PATIENCE)),
+        objective: Some(Duration::from_millis(PATIENCE)),
         ..ticket(number, "a", tokens)
     }
 }
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -222,7 +222,7 @@
             prefixes: parts.iter().map(|part| part.prefix).collect(),
             prefix_tokens: parts.iter().map(|part| part.tokens).collect(),
             prompt_tokens: Cost(tokens),
-            patience: self.target.patience(),
+            objective: self.target.wanted_within(),
             order: None,
         }
     }
--- a/crates/micaspool-gateway/src/path/target.rs
+++ b/crates/micaspool-gateway/src/path/target.rs
@@ -36,10 +36,6 @@
     pub engine: Option<EngineProfile>,
 }
 
-/// The part of a quarter of the objective that a refusal takes on its way.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
-/// The shortest wait, whatever the objective.
-const SHORTEST_PATIENCE: Duration = Duration::from_millis(50);
 /// The ranks that a route may have; a customer's rank counts this much more.
 const ROUTE_RANKS: u8 = 16;
 
@@ -81,12 +77,10 @@
         trail.customer = self.customer.as_ref().map_or("", |name| name.as_str()).into();
     }
 
-    /// How long the request may wait for an engine before it is refused: a refusal within a quarter
-    /// of the objective leaves its caller time to come back. Plain services have short queues and
-    /// objectives, and wait until the deadline.
-    pub fn patience(&self) -> Option<Duration> {
-        self.engine?;
-        Some((self.objective / 4).saturating_sub(REFUSAL_MARGIN).max(SHORTEST_PATIENCE))
+    /// The time within which its first event is wanted; a shard refuses it once that can't be kept.
+    /// Plain services have short queues and objectives, and wait until the deadline.
+    pub fn wanted_within(&self) -> Option<Duration> {
+        self.engine.map(|_| self.objective)
     }
 
     /// The customer under which the request waits.
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -91,7 +91,7 @@
             prefixes: self.prefixes_of(trace, index),
             prefix_tokens: Vec::new(),
             prompt_tokens: Cost(0),
-            patience: None,
+            objective: None,
             order: None,
         }
     }
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -140,7 +140,7 @@
             prefixes: self.prefixes.clone(),
             prefix_tokens: Vec::new(),
             prompt_tokens: Cost(0),
-            patience: None,
+            objective: None,
             order: None,
         }
     }
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -104,7 +104,7 @@
         prefixes: Vec::new(),
         prefix_tokens: Vec::new(),
         prompt_tokens: Cost(0),
-        patience: None,
+        objective: None,
         order: None,
     }
 }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -110,7 +110,7 @@
             prefixes: vec![number as u64, self.next as u64 % 5_000],
             prefix_tokens: Vec::new(),
             prompt_tokens: Cost(0),
-            patience: None,
+            objective: None,
             order: None,
         };
         self.step(ShardEvent::Submit(SESSION, ticket));
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -154,7 +154,7 @@
             prefixes: vec![subject % 4, 100 + subject, 1_000_000 + self.arrived as u64],
             prefix_tokens: vec![2_500, 9_000, own],
             prompt_tokens: Cost(11_500 + u64::from(own)),
-            patience: Some(Duration::from_millis(230)),
+            objective: Some(Duration::from_millis(230)),
             order: None,
         }
     }
