--- a/crates/micaspool-dispatch/src/shard/reading.rs
+++ b/crates/micaspool-dispatch/src/shard/reading.rs
@@ -6,8 +6,9 @@
 //! two unknowns: the mean latency, and the time that a token takes. Older observations fade, and fade at
 //! once when the newest few say that the engine has become faster or slower.
 //!
-//! What is above the lower quartile of the latencies is queueing that nobody told of, so that quartile is
-//! what others may count on.
+//! The fit only tells the latencies: of what the reading leaves, the lower quartile is what a prompt needs
+//! without a queue. All time above it counts as reading, so the pace that is used falls while an engine is
+//! behind, for whatever reason.
 //!
 //! The time a token includes what runs beside: an engine makes a token of each running request between two
 //! pieces of a prompt.
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -128,9 +128,9 @@
 fn a_ticket_that_waited_as_long_as_it_may_is_refused() {
     let mut bench = engines(1, &["a"]);
     bench.submit(1, prompt(1, "a", (1, 40_000), 10));
-    let impatient =
+    let urgent =
         RequestTicket { objective: Some(Duration::from_millis(180)), ..prompt(2, "a", (2, 1_000), 10) };
-    bench.submit(1, impatient);
+    bench.submit(1, urgent);
     bench.pass_with(150, &[1]);
     assert!(refused(&bench).is_empty());
     assert!(bench.core.next_wake().is_some(), "the driver is told when to look again");
@@ -160,11 +160,8 @@
     for round in 0..600 {
         let mut send = |bench: &mut Bench, name: &'static str| {
             number += 1;
-            let patience = Some(Duration::from_millis(180));
-            bench.submit(
-                1,
-                RequestTicket { objective: patience, ..prompt(number, name, (number as u64, 10), 20_000) },
-            );
+            let objective = Some(Duration::from_millis(180));
+            bench.submit(1, RequestTicket { objective, ..prompt(number, name, (number as u64, 10), 20_000) });
             running.push((number, name));
         };
         for _ in 0..2 {
@@ -202,11 +199,8 @@
         let names: &[&str] = if round < 200 { &["early"] } else { &["early", "late-1", "late-2", "late-3"] };
         for name in names {
             number += 1;
-            let patience = Some(Duration::from_millis(180));
-            bench.submit(
-                1,
-                RequestTicket { objective: patience, ..prompt(number, name, (number as u64, 10), 2_000) },
-            );
+            let objective = Some(Duration::from_millis(180));
+            bench.submit(1, RequestTicket { objective, ..prompt(number, name, (number as u64, 10), 2_000) });
             owners.insert(number, *name);
         }
         bench.pass_with(50, &[1]);
--- a/crates/micaspool-dispatch/tests/shard/pace.rs
+++ b/crates/micaspool-dispatch/tests/shard/pace.rs
@@ -15,8 +15,8 @@
 const ARRIVAL: f64 = 1.0;
 /// How long a request runs after its first event, in milliseconds.
 const RUN: u64 = 500;
-/// How long a ticket may wait, in milliseconds.
-const PATIENCE: u64 = 100;
+/// The time within which first events are wanted, in milliseconds.
+const OBJECTIVE: u64 = 100;
 
 /// An engine that reads one prompt after the other.
 #[derive(Debug)]
@@ -141,7 +141,7 @@
         prefixes: vec![number as u64],
         prefix_tokens: vec![tokens as u32],
         prompt_tokens: Cost(tokens),
-        objective: Some(Duration::from_millis(PATIENCE)),
+        objective: Some(Duration::from_millis(OBJECTIVE)),
         ..ticket(number, "a", tokens)
     }
 }
