feat(dispatcher): say why endpoints are closed and what refused tickets waited for

The hypotheses (engines busy; endpoints closed by failures; by a router's word; tickets that crowd at few engines) could be told apart only by counting answers per endpoint by hand. No decision changes.

--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -62,6 +62,10 @@
         reason: ReleaseReason,
         /// When coming back may help.
         retry_after: Duration,
+        /// How long its ticket waited here; zero for one that is refused on arrival.
+        waited: Duration,
+        /// The engine that the ticket waited for at last, if it chose one that was not free.
+        awaited: Option<EndpointName>,
     },
     /// Answer a heartbeat.
     Pulse {
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -22,4 +22,4 @@
     RegionTotals, RequestTicket, RouterHello, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
 };
 pub use options::{ShardOptions, ShardOptionsBuilder};
-pub use shard::{CustomerStatus, EndpointStatus, PaceStatus, ShardCore, ShardStatus};
+pub use shard::{CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardCore, ShardStatus};
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -2,6 +2,7 @@
 
 use super::engine::{EngineState, PartChange, PromptShape};
 use super::holders::PartHolders;
+use super::status::EndpointClosure;
 use crate::event::{CacheNews, EndpointSpec, GrantFate, LoadReport};
 use micaspool_types::{EndpointName, HallMask, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap};
@@ -80,8 +81,19 @@
 impl EndpointState {
     /// True when the endpoint may take new work once it has a slot.
     pub fn is_open(&self) -> bool {
+        self.closure().is_none()
+    }
+
+    /// Why the endpoint takes nothing new; the most lasting cause if there are several.
+    pub fn closure(&self) -> Option<EndpointClosure> {
         let doors = &self.doors;
-        !doors.settings && !doors.listed && doors.draining_since.is_none() && doors.paused_until.is_none()
+        let causes = [
+            (doors.settings, EndpointClosure::Settings),
+            (doors.listed, EndpointClosure::Listed),
+            (doors.draining_since.is_some(), EndpointClosure::Draining),
+            (doors.paused_until.is_some(), EndpointClosure::Paused),
+        ];
+        causes.into_iter().find(|(closed, _)| *closed).map(|(_, cause)| cause)
     }
 
     /// True when it has a free slot and little enough to read.
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -84,6 +84,7 @@
             router: grant.router,
             hint: grant.hint,
             place: QueuePlace { priority: grant.priority, order: grant.order, request },
+            since: now,
             avoid: None,
             prompt: grant.prompt,
             ends: None,
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -23,7 +23,7 @@
 mod status;
 mod tickets;
 
-pub use status::{CustomerStatus, EndpointStatus, PaceStatus, ShardStatus};
+pub use status::{CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardStatus};
 
 use crate::action::ShardAction;
 use crate::event::{GrantFate, SessionId, ShardEvent, ShardPolicy};
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -81,6 +81,8 @@
                 request,
                 reason: ReleaseReason::Overdue,
                 retry_after,
+                waited: now.since(ticket.since),
+                awaited: ticket.waits_for.get().map(|(engine, _)| self.endpoints.name(engine).clone()),
             });
         }
     }
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -1,9 +1,11 @@
 //! What operators and tests may see of a shard.
 
+use super::endpoints::EndpointIndex;
 use super::reading::ReadingPace;
 use super::ShardCore;
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{CustomerName, EndpointName, HallMask, Moment, Revision};
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// One customer in a shard.
@@ -30,8 +32,8 @@
     pub foreign: u32,
     /// All slots.
     pub slots: u32,
-    /// True when it may take new work.
-    pub open: bool,
+    /// Why it takes nothing new; `None` while it is open.
+    pub closure: Option<EndpointClosure>,
     /// True when it has a free slot and little enough to read.
     pub free: bool,
     /// True while its engine has too much to read to get more.
@@ -42,6 +44,31 @@
     pub pace: Option<PaceStatus>,
 }
 
+/// Why an endpoint takes nothing new, whatever its slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointClosure {
+    /// Settings do not name it, or say that it leaves.
+    Settings,
+    /// The platform lists it as leaving.
+    Listed,
+    /// It said so itself.
+    Draining,
+    /// It failed, refused or could not be reached, and is left alone for a while.
+    Paused,
+}
+
+impl EndpointClosure {
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EndpointClosure::Settings => "settings",
+            EndpointClosure::Listed => "listed",
+            EndpointClosure::Draining => "draining",
+            EndpointClosure::Paused => "paused",
+        }
+    }
+}
+
 /// What a shard has learnt of how fast an engine reads.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PaceStatus {
@@ -66,6 +93,10 @@
     pub routers: usize,
     /// All waiting tickets.
     pub waiting: usize,
+    /// The waiting tickets that wait for one engine, which is not free.
+    pub awaiting: usize,
+    /// The engines that they wait for.
+    pub awaited_engines: usize,
     /// All running grants.
     pub running: usize,
     /// The customers that wait or run.
@@ -74,6 +105,13 @@
     pub endpoints: Vec<EndpointStatus>,
 }
 
+impl EndpointStatus {
+    /// True when it may take new work once it has a slot.
+    pub fn is_open(&self) -> bool {
+        self.closure.is_none()
+    }
+}
+
 impl PaceStatus {
     fn of(now: Moment, pace: &ReadingPace) -> PaceStatus {
         PaceStatus {
@@ -100,17 +138,21 @@
             busy: state.busy,
             foreign: state.foreign,
             slots: state.slots,
-            open: state.is_open(),
+            closure: state.closure(),
             free: state.is_free(),
             reading: state.reading,
             failures: state.failures,
             pace: state.engine.as_ref().map(|engine| PaceStatus::of(now, engine.pace())),
         });
+        let awaited = || self.waiting.values().filter_map(|ticket| ticket.waits_for.get());
+        let engines: HashSet<EndpointIndex> = awaited().map(|(engine, _)| engine).collect();
         ShardStatus {
             revision: self.revision,
             recovering: self.recovering_until.is_some(),
             routers: self.routers.count(),
             waiting: self.waiting.len(),
+            awaiting: awaited().count(),
+            awaited_engines: engines.len(),
             running: self.running.len(),
             customers: customers.collect(),
             endpoints: endpoints.collect(),
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -25,6 +25,8 @@
     pub router: RouterIndex,
     pub hint: Cost,
     pub place: QueuePlace,
+    /// When it began to wait here.
+    pub since: Moment,
     pub avoid: Option<Avoidance>,
     pub prompt: PromptShape,
     /// When it is refused, since it can't begin in time any more; `None` for never.
@@ -62,7 +64,15 @@
         let customer = self.customers.ensure(&ticket.customer);
         if let Some(reason) = self.reason_to_refuse(now, customer, &ticket) {
             let retry_after = self.retry_after(customer);
-            actions.push(ShardAction::Refuse { session, request, reason, retry_after });
+            let waited = Duration::ZERO;
+            actions.push(ShardAction::Refuse {
+                session,
+                request,
+                reason,
+                retry_after,
+                waited,
+                awaited: None,
+            });
             return;
         }
         self.enqueue(now, router, customer, ticket);
@@ -112,6 +122,7 @@
             router,
             hint: ticket.hint,
             place,
+            since: now,
             avoid: avoid.map(|endpoint| Avoidance { endpoint, until: now + AVOIDANCE }),
             ends: longest.map(|longest| now + longest),
             prompt,
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 mod cache_follower;
+mod closures;
 mod daemon;
 mod driver;
 mod fleet;
--- a/crates/micaspool-dispatcher/src/shard_view.rs
+++ b/crates/micaspool-dispatcher/src/shard_view.rs
@@ -1,7 +1,7 @@
 //! The shards of a dispatcher as operators see them.
 
 use crate::host::ShardHost;
-use micaspool_dispatch::{PaceStatus, ShardStatus};
+use micaspool_dispatch::{EndpointClosure, PaceStatus, ShardStatus};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -44,7 +44,7 @@
     pub fn refresh(&self, host: &ShardHost) {
         for (service, status) in host.statuses() {
             let labels = ShardLabels { service: service.to_string() };
-            let open: u32 = status.endpoints.iter().filter(|e| e.open).map(|e| e.slots).sum();
+            let open: u32 = status.endpoints.iter().filter(|e| e.is_open()).map(|e| e.slots).sum();
             self.waiting.get_or_create(&labels).set(status.waiting as i64);
             self.running.get_or_create(&labels).set(status.running as i64);
             self.open_slots.get_or_create(&labels).set(i64::from(open));
@@ -95,7 +95,9 @@
                 "busy": endpoint.busy,
                 "foreign": endpoint.foreign,
                 "slots": endpoint.slots,
-                "open": endpoint.open,
+                "open": endpoint.is_open(),
+                "closed_by": endpoint.closure.map(EndpointClosure::as_str),
+                "failures": endpoint.failures,
                 "pace": endpoint.pace.map(pace_json),
             })
         });
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -164,8 +164,10 @@
     ) -> Result<(GrantLease, EndpointRecord), Refusal> {
         for _ in 0..MAX_UNUSABLE_GRANTS {
             let asked = Instant::now();
-            let lease = self.wait_for_grant(gateway).await?;
+            trail.ticket = Some(self.request);
+            let granted = self.wait_for_grant(gateway).await;
             trail.note_wait(asked.elapsed());
+            let lease = granted?;
             if self.plan_changed(gateway)? {
                 self.target.describe(trail);
                 lease.settle(Cost(0), GrantFate::Unsent);
@@ -178,7 +180,10 @@
             }
             match gateway.shared.parts.mirror.endpoint(lease.endpoint()) {
                 Some(record) if record.stage == EndpointStage::Serving => return Ok((lease, record)),
-                _ => lease.settle(Cost(0), GrantFate::Draining),
+                held => {
+                    trail.note_unusable(lease.endpoint(), held.map(|record| record.stage));
+                    lease.settle(Cost(0), GrantFate::Draining);
+                }
             }
         }
         Err(self.give_up(RefusalKind::NoEndpoint))
--- a/crates/micaspool-gateway/src/trail.rs
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -1,8 +1,9 @@
 //! What is logged of a request: one line at its end.
 
 use crate::metrics::GatewayMetrics;
+use micaspool_registry::EndpointStage;
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
-use micaspool_types::{EndpointName, Refusal};
+use micaspool_types::{EndpointName, Refusal, RequestId};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,9 +22,11 @@
     pub customer: Arc<str>,
     /// The endpoint that the request was sent to last.
     pub endpoint: Option<EndpointName>,
+    /// Its name at the dispatcher, once it asked for a grant.
+    pub ticket: Option<RequestId>,
     /// How often it was sent.
     pub sent: u32,
-    /// How long it waited for grants.
+    /// How long it waited for grants, those that did not come among them.
     pub waited: Duration,
     first_byte: Option<Duration>,
     status: u16,
@@ -40,6 +43,7 @@
             plan: 0,
             customer: Arc::from(""),
             endpoint: None,
+            ticket: None,
             sent: 0,
             waited: Duration::ZERO,
             first_byte: None,
@@ -57,7 +61,7 @@
         &self.id
     }
 
-    /// Notes a grant that took this long.
+    /// Notes that a grant, or a refusal in its place, took this long.
     pub fn note_wait(&mut self, wait: Duration) {
         self.waited += wait;
         self.metrics.wait_seconds.observe(wait.as_secs_f64());
@@ -77,6 +81,13 @@
         }
     }
 
+    /// Logs a grant for an endpoint that this process does not hold as serving, and as what it holds it.
+    pub fn note_unusable(&self, endpoint: &EndpointName, held: Option<EndpointStage>) {
+        let held = held.map_or("unknown", EndpointStage::as_str);
+        let fields = [field("request", &self.id), field("endpoint", endpoint), field("held_as", held)];
+        record(&events::GRANT_UNUSABLE, &fields);
+    }
+
     /// Logs a send that failed; the request may go on.
     pub fn note_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
         self.metrics.count_failure(kind);
@@ -111,11 +122,12 @@
     pub fn refuse(&mut self, refusal: &Refusal) {
         self.metrics.count_refusal(refusal.kind.as_str());
         let after = refusal.retry_after.map_or(0, |wait| wait.as_millis());
-        let fields = [
+        let mut fields = vec![
             field("kind", refusal.kind.as_str()),
             field("run", refusal.run.as_str()),
             field("retry_after_ms", after),
         ];
+        fields.extend(self.ticket.map(|ticket| field("ticket", ticket)));
         self.end(&events::REQUEST_TURNED_AWAY, &fields);
     }
 
--- a/crates/micaspool-registry/src/record.rs
+++ b/crates/micaspool-registry/src/record.rs
@@ -15,6 +15,17 @@
     Left,
 }
 
+impl EndpointStage {
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EndpointStage::Serving => "serving",
+            EndpointStage::Draining => "draining",
+            EndpointStage::Left => "left",
+        }
+    }
+}
+
 /// One record of an endpoint. Each start of an endpoint has a new name.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct EndpointRecord {
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -77,6 +77,12 @@
 pub const CACHE_GAP: EventKind = kind("MP1306", Level::Info, "cache changes lost");
 /// What a shard granted and refused lately, and in what state its endpoints are.
 pub const SHARD_DECIDED: EventKind = kind("MP1304", Level::Info, "shard decisions");
+/// A shard refused a ticket.
+pub const TICKET_REFUSED: EventKind = kind("MP1307", Level::Info, "ticket refused");
+/// A shard gives an endpoint nothing new for now.
+pub const ENDPOINT_CLOSED: EventKind = kind("MP1308", Level::Info, "endpoint closed");
+/// A shard gives an endpoint requests again.
+pub const ENDPOINT_OPENED: EventKind = kind("MP1309", Level::Info, "endpoint open");
 /// A message from another process could not be understood.
 pub const WIRE_MALFORMED: EventKind = kind("MP1302", Level::Warn, "message not understood");
 /// A keeper has become leader.
@@ -137,6 +143,10 @@
 /// Log lines were dropped because they could not be written fast enough.
 pub const LINES_DROPPED: EventKind = kind("MP1607", Level::Warn, "log lines dropped");
 
+/// A grant was not used, since this process does not hold its endpoint as one that serves.
+pub const GRANT_UNUSABLE: EventKind =
+    kind("MP1608", Level::Info, "grant not used, endpoint not held as serving");
+
 /// Every event, in number order.
 pub const CATALOGUE: &[EventKind] = &[
     PROCESS_READY,
@@ -159,6 +169,9 @@
     SHARD_DECIDED,
     CACHE_UNKNOWN,
     CACHE_GAP,
+    TICKET_REFUSED,
+    ENDPOINT_CLOSED,
+    ENDPOINT_OPENED,
     LEADER_ELECTED,
     LEADER_STEPPED_DOWN,
     GROUP_FORMED,
@@ -186,4 +199,5 @@
     SEND_FAILED,
     STREAM_CONTINUED,
     LINES_DROPPED,
+    GRANT_UNUSABLE,
 ];
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -283,7 +283,7 @@
             };
             (session, Body::Grant(grant))
         }
-        ShardAction::Refuse { session, request, reason, retry_after } => {
+        ShardAction::Refuse { session, request, reason, retry_after, .. } => {
             let refused = v1::Refused {
                 request: request_bytes(request),
                 kind: reason_text(reason).to_owned(),
