fix(dispatch): a ticket that waits for a busy engine counts the tickets that wait there already

All letters were answered by 12 engines, other streams by 116 and 119. The letters begin with one of four common parts. A ticket compared a holder of its parts, with what that engine reads now (80 ms at most plus one prompt, since it gets nothing more while it reads), with a free engine that lacks 2,520 tokens, which weigh ten times: 840 ms. So each of them waited for the same few engines, whatever the number that waited there, and no other engine was ever given the common part. Ruled out: load (100 engines free, 0 failing), closed endpoints (140 of 140 open), the account of customers (all customers alike), beliefs about kept parts (all lists empty at the start; the same from the first second on). That every engine keeps the common parts, as was supposed, is not so. Change: each engine has a queue of the tickets that chose it; a ticket counts what will be read for those before it. Test: 956 of 1,200 tickets refused to 190 with 60 engines, 60 of 200 to none with 12.

--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -20,25 +20,31 @@
     }
 
     /// The engine in one of `halls` that would give this prompt its first token soonest: one that
-    /// keeps a part of it, free or not, or one of the least loaded free ones. `None` when there is
-    /// neither.
+    /// keeps a part of it, free or not, or one of the least loaded free ones. `tokens_before` tells what each
+    /// will read for tickets that wait for it already. `None` when there is no such engine.
     pub fn soonest_engine(
         &self,
         now: Moment,
         prompt: &PromptShape,
         halls: HallMask,
         avoided: Option<EndpointIndex>,
+        tokens_before: impl Fn(EndpointIndex) -> u64,
     ) -> Option<EndpointIndex> {
         let holders = self.holders_of(prompt, halls);
         let candidates = holders.chain(self.least_loaded_few(halls));
         let delays = candidates.filter(|index| Some(*index) != avoided).filter_map(|index| {
             let state = self.state(index);
             let engine = state.engine.as_ref()?;
-            Some((engine.delay(now, prompt, state.busy), index))
+            Some((engine.delay(now, prompt, state.busy, tokens_before(index)), index))
         });
         delays.min().map(|(_, index)| index)
     }
 
+    /// The tokens that an engine would have to read for a prompt.
+    pub fn missing(&self, engine: EndpointIndex, prompt: &PromptShape) -> u64 {
+        self.state(engine).engine.as_ref().map_or(0, |engine| engine.missing(prompt))
+    }
+
     /// Where an engine that nothing is known of starts, in microseconds a token: the mean of the
     /// engines that were observed, else what settings plan.
     pub fn usual_per_token(&self, planned_pace: f64) -> Option<f64> {
@@ -60,7 +66,7 @@
     /// there are no engines.
     pub fn shortest_begin(&self, now: Moment, prompt: &PromptShape) -> Duration {
         let every = HallMask(u32::MAX);
-        let best = self.soonest_engine(now, prompt, every, None);
+        let best = self.soonest_engine(now, prompt, every, None, |_| 0);
         let engine = best.and_then(|index| self.state(index).engine.as_ref());
         engine.map_or(Duration::ZERO, |engine| engine.begin_time(prompt))
     }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -178,17 +178,18 @@
     }
 
     /// The tokens that the engine would have to read for a prompt.
-    fn missing(&self, prompt: &PromptShape) -> u64 {
+    pub fn missing(&self, prompt: &PromptShape) -> u64 {
         let held = prompt.parts().take_while(|(prefix, _)| self.kept.has(*prefix));
         let held: u64 = held.map(|(_, tokens)| tokens).sum();
         prompt.total.saturating_sub(held).max(1)
     }
 
-    /// How long a prompt would wait for its first token, in microseconds. Tokens that the engine
-    /// lacks count more than their reading: they push other parts out of memory.
-    pub fn delay(&self, now: Moment, prompt: &PromptShape, running: u32) -> u64 {
+    /// How long a prompt would wait for its first token, in microseconds, if the engine has to read
+    /// `tokens_before` for tickets that wait for it already. Tokens that the engine lacks count more than their
+    /// reading: they push other parts out of memory.
+    pub fn delay(&self, now: Moment, prompt: &PromptShape, running: u32, tokens_before: u64) -> u64 {
         let missing = self.missing(prompt) * MISSING_PERCENT / 100;
-        let tokens = missing + u64::from(running) * RUNNING_TOKENS;
+        let tokens = tokens_before + missing + u64::from(running) * RUNNING_TOKENS;
         (self.reading_time(now) + self.pace.reading(tokens)).as_micros() as u64
     }
 
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -119,10 +119,11 @@
     fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<EndpointIndex> {
         let halls = self.customers.get(ticket.customer).halls;
         let avoided = ticket.avoided(now);
-        if let Some(engine) = self.endpoints.soonest_engine(now, &ticket.prompt, halls, avoided) {
-            let free = self.endpoints.is_free(engine, halls);
-            ticket.waits_for.set((!free).then_some((engine, now + CHOICE_LIFE)));
-            return free.then_some(engine);
+        let before = |engine| self.waits.tokens_before(engine, ticket.place.request);
+        let soonest = self.endpoints.soonest_engine(now, &ticket.prompt, halls, avoided, before);
+        self.note_choice(now, ticket, soonest.filter(|engine| !self.endpoints.is_free(*engine, halls)));
+        if let Some(engine) = soonest {
+            return self.endpoints.is_free(engine, halls).then_some(engine);
         }
         let usable =
             |endpoint: &EndpointIndex| Some(*endpoint) != avoided && self.endpoints.is_free(*endpoint, halls);
@@ -131,6 +132,27 @@
         cached.or_else(|| self.endpoints.least_loaded(halls, avoided))
     }
 
+    /// Notes for which engine a ticket waits, if for any. Later tickets count it: else all prompts that begin
+    /// alike crowd at the few engines that keep that beginning. Of 1,200 such requests that 60 engines could read
+    /// in half of their time, 956 are refused without it and 190 with it.
+    fn note_choice(&self, now: Moment, ticket: &WaitingTicket, engine: Option<EndpointIndex>) {
+        let request = ticket.place.request;
+        let before = ticket.waits_for.replace(engine.map(|engine| (engine, now + CHOICE_LIFE)));
+        if let Some((left, _)) = before.filter(|(left, _)| Some(*left) != engine) {
+            self.waits.leave(left, request);
+        }
+        if let Some(engine) = engine {
+            self.waits.join(engine, request, self.endpoints.missing(engine, &ticket.prompt));
+        }
+    }
+
+    /// A ticket waits for no engine any more.
+    pub(super) fn forget_choice(&self, ticket: &WaitingTicket) {
+        if let Some((engine, _)) = ticket.waits_for.get() {
+            self.waits.leave(engine, ticket.place.request);
+        }
+    }
+
     fn grant(
         &mut self,
         now: Moment,
@@ -140,6 +162,7 @@
     ) {
         let ticket = self.waiting.remove(&request).expect("the chosen ticket waits");
         self.forget_overdue(request, &ticket);
+        self.forget_choice(&ticket);
         let state = self.customers.get_mut(ticket.customer);
         state.take_from_queue(&ticket);
         state.grant_rate.add(now, ticket.prompt.total);
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -22,6 +22,7 @@
 mod sharing;
 mod status;
 mod tickets;
+mod waits;
 
 pub use status::{CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardStatus};
 
@@ -40,6 +41,7 @@
 use sharing::RemoteTotals;
 use std::collections::{BTreeSet, HashMap};
 use tickets::WaitingTicket;
+use waits::EngineWaits;
 
 /// One shard: every waiting ticket and every slot of one service in one region.
 #[derive(Debug)]
@@ -54,6 +56,8 @@
     endpoints: EndpointTable,
     routers: RouterTable,
     waiting: HashMap<RequestId, WaitingTicket>,
+    /// Which of them wait for an engine that is not free.
+    waits: EngineWaits,
     /// The waiting tickets that may not wait for ever, by the moment at which they are refused.
     overdue: BTreeSet<(Moment, RequestId)>,
     running: HashMap<RequestId, RunningGrant>,
@@ -81,6 +85,7 @@
             endpoints: EndpointTable::new(options.tolerated_breaks, options.first_share),
             routers: RouterTable::default(),
             waiting: HashMap::new(),
+            waits: EngineWaits::default(),
             overdue: BTreeSet::new(),
             running: HashMap::new(),
             index: RankIndex::default(),
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -196,6 +196,7 @@
     pub(super) fn drop_waiting(&mut self, request: RequestId) -> Option<WaitingTicket> {
         let ticket = self.waiting.remove(&request)?;
         self.forget_overdue(request, &ticket);
+        self.forget_choice(&ticket);
         self.customers.get_mut(ticket.customer).take_from_queue(&ticket);
         self.routers.release(ticket.router, request);
         self.reindex(ticket.customer);
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/waits.rs
@@ -0,0 +1,53 @@
+//! Which tickets wait for an engine that they chose though it is not free.
+//!
+//! Engines that keep a prompt's parts are worth a wait, but each of them reads for one ticket after the other.
+//! A ticket therefore counts those that chose the same engine before it.
+
+use super::endpoints::EndpointIndex;
+use micaspool_types::RequestId;
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+/// A ticket in the queue of an engine.
+#[derive(Debug, Clone, Copy)]
+struct AwaitingTicket {
+    request: RequestId,
+    /// What the engine has to read for it.
+    tokens: u64,
+}
+
+/// For each engine the tickets that wait for it, in the order in which they chose it. Choices are made while the
+/// shard is searched for the next grant, so a queue changes behind a shared reference.
+#[derive(Debug, Default)]
+pub(super) struct EngineWaits {
+    queues: RefCell<HashMap<EndpointIndex, Vec<AwaitingTicket>>>,
+}
+
+impl EngineWaits {
+    /// The tokens that an engine will read for tickets that chose it before this one.
+    pub fn tokens_before(&self, engine: EndpointIndex, request: RequestId) -> u64 {
+        let queues = self.queues.borrow();
+        let Some(queue) = queues.get(&engine) else { return 0 };
+        queue.iter().take_while(|ticket| ticket.request != request).map(|ticket| ticket.tokens).sum()
+    }
+
+    /// A ticket waits for an engine; it keeps its place if it did before.
+    pub fn join(&self, engine: EndpointIndex, request: RequestId, tokens: u64) {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(engine).or_default();
+        match queue.iter_mut().find(|ticket| ticket.request == request) {
+            Some(ticket) => ticket.tokens = tokens,
+            None => queue.push(AwaitingTicket { request, tokens }),
+        }
+    }
+
+    /// A ticket no longer waits for an engine.
+    pub fn leave(&self, engine: EndpointIndex, request: RequestId) {
+        let mut queues = self.queues.borrow_mut();
+        let Some(queue) = queues.get_mut(&engine) else { return };
+        queue.retain(|ticket| ticket.request != request);
+        if queue.is_empty() {
+            queues.remove(&engine);
+        }
+    }
+}
