fix(dispatch): the answer that an endpoint leaves pauses it, and no longer closes it until a load report

With MP1308: at 15.63 s the shard of app-rutas closes an endpoint as draining with no failure, and keeps it closed for 7,981 ms, until the platform lists it as leaving; 27 engines of the other service are closed so between 15.41 and 15.87 s and opened by their next load report. Change: such a word is a pause, which doubles with each further one, as after other failures. What a load report says still holds until a later report.

--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -28,9 +28,9 @@
     settings: bool,
     /// The platform lists it as leaving.
     listed: bool,
-    /// It said so itself, at this moment.
+    /// Its newest load report said so, at this moment. Only a later report opens it.
     draining_since: Option<Moment>,
-    /// It failed or refused and is left alone until this moment.
+    /// It failed, refused or answered that it leaves, and is left alone until this moment.
     paused_until: Option<Moment>,
 }
 
@@ -298,9 +298,12 @@
                 state.failures = 0;
                 state.breaks = 0;
             }
-            GrantFate::Draining => state.doors.draining_since = Some(now),
             GrantFate::Broken if state.breaks < self.tolerated_breaks => state.breaks += 1,
-            GrantFate::Refused | GrantFate::Unreachable | GrantFate::Broken => self.pause(now, endpoint),
+            // One router's word is no more than a pause: endpoints that are not asked for their load would never
+            // be opened again. Credit of a small service while 41 of 58 routers restart, mean of three seeds: 0.82 to 0.91.
+            GrantFate::Refused | GrantFate::Unreachable | GrantFate::Draining | GrantFate::Broken => {
+                self.pause(now, endpoint)
+            }
             GrantFate::Unsent => {}
         }
         self.reindex(endpoint);
