fix(gateway): an endpoint that a gateway does not hold is kept from that gateway alone

Cause: the source of the closings. A gateway that has just started knows the plan before it has heard of every endpoint (each keeper tells those that beat there), and gave grants for the others back as 'the endpoint is leaving': its own ignorance, passed on as a fact about the endpoint. Change: a fate of its own, not-held. The shard keeps the endpoint from that router for 100 ms and from nobody else; nothing is closed. Ruled out: that the gateway avoids the endpoint by itself. With two of three not held it would be given them in turn, eight times, and refuse.

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -100,6 +100,9 @@
     Broken,
     /// The router did not send the request.
     Unsent,
+    /// The router does not hold the endpoint as one that serves, as just after its start; nothing ran. It says
+    /// nothing of the endpoint.
+    NotHeld,
 }
 
 /// An endpoint as settings describe it.
--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -12,13 +12,12 @@
 const LEAST_LOADED_PER_HALL: usize = 4;
 
 /// What an engine is wanted for.
-#[derive(Debug, Clone, Copy)]
 pub(super) struct EngineQuery<'a> {
     pub prompt: &'a PromptShape,
     /// Where it may run.
     pub halls: HallMask,
-    /// The endpoint that failed it lately.
-    pub avoided: Option<EndpointIndex>,
+    /// True for an endpoint that it may not go to now.
+    pub is_excluded: &'a dyn Fn(EndpointIndex) -> bool,
     /// When its first event is wanted; `None` for whenever it comes.
     pub wanted_by: Option<Moment>,
 }
@@ -34,10 +33,14 @@
 }
 
 impl EndpointTable {
-    /// The free endpoint with the lowest load in one of `halls`, other than `avoided`.
-    pub fn least_loaded(&self, halls: HallMask, avoided: Option<EndpointIndex>) -> Option<EndpointIndex> {
+    /// The free endpoint with the lowest load in one of `halls` that is not excluded.
+    pub fn least_loaded(
+        &self,
+        halls: HallMask,
+        is_excluded: impl Fn(EndpointIndex) -> bool,
+    ) -> Option<EndpointIndex> {
         let sets = self.free.iter().enumerate().filter(|(hall, _)| halls.contains(*hall));
-        let heads = sets.filter_map(|(_, set)| set.iter().find(|(_, endpoint)| Some(*endpoint) != avoided));
+        let heads = sets.filter_map(|(_, set)| set.iter().find(|(_, endpoint)| !is_excluded(*endpoint)));
         heads.min().map(|(_, endpoint)| *endpoint)
     }
 
@@ -54,7 +57,7 @@
     ) -> Option<EndpointIndex> {
         let holders = self.holders_of(query.prompt, query.halls);
         let candidates = holders.chain(self.least_loaded_few(query.halls));
-        let usable = candidates.filter(|index| Some(*index) != query.avoided);
+        let usable = candidates.filter(|index| !(query.is_excluded)(*index));
         let fitness = usable.filter_map(|index| {
             let state = self.state(index);
             let engine = state.engine.as_ref()?;
@@ -94,7 +97,8 @@
     /// From a grant to the first event at the engine that would begin soonest without a queue; zero where
     /// there are no engines.
     pub fn shortest_begin(&self, now: Moment, prompt: &PromptShape) -> Duration {
-        let anywhere = EngineQuery { prompt, halls: HallMask(u32::MAX), avoided: None, wanted_by: None };
+        let anywhere =
+            EngineQuery { prompt, halls: HallMask(u32::MAX), is_excluded: &|_| false, wanted_by: None };
         let best = self.soonest_engine(now, &anywhere, |_| 0);
         let engine = best.and_then(|index| self.state(index).engine.as_ref());
         engine.map_or(Duration::ZERO, |engine| engine.begin_time(prompt))
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -304,7 +304,7 @@
             GrantFate::Refused | GrantFate::Unreachable | GrantFate::Draining | GrantFate::Broken => {
                 self.pause(now, endpoint)
             }
-            GrantFate::Unsent => {}
+            GrantFate::Unsent | GrantFate::NotHeld => {}
         }
         self.reindex(endpoint);
     }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -114,19 +114,26 @@
     /// prefix of the prompt, else the least loaded.
     fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<EndpointIndex> {
         let halls = self.customers.get(ticket.customer).halls;
-        let avoided = ticket.avoided(now);
+        let is_excluded = |endpoint| {
+            ticket.avoided(now) == Some(endpoint) || self.routers.lacks(now, ticket.router, endpoint)
+        };
         let before = |engine| self.waits.tokens_before(engine, ticket.place.request);
-        let query = EngineQuery { prompt: &ticket.prompt, halls, avoided, wanted_by: ticket.wanted_by };
+        let query = EngineQuery {
+            prompt: &ticket.prompt,
+            halls,
+            is_excluded: &is_excluded,
+            wanted_by: ticket.wanted_by,
+        };
         let soonest = self.endpoints.soonest_engine(now, &query, before);
         self.note_choice(ticket, soonest.filter(|engine| !self.endpoints.is_free(*engine, halls)));
         if let Some(engine) = soonest {
             return self.endpoints.is_free(engine, halls).then_some(engine);
         }
         let usable =
-            |endpoint: &EndpointIndex| Some(*endpoint) != avoided && self.endpoints.is_free(*endpoint, halls);
+            |endpoint: &EndpointIndex| !is_excluded(*endpoint) && self.endpoints.is_free(*endpoint, halls);
         let known = ticket.prompt.prefixes.iter().rev().filter_map(|prefix| self.prefixes.holder(*prefix));
         let cached = known.filter(|_| self.options.use_prefixes).find(usable);
-        cached.or_else(|| self.endpoints.least_loaded(halls, avoided))
+        cached.or_else(|| self.endpoints.least_loaded(halls, is_excluded))
     }
 
     /// Notes for which engine a ticket waits, if for any. Later tickets count it: else all prompts that begin
@@ -240,6 +247,9 @@
             self.endpoints.withdraw(now, grant.endpoint, request);
         }
         self.endpoints.vacate(now, grant.endpoint, fate);
+        if fate == GrantFate::NotHeld {
+            self.routers.note_lacking(now, grant.router, grant.endpoint);
+        }
         let state = self.customers.get_mut(grant.customer);
         state.running -= 1;
         match fate {
@@ -251,7 +261,11 @@
                     state.estimator.learn(grant.hint, cost);
                 }
             }
-            GrantFate::Refused | GrantFate::Unreachable | GrantFate::Draining | GrantFate::Unsent => {
+            GrantFate::Refused
+            | GrantFate::Unreachable
+            | GrantFate::Draining
+            | GrantFate::Unsent
+            | GrantFate::NotHeld => {
                 state.account.revoke_grant(grant.estimate, grant.delivered);
             }
         }
--- a/crates/micaspool-dispatch/src/shard/routers.rs
+++ b/crates/micaspool-dispatch/src/shard/routers.rs
@@ -1,10 +1,15 @@
 //! The routers of a shard, their streams and what they hold.
 
+use super::endpoints::EndpointIndex;
 use crate::event::{RouterHello, SessionId};
 use micaspool_types::{Incarnation, InstanceName, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
+/// How long a router is given no grant for an endpoint that it does not hold. One that has just started hears of
+/// all within some 100 ms; one that is cut off from a keeper may go on without.
+const LACKING_LIFE: Duration = Duration::from_millis(100);
+
 /// The position of a router in its shard's list.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub(super) struct RouterIndex(u32);
@@ -17,6 +22,8 @@
     last_heard: Moment,
     heartbeat: u64,
     requests: HashSet<RequestId>,
+    /// Endpoints that it does not hold as serving, and until when that is believed.
+    lacking: HashMap<EndpointIndex, Moment>,
 }
 
 /// Every router that has joined and whose lease has not ended.
@@ -84,6 +91,7 @@
             last_heard: now,
             heartbeat: 0,
             requests: HashSet::new(),
+            lacking: HashMap::new(),
         };
         self.states.insert(router, state);
         router
@@ -124,6 +132,21 @@
         }
     }
 
+    /// Notes that a router does not hold an endpoint. It is the only one that this keeps from the endpoint: three
+    /// of three were closed for all while 41 routers started, each by a router that did not hold it yet.
+    pub fn note_lacking(&mut self, now: Moment, router: RouterIndex, endpoint: EndpointIndex) {
+        if let Some(state) = self.states.get_mut(&router) {
+            state.lacking.retain(|_, until| now < *until);
+            state.lacking.insert(endpoint, now + LACKING_LIFE);
+        }
+    }
+
+    /// True while a router is believed not to hold an endpoint.
+    pub fn lacks(&self, now: Moment, router: RouterIndex, endpoint: EndpointIndex) -> bool {
+        let until = self.states.get(&router).and_then(|state| state.lacking.get(&endpoint));
+        until.is_some_and(|until| now < *until)
+    }
+
     /// The requests of a router in a fixed order.
     pub fn held(&self, router: RouterIndex) -> Vec<RequestId> {
         let mut requests: Vec<RequestId> = self
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -182,7 +182,7 @@
                 Some(record) if record.stage == EndpointStage::Serving => return Ok((lease, record)),
                 held => {
                     trail.note_unusable(lease.endpoint(), held.map(|record| record.stage));
-                    lease.settle(Cost(0), GrantFate::Draining);
+                    lease.settle(Cost(0), GrantFate::NotHeld);
                 }
             }
         }
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -214,6 +214,7 @@
         GrantFate::Draining => v1::Fate::Draining,
         GrantFate::Broken => v1::Fate::Broken,
         GrantFate::Unsent => v1::Fate::Unsent,
+        GrantFate::NotHeld => v1::Fate::NotHeld,
     }
 }
 
@@ -225,6 +226,7 @@
         v1::Fate::Draining => GrantFate::Draining,
         v1::Fate::Broken => GrantFate::Broken,
         v1::Fate::Unsent => GrantFate::Unsent,
+        v1::Fate::NotHeld => GrantFate::NotHeld,
     }
 }
 
