fix(dispatch): what reports said of others' requests is forgotten when no report follows

An engine that answers no probe any more, though routers reach it, would stay full for ever; so would the part of its time that was left to others. Change: both end three seconds after the last report, the life that reports already have. Seen on the way, open: a shard asks a hundred engines a second, so with more than 300 engines two reports are never three seconds apart or less, and others' slots are never counted.

--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -334,6 +334,25 @@
         self.reindex(endpoint);
     }
 
+    /// Forgets what reports said of others' requests where no report followed: an endpoint that is not heard any
+    /// more would stay full for ever.
+    pub fn forget_old_reports(&mut self, now: Moment) {
+        let first_share = self.first_share;
+        for index in 0..self.states.len() as u32 {
+            let state = &mut self.states[index as usize];
+            let is_old = state.last_surplus.is_some_and(|(_, at)| now.since(at) >= REPORT_LIFE);
+            if !is_old {
+                continue;
+            }
+            state.last_surplus = None;
+            state.foreign = 0;
+            if let Some(engine) = &mut state.engine {
+                engine.assume_share(first_share);
+            }
+            self.reindex(EndpointIndex(index));
+        }
+    }
+
     /// An endpoint did not answer when asked for its load.
     pub fn fail_probe(&mut self, now: Moment, name: &EndpointName) {
         if let Some(endpoint) = self.by_name(name) {
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -269,6 +269,11 @@
         };
     }
 
+    /// Uses this part of the time ahead, in percent, while no report tells who else uses the engine.
+    pub fn assume_share(&mut self, share: u64) {
+        self.share = share;
+    }
+
     /// Takes over what the engine itself says of its cache. From then on it is its word that drops parts.
     pub fn learn_kept(&mut self, news: &CacheNews, changes: &mut Vec<PartChange>) {
         self.followed = true;
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -193,6 +193,7 @@
                 self.end_grant(now, request, None, GrantFate::Done);
             }
         }
+        self.endpoints.forget_old_reports(now);
         self.pace.pass(now);
     }
 
--- a/crates/micaspool-dispatch/tests/shard/capacity.rs
+++ b/crates/micaspool-dispatch/tests/shard/capacity.rs
@@ -52,6 +52,20 @@
     assert_eq!(bench.core.status(bench.now).running, 0);
 }
 
+/// What reports said of others' requests is forgotten when no report follows: an engine that is not heard any more
+/// would else stay full for ever.
+#[test]
+fn slots_that_others_used_are_free_again_once_reports_cease() {
+    let mut bench = bench(1);
+    bench.load(0, 1, false);
+    bench.load(0, 1, false);
+    bench.submit(1, ticket(1, "a", 10));
+    bench.pass_with(2_000, &[1]);
+    assert!(bench.granted_requests().is_empty(), "two reports agree that somebody else uses the slot");
+    bench.pass_with(1_500, &[1]);
+    assert_eq!(bench.granted_requests(), vec![1]);
+}
+
 /// An answer alone closes an endpoint for a while, longer with each further one, and one request at a time finds
 /// out whether it still holds.
 #[test]
