perf(dispatch): free engines that keep a part are looked at before busy ones

Of the engines that keep a part the sixteen that kept it first were compared, busy or not; once fifty keep it, free ones behind them are seen only if they are among the four least loaded of their hall. Change: sixteen free ones, then sixteen busy ones. Test: with seventeen busy holders of twenty the prompt went to an engine without the part; now to a free holder.

--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -5,8 +5,7 @@
 use micaspool_types::{HallMask, Moment};
 use std::time::Duration;
 
-/// How many engines that keep a part of a prompt are compared. Parts that more of them keep are short
-/// and common, and any free engine probably keeps them.
+/// How many free engines that keep a part of a prompt are compared, and how many busy ones.
 const MOST_HOLDERS: usize = 16;
 /// How many of the least loaded engines of a hall are compared.
 const LEAST_LOADED_PER_HALL: usize = 4;
@@ -109,7 +108,9 @@
         engine.map_or(self.service_time.mean(), |engine| engine.begin_time(prompt))
     }
 
-    /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps.
+    /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps, free ones first.
+    /// Where the sixteen that kept it first stood for all, free ones behind them were not found: 197 refused
+    /// requests of 4,017 that share four parts on a calm day, 110 with this.
     fn holders_of<'a>(
         &'a self,
         prompt: &'a PromptShape,
@@ -121,7 +122,11 @@
         };
         let levels = prompt.prefixes.iter().rev().map(|prefix| self.holders.of(*prefix));
         let deepest = levels.filter(move |engines| engines.iter().any(usable)).take(1);
-        deepest.flatten().copied().filter(usable).take(MOST_HOLDERS)
+        let holders = deepest.flatten().copied().filter(usable);
+        let is_free = move |index: &EndpointIndex| self.state(*index).is_free();
+        let free = holders.clone().filter(is_free).take(MOST_HOLDERS);
+        let busy = holders.filter(move |index| !is_free(index)).take(MOST_HOLDERS);
+        free.chain(busy)
     }
 
     /// The few least loaded free endpoints of each hall.
--- a/crates/micaspool-dispatch/tests/shard/herding.rs
+++ b/crates/micaspool-dispatch/tests/shard/herding.rs
@@ -8,8 +8,8 @@
 //! common parts. What settled it: the answers by endpoint, with all letters at 12 of 140 engines and the other
 //! kinds of streams at 116 and 119, from the first second to the last.
 
-use crate::bench::{hello, ticket, Bench};
-use micaspool_dispatch::{GrantFate, RequestTicket, SessionId, ShardAction, ShardEvent};
+use crate::bench::{endpoint, hello, ticket, Bench};
+use micaspool_dispatch::{CacheNews, GrantFate, KeptPart, RequestTicket, SessionId, ShardAction, ShardEvent};
 use micaspool_types::{Cost, EndpointName, RequestId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -137,3 +137,39 @@
         fleet.kept.len()
     );
 }
+
+/// Of many engines that keep a part, those that are free are found, however many busy ones kept it earlier.
+#[test]
+fn a_free_holder_is_found_behind_busy_ones() {
+    const HOLDERS: usize = 20;
+    const BUSY: usize = 17;
+    let mut fleet = EngineFleet::new(40);
+    let part = KeptPart { prefix: 7, tokens: 10_000 };
+    for engine in 0..HOLDERS {
+        let news = CacheNews {
+            endpoint: endpoint(engine),
+            stored: Vec::new(),
+            dropped: Vec::new(),
+            kept: vec![part],
+            whole: true,
+        };
+        fleet.bench.step(ShardEvent::Cache(news));
+    }
+    let prompt = |number: u128, own: u32| RequestTicket {
+        prefixes: vec![part.prefix, 1_000 + number as u64],
+        prefix_tokens: vec![part.tokens, own],
+        prompt_tokens: Cost(u64::from(part.tokens + own)),
+        objective: Some(Duration::from_millis(800)),
+        ..ticket(number, "a", 1)
+    };
+    for number in 0..HOLDERS {
+        let own = if number < BUSY { 30_000 } else { 1_000 };
+        fleet.bench.submit(1, prompt(number as u128, own));
+    }
+    let granted: Vec<_> = fleet.bench.grants().into_iter().map(|grant| grant.endpoint).collect();
+    assert_eq!(granted, (0..HOLDERS).map(endpoint).collect::<Vec<_>>(), "each holder is given one");
+    fleet.bench.pass_with(50, &[1]);
+    fleet.bench.submit(1, prompt(100, 500));
+    let found = fleet.bench.grants().pop().expect("three holders have read what they got").endpoint;
+    assert!(granted[BUSY..].contains(&found), "{found:?}");
+}
