fix(http): callers beyond the limit of connections are refused at once, not left unaccepted

A gateway accepts as many callers as fit into its memory; a flood that comes to one gateway fills it, and further callers waited in the backlog without a sign, which is holding back what can't be served. Change: one connection of sixteen is kept for callers that are refused: their request is read, answered with 503, not run, and when to come back, and the connection closed. The limit of all connections stays.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -37,6 +37,8 @@
 /// with 3,900 descriptors, so some 3,000 callers, was measured at 127 MB on the grown milk site, and one
 /// over 160 MB; half of them may hold a long body that is not read yet.
 const CONNECTION_BYTES: u64 = 55_000;
+/// One connection of so many is kept for callers that are refused at once; it is free again after a round trip.
+const REFUSED_PART: usize = 16;
 /// The least number of callers that are accepted, however little memory there is.
 const FEWEST_CONNECTIONS: usize = 64;
 
@@ -137,7 +139,9 @@
     pub fn memory(mut self, bytes: u64) -> Self {
         let fitting = usize::try_from(bytes.saturating_sub(BASE_BYTES) / CONNECTION_BYTES);
         let most = EdgeOptions::default().connections;
-        self.options.edge.connections = fitting.unwrap_or(most).clamp(FEWEST_CONNECTIONS, most);
+        let all = fitting.unwrap_or(most).clamp(FEWEST_CONNECTIONS, most);
+        self.options.edge.refused = all / REFUSED_PART;
+        self.options.edge.connections = all - self.options.edge.refused;
         self
     }
 
--- a/crates/micaspool-gateway/src/path/mod.rs
+++ b/crates/micaspool-gateway/src/path/mod.rs
@@ -183,6 +183,14 @@
             }
         }
     }
+    async fn refuse(&self, head: request::Parts) -> Response<EdgeBody> {
+        let parts = &self.shared.parts;
+        let id = parts.dialect.read(&head).ok().map(|caller| caller.id);
+        let refusal = Refusal::not_run(RefusalKind::TooManyConnections).after(RETRY_AFTER);
+        let name = id.clone().unwrap_or_else(|| Arc::from("unread"));
+        RequestTrail::new(parts.metrics.clone(), name, Instant::now()).refuse(&refusal);
+        parts.dialect.refuse(id.as_deref(), &refusal)
+    }
 }
 
 /// Refuses a body by its announced length, before it is read.
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -10,7 +10,7 @@
 use futures::future::{select, Either};
 use futures::pin_mut;
 use http::header::{HeaderValue, CONNECTION};
-use http::{Request, Response};
+use http::{request, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -28,6 +28,8 @@
 
 /// The pause after accepting failed, for instance for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a connection that is refused may take for its request.
+const REFUSED_REQUEST: Duration = Duration::from_secs(1);
 /// How often a draining server looks whether everything has ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
@@ -47,6 +49,13 @@
 pub trait EdgeHandler: Send + Sync + 'static {
     /// The answer to a request. The future is dropped when the caller leaves.
     async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody>;
+
+    /// The answer to a request on a connection beyond those that are served.
+    async fn refuse(&self, _head: request::Parts) -> Response<EdgeBody> {
+        let mut response = Response::new(whole_body(""));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response
+    }
 }
 
 /// Limits of a server.
@@ -56,13 +65,15 @@
     pub head_bytes: usize,
     /// How long a connection may rest, and a head may take.
     pub idle: Duration,
-    /// The most open connections; further ones wait unaccepted.
+    /// The most open connections that are served.
     pub connections: usize,
+    /// How many more are accepted to be refused at once; further ones wait unaccepted.
+    pub refused: usize,
 }
 
 impl Default for EdgeOptions {
     fn default() -> Self {
-        EdgeOptions { head_bytes: 32 * 1024, idle: Duration::from_secs(20), connections: 3_000 }
+        EdgeOptions { head_bytes: 32 * 1024, idle: Duration::from_secs(20), connections: 3_000, refused: 100 }
     }
 }
 
@@ -149,7 +160,7 @@
 
 async fn accept(shared: Arc<SharedState>, listener: TcpListener) {
     loop {
-        if shared.open.load(Ordering::SeqCst) >= shared.options.connections {
+        if shared.open.load(Ordering::SeqCst) >= shared.options.connections + shared.options.refused {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         }
@@ -162,9 +173,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                shared.open.fetch_add(1, Ordering::SeqCst);
+                let before = shared.open.fetch_add(1, Ordering::SeqCst);
                 let connection = OpenConnection(shared.clone());
-                tokio::spawn(serve(connection, stream));
+                if before < shared.options.connections {
+                    tokio::spawn(serve(connection, stream));
+                } else {
+                    tokio::spawn(turn_away(connection, stream));
+                }
             }
             // The peer reset before it was accepted, or descriptors ran out; both pass.
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -195,6 +210,34 @@
     }
 }
 
+/// Takes one request and refuses it. Left unaccepted, callers of a server that is full would wait in vain: a gateway
+/// with as many callers as fit into its memory left 992 without a sign in 4.4 s.
+async fn turn_away(connection: OpenConnection, stream: TcpStream) {
+    let shared = &connection.0;
+    if tune(&stream).is_err() {
+        return;
+    }
+    let service = service_fn(|request| refuse(shared, request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .keep_alive(false)
+        .header_read_timeout(REFUSED_REQUEST)
+        .max_buf_size(shared.options.head_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    // A connection that breaks concerns its caller alone; the handler has logged its request.
+    let _ = tokio::time::timeout(REFUSED_REQUEST * 2, served).await;
+}
+
+async fn refuse(
+    shared: &Arc<SharedState>,
+    request: Request<Incoming>,
+) -> Result<Response<EdgeBody>, Infallible> {
+    let (head, mut body) = request.into_parts();
+    // Bytes that nobody reads would reset the connection before the answer is there.
+    while let Some(Ok(_)) = body.frame().await {}
+    Ok(shared.handler.refuse(head).await)
+}
+
 /// The smallest buffer that `hyper` accepts.
 const MIN_BUFFER: usize = 8 * 1024;
 
--- a/crates/micaspool-http/tests/edge_server.rs
+++ b/crates/micaspool-http/tests/edge_server.rs
@@ -120,3 +120,33 @@
     let answer = read_all(send(address, "/"));
     assert!(answer.contains("200 OK") && answer.contains("connection: close"), "{answer}");
 }
+
+/// Symptom: a gateway said that it was ready and took none of 992 new connections in 4.4 s. Sequence: one caller's
+/// flood came to it alone, until it had as many connections as fit into its memory. Cause: further ones waited
+/// unaccepted, without a sign.
+#[test]
+fn a_caller_beyond_the_limit_is_refused_at_once() {
+    let options = EdgeOptions { connections: 2, refused: 2, ..EdgeOptions::default() };
+    let server = EdgeServer::new(Arc::new(PathHandler::default()), options);
+    let address = task::block_on(server.listen(([127, 0, 0, 1], 0).into())).expect("a free port");
+    let ask = || {
+        let mut stream = TcpStream::connect(address).expect("it listens");
+        stream.set_read_timeout(Some(Duration::from_millis(700))).expect("a timeout");
+        stream.write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody").expect("it is open");
+        let mut answer = vec![0; 1_024];
+        let read = stream.read(&mut answer).unwrap_or(0);
+        (stream, String::from_utf8_lossy(&answer[..read]).into_owned())
+    };
+    let held = [ask(), ask()];
+    assert!(held.iter().all(|(_, answer)| answer.starts_with("HTTP/1.1 200")), "{held:?}");
+    for _ in 0..5 {
+        let (mut stream, answer) = ask();
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+        assert!(answer.to_ascii_lowercase().contains("connection: close"), "{answer:?}");
+        assert_eq!(stream.read(&mut [0; 16]).expect("closed"), 0);
+    }
+    drop(held);
+    std::thread::sleep(Duration::from_millis(100));
+    let (_stream, answer) = ask();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
