perf(dispatch): all tickets are looked at once in 20 ms at most, whatever changes for them

Cause: each message about an engine's cache and each router that joined made the shard look at all waiting tickets at once, 500 messages a second with 320 engines, however long ago the last look was. The rows of returning.rs fail without it (1,000 looks a second).

--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -71,6 +71,8 @@
     next_order: OrderNumber,
     /// When all tickets are looked at again in any case.
     fill_due: Moment,
+    /// Before this moment they are not, whatever may have changed for them.
+    next_round: Moment,
     /// Counts the times that all tickets were looked at, whatever they had chosen before.
     choice_round: u64,
     /// Until when a new shard collects what routers hold; `None` once it grants.
@@ -99,6 +101,7 @@
             pace: GrantPace::new(now),
             next_order: OrderNumber(1),
             fill_due: now,
+            next_round: now,
             choice_round: 0,
             recovering_until: Some(now + options.recovery_window),
             options,
@@ -114,7 +117,7 @@
             }
         }
         if changes_eligibility(&event) {
-            self.fill_due = now;
+            self.fill_due = self.fill_due.min(now.max(self.next_round));
         }
         self.take(now, event, actions);
         self.end_recovery(now);
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -99,6 +99,8 @@
     pub awaited_engines: usize,
     /// All running grants.
     pub running: usize,
+    /// How often all waiting tickets were looked at, whatever they had chosen before.
+    pub rounds: u64,
     /// The customers that wait or run.
     pub customers: Vec<CustomerStatus>,
     /// The endpoints.
@@ -154,6 +156,7 @@
             awaiting: awaited().count(),
             awaited_engines: engines.len(),
             running: self.running.len(),
+            rounds: self.choice_round,
             customers: customers.collect(),
             endpoints: endpoints.collect(),
         }
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -13,3 +13,4 @@
 mod pace;
 mod recovery;
 mod regions;
+mod returning;
--- a/crates/micaspool-dispatcher/src/shard_view.rs
+++ b/crates/micaspool-dispatcher/src/shard_view.rs
@@ -108,6 +108,7 @@
             "routers": status.routers,
             "waiting": status.waiting,
             "running": status.running,
+            "rounds": status.rounds,
             "gap": level_gap(&status),
             "customers": customers.collect::<Vec<_>>(),
             "endpoints": endpoints.collect::<Vec<_>>(),
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -5,8 +5,8 @@
 //! a request that arrives, at the usual rate of the users' grown site and at five times that.
 
 use micaspool::dispatch::{
-    EndpointSpec, GrantFate, LoadReport, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore,
-    ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    CacheNews, EndpointSpec, GrantFate, KeptPart, LoadReport, RequestTicket, RouterHello, SessionId,
+    ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool::types::{
     Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestId,
@@ -24,6 +24,9 @@
 /// Virtual seconds that are measured.
 const SECONDS: u64 = 10;
 const REPORT_INTERVAL: u64 = 500_000;
+/// How often each engine tells what its cache took in, and how many parts that are.
+const NEWS_INTERVAL: u64 = 640_000;
+const NEWS_PARTS: u64 = 4;
 const TICK: u64 = 50_000;
 const BEGINS_AFTER: u64 = 150_000;
 const ENDS_AFTER: u64 = 1_000_000;
@@ -35,6 +38,8 @@
     Begin(u128),
     End(u128),
     Reports,
+    /// An engine tells what its cache took in.
+    News(usize),
     Tick,
 }
 
@@ -115,6 +120,10 @@
             heartbeat: 1,
         };
         load.step(1, ShardEvent::Joined(SESSION, hello));
+        for number in 0..engines {
+            let at = 2 + NEWS_INTERVAL * number as u64 / engines as u64;
+            load.agenda.push(Reverse((at, Happening::News(number))));
+        }
         for first in [Happening::Arrival, Happening::Reports, Happening::Tick] {
             load.agenda.push(Reverse((2, first)));
         }
@@ -185,6 +194,21 @@
                 }
                 self.agenda.push(Reverse((now + REPORT_INTERVAL, Happening::Reports)));
             }
+            Happening::News(number) => {
+                let part = |place| KeptPart {
+                    prefix: 2_000_000 + scatter(u128::from(now + place), number as u64),
+                    tokens: 3_000,
+                };
+                let news = CacheNews {
+                    endpoint: engine(number),
+                    stored: Vec::new(),
+                    dropped: Vec::new(),
+                    kept: (0..NEWS_PARTS).map(part).collect(),
+                    whole: false,
+                };
+                self.step(now, ShardEvent::Cache(news));
+                self.agenda.push(Reverse((now + NEWS_INTERVAL, Happening::News(number))));
+            }
             Happening::Tick => {
                 self.step(now, ShardEvent::Heartbeat(SESSION, 1));
                 self.step(now, ShardEvent::Tick);
@@ -214,7 +238,18 @@
         "{:>8} {:>11} {:>13} {:>9} {:>9}",
         "engines", "arrivals/s", "us a request", "granted", "refused"
     );
-    for (engines, rate) in [(9, 96), (9, 480), (90, 915), (140, 1_090), (140, 5_450), (600, 3_400)] {
+    for (engines, rate) in [
+        (9, 96),
+        (9, 480),
+        (90, 915),
+        (140, 1_090),
+        (140, 5_450),
+        (320, 1_600),
+        (320, 4_000),
+        (320, 8_000),
+        (600, 3_400),
+        (600, 10_000),
+    ] {
         EngineLoad::new(engines, rate).run(rate);
     }
 }
