fix(router): a change of leader does not move routers, and a fleet that returns gathers at one dispatcher

Cause: dispatchers were ranked by who hears a majority at this moment, so each change of leader turned the order round for all routers; a list that changed forgot how long a better dispatcher had answered; and each router asked each better dispatcher twice a second for its whole state on a new connection: 4,720 calls a second with 295 routers, two services and four better ones. On the large site 295 routers were spread over five shards for 8 s after all cores had been away. Ruled out: dropping the preference for those that hear a majority (a dispatcher on the small side of a cut has to be left). What changed: a keeper counts as one that hears a majority for 3 s after it last did; what the keeper's stream tells replaces asking; a dispatcher that was lost answers for 0.6 to 1.1 s before it is used again; the best of those that answer is waited for; a router that starts waits 0.3 s for better ones than the first that it hears. Rows of choice.rs bring 295 routers back at once.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -44,15 +44,38 @@
     pub endpoint_life: Duration,
 }
 
+/// Whether a keeper is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum KeeperReach {
+    /// The first try has not come to an end.
+    #[default]
+    Pending,
+    /// Its stream is alive.
+    Reached,
+    /// Its stream could not be opened, or has ended.
+    Lost,
+}
+
 /// What this process sees of one keeper.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeeperSight {
     /// The keeper and where it listens.
     pub peer: PeerAddress,
-    /// True while its stream is alive.
-    pub reached: bool,
+    /// Whether it is reached.
+    pub reach: KeeperReach,
     /// True while it is reached and hears a majority.
     pub confirmed: bool,
+    /// True while it is reached and heard a majority a short while ago, so also during an election.
+    pub confirmed_lately: bool,
+    /// True while settings or the group name it.
+    pub wanted: bool,
+}
+
+impl KeeperSight {
+    /// True while its stream is alive.
+    pub fn is_reached(&self) -> bool {
+        self.reach == KeeperReach::Reached
+    }
 }
 
 /// Follows every keeper.
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -1,6 +1,6 @@
 //! What the keepers told, merged.
 
-use super::{notify, KeeperSight};
+use super::{notify, KeeperReach, KeeperSight};
 use crate::directory::PeerDirectory;
 use async_std::channel::Sender;
 use micaspool_registry::{EndpointRegistry, EndpointStage, MergeOutcome};
@@ -13,11 +13,24 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// How long a keeper counts as one that hears a majority after it last said so. An election takes up
+/// to 1.5 s, two tries; the keepers of a group lose and regain their majority at different moments
+/// in it, and none of them is cut off for that.
+const MAJORITY_MEMORY: Duration = Duration::from_secs(3);
+
 /// What is known of one keeper.
 #[derive(Debug, Default)]
 pub(super) struct KeeperState {
-    pub reached: bool,
+    pub reach: KeeperReach,
     pub confirmed: bool,
+    /// When it last said that it hears a majority, on the stream that is open now.
+    confirmed_at: Option<Instant>,
+}
+
+impl KeeperState {
+    fn confirmed_lately(&self) -> bool {
+        self.confirmed || self.confirmed_at.is_some_and(|at| at.elapsed() < MAJORITY_MEMORY)
+    }
 }
 
 /// Plan, endpoints and keepers.
@@ -71,7 +84,13 @@
         let sights = self.keepers.iter().filter_map(|(name, state)| {
             let address = directory.address(name)?;
             let peer = PeerAddress { name: name.clone(), address };
-            Some(KeeperSight { peer, reached: state.reached, confirmed: state.confirmed })
+            Some(KeeperSight {
+                peer,
+                reach: state.reach,
+                confirmed: state.confirmed,
+                confirmed_lately: state.confirmed_lately(),
+                wanted: self.is_wanted(name),
+            })
         });
         sights.collect()
     }
@@ -79,12 +98,19 @@
     /// Notes whether a keeper is reached and hears a majority.
     pub fn note_keeper(&mut self, name: &InstanceName, reached: bool, confirmed: bool) {
         let Some(state) = self.keepers.get_mut(name) else { return };
-        if state.reached == reached && state.confirmed == confirmed {
+        let reach = if reached { KeeperReach::Reached } else { KeeperReach::Lost };
+        state.confirmed_at = match (reached, confirmed) {
+            (true, true) => Some(Instant::now()),
+            (true, false) => state.confirmed_at,
+            (false, _) => None,
+        };
+        if state.reach == reach && state.confirmed == confirmed {
             return;
         }
         let kind = if reached { &events::KEEPER_FOLLOWED } else { &events::KEEPER_LOST };
         record(kind, &[field("keeper", name), field("hears_majority", confirmed)]);
-        *state = KeeperState { reached, confirmed };
+        state.reach = reach;
+        state.confirmed = confirmed;
         notify(&mut self.listeners);
     }
 
--- a/crates/micaspool-client/src/lib.rs
+++ b/crates/micaspool-client/src/lib.rs
@@ -13,6 +13,6 @@
 mod mirror;
 
 pub use directory::{AddressNamed, ListedPeers, PeerDirectory};
-pub use fleet::{FleetMirror, FleetMirrorOptions, KeeperSight, ENDPOINT_LIFE};
+pub use fleet::{FleetMirror, FleetMirrorOptions, KeeperReach, KeeperSight, ENDPOINT_LIFE};
 pub use keeper::{CallError, KeeperClient};
 pub use mirror::{MirrorState, SettingsMirror};
--- a/crates/micaspool-dispatch/src/candidates.rs
+++ b/crates/micaspool-dispatch/src/candidates.rs
@@ -2,10 +2,18 @@
 //!
 //! Candidates are ranked by rendezvous hashing over the instances that run a dispatcher, so that
 //! routers that reach the same ones choose the same one without talking to each other. A router
-//! uses the first that it can reach. While it uses a lower-ranked one it tries the higher-ranked
-//! ones, and moves once one of them has answered for the whole hold-down time.
+//! uses the first that it can reach. While it uses a lower-ranked one it watches the higher-ranked
+//! ones, and moves once the best of those that answer has done so for the whole hold-down time.
+//!
+//! The load this is made for is a whole fleet that returns at once: all dispatchers were gone, each
+//! router serves with its last resort, and each reaches the returning dispatchers in an order of
+//! its own. Moving to the first that answers would start a shard on each of them, and all routers
+//! would move a second time. So a dispatcher that was lost has to answer for a while first, and the
+//! best of those that answer is waited for. What is known of a candidate from elsewhere is used
+//! instead of asking it: 295 routers that each ask four candidates for two services twice a second
+//! are 4,720 calls a second on new connections, more than five dispatchers with 0.3 of a core bear.
 
-use micaspool_types::{rendezvous_score, InstanceName, Moment, ServiceName};
+use micaspool_types::{rendezvous_score, stable_hash, InstanceName, Moment, ServiceName};
 use std::time::Duration;
 
 /// The dispatchers for a service, the first choice first.
@@ -28,7 +36,14 @@
     pub longest_pause: Duration,
     /// For how long a higher-ranked candidate must answer before the router moves to it.
     pub hold_down: Duration,
-    /// How often higher-ranked candidates are tried.
+    /// The same for a router that uses its last resort, which serves worse than any other.
+    pub return_hold_down: Duration,
+    /// For how long a router that has just started waits for better candidates that it has not
+    /// heard of yet.
+    pub patience: Duration,
+    /// For how long a followed candidate is lost before its stream is given up as well.
+    pub loss_confirmation: Duration,
+    /// How often higher-ranked candidates are asked.
     pub probe_interval: Duration,
 }
 
@@ -38,11 +53,55 @@
             first_pause: Duration::from_millis(50),
             longest_pause: Duration::from_secs(1),
             hold_down: Duration::from_secs(2),
+            return_hold_down: Duration::from_millis(600),
+            patience: Duration::from_millis(300),
+            loss_confirmation: Duration::from_millis(500),
             probe_interval: Duration::from_millis(500),
         }
     }
 }
 
+/// Over how long the moves of all routers are spread, so that a dispatcher does not take in a whole
+/// fleet within one of its time slices.
+const MOVE_SPREAD: Duration = Duration::from_millis(500);
+
+impl ChoiceOptions {
+    /// The defaults with hold-down times that differ from router to router.
+    pub fn spread_for(router: &InstanceName) -> ChoiceOptions {
+        const PARTS: u64 = 64;
+        let part = stable_hash(router.as_str().bytes()) % PARTS;
+        let extra = MOVE_SPREAD * u32::try_from(part).unwrap_or(0) / u32::try_from(PARTS).unwrap_or(1);
+        let options = ChoiceOptions::default();
+        ChoiceOptions {
+            hold_down: options.hold_down + extra,
+            return_hold_down: options.return_hold_down + extra,
+            ..options
+        }
+    }
+}
+
+/// What another stream to the same process tells of a candidate.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum CandidateReach {
+    /// No try has come to an end yet.
+    Pending,
+    /// The process speaks to this router.
+    Answers,
+    /// The process is not reached, or no more.
+    Lost,
+}
+
+/// How a router knows whether a candidate answers.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum CandidateKind {
+    /// It asks.
+    Asked,
+    /// Another stream to the same process tells.
+    Followed(CandidateReach),
+    /// It is inside the router's own process and always answers; it comes last.
+    LastResort,
+}
+
 /// What a router should do about its dispatcher.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ChoiceStep {
@@ -56,26 +115,101 @@
 
 #[derive(Clone, Copy, Debug)]
 struct CandidateState {
+    kind: CandidateKind,
     failures: u32,
     not_before: Moment,
     answering_since: Option<Moment>,
+    lost_since: Option<Moment>,
+    /// True once it was lost: what returns has to answer for a while before it is used.
+    returned: bool,
     probe_at: Moment,
 }
 
+impl CandidateState {
+    fn new(now: Moment, kind: CandidateKind) -> CandidateState {
+        let mut state = CandidateState {
+            kind: CandidateKind::Asked,
+            failures: 0,
+            not_before: Moment(0),
+            answering_since: None,
+            lost_since: None,
+            returned: false,
+            probe_at: Moment(0),
+        };
+        state.hear(now, kind);
+        state
+    }
+
+    /// Takes in what is known from elsewhere.
+    fn hear(&mut self, now: Moment, kind: CandidateKind) {
+        self.kind = kind;
+        match kind {
+            CandidateKind::Followed(CandidateReach::Answers) => {
+                self.answering_since.get_or_insert(now);
+                self.lost_since = None;
+            }
+            CandidateKind::Followed(CandidateReach::Lost) => {
+                self.answering_since = None;
+                self.lost_since.get_or_insert(now);
+                self.returned = true;
+            }
+            _ => {}
+        }
+    }
+
+    fn has_answered_for(&self, now: Moment, time: Duration) -> bool {
+        self.answering_since.is_some_and(|since| now.since(since) >= time)
+    }
+
+    /// When a router without a stream may use it; `None` while that can't be said.
+    fn usable_at(&self, options: &ChoiceOptions) -> Option<Moment> {
+        match self.kind {
+            CandidateKind::Followed(CandidateReach::Answers) if self.returned => {
+                let settled = self.answering_since? + options.return_hold_down;
+                Some(settled.max(self.not_before))
+            }
+            CandidateKind::Followed(CandidateReach::Pending | CandidateReach::Lost) => None,
+            _ => Some(self.not_before),
+        }
+    }
+}
+
 /// Chooses among ranked candidates; the caller reports what came of each step.
 #[derive(Clone, Debug)]
 pub struct CandidateChoice {
     options: ChoiceOptions,
+    began: Moment,
     candidates: Vec<CandidateState>,
     current: Option<usize>,
 }
 
 impl CandidateChoice {
-    /// A choice among this many candidates.
+    /// A choice among this many candidates, all of which have to be asked.
     pub fn new(count: usize, options: ChoiceOptions) -> CandidateChoice {
-        let fresh =
-            CandidateState { failures: 0, not_before: Moment(0), answering_since: None, probe_at: Moment(0) };
-        CandidateChoice { options, candidates: vec![fresh; count], current: None }
+        CandidateChoice::of(Moment(0), vec![CandidateKind::Asked; count], options)
+    }
+
+    /// A choice among candidates of these kinds, in the order of their rank.
+    pub fn of(now: Moment, kinds: Vec<CandidateKind>, options: ChoiceOptions) -> CandidateChoice {
+        let candidates = kinds.into_iter().map(|kind| CandidateState::new(now, kind)).collect();
+        CandidateChoice { options, began: now, candidates, current: None }
+    }
+
+    /// Takes a changed list over: each candidate's rank before, and what is known of it now. What was
+    /// seen of a candidate stays with it; the present one is dropped when it is no longer listed.
+    pub fn update(&mut self, now: Moment, places: &[(Option<usize>, CandidateKind)]) {
+        let state = |(before, kind): &(Option<usize>, CandidateKind)| match before {
+            Some(rank) => {
+                let mut state = self.candidates[*rank];
+                state.hear(now, *kind);
+                state
+            }
+            None => CandidateState::new(now, *kind),
+        };
+        let candidates = places.iter().map(state).collect();
+        let current = self.current;
+        self.current = current.and_then(|rank| places.iter().position(|(before, _)| *before == Some(rank)));
+        self.candidates = candidates;
     }
 
     /// The rank of the candidate that is used now.
@@ -83,11 +217,17 @@
         self.current
     }
 
+    /// True when the process of the present candidate has been lost for long enough to leave it.
+    pub fn has_lost_current(&self, now: Moment) -> bool {
+        let lost = self.current.and_then(|rank| self.candidates[rank].lost_since);
+        lost.is_some_and(|since| now.since(since) >= self.options.loss_confirmation)
+    }
+
     /// What to do next.
     pub fn next(&self, now: Moment) -> ChoiceStep {
         match self.current {
             None => self.next_connect(now),
-            Some(rank) => self.next_probe(now, rank),
+            Some(rank) => self.next_move(now, rank),
         }
     }
 
@@ -128,27 +268,48 @@
     }
 
     fn next_connect(&self, now: Moment) -> ChoiceStep {
-        let ready = self.candidates.iter().position(|state| state.not_before <= now);
-        match ready {
-            Some(rank) => ChoiceStep::Connect(rank),
-            None => {
-                ChoiceStep::Wait(self.candidates.iter().map(|state| state.not_before).min().unwrap_or(now))
+        let patient_until = self.began + self.options.patience;
+        let mut next = None;
+        for (rank, state) in self.candidates.iter().enumerate() {
+            let pending = state.kind == CandidateKind::Followed(CandidateReach::Pending);
+            if pending && now < patient_until {
+                return ChoiceStep::Wait(patient_until);
+            }
+            match state.usable_at(&self.options) {
+                Some(at) if at <= now => return ChoiceStep::Connect(rank),
+                Some(at) => next = Some(next.map_or(at, |earlier: Moment| earlier.min(at))),
+                None => {}
             }
         }
+        ChoiceStep::Wait(next.unwrap_or(now + self.options.probe_interval))
     }
 
-    fn next_probe(&self, now: Moment, rank: usize) -> ChoiceStep {
+    fn next_move(&self, now: Moment, rank: usize) -> ChoiceStep {
         let better = &self.candidates[..rank];
-        let settled = |state: &CandidateState| {
-            state.answering_since.is_some_and(|since| now.since(since) >= self.options.hold_down)
-        };
-        if let Some(target) = better.iter().position(settled) {
+        if let Some(target) = self.better_candidate(now, rank) {
             return ChoiceStep::Connect(target);
         }
-        if let Some(target) = better.iter().position(|state| state.probe_at <= now) {
+        let asked = |state: &&CandidateState| state.kind == CandidateKind::Asked;
+        let due = |state: &CandidateState| asked(&state) && state.probe_at <= now;
+        if let Some(target) = better.iter().position(due) {
             return ChoiceStep::Probe(target);
         }
-        let next = better.iter().map(|state| state.probe_at).min();
+        let next = better.iter().filter(asked).map(|state| state.probe_at).min();
         ChoiceStep::Wait(next.unwrap_or(now + self.options.probe_interval))
     }
+
+    /// The better candidate to move to now. The best of those that answer is waited for, unless it
+    /// keeps coming and going while another one has answered for twice the time.
+    fn better_candidate(&self, now: Moment, rank: usize) -> Option<usize> {
+        let hold_down = match self.candidates[rank].kind {
+            CandidateKind::LastResort => self.options.return_hold_down,
+            _ => self.options.hold_down,
+        };
+        let better = &self.candidates[..rank];
+        let best = better.iter().position(|state| state.answering_since.is_some())?;
+        if better[best].has_answered_for(now, hold_down) {
+            return Some(best);
+        }
+        better.iter().position(|state| state.has_answered_for(now, hold_down * 2))
+    }
 }
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -16,7 +16,9 @@
 mod shard;
 
 pub use action::{ReleaseReason, ShardAction};
-pub use candidates::{rank_candidates, CandidateChoice, ChoiceOptions, ChoiceStep};
+pub use candidates::{
+    rank_candidates, CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep,
+};
 pub use event::{
     CacheNews, CustomerTotal, EndpointSpec, GrantFate, HeldGrant, HeldTotal, KeptPart, LoadReport,
     RegionTotals, RequestTicket, RouterHello, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
--- a/crates/micaspool-dispatch/tests/shard/choice.rs
+++ b/crates/micaspool-dispatch/tests/shard/choice.rs
@@ -1,6 +1,8 @@
 //! Which dispatcher a router uses.
 
-use micaspool_dispatch::{rank_candidates, CandidateChoice, ChoiceOptions, ChoiceStep};
+use micaspool_dispatch::{
+    rank_candidates, CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep,
+};
 use micaspool_types::{InstanceName, Moment, ServiceName};
 
 fn names(count: usize) -> Vec<InstanceName> {
@@ -88,3 +90,122 @@
     choice.failed(at(0), 0);
     assert_eq!(choice.next(at(0)), ChoiceStep::Connect(1));
 }
+
+const ANSWERS: CandidateKind = CandidateKind::Followed(CandidateReach::Answers);
+const LOST: CandidateKind = CandidateKind::Followed(CandidateReach::Lost);
+const PENDING: CandidateKind = CandidateKind::Followed(CandidateReach::Pending);
+
+/// Four dispatchers that another stream tells of, and one inside the router.
+fn followed(kinds: [CandidateKind; 4]) -> Vec<CandidateKind> {
+    kinds.into_iter().chain([CandidateKind::LastResort]).collect()
+}
+
+/// What is known of the same five candidates now.
+fn places(kinds: [CandidateKind; 4]) -> Vec<(Option<usize>, CandidateKind)> {
+    followed(kinds).into_iter().enumerate().map(|(rank, kind)| (Some(rank), kind)).collect()
+}
+
+/// The candidates that a router connects to, with their moments, when each of four dispatchers is reached
+/// again at the moment of this list, in milliseconds.
+fn moves_after_a_return(router: &str, reached: [u64; 4]) -> Vec<(u64, usize)> {
+    let router = InstanceName::parse(router).expect("a name");
+    let options = ChoiceOptions::spread_for(&router);
+    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), options);
+    choice.connected(0);
+    choice.update(at(0), &places([LOST; 4]));
+    choice.failed(at(0), 0);
+    let mut moves = Vec::new();
+    for millis in (1..6_000).step_by(20) {
+        let kinds = reached.map(|moment| if millis >= moment { ANSWERS } else { LOST });
+        choice.update(at(millis), &places(kinds));
+        if let ChoiceStep::Connect(rank) = choice.next(at(millis)) {
+            choice.connected(rank);
+            moves.push((millis, rank));
+        }
+    }
+    moves
+}
+
+#[test]
+fn a_fleet_that_returns_at_once_gathers_at_one_dispatcher() {
+    let orders: [[u64; 4]; 4] =
+        [[300, 0, 100, 400], [500, 450, 100, 0], [0, 200, 200, 400], [250, 500, 0, 300]];
+    for number in 0..295 {
+        let reached = orders[number % orders.len()].map(|moment| 2_000 + moment);
+        let moves = moves_after_a_return(&format!("entry-{number}"), reached);
+        let targets: Vec<usize> = moves.iter().map(|(_, rank)| *rank).collect();
+        assert_eq!(targets, [4, 0], "its own dispatcher, then the best: {moves:?}");
+        let gathered = moves[1].0;
+        assert!(gathered <= 4_000, "two seconds after the first returned: {moves:?}");
+    }
+}
+
+#[test]
+fn the_moves_of_a_fleet_are_spread() {
+    let mut by_tenth = std::collections::BTreeMap::new();
+    for number in 0..295 {
+        let moves = moves_after_a_return(&format!("entry-{number}"), [2_000; 4]);
+        *by_tenth.entry(moves[1].0 / 100).or_insert(0) += 1;
+    }
+    assert!(by_tenth.values().all(|count| *count <= 295 / 3), "{by_tenth:?}");
+}
+
+#[test]
+fn a_best_candidate_that_comes_and_goes_is_not_waited_for() {
+    let mut choice = CandidateChoice::of(at(0), followed([LOST; 4]), ChoiceOptions::default());
+    assert_eq!(choice.next(at(0)), ChoiceStep::Connect(4));
+    choice.connected(4);
+    let mut moved = None;
+    for millis in (0..5_000).step_by(100) {
+        let best = if (millis / 300) % 2 == 0 { ANSWERS } else { LOST };
+        choice.update(at(millis), &places([best, LOST, ANSWERS, LOST]));
+        if let (None, ChoiceStep::Connect(rank)) = (moved, choice.next(at(millis))) {
+            moved = Some((millis, rank));
+        }
+    }
+    let (millis, rank) = moved.expect("it moves");
+    assert_eq!(rank, 2);
+    assert!(millis <= 1_300, "{millis}");
+}
+
+#[test]
+fn a_candidate_that_never_was_lost_is_used_at_once() {
+    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
+    choice.connected(0);
+    choice.failed(at(5_000), 0);
+    choice.update(at(5_000), &places([LOST, ANSWERS, ANSWERS, ANSWERS]));
+    assert_eq!(choice.next(at(5_000)), ChoiceStep::Connect(1));
+}
+
+#[test]
+fn a_router_that_starts_waits_a_little_for_the_best_candidate() {
+    let mut choice = CandidateChoice::of(at(0), followed([PENDING; 4]), ChoiceOptions::default());
+    choice.update(at(20), &places([PENDING, PENDING, ANSWERS, PENDING]));
+    assert!(matches!(choice.next(at(20)), ChoiceStep::Wait(_)));
+    choice.update(at(40), &places([ANSWERS, PENDING, ANSWERS, PENDING]));
+    assert_eq!(choice.next(at(40)), ChoiceStep::Connect(0));
+    choice.update(at(40), &places([PENDING, PENDING, ANSWERS, PENDING]));
+    assert_eq!(choice.next(at(320)), ChoiceStep::Connect(2), "not for long");
+}
+
+#[test]
+fn another_order_neither_ends_the_stream_nor_forgets_what_was_seen() {
+    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
+    choice.connected(1);
+    let swapped = [(Some(2), ANSWERS), (Some(1), ANSWERS), (Some(0), ANSWERS), (Some(3), ANSWERS)];
+    choice.update(at(1_500), &swapped);
+    assert_eq!(choice.current(), Some(1));
+    assert!(matches!(choice.next(at(1_500)), ChoiceStep::Wait(_)));
+    assert_eq!(choice.next(at(2_000)), ChoiceStep::Connect(0), "it has answered for the hold-down time");
+}
+
+#[test]
+fn a_stream_outlives_a_short_loss_of_the_other() {
+    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
+    choice.connected(0);
+    choice.update(at(1_000), &places([LOST, ANSWERS, ANSWERS, ANSWERS]));
+    assert!(!choice.has_lost_current(at(1_400)));
+    assert!(choice.has_lost_current(at(1_500)));
+    choice.update(at(1_450), &places([ANSWERS; 4]));
+    assert!(!choice.has_lost_current(at(1_500)));
+}
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -301,7 +301,7 @@
         let keepers = self.mirror.keepers().into_iter().map(|sight| {
             json!({
                 "name": sight.peer.name.as_str(),
-                "reached": sight.reached,
+                "reached": sight.is_reached(),
                 "hears_majority": sight.confirmed,
             })
         });
--- a/crates/micaspool-gateway/src/dispatchers.rs
+++ b/crates/micaspool-gateway/src/dispatchers.rs
@@ -2,10 +2,12 @@
 
 use async_std::channel::Receiver;
 use async_trait::async_trait;
-use micaspool_client::{FleetMirror, KeeperSight, PeerDirectory};
-use micaspool_dispatch::rank_candidates;
+use micaspool_client::{FleetMirror, KeeperReach, KeeperSight, PeerDirectory};
+use micaspool_dispatch::{rank_candidates, CandidateKind, CandidateReach};
 use micaspool_dispatcher::FleetDispatcher;
-use micaspool_router::{DispatcherAddress, DispatcherList, LocalDispatcher, MessageStream};
+use micaspool_router::{
+    DispatcherAddress, DispatcherCandidate, DispatcherList, LocalDispatcher, MessageStream,
+};
 use micaspool_types::{InstanceName, ServiceName};
 use micaspool_wire::v1::RouterMessage;
 use std::sync::Arc;
@@ -22,8 +24,9 @@
     }
 }
 
-/// Ranks the instances whose keepers are reached, those that hear a majority first. Routers that
-/// reach the same ones choose the same one. The dispatcher inside this process comes last.
+/// Ranks the instances that run a keeper, those that hear a majority first: the others may know an
+/// older plan and fewer endpoints. Routers that reach the same ones choose the same one, and go on
+/// doing so while the keepers elect a leader. The dispatcher inside this process comes last.
 #[derive(Debug)]
 pub(crate) struct FleetDispatchers {
     mirror: Arc<FleetMirror>,
@@ -40,21 +43,42 @@
         FleetDispatchers { mirror, directory, own: Arc::new(OwnDispatcher(own)) }
     }
 
-    fn ranked_names(&self, service: &ServiceName, sights: &[KeeperSight]) -> Vec<InstanceName> {
-        let named = |confirmed: bool| {
-            let reached = sights.iter().filter(|sight| sight.reached && sight.confirmed == confirmed);
-            let names: Vec<InstanceName> = reached.map(|sight| sight.peer.name.clone()).collect();
-            rank_candidates(service, &names)
+    /// The candidate on a keeper's instance. Its process is the keeper's, so the stream from the keeper
+    /// tells whether it answers.
+    fn candidate(&self, sight: &KeeperSight) -> Option<DispatcherCandidate> {
+        let address = self.directory.address(&sight.peer.name)?;
+        let reach = match sight.reach {
+            KeeperReach::Pending => CandidateReach::Pending,
+            KeeperReach::Reached => CandidateReach::Answers,
+            KeeperReach::Lost => CandidateReach::Lost,
         };
-        named(true).into_iter().chain(named(false)).collect()
+        Some(DispatcherCandidate {
+            address: DispatcherAddress::Remote(address),
+            kind: CandidateKind::Followed(reach),
+        })
     }
 }
 
+/// The instances of keepers that are members, ranked for a service.
+fn ranked_sights<'a>(service: &ServiceName, sights: &'a [KeeperSight]) -> Vec<&'a KeeperSight> {
+    let ranked = |lacks_majority: bool| {
+        let is_cut_off = |sight: &KeeperSight| sight.is_reached() && !sight.confirmed_lately;
+        let chosen = sights.iter().filter(|sight| sight.wanted && is_cut_off(sight) == lacks_majority);
+        let names: Vec<InstanceName> = chosen.map(|sight| sight.peer.name.clone()).collect();
+        rank_candidates(service, &names)
+    };
+    let names = ranked(false).into_iter().chain(ranked(true));
+    names.filter_map(|name| sights.iter().find(|sight| sight.peer.name == name)).collect()
+}
+
 impl DispatcherList for FleetDispatchers {
-    fn ranked(&self, service: &ServiceName) -> Vec<DispatcherAddress> {
-        let names = self.ranked_names(service, &self.mirror.keepers());
-        let addresses = names.iter().filter_map(|name| self.directory.address(name));
-        let remote = addresses.map(DispatcherAddress::Remote);
-        remote.chain([DispatcherAddress::Local(self.own.clone())]).collect()
+    fn ranked(&self, service: &ServiceName) -> Vec<DispatcherCandidate> {
+        let sights = self.mirror.keepers();
+        let ranked = ranked_sights(service, &sights);
+        let own = DispatcherCandidate {
+            address: DispatcherAddress::Local(self.own.clone()),
+            kind: CandidateKind::LastResort,
+        };
+        ranked.into_iter().filter_map(|sight| self.candidate(sight)).chain([own]).collect()
     }
 }
--- a/crates/micaspool-router/src/lib.rs
+++ b/crates/micaspool-router/src/lib.rs
@@ -27,6 +27,6 @@
 pub use endpoint::{EndpointAnswer, EndpointCall, EndpointClient, EndpointError, HttpEndpointClient};
 pub use router::{RequestRouter, RouterParts};
 pub use shard_client::{
-    DispatcherAddress, DispatcherList, GrantLease, ListedDispatchers, LocalDispatcher, MessageStream,
-    ShardClient, ShardClientOptions,
+    DispatcherAddress, DispatcherCandidate, DispatcherList, GrantLease, ListedDispatchers, LocalDispatcher,
+    MessageStream, ShardClient, ShardClientOptions,
 };
--- a/crates/micaspool-router/src/shard_client/dispatchers.rs
+++ b/crates/micaspool-router/src/shard_client/dispatchers.rs
@@ -3,7 +3,7 @@
 use async_std::channel::Receiver;
 use async_trait::async_trait;
 use futures::Stream;
-use micaspool_dispatch::rank_candidates;
+use micaspool_dispatch::{rank_candidates, CandidateKind};
 use micaspool_settings::process::PeerAddress;
 use micaspool_types::{InstanceName, ServiceName};
 use micaspool_wire::v1::{DispatcherMessage, RouterMessage};
@@ -51,10 +51,19 @@
     }
 }
 
+/// A dispatcher, and how it is known whether it answers.
+#[derive(Clone, Debug)]
+pub struct DispatcherCandidate {
+    /// Where it is.
+    pub address: DispatcherAddress,
+    /// How it is known whether it answers, and what is known now.
+    pub kind: CandidateKind,
+}
+
 /// Gives the dispatchers for a service.
 pub trait DispatcherList: fmt::Debug + Send + Sync + 'static {
     /// The dispatchers as of now, the first choice first.
-    fn ranked(&self, service: &ServiceName) -> Vec<DispatcherAddress>;
+    fn ranked(&self, service: &ServiceName) -> Vec<DispatcherCandidate>;
 }
 
 /// Dispatchers that the settings list.
@@ -62,10 +71,14 @@
 pub struct ListedDispatchers(pub Vec<PeerAddress>);
 
 impl DispatcherList for ListedDispatchers {
-    fn ranked(&self, service: &ServiceName) -> Vec<DispatcherAddress> {
+    fn ranked(&self, service: &ServiceName) -> Vec<DispatcherCandidate> {
         let names: Vec<InstanceName> = self.0.iter().map(|peer| peer.name.clone()).collect();
         let address = |name: &InstanceName| self.0.iter().find(|peer| peer.name == *name);
         let ranked = rank_candidates(service, &names);
-        ranked.iter().filter_map(address).map(|peer| DispatcherAddress::Remote(peer.address)).collect()
+        let candidate = |peer: &PeerAddress| DispatcherCandidate {
+            address: DispatcherAddress::Remote(peer.address),
+            kind: CandidateKind::Asked,
+        };
+        ranked.iter().filter_map(address).map(candidate).collect()
     }
 }
--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -1,11 +1,11 @@
 //! Keeps a stream to the best reachable dispatcher open.
 
-use super::dispatchers::{DispatcherAddress, MessageStream};
+use super::dispatchers::{DispatcherAddress, DispatcherCandidate, MessageStream};
 use super::ShardClient;
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
-use micaspool_dispatch::{CandidateChoice, ChoiceOptions, ChoiceStep};
+use micaspool_dispatch::{CandidateChoice, CandidateKind, ChoiceOptions, ChoiceStep};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::Moment;
@@ -19,6 +19,8 @@
 
 /// How often a heartbeat is sent.
 const HEARTBEAT: Duration = Duration::from_secs(1);
+/// How often a router looks at what is known of its dispatchers.
+const LOOK: Duration = Duration::from_millis(250);
 /// A dispatcher that did not answer a heartbeat for this long is left.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long opening a stream may take.
@@ -43,36 +45,40 @@
 
 /// The dispatchers of a service and the choice among them.
 struct LinkChoice {
-    addresses: Vec<DispatcherAddress>,
+    candidates: Vec<DispatcherCandidate>,
     choice: CandidateChoice,
     start: Instant,
 }
 
 impl LinkChoice {
     fn new(client: &ShardClient) -> LinkChoice {
-        let addresses = client.options.dispatchers.ranked(&client.service);
-        let choice = CandidateChoice::new(addresses.len(), ChoiceOptions::default());
-        LinkChoice { addresses, choice, start: Instant::now() }
+        let candidates = client.options.dispatchers.ranked(&client.service);
+        let options = ChoiceOptions::spread_for(&client.options.router);
+        let kinds = candidates.iter().map(|candidate| candidate.kind).collect();
+        let choice = CandidateChoice::of(Moment(0), kinds, options);
+        LinkChoice { candidates, choice, start: Instant::now() }
     }
 
     fn now(&self) -> Moment {
         Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 
-    /// Takes a changed list over; false when the present dispatcher is no longer on it.
+    /// Takes over what is known of the dispatchers now; false when the present one is no longer listed
+    /// or has been lost.
     fn refresh(&mut self, client: &ShardClient) -> bool {
-        let addresses = client.options.dispatchers.ranked(&client.service);
-        if addresses == self.addresses {
-            return true;
-        }
-        let current = self.choice.current().map(|rank| self.addresses[rank].clone());
-        let place = current.as_ref().and_then(|address| addresses.iter().position(|other| other == address));
-        self.choice = CandidateChoice::new(addresses.len(), ChoiceOptions::default());
-        self.addresses = addresses;
-        if let Some(rank) = place {
-            self.choice.connected(rank);
-        }
-        current.is_none() || place.is_some()
+        let candidates = client.options.dispatchers.ranked(&client.service);
+        let had_current = self.choice.current().is_some();
+        let places: Vec<(Option<usize>, CandidateKind)> =
+            candidates.iter().map(|candidate| (self.rank_of(&candidate.address), candidate.kind)).collect();
+        let now = self.now();
+        self.choice.update(now, &places);
+        self.candidates = candidates;
+        let kept = self.choice.current().is_some() && !self.choice.has_lost_current(now);
+        kept || !had_current
+    }
+
+    fn rank_of(&self, address: &DispatcherAddress) -> Option<usize> {
+        self.candidates.iter().position(|candidate| candidate.address == *address)
     }
 }
 
@@ -100,7 +106,7 @@
 
 /// Speaks to one candidate for as long as that goes.
 async fn use_candidate(client: &Arc<ShardClient>, link: &mut LinkChoice, rank: usize) -> LinkEnd {
-    let Some(messages) = open_stream(client, &link.addresses[rank]).await else {
+    let Some(messages) = open_stream(client, &link.candidates[rank].address).await else {
         client.held().unlink();
         link.choice.failed(link.now(), rank);
         return LinkEnd::Lost;
@@ -163,18 +169,19 @@
     let (probes, probe_results) = bounded(1);
     let mut probing = false;
     let mut next_beat = Instant::now() + HEARTBEAT;
+    let mut next_look = Instant::now() + LOOK;
     loop {
         if !probing {
             match link.choice.next(link.now()) {
                 ChoiceStep::Connect(_) => return LinkEnd::Better,
                 ChoiceStep::Probe(rank) => {
                     probing = true;
-                    start_probe(client, link.addresses[rank].clone(), probes.clone());
+                    start_probe(client, link.candidates[rank].address.clone(), probes.clone());
                 }
                 ChoiceStep::Wait(_) => {}
             }
         }
-        match next_message(&mut messages, &probe_results, next_beat).await {
+        match next_message(&mut messages, &probe_results, next_beat.min(next_look)).await {
             StreamNews::Message(message) => {
                 let goes_on = client.held().take(message);
                 if !goes_on {
@@ -184,14 +191,21 @@
             StreamNews::End => return LinkEnd::Lost,
             StreamNews::Probed(address, answered) => {
                 probing = false;
-                if let Some(rank) = link.addresses.iter().position(|other| *other == address) {
+                if let Some(rank) = link.rank_of(&address) {
                     link.choice.probed(link.now(), rank, answered);
                 }
             }
-            StreamNews::BeatDue => {
+            StreamNews::LookDue => {
+                next_look = Instant::now() + LOOK;
+                if !link.refresh(client) {
+                    return LinkEnd::Lost;
+                }
+                if Instant::now() < next_beat {
+                    continue;
+                }
                 next_beat = Instant::now() + HEARTBEAT;
                 client.held().beat();
-                if client.held().silence() > SILENCE_LIMIT || !link.refresh(client) {
+                if client.held().silence() > SILENCE_LIMIT {
                     return LinkEnd::Lost;
                 }
                 if Arc::strong_count(client) == 1 {
@@ -206,24 +220,24 @@
     Message(v1::DispatcherMessage),
     End,
     Probed(DispatcherAddress, bool),
-    BeatDue,
+    LookDue,
 }
 
 async fn next_message(
     messages: &mut MessageStream,
     probes: &Receiver<(DispatcherAddress, bool)>,
-    next_beat: Instant,
+    until: Instant,
 ) -> StreamNews {
-    let wait = next_beat.saturating_duration_since(Instant::now());
+    let wait = until.saturating_duration_since(Instant::now());
     let message = messages.next();
     let probe = probes.recv();
     pin_mut!(message, probe);
     match timeout(wait, select(message, probe)).await {
-        Err(_) => StreamNews::BeatDue,
+        Err(_) => StreamNews::LookDue,
         Ok(Either::Left((Some(Ok(message)), _))) => StreamNews::Message(message),
         Ok(Either::Left(_)) => StreamNews::End,
         Ok(Either::Right((Ok((address, answered)), _))) => StreamNews::Probed(address, answered),
-        Ok(Either::Right((Err(_), _))) => StreamNews::BeatDue,
+        Ok(Either::Right((Err(_), _))) => StreamNews::LookDue,
     }
 }
 
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -5,7 +5,9 @@
 mod lease;
 mod link;
 
-pub use dispatchers::{DispatcherAddress, DispatcherList, ListedDispatchers, LocalDispatcher, MessageStream};
+pub use dispatchers::{
+    DispatcherAddress, DispatcherCandidate, DispatcherList, ListedDispatchers, LocalDispatcher, MessageStream,
+};
 pub use lease::GrantLease;
 
 use async_std::channel::bounded;
