fix(keeper): the exchange between keepers has a thread and an address of its own

Cause: a leader's messages waited on the executor behind followers, routers, endpoints and a shard, in the order of arrival; with 0.3 of a core and 295 gateways that came back it was late by 500 ms every second and stepped down.

--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -29,6 +29,7 @@
     keepers: Arc<dyn PeerDirectory>,
     format: Arc<dyn PlanFormat>,
     keeper_address: SocketAddr,
+    exchange: Option<(SocketAddr, Arc<dyn PeerDirectory>)>,
     dispatcher_address: SocketAddr,
     status: Vec<SocketAddr>,
     data_folder: PathBuf,
@@ -59,6 +60,7 @@
             keepers,
             format,
             keeper_address: any,
+            exchange: None,
             dispatcher_address: any,
             status: Vec::new(),
             data_folder: PathBuf::from("."),
@@ -84,6 +86,12 @@
         self
     }
 
+    /// Where keepers speak among themselves alone: this one's address, and those of the others.
+    pub fn exchange(mut self, own: SocketAddr, directory: Arc<dyn PeerDirectory>) -> Self {
+        self.options.exchange = Some((own, directory));
+        self
+    }
+
     /// Where it shows the status of keeper and dispatcher.
     pub fn status(mut self, addresses: Vec<SocketAddr>) -> Self {
         self.options.status = addresses;
@@ -210,7 +218,13 @@
 }
 
 fn keeper_options(options: &CoreOptions) -> KeeperOptions {
-    KeeperOptions::builder(options.instance.clone(), options.seeds.clone(), options.keepers.clone())
+    let builder =
+        KeeperOptions::builder(options.instance.clone(), options.seeds.clone(), options.keepers.clone());
+    let builder = match &options.exchange {
+        Some((own, directory)) => builder.exchange(*own, directory.clone()),
+        None => builder,
+    };
+    builder
         .wire(options.keeper_address)
         .data_folder(options.data_folder.clone())
         .may_form(options.may_form)
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Puts a keeper daemon together.
 
 use crate::engine::{EngineInput, EngineOptions, KeeperEngine, KeeperView, ReopenPlace};
-use crate::peers::{start_peers, MAX_FRAME};
+use crate::peers::{PeerExchange, MAX_FRAME};
 use crate::registry_hub::RegistryHub;
 use crate::service::KeeperService;
 use async_std::channel::{bounded, unbounded, Sender};
@@ -11,7 +11,7 @@
 use micaspool_daemon::{open_spans, StartError};
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_ledger::LedgerOptions;
-use micaspool_quorum::{OpenGroupOptions, QuorumEvent, QuorumOptions};
+use micaspool_quorum::{OpenGroupOptions, QuorumOptions};
 use micaspool_settings::process::ProcessSettings;
 use micaspool_store::{KeeperFiles, StoreOptions};
 use micaspool_telemetry::events::{self, field, record};
@@ -28,10 +28,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-/// How often the log core looks at the time.
-const TICK: Duration = Duration::from_millis(50);
 /// How many inputs may wait for the engine.
 const INPUT_QUEUE: usize = 8_192;
 
@@ -69,11 +66,19 @@
     status: Option<SocketAddr>,
     data_folder: PathBuf,
     directory: Arc<dyn PeerDirectory>,
+    exchange: Option<ExchangePlace>,
     quorum: QuorumOptions,
     reopens: bool,
     spans: SpanSink,
 }
 
+/// Addresses that keepers use among themselves alone.
+#[derive(Clone, Debug)]
+struct ExchangePlace {
+    own: SocketAddr,
+    directory: Arc<dyn PeerDirectory>,
+}
+
 /// Builds [`KeeperOptions`].
 #[derive(Clone, Debug)]
 pub struct KeeperOptionsBuilder {
@@ -94,6 +99,7 @@
             status: None,
             data_folder: PathBuf::from("."),
             directory,
+            exchange: None,
             quorum: QuorumOptions::new(configured),
             reopens: false,
             spans: SpanSink::default(),
@@ -109,6 +115,13 @@
         self
     }
 
+    /// Where it takes the other keepers' messages, and where they take its own; at the common addresses
+    /// unless this is set. A fleet of hundreds of processes needs it: see `peers.rs`.
+    pub fn exchange(mut self, own: SocketAddr, directory: Arc<dyn PeerDirectory>) -> Self {
+        self.options.exchange = Some(ExchangePlace { own, directory });
+        self
+    }
+
     /// Where it shows its status; nowhere unless this is set.
     pub fn status(mut self, address: SocketAddr) -> Self {
         self.options.status = Some(address);
@@ -230,8 +243,6 @@
         let _ = done.send(());
     });
     let counters = KeeperCounters::default();
-    start_peers(options.directory.clone(), &counters.peers, envelopes);
-    start_ticks(inputs.clone());
     let hub: Arc<RegistryHub> = Arc::default();
     let service = KeeperService::new(
         inputs.clone(),
@@ -240,6 +251,15 @@
         options.directory.clone(),
         options.spans.clone(),
     );
+    let exchange = PeerExchange {
+        address: options.exchange.as_ref().map(|place| place.own),
+        directory: options.exchange.as_ref().map_or(&options.directory, |place| &place.directory).clone(),
+        counter: counters.peers.clone(),
+        outgoing: envelopes,
+        inputs: inputs.clone(),
+        service: service.clone(),
+    };
+    exchange.start().await?;
     let wire = serve_wire(options.wire, service, &counters.clients).await?;
     let source: Arc<dyn StatusSource> = Arc::new(KeeperStatusSource::new(view.clone(), &counters));
     let status = match options.status {
@@ -257,14 +277,6 @@
     clients: TrafficCounter,
 }
 
-fn start_ticks(inputs: Sender<EngineInput>) {
-    task::spawn(async move {
-        while inputs.send(EngineInput::Event(QuorumEvent::Tick)).await.is_ok() {
-            task::sleep(TICK).await;
-        }
-    });
-}
-
 async fn serve_wire(
     address: SocketAddr,
     service: KeeperService,
--- a/crates/micaspool-keeper/src/peers.rs
+++ b/crates/micaspool-keeper/src/peers.rs
@@ -1,15 +1,23 @@
-//! Streams to the other keepers.
+//! The exchange with the other keepers, on a thread of its own.
+//!
+//! A leader has to speak every 100 ms and is given up after 500 ms. On the executor that all followers,
+//! routers and endpoints of a process share, its messages wait behind whatever came before them: when
+//! 295 gateways and 325 endpoints came back at once at 0.3 of a core, leaders lasted 0.5 to 1.3 s, and each
+//! change of leader made more such work. A thread of its own gets its turn whatever the others do.
 
+use crate::engine::EngineInput;
+use crate::service::KeeperService;
 use async_std::channel::{bounded, Receiver, Sender};
-use async_std::task;
 use futures::StreamExt;
 use micaspool_client::PeerDirectory;
-use micaspool_quorum::{Envelope, PeerMessage};
+use micaspool_daemon::StartError;
+use micaspool_quorum::{Envelope, PeerMessage, QuorumEvent};
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::InstanceName;
-use micaspool_wire::socket;
-use micaspool_wire::v1::{keeper_client::KeeperClient, PeerFrame};
+use micaspool_wire::socket::{self, CountedListener};
+use micaspool_wire::v1::{keeper_client::KeeperClient, keeper_server::KeeperServer, PeerFrame};
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,27 +29,78 @@
 /// The most messages that wait for one keeper; more are dropped, and sent again by the log core.
 const QUEUE: usize = 256;
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// How often the log core looks at the time.
+const TICK: Duration = Duration::from_millis(50);
 
-/// Starts the task that hands messages out. A stream to a keeper opens with the first message for
-/// it, at the address that the directory gives.
-pub(crate) fn start_peers(
-    directory: Arc<dyn PeerDirectory>,
-    counter: &TrafficCounter,
-    outgoing: Receiver<Envelope>,
-) {
-    let counter = counter.clone();
-    task::spawn(async move {
-        let mut queues: HashMap<InstanceName, Sender<PeerMessage>> = HashMap::new();
-        while let Ok(envelope) = outgoing.recv().await {
-            let Some(address) = directory.address(&envelope.to) else { continue };
-            let queue = queues.entry(envelope.to).or_insert_with(|| {
-                let (sender, receiver) = bounded(QUEUE);
-                task::spawn(feed_peer(address, counter.clone(), receiver));
-                sender
-            });
-            let _ = queue.try_send(envelope.message);
+/// What the exchange with other keepers needs.
+pub(crate) struct PeerExchange {
+    /// Where the other keepers' messages are taken; `None` when the keeper's common address takes them.
+    pub address: Option<SocketAddr>,
+    /// Where the other keepers take messages.
+    pub directory: Arc<dyn PeerDirectory>,
+    pub counter: TrafficCounter,
+    /// Messages of the log core to other keepers.
+    pub outgoing: Receiver<Envelope>,
+    /// Takes messages and ticks to the log core.
+    pub inputs: Sender<EngineInput>,
+    pub service: KeeperService,
+}
+
+impl PeerExchange {
+    /// Starts the thread; an error says that its address cannot be used.
+    pub async fn start(self) -> Result<(), StartError> {
+        let (told, outcome) = bounded(1);
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            runtime.expect("a process that starts has descriptors left").block_on(self.run(told));
+        });
+        outcome.recv().await.expect("the thread tells how its start went")
+    }
+
+    /// Works until the log core has ended.
+    async fn run(self, told: Sender<Result<(), StartError>>) {
+        let started = match self.address {
+            Some(address) => {
+                listen(address, self.service, &self.counter).await.map_err(StartError::bind(address))
+            }
+            None => Ok(()),
+        };
+        let failed = started.is_err();
+        // Whoever started the thread waits for this.
+        let _ = told.send(started).await;
+        if failed {
+            return;
+        }
+        tokio::spawn(hand_out(self.directory, self.counter, self.outgoing));
+        while self.inputs.send(EngineInput::Event(QuorumEvent::Tick)).await.is_ok() {
+            tokio::time::sleep(TICK).await;
         }
+    }
+}
+
+/// Serves the other keepers' streams.
+async fn listen(address: SocketAddr, service: KeeperService, counter: &TrafficCounter) -> io::Result<()> {
+    let listener = CountedListener::bind(address, counter.clone()).await?;
+    let server = KeeperServer::new(service).max_decoding_message_size(MAX_FRAME);
+    tokio::spawn(async move {
+        let _ = tonic::transport::Server::builder().add_service(server).serve_with_incoming(listener).await;
     });
+    Ok(())
+}
+
+/// Hands messages out. A stream to a keeper opens with the first message for it, at the address that
+/// the directory gives.
+async fn hand_out(directory: Arc<dyn PeerDirectory>, counter: TrafficCounter, outgoing: Receiver<Envelope>) {
+    let mut queues: HashMap<InstanceName, Sender<PeerMessage>> = HashMap::new();
+    while let Ok(envelope) = outgoing.recv().await {
+        let Some(address) = directory.address(&envelope.to) else { continue };
+        let queue = queues.entry(envelope.to).or_insert_with(|| {
+            let (sender, receiver) = bounded(QUEUE);
+            tokio::spawn(feed_peer(address, counter.clone(), receiver));
+            sender
+        });
+        let _ = queue.try_send(envelope.message);
+    }
 }
 
 /// Keeps one stream to a keeper open. What could not be sent is dropped.
@@ -53,7 +112,7 @@
             let frames = queue.clone().map(|message| encode_frame(&message));
             let _ = client.exchange(frames).await;
         }
-        task::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
