perf(keeper): what endpoints say is told to a follower ten times a second at most, and shards take plans over 20 times

Cause: each record of an endpoint was a message for each follower: 325 endpoints that return within a second are 96,000 messages at each of five keepers with 295 followers; and each made each shard take its whole policy over again.

--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -24,6 +24,10 @@
 
 /// How often the core looks at the time.
 const TICK: Duration = Duration::from_millis(50);
+/// The least time between two policies, in which changes of plan and endpoints are gathered. A policy
+/// names every endpoint and customer: made anew for each of 325 endpoints that come back within a second
+/// it would be 105,000 endpoints' worth of work.
+const POLICY_GATHERING: Duration = Duration::from_millis(50);
 /// Timers go off a little early at times; this keeps a wake-up from coming twice.
 const WAKE_MARGIN: Duration = Duration::from_micros(200);
 /// The least time an endpoint that is asked for its load adds to the interval: at most a hundred
@@ -222,10 +226,14 @@
     inputs: Sender<ShardInput>,
 ) {
     loop {
+        // What changed while the last policy was made is in this one.
+        while changes.try_recv().is_ok() {}
         let policy = source.policy(&service);
-        if inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err()
-            || changes.recv().await.is_err()
-        {
+        if inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(POLICY_GATHERING).await;
+        if changes.recv().await.is_err() {
             return;
         }
     }
--- a/crates/micaspool-keeper/src/follow.rs
+++ b/crates/micaspool-keeper/src/follow.rs
@@ -16,6 +16,11 @@
 /// lost after three times as long.
 const PULSE: Duration = Duration::from_millis(500);
 
+/// The least time between two messages that name endpoints, in which what they say is gathered. 325 endpoints that come back within a
+/// second are then ten messages for a follower instead of 325, and 2,950 instead of 96,000 for 295 of them.
+/// A new plan and a new majority are told at once.
+const GATHERING: Duration = Duration::from_millis(100);
+
 /// What a follower has been told.
 struct ToldState {
     number: u64,
@@ -35,10 +40,14 @@
     let mut told = ToldState { number, cursor: HubCursor::default(), keepers: Vec::new() };
     loop {
         let (news, stopped) = told.next_news(&view, &hub);
+        let names_endpoints = !news.endpoints.is_empty();
         if sender.send(Ok(news)).await.is_err() || stopped {
             return;
         }
-        wait_for_news(&changes, &records).await;
+        let interrupted = names_endpoints && timeout(GATHERING, changes.recv()).await.is_ok();
+        if !interrupted {
+            wait_for_news(&changes, &records).await;
+        }
     }
 }
 
--- /dev/null
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -0,0 +1,89 @@
+//! What a keeper tells its followers when a whole fleet returns at once.
+
+use async_std::task;
+use futures::future::join_all;
+use micaspool_client::{AddressNamed, PeerDirectory};
+use micaspool_keeper::{start_keeper, KeeperOptions, RegistryHub};
+use micaspool_registry::{EndpointRecord, EndpointStage};
+use micaspool_telemetry::traffic::TrafficCounter;
+use micaspool_types::{EndpointName, HallName, InstanceName, ServiceName};
+use micaspool_wire::socket;
+use micaspool_wire::v1::{keeper_client::KeeperClient, FollowRequest};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use test_case::test_case;
+use tonic::transport::Channel;
+
+const ENDPOINTS: usize = 325;
+/// How long all of them take to register.
+const RETURN: Duration = Duration::from_secs(1);
+/// Ten in the second, one at each end, the first pulses, and one for a late timer.
+const MOST_MESSAGES: usize = 14;
+
+fn endpoint(number: usize) -> EndpointRecord {
+    EndpointRecord {
+        name: EndpointName::parse(&format!("engine-{number}")).expect("a name"),
+        service: ServiceName::parse("modelo").expect("a name"),
+        hall: HallName::parse("sala").expect("a name"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        stage: EndpointStage::Serving,
+        slots: 12,
+        sequence: 1,
+    }
+}
+
+/// Connects as a mirror does, which tries again: hundreds at once may wait longer than one try lasts.
+async fn connect(address: SocketAddr) -> Channel {
+    loop {
+        if let Ok(channel) = socket::connect(address, TrafficCounter::default()).await {
+            return channel;
+        }
+        task::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// Follows until every endpoint is known; gives how many messages named some.
+async fn follow(address: SocketAddr) -> usize {
+    let channel = connect(address).await;
+    let request = FollowRequest { follower: "test".to_owned(), number: 0 };
+    let mut news = KeeperClient::new(channel).follow(request).await.expect("it answers").into_inner();
+    let mut known = BTreeSet::new();
+    let mut messages = 0;
+    while known.len() < ENDPOINTS {
+        let message = news.message().await.expect("the stream lasts").expect("it does not end");
+        messages += usize::from(!message.endpoints.is_empty());
+        known.extend(message.endpoints.into_iter().map(|endpoint| endpoint.name));
+    }
+    messages
+}
+
+async fn register_all(hub: Arc<RegistryHub>) {
+    for number in 0..ENDPOINTS {
+        hub.register(endpoint(number));
+        task::sleep(RETURN / ENDPOINTS as u32).await;
+    }
+}
+
+#[test_case(30)]
+#[test_case(100)]
+#[test_case(300)]
+fn endpoints_that_return_at_once_are_told_in_a_few_messages(followers: usize) {
+    let folder = std::env::temp_dir().join(format!("micaspool-follow-{}-{followers}", std::process::id()));
+    let name = InstanceName::parse("127.0.0.1").expect("a name");
+    let directory: Arc<dyn PeerDirectory> = Arc::new(AddressNamed { port: 1 });
+    let options =
+        KeeperOptions::builder(name.clone(), vec![name], directory).data_folder(folder.clone()).build();
+    let messages = task::block_on(async {
+        let keeper = start_keeper(options).await.expect("it starts");
+        let streams = join_all((0..followers).map(|_| task::spawn(follow(keeper.wire))));
+        task::spawn(register_all(keeper.hub().clone()));
+        let messages = async_std::future::timeout(Duration::from_secs(20), streams).await;
+        keeper.stop().await;
+        messages.expect("all are told")
+    });
+    let _ = std::fs::remove_dir_all(folder);
+    let most = messages.iter().max().expect("there are followers");
+    assert!(*most <= MOST_MESSAGES, "{most} messages to one of {followers} followers");
+}
