fix(dispatch): how long a load report counts follows from how often reports come

Cause: a shard asks a hundred engines a second, so 320 are heard every 3.2 s, while a report counted for 3 s: two in a row were never both alive, and what others use at an engine was never learnt beyond 300 engines. Ruled out: asking 320 a second (some 0.03 of a core, of 0.3 that are used up). Figures: rows of reports.rs, at intervals of 3.2 and 6 s: others' requests known 0 before, 2 of 2 now.

--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -2,6 +2,7 @@
 
 use super::engine::{EngineState, PartChange, PromptShape};
 use super::holders::PartHolders;
+use super::reports::SeenSurplus;
 use super::service_time::ServiceTime;
 use super::status::EndpointClosure;
 use crate::event::{CacheNews, EndpointSpec, GrantFate};
@@ -52,7 +53,7 @@
     /// Requests in a row that broke and were tolerated.
     breaks: u32,
     /// The surplus of the last report over our own grants, and when it came.
-    pub(super) last_surplus: Option<(u32, Moment)>,
+    pub(super) last_surplus: Option<SeenSurplus>,
     /// The load under which the endpoint stands in its hall's set of free endpoints.
     indexed: Option<u32>,
 }
--- a/crates/micaspool-dispatch/src/shard/reports.rs
+++ b/crates/micaspool-dispatch/src/shard/reports.rs
@@ -5,8 +5,36 @@
 use micaspool_types::{EndpointName, Moment};
 use std::time::Duration;
 
-/// How long a load report counts.
+/// How long a load report counts at least.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
+/// How many intervals between two reports the later one counts, so that one may be missing. The more engines
+/// there are, the more seldom each is asked: 320 every 3.2 s, 600 every 6 s.
+const LIFE_INTERVALS: u32 = 2;
+/// An interval longer than this says that the endpoint was not heard for a while, not how often it is asked.
+const LONGEST_INTERVAL: Duration = Duration::from_secs(8);
+
+/// What the newest load report of an endpoint said of others' requests.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeenSurplus {
+    /// The requests there beyond those of this shard.
+    requests: u32,
+    at: Moment,
+    /// How long it counts.
+    life: Duration,
+}
+
+impl SeenSurplus {
+    /// What a report says, after the one before it.
+    fn new(now: Moment, requests: u32, before: Option<SeenSurplus>) -> SeenSurplus {
+        let interval = before.map(|before| now.since(before.at)).filter(|gap| *gap <= LONGEST_INTERVAL);
+        let life = interval.map_or(LONGEST_INTERVAL, |interval| REPORT_LIFE.max(interval * LIFE_INTERVALS));
+        SeenSurplus { requests, at: now, life }
+    }
+
+    fn counts(&self, now: Moment) -> bool {
+        now.since(self.at) < self.life
+    }
+}
 
 impl EndpointTable {
     /// Takes a load report in. Slots count as used by others only when two reports in a row
@@ -15,10 +43,10 @@
         let Some(endpoint) = self.by_name(&report.endpoint) else { return };
         let state = self.state_mut(endpoint);
         let surplus = report.running.saturating_sub(state.busy);
-        let before = state.last_surplus.filter(|(_, at)| now.since(*at) < REPORT_LIFE);
-        state.foreign = before.map_or(0, |(earlier, _)| earlier.min(surplus));
+        let before = state.last_surplus.filter(|seen| seen.counts(now));
+        state.foreign = before.map_or(0, |seen| seen.requests.min(surplus));
         let (busy, foreign) = (state.busy, state.foreign);
-        state.last_surplus = Some((surplus, now));
+        state.last_surplus = Some(SeenSurplus::new(now, surplus, before));
         if let Some(engine) = &mut state.engine {
             engine.note_waiting(now, report.waiting);
             if before.is_some() {
@@ -40,7 +68,7 @@
         let first_share = self.first_share;
         for endpoint in self.indices() {
             let state = self.state_mut(endpoint);
-            if state.last_surplus.is_none_or(|(_, at)| now.since(at) < REPORT_LIFE) {
+            if state.last_surplus.is_none_or(|seen| seen.counts(now)) {
                 continue;
             }
             state.last_surplus = None;
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -13,4 +13,5 @@
 mod pace;
 mod recovery;
 mod regions;
+mod reports;
 mod returning;
