feat(router): a customer that asks for many times its share is throttled at the routers

Cause: one customer asked for seven times its usual through all gateways at once. The shard refused 2,700 to 4,200 requests a second on arrival, each a message in and one out, and the dispatcher's 0.3 of a core were used up: uploads, which go through the same process, were served in 28 to 40% of cases, and refusals took 30 to 220 ms in the median. Ruled out: the shard's own work (11 us a request at 4,000 a second). Hypothesis: what is sent about twice what is taken keeps the shard's queue full and its choice whole. Rows of throttling.rs: of 3,500 a second before 295 routers under 40% reach the shard, and it takes 97% of what it can.

--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -3,7 +3,8 @@
 //! * [`ShardCore`] is a state machine: [`ShardCore::step`] takes a moment and a [`ShardEvent`] and
 //!   adds [`ShardAction`]s to the caller's buffer,
 //! * [`ShardOptions`] has its limits and times,
-//! * [`CandidateChoice`] decides to which dispatcher a router speaks.
+//! * [`CandidateChoice`] decides to which dispatcher a router speaks,
+//!   and [`AskThrottle`] which requests it keeps from it.
 //!
 //! Everything here is free of I/O, clocks and randomness.
 #![deny(missing_docs, rust_2018_idioms)]
@@ -14,6 +15,7 @@
 mod event;
 mod options;
 mod shard;
+mod throttle;
 
 pub use action::{ReleaseReason, ShardAction};
 pub use candidates::{
@@ -25,3 +27,4 @@
 };
 pub use options::{ShardOptions, ShardOptionsBuilder};
 pub use shard::{CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardCore, ShardStatus};
+pub use throttle::AskThrottle;
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -15,3 +15,4 @@
 mod regions;
 mod reports;
 mod returning;
+mod throttling;
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/throttling.rs
@@ -0,0 +1,116 @@
+//! Customers that ask for many times their share through hundreds of routers at once.
+//!
+//! A stand-in for the shard takes a customer's requests at a rate and refuses the rest at once; the figures are
+//! what reaches it, and what it could have taken and did not get.
+
+use micaspool_dispatch::AskThrottle;
+use micaspool_types::{CustomerName, Moment};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+use test_case::test_case;
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How many requests the stand-in lets wait.
+const DEPTH: f64 = 16.0;
+
+/// Routers before one shard that takes so much a second of one customer.
+struct CrowdedFleet {
+    routers: Vec<AskThrottle>,
+    customer: CustomerName,
+    taken_a_second: f64,
+    queue: f64,
+    now: f64,
+    random: ChaCha8Rng,
+}
+
+/// What came of the requests of a while.
+#[derive(Debug, Default)]
+struct FlowOutcome {
+    asked: u32,
+    reached: u32,
+    taken: u32,
+    /// Refused by a router though the shard had room.
+    wrongly: u32,
+}
+
+impl CrowdedFleet {
+    fn new(routers: usize, taken_a_second: f64) -> CrowdedFleet {
+        CrowdedFleet {
+            routers: vec![AskThrottle::default(); routers],
+            customer: CustomerName::parse("coop-01").expect("a name"),
+            taken_a_second,
+            queue: 0.0,
+            now: 1.0,
+            random: ChaCha8Rng::seed_from_u64(7),
+        }
+    }
+
+    /// Lets requests come evenly for a while, each to some router.
+    fn run(&mut self, asked_a_second: f64, seconds: f64) -> FlowOutcome {
+        let mut outcome = FlowOutcome::default();
+        let end = self.now + seconds;
+        while self.now < end {
+            self.now += 1.0 / asked_a_second;
+            self.queue = (self.queue - self.taken_a_second / asked_a_second).max(0.0);
+            self.ask(&mut outcome);
+        }
+        outcome
+    }
+
+    fn ask(&mut self, outcome: &mut FlowOutcome) {
+        let now = Moment((self.now * 1e6) as u64);
+        let place = self.random.random_range(0..self.routers.len());
+        let draw = self.random.random();
+        let has_room = self.queue + 1.0 <= DEPTH;
+        outcome.asked += 1;
+        let router = &mut self.routers[place];
+        if router.admit(now, &self.customer, draw).is_err() {
+            outcome.wrongly += u32::from(has_room);
+            return;
+        }
+        outcome.reached += 1;
+        if has_room {
+            self.queue += 1.0;
+            outcome.taken += 1;
+            router.note_taken(now, &self.customer);
+        } else {
+            router.note_refused(now, &self.customer, RETRY_AFTER);
+        }
+    }
+}
+
+#[test_case(30, 100.0, 1_200.0; "30 routers, twelve times the share")]
+#[test_case(295, 100.0, 3_500.0; "295 routers, 35 times the share")]
+#[test_case(600, 100.0, 8_000.0; "600 routers, 80 times the share")]
+fn a_flood_reaches_the_shard_in_part_and_its_queue_stays_full(routers: usize, taken: f64, asked: f64) {
+    let mut fleet = CrowdedFleet::new(routers, taken);
+    fleet.run(asked, 2.0);
+    let flood = fleet.run(asked, 5.0);
+    assert!(f64::from(flood.reached) <= 0.4 * f64::from(flood.asked), "{flood:?}");
+    assert!(f64::from(flood.taken) >= 0.97 * taken * 5.0, "{flood:?}");
+}
+
+#[test]
+fn a_customer_within_its_share_is_never_throttled() {
+    let mut fleet = CrowdedFleet::new(295, 100.0);
+    let flow = fleet.run(90.0, 20.0);
+    assert_eq!(flow.taken, flow.asked, "{flow:?}");
+}
+
+#[test]
+fn throttling_ends_with_the_flood() {
+    let mut fleet = CrowdedFleet::new(295, 100.0);
+    fleet.run(3_500.0, 5.0);
+    fleet.run(50.0, 0.6);
+    let after = fleet.run(50.0, 5.0);
+    assert_eq!(after.taken, after.asked, "{after:?}");
+}
+
+#[test]
+fn a_customer_that_asks_for_little_more_than_its_share_gets_all_of_it() {
+    let mut fleet = CrowdedFleet::new(12, 100.0);
+    fleet.run(130.0, 2.0);
+    let flow = fleet.run(130.0, 10.0);
+    assert!(f64::from(flow.taken) >= 0.99 * 1_000.0, "{flow:?}");
+}
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -5,9 +5,13 @@
 use super::lease::LeaseTerms;
 use super::ShardClientOptions;
 use async_std::channel::Sender;
-use micaspool_dispatch::{GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello};
+use micaspool_dispatch::{
+    AskThrottle, GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello,
+};
 use micaspool_fair::ServiceLevel;
-use micaspool_types::{Cost, CustomerName, EndpointName, OrderNumber, Refusal, RefusalKind, RequestId};
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, Moment, OrderNumber, Refusal, RefusalKind, RequestId,
+};
 use micaspool_wire::convert::{fate_message, release_reason, request_bytes, request_id, submit_message};
 use micaspool_wire::v1::{self, router_message::Body};
 use std::collections::{HashMap, VecDeque};
@@ -50,6 +54,9 @@
     heartbeats: VecDeque<(u64, Instant)>,
     next_heartbeat: u64,
     last_pulse: Instant,
+    /// Decides which requests are not taken to the dispatcher.
+    throttle: AskThrottle,
+    start: Instant,
     /// Since when the dispatcher has said nothing though a ticket was sent to it.
     unanswered_since: Option<Instant>,
 }
@@ -65,6 +72,8 @@
             heartbeats: VecDeque::new(),
             next_heartbeat: 1,
             last_pulse: now,
+            throttle: AskThrottle::default(),
+            start: now,
             unanswered_since: None,
         }
     }
@@ -152,6 +161,22 @@
         entry.map(|entry| entry.traceparent.clone()).unwrap_or_default()
     }
 
+    /// The time since the start, as the throttle counts it.
+    fn moment(&self) -> Moment {
+        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Refuses a request that the dispatcher would most probably refuse. One that ran already, or that the
+    /// dispatcher knows, is not.
+    pub fn throttle(&mut self, ticket: &RequestTicket) -> Result<(), Refusal> {
+        if ticket.attempt > 0 || ticket.order.is_some() {
+            return Ok(());
+        }
+        let now = self.moment();
+        let admitted = self.throttle.admit(now, &ticket.customer, rand::random());
+        admitted.map_err(|wait| Refusal::not_run(RefusalKind::Throttled).after(wait))
+    }
+
     pub fn add_waiting(&mut self, entry: WaitingEntry) {
         let submit = v1::Submit { traceparent: entry.traceparent.clone(), ..submit_message(&entry.ticket) };
         self.waiting.insert(entry.ticket.request, entry);
@@ -227,6 +252,8 @@
             return;
         };
         let order = OrderNumber(grant.order);
+        let now = self.moment();
+        self.throttle.note_taken(now, &entry.ticket.customer);
         self.note_total(&entry.ticket.customer, ServiceLevel(grant.level), order);
         let held = HeldGrant {
             request,
@@ -270,6 +297,10 @@
             ReleaseReason::Overdue => RefusalKind::Overloaded,
         };
         let wait = Duration::from_millis(refused.retry_after_millis);
+        let now = self.moment();
+        if matches!(kind, RefusalKind::Overloaded | RefusalKind::CustomerBacklogFull) {
+            self.throttle.note_refused(now, &entry.ticket.customer, wait);
+        }
         let _ = entry.waiter.try_send(Err(Refusal::not_run(kind).after(wait)));
     }
 
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -127,6 +127,7 @@
         if held.unreachable_for() > UNREACHABLE_LIMIT {
             return Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER));
         }
+        held.throttle(&ticket)?;
         held.add_waiting(WaitingEntry { ticket, traceparent: traceparent.unwrap_or_default(), waiter });
         Ok(())
     }
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -50,6 +50,8 @@
     FleetBacklogFull,
     /// The service has more work than it can begin in time.
     Overloaded,
+    /// The service takes so little of what the customer asks for that the router refused it itself.
+    Throttled,
     /// The deadline passed while the request waited.
     DeadlinePassed,
     /// Retries are spent, or the retry budget is.
@@ -93,7 +95,7 @@
             CustomerBacklogFull | FleetBacklogFull => 429,
             HeadTooLarge => 431,
             EndpointFailed => 502,
-            NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded => 503,
+            NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
             RetriesExhausted | Draining | TooManyConnections => 503,
             DeadlinePassed => 504,
         }
@@ -124,6 +126,7 @@
             CustomerBacklogFull => "customer-backlog-full",
             FleetBacklogFull => "fleet-backlog-full",
             Overloaded => "overloaded",
+            Throttled => "throttled",
             DeadlinePassed => "deadline-passed",
             RetriesExhausted => "retries-exhausted",
             NoDispatcher => "no-dispatcher",
@@ -157,6 +160,7 @@
             CustomerBacklogFull => "come back after the given time; fewer requests at once help",
             FleetBacklogFull => "come back after the given time",
             Overloaded => "come back after the given time; the operator should add endpoints",
+            Throttled => "come back after the given time; fewer requests at once help",
             DeadlinePassed => "come back after the given time, or allow a longer deadline",
             RetriesExhausted => "come back after the given time",
             NoDispatcher => "come back after the given time; the operator should check the dispatchers",
