perf(dispatch): services have their shards at different dispatchers while there are enough

Ruled out: nothing else; the smaller service's share follows from 295 heartbeats and 600 requests a second.

--- a/crates/micaspool-dispatch/src/candidates.rs
+++ b/crates/micaspool-dispatch/src/candidates.rs
@@ -27,6 +27,35 @@
     ranked.into_iter().map(|(_, name)| name).collect()
 }
 
+/// The dispatchers for one of several services, the first choice first. Services have different first
+/// choices while there are enough dispatchers: with two services and five dispatchers both would be at the same one
+/// on every fifth deployment, and the heartbeats and requests of the smaller one take a fifth of a dispatcher's
+/// processor share from the larger (0.06 of 0.3 of a core with 295 routers and 600 requests a second).
+pub fn rank_apart(
+    service: &ServiceName,
+    services: &[ServiceName],
+    dispatchers: &[InstanceName],
+) -> Vec<InstanceName> {
+    let mut others: Vec<&ServiceName> = services.iter().filter(|other| *other < service).collect();
+    others.sort();
+    others.dedup();
+    let mut taken: Vec<InstanceName> = Vec::new();
+    for other in others {
+        taken.extend(first_free(&rank_candidates(other, dispatchers), &taken));
+    }
+    let mut ranked = rank_candidates(service, dispatchers);
+    if let Some(first) = first_free(&ranked, &taken) {
+        ranked.retain(|name| *name != first);
+        ranked.insert(0, first);
+    }
+    ranked
+}
+
+/// The best candidate that no other service has.
+fn first_free(ranked: &[InstanceName], taken: &[InstanceName]) -> Option<InstanceName> {
+    ranked.iter().find(|name| !taken.contains(name)).cloned()
+}
+
 /// Times of a [`CandidateChoice`].
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceOptions {
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use action::{ReleaseReason, ShardAction};
 pub use candidates::{
-    rank_candidates, CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep,
+    rank_apart, rank_candidates, CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep,
 };
 pub use event::{
     CacheNews, CustomerTotal, EndpointSpec, GrantFate, HeldGrant, HeldTotal, KeptPart, LoadReport,
--- a/crates/micaspool-dispatch/tests/shard/choice.rs
+++ b/crates/micaspool-dispatch/tests/shard/choice.rs
@@ -1,7 +1,7 @@
 //! Which dispatcher a router uses.
 
 use micaspool_dispatch::{
-    rank_candidates, CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep,
+    rank_apart, rank_candidates, CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep,
 };
 use micaspool_types::{InstanceName, Moment, ServiceName};
 
@@ -31,6 +31,22 @@
     assert!(first.values().all(|count| *count < 25), "{first:?}");
 }
 
+#[test]
+fn services_are_at_different_dispatchers_while_there_are_enough() {
+    for number in 0..50 {
+        let services = [service(number), service(number + 50), service(number + 100)];
+        for count in 3..6 {
+            let first: std::collections::BTreeSet<_> =
+                services.iter().map(|own| rank_apart(own, &services, &names(count))[0].clone()).collect();
+            assert_eq!(first.len(), 3, "{services:?} at {count} dispatchers");
+        }
+        let alone = rank_apart(&services[0], &services, &names(1));
+        assert_eq!(alone, names(1), "one serves all when it is the only one");
+        let ranked = rank_apart(&services[1], &services, &names(5));
+        assert_eq!(ranked.len(), 5, "none is listed twice or left out: {ranked:?}");
+    }
+}
+
 #[test]
 fn losing_an_instance_moves_only_its_services() {
     for number in 0..50 {
--- a/crates/micaspool-gateway/src/dispatchers.rs
+++ b/crates/micaspool-gateway/src/dispatchers.rs
@@ -3,7 +3,7 @@
 use async_std::channel::Receiver;
 use async_trait::async_trait;
 use micaspool_client::{FleetMirror, KeeperReach, KeeperSight, PeerDirectory};
-use micaspool_dispatch::{rank_candidates, CandidateKind, CandidateReach};
+use micaspool_dispatch::{rank_apart, CandidateKind, CandidateReach};
 use micaspool_dispatcher::FleetDispatcher;
 use micaspool_router::{
     DispatcherAddress, DispatcherCandidate, DispatcherList, LocalDispatcher, MessageStream,
@@ -61,12 +61,16 @@
 }
 
 /// The instances of keepers that are members, ranked for a service.
-fn ranked_sights<'a>(service: &ServiceName, sights: &'a [KeeperSight]) -> Vec<&'a KeeperSight> {
+fn ranked_sights<'a>(
+    service: &ServiceName,
+    services: &[ServiceName],
+    sights: &'a [KeeperSight],
+) -> Vec<&'a KeeperSight> {
     let ranked = |lacks_majority: bool| {
         let is_cut_off = |sight: &KeeperSight| sight.is_reached() && !sight.confirmed_lately;
         let chosen = sights.iter().filter(|sight| sight.wanted && is_cut_off(sight) == lacks_majority);
         let names: Vec<InstanceName> = chosen.map(|sight| sight.peer.name.clone()).collect();
-        rank_candidates(service, &names)
+        rank_apart(service, services, &names)
     };
     let names = ranked(false).into_iter().chain(ranked(true));
     names.filter_map(|name| sights.iter().find(|sight| sight.peer.name == name)).collect()
@@ -75,7 +79,9 @@
 impl DispatcherList for FleetDispatchers {
     fn ranked(&self, service: &ServiceName) -> Vec<DispatcherCandidate> {
         let sights = self.mirror.keepers();
-        let ranked = ranked_sights(service, &sights);
+        let plan = self.mirror.plan().plan;
+        let services: Vec<ServiceName> = plan.parts().services.iter().map(|rule| rule.name.clone()).collect();
+        let ranked = ranked_sights(service, &services, &sights);
         let own = DispatcherCandidate {
             address: DispatcherAddress::Local(self.own.clone()),
             kind: CandidateKind::LastResort,
