--- a/crates/micaspool-wire/src/socket.rs
+++ b/crates/micaspool-wire/src/socket.rs
@@ -15,7 +15,7 @@
 
 /// How long a connection attempt may take. Halls are milliseconds apart; an attempt that began while the other
 /// machine was without power is not answered once it is back, and delays the next one by this time. With 500 ms
-/// keepers that came back within half a second of each other elected a leader 0.8 s after the last of them.
+/// 41 of 295 routers had not found the dispatcher of all others 2.9 s after it was back.
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// How often an idle connection is probed, and how long its peer may be silent then.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
