feat(router): the log says why a stream to a dispatcher was left

Cause: MP1202 named neither the dispatcher nor what decided, now that four things may: a closed stream, no pulse, no answer to a ticket, a process that another stream has lost. The branch of run_stream that looked at them is a function. Rows of link.rs pass.

--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -35,10 +35,38 @@
 /// The largest message from a dispatcher.
 const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 
+/// Why a stream was lost.
+#[derive(Clone, Copy, Debug)]
+enum LossReason {
+    /// The connection ended, or the dispatcher closed the stream.
+    Ended,
+    /// The dispatcher did not answer heartbeats.
+    Silent,
+    /// It did not answer tickets.
+    Unanswered,
+    /// Another stream to its process was lost, or it is no longer listed.
+    ProcessLost,
+    /// It could not be opened.
+    Unreachable,
+}
+
+impl LossReason {
+    /// The reason as logs name it.
+    fn as_str(self) -> &'static str {
+        match self {
+            LossReason::Ended => "ended",
+            LossReason::Silent => "silent",
+            LossReason::Unanswered => "unanswered",
+            LossReason::ProcessLost => "process-lost",
+            LossReason::Unreachable => "unreachable",
+        }
+    }
+}
+
 /// How a stream ended.
 enum LinkEnd {
-    /// It broke, or the dispatcher was silent.
-    Lost,
+    /// It is of no use any more.
+    Lost(LossReason),
     /// The dispatcher asked for a new one.
     Moved,
     /// A higher-ranked dispatcher answers again.
@@ -113,16 +141,23 @@
     let Some(messages) = open_stream(client, &link.candidates[rank].address).await else {
         client.held().unlink();
         link.choice.failed(link.now(), rank);
-        return LinkEnd::Lost;
+        return LinkEnd::Lost(LossReason::Unreachable);
     };
     link.choice.connected(rank);
     client.held().linked();
     let end = run_stream(client, messages, link).await;
     client.held().unlink();
+    // Without a place in the list any more, nothing is to be noted of it.
     let Some(rank) = link.choice.current() else { return end };
     match end {
-        LinkEnd::Lost => {
-            record(&events::SESSION_LOST, &[field("service", client.service())]);
+        LinkEnd::Lost(reason) => {
+            let dispatcher = &link.candidates[rank].address;
+            let fields = [
+                field("service", client.service()),
+                field("dispatcher", dispatcher),
+                field("reason", reason.as_str()),
+            ];
+            record(&events::SESSION_LOST, &fields);
             link.choice.failed(link.now(), rank);
         }
         LinkEnd::Moved | LinkEnd::Better => link.choice.left(rank),
@@ -192,7 +227,7 @@
                     return LinkEnd::Moved;
                 }
             }
-            StreamNews::End => return LinkEnd::Lost,
+            StreamNews::End => return LinkEnd::Lost(LossReason::Ended),
             StreamNews::Probed(address, answered) => {
                 probing = false;
                 if let Some(rank) = link.rank_of(&address) {
@@ -201,25 +236,33 @@
             }
             StreamNews::LookDue => {
                 next_look = Instant::now() + LOOK;
-                if !link.refresh(client) || client.held().unanswered_for() > ANSWER_LIMIT {
-                    return LinkEnd::Lost;
-                }
-                if Instant::now() < next_beat {
-                    continue;
-                }
-                next_beat = Instant::now() + HEARTBEAT;
-                client.held().beat();
-                if client.held().silence() > SILENCE_LIMIT {
-                    return LinkEnd::Lost;
+                if let Some(reason) = loss(client, link) {
+                    return LinkEnd::Lost(reason);
                 }
                 if Arc::strong_count(client) == 1 {
                     return LinkEnd::Unused;
                 }
+                if Instant::now() >= next_beat {
+                    next_beat = Instant::now() + HEARTBEAT;
+                    client.held().beat();
+                }
             }
         }
     }
 }
 
+/// Why the present stream should be left, if it should.
+fn loss(client: &ShardClient, link: &mut LinkChoice) -> Option<LossReason> {
+    if !link.refresh(client) {
+        return Some(LossReason::ProcessLost);
+    }
+    let held = client.held();
+    if held.unanswered_for() > ANSWER_LIMIT {
+        return Some(LossReason::Unanswered);
+    }
+    (held.silence() > SILENCE_LIMIT).then_some(LossReason::Silent)
+}
+
 enum StreamNews {
     Message(v1::DispatcherMessage),
     End,
