--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -70,7 +70,7 @@
     }
 
     fn now(&self) -> Moment {
-        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+        Moment(0) + self.start.elapsed()
     }
 
     /// Names that should be followed and are not yet; they count as followed from here on.
--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -5,7 +5,7 @@
 use micaspool_daemon::StartError;
 use micaspool_dispatcher::{EndpointProbe, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe};
 use micaspool_http::status::{serve_status, StatusSource};
-use micaspool_keeper::{start_keeper, KeeperDaemon, KeeperOptions};
+use micaspool_keeper::{start_keeper, ExchangePlace, KeeperDaemon, KeeperOptions};
 use micaspool_quorum::OpenGroupOptions;
 use micaspool_routes::PlanFormat;
 use micaspool_settings::process::PeerAddress;
@@ -29,7 +29,7 @@
     keepers: Arc<dyn PeerDirectory>,
     format: Arc<dyn PlanFormat>,
     keeper_address: SocketAddr,
-    exchange: Option<(SocketAddr, Arc<dyn PeerDirectory>)>,
+    exchange: Option<ExchangePlace>,
     dispatcher_address: SocketAddr,
     status: Vec<SocketAddr>,
     data_folder: PathBuf,
@@ -88,7 +88,7 @@
 
     /// Where keepers speak among themselves alone: this one's address, and those of the others.
     pub fn exchange(mut self, own: SocketAddr, directory: Arc<dyn PeerDirectory>) -> Self {
-        self.options.exchange = Some((own, directory));
+        self.options.exchange = Some(ExchangePlace { own, directory });
         self
     }
 
@@ -218,13 +218,8 @@
 }
 
 fn keeper_options(options: &CoreOptions) -> KeeperOptions {
-    let builder =
-        KeeperOptions::builder(options.instance.clone(), options.seeds.clone(), options.keepers.clone());
-    let builder = match &options.exchange {
-        Some((own, directory)) => builder.exchange(*own, directory.clone()),
-        None => builder,
-    };
-    builder
+    KeeperOptions::builder(options.instance.clone(), options.seeds.clone(), options.keepers.clone())
+        .exchange(options.exchange.clone())
         .wire(options.keeper_address)
         .data_folder(options.data_folder.clone())
         .may_form(options.may_form)
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -14,17 +14,17 @@
 mod candidates;
 mod event;
 mod options;
+mod ranking;
 mod shard;
 mod throttle;
 
 pub use action::{ReleaseReason, ShardAction};
-pub use candidates::{
-    rank_apart, rank_candidates, CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep,
-};
+pub use candidates::{CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep};
 pub use event::{
     CacheNews, CustomerTotal, EndpointSpec, GrantFate, HeldGrant, HeldTotal, KeptPart, LoadReport,
     RegionTotals, RequestTicket, RouterHello, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
 };
 pub use options::{ShardOptions, ShardOptionsBuilder};
+pub use ranking::{rank_apart, rank_candidates};
 pub use shard::{CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardCore, ShardStatus};
 pub use throttle::AskThrottle;
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -18,7 +18,7 @@
 
 /// How often all tickets are looked at, even when no endpoint has become free, those that wait for an engine of
 /// their choice among them. No more often than that either: 320 engines tell of their caches 500 times a second
-/// together. Looked at after each of these, 1,600 requests a second cost 80 us each, now 17 us (bench `engines`).
+/// together. Looked at after each of these, 1,600 requests a second cost 80 us each, and 17 us so (bench `engines`).
 const FILL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A request that runs, or is about to.
--- a/crates/micaspool-dispatch/tests/shard/choice.rs
+++ b/crates/micaspool-dispatch/tests/shard/choice.rs
@@ -117,6 +117,13 @@
     kinds.into_iter().chain([CandidateKind::LastResort]).collect()
 }
 
+/// A router that uses the best of five candidates, all of which answer.
+fn at_the_best() -> CandidateChoice {
+    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
+    choice.connected(0);
+    choice
+}
+
 /// What is known of the same five candidates now.
 fn places(kinds: [CandidateKind; 4]) -> Vec<(Option<usize>, CandidateKind)> {
     followed(kinds).into_iter().enumerate().map(|(rank, kind)| (Some(rank), kind)).collect()
@@ -187,8 +194,7 @@
 
 #[test]
 fn a_candidate_that_never_was_lost_is_used_at_once() {
-    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
-    choice.connected(0);
+    let mut choice = at_the_best();
     choice.failed(at(5_000), 0);
     choice.update(at(5_000), &places([LOST, ANSWERS, ANSWERS, ANSWERS]));
     assert_eq!(choice.next(at(5_000)), ChoiceStep::Connect(1));
@@ -218,8 +224,7 @@
 
 #[test]
 fn a_stream_outlives_a_short_loss_of_the_other() {
-    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
-    choice.connected(0);
+    let mut choice = at_the_best();
     choice.update(at(1_000), &places([LOST, ANSWERS, ANSWERS, ANSWERS]));
     assert!(!choice.has_lost_current(at(1_400)));
     assert!(choice.has_lost_current(at(1_500)));
@@ -229,8 +234,7 @@
 
 #[test]
 fn routers_that_notice_a_silent_dispatcher_before_the_others_count_as_lost_do_not_scatter() {
-    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
-    choice.connected(0);
+    let mut choice = at_the_best();
     choice.update(at(900), &places([QUIET; 4]));
     choice.failed(at(900), 0);
     assert_eq!(choice.next(at(900)), ChoiceStep::Connect(4));
@@ -244,8 +248,7 @@
 
 #[test]
 fn a_quiet_dispatcher_keeps_its_routers() {
-    let mut choice = CandidateChoice::of(at(0), followed([ANSWERS; 4]), ChoiceOptions::default());
-    choice.connected(0);
+    let mut choice = at_the_best();
     choice.update(at(5_000), &places([QUIET, ANSWERS, ANSWERS, ANSWERS]));
     assert!(!choice.has_lost_current(at(9_000)));
     assert_eq!(choice.current(), Some(0));
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -79,7 +79,7 @@
 
 impl ShardClock {
     fn now(&self) -> Moment {
-        Moment(u64::try_from(self.0.elapsed().as_micros()).unwrap_or(u64::MAX))
+        Moment(0) + self.0.elapsed()
     }
 }
 
--- a/crates/micaspool-keeper/src/clock.rs
+++ b/crates/micaspool-keeper/src/clock.rs
@@ -16,7 +16,7 @@
     }
 
     pub fn now(&self) -> Moment {
-        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+        Moment(0) + self.start.elapsed()
     }
 }
 
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -74,9 +74,11 @@
 
 /// Addresses that keepers use among themselves alone.
 #[derive(Clone, Debug)]
-struct ExchangePlace {
-    own: SocketAddr,
-    directory: Arc<dyn PeerDirectory>,
+pub struct ExchangePlace {
+    /// Where this keeper takes the others' messages.
+    pub own: SocketAddr,
+    /// Where the others take its own.
+    pub directory: Arc<dyn PeerDirectory>,
 }
 
 /// Builds [`KeeperOptions`].
@@ -115,10 +117,10 @@
         self
     }
 
-    /// Where it takes the other keepers' messages, and where they take its own; at the common addresses
-    /// unless this is set. A fleet of hundreds of processes needs it: see `peers.rs`.
-    pub fn exchange(mut self, own: SocketAddr, directory: Arc<dyn PeerDirectory>) -> Self {
-        self.options.exchange = Some(ExchangePlace { own, directory });
+    /// Where keepers exchange messages; at their common addresses without one. A fleet of hundreds of
+    /// processes needs it: see `peers.rs`.
+    pub fn exchange(mut self, place: Option<ExchangePlace>) -> Self {
+        self.options.exchange = place;
         self
     }
 
--- a/crates/micaspool-keeper/src/lib.rs
+++ b/crates/micaspool-keeper/src/lib.rs
@@ -14,7 +14,9 @@
 mod service;
 mod state;
 
-pub use daemon::{run_keeper, start_keeper, Error, KeeperDaemon, KeeperOptions, KeeperOptionsBuilder};
+pub use daemon::{
+    run_keeper, start_keeper, Error, ExchangePlace, KeeperDaemon, KeeperOptions, KeeperOptionsBuilder,
+};
 pub use engine::{EngineError, EngineInput, EngineOptions, EngineReply, KeeperEngine, ReopenPlace};
 pub use registry_hub::RegistryHub;
 pub use service::KeeperService;
--- a/crates/micaspool-keeper/tests/follow.rs
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -11,6 +11,7 @@
 use micaspool_wire::v1::{keeper_client::KeeperClient, FollowRequest};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use test_case::test_case;
@@ -59,6 +60,13 @@
     messages
 }
 
+/// Options of a keeper that is its whole group.
+fn alone(folder: PathBuf) -> KeeperOptions {
+    let name = InstanceName::parse("127.0.0.1").expect("a name");
+    let directory: Arc<dyn PeerDirectory> = Arc::new(AddressNamed { port: 1 });
+    KeeperOptions::builder(name.clone(), vec![name], directory).data_folder(folder).build()
+}
+
 async fn register_all(hub: Arc<RegistryHub>) {
     for number in 0..ENDPOINTS {
         hub.register(endpoint(number));
@@ -71,10 +79,7 @@
 #[test_case(300)]
 fn endpoints_that_return_at_once_are_told_in_a_few_messages(followers: usize) {
     let folder = std::env::temp_dir().join(format!("micaspool-follow-{}-{followers}", std::process::id()));
-    let name = InstanceName::parse("127.0.0.1").expect("a name");
-    let directory: Arc<dyn PeerDirectory> = Arc::new(AddressNamed { port: 1 });
-    let options =
-        KeeperOptions::builder(name.clone(), vec![name], directory).data_folder(folder.clone()).build();
+    let options = alone(folder.clone());
     let messages = task::block_on(async {
         let keeper = start_keeper(options).await.expect("it starts");
         let streams = join_all((0..followers).map(|_| task::spawn(follow(keeper.wire))));
@@ -121,10 +126,7 @@
 #[test]
 fn endpoints_that_say_nothing_new_are_told_now_and_then() {
     let folder = std::env::temp_dir().join(format!("micaspool-follow-{}-again", std::process::id()));
-    let name = InstanceName::parse("127.0.0.1").expect("a name");
-    let directory: Arc<dyn PeerDirectory> = Arc::new(AddressNamed { port: 1 });
-    let options =
-        KeeperOptions::builder(name.clone(), vec![name], directory).data_folder(folder.clone()).build();
+    let options = alone(folder.clone());
     let records = task::block_on(async {
         let keeper = start_keeper(options).await.expect("it starts");
         task::spawn(register_again_and_again(keeper.hub().clone()));
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -163,7 +163,7 @@
 
     /// The time since the start, as the throttle counts it.
     fn moment(&self) -> Moment {
-        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+        Moment(0) + self.start.elapsed()
     }
 
     /// Refuses a request that the dispatcher would most probably refuse. One that ran already, or that the
--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -24,8 +24,8 @@
 /// A dispatcher that did not answer a heartbeat for this long is left.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// A dispatcher that said nothing for this long since a ticket was sent to it is left. It answers within
-/// some ten milliseconds, and within 300 when its processor is used up; requests that wait for a dispatcher
-/// without power are held for this long, and no longer for 2.1 s.
+/// some ten milliseconds, and within 300 when its processor is used up. Requests that wait for a dispatcher
+/// without power are held for this long, and not until its keeper has been silent for 2.5 s as well.
 const ANSWER_LIMIT: Duration = Duration::from_millis(900);
 /// How long opening a stream may take.
 const OPEN_LIMIT: Duration = Duration::from_secs(1);
@@ -92,7 +92,7 @@
     }
 
     fn now(&self) -> Moment {
-        Moment(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+        Moment(0) + self.start.elapsed()
     }
 
     /// Takes over what is known of the dispatchers now; false when the present one is no longer listed
