--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -51,6 +51,8 @@
         lease: Duration,
         /// The revision of the settings that the grant follows.
         revision: Revision,
+        /// What was left of the time within which its answer is wanted, when its ticket came.
+        objective: Option<Duration>,
     },
     /// Tell the router that its request is refused; it was not run.
     Refuse {
@@ -66,6 +68,10 @@
         waited: Duration,
         /// The engine that the ticket waited for at last, if it chose one that was not free.
         awaited: Option<EndpointName>,
+        /// What was left of the time within which its answer is wanted, when its ticket came.
+        objective: Option<Duration>,
+        /// How long it would have waited, as far as could be told on arrival.
+        expected_wait: Duration,
     },
     /// Answer a heartbeat.
     Pulse {
