--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod herding;
 mod limits;
+mod objectives;
 mod pace;
 mod recovery;
 mod regions;
