feat(registry): an endpoint may start again under its name, and nothing is believed across a start

Cause: an endpoint that crashes may come back under the name that it had, with its counts at one again. Its heartbeats were older than what was known, so they changed nothing until the count had passed the old one, and one that had drained never came back (a row with separate processes: not served within 15 s). What was known of it before would have been believed.

Change: a heartbeat's born is decoded once, at the border. Each start has a name of its own (identity and born), under which the registry, followers, shards, caches, pauses and grants know it, so all begin anew without further code; its identity is what the endpoint is told. A record of an earlier start changes nothing, whenever it comes. EndpointNews has two compatible fields; without them all is as before.

Any order of records ends in the same registry (proptest); that found that a stale record left the higher count unnoted in one order.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -107,7 +107,12 @@
         self.lock().plan.number > 0
     }
 
-    /// The newest record of an endpoint.
+    /// The newest start of an endpoint, by the name that its starts share.
+    pub fn newest_start(&self, identity: &EndpointName) -> Option<EndpointRecord> {
+        self.lock().registry.newest(identity).cloned()
+    }
+
+    /// The newest record of a start of an endpoint.
     pub fn endpoint(&self, name: &EndpointName) -> Option<EndpointRecord> {
         self.lock().registry.get(name).cloned()
     }
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -3,7 +3,7 @@
 use super::{notify, KeeperReach, KeeperSight};
 use crate::directory::PeerDirectory;
 use async_std::channel::Sender;
-use micaspool_registry::{EndpointRegistry, EndpointStage, MergeOutcome};
+use micaspool_registry::{EndpointRegistry, EndpointStage};
 use micaspool_routes::{NumberedPlan, PlanFormat};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
@@ -182,7 +182,7 @@
             field("sequence", endpoint.sequence),
             field("keeper", from),
         ];
-        let changed = self.registry.merge(self.now(), endpoint) == MergeOutcome::Changed;
+        let changed = self.registry.merge(self.now(), endpoint).is_news();
         if changed {
             record(&events::ENDPOINT_STAGE, &fields);
         }
--- a/crates/micaspool-core/src/desk.rs
+++ b/crates/micaspool-core/src/desk.rs
@@ -101,16 +101,18 @@
         self.hub.register(endpoint)
     }
 
-    /// Notes that an endpoint has left, also when it registered elsewhere.
-    pub fn leave(&self, name: &EndpointName) {
-        if self.hub.leave(name) {
+    /// Notes that an endpoint has left, by the name that its starts share, also when it registered elsewhere.
+    pub fn leave(&self, identity: &EndpointName) {
+        if self.hub.leave(identity) {
             return;
         }
-        match self.mirror.endpoint(name) {
+        match self.mirror.newest_start(identity) {
             Some(known) => {
                 self.hub.register(EndpointRecord { stage: EndpointStage::Left, ..known });
             }
-            None => record(&events::ENDPOINT_STAGE, &[field("endpoint", name), field("stage", "unknown")]),
+            None => {
+                record(&events::ENDPOINT_STAGE, &[field("endpoint", identity), field("stage", "unknown")])
+            }
         }
     }
 
--- a/crates/micaspool-dispatcher/tests/subset.rs
+++ b/crates/micaspool-dispatcher/tests/subset.rs
@@ -2,7 +2,7 @@
 
 use micaspool_dispatcher::EngineSubset;
 use micaspool_registry::{EndpointRecord, EndpointStage};
-use micaspool_types::{EndpointName, HallName, InstanceName, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName};
 use std::collections::BTreeMap;
 
 const HALLS: usize = 4;
@@ -14,6 +14,8 @@
 fn engine(number: usize) -> EndpointRecord {
     EndpointRecord {
         name: EndpointName::parse(&format!("engine-{number}")).expect("a name"),
+        identity: EndpointName::parse(&format!("engine-{number}")).expect("a name"),
+        incarnation: Incarnation(0),
         service: ServiceName::parse("model").expect("a name"),
         address: ([127, 0, 0, 1], 1).into(),
         hall: hall(number % HALLS),
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -260,7 +260,7 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         let order = SendOrder {
             id: &self.call.caller.id,
-            endpoint: &endpoint.name,
+            endpoint: &endpoint.identity,
             customer: self.target.customer.as_ref(),
             left,
             last_event,
--- a/crates/micaspool-keeper/src/registry_hub.rs
+++ b/crates/micaspool-keeper/src/registry_hub.rs
@@ -65,7 +65,10 @@
         if outcome != MergeOutcome::Stale {
             content.note_heard(&name);
         }
-        if outcome == MergeOutcome::Changed {
+        if outcome == MergeOutcome::Restarted {
+            record(&events::ENDPOINT_RESTARTED, &[field("endpoint", &name), field("sequence", sequence)]);
+        }
+        if outcome.is_news() {
             content.note_changed(&name);
             let stage = format!("{stage:?}");
             let fields = [
@@ -81,19 +84,17 @@
         outcome
     }
 
-    /// Notes that an endpoint has left. One that never registered here is known by its name alone,
+    /// Notes that an endpoint has left, by the name that its starts share. One that never registered here is known by its name alone,
     /// which is no use to anyone, so the caller may ask it to register elsewhere first.
-    pub fn leave(&self, name: &EndpointName) -> bool {
+    pub fn leave(&self, identity: &EndpointName) -> bool {
         let mut content = self.lock();
-        let known = content.registry.leave(self.clock.now(), name);
-        if known {
-            content.note_heard(name);
-            content.note_changed(name);
-            let stage = format!("{:?}", EndpointStage::Left);
-            record(&events::ENDPOINT_STAGE, &[field("endpoint", name), field("stage", stage)]);
-            content.notify();
-        }
-        known
+        let Some(name) = content.registry.leave(self.clock.now(), identity) else { return false };
+        content.note_heard(&name);
+        content.note_changed(&name);
+        let stage = format!("{:?}", EndpointStage::Left);
+        record(&events::ENDPOINT_STAGE, &[field("endpoint", &name), field("stage", stage)]);
+        content.notify();
+        true
     }
 
     /// A channel that gets a message after an endpoint has said something new.
--- a/crates/micaspool-keeper/tests/follow.rs
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -6,7 +6,7 @@
 use micaspool_keeper::{start_keeper, KeeperOptions, RegistryHub};
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{EndpointName, HallName, InstanceName, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName};
 use micaspool_wire::socket;
 use micaspool_wire::v1::{keeper_client::KeeperClient, FollowRequest};
 use std::collections::BTreeSet;
@@ -26,6 +26,8 @@
 fn endpoint(number: usize) -> EndpointRecord {
     EndpointRecord {
         name: EndpointName::parse(&format!("engine-{number}")).expect("a name"),
+        identity: EndpointName::parse(&format!("engine-{number}")).expect("a name"),
+        incarnation: Incarnation(0),
         service: ServiceName::parse("modelo").expect("a name"),
         hall: HallName::parse("sala").expect("a name"),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
--- a/crates/micaspool-registry/src/record.rs
+++ b/crates/micaspool-registry/src/record.rs
@@ -1,6 +1,6 @@
 //! What an endpoint says of itself.
 
-use micaspool_types::{EndpointName, HallName, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -26,11 +26,16 @@
     }
 }
 
-/// One record of an endpoint. Each start of an endpoint has a new name.
+/// One record of an endpoint.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct EndpointRecord {
-    /// The name of this life of the endpoint.
+    /// The name of this start of the endpoint. No other start has it, so nothing that is known of one under its name is
+    /// believed of the next.
     pub name: EndpointName,
+    /// The name that the endpoint itself goes by, which all its starts share.
+    pub identity: EndpointName,
+    /// Higher for each later start; zero for an endpoint that does not tell its starts apart.
+    pub incarnation: Incarnation,
     /// The service that it offers.
     pub service: ServiceName,
     /// Where it listens.
--- a/crates/micaspool-registry/tests/registry.rs
+++ b/crates/micaspool-registry/tests/registry.rs
@@ -1,13 +1,16 @@
 //! Records that come late, twice, or after a farewell.
 
 use micaspool_registry::{EndpointRecord, EndpointRegistry, EndpointStage, MergeOutcome};
-use micaspool_types::{EndpointName, HallName, Moment, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, Moment, ServiceName};
+use proptest::prelude::*;
 use std::time::Duration;
 use test_case::test_case;
 
 fn record(sequence: u64, stage: EndpointStage) -> EndpointRecord {
     EndpointRecord {
         name: EndpointName::parse("e-1").expect("a name"),
+        identity: EndpointName::parse("e-1").expect("a name"),
+        incarnation: Incarnation(0),
         service: ServiceName::parse("model").expect("a name"),
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: HallName::parse("a").expect("a name"),
@@ -55,7 +58,89 @@
     assert!(registry.expire(Moment::from_millis(9_000), Duration::from_secs(8)));
     assert!(registry.get(&name).is_none());
     registry.merge(Moment(0), record(1, EndpointStage::Serving));
-    assert!(registry.leave(Moment(0), &name));
+    assert!(registry.leave(Moment(0), &name).is_some());
     assert!(!registry.expire(Moment::from_millis(9_000), Duration::from_secs(8)));
     assert_eq!(registry.merge(Moment(1), record(2, EndpointStage::Serving)), MergeOutcome::Stale);
 }
+
+/// A record of the endpoint's start `born`.
+fn started(born: u64, sequence: u64, stage: EndpointStage) -> EndpointRecord {
+    let name = EndpointName::parse(&format!("e-1.{born}")).expect("a name");
+    EndpointRecord { name, incarnation: Incarnation(born), ..record(sequence, stage) }
+}
+
+/// An endpoint that starts again counts its records from one again, and what it said before it ended holds no more.
+#[test_case(EndpointStage::Serving; "after a crash")]
+#[test_case(EndpointStage::Draining; "while it drained")]
+#[test_case(EndpointStage::Left; "after it left")]
+fn a_later_start_takes_the_place_of_the_one_before(before: EndpointStage) {
+    let mut registry = EndpointRegistry::default();
+    registry.merge(Moment(0), started(100, 900, before));
+    let again = started(200, 1, EndpointStage::Serving);
+    assert_eq!(registry.merge(Moment(1), again.clone()), MergeOutcome::Restarted);
+    assert_eq!(registry.iter().collect::<Vec<_>>(), vec![&again]);
+    assert!(registry.get(&started(100, 900, before).name).is_none());
+}
+
+/// Records that a cut held back come in after the endpoint has started again, also when it has ended once more.
+#[test_case(EndpointStage::Serving)]
+#[test_case(EndpointStage::Draining)]
+#[test_case(EndpointStage::Left)]
+fn a_late_record_of_an_earlier_start_changes_nothing(late: EndpointStage) {
+    let mut registry = EndpointRegistry::default();
+    let newest = started(200, 1, EndpointStage::Serving);
+    registry.merge(Moment(0), newest.clone());
+    assert_eq!(registry.merge(Moment::from_millis(7_000), started(100, 900, late)), MergeOutcome::Stale);
+    assert_eq!(registry.iter().collect::<Vec<_>>(), vec![&newest]);
+    let now = Moment::from_millis(9_000);
+    assert!(registry.expire(now, Duration::from_secs(8)), "the late record did not refresh the newest start");
+    assert_eq!(registry.merge(now, started(100, 901, late)), MergeOutcome::Stale);
+    assert_eq!(registry.iter().count(), 0);
+}
+
+/// One that tells its starts is not ended by a record that does not, as from another writer.
+#[test]
+fn a_record_without_a_start_is_older_than_any_with_one() {
+    let mut registry = EndpointRegistry::default();
+    registry.merge(Moment(0), started(200, 1, EndpointStage::Serving));
+    assert_eq!(registry.merge(Moment(1), record(900, EndpointStage::Draining)), MergeOutcome::Stale);
+}
+
+#[test]
+fn a_farewell_ends_the_newest_start() {
+    let mut registry = EndpointRegistry::default();
+    registry.merge(Moment(0), started(100, 9, EndpointStage::Serving));
+    registry.merge(Moment(1), started(200, 1, EndpointStage::Serving));
+    let identity = record(0, EndpointStage::Serving).identity;
+    assert_eq!(registry.leave(Moment(2), &identity), Some(started(200, 1, EndpointStage::Left).name));
+    assert_eq!(registry.newest(&identity).map(|record| record.stage), Some(EndpointStage::Left));
+}
+
+fn any_record() -> impl Strategy<Value = EndpointRecord> {
+    let stages =
+        prop_oneof![Just(EndpointStage::Serving), Just(EndpointStage::Draining), Just(EndpointStage::Left)];
+    (0_u64..4, 1_u64..6, stages).prop_map(|(born, sequence, stage)| match born {
+        0 => record(sequence, stage),
+        _ => started(born, sequence, stage),
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whichever keeper heard what first, all end with the same.
+    #[test]
+    fn the_order_of_records_does_not_matter(
+        (records, shuffled) in proptest::collection::vec(any_record(), 1..12)
+            .prop_flat_map(|records| (Just(records.clone()), Just(records).prop_shuffle())),
+    ) {
+        let merged = |records: &[EndpointRecord]| {
+            let mut registry = EndpointRegistry::default();
+            for record in records {
+                registry.merge(Moment(0), record.clone());
+            }
+            registry.iter().cloned().collect::<Vec<_>>()
+        };
+        prop_assert_eq!(merged(&records), merged(&shuffled));
+    }
+}
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -115,6 +115,10 @@
 pub const PLAN_UNCERTAIN: EventKind = kind("MP1412", Level::Warn, "route plan order without a majority");
 /// An endpoint has registered, or says that it drains or leaves.
 pub const ENDPOINT_STAGE: EventKind = kind("MP1501", Level::Info, "endpoint changed its stage");
+/// An endpoint has started again; its requests, caches and failures of before count no more.
+pub const ENDPOINT_RESTARTED: EventKind = kind("MP1509", Level::Info, "endpoint started again");
+/// What an endpoint said of itself can't be used; nothing that is known changes.
+pub const HEARTBEAT_REFUSED: EventKind = kind("MP1510", Level::Warn, "heartbeat not used");
 /// An endpoint was not heard for too long.
 pub const ENDPOINT_EXPIRED: EventKind = kind("MP1502", Level::Warn, "endpoint not heard, forgotten");
 /// A newer route plan is in force in this process.
@@ -189,6 +193,8 @@
     PLAN_UNCERTAIN,
     ENDPOINT_STAGE,
     ENDPOINT_EXPIRED,
+    ENDPOINT_RESTARTED,
+    HEARTBEAT_REFUSED,
     PLAN_IN_FORCE,
     PLAN_UNUSABLE,
     KEEPER_FOLLOWED,
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -323,6 +323,8 @@
         slots: record.slots,
         stage: stage.into(),
         sequence: record.sequence,
+        identity: record.identity.to_string(),
+        incarnation: record.incarnation.0,
     }
 }
 
@@ -333,8 +335,11 @@
         v1::EndpointStage::EndpointDraining => EndpointStage::Draining,
         v1::EndpointStage::EndpointLeft => EndpointStage::Left,
     };
+    let identity = if message.identity.is_empty() { &message.name } else { &message.identity };
     Ok(EndpointRecord {
         name: EndpointName::parse(&message.name)?,
+        identity: EndpointName::parse(identity)?,
+        incarnation: Incarnation(message.incarnation),
         service: ServiceName::parse(&message.service)?,
         address: message.address.parse().map_err(|_| Error::Address)?,
         hall: HallName::parse(&message.hall)?,
