test(keeper): messages to followers are counted by the time that registering took

Traced: the row registers 325 endpoints with pauses of 3 ms and takes that for one second; beside that load it took 1.17 to 1.31 s in nine plays, with 14 to 16 messages, ten a second as promised. The row now measures the time: ten a second and four, which is 14 for a second as before.

--- a/crates/micaspool-keeper/tests/follow.rs
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -13,15 +13,17 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 use tonic::transport::Channel;
 
 const ENDPOINTS: usize = 325;
 /// How long all of them take to register.
 const RETURN: Duration = Duration::from_secs(1);
-/// Ten in the second, one at each end, the first pulses, and one for a late timer.
-const MOST_MESSAGES: usize = 14;
+/// How many messages a follower gets while endpoints register, in a second.
+const MESSAGES_A_SECOND: f64 = 10.0;
+/// One at each end, the first pulses, and one for a late timer.
+const OTHER_MESSAGES: usize = 4;
 
 fn endpoint(number: usize) -> EndpointRecord {
     EndpointRecord {
@@ -69,11 +71,14 @@
     KeeperOptions::builder(name.clone(), vec![name], directory).data_folder(folder).build()
 }
 
-async fn register_all(hub: Arc<RegistryHub>) {
+/// Gives how long it took: each pause may be longer than asked for where the machine is busy.
+async fn register_all(hub: Arc<RegistryHub>) -> Duration {
+    let began = Instant::now();
     for number in 0..ENDPOINTS {
         hub.register(endpoint(number));
         task::sleep(RETURN / ENDPOINTS as u32).await;
     }
+    began.elapsed()
 }
 
 #[test_case(30)]
@@ -82,17 +87,19 @@
 fn endpoints_that_return_at_once_are_told_in_a_few_messages(followers: usize) {
     let folder = std::env::temp_dir().join(format!("micaspool-follow-{}-{followers}", std::process::id()));
     let options = alone(folder.clone());
-    let messages = task::block_on(async {
+    let (messages, took) = task::block_on(async {
         let keeper = start_keeper(options).await.expect("it starts");
         let streams = join_all((0..followers).map(|_| task::spawn(follow(keeper.wire))));
-        task::spawn(register_all(keeper.hub().clone()));
+        let registering = task::spawn(register_all(keeper.hub().clone()));
         let messages = async_std::future::timeout(Duration::from_secs(20), streams).await;
+        let took = registering.await;
         keeper.stop().await;
-        messages.expect("all are told")
+        (messages.expect("all are told"), took)
     });
     let _ = std::fs::remove_dir_all(folder);
     let most = messages.iter().max().expect("there are followers");
-    assert!(*most <= MOST_MESSAGES, "{most} messages to one of {followers} followers");
+    let allowed = (took.as_secs_f64() * MESSAGES_A_SECOND) as usize + OTHER_MESSAGES;
+    assert!(*most <= allowed, "{most} messages to one of {followers} followers in {took:?}");
 }
 
 /// How often each endpoint registers.
