revert(dispatch): at engines each ticket judges its customer's queue by itself again

Suspected: more refusals are more new connections at a flooded gateway, whose callers beyond its limit are refused twenty a second, from a backlog in which they have already left.

Conclusion: reverted until callers beyond the limit are taken in time.

--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -43,19 +43,19 @@
         let Some(objective) = ticket.objective else {
             return WaitEstimate { longest: None, bound: None, expected };
         };
+        let longest = objective.saturating_sub(begins).max(SHORTEST_WAIT);
+        if !self.endpoints.has_no_engine() {
+            return WaitEstimate { longest: Some(longest), bound: Some(longest), expected };
+        }
         if is_first_try {
             self.note_tolerance(now, customer, objective, begins);
         }
-        let longest = objective.saturating_sub(begins).max(SHORTEST_WAIT);
         let shared = self.customers.get_mut(customer).tolerance.shortest(now);
-        let bound = match self.endpoints.has_no_engine() {
-            true => plain_bound(objective, begins, shared),
-            false => longest.min(shared),
-        };
+        let bound = plain_bound(objective, begins, shared);
         WaitEstimate { longest: Some(longest), bound: Some(bound), expected }
     }
 
-    /// Takes in what requests of a kind bear. The least patient set the length of a customer's queue for all. Judged
+    /// Takes in what requests of a plain service bear. The least patient set the length of a customer's queue. Judged
     /// by each ticket's own objective, the queue grows as long as the most patient bear, and of two kinds wanted
     /// within 150 and 200 ms from a plain service that is asked for twice too often, none of the first and 54 of 100
     /// of the second are answered in time; 20 and 26 of 100 with this, where both come back once.
@@ -66,13 +66,9 @@
         objective: Duration,
         begins: Duration,
     ) {
-        let is_plain = self.endpoints.has_no_engine();
-        let most = self.endpoints.answer_time.most().min(objective / 2);
-        let room = if is_plain { most.max(begins) } else { begins };
+        let room = self.endpoints.answer_time.most().min(objective / 2).max(begins);
         let tolerance = objective.saturating_sub(room);
-        // The longest prompts begin late everywhere, and say nothing of how long others may wait.
-        let counts = is_plain || tolerance * 2 >= objective;
-        if counts && !tolerance.is_zero() {
+        if !tolerance.is_zero() {
             self.customers.get_mut(customer).tolerance.note(now, tolerance);
         }
     }
