--- a/crates/micaspool-http/tests/edge_server.rs
+++ b/crates/micaspool-http/tests/edge_server.rs
@@ -150,3 +150,23 @@
     let (_stream, answer) = ask();
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
 }
+
+/// A gateway that was full took callers beyond its limit twenty a second, the ones that had waited longest first. Of
+/// 220 that came in a second each was taken after it had left, and none of 981 in 4.5 s was answered: lines
+/// `too-many-connections` 0 to 4 a second, beside a bound of twenty.
+#[test]
+fn a_caller_is_refused_at_once_behind_many_that_have_left() {
+    const LEFT: usize = 60;
+    let options = EdgeOptions { connections: 1, refused: 4, ..EdgeOptions::default() };
+    let server = EdgeServer::new(Arc::new(PathHandler::default()), options);
+    let address = task::block_on(server.listen(([127, 0, 0, 1], 0).into())).expect("a free port");
+    let _held = send(address, "/stuck");
+    std::thread::sleep(Duration::from_millis(100));
+    for _ in 0..LEFT {
+        drop(TcpStream::connect(address).expect("it listens"));
+    }
+    let began = Instant::now();
+    let answer = read_all(send(address, "/"));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(began.elapsed() < Duration::from_millis(500), "refused after {:?}", began.elapsed());
+}
