--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -111,7 +111,7 @@
     fn age_of(&mut self, now: Moment, ticket: &RequestTicket) -> Duration {
         match (ticket.objective, ticket.patience) {
             (Some(objective), Some(patience)) if ticket.attempt == 0 => {
-                self.first_tries.age(now, objective, patience)
+                self.first_tries.take(now, objective, patience)
             }
             _ => Duration::ZERO,
         }
--- a/crates/micaspool-dispatch/src/shard/tries.rs
+++ b/crates/micaspool-dispatch/src/shard/tries.rs
@@ -40,9 +40,9 @@
 }
 
 impl FirstTries {
-    /// How long ago the caller of a request first tried; zero where nothing tells. The kind is named by its
-    /// `objective`.
-    pub fn age(&mut self, now: Moment, objective: Duration, patience: Duration) -> Duration {
+    /// Takes a try in and gives how long ago its caller first tried; zero where nothing tells. The kind is named by
+    /// its `objective`.
+    pub fn take(&mut self, now: Moment, objective: Duration, patience: Duration) -> Duration {
         let is_calm = self.refused_at.is_none_or(|at| now.since(at) >= CALM);
         let kind = steps(objective);
         if self.kinds.len() >= MOST_KINDS && !self.kinds.contains_key(&kind) {
