feat: a request that comes again can be known by a digest, and a connection that ended is told apart

Cause: the logs of a series of ended endpoints could not tell whether the same request was behind all of them: they know the caller's id for one try only, and a connection that ended looked like a deadline, a foreign answer or a missing seal. Change: customer, method, target and body have a digest (128 bits of BLAKE3), which tickets, held grants, MP1602, MP1604 and MP1605 carry. A grant may end Severed (the connection ended before the whole answer) or Abandoned (the caller left); on the wire both stand beside the fate that older processes know. Decisions are as before.

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -3,7 +3,7 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, OrderNumber,
-    RegionName, RequestId, Revision, Weight,
+    RegionName, RequestDigest, RequestId, Revision, Weight,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -21,6 +21,8 @@
     pub customer: CustomerName,
     /// What it may cost, roughly; zero when nothing is known.
     pub hint: Cost,
+    /// What is asked for; `None` where its router does not tell.
+    pub digest: Option<RequestDigest>,
     /// Its priority among the customer's requests; lower runs first.
     pub priority: u8,
     /// How often it was sent to an endpoint before.
@@ -49,6 +51,8 @@
     pub request: RequestId,
     /// Whose request it is.
     pub customer: CustomerName,
+    /// What is asked for; `None` where its router does not tell.
+    pub digest: Option<RequestDigest>,
     /// Where it runs.
     pub endpoint: EndpointName,
     /// The estimate that was charged.
@@ -90,8 +94,10 @@
 /// How a grant ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum GrantFate {
-    /// The endpoint answered.
+    /// The endpoint answered whole.
     Done,
+    /// The caller left before the whole answer had come; it says nothing of the endpoint.
+    Abandoned,
     /// The endpoint refused for lack of capacity; nothing ran.
     Refused,
     /// No connection could be made; nothing ran.
@@ -100,6 +106,9 @@
     Draining,
     /// The endpoint failed after the request was sent.
     Broken,
+    /// Its connection ended after the request was sent and before the whole answer had come, as when the endpoint
+    /// ends. Otherwise like [`GrantFate::Broken`].
+    Severed,
     /// The router did not send the request.
     Unsent,
     /// The router does not hold the endpoint as one that serves, as just after its start; nothing ran. It says
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -303,17 +303,21 @@
         let state = &mut self.states[endpoint.0 as usize];
         state.busy = state.busy.saturating_sub(1);
         match fate {
-            GrantFate::Done => {
+            GrantFate::Done | GrantFate::Abandoned => {
                 state.failures = 0;
                 state.breaks = 0;
             }
-            GrantFate::Broken if state.breaks < self.tolerated_breaks => state.breaks += 1,
+            GrantFate::Broken | GrantFate::Severed if state.breaks < self.tolerated_breaks => {
+                state.breaks += 1
+            }
             // One router's word is no more than a pause: endpoints that are not asked for their load would never
             // be opened again. Credit of a small service while 41 of 58 routers restart, mean of three seeds:
             // 0.82 to 0.91.
-            GrantFate::Refused | GrantFate::Unreachable | GrantFate::Draining | GrantFate::Broken => {
-                self.pause(now, endpoint)
-            }
+            GrantFate::Refused
+            | GrantFate::Unreachable
+            | GrantFate::Draining
+            | GrantFate::Broken
+            | GrantFate::Severed => self.pause(now, endpoint),
             GrantFate::Unsent | GrantFate::NotHeld => {}
         }
         self.reindex(endpoint);
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -9,7 +9,7 @@
 use crate::action::ShardAction;
 use crate::event::{CacheNews, GrantFate, SessionId};
 use micaspool_fair::{CustomerIndex, Rank};
-use micaspool_types::{Cost, Moment, OrderNumber, RequestId};
+use micaspool_types::{Cost, Moment, OrderNumber, RequestDigest, RequestId};
 use std::time::Duration;
 
 /// How many tickets of a customer are looked at for one that a free endpoint suits. The first may wait
@@ -26,6 +26,7 @@
 pub(super) struct RunningGrant {
     pub customer: CustomerIndex,
     pub router: RouterIndex,
+    pub digest: Option<RequestDigest>,
     pub endpoint: EndpointIndex,
     pub hint: Cost,
     pub estimate: Cost,
@@ -255,7 +256,7 @@
             self.endpoints.withdraw(now, grant.endpoint, request);
         }
         self.endpoints.vacate(now, grant.endpoint, fate);
-        if let Some(since) = grant.since.filter(|_| fate == GrantFate::Done) {
+        if let Some(since) = grant.since.filter(|_| matches!(fate, GrantFate::Done | GrantFate::Abandoned)) {
             let took = now.since(since);
             self.endpoints.note_service(grant.endpoint, took);
             if grant.unread {
@@ -268,11 +269,11 @@
         let state = self.customers.get_mut(grant.customer);
         state.running -= 1;
         match fate {
-            GrantFate::Done | GrantFate::Broken => {
+            GrantFate::Done | GrantFate::Abandoned | GrantFate::Broken | GrantFate::Severed => {
                 let cost = cost.unwrap_or(grant.delivered);
                 state.account.charge_end(grant.estimate, grant.delivered, cost);
                 state.served = state.served.plus(cost.minus(grant.delivered));
-                if fate == GrantFate::Done && cost > Cost(0) {
+                if matches!(fate, GrantFate::Done | GrantFate::Abandoned) && cost > Cost(0) {
                     state.estimator.learn(grant.hint, cost);
                 }
             }
@@ -300,6 +301,7 @@
         RunningGrant {
             customer: ticket.customer,
             router: ticket.router,
+            digest: ticket.digest,
             endpoint,
             hint: ticket.hint,
             estimate,
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -72,7 +72,7 @@
         match running.remove(&request) {
             Some(held) => self.update_delivered(request, held.delivered),
             None if held_waiting => self.take_grant_back(now, request),
-            None => self.end_grant(now, request, None, GrantFate::Done),
+            None => self.end_grant(now, request, None, GrantFate::Abandoned),
         }
     }
 
@@ -83,6 +83,7 @@
         let ticket = WaitingTicket {
             customer: grant.customer,
             router: grant.router,
+            digest: grant.digest,
             hint: grant.hint,
             place: QueuePlace { priority: grant.priority, order: grant.order, request },
             since: now,
@@ -146,6 +147,7 @@
         let grant = RunningGrant {
             customer,
             router,
+            digest: held.digest,
             endpoint,
             hint: held.estimate,
             estimate: held.estimate,
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -200,7 +200,7 @@
         for router in self.routers.expired(now, self.options.lease) {
             for request in self.routers.forget(router) {
                 self.drop_waiting(request);
-                self.end_grant(now, request, None, GrantFate::Done);
+                self.end_grant(now, request, None, GrantFate::Abandoned);
             }
         }
         self.endpoints.forget_old_reports(now);
@@ -222,7 +222,7 @@
         if let Some(router) = self.routers.by_session(session) {
             for request in self.routers.forget(router) {
                 self.drop_waiting(request);
-                self.end_grant(now, request, None, GrantFate::Done);
+                self.end_grant(now, request, None, GrantFate::Abandoned);
             }
         }
     }
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -9,7 +9,7 @@
 use crate::shard::endpoints::EndpointIndex;
 use crate::shard::engine::PromptShape;
 use micaspool_fair::{CustomerIndex, HeadTicket, ServiceLevel};
-use micaspool_types::{Cost, Moment, OrderNumber, RequestId};
+use micaspool_types::{Cost, Moment, OrderNumber, RequestDigest, RequestId};
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -27,6 +27,7 @@
 pub(super) struct WaitingTicket {
     pub customer: CustomerIndex,
     pub router: RouterIndex,
+    pub digest: Option<RequestDigest>,
     pub hint: Cost,
     pub place: QueuePlace,
     /// When it began to wait here.
@@ -156,6 +157,7 @@
         let waiting = WaitingTicket {
             customer,
             router,
+            digest: ticket.digest,
             hint: ticket.hint,
             place,
             since: now,
--- a/crates/micaspool-dispatch/tests/shard/bench.rs
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -29,6 +29,7 @@
     RequestTicket {
         request: id(number),
         customer: customer(name),
+        digest: None,
         hint: Cost(hint),
         priority: 5,
         attempt: 0,
@@ -61,6 +62,7 @@
     HeldGrant {
         request: id(number),
         customer: customer(name),
+        digest: None,
         endpoint: endpoint(on),
         estimate: Cost(10),
         delivered: Cost(0),
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -16,7 +16,7 @@
 use micaspool_router::GrantLease;
 use micaspool_routes::RunRule;
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind, RequestId};
+use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId};
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
@@ -39,6 +39,7 @@
     call: TakenCall,
     target: CallTarget,
     request: RequestId,
+    digest: RequestDigest,
     deadline: Instant,
     /// Sends that reached an endpoint.
     arrivals: u32,
@@ -65,11 +66,15 @@
 impl Attempts {
     pub(super) fn new(call: TakenCall, target: CallTarget) -> Attempts {
         let patience = call.caller.patience.unwrap_or(target.time_limit).min(target.time_limit);
+        let uri = origin_form(&call.head.uri).to_string();
+        let customer = target.waiting_customer();
+        let digest = RequestDigest::of(&customer, call.head.method.as_str(), &uri, &call.body);
         Attempts {
             deadline: call.arrived + patience,
             call,
             target,
             request: RequestId(rand::random()),
+            digest,
             arrivals: 0,
             may_have_run: 0,
             avoid: None,
@@ -79,6 +84,7 @@
     /// Works until there is an answer to pass on or a refusal.
     pub async fn run(mut self, gateway: &Gateway, mut trail: RequestTrail) -> Response<EdgeBody> {
         trail.patience = self.call.caller.patience;
+        trail.digest = Some(self.digest);
         loop {
             let answer = match self.next_answer(gateway, &mut trail, None).await {
                 Ok(answer) => answer,
@@ -113,7 +119,7 @@
         let UsableAnswer { lease, response } = answer;
         let (mut head, body) = response.into_parts();
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let cause = match timeout(left, body.collect()).await {
+        let (cause, fate) = match timeout(left, body.collect()).await {
             Ok(Ok(whole)) => {
                 lease.settle(Cost(1), GrantFate::Done);
                 strip_single_hop(&mut head.headers);
@@ -122,10 +128,10 @@
                 trail.finish();
                 return Ok(Response::from_parts(head, whole_body(whole.to_bytes())));
             }
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no whole body before the deadline".to_owned(),
+            Ok(Err(error)) => (error.to_string(), GrantFate::Severed),
+            Err(_) => ("no whole body before the deadline".to_owned(), GrantFate::Broken),
         };
-        lease.settle(Cost(1), GrantFate::Broken);
+        lease.settle(Cost(1), fate);
         Err(cause)
     }
 
@@ -224,6 +230,7 @@
         RequestTicket {
             request: self.request,
             customer: self.target.waiting_customer(),
+            digest: Some(self.digest),
             hint: Cost(hint),
             priority: self.target.priority,
             attempt: self.arrivals,
@@ -360,7 +367,7 @@
         SendError::NotSent => "not-sent",
         SendError::Broken(_) => "broken",
     };
-    let fate = if unsent { GrantFate::Unreachable } else { GrantFate::Broken };
+    let fate = if unsent { GrantFate::Unreachable } else { GrantFate::Severed };
     SendFailure { fate, kind, cause: error.to_string(), not_run: unsent, arrived: !unsent }
 }
 
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -45,6 +45,16 @@
 
 impl std::error::Error for RelayError {}
 
+impl RelayError {
+    /// How the grant of such an answer ended.
+    fn fate(&self) -> GrantFate {
+        match self {
+            RelayError::Endpoint(_) => GrantFate::Severed,
+            RelayError::Deadline => GrantFate::Broken,
+        }
+    }
+}
+
 /// Counts what an answer delivers, in tokens: the prompt with the first event, then each event.
 #[derive(Debug)]
 pub(crate) struct EventMeter {
@@ -181,7 +191,7 @@
 
     fn break_off(&mut self, error: RelayError) -> BodyError {
         self.ended = true;
-        self.settle(GrantFate::Broken);
+        self.settle(error.fate());
         self.trail.break_off(&error.to_string());
         Box::new(error)
     }
@@ -201,7 +211,7 @@
             return false;
         }
         self.trail.note_failure("stream-broken", &cause.to_string(), false);
-        self.settle(GrantFate::Broken);
+        self.settle(error.fate());
         let last_event = last.to_string();
         let next = self.attempts.next_answer(&self.gateway, &mut self.trail, Some(&last_event)).await;
         match next {
--- a/crates/micaspool-gateway/src/trail.rs
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -3,7 +3,7 @@
 use crate::metrics::GatewayMetrics;
 use micaspool_registry::EndpointStage;
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
-use micaspool_types::{EndpointName, Refusal, RequestId};
+use micaspool_types::{EndpointName, Refusal, RequestDigest, RequestId};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,8 @@
     pub customer: Arc<str>,
     /// How long the caller says that it waits.
     pub patience: Option<Duration>,
+    /// What is asked for; the same for each time that it is asked for.
+    pub digest: Option<RequestDigest>,
     /// The endpoint that the request was sent to last.
     pub endpoint: Option<EndpointName>,
     /// Its name at the dispatcher, once it asked for a grant.
@@ -45,6 +47,7 @@
             plan: 0,
             customer: Arc::from(""),
             patience: None,
+            digest: None,
             endpoint: None,
             ticket: None,
             sent: 0,
@@ -95,6 +98,7 @@
     pub fn note_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
         self.metrics.count_failure(kind);
         let mut fields = self.fields();
+        fields.extend(self.digest_field());
         fields.push(field("failure", kind));
         fields.push(field("cause", cause));
         fields.push(field("proved_not_run", not_run));
@@ -118,7 +122,9 @@
     /// Ends with an answer that broke.
     pub fn break_off(&mut self, cause: &str) {
         self.metrics.broken.inc();
-        self.end(&events::ANSWER_BROKEN, &[field("cause", cause)]);
+        let mut fields = vec![field("cause", cause)];
+        fields.extend(self.digest_field());
+        self.end(&events::ANSWER_BROKEN, &fields);
     }
 
     /// Ends with a refusal.
@@ -131,9 +137,15 @@
             field("retry_after_ms", after),
         ];
         fields.extend(self.ticket.map(|ticket| field("ticket", ticket)));
+        fields.extend(self.digest_field());
         self.end(&events::REQUEST_TURNED_AWAY, &fields);
     }
 
+    /// Failures and refusals tell what was asked for, so that each time it came can be found.
+    fn digest_field(&self) -> Option<EventField> {
+        self.digest.map(|digest| field("digest", digest))
+    }
+
     fn end(&mut self, kind: &EventKind, more: &[EventField]) {
         if self.ended {
             return;
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -84,6 +84,7 @@
         RequestTicket {
             request: id,
             customer: customer_name(trace, request.customer),
+            digest: None,
             hint: Cost(request.hint),
             priority: 5,
             attempt,
@@ -137,7 +138,8 @@
         let customer = ticket.customer;
         held.totals.insert(customer.clone(), HeldTotal { customer: customer.clone(), level, order });
         let endpoint = endpoint.clone();
-        let grant = HeldGrant { request, customer, endpoint, estimate, delivered: Cost(0), order };
+        let grant =
+            HeldGrant { request, customer, digest: None, endpoint, estimate, delivered: Cost(0), order };
         held.running.insert(request, grant);
         true
     }
--- a/crates/micaspool-replay/src/run/wire.rs
+++ b/crates/micaspool-replay/src/run/wire.rs
@@ -2,7 +2,7 @@
 
 use micaspool_dispatch::{RouterHello, ShardAction, ShardEvent};
 use micaspool_types::{Incarnation, ServiceName};
-use micaspool_wire::convert::{action_message, fate_message, hello_message, request_bytes, submit_message};
+use micaspool_wire::convert::{action_message, hello_message, request_bytes, settle_message, submit_message};
 use micaspool_wire::v1::{self, router_message::Body};
 use prost::Message;
 
@@ -24,8 +24,7 @@
                 Body::Progress(v1::Progress { request: request_bytes(*request), delivered: delivered.0 })
             }
             ShardEvent::Settle(_, request, cost, fate) => {
-                let fate = fate_message(*fate).into();
-                Body::Settle(v1::Settle { request: request_bytes(*request), cost: cost.0, fate })
+                Body::Settle(settle_message(*request, *cost, *fate))
             }
             ShardEvent::Heartbeat(_, number) => {
                 Body::Heartbeat(v1::Heartbeat { number: *number, revision: 0 })
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -4,7 +4,7 @@
 
 use micaspool_dispatch::RequestTicket;
 use micaspool_settings::policy::{RequestPolicy, ServiceKind, ServicePolicy, SharedPolicy};
-use micaspool_types::{Cost, CustomerName, Refusal, RefusalKind, RequestId, ServiceName};
+use micaspool_types::{Cost, CustomerName, Refusal, RefusalKind, RequestDigest, RequestId, ServiceName};
 use model::ModelBody;
 use sha2::{Digest, Sha256};
 
@@ -31,6 +31,8 @@
     pub request: RequestId,
     /// Whose it is.
     pub customer: CustomerName,
+    /// What it asks for, the same for each time that it comes.
+    pub digest: RequestDigest,
     /// What it calls.
     pub service: ServiceName,
     /// How the service is called.
@@ -110,9 +112,11 @@
         check_placement(service, &own)?;
         let once = parts.key.as_ref().map(|key| once_key(key, &parts)).transpose()?;
         let listed = is_once(service, &parts.method, path_of(&parts.target));
+        let customer = policy.customers[parts.customer].name.clone();
         Ok(CallPlan {
             request: parts.request,
-            customer: policy.customers[parts.customer].name.clone(),
+            digest: RequestDigest::of(&customer, &parts.method, &parts.target, &parts.body),
+            customer,
             service: service.name.clone(),
             kind: service.kind,
             repeatable: own.repeatable && !listed && once.is_none(),
@@ -133,6 +137,7 @@
         RequestTicket {
             request: self.request,
             customer: self.customer.clone(),
+            digest: Some(self.digest),
             hint: self.hint,
             priority: self.policy.priority,
             attempt,
--- a/crates/micaspool-router/src/endpoint.rs
+++ b/crates/micaspool-router/src/endpoint.rs
@@ -51,8 +51,10 @@
         /// True when the endpoint said that nothing ran.
         proved: bool,
     },
-    /// The connection broke, or was silent, after the request may have been sent.
-    Broken,
+    /// The connection ended after the request may have been sent.
+    Severed,
+    /// The endpoint gave no answer, or none that can be read, after the request may have been sent.
+    Silent,
     /// The endpoint answered another request.
     Mismatch,
 }
@@ -63,7 +65,7 @@
         match self {
             EndpointError::Unreachable => true,
             EndpointError::Refused { proved } | EndpointError::Draining { proved } => proved,
-            EndpointError::Broken | EndpointError::Mismatch => false,
+            EndpointError::Severed | EndpointError::Silent | EndpointError::Mismatch => false,
         }
     }
 }
@@ -74,7 +76,8 @@
             EndpointError::Unreachable => "no connection; check that the endpoint runs",
             EndpointError::Refused { .. } => "the endpoint is full; check its slots in the settings",
             EndpointError::Draining { .. } => "the endpoint is leaving",
-            EndpointError::Broken => "the endpoint broke off or was silent; check it",
+            EndpointError::Severed => "the endpoint broke off; check it",
+            EndpointError::Silent => "the endpoint was silent; check it",
             EndpointError::Mismatch => "the endpoint answered another request; take it out of use",
         })
     }
@@ -101,7 +104,8 @@
         let limits = CallLimits { connect: CONNECT_LIMIT, silence: plan.policy.silence_limit };
         let response = call(endpoint_call.address, request, limits).await.map_err(|error| match error {
             Error::Unreachable(_) => EndpointError::Unreachable,
-            Error::Silent | Error::Broken | Error::Length | Error::Interim => EndpointError::Broken,
+            Error::Broken => EndpointError::Severed,
+            Error::Silent | Error::Length | Error::Interim => EndpointError::Silent,
         })?;
         let echo = response.header(REQUEST_HEADER).map(|values| values.last().as_str().to_owned());
         if echo.is_some_and(|echo| echo != plan.request.to_string()) {
--- a/crates/micaspool-router/src/relay.rs
+++ b/crates/micaspool-router/src/relay.rs
@@ -87,7 +87,7 @@
                 Poll::Ready(Ok(()))
             }
             Poll::Ready(Err(error)) => {
-                self.end(GrantFate::Broken);
+                self.end(GrantFate::Severed);
                 Poll::Ready(Err(error))
             }
         }
@@ -96,7 +96,7 @@
 
 impl Drop for AnswerRelay {
     fn drop(&mut self) {
-        self.end(GrantFate::Done);
+        self.end(GrantFate::Abandoned);
     }
 }
 
--- a/crates/micaspool-router/src/router/attempt.rs
+++ b/crates/micaspool-router/src/router/attempt.rs
@@ -167,7 +167,8 @@
             EndpointError::Unreachable => GrantFate::Unreachable,
             EndpointError::Refused { .. } => GrantFate::Refused,
             EndpointError::Draining { .. } => GrantFate::Draining,
-            EndpointError::Broken | EndpointError::Mismatch => GrantFate::Broken,
+            EndpointError::Severed => GrantFate::Severed,
+            EndpointError::Silent | EndpointError::Mismatch => GrantFate::Broken,
         };
         grant.lease.settle(Cost(0), fate);
         if error.is_not_run() || plan.repeatable {
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -12,7 +12,7 @@
 use micaspool_types::{
     Cost, CustomerName, EndpointName, Moment, OrderNumber, Refusal, RefusalKind, RequestId,
 };
-use micaspool_wire::convert::{fate_message, release_reason, request_bytes, request_id, submit_message};
+use micaspool_wire::convert::{release_reason, request_bytes, request_id, settle_message, submit_message};
 use micaspool_wire::v1::{self, router_message::Body};
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -214,8 +214,7 @@
     }
 
     fn send_settle(&mut self, request: RequestId, cost: Cost, fate: GrantFate) {
-        let fate = fate_message(fate).into();
-        self.send(Body::Settle(v1::Settle { request: request_bytes(request), cost: cost.0, fate }));
+        self.send(Body::Settle(settle_message(request, cost, fate)));
     }
 
     /// Takes a message of the dispatcher; false when the router shall connect anew.
@@ -258,6 +257,7 @@
         let held = HeldGrant {
             request,
             customer: entry.ticket.customer.clone(),
+            digest: entry.ticket.digest,
             endpoint: endpoint.clone(),
             estimate: Cost(grant.estimate),
             delivered: Cost(0),
--- a/crates/micaspool-router/src/shard_client/lease.rs
+++ b/crates/micaspool-router/src/shard_client/lease.rs
@@ -97,7 +97,7 @@
 
 impl Drop for GrantLease {
     fn drop(&mut self) {
-        let fate = if self.sent { GrantFate::Done } else { GrantFate::Unsent };
+        let fate = if self.sent { GrantFate::Abandoned } else { GrantFate::Unsent };
         self.end(self.delivered, fate);
     }
 }
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -118,6 +118,7 @@
     RequestTicket {
         request: RequestId(number),
         customer: CustomerName::parse("coop-01").expect("a name"),
+        digest: None,
         hint: Cost(1),
         priority: 5,
         attempt: 0,
--- /dev/null
+++ b/crates/micaspool-types/src/digest.rs
@@ -0,0 +1,66 @@
+//! What a request asks for, whoever carries it and however often it comes.
+
+use crate::names::CustomerName;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The number of hexadecimal digits in a printed [`RequestDigest`].
+const DIGEST_DIGITS: usize = 32;
+
+/// Identifies what is asked for: the same customer, method, target and body have the same digest, at any router and
+/// in any process. 128 bits of a cryptographic hash, so that no customer can make a request that has the digest of
+/// another's. Headers are left out: a repeat has another id and another deadline, and endpoints read the same body.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestDigest(pub u128);
+
+/// Why a text is not a digest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DigestError {
+    /// The text does not consist of 32 hexadecimal digits.
+    Malformed,
+}
+
+impl fmt::Display for DigestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a request digest has {DIGEST_DIGITS} hexadecimal digits; copy it whole from the log")
+    }
+}
+
+impl std::error::Error for DigestError {}
+
+impl RequestDigest {
+    /// The digest of a request; `target` is its path with its query. A body of 17 KB takes 10 us, one of 1 MB 285 us
+    /// (bench `digest`).
+    pub fn of(customer: &CustomerName, method: &str, target: &str, body: &[u8]) -> RequestDigest {
+        let mut hasher = blake3::Hasher::new();
+        for part in [customer.as_str().as_bytes(), method.as_bytes(), target.as_bytes(), body] {
+            // The length keeps parts apart: else "a" + "bc" would be "ab" + "c".
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        let mut first = [0; 16];
+        hasher.finalize_xof().fill(&mut first);
+        RequestDigest(u128::from_be_bytes(first))
+    }
+
+    /// Parses the 32 hexadecimal digits that `Display` prints.
+    pub fn parse(text: &str) -> Result<RequestDigest, DigestError> {
+        let digits_only = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != DIGEST_DIGITS || !digits_only {
+            return Err(DigestError::Malformed);
+        }
+        u128::from_str_radix(text, 16).map(RequestDigest).map_err(|_| DigestError::Malformed)
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "d{:08x}", self.0 >> 96)
+    }
+}
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod digest;
 mod hash;
 mod ids;
 mod names;
@@ -11,6 +12,7 @@
 mod refusal;
 mod units;
 
+pub use digest::{DigestError, RequestDigest};
 pub use hash::{rendezvous_score, stable_hash};
 pub use ids::{Incarnation, OrderNumber, RequestId, RequestIdError, Revision, Term};
 pub use names::{CustomerName, EndpointName, HallName, InstanceName, NameError, RegionName, ServiceName};
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -9,7 +9,7 @@
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallName, Incarnation, InstanceName, NameError, OrderNumber,
-    RegionName, RequestId, ServiceName,
+    RegionName, RequestDigest, RequestId, ServiceName,
 };
 use std::fmt;
 use std::time::Duration;
@@ -21,6 +21,8 @@
     NoBody,
     /// A request id does not have 16 bytes.
     RequestId,
+    /// A request digest does not have 16 bytes.
+    RequestDigest,
     /// A name is malformed.
     Name(NameError),
     /// An address is malformed.
@@ -34,6 +36,9 @@
             Error::RequestId => {
                 f.write_str("a request id must have 16 bytes; run the same version everywhere")
             }
+            Error::RequestDigest => {
+                f.write_str("a request digest must have 16 bytes; run the same version everywhere")
+            }
             Error::Address => f.write_str(
                 "an endpoint's address is no IP address with a port; run the same version everywhere",
             ),
@@ -61,6 +66,20 @@
     Ok(RequestId(u128::from_be_bytes(bytes)))
 }
 
+/// A request digest as bytes; empty when there is none.
+fn digest_bytes(digest: Option<RequestDigest>) -> Vec<u8> {
+    digest.map(|digest| digest.0.to_be_bytes().to_vec()).unwrap_or_default()
+}
+
+/// A request digest from bytes; none when they are empty.
+fn request_digest(bytes: &[u8]) -> Result<Option<RequestDigest>, Error> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    let bytes: [u8; 16] = bytes.try_into().map_err(|_| Error::RequestDigest)?;
+    Ok(Some(RequestDigest(u128::from_be_bytes(bytes))))
+}
+
 /// A ticket as a message.
 pub fn submit_message(ticket: &RequestTicket) -> v1::Submit {
     v1::Submit {
@@ -77,6 +96,7 @@
         prompt_tokens: ticket.prompt_tokens.0,
         objective_millis: ticket.objective.map_or(0, |objective| objective.as_millis() as u64),
         patience_millis: ticket.patience.map_or(0, |patience| patience.as_millis() as u64),
+        digest: digest_bytes(ticket.digest),
     }
 }
 
@@ -89,6 +109,7 @@
     Ok(RequestTicket {
         request: request_id(&message.request)?,
         customer: CustomerName::parse(&message.customer)?,
+        digest: request_digest(&message.digest)?,
         hint: Cost(message.hint),
         priority: u8::try_from(message.priority).unwrap_or(u8::MAX),
         attempt: message.attempt,
@@ -124,6 +145,7 @@
         estimate: grant.estimate.0,
         delivered: grant.delivered.0,
         order: grant.order.0,
+        digest: digest_bytes(grant.digest),
     }
 }
 
@@ -147,6 +169,7 @@
     Ok(HeldGrant {
         request: request_id(&message.request)?,
         customer: CustomerName::parse(&message.customer)?,
+        digest: request_digest(&message.digest)?,
         endpoint: EndpointName::parse(&message.endpoint)?,
         estimate: Cost(message.estimate),
         delivered: Cost(message.delivered),
@@ -173,8 +196,7 @@
             ShardEvent::Progress(session, request_id(&body.request)?, Cost(body.delivered))
         }
         Body::Settle(body) => {
-            let fate = grant_fate(body.fate());
-            ShardEvent::Settle(session, request_id(&body.request)?, Cost(body.cost), fate)
+            ShardEvent::Settle(session, request_id(&body.request)?, Cost(body.cost), grant_fate(&body))
         }
         Body::Heartbeat(body) => ShardEvent::Heartbeat(session, body.number),
         Body::Goodbye(_) => ShardEvent::Goodbye(session),
@@ -207,25 +229,37 @@
     })
 }
 
-/// How a grant ended, as a message.
-pub fn fate_message(fate: GrantFate) -> v1::Fate {
+/// The end of a grant, as a message. What older processes don't tell apart is said beside the fate that they know.
+pub fn settle_message(request: RequestId, cost: Cost, fate: GrantFate) -> v1::Settle {
+    v1::Settle {
+        request: request_bytes(request),
+        cost: cost.0,
+        fate: fate_message(fate).into(),
+        connection_ended: fate == GrantFate::Severed,
+        caller_left: fate == GrantFate::Abandoned,
+    }
+}
+
+fn fate_message(fate: GrantFate) -> v1::Fate {
     match fate {
-        GrantFate::Done => v1::Fate::Done,
+        GrantFate::Done | GrantFate::Abandoned => v1::Fate::Done,
         GrantFate::Refused => v1::Fate::Refused,
         GrantFate::Unreachable => v1::Fate::Unreachable,
         GrantFate::Draining => v1::Fate::Draining,
-        GrantFate::Broken => v1::Fate::Broken,
+        GrantFate::Broken | GrantFate::Severed => v1::Fate::Broken,
         GrantFate::Unsent => v1::Fate::Unsent,
         GrantFate::NotHeld => v1::Fate::NotHeld,
     }
 }
 
-fn grant_fate(fate: v1::Fate) -> GrantFate {
-    match fate {
+fn grant_fate(settle: &v1::Settle) -> GrantFate {
+    match settle.fate() {
+        v1::Fate::Done if settle.caller_left => GrantFate::Abandoned,
         v1::Fate::Done => GrantFate::Done,
         v1::Fate::Refused => GrantFate::Refused,
         v1::Fate::Unreachable => GrantFate::Unreachable,
         v1::Fate::Draining => GrantFate::Draining,
+        v1::Fate::Broken if settle.connection_ended => GrantFate::Severed,
         v1::Fate::Broken => GrantFate::Broken,
         v1::Fate::Unsent => GrantFate::Unsent,
         v1::Fate::NotHeld => GrantFate::NotHeld,
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -12,8 +12,8 @@
     LedgerTime, StoredAnswer,
 };
 use micaspool::types::{
-    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestId,
-    Revision, Weight,
+    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestDigest,
+    RequestId, Revision, Weight,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -103,6 +103,7 @@
         let ticket = RequestTicket {
             request: RequestId(self.next.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c834)),
             customer: customer(number),
+            digest: Some(RequestDigest(self.next)),
             hint: Cost(100 + self.next as u64 % 900),
             priority: 5,
             attempt: 0,
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -9,8 +9,8 @@
     ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool::types::{
-    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestId,
-    Revision, Weight,
+    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestDigest,
+    RequestId, Revision, Weight,
 };
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -156,6 +156,7 @@
         RequestTicket {
             request: RequestId(self.arrived.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c834)),
             customer: customer(from % CUSTOMERS as u64),
+            digest: Some(RequestDigest(self.arrived)),
             hint: Cost(14_000 + u64::from(own)),
             priority: 17,
             attempt: 0,
--- a/crates/micaspool/benches/parts/sessions.rs
+++ b/crates/micaspool/benches/parts/sessions.rs
@@ -94,7 +94,7 @@
                     let progress = v1::Progress { request: grant.request.clone(), delivered: step * 128 };
                     let _ = answers.try_send(message(Body::Progress(progress)));
                 }
-                let settle = v1::Settle { request: grant.request, cost: 441, fate: 0 };
+                let settle = v1::Settle { request: grant.request, cost: 441, ..Default::default() };
                 let _ = answers.try_send(message(Body::Settle(settle)));
             }
         }
