feat(dispatcher): operators list and lift quarantines; an endpoint that keeps its name counts again when it ends again

Cause: a quarantine lasts an hour and more, and the request may be repaired, or its endpoints; nobody could say so. Where settings name the endpoints, each start has the same name, so that of two such endpoints a request could end one after the other for ever: two names were never three starts. Change: micaspool quarantine list and lift (a call Lift of dispatchers, MP1315); ends of one name more than two seconds apart are two, since it ran something in between. Ruled out: lifting through the settings tree (a record of minutes in a log of years). Tests: rows of the command line, the table and the contract between router and dispatcher: what a router saw comes with its hello, and is gone once it was answered whole or the dispatcher says so.

--- a/crates/micaspool-dispatcher/src/host.rs
+++ b/crates/micaspool-dispatcher/src/host.rs
@@ -8,7 +8,7 @@
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{Incarnation, RegionName, ServiceName};
+use micaspool_types::{Incarnation, RegionName, RequestDigest, ServiceName};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -86,6 +86,18 @@
         }
     }
 
+    /// Holds nothing against a request any more; gives the services where something was held.
+    pub fn lift(&self, digest: RequestDigest) -> Vec<ServiceName> {
+        let held =
+            |status: &ShardStatus| status.suspects.iter().any(|suspect| suspect.record.digest == digest);
+        let services = self.statuses().into_iter().filter(|(_, status)| held(status));
+        let services = services.map(|(service, _)| service).collect();
+        for shard in self.lock().values() {
+            let _ = shard.inputs.try_send(ShardInput::Event(ShardEvent::Lift(digest)));
+        }
+        services
+    }
+
     /// The state of every shard.
     pub fn statuses(&self) -> Vec<(ServiceName, ShardStatus)> {
         let shards = self.lock();
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -8,7 +8,7 @@
 use micaspool_dispatch::{SessionId, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{RequestId, ServiceName};
-use micaspool_wire::convert::{request_id, shard_event, shared_message};
+use micaspool_wire::convert::{lifted_digest, request_id, shard_event, shared_message};
 use micaspool_wire::v1::{self, dispatch_server::Dispatch, router_message::Body};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -58,6 +58,15 @@
         Ok(Response::new(shared_message(&service, &own)))
     }
 
+    async fn lift(&self, request: Request<v1::LiftRequest>) -> Result<Response<v1::LiftReply>, Status> {
+        let digest = lifted_digest(&request.into_inner())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let services = self.host.lift(digest);
+        record(&events::LIFT_ORDERED, &[field("digest", digest), field("services", services.len())]);
+        let services = services.iter().map(ToString::to_string).collect();
+        Ok(Response::new(v1::LiftReply { services }))
+    }
+
     async fn status(
         &self,
         _request: Request<v1::StatusRequest>,
--- a/crates/micaspool-quarantine/src/record.rs
+++ b/crates/micaspool-quarantine/src/record.rs
@@ -6,7 +6,7 @@
 /// A start of an endpoint that ended under a request.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct EndpointCrash {
-    /// The start. One that starts again has another name.
+    /// Its name. Where starts have names of their own it is the start's; else one that ends again later counts again.
     pub endpoint: EndpointName,
     /// How long ago it ended.
     pub age: Duration,
--- a/crates/micaspool-quarantine/src/table.rs
+++ b/crates/micaspool-quarantine/src/table.rs
@@ -6,6 +6,11 @@
 use micaspool_types::{CustomerName, EndpointName, Moment, RequestDigest};
 use std::collections::{BTreeSet, HashMap};
 use std::ops::RangeInclusive;
+use std::time::Duration;
+
+/// How far apart news of one end of an endpoint are at most. Where endpoints keep their names, one that ends again
+/// later has started again in between, or it would not have run anything.
+const ONE_END: Duration = Duration::from_secs(2);
 
 /// An endpoint that ended under a request, and when.
 #[derive(Clone, Debug)]
@@ -14,6 +19,13 @@
     at: Moment,
 }
 
+impl KnownCrash {
+    fn is_same_start(&self, other: &KnownCrash) -> bool {
+        let apart = self.at.since(other.at).max(other.at.since(self.at));
+        self.endpoint == other.endpoint && apart <= ONE_END
+    }
+}
+
 #[derive(Clone, Debug)]
 struct KnownRequest {
     customer: CustomerName,
@@ -189,7 +201,7 @@
         self.endpoints.entry(crash.endpoint.clone()).or_default().insert(digest);
         let fresh = || KnownRequest { customer: customer.clone(), crashes: Vec::new() };
         let known = self.requests.entry(digest).or_insert_with(fresh);
-        match known.crashes.iter_mut().find(|other| other.endpoint == crash.endpoint) {
+        match known.crashes.iter_mut().find(|other| other.is_same_start(&crash)) {
             Some(same) => same.at = same.at.max(crash.at),
             None => known.crashes.push(crash),
         }
@@ -229,7 +241,9 @@
         }
         let is_clear = known.crashes.is_empty();
         let customer = known.customer.clone();
-        self.forget_endpoint(endpoint, digest);
+        if known.crashes.iter().all(|crash| crash.endpoint != *endpoint) {
+            self.forget_endpoint(endpoint, digest);
+        }
         if is_clear {
             self.remove(digest);
         }
--- a/crates/micaspool-quarantine/tests/table.rs
+++ b/crates/micaspool-quarantine/tests/table.rs
@@ -41,6 +41,15 @@
     standings.last().expect("there are crashes")
 }
 
+/// Where settings name the endpoints, each start of one has the same name.
+#[test_case(&[0, 1, 2] => RequestStanding::Doubted; "news of one end")]
+#[test_case(&[0, 5, 10] => RequestStanding::Quarantined { until: at(3_610) }; "three ends of one endpoint")]
+fn an_endpoint_that_keeps_its_name_may_end_more_than_once(seconds: &[u64]) -> RequestStanding {
+    let mut table = table();
+    let standings = seconds.iter().map(|seconds| crash(&mut table, at(*seconds), 1, 0));
+    standings.last().expect("there are crashes")
+}
+
 #[test]
 fn after_its_quarantine_a_request_is_tried_and_one_more_end_shuts_it_out_for_longer() {
     let mut table = table();
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -3,20 +3,23 @@
 use async_std::channel::{unbounded, Sender};
 use async_std::task;
 use futures::Stream;
-use micaspool_dispatch::{rank_candidates, RequestTicket};
+use micaspool_dispatch::{rank_candidates, GrantFate, RequestTicket};
 use micaspool_router::{ListedDispatchers, ShardClient, ShardClientOptions};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{Cost, CustomerName, Incarnation, InstanceName, RequestId, ServiceName};
+use micaspool_types::{Cost, CustomerName, Incarnation, InstanceName, RequestDigest, RequestId, ServiceName};
 use micaspool_wire::socket::CountedListener;
 use micaspool_wire::v1::{self, dispatch_server::Dispatch, dispatch_server::DispatchServer};
 use micaspool_wire::v1::{dispatcher_message, router_message};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use test_case::test_case;
 use tonic::{Request, Response, Status, Streaming};
 
+const LETTER: RequestDigest = RequestDigest(0x1e77e4);
+
 /// What a dispatcher does.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Behaviour {
@@ -26,10 +29,18 @@
     Refuses,
     /// Takes streams and says nothing, as one that has just lost power.
     Silent,
+    /// Grants everything, and asks for a new stream after each end of a grant.
+    MovesOn,
+    /// The same, and says before that nothing is held against what the grant asked for.
+    ClearsAndMovesOn,
 }
 
+/// What routers said in each hello of requests under which endpoints ended.
+type HeardCrashes = Arc<Mutex<Vec<Vec<v1::CrashRecord>>>>;
+
 struct FakeDispatcher {
     behaviour: Behaviour,
+    heard: HeardCrashes,
 }
 
 type Messages = Pin<Box<dyn Stream<Item = Result<v1::DispatcherMessage, Status>> + Send>>;
@@ -48,11 +59,15 @@
         let (sender, receiver) = unbounded();
         match self.behaviour {
             Behaviour::Silent => task::spawn(keep_open(request.into_inner(), sender)),
-            _ => task::spawn(answer(request.into_inner(), sender)),
+            behaviour => task::spawn(answer(request.into_inner(), sender, behaviour, self.heard.clone())),
         };
         Ok(Response::new(Box::pin(receiver)))
     }
 
+    async fn lift(&self, _request: Request<v1::LiftRequest>) -> Result<Response<v1::LiftReply>, Status> {
+        Ok(Response::new(v1::LiftReply::default()))
+    }
+
     async fn status(
         &self,
         _request: Request<v1::StatusRequest>,
@@ -68,10 +83,19 @@
 async fn answer(
     mut messages: Streaming<v1::RouterMessage>,
     sender: Sender<Result<v1::DispatcherMessage, Status>>,
+    behaviour: Behaviour,
+    heard: HeardCrashes,
 ) {
     while let Ok(Some(message)) = messages.message().await {
         let submits = match message.body {
-            Some(router_message::Body::Hello(hello)) => hello.waiting,
+            Some(router_message::Body::Hello(hello)) => {
+                heard.lock().expect("nobody panics").push(hello.crashes);
+                hello.waiting
+            }
+            Some(router_message::Body::Settle(_)) => {
+                move_on(&sender, behaviour).await;
+                Vec::new()
+            }
             Some(router_message::Body::Submit(submit)) => vec![submit],
             Some(router_message::Body::Heartbeat(beat)) => {
                 let pulse = v1::Pulse { heartbeat: beat.number, incarnation: 1 };
@@ -93,6 +117,20 @@
     }
 }
 
+async fn move_on(sender: &Sender<Result<v1::DispatcherMessage, Status>>, behaviour: Behaviour) {
+    if behaviour == Behaviour::ClearsAndMovesOn {
+        let cleared = v1::CrashRecord {
+            digest: LETTER.0.to_be_bytes().to_vec(),
+            customer: "coop-01".to_owned(),
+            crashes: Vec::new(),
+        };
+        send(sender, dispatcher_message::Body::CrashRecord(cleared)).await;
+    }
+    if matches!(behaviour, Behaviour::MovesOn | Behaviour::ClearsAndMovesOn) {
+        send(sender, dispatcher_message::Body::Moved(v1::Moved {})).await;
+    }
+}
+
 /// Reads and says nothing.
 async fn keep_open(
     mut messages: Streaming<v1::RouterMessage>,
@@ -106,10 +144,14 @@
 }
 
 async fn start(behaviour: Behaviour) -> SocketAddr {
+    start_hearing(behaviour, HeardCrashes::default()).await
+}
+
+async fn start_hearing(behaviour: Behaviour, heard: HeardCrashes) -> SocketAddr {
     let any = "127.0.0.1:0".parse().expect("an address");
     let listener = CountedListener::bind(any, TrafficCounter::default()).await.expect("a free port");
     let address = listener.local_address().expect("it is bound");
-    let server = DispatchServer::new(FakeDispatcher { behaviour });
+    let server = DispatchServer::new(FakeDispatcher { behaviour, heard });
     task::spawn(tonic::transport::Server::builder().add_service(server).serve_with_incoming(listener));
     address
 }
@@ -118,7 +160,7 @@
     RequestTicket {
         request: RequestId(number),
         customer: CustomerName::parse("coop-01").expect("a name"),
-        digest: None,
+        digest: Some(LETTER),
         hint: Cost(1),
         priority: 5,
         attempt: 0,
@@ -189,3 +231,27 @@
         assert_eq!(granted.expect("the second choice grants").endpoint().as_str(), "endpoint-1");
     });
 }
+
+#[test_case(Behaviour::MovesOn, GrantFate::Severed => 1; "a connection that ended")]
+#[test_case(Behaviour::MovesOn, GrantFate::Done => 0; "an answer that came whole")]
+#[test_case(Behaviour::MovesOn, GrantFate::Broken => 0; "a deadline")]
+#[test_case(Behaviour::ClearsAndMovesOn, GrantFate::Severed => 0; "one that the dispatcher knows to be harmless")]
+fn a_router_brings_what_it_saw_to_the_next_dispatcher(behaviour: Behaviour, fate: GrantFate) -> usize {
+    task::block_on(async {
+        let heard = HeardCrashes::default();
+        let address = start_hearing(behaviour, heard.clone()).await;
+        let client = client(address, address);
+        let mut lease = client.acquire(ticket(1), None).await.expect("it grants");
+        lease.mark_sent();
+        lease.settle(Cost(1), fate);
+        for _ in 0..200 {
+            if heard.lock().expect("nobody panics").len() > 1 {
+                break;
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        let hellos = heard.lock().expect("nobody panics").clone();
+        assert!(hellos.len() > 1, "it joined again");
+        hellos[1].len()
+    })
+}
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -93,6 +93,8 @@
 pub const REQUEST_CLEARED: EventKind = kind("MP1313", Level::Info, "request cleared");
 /// More requests changed their standing than get a line each.
 pub const STANDINGS_LEFT_OUT: EventKind = kind("MP1314", Level::Info, "standings of requests left out");
+/// An operator holds nothing against a request any more.
+pub const LIFT_ORDERED: EventKind = kind("MP1315", Level::Info, "quarantine lifted by operator");
 /// A message from another process could not be understood.
 pub const WIRE_MALFORMED: EventKind = kind("MP1302", Level::Warn, "message not understood");
 /// A keeper has become leader.
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -81,6 +81,16 @@
     Ok(Some(RequestDigest(u128::from_be_bytes(bytes))))
 }
 
+/// The request that an operator means.
+pub fn lifted_digest(message: &v1::LiftRequest) -> Result<RequestDigest, Error> {
+    request_digest(&message.digest)?.ok_or(Error::RequestDigest)
+}
+
+/// What an operator sends to hold nothing against a request any more.
+pub fn lift_message(digest: RequestDigest) -> v1::LiftRequest {
+    v1::LiftRequest { digest: digest_bytes(Some(digest)) }
+}
+
 /// A ticket as a message.
 pub fn submit_message(ticket: &RequestTicket) -> v1::Submit {
     v1::Submit {
--- a/crates/micaspool/src/cli/mod.rs
+++ b/crates/micaspool/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod fetch;
 mod keeper;
+mod quarantine;
 mod replay;
 mod settings;
 mod status;
@@ -35,6 +36,7 @@
     Status(status::StatusCommand),
     Customers(customers::CustomersCommand),
     Keeper(keeper::KeeperCommand),
+    Quarantine(quarantine::QuarantineCommand),
     Demo(demo::DemoCommand),
     Replay(replay::ReplayCommand),
     Endpoint(endpoint::EndpointCommand),
@@ -47,6 +49,7 @@
             Command::Settings(command) => settings::run(command).await,
             Command::Status(command) => status::run(command).await,
             Command::Customers(command) => customers::run(command).await,
+            Command::Quarantine(command) => quarantine::run(command).await,
             Command::Keeper(command) => keeper::run(command).await,
             Command::Replay(command) => replay::run(&command),
             Command::Demo(command) => demo::run(command).await,
--- a/crates/micaspool/tests/operations.rs
+++ b/crates/micaspool/tests/operations.rs
@@ -152,3 +152,29 @@
     assert_eq!(checked.expect("it runs").status.code(), Some(0));
     let _ = std::fs::remove_file(path);
 }
+
+#[test]
+fn the_command_line_lists_and_lifts_quarantines() {
+    task::block_on(async {
+        let deployment = Deployment::start(milk(), FAST).await;
+        let daemon = deployment.dispatchers[0].as_ref().expect("it runs");
+        let status = daemon.addresses["status"].to_string();
+        let listed = micaspool(&["quarantine", "list", &status]);
+        assert_eq!((listed.status.code(), listed.stdout.len()), (Some(0), 0));
+        let digest = "0123456789abcdef0123456789abcdef";
+        let wire = daemon.addresses["wire"].to_string();
+        let lifted = micaspool(&["quarantine", "lift", digest, "--dispatcher", &wire]);
+        assert_eq!(lifted.status.code(), Some(0), "{}", String::from_utf8_lossy(&lifted.stderr));
+        assert!(String::from_utf8_lossy(&lifted.stdout).contains("held nothing against"));
+        let faulty: [(&[&str], i32, &str); 3] = [
+            (&["quarantine", "lift", "xyz", "--dispatcher", &wire], 2, "copy it whole"),
+            (&["quarantine", "lift", digest], 2, "--dispatcher"),
+            (&["quarantine", "lift", digest, "--dispatcher", "127.0.0.1:1"], 1, "running dispatcher"),
+        ];
+        for (arguments, code, remedy) in faulty {
+            let output = micaspool(arguments);
+            assert_eq!(output.status.code(), Some(code), "{arguments:?}");
+            assert!(String::from_utf8_lossy(&output.stderr).contains(remedy), "{output:?}");
+        }
+    });
+}
