fix(dispatcher): a load report of another start says nothing of the one that was asked

Cause: reports carried no start. While an endpoint's address is another's, or it has started again and the dispatcher does not know yet, the later one's answer set the load of the earlier, and would show it alive after it had ended under a request. Change: a report tells its start where the endpoint does; one of another start is not used, and MP1316 says so. Ruled out: asking by connection (a new one reaches whoever has the address).

--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::cache_follower::CacheFollower;
 use crate::host::HostOptions;
 use crate::policy_source::PolicySource;
+use crate::probe::ProbedEndpoint;
 use crate::sharing::share_totals;
 use crate::tally::ShardTally;
 use async_std::channel::{unbounded, Receiver, Sender};
@@ -15,7 +16,6 @@
 use micaspool_wire::convert::action_message;
 use micaspool_wire::v1::DispatcherMessage;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
@@ -216,9 +216,9 @@
     /// Asks an endpoint for its load now, if it is one that is asked at all. The shard hears of an answer.
     fn ask(&self, endpoint: &EndpointName) {
         let probed = self.source.probed(&self.service);
-        let Some((name, address)) = probed.into_iter().find(|(name, _)| name == endpoint) else { return };
+        let Some(probed) = probed.into_iter().find(|probed| probed.name == *endpoint) else { return };
         let options = self.options.clone();
-        tokio::spawn(probe_endpoint(self.clock, options, name, address, self.inputs.clone()));
+        tokio::spawn(probe_endpoint(self.clock, options, probed, self.inputs.clone()));
     }
 
     /// Ends the span of a request whose wait is over.
@@ -274,13 +274,14 @@
             let probed = source.probed(&service);
             pause = pause.max(SHORTEST_PROBE_GAP * u32::try_from(probed.len()).unwrap_or(u32::MAX));
             forget_followers(&mut followers, &probed);
-            for (name, address) in probed {
+            for endpoint in probed {
                 let follow = || {
-                    let follower = CacheFollower::new(&options, name.clone(), address, inputs.clone());
+                    let (name, address) = (endpoint.name.clone(), endpoint.address);
+                    let follower = CacheFollower::new(&options, name, address, inputs.clone());
                     tokio::spawn(follower.run(pause))
                 };
-                followers.entry(name.clone()).or_insert_with(follow);
-                tokio::spawn(probe_endpoint(clock, options.clone(), name, address, inputs.clone()));
+                followers.entry(endpoint.name.clone()).or_insert_with(follow);
+                tokio::spawn(probe_endpoint(clock, options.clone(), endpoint, inputs.clone()));
             }
             if let Some(leaving) = options.list.leaving().await {
                 let _ = inputs.send(ShardInput::Event(ShardEvent::Listed(leaving))).await;
@@ -296,12 +297,9 @@
 }
 
 /// Ends the followers of engines that are not asked any more.
-fn forget_followers(
-    followers: &mut HashMap<EndpointName, JoinHandle<()>>,
-    probed: &[(EndpointName, SocketAddr)],
-) {
+fn forget_followers(followers: &mut HashMap<EndpointName, JoinHandle<()>>, probed: &[ProbedEndpoint]) {
     followers.retain(|name, follower| {
-        let stays = probed.iter().any(|(other, _)| other == name);
+        let stays = probed.iter().any(|other| other.name == *name);
         if !stays {
             follower.abort();
         }
@@ -312,18 +310,22 @@
 async fn probe_endpoint(
     clock: ShardClock,
     options: HostOptions,
-    endpoint: EndpointName,
-    address: SocketAddr,
+    probed: ProbedEndpoint,
     inputs: Sender<ShardInput>,
 ) {
     let asked_at = clock.now();
-    let Some(answer) = options.probe.ask(address).await else {
+    let endpoint = probed.name.clone();
+    let Some(answer) = options.probe.ask(probed.address).await else {
         if !options.silence_counts {
             return;
         }
         let _ = inputs.send(ShardInput::Event(ShardEvent::Unreachable(endpoint))).await;
         return;
     };
+    if !probed.may_have_said(&answer) {
+        record(&events::REPORT_OF_ANOTHER, &[field("endpoint", &endpoint), field("address", probed.address)]);
+        return;
+    }
     let report = LoadReport {
         endpoint: endpoint.clone(),
         running: answer.running,
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -1,14 +1,14 @@
 //! Route plan and registered endpoints as the policy of shards.
 
 use crate::policy_source::PolicySource;
+use crate::probe::ProbedEndpoint;
 use crate::subset::EngineSubset;
 use async_std::channel::Receiver;
 use micaspool_client::FleetMirror;
 use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_routes::RoutePlan;
-use micaspool_types::{Cost, CustomerName, EndpointName, HallMask, Revision, ServiceName, Weight};
-use std::net::SocketAddr;
+use micaspool_types::{Cost, CustomerName, HallMask, Incarnation, Revision, ServiceName, Weight};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
@@ -76,11 +76,16 @@
     }
 
     /// Engines only: others have no load that would decide anything.
-    fn probed(&self, service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
+    fn probed(&self, service: &ServiceName) -> Vec<ProbedEndpoint> {
         let plan = self.mirror.plan().plan;
         let is_engine = plan.service(service.as_str()).is_some_and(|rule| rule.engine.is_some());
         let records = if is_engine { self.engines_of(service) } else { Vec::new() };
-        records.into_iter().map(|record| (record.name, record.address)).collect()
+        let probed = |record: EndpointRecord| ProbedEndpoint {
+            name: record.name,
+            address: record.address,
+            start: (record.incarnation != Incarnation(0)).then_some(record.incarnation),
+        };
+        records.into_iter().map(probed).collect()
     }
 }
 
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -33,7 +33,9 @@
 pub use host::{HostOptions, ShardHost};
 pub use platform::{HttpInstanceList, InstanceList};
 pub use policy_source::{PolicySource, TreeSource};
-pub use probe::{CacheChanges, CacheCursor, EndpointProbe, HttpEndpointProbe, KeptList, ProbeAnswer};
+pub use probe::{
+    CacheChanges, CacheCursor, EndpointProbe, HttpEndpointProbe, KeptList, ProbeAnswer, ProbedEndpoint,
+};
 pub use service::DispatchService;
 pub use shard_policy::shard_policy;
 pub use subset::EngineSubset;
--- a/crates/micaspool-dispatcher/src/policy_source.rs
+++ b/crates/micaspool-dispatcher/src/policy_source.rs
@@ -1,12 +1,12 @@
 //! Where shards get their policy from.
 
+use crate::probe::ProbedEndpoint;
 use crate::shard_policy::shard_policy;
 use async_std::channel::Receiver;
 use micaspool_client::SettingsMirror;
 use micaspool_dispatch::ShardPolicy;
-use micaspool_types::{EndpointName, ServiceName};
+use micaspool_types::ServiceName;
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Gives the part of the fleet's state that a shard needs.
@@ -18,7 +18,7 @@
     fn listen(&self) -> Receiver<()>;
 
     /// The endpoints that are asked for their load; none when they are not asked.
-    fn probed(&self, service: &ServiceName) -> Vec<(EndpointName, SocketAddr)>;
+    fn probed(&self, service: &ServiceName) -> Vec<ProbedEndpoint>;
 }
 
 /// The settings tree as a source.
@@ -34,10 +34,15 @@
         self.0.listen()
     }
 
-    fn probed(&self, service: &ServiceName) -> Vec<(EndpointName, SocketAddr)> {
+    fn probed(&self, service: &ServiceName) -> Vec<ProbedEndpoint> {
         let policy = self.0.policy();
         let Some(index) = policy.service_index(service.as_str()) else { return Vec::new() };
         let endpoints = policy.services[index].endpoints.iter();
-        endpoints.map(|endpoint| (endpoint.name.clone(), endpoint.address)).collect()
+        let probed = endpoints.map(|endpoint| ProbedEndpoint {
+            name: endpoint.name.clone(),
+            address: endpoint.address,
+            start: None,
+        });
+        probed.collect()
     }
 }
--- a/crates/micaspool-dispatcher/src/probe.rs
+++ b/crates/micaspool-dispatcher/src/probe.rs
@@ -5,6 +5,7 @@
 use http_types::{Method, Request, Url};
 use micaspool_dispatch::KeptPart;
 use micaspool_http::client::{call, CallLimits};
+use micaspool_types::{EndpointName, Incarnation};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +18,9 @@
 /// What an endpoint says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct ProbeAnswer {
+    /// When it started, as it says; `None` when it does not.
+    #[serde(default)]
+    pub start: Option<Incarnation>,
     /// How many requests it runs.
     pub running: u32,
     /// How many requests wait there to be read.
@@ -33,6 +37,28 @@
     pub dropped: Vec<u64>,
 }
 
+/// An endpoint that is asked for its load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProbedEndpoint {
+    /// Its name in the shard.
+    pub name: EndpointName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The start that the name stands for; `None` where starts aren't told apart.
+    pub start: Option<Incarnation>,
+}
+
+impl ProbedEndpoint {
+    /// True when an answer from its address may be its own. Another start may have taken the address over, and what
+    /// that says is nothing of this one.
+    pub fn may_have_said(&self, answer: &ProbeAnswer) -> bool {
+        match (self.start, answer.start) {
+            (Some(expected), Some(said)) => expected == said,
+            _ => true,
+        }
+    }
+}
+
 /// A place in the sequence of an engine's cache changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CacheCursor {
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -95,6 +95,8 @@
 pub const STANDINGS_LEFT_OUT: EventKind = kind("MP1314", Level::Info, "standings of requests left out");
 /// An operator holds nothing against a request any more.
 pub const LIFT_ORDERED: EventKind = kind("MP1315", Level::Info, "quarantine lifted by operator");
+/// A load report came from another start than the one that was asked, and was not used.
+pub const REPORT_OF_ANOTHER: EventKind = kind("MP1316", Level::Info, "load report of another start");
 /// A message from another process could not be understood.
 pub const WIRE_MALFORMED: EventKind = kind("MP1302", Level::Warn, "message not understood");
 /// A keeper has become leader.
