fix: leases, lives and deadlines run on while the machine is suspended; events of the catalogue

Cause: every lease, life and deadline was an Instant of the steady clock, which stands still while a machine is suspended. A process that wakes took its grants, its leadership and what it believed for as young as before. Class: beliefs aged by a clock that stops with the believer. Change: new crate micaspool-clock; BootInstant (CLOCK_BOOTTIME by rustix, the steady clock where there is none, which MP1005 says) in place of Instant in every source; a look at both clocks every 100 ms logs each suspension with its length (MP1004). To whoever is frozen and thaws nothing changes: there both clocks run on, so the paths that a thaw takes are those of a suspension now. No test suspends a machine. Also: the catalogue in events.rs lacked MP1311 to MP1316, which the page has; its row failed since.

--- a/crates/micaspool-client/src/fleet/stream.rs
+++ b/crates/micaspool-client/src/fleet/stream.rs
@@ -3,11 +3,12 @@
 use super::FleetMirror;
 use async_std::future::timeout;
 use async_std::task;
+use micaspool_clock::BootInstant;
 use micaspool_settings::process::PeerAddress;
 use micaspool_wire::socket;
 use micaspool_wire::v1::{self, keeper_client::KeeperClient};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tonic::Streaming;
 
 /// How long opening a stream may take.
@@ -21,14 +22,14 @@
 
 /// Follows one keeper until nobody names it any more.
 pub(super) async fn follow_keeper(mirror: Arc<FleetMirror>, peer: PeerAddress) {
-    let mut wanted_at = Instant::now();
+    let mut wanted_at = BootInstant::now();
     while wanted_at.elapsed() < UNWANTED_LIFE {
         if let Some(news) = open(&mirror, &peer).await {
             take_all(&mirror, &peer, news).await;
         }
         mirror.lock().note_keeper(&peer.name, false, false);
         if mirror.lock().is_wanted(&peer.name) {
-            wanted_at = Instant::now();
+            wanted_at = BootInstant::now();
         }
         task::sleep(RETRY_PAUSE).await;
     }
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -3,6 +3,7 @@
 use super::{notify, KeeperReach, KeeperSight};
 use crate::directory::PeerDirectory;
 use async_std::channel::Sender;
+use micaspool_clock::BootInstant;
 use micaspool_registry::{EndpointRegistry, EndpointStage};
 use micaspool_routes::{NumberedPlan, PlanFormat};
 use micaspool_settings::process::PeerAddress;
@@ -11,7 +12,7 @@
 use micaspool_wire::convert::endpoint_record;
 use micaspool_wire::v1;
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a keeper counts as one that hears a majority after it last said so. An election takes up
 /// to 1.5 s, two tries; the keepers of a group lose and regain their majority at different moments
@@ -27,8 +28,8 @@
     pub reach: KeeperReach,
     pub confirmed: bool,
     /// When it last said that it hears a majority, on the stream that is open now.
-    confirmed_at: Option<Instant>,
-    heard_at: Option<Instant>,
+    confirmed_at: Option<BootInstant>,
+    heard_at: Option<BootInstant>,
 }
 
 impl KeeperState {
@@ -44,7 +45,7 @@
 /// Plan, endpoints and keepers.
 #[derive(Debug)]
 pub(super) struct FleetTable {
-    start: Instant,
+    start: BootInstant,
     pub plan: NumberedPlan,
     pub registry: EndpointRegistry,
     pub halls: Vec<HallName>,
@@ -58,7 +59,7 @@
 impl FleetTable {
     pub fn new(seeds: Vec<InstanceName>) -> FleetTable {
         FleetTable {
-            start: Instant::now(),
+            start: BootInstant::now(),
             plan: NumberedPlan::default(),
             registry: EndpointRegistry::default(),
             halls: Vec::new(),
@@ -107,10 +108,10 @@
     /// Notes whether a keeper is reached and hears a majority.
     pub fn note_keeper(&mut self, name: &InstanceName, reached: bool, confirmed: bool) {
         let Some(state) = self.keepers.get_mut(name) else { return };
-        state.heard_at = reached.then(Instant::now);
+        state.heard_at = reached.then(BootInstant::now);
         let reach = if reached { KeeperReach::Reached } else { KeeperReach::Lost };
         state.confirmed_at = match (reached, confirmed) {
-            (true, true) => Some(Instant::now()),
+            (true, true) => Some(BootInstant::now()),
             (true, false) => state.confirmed_at,
             (false, _) => None,
         };
--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -3,6 +3,7 @@
 use async_std::future::timeout;
 use async_std::sync::Mutex;
 use async_std::task;
+use micaspool_clock::BootInstant;
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_wire::socket;
@@ -11,7 +12,7 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tonic::transport::Channel;
 use tonic::Status;
 
@@ -203,14 +204,14 @@
         T: LeaderAnswer,
         F: Future<Output = Result<T, Status>>,
     {
-        let deadline = Instant::now() + limit;
+        let deadline = BootInstant::now() + limit;
         // A keeper that is silent must leave time for another.
         let longest_try = limit * 2 / 3;
         let mut sent = false;
         let mut misses = 0;
-        while Instant::now() < deadline {
+        while BootInstant::now() < deadline {
             let address = self.first_choice();
-            let left = deadline.saturating_duration_since(Instant::now()).min(TRY_LIMIT).min(longest_try);
+            let left = deadline.saturating_duration_since(BootInstant::now()).min(TRY_LIMIT).min(longest_try);
             let named = match self.try_once(address, left, &attempt).await {
                 TryResult::Answer(answer) => match answer.redirect() {
                     None => return Ok(answer),
--- a/crates/micaspool-client/src/mirror.rs
+++ b/crates/micaspool-client/src/mirror.rs
@@ -4,6 +4,7 @@
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::future::timeout;
 use async_std::task;
+use micaspool_clock::BootInstant;
 use micaspool_settings::document::join_faults;
 use micaspool_settings::merge::merge_patch;
 use micaspool_settings::policy::{compile_tree, FleetPolicy, SharedPolicy};
@@ -13,7 +14,7 @@
 use micaspool_wire::v1;
 use serde_json::Value;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a process that starts empty asks for a majority's settings before it takes the
 /// newest that any keeper has.
@@ -29,7 +30,7 @@
     /// The policy in force.
     pub policy: SharedPolicy,
     /// Since when no keeper with a majority was heard; `None` while one is.
-    pub cut_off_since: Option<Instant>,
+    pub cut_off_since: Option<BootInstant>,
 }
 
 /// Follows the settings that the keepers hold.
@@ -51,7 +52,7 @@
     /// Starts to follow; `watcher` names this process in the keepers' logs.
     pub fn start(client: Arc<KeeperClient>, watcher: &str) -> Arc<SettingsMirror> {
         let shown =
-            MirrorState { policy: Arc::new(FleetPolicy::default()), cut_off_since: Some(Instant::now()) };
+            MirrorState { policy: Arc::new(FleetPolicy::default()), cut_off_since: Some(BootInstant::now()) };
         let content = MirrorContent { tree: Value::Null, shown, listeners: Vec::new() };
         let mirror =
             Arc::new(SettingsMirror { client, watcher: watcher.to_owned(), state: Mutex::new(content) });
@@ -181,7 +182,7 @@
         if confirmed {
             *since = None;
         } else if since.is_none() {
-            *since = Some(Instant::now());
+            *since = Some(BootInstant::now());
             record(&events::SETTINGS_CUT_OFF, &[]);
         }
     }
--- a/crates/micaspool-daemon/src/arguments.rs
+++ b/crates/micaspool-daemon/src/arguments.rs
@@ -72,4 +72,5 @@
     let pairs: Vec<String> = addresses.iter().map(|(key, address)| format!(" {key}={address}")).collect();
     println!("ready {process}{}", pairs.concat());
     record(&events::PROCESS_READY, &[field("process", process)]);
+    crate::watch_suspensions();
 }
--- a/crates/micaspool-daemon/src/lib.rs
+++ b/crates/micaspool-daemon/src/lib.rs
@@ -6,10 +6,12 @@
 mod arguments;
 mod error;
 mod signals;
+mod suspension;
 
 pub use arguments::{announce, start, DaemonStart};
 pub use error::{open_spans, StartError};
 pub use signals::{stop_requested, watch_signals, ReloadSignal, StopSignal};
+pub use suspension::watch_suspensions;
 
 /// The exit code for wrong arguments and settings.
 pub const EXIT_USAGE: i32 = 2;
--- a/crates/micaspool-dispatcher/src/closures.rs
+++ b/crates/micaspool-dispatcher/src/closures.rs
@@ -1,10 +1,11 @@
 //! Which endpoints a shard has closed, why and since when, as log lines.
 
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::{EndpointClosure, EndpointStatus};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{EndpointName, ServiceName};
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// The most lines of one look at the endpoints. A shard is looked at some twenty times a second; when all
 /// engines of a site close at once, the line on the shard's decisions has their number.
@@ -14,7 +15,7 @@
 #[derive(Debug, Clone, Copy)]
 struct ClosedEndpoint {
     cause: EndpointClosure,
-    since: Instant,
+    since: BootInstant,
 }
 
 /// Follows which endpoints of one shard are closed.
@@ -30,7 +31,7 @@
     }
 
     /// Takes the state of the endpoints in and tells what has changed.
-    pub fn follow(&mut self, now: Instant, endpoints: &[EndpointStatus]) {
+    pub fn follow(&mut self, now: BootInstant, endpoints: &[EndpointStatus]) {
         let mut lines = 0;
         for endpoint in endpoints {
             let before = self.closed.get(&endpoint.name).copied();
@@ -54,12 +55,12 @@
     }
 
     /// How long the endpoint is closed that settings want to have open and that is closed the longest.
-    pub fn longest(&self, now: Instant) -> Duration {
+    pub fn longest(&self, now: BootInstant) -> Duration {
         let wanted = self.closed.values().filter(|closed| closed.cause != EndpointClosure::Settings);
         wanted.map(|closed| now.saturating_duration_since(closed.since)).max().unwrap_or_default()
     }
 
-    fn tell(&self, now: Instant, endpoint: &EndpointStatus, before: Option<ClosedEndpoint>) {
+    fn tell(&self, now: BootInstant, endpoint: &EndpointStatus, before: Option<ClosedEndpoint>) {
         let mut fields = vec![
             field("service", &self.service),
             field("endpoint", &endpoint.name),
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -7,6 +7,7 @@
 use crate::sharing::share_totals;
 use crate::tally::ShardTally;
 use async_std::channel::{unbounded, Receiver, Sender};
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::{
     CacheNews, CustomerTotal, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus,
 };
@@ -17,7 +18,7 @@
 use micaspool_wire::v1::DispatcherMessage;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tonic::Status;
@@ -75,7 +76,7 @@
 
 /// A monotonic clock as moments since the start of the shard.
 #[derive(Debug, Clone, Copy)]
-struct ShardClock(Instant);
+struct ShardClock(BootInstant);
 
 impl ShardClock {
     fn now(&self) -> Moment {
@@ -106,7 +107,7 @@
     options: HostOptions,
     source: Arc<dyn PolicySource>,
 ) -> ShardHandle {
-    let clock = ShardClock(Instant::now());
+    let clock = ShardClock(BootInstant::now());
     let core = ShardCore::new(clock.now(), options.shard.clone());
     let status = Arc::new(Mutex::new(core.status(clock.now())));
     let totals: Arc<Mutex<Vec<CustomerTotal>>> = Arc::default();
@@ -137,28 +138,28 @@
 
 impl ShardDriver {
     async fn run(mut self, inputs: Receiver<ShardInput>) {
-        let mut next_tick = Instant::now() + TICK;
+        let mut next_tick = BootInstant::now() + TICK;
         loop {
             match timeout(self.wait_before(next_tick), inputs.recv()).await {
                 Ok(Ok(input)) => self.take(input),
                 Ok(Err(_)) => return,
-                Err(_) if Instant::now() < next_tick => self.step(ShardEvent::Wake),
+                Err(_) if BootInstant::now() < next_tick => self.step(ShardEvent::Wake),
                 Err(_) => {}
             }
-            if Instant::now() >= next_tick {
+            if BootInstant::now() >= next_tick {
                 self.step(ShardEvent::Tick);
                 let status = self.core.status(self.clock.now());
                 self.tally.tell(&status);
                 *self.status.lock().expect("no holder of the status panics") = status;
                 *self.totals.lock().expect("no holder of the totals panics") = self.core.totals();
-                next_tick = Instant::now() + TICK;
+                next_tick = BootInstant::now() + TICK;
             }
         }
     }
 
     /// How long nothing is due.
-    fn wait_before(&self, next_tick: Instant) -> Duration {
-        let tick = next_tick.saturating_duration_since(Instant::now());
+    fn wait_before(&self, next_tick: BootInstant) -> Duration {
+        let tick = next_tick.saturating_duration_since(BootInstant::now());
         let wake = self.core.next_wake().map(|at| at.since(self.clock.now()) + WAKE_MARGIN);
         wake.map_or(tick, |wake| wake.min(tick))
     }
--- a/crates/micaspool-dispatcher/src/tally.rs
+++ b/crates/micaspool-dispatcher/src/tally.rs
@@ -3,11 +3,12 @@
 use crate::closures::ClosureLog;
 use crate::objectives::ObjectiveTally;
 use crate::standings::StandingLog;
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::{EndpointClosure, EndpointStatus, PaceStatus, ShardAction, ShardStatus};
 use micaspool_telemetry::events::{self, field, record, EventField};
 use micaspool_types::ServiceName;
 use micaspool_wire::convert::reason_text;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How often a shard that is used says what it decided.
 const INTERVAL: Duration = Duration::from_secs(2);
@@ -24,7 +25,7 @@
     objectives: ObjectiveTally,
     closures: ClosureLog,
     standings: StandingLog,
-    due: Instant,
+    due: BootInstant,
 }
 
 /// Refusals since the last line.
@@ -46,7 +47,7 @@
             service,
             grants: 0,
             refusals: RefusalCounts::default(),
-            due: Instant::now() + INTERVAL,
+            due: BootInstant::now() + INTERVAL,
         }
     }
 
@@ -73,7 +74,7 @@
 
     /// Writes what is due.
     pub fn tell(&mut self, status: &ShardStatus) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         self.closures.follow(now, &status.endpoints);
         if now < self.due {
             return;
@@ -115,7 +116,7 @@
         record(&events::TICKET_REFUSED, &fields);
     }
 
-    fn write(&self, now: Instant, status: &ShardStatus) {
+    fn write(&self, now: BootInstant, status: &ShardStatus) {
         let mut fields = vec![
             field("service", &self.service),
             field("revision", status.revision.0),
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::path::{Gateway, GatewayParts};
 use async_std::task;
 use micaspool_client::{AddressNamed, FleetMirror, FleetMirrorOptions, PeerDirectory, ENDPOINT_LIFE};
+use micaspool_clock::BootInstant;
 use micaspool_daemon::StartError;
 use micaspool_dispatcher::{
     EndpointProbe, EngineSubset, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe,
@@ -23,7 +24,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How often resting connections are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -174,7 +175,7 @@
     pub async fn stop(self, limit: Duration) -> bool {
         self.stopping.store(true, Ordering::SeqCst);
         self.server.drain();
-        let now = Instant::now();
+        let now = BootInstant::now();
         let latest = now + limit;
         self.server.drained(now + NOTICE_TIME.min(limit), latest).await
     }
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response, StatusCode, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::{GrantFate, RequestTicket};
 use micaspool_http::edge::{whole_body, EdgeBody};
 use micaspool_http::pool::{PooledBody, SendError};
@@ -17,7 +18,7 @@
 use micaspool_routes::RunRule;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// How many grants in a row may be unusable before a request is given up.
@@ -40,7 +41,7 @@
     target: CallTarget,
     request: RequestId,
     digest: RequestDigest,
-    deadline: Instant,
+    deadline: BootInstant,
     /// Sends that reached an endpoint.
     arrivals: u32,
     /// Sends that may have run.
@@ -118,7 +119,7 @@
     ) -> Result<Response<EdgeBody>, String> {
         let UsableAnswer { lease, response } = answer;
         let (mut head, body) = response.into_parts();
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.deadline.saturating_duration_since(BootInstant::now());
         let (cause, fate) = match timeout(left, body.collect()).await {
             Ok(Ok(whole)) => {
                 lease.settle(Cost(1), GrantFate::Done);
@@ -136,7 +137,7 @@
     }
 
     /// The moment at which nobody waits any more.
-    pub fn deadline(&self) -> Instant {
+    pub fn deadline(&self) -> BootInstant {
         self.deadline
     }
 
@@ -173,7 +174,7 @@
         trail: &mut RequestTrail,
     ) -> Result<(GrantLease, EndpointRecord), Refusal> {
         for _ in 0..MAX_UNUSABLE_GRANTS {
-            let asked = Instant::now();
+            let asked = BootInstant::now();
             trail.ticket = Some(self.request);
             let granted = self.wait_for_grant(gateway).await;
             trail.note_wait(asked.elapsed());
@@ -264,7 +265,7 @@
         last_event: Option<&str>,
     ) -> Result<UsableAnswer, SendFailure> {
         let parts = &gateway.shared.parts;
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.deadline.saturating_duration_since(BootInstant::now());
         let order = SendOrder {
             id: &self.call.caller.id,
             endpoint: &endpoint.identity,
@@ -328,7 +329,7 @@
     }
 
     fn left(&self) -> Result<Duration, Refusal> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.deadline.saturating_duration_since(BootInstant::now());
         if left < SHORTEST_SEND {
             return Err(self.give_up(RefusalKind::DeadlinePassed));
         }
--- a/crates/micaspool-gateway/src/path/mod.rs
+++ b/crates/micaspool-gateway/src/path/mod.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use micaspool_client::{FleetMirror, PeerDirectory};
+use micaspool_clock::BootInstant;
 use micaspool_dispatcher::FleetDispatcher;
 use micaspool_http::edge::{EdgeBody, EdgeHandler};
 use micaspool_http::pool::EndpointPool;
@@ -26,7 +27,7 @@
 use micaspool_types::{Incarnation, InstanceName, Refusal, RefusalKind, ServiceName};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use target::CallTarget;
 use tokio::time::timeout;
 
@@ -80,7 +81,7 @@
 struct TakenCall {
     head: request::Parts,
     caller: CallerHead,
-    arrived: Instant,
+    arrived: BootInstant,
     body: Bytes,
 }
 
@@ -169,7 +170,7 @@
 #[async_trait]
 impl EdgeHandler for Gateway {
     async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody> {
-        let arrived = Instant::now();
+        let arrived = BootInstant::now();
         let (head, body) = request.into_parts();
         let parts = &self.shared.parts;
         match parts.dialect.read(&head) {
@@ -189,7 +190,7 @@
         let id = parts.dialect.read(&head).ok().map(|caller| caller.id);
         let refusal = Refusal::not_run(RefusalKind::TooManyConnections).after(RETRY_AFTER);
         let name = id.clone().unwrap_or_else(|| Arc::from("unread"));
-        RequestTrail::new(parts.metrics.clone(), name, Instant::now()).refuse(&refusal);
+        RequestTrail::new(parts.metrics.clone(), name, BootInstant::now()).refuse(&refusal);
         parts.dialect.refuse(id.as_deref(), &refusal)
     }
 
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use futures::stream::unfold;
 use http_body::{Body, Frame};
 use http_body_util::{BodyExt, StreamBody};
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::GrantFate;
 use micaspool_http::edge::{BodyError, EdgeBody};
 use micaspool_http::pool::PooledBody;
@@ -16,7 +17,7 @@
 use micaspool_routes::EngineProfile;
 use micaspool_types::Cost;
 use std::fmt;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long after the deadline an answer may still flow: the endpoint stops at the deadline by
 /// itself, and its end is better than ours.
@@ -113,7 +114,7 @@
         meter: EventMeter,
         trail: RequestTrail,
     ) -> AnswerRelay {
-        let left = attempts.deadline().saturating_duration_since(Instant::now());
+        let left = attempts.deadline().saturating_duration_since(BootInstant::now());
         AnswerRelay {
             gateway,
             splitter: attempts.is_resumable().then(EventSplitter::default),
--- a/crates/micaspool-gateway/src/trail.rs
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -1,18 +1,19 @@
 //! What is logged of a request: one line at its end.
 
 use crate::metrics::GatewayMetrics;
+use micaspool_clock::BootInstant;
 use micaspool_registry::EndpointStage;
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
 use micaspool_types::{EndpointName, Refusal, RequestDigest, RequestId};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What happened to a request so far. One that is dropped before its end had a caller that left.
 #[derive(Debug)]
 pub(crate) struct RequestTrail {
     metrics: GatewayMetrics,
     id: Arc<str>,
-    arrived: Instant,
+    arrived: BootInstant,
     ended: bool,
     /// The route, once it is known.
     pub route: Arc<str>,
@@ -37,7 +38,7 @@
 }
 
 impl RequestTrail {
-    pub fn new(metrics: GatewayMetrics, id: Arc<str>, arrived: Instant) -> RequestTrail {
+    pub fn new(metrics: GatewayMetrics, id: Arc<str>, arrived: BootInstant) -> RequestTrail {
         RequestTrail {
             metrics,
             id,
@@ -58,7 +59,7 @@
     }
 
     /// When the request arrived.
-    pub fn arrived(&self) -> Instant {
+    pub fn arrived(&self) -> BootInstant {
         self.arrived
     }
 
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -17,13 +17,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use micaspool_clock::BootInstant;
 use std::convert::Infallible;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
 /// The pause after accepting failed, for instance for want of descriptors.
@@ -149,9 +150,9 @@
     /// Takes nothing more from `close` on: connections that rest are closed, and new ones refused.
     /// Waits until every connection has ended, from `close` on until `latest` at most; true when
     /// nothing was left.
-    pub async fn drained(&self, close: Instant, latest: Instant) -> bool {
+    pub async fn drained(&self, close: BootInstant, latest: BootInstant) -> bool {
         loop {
-            let now = Instant::now();
+            let now = BootInstant::now();
             if now >= close {
                 self.shared.closing.0.close();
             }
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -13,13 +13,14 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use micaspool_clock::BootInstant;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What is sent to an endpoint: a head and a whole body.
 pub type WholeRequest = Request<Full<Bytes>>;
@@ -82,7 +83,7 @@
 
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
-    until: Instant,
+    until: BootInstant,
 }
 
 /// Connections to endpoints.
@@ -137,7 +138,7 @@
 
     /// Closes connections that rested for too long, and those whose peer has closed.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut idle = self.lock();
         for connections in idle.values_mut() {
             connections.retain(|connection| connection.until > now && !connection.sender.is_closed());
@@ -191,7 +192,7 @@
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         connections.retain(|connection| connection.until > now && !connection.sender.is_closed());
@@ -200,7 +201,7 @@
     }
 
     fn put_idle(&self, connection: KeptConnection) {
-        let until = Instant::now() + connection.rest;
+        let until = BootInstant::now() + connection.rest;
         let mut idle = self.lock();
         let connections = idle.entry(connection.address).or_default();
         if connections.len() < self.options.kept && !connection.sender.is_closed() {
--- a/crates/micaspool-http/src/server/connection.rs
+++ b/crates/micaspool-http/src/server/connection.rs
@@ -54,7 +54,7 @@
 
     async fn read_head(&self, stream: &TcpStream, pending: &mut Vec<u8>) -> HeadResult {
         let mut limit = if pending.is_empty() { self.options.idle_limit } else { self.options.head_limit };
-        let mut started = std::time::Instant::now();
+        let mut started = micaspool_clock::BootInstant::now();
         loop {
             if let Some(end) = head_end(pending) {
                 return if end > self.options.max_head_bytes {
@@ -70,7 +70,7 @@
             match self.read_some(stream, pending, limit.saturating_sub(started.elapsed())).await {
                 ReadResult::Some if fresh => {
                     limit = self.options.head_limit;
-                    started = std::time::Instant::now();
+                    started = micaspool_clock::BootInstant::now();
                 }
                 ReadResult::Some => {}
                 ReadResult::End if fresh => return HeadResult::Closed,
--- a/crates/micaspool-http/src/stall.rs
+++ b/crates/micaspool-http/src/stall.rs
@@ -2,15 +2,16 @@
 //! each read or write.
 
 use async_std::task;
+use micaspool_clock::BootInstant;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Tells when nothing has moved for a time limit.
 pub struct StallTimer {
     limit: Duration,
-    moved: Instant,
+    moved: BootInstant,
     timer: Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>,
 }
 
@@ -23,12 +24,12 @@
 impl StallTimer {
     /// A timer that begins now.
     pub fn new(limit: Duration) -> StallTimer {
-        StallTimer { limit, moved: Instant::now(), timer: None }
+        StallTimer { limit, moved: BootInstant::now(), timer: None }
     }
 
     /// Notes that something has moved.
     pub fn moved(&mut self) {
-        self.moved = Instant::now();
+        self.moved = BootInstant::now();
     }
 
     /// Ready once nothing has moved for the limit. Call it while something else is pending.
--- a/crates/micaspool-http/tests/edge_server.rs
+++ b/crates/micaspool-http/tests/edge_server.rs
@@ -8,12 +8,13 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
+use micaspool_clock::BootInstant;
 use micaspool_http::edge::{whole_body, BodyError, EdgeBody, EdgeHandler, EdgeOptions, EdgeServer};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Answers by path: `/slow` after 400 ms, `/stuck` never, `/broken` with a body that breaks.
 #[derive(Default)]
@@ -81,8 +82,8 @@
     let stream = send(address, "/stuck");
     std::thread::sleep(Duration::from_millis(100));
     drop(stream);
-    let limit = Instant::now() + Duration::from_millis(500);
-    while dropped.load(Ordering::SeqCst) == 0 && Instant::now() < limit {
+    let limit = BootInstant::now() + Duration::from_millis(500);
+    while dropped.load(Ordering::SeqCst) == 0 && BootInstant::now() < limit {
         std::thread::sleep(Duration::from_millis(10));
     }
     assert_eq!(dropped.load(Ordering::SeqCst), 1);
@@ -102,7 +103,7 @@
     let running = send(address, "/slow");
     std::thread::sleep(Duration::from_millis(100));
     server.drain();
-    let now = Instant::now();
+    let now = BootInstant::now();
     let close = now + Duration::from_millis(200);
     let whole = task::block_on(server.drained(close, now + Duration::from_secs(5)));
     assert!(whole);
@@ -165,7 +166,7 @@
     for _ in 0..LEFT {
         drop(TcpStream::connect(address).expect("it listens"));
     }
-    let began = Instant::now();
+    let began = BootInstant::now();
     let answer = read_all(send(address, "/"));
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
     assert!(began.elapsed() < Duration::from_millis(500), "refused after {:?}", began.elapsed());
--- a/crates/micaspool-keeper/src/clock.rs
+++ b/crates/micaspool-keeper/src/clock.rs
@@ -1,18 +1,19 @@
 //! The clocks of a keeper.
 
+use micaspool_clock::BootInstant;
 use micaspool_ledger::LedgerTime;
 use micaspool_types::Moment;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A monotonic clock as the log core needs it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct MonotonicClock {
-    start: Instant,
+    start: BootInstant,
 }
 
 impl MonotonicClock {
     pub fn start() -> MonotonicClock {
-        MonotonicClock { start: Instant::now() }
+        MonotonicClock { start: BootInstant::now() }
     }
 
     pub fn now(&self) -> Moment {
--- a/crates/micaspool-keeper/src/follow.rs
+++ b/crates/micaspool-keeper/src/follow.rs
@@ -6,10 +6,11 @@
 use async_std::future::timeout;
 use futures::future::select;
 use futures::pin_mut;
+use micaspool_clock::BootInstant;
 use micaspool_wire::convert::endpoint_message;
 use micaspool_wire::v1;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tonic::Status;
 
 /// How often a follower hears of this keeper when nothing changes. A follower takes a keeper for lost after
@@ -33,7 +34,7 @@
     number: u64,
     cursor: HubCursor,
     /// When it is told of all endpoints that were heard.
-    refresh_due: Instant,
+    refresh_due: BootInstant,
     keepers: Vec<String>,
 }
 
@@ -47,7 +48,7 @@
     let changes = view.lock().expect("no holder of the view panics").listen();
     let records = hub.listen();
     let cursor = HubCursor::default();
-    let mut told = ToldState { number, cursor, refresh_due: Instant::now(), keepers: Vec::new() };
+    let mut told = ToldState { number, cursor, refresh_due: BootInstant::now(), keepers: Vec::new() };
     loop {
         let (news, stopped) = told.next_news(&view, &hub);
         let names_endpoints = !news.endpoints.is_empty();
@@ -95,7 +96,7 @@
 
     /// Everything that was heard once in a while, else what is new.
     fn next_scope(&mut self) -> HubScope {
-        let now = Instant::now();
+        let now = BootInstant::now();
         if now < self.refresh_due {
             return HubScope::Changed;
         }
--- a/crates/micaspool-router/src/router/attempt.rs
+++ b/crates/micaspool-router/src/router/attempt.rs
@@ -13,13 +13,14 @@
 use futures::future::{select, Either};
 use futures::pin_mut;
 use http_types::{Body, Response};
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::GrantFate;
 use micaspool_http::server::CallerWatch;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::HopSpan;
 use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How often a grant that can't be used is exchanged for another.
 const MAX_UNUSABLE_GRANTS: u32 = 5;
@@ -36,7 +37,7 @@
 pub(super) struct AttemptState {
     pub attempt: u32,
     pub avoid: Option<EndpointName>,
-    pub deadline: Instant,
+    pub deadline: BootInstant,
     pub claim: Option<u64>,
     /// True once an attempt may have had an effect; no later refusal says "not run" then.
     pub may_have_run: bool,
@@ -127,7 +128,7 @@
         span: &HopSpan,
         state: &AttemptState,
     ) -> Result<GrantLease, Refusal> {
-        let started = Instant::now();
+        let started = BootInstant::now();
         let left = state.deadline.saturating_duration_since(started);
         let shard = self.shard(&plan.service);
         let ticket = plan.ticket(state.attempt, state.avoid.clone());
--- a/crates/micaspool-router/src/router/mod.rs
+++ b/crates/micaspool-router/src/router/mod.rs
@@ -14,13 +14,14 @@
 use futures::channel::oneshot;
 use http_types::Response;
 use micaspool_client::SettingsMirror;
+use micaspool_clock::BootInstant;
 use micaspool_http::server::{CallerRequest, CallerWatch};
 use micaspool_telemetry::spans::{HopSpan, SpanSink};
 use micaspool_types::{Refusal, RefusalKind, RunState, ServiceName};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How often one request is sent at most.
 const MAX_ATTEMPTS: u32 = 3;
@@ -143,7 +144,7 @@
         let mut state = AttemptState {
             attempt: 0,
             avoid: None,
-            deadline: Instant::now() + plan.policy.wait_limit,
+            deadline: BootInstant::now() + plan.policy.wait_limit,
             claim: None,
             may_have_run: false,
         };
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -5,6 +5,7 @@
 use super::lease::LeaseTerms;
 use super::ShardClientOptions;
 use async_std::channel::Sender;
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::{
     AskThrottle, GrantFate, HeldGrant, HeldTotal, ReleaseReason, RequestTicket, RouterHello,
 };
@@ -19,7 +20,7 @@
 };
 use micaspool_wire::v1::{self, router_message::Body};
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Levels that are older than this are not told to a new dispatcher: a customer that was idle for
 /// so long starts from the others' level in any case.
@@ -51,7 +52,7 @@
 struct KnownTotal {
     level: ServiceLevel,
     order: OrderNumber,
-    heard: Instant,
+    heard: BootInstant,
 }
 
 /// The requests, grants and levels of one shard that this router holds.
@@ -61,22 +62,22 @@
     running: HashMap<RequestId, HeldGrant>,
     totals: HashMap<CustomerName, KnownTotal>,
     link: Option<Sender<v1::RouterMessage>>,
-    unlinked_since: Option<Instant>,
+    unlinked_since: Option<BootInstant>,
     /// The newest heartbeats and when each was sent.
-    heartbeats: VecDeque<(u64, Instant)>,
+    heartbeats: VecDeque<(u64, BootInstant)>,
     next_heartbeat: u64,
-    last_pulse: Instant,
+    last_pulse: BootInstant,
     /// Decides which requests are not taken to the dispatcher.
     throttle: AskThrottle,
-    start: Instant,
+    start: BootInstant,
     /// The requests of this router under which endpoints ended, and what dispatchers told of others'.
     crashes: CrashTable,
     /// Since when the dispatcher has said nothing though a ticket was sent to it.
-    unanswered_since: Option<Instant>,
+    unanswered_since: Option<BootInstant>,
 }
 
 impl HeldWork {
-    pub fn new(now: Instant) -> HeldWork {
+    pub fn new(now: BootInstant) -> HeldWork {
         HeldWork {
             waiting: HashMap::new(),
             running: HashMap::new(),
@@ -108,22 +109,22 @@
     /// Takes a new stream into use; what is sent from here on follows the hello.
     pub fn link(&mut self, link: Sender<v1::RouterMessage>) {
         self.link = Some(link);
-        self.last_pulse = Instant::now();
+        self.last_pulse = BootInstant::now();
         // The hello has the tickets that wait; those without a place in the order get one.
         let is_asking = self.waiting.values().any(|entry| entry.ticket.order.is_none());
-        self.unanswered_since = is_asking.then(Instant::now);
+        self.unanswered_since = is_asking.then(BootInstant::now);
     }
 
     /// Notes that the dispatcher has taken the stream.
     pub fn linked(&mut self) {
         self.unlinked_since = None;
-        self.last_pulse = Instant::now();
+        self.last_pulse = BootInstant::now();
     }
 
     /// Notes that the stream is gone.
     pub fn unlink(&mut self) {
         self.link = None;
-        self.unlinked_since.get_or_insert_with(Instant::now);
+        self.unlinked_since.get_or_insert_with(BootInstant::now);
     }
 
     /// How long the dispatcher has not answered a heartbeat.
@@ -166,7 +167,7 @@
     fn number_heartbeat(&mut self) -> u64 {
         let number = self.next_heartbeat;
         self.next_heartbeat += 1;
-        self.heartbeats.push_back((number, Instant::now()));
+        self.heartbeats.push_back((number, BootInstant::now()));
         if self.heartbeats.len() > HEARTBEATS {
             self.heartbeats.pop_front();
         }
@@ -200,7 +201,7 @@
         self.waiting.insert(entry.ticket.request, entry);
         self.send(Body::Submit(submit));
         if self.link.is_some() {
-            self.unanswered_since.get_or_insert_with(Instant::now);
+            self.unanswered_since.get_or_insert_with(BootInstant::now);
         }
     }
 
@@ -268,7 +269,7 @@
             Some(FromDispatcher::Grant(grant)) => self.granted(&grant),
             Some(FromDispatcher::Refused(refused)) => self.refused(&refused),
             Some(FromDispatcher::CrashRecord(record)) => self.told(record),
-            Some(FromDispatcher::Pulse(_)) => self.last_pulse = Instant::now(),
+            Some(FromDispatcher::Pulse(_)) => self.last_pulse = BootInstant::now(),
             Some(FromDispatcher::Moved(_)) => return false,
             None => {}
         }
@@ -321,12 +322,12 @@
     fn note_total(&mut self, customer: &CustomerName, level: ServiceLevel, order: OrderNumber) {
         let known = self.totals.get(customer).is_some_and(|total| total.order > order && total.level > level);
         if !known {
-            self.totals.insert(customer.clone(), KnownTotal { level, order, heard: Instant::now() });
+            self.totals.insert(customer.clone(), KnownTotal { level, order, heard: BootInstant::now() });
         }
     }
 
     /// When a heartbeat was sent; a lease runs from then by this router's own clock.
-    fn heartbeat_sent(&self, number: u64) -> Option<Instant> {
+    fn heartbeat_sent(&self, number: u64) -> Option<BootInstant> {
         self.heartbeats.iter().find(|(known, _)| *known == number).map(|(_, at)| *at)
     }
 
--- a/crates/micaspool-router/src/shard_client/lease.rs
+++ b/crates/micaspool-router/src/shard_client/lease.rs
@@ -1,10 +1,11 @@
 //! A grant in the hands of the path of a request.
 
 use super::ShardClient;
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::GrantFate;
 use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// The time before the end of a lease in which a request is no longer sent.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
@@ -17,7 +18,7 @@
 pub(super) struct LeaseTerms {
     pub endpoint: EndpointName,
     pub order: OrderNumber,
-    pub expires: Option<Instant>,
+    pub expires: Option<BootInstant>,
 }
 
 /// The right to send one request to one endpoint. Dropping it ends the grant.
@@ -28,7 +29,7 @@
     terms: LeaseTerms,
     delivered: Cost,
     told: Cost,
-    told_at: Instant,
+    told_at: BootInstant,
     sent: bool,
     ended: bool,
 }
@@ -41,7 +42,7 @@
             terms,
             delivered: Cost(0),
             told: Cost(0),
-            told_at: Instant::now(),
+            told_at: BootInstant::now(),
             sent: false,
             ended: false,
         }
@@ -60,7 +61,7 @@
     /// True while the request may still be sent. The lease runs from when this router sent the
     /// heartbeat that the dispatcher had, so a router that was frozen does not trust it.
     pub fn is_valid(&self) -> bool {
-        self.terms.expires.is_some_and(|expires| Instant::now() + LEASE_MARGIN < expires)
+        self.terms.expires.is_some_and(|expires| BootInstant::now() + LEASE_MARGIN < expires)
     }
 
     /// Notes that the request is being sent.
@@ -77,7 +78,7 @@
             begins || grown >= PROGRESS_STEP || (grown > 0 && self.told_at.elapsed() >= PROGRESS_INTERVAL);
         if due {
             self.told = delivered;
-            self.told_at = Instant::now();
+            self.told_at = BootInstant::now();
             self.client.held().progress(self.request, delivered);
         }
     }
--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -5,6 +5,7 @@
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::{CandidateChoice, CandidateKind, ChoiceOptions, ChoiceStep};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::traffic::TrafficCounter;
@@ -13,7 +14,7 @@
 use micaspool_wire::v1::{self, dispatch_client::DispatchClient};
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 use tonic::transport::Channel;
 
@@ -79,7 +80,7 @@
 struct LinkChoice {
     candidates: Vec<DispatcherCandidate>,
     choice: CandidateChoice,
-    start: Instant,
+    start: BootInstant,
 }
 
 impl LinkChoice {
@@ -88,7 +89,7 @@
         let options = ChoiceOptions::spread_for(&client.options.router);
         let kinds = candidates.iter().map(|candidate| candidate.kind).collect();
         let choice = CandidateChoice::of(Moment(0), kinds, options);
-        LinkChoice { candidates, choice, start: Instant::now() }
+        LinkChoice { candidates, choice, start: BootInstant::now() }
     }
 
     fn now(&self) -> Moment {
@@ -207,8 +208,8 @@
 ) -> LinkEnd {
     let (probes, probe_results) = bounded(1);
     let mut probing = false;
-    let mut next_beat = Instant::now() + HEARTBEAT;
-    let mut next_look = Instant::now() + LOOK;
+    let mut next_beat = BootInstant::now() + HEARTBEAT;
+    let mut next_look = BootInstant::now() + LOOK;
     loop {
         if !probing {
             match link.choice.next(link.now()) {
@@ -235,15 +236,15 @@
                 }
             }
             StreamNews::LookDue => {
-                next_look = Instant::now() + LOOK;
+                next_look = BootInstant::now() + LOOK;
                 if let Some(reason) = loss(client, link) {
                     return LinkEnd::Lost(reason);
                 }
                 if Arc::strong_count(client) == 1 {
                     return LinkEnd::Unused;
                 }
-                if Instant::now() >= next_beat {
-                    next_beat = Instant::now() + HEARTBEAT;
+                if BootInstant::now() >= next_beat {
+                    next_beat = BootInstant::now() + HEARTBEAT;
                     client.held().beat();
                 }
             }
@@ -273,9 +274,9 @@
 async fn next_message(
     messages: &mut MessageStream,
     probes: &Receiver<(DispatcherAddress, bool)>,
-    until: Instant,
+    until: BootInstant,
 ) -> StreamNews {
-    let wait = until.saturating_duration_since(Instant::now());
+    let wait = until.saturating_duration_since(BootInstant::now());
     let message = messages.next();
     let probe = probes.recv();
     pin_mut!(message, probe);
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -12,13 +12,14 @@
 
 use async_std::channel::bounded;
 use held::{HeldWork, WaitResult, WaitingEntry};
+use micaspool_clock::BootInstant;
 use micaspool_dispatch::RequestTicket;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName};
 use micaspool_wire::v1;
 use serde_json::json;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// After this time without any dispatcher new requests are refused at once.
 const UNREACHABLE_LIMIT: Duration = Duration::from_secs(2);
@@ -66,7 +67,7 @@
 impl ShardClient {
     /// Starts to look for a dispatcher.
     pub fn start(service: ServiceName, options: ShardClientOptions) -> Arc<ShardClient> {
-        let held = Mutex::new(HeldWork::new(Instant::now()));
+        let held = Mutex::new(HeldWork::new(BootInstant::now()));
         let client = Arc::new(ShardClient { service, options, held });
         tokio::spawn(link::keep_linked(Arc::downgrade(&client)));
         client
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -45,6 +45,10 @@
 pub const PROCESS_DRAINING: EventKind = kind("MP1002", Level::Info, "process draining");
 /// A process has stopped.
 pub const PROCESS_STOPPED: EventKind = kind("MP1003", Level::Info, "process stopped");
+/// The machine was suspended; leases and lives have run on meanwhile.
+pub const MACHINE_SUSPENDED: EventKind = kind("MP1004", Level::Warn, "machine was suspended");
+/// The system has no clock that counts while it is suspended, so that leases stand still with it.
+pub const SUSPENSIONS_UNSEEN: EventKind = kind("MP1005", Level::Warn, "suspensions can't be seen");
 /// Newer settings are in force.
 pub const SETTINGS_IN_FORCE: EventKind = kind("MP1101", Level::Info, "settings in force");
 /// No keeper answers the watch.
@@ -172,6 +176,8 @@
     PROCESS_READY,
     PROCESS_DRAINING,
     PROCESS_STOPPED,
+    MACHINE_SUSPENDED,
+    SUSPENSIONS_UNSEEN,
     SETTINGS_IN_FORCE,
     SETTINGS_CUT_OFF,
     SETTINGS_UNUSABLE,
@@ -193,6 +199,12 @@
     ENDPOINT_CLOSED,
     ENDPOINT_OPENED,
     OBJECTIVE_DECIDED,
+    REQUEST_SUSPECTED,
+    REQUEST_QUARANTINED,
+    REQUEST_CLEARED,
+    STANDINGS_LEFT_OUT,
+    LIFT_ORDERED,
+    REPORT_OF_ANOTHER,
     LEADER_ELECTED,
     LEADER_STEPPED_DOWN,
     GROUP_FORMED,
--- /dev/null
+++ b/crates/micaspool/benches/clock.rs
@@ -0,0 +1,20 @@
+//! What a reading of the clock since boot costs, beside one of the steady clock.
+
+use micaspool_clock::BootInstant;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+const READINGS: u32 = 5_000_000;
+
+fn each(read: impl Fn()) -> Duration {
+    let start = Instant::now();
+    for _ in 0..READINGS {
+        read();
+    }
+    start.elapsed() / READINGS
+}
+
+fn main() {
+    println!("steady clock: {:?} a reading", each(|| _ = black_box(Instant::now())));
+    println!("clock since boot: {:?} a reading", each(|| _ = black_box(BootInstant::now())));
+}
