--- /dev/null
+++ b/crates/micaspool-backpressure/tests/table.rs
@@ -0,0 +1,106 @@
+//! What holds of what endpoints said, at any moment.
+
+use micaspool_backpressure::{AdviceBoard, AdviceChange, AdviceSource, AdviceTable, EndpointStanding};
+use micaspool_types::{EndpointAdvice, EndpointName, Moment, ServiceName};
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn name(number: u8) -> EndpointName {
+    EndpointName::parse(&format!("e{number}")).expect("a name")
+}
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::parse(name).expect("a name")
+}
+
+fn rest(millis: u64) -> EndpointAdvice {
+    EndpointAdvice { rest: Duration::from_millis(millis), leaving: false }
+}
+
+const LEAVING: EndpointAdvice = EndpointAdvice { rest: Duration::ZERO, leaving: true };
+
+#[test]
+fn a_rest_begins_is_prolonged_and_ends() {
+    let mut table = AdviceTable::default();
+    let at = Moment::from_millis;
+    let mut hear = |now, advice| table.hear(at(now), &name(1), &service("plain"), advice);
+    assert_eq!(hear(0, rest(0)), AdviceChange::Same);
+    assert_eq!(hear(0, rest(1_000)), AdviceChange::Began);
+    assert_eq!(hear(500, rest(200)), AdviceChange::Same);
+    assert_eq!(hear(500, rest(1_000)), AdviceChange::Prolonged);
+    let standing = |table: &AdviceTable, now| table.standing(at(now), &name(1));
+    assert_eq!(standing(&table, 1_200), EndpointStanding::Resting(Duration::from_millis(300)));
+    assert_eq!(standing(&table, 1_500), EndpointStanding::Open);
+    assert!(table.expire(at(1_499)).is_empty());
+    let ended = table.expire(at(1_500));
+    assert_eq!((ended[0].lasted, ended[0].asked), (Duration::from_millis(1_500), 2));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn leaving_is_final_and_forgotten_long_after_the_end() {
+    let mut table = AdviceTable::default();
+    let at = Moment::from_millis;
+    assert_eq!(table.hear(at(0), &name(1), &service("plain"), LEAVING), AdviceChange::Left);
+    assert_eq!(table.hear(at(1), &name(1), &service("plain"), LEAVING), AdviceChange::Same);
+    assert_eq!(table.hear(at(2), &name(1), &service("plain"), rest(10)), AdviceChange::Began);
+    assert_eq!(table.standing(at(300_000), &name(1)), EndpointStanding::Leaving);
+    assert_eq!(
+        table.standing(at(300_000), &name(2)),
+        EndpointStanding::Open,
+        "a later start has another name"
+    );
+    table.expire(at(700_000));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_dispatcher_hears_of_its_own_service_only() {
+    let mut table = AdviceTable::default();
+    let now = Moment::from_millis(5);
+    table.hear(now, &name(2), &service("plain"), rest(1_000));
+    table.hear(now, &name(1), &service("plain"), LEAVING);
+    table.hear(now, &name(3), &service("engines"), rest(1_000));
+    let records = table.records(Moment::from_millis(405), &service("plain"));
+    let said: Vec<_> = records.iter().map(|record| (record.endpoint.clone(), record.advice)).collect();
+    assert_eq!(said, [(name(1), LEAVING), (name(2), rest(600))]);
+    assert_eq!(table.counts(now), (2, 1));
+}
+
+#[test]
+fn the_board_gives_what_has_changed_for_the_dispatcher() {
+    let board = AdviceBoard::new();
+    let (endpoint, service) = (name(1), service("plain"));
+    let source = AdviceSource { endpoint: &endpoint, service: &service, request: "r" };
+    assert!(board.may_send(&endpoint));
+    assert_eq!(board.hear(source, EndpointAdvice::default()), None);
+    let told = board.hear(source, rest(60_000)).expect("a rest begins");
+    assert!(told.advice.rest > Duration::from_secs(59), "{told:?}");
+    assert!(!board.may_send(&endpoint));
+    assert_eq!(board.hear(source, rest(10)), None);
+    assert!(board.hear(source, LEAVING).expect("it leaves").advice.leaving);
+    assert_eq!(board.records(&service).len(), 1);
+}
+
+proptest! {
+    /// Whatever is said in whatever order, nothing may be sent before the latest moment that was asked for, and
+    /// something may be right then.
+    #[test]
+    fn the_latest_moment_that_was_asked_for_holds(said in prop::collection::vec((0u64..200, 0u64..3_000), 1..20)) {
+        let mut table = AdviceTable::default();
+        let mut now = 0;
+        let mut latest = 0;
+        for (passed, millis) in said {
+            now += passed;
+            if now >= latest {
+                table.expire(Moment::from_millis(now));
+            }
+            table.hear(Moment::from_millis(now), &name(1), &service("plain"), rest(millis));
+            latest = latest.max(now + millis);
+            let standing = table.standing(Moment::from_millis(now), &name(1));
+            prop_assert_eq!(standing.is_open(), now >= latest);
+        }
+        prop_assert!(latest == now || !table.standing(Moment::from_millis(latest - 1), &name(1)).is_open());
+        prop_assert!(table.standing(Moment::from_millis(latest), &name(1)).is_open());
+    }
+}
--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -21,6 +21,8 @@
     Quarantined,
     /// An endpoint ended under what it asks for, and another copy of that waits or runs.
     CopyRunning,
+    /// Every endpoint that may run it has asked its router for a rest that is longer than it may wait.
+    EndpointsRest,
 }
 
 /// Why a request stands otherwise than before.
--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -3,8 +3,8 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::CrashRecord;
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, OrderNumber,
-    RegionName, RequestDigest, RequestId, Revision, Weight,
+    AdviceRecord, Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment,
+    OrderNumber, RegionName, RequestDigest, RequestId, Revision, Weight,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -90,6 +90,8 @@
     pub totals: Vec<HeldTotal>,
     /// What it knows of requests under which endpoints ended.
     pub crashes: Vec<CrashRecord>,
+    /// What endpoints asked of it.
+    pub advice: Vec<AdviceRecord>,
     /// The number of its newest heartbeat.
     pub heartbeat: u64,
 }
@@ -114,8 +116,8 @@
     Severed,
     /// The router did not send the request.
     Unsent,
-    /// The router does not hold the endpoint as one that serves, as just after its start; nothing ran. It says
-    /// nothing of the endpoint.
+    /// The router does not hold the endpoint as one that serves, as just after its start, or was asked by it for rest;
+    /// nothing ran. It says nothing of the endpoint.
     NotHeld,
 }
 
@@ -249,6 +251,8 @@
     Settle(SessionId, RequestId, Cost, GrantFate),
     /// A router is alive.
     Heartbeat(SessionId, u64),
+    /// Endpoints asked something of a router.
+    Advised(SessionId, Vec<AdviceRecord>),
     /// An endpoint reports its load.
     Load(LoadReport),
     /// An endpoint did not answer a load report in time.
--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -54,10 +54,9 @@
         query: &EngineQuery<'_>,
         tokens_before: impl Fn(EndpointIndex) -> u64,
     ) -> Option<EndpointIndex> {
-        let holders = self.holders_of(query.prompt, query.halls);
-        let candidates = holders.chain(self.least_loaded_few(query.halls));
-        let usable = candidates.filter(|index| !(query.is_excluded)(*index));
-        let fitness = usable.filter_map(|index| {
+        let holders = self.holders_of(query);
+        let candidates = holders.chain(self.least_loaded_few(query));
+        let fitness = candidates.filter_map(|index| {
             let state = self.state(index);
             let engine = state.engine.as_ref()?;
             let before = tokens_before(index);
@@ -116,16 +115,12 @@
     /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps, free ones first.
     /// Where the sixteen that kept it first stood for all, free ones behind them were not found: 197 refused
     /// requests of 4,017 that share four parts on a calm day, 110 with this.
-    fn holders_of<'a>(
-        &'a self,
-        prompt: &'a PromptShape,
-        halls: HallMask,
-    ) -> impl Iterator<Item = EndpointIndex> + 'a {
+    fn holders_of<'a>(&'a self, query: &'a EngineQuery<'_>) -> impl Iterator<Item = EndpointIndex> + 'a {
         let usable = move |index: &EndpointIndex| {
             let state = self.state(*index);
-            state.has_slot() && halls.contains(state.hall)
+            state.has_slot() && query.halls.contains(state.hall) && !(query.is_excluded)(*index)
         };
-        let levels = prompt.prefixes.iter().rev().map(|prefix| self.holders.of(*prefix));
+        let levels = query.prompt.prefixes.iter().rev().map(|prefix| self.holders.of(*prefix));
         let deepest = levels.filter(move |engines| engines.iter().any(usable)).take(1);
         let holders = deepest.flatten().copied().filter(usable);
         let is_free = move |index: &EndpointIndex| self.state(*index).is_free();
@@ -134,9 +129,16 @@
         free.chain(busy)
     }
 
-    /// The few least loaded free endpoints of each hall.
-    fn least_loaded_few(&self, halls: HallMask) -> impl Iterator<Item = EndpointIndex> + '_ {
-        let sets = self.free.iter().enumerate().filter(move |(hall, _)| halls.contains(*hall));
-        sets.flat_map(|(_, set)| set.iter().take(LEAST_LOADED_PER_HALL).map(|(_, endpoint)| *endpoint))
+    /// The few least loaded free endpoints of each hall that are not excluded. Taken before those are left out, a
+    /// ticket would find nothing in a hall whose least loaded endpoints it may not use.
+    fn least_loaded_few<'a>(
+        &'a self,
+        query: &'a EngineQuery<'_>,
+    ) -> impl Iterator<Item = EndpointIndex> + 'a {
+        let sets = self.free.iter().enumerate().filter(move |(hall, _)| query.halls.contains(*hall));
+        sets.flat_map(move |(_, set)| {
+            let usable = set.iter().filter(move |(_, endpoint)| !(query.is_excluded)(*endpoint));
+            usable.take(LEAST_LOADED_PER_HALL).map(|(_, endpoint)| *endpoint)
+        })
     }
 }
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -30,6 +30,8 @@
     listed: bool,
     /// Its newest load report said so, at this moment. Only a later report opens it.
     pub draining_since: Option<Moment>,
+    /// It told a router that it leaves, which is final.
+    said_leaving: bool,
     /// It failed, refused or answered that it leaves, and is left alone until this moment.
     paused_until: Option<Moment>,
 }
@@ -94,7 +96,7 @@
         let causes = [
             (doors.settings, EndpointClosure::Settings),
             (doors.listed, EndpointClosure::Listed),
-            (doors.draining_since.is_some(), EndpointClosure::Draining),
+            (doors.draining_since.is_some() || doors.said_leaving, EndpointClosure::Draining),
             (doors.paused_until.is_some(), EndpointClosure::Paused),
         ];
         causes.into_iter().find(|(closed, _)| *closed).map(|(_, cause)| cause)
@@ -234,7 +236,7 @@
     /// True when an endpoint is known to be leaving, or gone for a reason of its own.
     pub fn is_leaving(&self, endpoint: EndpointIndex) -> bool {
         let doors = &self.state(endpoint).doors;
-        doors.settings || doors.listed || doors.draining_since.is_some()
+        doors.settings || doors.listed || doors.draining_since.is_some() || doors.said_leaving
     }
 
     /// True when an endpoint has become free since the last call.
@@ -352,6 +354,12 @@
         }
     }
 
+    /// Closes an endpoint that told a router that it leaves. Its next start has another name.
+    pub fn note_leaving(&mut self, endpoint: EndpointIndex) {
+        self.state_mut(endpoint).doors.said_leaving = true;
+        self.reindex(endpoint);
+    }
+
     /// Ends the pauses whose time has come, and opens engines that have read enough.
     pub fn wake(&mut self, now: Moment) {
         while let Some((at, endpoint)) = self.readers.first().copied().filter(|(at, _)| *at <= now) {
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -71,8 +71,8 @@
         if self.recovering_until.is_some() {
             return;
         }
-        let ticket = &self.waiting[&request];
-        if !self.looked_at(ticket.customer).any(|id| *id == request) {
+        let Some(ticket) = self.waiting.get(&request) else { return };
+        if !self.looked_at(now, ticket.customer).any(|id| *id == request) {
             return;
         }
         if let Some(endpoint) = self.choose_endpoint(now, ticket) {
@@ -91,15 +91,19 @@
 
     /// The tickets of a customer that are looked at for one that a free endpoint suits. Those of routers whose
     /// stream is lost are passed over, and don't count: they stay for the lease, and would stand before everyone
-    /// else's. Worth of requests held to their deadline while a hall is cut off: 823 to 87 of a day.
-    fn looked_at(&self, customer: CustomerIndex) -> impl Iterator<Item = &RequestId> {
+    /// else's. Worth of requests held to their deadline while a hall is cut off: 823 to 87 of a day. It is the same for
+    /// those of routers from which no endpoint wants anything for now.
+    fn looked_at(&self, now: Moment, customer: CustomerIndex) -> impl Iterator<Item = &RequestId> {
         let queue = self.customers.get(customer).queue.values();
-        let reached = queue.filter(|request| self.routers.session(self.waiting[*request].router).is_some());
-        reached.take(LOOK_AHEAD)
+        let usable = queue.filter(move |request| {
+            let ticket = &self.waiting[*request];
+            self.routers.session(ticket.router).is_some() && !self.is_unwanted(now, ticket)
+        });
+        usable.take(LOOK_AHEAD)
     }
 
     fn choose_ticket(&self, now: Moment, customer: CustomerIndex) -> Option<(RequestId, EndpointIndex)> {
-        self.looked_at(customer).find_map(|request| {
+        self.looked_at(now, customer).find_map(|request| {
             let ticket = &self.waiting[request];
             if self.still_waits(ticket) {
                 return None;
@@ -125,7 +129,7 @@
         let is_excluded = |endpoint| {
             ticket.avoided(now) == Some(endpoint)
                 || apart.contains(&endpoint)
-                || self.routers.lacks(now, ticket.router, endpoint)
+                || self.may_not_use(now, ticket.router, endpoint)
         };
         let before = |engine| self.waits.tokens_before(engine, ticket.place.request);
         let query = EngineQuery {
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -31,6 +31,7 @@
     ) {
         let router = self.routers.attach(now, session, &hello);
         self.join_suspects(now, router, &hello.crashes, actions);
+        self.take_advice(now, router, &hello.advice);
         if self.options.use_held_state {
             for total in &hello.totals {
                 self.recover_level(total);
@@ -46,6 +47,7 @@
         for ticket in tickets {
             self.take_ticket(now, session, router, ticket, actions);
         }
+        self.refuse_unwanted(now, router, actions);
         if self.options.use_held_state {
             let mut grants: Vec<HeldGrant> = running.into_values().collect();
             grants.sort_by_key(|grant| grant.order);
@@ -94,6 +96,7 @@
             expected_wait: Duration::ZERO,
             wanted_by: None,
             ends: None,
+            leaves: None,
             waits_for: Cell::new(None),
         };
         self.insert_waiting(now, request, ticket);
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! every free slot to the lowest-ranked customer that may use it. After each step no slot is free
 //! that a waiting ticket may use.
 
+mod advice;
 mod choice;
 mod copies;
 mod customers;
@@ -130,7 +131,7 @@
                 return;
             }
         }
-        if changes_eligibility(&event) {
+        if self.routers.end_rests(now) || changes_eligibility(&event) {
             self.fill_due = self.fill_due.min(now.max(self.next_round));
         }
         self.take(now, event, actions);
@@ -143,7 +144,7 @@
     /// When something will be due without any event.
     pub fn next_wake(&self) -> Option<Moment> {
         let overdue = self.overdue.first().map(|(at, _)| *at);
-        [overdue, self.endpoints.next_wake()].into_iter().flatten().min()
+        [overdue, self.endpoints.next_wake(), self.routers.next_rest_end()].into_iter().flatten().min()
     }
 
     fn take(&mut self, now: Moment, event: ShardEvent, actions: &mut Vec<ShardAction>) {
@@ -164,6 +165,7 @@
                 self.routers.beat(session, number);
                 actions.push(ShardAction::Pulse { session, heartbeat: number });
             }
+            ShardEvent::Advised(session, advice) => self.heed(now, session, &advice, actions),
             ShardEvent::Load(report) => {
                 self.endpoints.report(now, &report);
                 self.hear_report(now, &report, actions);
@@ -270,7 +272,8 @@
         | ShardEvent::Cancel(session, _)
         | ShardEvent::Progress(session, _, _)
         | ShardEvent::Settle(session, _, _, _)
-        | ShardEvent::Heartbeat(session, _) => Some(*session),
+        | ShardEvent::Heartbeat(session, _)
+        | ShardEvent::Advised(session, _) => Some(*session),
         _ => None,
     }
 }
--- a/crates/micaspool-dispatch/src/shard/routers.rs
+++ b/crates/micaspool-dispatch/src/shard/routers.rs
@@ -24,6 +24,8 @@
     requests: HashSet<RequestId>,
     /// Endpoints that it does not hold as serving, and until when that is believed.
     lacking: HashMap<EndpointIndex, Moment>,
+    /// Endpoints that asked it for rest, and until when.
+    rests: HashMap<EndpointIndex, Moment>,
 }
 
 /// Every router that has joined and whose lease has not ended.
@@ -32,6 +34,8 @@
     states: HashMap<RouterIndex, RouterState>,
     sessions: HashMap<SessionId, RouterIndex>,
     next: u32,
+    /// When rests end.
+    rest_ends: BTreeSet<Moment>,
 }
 
 impl RouterTable {
@@ -92,6 +96,7 @@
             heartbeat: 0,
             requests: HashSet::new(),
             lacking: HashMap::new(),
+            rests: HashMap::new(),
         };
         self.states.insert(router, state);
         router
@@ -147,6 +152,49 @@
         until.is_some_and(|until| now < *until)
     }
 
+    /// Notes until when an endpoint wants nothing from a router; what was noted before is prolonged, never shortened.
+    pub fn note_rest(&mut self, router: RouterIndex, endpoint: EndpointIndex, until: Moment) {
+        if let Some(state) = self.states.get_mut(&router) {
+            let noted = state.rests.entry(endpoint).or_insert(until);
+            *noted = until.max(*noted);
+            self.rest_ends.insert(*noted);
+        }
+    }
+
+    /// Forgets the rests that are over; true when there were any, so that what waited for them may run.
+    pub fn end_rests(&mut self, now: Moment) -> bool {
+        if self.rest_ends.first().is_none_or(|end| now < *end) {
+            return false;
+        }
+        self.rest_ends = self.rest_ends.split_off(&(now + Duration::from_micros(1)));
+        for state in self.states.values_mut() {
+            state.rests.retain(|_, until| now < *until);
+        }
+        true
+    }
+
+    /// When the next rest ends.
+    pub fn next_rest_end(&self) -> Option<Moment> {
+        self.rest_ends.first().copied()
+    }
+
+    /// True when any endpoint asked a router for rest.
+    pub fn has_rests(&self, router: RouterIndex) -> bool {
+        self.states.get(&router).is_some_and(|state| !state.rests.is_empty())
+    }
+
+    /// Until when an endpoint wants nothing from a router; `None` when it takes requests.
+    pub fn rests_until(&self, now: Moment, router: RouterIndex, endpoint: EndpointIndex) -> Option<Moment> {
+        let until = self.states.get(&router).and_then(|state| state.rests.get(&endpoint)).copied();
+        until.filter(|until| now < *until)
+    }
+
+    /// The endpoints that rest, once for each router that was asked.
+    pub fn resting(&self, now: Moment) -> impl Iterator<Item = EndpointIndex> + '_ {
+        let rests = self.states.values().flat_map(|state| &state.rests);
+        rests.filter(move |(_, until)| now < **until).map(|(endpoint, _)| *endpoint)
+    }
+
     /// The requests of a router in a fixed order.
     pub fn held(&self, router: RouterIndex) -> Vec<RequestId> {
         let mut requests: Vec<RequestId> = self
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -6,7 +6,7 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashRecord, RequestStanding};
 use micaspool_types::{CustomerName, EndpointName, HallMask, Moment, Revision};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// One customer in a shard.
@@ -41,6 +41,8 @@
     pub reading: bool,
     /// Failures in a row.
     pub failures: u32,
+    /// How many routers it asked for rest.
+    pub rests_for: usize,
     /// How fast its engine reads; `None` for other endpoints.
     pub pace: Option<PaceStatus>,
 }
@@ -149,7 +151,10 @@
             running: state.running,
             level: state.level(self.options.policy.as_ref()),
         });
-        let endpoints = self.endpoints.iter().map(|state| EndpointStatus {
+        let mut rests: HashMap<EndpointIndex, usize> = HashMap::new();
+        self.routers.resting(now).for_each(|endpoint| *rests.entry(endpoint).or_default() += 1);
+        let indexed = self.endpoints.indices().zip(self.endpoints.iter());
+        let endpoints = indexed.map(|(index, state)| EndpointStatus {
             name: state.name.clone(),
             busy: state.busy,
             foreign: state.foreign,
@@ -158,6 +163,7 @@
             free: state.is_free(),
             reading: state.reading,
             failures: state.failures,
+            rests_for: rests.get(&index).copied().unwrap_or_default(),
             pace: state.engine.as_ref().map(|engine| PaceStatus::of(now, engine.pace())),
         });
         let awaited = || self.waiting.values().filter_map(|ticket| ticket.waits_for.get());
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -42,6 +42,8 @@
     pub wanted_by: Option<Moment>,
     /// When it is refused, since it can't begin in time any more; `None` for never.
     pub ends: Option<Moment>,
+    /// When its caller leaves; `None` if it did not say.
+    pub leaves: Option<Moment>,
     /// The engine that suits it best though it is not free.
     pub waits_for: Cell<Option<EngineChoice>>,
 }
@@ -67,6 +69,13 @@
     }
 }
 
+impl WaitingTicket {
+    /// The latest moment at which it may begin to run; `None` when nobody told.
+    pub fn latest(&self) -> Option<Moment> {
+        self.ends.or(self.leaves)
+    }
+}
+
 impl ShardCore {
     /// Accepts a ticket or refuses it at once.
     pub(super) fn submit(
@@ -104,6 +113,7 @@
             return;
         }
         self.enqueue(now, router, customer, ticket, wait);
+        self.refuse_unwanted_ticket(now, request, actions);
         self.grant_new(now, request, actions);
         if let Some(ticket) = self.waiting.get(&request) {
             actions.push(ShardAction::Accepted { session, request, order: ticket.place.order });
@@ -170,6 +180,7 @@
             expected_wait: wait.expected,
             wanted_by: ticket.objective.map(|objective| now + objective),
             ends: wait.longest.map(|longest| now + longest),
+            leaves: ticket.patience.map(|patience| now + patience),
             prompt,
             waits_for: Cell::new(None),
         };
--- a/crates/micaspool-dispatch/tests/shard/bench.rs
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -55,6 +55,7 @@
         running: Vec::new(),
         totals: Vec::new(),
         crashes: Vec::new(),
+        advice: Vec::new(),
         heartbeat: 1,
     }
 }
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -1,5 +1,6 @@
 //! The shard core under faults, in virtual time.
 
+mod advice;
 mod bench;
 mod bound;
 mod breaks;
--- a/crates/micaspool-dispatcher/src/cache_follower.rs
+++ b/crates/micaspool-dispatcher/src/cache_follower.rs
@@ -5,12 +5,10 @@
 
 use crate::driver::ShardInput;
 use crate::host::HostOptions;
-use crate::probe::{CacheCursor, EndpointProbe};
+use crate::probe::{CacheCursor, EndpointProbe, ProbedEndpoint};
 use async_std::channel::Sender;
 use micaspool_dispatch::{CacheNews, KeptPart, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::EndpointName;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,8 +25,7 @@
 /// The follower of one engine.
 pub(crate) struct CacheFollower {
     probe: Arc<dyn EndpointProbe>,
-    endpoint: EndpointName,
-    address: SocketAddr,
+    endpoint: ProbedEndpoint,
     inputs: Sender<ShardInput>,
 }
 
@@ -36,13 +33,8 @@
 struct ShardEnded;
 
 impl CacheFollower {
-    pub fn new(
-        options: &HostOptions,
-        endpoint: EndpointName,
-        address: SocketAddr,
-        inputs: Sender<ShardInput>,
-    ) -> CacheFollower {
-        CacheFollower { probe: options.probe.clone(), endpoint, address, inputs }
+    pub fn new(options: &HostOptions, endpoint: ProbedEndpoint, inputs: Sender<ShardInput>) -> CacheFollower {
+        CacheFollower { probe: options.probe.clone(), endpoint, inputs }
     }
 
     /// Follows until the shard ends. `interval` is how often all engines are asked for their load; a fifth of
@@ -51,13 +43,13 @@
         let pause = GATHERING.max(interval / 5);
         let mut failures = 0;
         loop {
-            let Some(list) = self.probe.kept_parts(self.address).await else {
+            let Some(list) = self.probe.kept_parts(&self.endpoint).await else {
                 failures += 1;
                 self.wait_after(failures).await;
                 continue;
             };
             failures = 0;
-            let fields = [field("endpoint", &self.endpoint), field("kept_parts", list.parts.len())];
+            let fields = [field("endpoint", &self.endpoint.name), field("kept_parts", list.parts.len())];
             record(&events::ENGINE_MET, &fields);
             let told = self.tell(list.parts, Vec::new(), true).await;
             if told.is_err() || self.follow(list.cursor, pause).await.is_err() {
@@ -70,14 +62,17 @@
     async fn follow(&self, mut cursor: CacheCursor, pause: Duration) -> Result<(), ShardEnded> {
         let mut failures = 0;
         while failures < MOST_FAILURES {
-            let Some(changes) = self.probe.cache_changes(self.address, cursor).await else {
+            let Some(changes) = self.probe.cache_changes(&self.endpoint, cursor).await else {
                 failures += 1;
                 self.wait_after(failures).await;
                 continue;
             };
             failures = 0;
             if changes.gap || changes.cursor.epoch != cursor.epoch {
-                record(&events::CACHE_GAP, &[field("endpoint", &self.endpoint), field("since", cursor.next)]);
+                record(
+                    &events::CACHE_GAP,
+                    &[field("endpoint", &self.endpoint.name), field("since", cursor.next)],
+                );
                 return Ok(());
             }
             cursor = changes.cursor;
@@ -92,7 +87,7 @@
     /// Leaves the engine alone after a failure; says so when it begins to look lasting.
     async fn wait_after(&self, failures: u32) {
         if failures == MOST_FAILURES {
-            let fields = [field("endpoint", &self.endpoint), field("failures", failures)];
+            let fields = [field("endpoint", &self.endpoint.name), field("failures", failures)];
             record(&events::CACHE_UNKNOWN, &fields);
         }
         let doublings = failures.saturating_sub(1).min(8);
@@ -100,7 +95,7 @@
     }
 
     async fn tell(&self, kept: Vec<KeptPart>, dropped: Vec<u64>, whole: bool) -> Result<(), ShardEnded> {
-        let endpoint = self.endpoint.clone();
+        let endpoint = self.endpoint.name.clone();
         let news = CacheNews { endpoint, stored: Vec::new(), dropped, kept, whole };
         let sent = self.inputs.send(ShardInput::Event(ShardEvent::Cache(news))).await;
         sent.map_err(|_| ShardEnded)
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -277,8 +277,7 @@
             forget_followers(&mut followers, &probed);
             for endpoint in probed {
                 let follow = || {
-                    let (name, address) = (endpoint.name.clone(), endpoint.address);
-                    let follower = CacheFollower::new(&options, name, address, inputs.clone());
+                    let follower = CacheFollower::new(&options, endpoint.clone(), inputs.clone());
                     tokio::spawn(follower.run(pause))
                 };
                 followers.entry(endpoint.name.clone()).or_insert_with(follow);
@@ -316,7 +315,7 @@
 ) {
     let asked_at = clock.now();
     let endpoint = probed.name.clone();
-    let Some(answer) = options.probe.ask(probed.address).await else {
+    let Some(answer) = options.probe.ask(&probed).await else {
         if !options.silence_counts {
             return;
         }
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -82,6 +82,7 @@
         let records = if is_engine { self.engines_of(service) } else { Vec::new() };
         let probed = |record: EndpointRecord| ProbedEndpoint {
             name: record.name,
+            service: record.service,
             address: record.address,
             start: (record.incarnation != Incarnation(0)).then_some(record.incarnation),
         };
--- a/crates/micaspool-dispatcher/src/policy_source.rs
+++ b/crates/micaspool-dispatcher/src/policy_source.rs
@@ -40,6 +40,7 @@
         let endpoints = policy.services[index].endpoints.iter();
         let probed = endpoints.map(|endpoint| ProbedEndpoint {
             name: endpoint.name.clone(),
+            service: service.clone(),
             address: endpoint.address,
             start: None,
         });
--- a/crates/micaspool-dispatcher/src/probe.rs
+++ b/crates/micaspool-dispatcher/src/probe.rs
@@ -5,7 +5,7 @@
 use http_types::{Method, Request, Url};
 use micaspool_dispatch::KeptPart;
 use micaspool_http::client::{call, CallLimits};
-use micaspool_types::{EndpointName, Incarnation};
+use micaspool_types::{EndpointName, Incarnation, ServiceName};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,6 +42,8 @@
 pub struct ProbedEndpoint {
     /// Its name in the shard.
     pub name: EndpointName,
+    /// Its service.
+    pub service: ServiceName,
     /// Where it listens.
     pub address: SocketAddr,
     /// The start that the name stands for; `None` where starts aren't told apart.
@@ -93,19 +95,19 @@
 /// Asks an endpoint for its load.
 #[async_trait]
 pub trait EndpointProbe: std::fmt::Debug + Send + Sync + 'static {
-    /// The report of the endpoint at this address, or `None` when it does not answer in time.
-    async fn ask(&self, address: SocketAddr) -> Option<ProbeAnswer>;
+    /// The report of an endpoint, or `None` when it does not answer in time or wants nothing now.
+    async fn ask(&self, endpoint: &ProbedEndpoint) -> Option<ProbeAnswer>;
 
-    /// The prompt parts that the engine at this address keeps. Asked when a shard meets the engine,
+    /// The prompt parts that an engine keeps. Asked when a shard meets the engine,
     /// which may have run for long under another dispatcher, and after a gap. `None` when it can't be
     /// told.
-    async fn kept_parts(&self, _address: SocketAddr) -> Option<KeptList> {
+    async fn kept_parts(&self, _endpoint: &ProbedEndpoint) -> Option<KeptList> {
         None
     }
 
     /// What changed in the engine's cache since the cursor; waits a while for news. `None` when it
     /// can't be told.
-    async fn cache_changes(&self, _address: SocketAddr, _since: CacheCursor) -> Option<CacheChanges> {
+    async fn cache_changes(&self, _endpoint: &ProbedEndpoint, _since: CacheCursor) -> Option<CacheChanges> {
         None
     }
 }
@@ -125,8 +127,8 @@
 
 #[async_trait]
 impl EndpointProbe for HttpEndpointProbe {
-    async fn ask(&self, address: SocketAddr) -> Option<ProbeAnswer> {
-        let body = fetch(address, LOAD_PATH, self.limits, MAX_REPORT).await?;
+    async fn ask(&self, endpoint: &ProbedEndpoint) -> Option<ProbeAnswer> {
+        let body = fetch(endpoint.address, LOAD_PATH, self.limits, MAX_REPORT).await?;
         serde_json::from_slice(&body).ok()
     }
 }
--- a/crates/micaspool-dispatcher/src/tally.rs
+++ b/crates/micaspool-dispatcher/src/tally.rs
@@ -157,6 +157,7 @@
         field("endpoints_open", count(EndpointStatus::is_open)),
         field("endpoints_paused", count(|endpoint| endpoint.closure == Some(EndpointClosure::Paused))),
         field("endpoints_draining", count(|endpoint| endpoint.closure == Some(EndpointClosure::Draining))),
+        field("endpoints_resting", count(|endpoint| endpoint.rests_for > 0)),
         field("endpoints_free", count(|endpoint| endpoint.free)),
         field("endpoints_reading", count(|endpoint| endpoint.reading)),
         field("endpoints_failing", count(|endpoint| endpoint.failures > 0)),
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::native::NativeDialect;
 use crate::path::{Gateway, GatewayParts};
 use async_std::task;
+use micaspool_backpressure::AdviceBoard;
 use micaspool_client::{AddressNamed, FleetMirror, FleetMirrorOptions, PeerDirectory, ENDPOINT_LIFE};
 use micaspool_clock::BootInstant;
 use micaspool_daemon::StartError;
@@ -57,6 +58,7 @@
     dialect: Arc<dyn GatewayDialect>,
     format: Arc<dyn PlanFormat>,
     probe: Arc<dyn EndpointProbe>,
+    advice: Arc<AdviceBoard>,
     edge: EdgeOptions,
 }
 
@@ -82,6 +84,7 @@
             dialect: Arc::new(NativeDialect),
             format: Arc::new(JsonFormat),
             probe: Arc::new(HttpEndpointProbe::default()),
+            advice: AdviceBoard::new(),
             edge: EdgeOptions::default(),
         };
         GatewayOptionsBuilder { options }
@@ -136,6 +139,12 @@
         self
     }
 
+    /// What endpoints asked of this process; shared with the probe, whose questions they count as well.
+    pub fn advice(mut self, advice: Arc<AdviceBoard>) -> Self {
+        self.options.advice = advice;
+        self
+    }
+
     /// How much memory the process may use, in bytes: as many callers are accepted as fit into it.
     pub fn memory(mut self, bytes: u64) -> Self {
         let fitting = usize::try_from(bytes.saturating_sub(BASE_BYTES) / CONNECTION_BYTES);
@@ -213,6 +222,7 @@
         dispatchers: options.dispatchers.clone(),
         own_dispatcher,
         pool: pool.clone(),
+        advice: options.advice.clone(),
         dialect: options.dialect.clone(),
         spans,
         counter: counters.dispatchers.clone(),
@@ -220,13 +230,14 @@
     });
     let server = EdgeServer::new(Arc::new(gateway.clone()), options.edge);
     let callers = server.listen(options.callers).await.map_err(StartError::bind(options.callers))?;
-    task::spawn(tend(gateway.clone(), mirror.clone(), pool.clone()));
+    task::spawn(tend(gateway.clone(), mirror.clone(), pool.clone(), options.advice.clone()));
     let stopping: Arc<AtomicBool> = Arc::default();
     let traffic = counters.register(&mut registry);
     let source = Arc::new(GatewayStatusSource {
         mirror: mirror.clone(),
         gateway,
         pool,
+        advice: options.advice.clone(),
         server: server.clone(),
         registry,
         traffic,
@@ -240,8 +251,8 @@
     Ok(GatewayDaemon { callers, status, server, mirror, stopping })
 }
 
-/// Opens shards as plans name them and closes connections that rested for too long.
-async fn tend(gateway: Gateway, mirror: Arc<FleetMirror>, pool: Arc<EndpointPool>) {
+/// Opens shards as plans name them, closes connections that rested for too long and ends the rests of endpoints.
+async fn tend(gateway: Gateway, mirror: Arc<FleetMirror>, pool: Arc<EndpointPool>, advice: Arc<AdviceBoard>) {
     let mut prepared = 0;
     loop {
         let number = mirror.plan().number;
@@ -250,6 +261,7 @@
             gateway.prepare_shards();
         }
         pool.sweep();
+        advice.expire();
         task::sleep(SWEEP_INTERVAL).await;
     }
 }
@@ -276,6 +288,7 @@
     mirror: Arc<FleetMirror>,
     gateway: Gateway,
     pool: Arc<EndpointPool>,
+    advice: Arc<AdviceBoard>,
     server: EdgeServer,
     registry: Registry,
     traffic: TrafficMetrics,
@@ -293,6 +306,9 @@
         self.metrics.connections_opened.set(i64::try_from(self.pool.opened()).unwrap_or(i64::MAX));
         self.metrics.callers_open.set(i64::try_from(self.server.open()).unwrap_or(i64::MAX));
         self.metrics.plan_number.set(i64::try_from(self.mirror.plan().number).unwrap_or(i64::MAX));
+        let (resting, leaving) = self.advice.counts();
+        self.metrics.endpoints_resting.set(i64::try_from(resting).unwrap_or(i64::MAX));
+        self.metrics.endpoints_leaving.set(i64::try_from(leaving).unwrap_or(i64::MAX));
         self.traffic.refresh();
         encode_text(&self.registry)
     }
--- a/crates/micaspool-gateway/src/dialect.rs
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -1,7 +1,8 @@
 //! The border to how callers and endpoints speak.
 
 use http::header::HeaderName;
-use http::{request, response, HeaderMap, Response};
+use http::{request, response, HeaderMap, Response, StatusCode};
+use micaspool_backpressure::HeardAdvice;
 use micaspool_http::edge::EdgeBody;
 use micaspool_types::{CustomerName, EndpointName, Refusal};
 use std::fmt;
@@ -85,6 +86,23 @@
     Unproven,
 }
 
+impl AnswerVerdict {
+    /// True when the answer is the word of the endpoint that was asked, of whatever use it is otherwise.
+    pub fn is_of_asked(self) -> bool {
+        !matches!(self, AnswerVerdict::Foreign | AnswerVerdict::NotRun(NotRunReason::OtherEndpoint))
+    }
+}
+
+/// True for a status by which an endpoint turns a request away; `Retry-After` beside it is meant for whoever asked.
+pub fn turns_away(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
+/// All values of a header that are text.
+pub fn header_texts<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = &'a str> {
+    headers.get_all(name).into_iter().filter_map(|value| value.to_str().ok())
+}
+
 /// How callers and endpoints speak.
 pub trait GatewayDialect: fmt::Debug + Send + Sync + 'static {
     /// Reads what a caller says of its request.
@@ -99,4 +117,7 @@
 
     /// What the head of an endpoint's answer means.
     fn judge(&self, head: &response::Parts, id: &str) -> AnswerVerdict;
+
+    /// What the head of an endpoint's answer says of the endpoint itself.
+    fn advice(&self, head: &response::Parts) -> HeardAdvice;
 }
--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use daemon::{start_gateway, GatewayDaemon, GatewayOptions, GatewayOptionsBuilder};
 pub use dialect::{
-    header_text, AnswerVerdict, CallerHead, GatewayDialect, NotRunReason, PromptOutline, PromptPart,
-    SendOrder,
+    header_text, header_texts, turns_away, AnswerVerdict, CallerHead, GatewayDialect, NotRunReason,
+    PromptOutline, PromptPart, SendOrder,
 };
 pub use events::{EventSplitter, SplitChunk};
 pub use metrics::GatewayMetrics;
--- a/crates/micaspool-gateway/src/metrics.rs
+++ b/crates/micaspool-gateway/src/metrics.rs
@@ -42,6 +42,10 @@
     pub callers_open: Gauge,
     /// The number of the plan in force.
     pub plan_number: Gauge,
+    /// Endpoints that asked this process for rest.
+    pub endpoints_resting: Gauge,
+    /// Endpoints that said that they leave.
+    pub endpoints_leaving: Gauge,
 }
 
 impl GatewayMetrics {
@@ -61,6 +65,8 @@
             connections_opened: Gauge::default(),
             callers_open: Gauge::default(),
             plan_number: Gauge::default(),
+            endpoints_resting: Gauge::default(),
+            endpoints_leaving: Gauge::default(),
         };
         metrics.name_counters(registry);
         metrics.name_times(registry);
@@ -87,6 +93,10 @@
         registry.register("micaspool_gateway_opened", opened, self.connections_opened.clone());
         registry.register("micaspool_gateway_callers", "Open connections", self.callers_open.clone());
         registry.register("micaspool_gateway_plan", "Plan in force", self.plan_number.clone());
+        let resting = "Endpoints that asked this gateway for rest";
+        registry.register("micaspool_gateway_resting_endpoints", resting, self.endpoints_resting.clone());
+        let leaving = "Endpoints that said in an answer that they leave";
+        registry.register("micaspool_gateway_leaving_endpoints", leaving, self.endpoints_leaving.clone());
     }
 
     /// Counts a refusal.
--- a/crates/micaspool-gateway/src/native.rs
+++ b/crates/micaspool-gateway/src/native.rs
@@ -1,11 +1,12 @@
 //! The product's own headers.
 
 use crate::dialect::{
-    header_text, AnswerVerdict, CallerHead, GatewayDialect, NotRunReason, PromptOutline, PromptPart,
-    SendOrder,
+    header_text, header_texts, turns_away, AnswerVerdict, CallerHead, GatewayDialect, NotRunReason,
+    PromptOutline, PromptPart, SendOrder,
 };
 use http::header::{HeaderName, HeaderValue, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use http::{request, response, HeaderMap, Response};
+use micaspool_backpressure::HeardAdvice;
 use micaspool_http::edge::{whole_body, EdgeBody};
 use micaspool_types::{stable_hash, Refusal, RequestId};
 use serde_json::json;
@@ -17,6 +18,8 @@
 const ENDPOINT: HeaderName = HeaderName::from_static("micaspool-endpoint");
 const CUSTOMER: HeaderName = HeaderName::from_static("micaspool-customer");
 const RUN: HeaderName = HeaderName::from_static("micaspool-run");
+/// How an endpoint says that it leaves.
+const DRAINING: HeaderName = HeaderName::from_static("micaspool-draining");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
 /// The product's own way to speak: `micaspool-request` names the attempt, `micaspool-patience-ms`
@@ -99,4 +102,9 @@
             _ => AnswerVerdict::Answer,
         }
     }
+
+    fn advice(&self, head: &response::Parts) -> HeardAdvice {
+        let leaving = header_text(&head.headers, &DRAINING) == Some("true");
+        HeardAdvice::read(turns_away(head.status), header_texts(&head.headers, &RETRY_AFTER), leaving)
+    }
 }
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -6,9 +6,10 @@
 use crate::dialect::{AnswerVerdict, NotRunReason, SendOrder};
 use crate::relay::{relay_body, AnswerRelay, EventMeter};
 use crate::trail::RequestTrail;
-use http::{Request, Response, StatusCode, Uri};
+use http::{response, Request, Response, StatusCode, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
+use micaspool_backpressure::AdviceSource;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{GrantFate, RequestTicket};
 use micaspool_http::edge::{whole_body, EdgeBody};
@@ -189,6 +190,12 @@
                 lease.settle(Cost(0), GrantFate::Unsent);
                 continue;
             }
+            if let Some(advice) = gateway.shared.parts.advice.record_of(lease.endpoint()) {
+                trail.note_withheld(&advice);
+                gateway.shard(&self.target.service).advise(advice);
+                lease.settle(Cost(0), GrantFate::NotHeld);
+                continue;
+            }
             match gateway.shared.parts.mirror.endpoint(lease.endpoint()) {
                 Some(record) if record.stage == EndpointStage::Serving => return Ok((lease, record)),
                 held => {
@@ -275,11 +282,16 @@
         };
         let request = self.build(gateway, &order);
         lease.mark_sent();
-        let sent = timeout(left, parts.pool.send(endpoint.address, request)).await;
+        let may_send = || parts.advice.may_send(&endpoint.name);
+        let sent = timeout(left, parts.pool.send_while(endpoint.address, request, may_send)).await;
         let failure = match sent {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                match parts.dialect.judge(&head, &self.call.caller.id) {
+                let verdict = parts.dialect.judge(&head, &self.call.caller.id);
+                if verdict.is_of_asked() {
+                    self.heed(gateway, endpoint, &head);
+                }
+                match verdict {
                     AnswerVerdict::Answer => {
                         return Ok(UsableAnswer { lease, response: Response::from_parts(head, body) })
                     }
@@ -299,6 +311,31 @@
         Err(failure)
     }
 
+    /// Takes in what an endpoint says of itself in the head of its answer. The dispatcher hears of it before the grant
+    /// ends.
+    fn heed(&self, gateway: &Gateway, endpoint: &EndpointRecord, head: &response::Parts) {
+        let parts = &gateway.shared.parts;
+        let heard = parts.dialect.advice(head);
+        if let Some(fault) = &heard.fault {
+            let fields = [
+                field("endpoint", &endpoint.name),
+                field("request", &self.call.caller.id),
+                field("error", fault),
+            ];
+            record(&events::ADVICE_UNREADABLE, &fields);
+        }
+        let source = AdviceSource {
+            endpoint: &endpoint.name,
+            service: &endpoint.service,
+            request: &self.call.caller.id,
+        };
+        let Some(advice) = parts.advice.hear(source, heard.advice) else { return };
+        if advice.advice.leaving {
+            parts.pool.close_resting(endpoint.address);
+        }
+        gateway.shard(&endpoint.service).advise(advice);
+    }
+
     fn build(&self, gateway: &Gateway, order: &SendOrder<'_>) -> Request<Full<bytes::Bytes>> {
         let head = &self.call.head;
         let mut headers = request_headers(&head.headers);
@@ -362,13 +399,13 @@
 }
 
 fn broken_send(error: &SendError) -> SendFailure {
-    let unsent = error.is_not_sent();
-    let kind = match error {
-        SendError::Unreachable(_) => "unreachable",
-        SendError::NotSent => "not-sent",
-        SendError::Broken(_) => "broken",
+    let (kind, fate) = match error {
+        SendError::Unreachable(_) => ("unreachable", GrantFate::Unreachable),
+        SendError::NotSent => ("not-sent", GrantFate::Unreachable),
+        SendError::Withheld => ("withheld", GrantFate::NotHeld),
+        SendError::Broken(_) => ("broken", GrantFate::Severed),
     };
-    let fate = if unsent { GrantFate::Unreachable } else { GrantFate::Severed };
+    let unsent = error.is_not_sent();
     SendFailure { fate, kind, cause: error.to_string(), not_run: unsent, arrived: !unsent }
 }
 
--- a/crates/micaspool-gateway/src/path/mod.rs
+++ b/crates/micaspool-gateway/src/path/mod.rs
@@ -15,6 +15,7 @@
 use http::{request, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use micaspool_backpressure::AdviceBoard;
 use micaspool_client::{FleetMirror, PeerDirectory};
 use micaspool_clock::BootInstant;
 use micaspool_dispatcher::FleetDispatcher;
@@ -53,6 +54,8 @@
     pub own_dispatcher: FleetDispatcher,
     /// Connections to endpoints.
     pub pool: Arc<EndpointPool>,
+    /// What endpoints asked of this process.
+    pub advice: Arc<AdviceBoard>,
     /// How callers and endpoints speak.
     pub dialect: Arc<dyn GatewayDialect>,
     /// Where spans go.
@@ -117,6 +120,7 @@
                 hall: parts.hall.clone(),
                 incarnation: parts.incarnation,
                 dispatchers: self.shared.dispatchers.clone(),
+                advice: parts.advice.clone(),
                 counter: parts.counter.clone(),
             };
             ShardClient::start(service.clone(), options)
--- a/crates/micaspool-gateway/src/trail.rs
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -4,7 +4,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_registry::EndpointStage;
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
-use micaspool_types::{EndpointName, Refusal, RequestDigest, RequestId};
+use micaspool_types::{AdviceRecord, EndpointName, Refusal, RequestDigest, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -95,6 +95,19 @@
         record(&events::GRANT_UNUSABLE, &fields);
     }
 
+    /// Logs a grant for an endpoint that asked this process for rest, or said that it leaves.
+    pub fn note_withheld(&self, held: &AdviceRecord) {
+        let held_as = if held.advice.leaving { "said-leaving" } else { "resting" };
+        self.metrics.count_failure(held_as);
+        let fields = [
+            field("request", &self.id),
+            field("endpoint", &held.endpoint),
+            field("held_as", held_as),
+            field("rest_ms", held.advice.rest.as_millis()),
+        ];
+        record(&events::GRANT_UNUSABLE, &fields);
+    }
+
     /// Logs a send that failed; the request may go on.
     pub fn note_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
         self.metrics.count_failure(kind);
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -54,6 +54,8 @@
     Unreachable(std::io::Error),
     /// The connection ended before the request was written; it was not sent.
     NotSent,
+    /// It may not be sent any more; it was not.
+    Withheld,
     /// The connection broke after the request may have been sent.
     Broken(hyper::Error),
 }
@@ -74,6 +76,7 @@
             SendError::NotSent => {
                 f.write_str("the connection ended before the request was written; send it again")
             }
+            SendError::Withheld => f.write_str("the endpoint wants nothing now; send it elsewhere"),
             SendError::Broken(error) => write!(f, "the connection broke ({error}); check the endpoint"),
         }
     }
@@ -108,11 +111,26 @@
     /// Sends a request and gives the head of the answer; the body is read from it. Dropping the
     /// future, or the body before its end, closes the connection.
     pub async fn send(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: WholeRequest,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.send_while(address, request, || true).await
+    }
+
+    /// Sends a request if that is still allowed right before its bytes go out: connecting takes time, and what made
+    /// a connection of no use may have changed more.
+    pub async fn send_while(
         self: &Arc<Self>,
         address: SocketAddr,
         mut request: WholeRequest,
+        may_send: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
         while let Some(sender) = self.take_idle(address) {
+            if !may_send() {
+                self.put_back(address, sender);
+                return Err(SendError::Withheld);
+            }
             match self.send_on(address, sender, request).await {
                 Err((SendError::NotSent, Some(unsent))) => request = unsent,
                 Err((error, _)) => return Err(error),
@@ -120,6 +138,10 @@
             }
         }
         let sender = self.connect(address).await?;
+        if !may_send() {
+            self.put_back(address, sender);
+            return Err(SendError::Withheld);
+        }
         self.send_on(address, sender, request).await.map_err(|(error, _)| error)
     }
 
@@ -200,6 +222,17 @@
         Some(connections.remove(place).sender)
     }
 
+    /// Keeps a connection on which nothing was sent.
+    fn put_back(self: &Arc<Self>, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+        let rest = self.options.idle;
+        self.put_idle(KeptConnection { pool: self.clone(), address, sender, rest });
+    }
+
+    /// Closes the connections to an address that rest.
+    pub fn close_resting(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
     fn put_idle(&self, connection: KeptConnection) {
         let until = BootInstant::now() + connection.rest;
         let mut idle = self.lock();
--- a/crates/micaspool-http/tests/pool.rs
+++ b/crates/micaspool-http/tests/pool.rs
@@ -165,6 +165,24 @@
     assert!(!error.is_not_sent(), "{error}");
 }
 
+#[test]
+fn what_is_withheld_while_it_connects_is_not_sent_and_its_connection_is_kept() {
+    let (address, connections) = endpoint("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", Ending::Keep);
+    let pool = EndpointPool::new(PoolOptions::default());
+    task::block_on(async {
+        for _ in 0..2 {
+            let error = pool.send_while(address, request(), || false).await.expect_err("it is withheld");
+            assert!(matches!(error, SendError::Withheld) && error.is_not_sent());
+            // A new connection can take a request once its task has run.
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(fetch(&pool, address).await.is_ok());
+    });
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+    pool.close_resting(address);
+    assert_eq!(pool.resting(), (0, 0));
+}
+
 /// An endpoint that answers before it has read a long body gets the rest of that body, and nothing
 /// else in its place.
 #[test]
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -59,6 +59,7 @@
             running: held.running.values().cloned().collect(),
             totals: held.totals.values().cloned().collect(),
             crashes: Vec::new(),
+            advice: Vec::new(),
             heartbeat: 1,
         };
         (self.session(router), hello)
--- a/crates/micaspool-replay/src/run/wire.rs
+++ b/crates/micaspool-replay/src/run/wire.rs
@@ -27,7 +27,7 @@
                 Body::Settle(settle_message(*request, *cost, *fate))
             }
             ShardEvent::Heartbeat(_, number) => {
-                Body::Heartbeat(v1::Heartbeat { number: *number, revision: 0 })
+                Body::Heartbeat(v1::Heartbeat { number: *number, ..v1::Heartbeat::default() })
             }
             _ => return,
         };
--- a/crates/micaspool-router/src/daemon.rs
+++ b/crates/micaspool-router/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::shard_client::{ListedDispatchers, ShardClientOptions};
 use async_std::net::TcpListener;
 use async_std::task;
+use micaspool_backpressure::AdviceBoard;
 use micaspool_client::{KeeperClient, SettingsMirror};
 use micaspool_daemon::{open_spans, StartError};
 use micaspool_http::server::{HttpServer, ServerOptions};
@@ -18,9 +19,12 @@
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+/// How often what endpoints asked for is looked at for what is over; only the log line waits for it.
+const REST_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A running router.
 #[derive(Debug)]
 pub struct RouterDaemon {
@@ -65,6 +69,8 @@
         dispatchers.clone(),
     );
     traffic.register(&mut registry);
+    let advice = AdviceBoard::new();
+    task::spawn(end_rests(Arc::downgrade(&advice)));
     let parts = RouterParts {
         mirror: mirror.clone(),
         shards: ShardClientOptions {
@@ -72,6 +78,7 @@
             hall: settings.hall.to_string(),
             incarnation,
             dispatchers: Arc::new(ListedDispatchers(settings.dispatchers.clone())),
+            advice: advice.clone(),
             counter: dispatchers,
         },
         endpoints: Arc::new(HttpEndpointClient),
@@ -92,6 +99,14 @@
     Ok(RouterDaemon { callers, status, server, router, mirror })
 }
 
+/// Forgets what endpoints asked for once it is over, for as long as the router runs.
+async fn end_rests(advice: Weak<AdviceBoard>) {
+    while let Some(advice) = advice.upgrade() {
+        advice.expire();
+        task::sleep(REST_INTERVAL).await;
+    }
+}
+
 struct RouterStatusSource {
     mirror: Arc<SettingsMirror>,
     router: RequestRouter,
--- a/crates/micaspool-router/src/endpoint.rs
+++ b/crates/micaspool-router/src/endpoint.rs
@@ -4,8 +4,10 @@
 use async_std::io::ReadExt;
 use async_trait::async_trait;
 use http_types::{Body, Method, Request, Response, Url};
+use micaspool_backpressure::HeardAdvice;
 use micaspool_http::client::{call, CallLimits, Error};
 use micaspool_http::refusal::{REQUEST_HEADER, RUN_HEADER};
+use micaspool_telemetry::events::{self, field, record};
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -13,6 +15,9 @@
 
 /// The header by which an endpoint says that it is leaving.
 const DRAINING_HEADER: &str = "micaspool-draining";
+/// How long an endpoint that says that it leaves is left alone. Its next start has the same name and tells nothing of it,
+/// so it is asked again by a single request now and then.
+const DRAINING_REST: Duration = Duration::from_secs(10);
 /// How long connecting to an endpoint may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// The most bytes of a refusal that are read.
@@ -45,6 +50,8 @@
     Refused {
         /// True when the endpoint said that nothing ran.
         proved: bool,
+        /// How long it wants nothing; zero when it does not say.
+        rest: Duration,
     },
     /// The endpoint takes no new work; `proved` when it said itself that nothing ran.
     Draining {
@@ -64,12 +71,23 @@
     pub fn is_not_run(self) -> bool {
         match self {
             EndpointError::Unreachable => true,
-            EndpointError::Refused { proved } | EndpointError::Draining { proved } => proved,
+            EndpointError::Refused { proved, .. } | EndpointError::Draining { proved } => proved,
             EndpointError::Severed | EndpointError::Silent | EndpointError::Mismatch => false,
         }
     }
 }
 
+impl EndpointError {
+    /// How long the endpoint is left alone by its own word; zero without one.
+    pub fn rest(self) -> Duration {
+        match self {
+            EndpointError::Refused { rest, .. } => rest,
+            EndpointError::Draining { .. } => DRAINING_REST,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 impl fmt::Display for EndpointError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -111,7 +129,7 @@
         if echo.is_some_and(|echo| echo != plan.request.to_string()) {
             return Err(EndpointError::Mismatch);
         }
-        check_refusal(response).await
+        check_refusal(&endpoint_call, response).await
     }
 }
 
@@ -134,7 +152,10 @@
 }
 
 /// Turns a full or leaving endpoint's answer into an error; others pass.
-async fn check_refusal(mut response: Response) -> Result<EndpointAnswer, EndpointError> {
+async fn check_refusal(
+    call: &EndpointCall<'_>,
+    mut response: Response,
+) -> Result<EndpointAnswer, EndpointError> {
     let status = u16::from(response.status());
     if !matches!(status, 429 | 503) {
         return Ok(EndpointAnswer { response });
@@ -143,7 +164,15 @@
         |name: &str, value: &str| response.header(name).is_some_and(|values| values.last().as_str() == value);
     let proved = says(RUN_HEADER, "not-run");
     let draining = says(DRAINING_HEADER, "true");
-    let mut rest = Vec::new();
-    let _ = response.take_body().take(MAX_REFUSAL).read_to_end(&mut rest).await;
-    Err(if draining { EndpointError::Draining { proved } } else { EndpointError::Refused { proved } })
+    let times = response.header("retry-after").into_iter().flatten();
+    let heard = HeardAdvice::read(true, times.map(|value| value.as_str()), false);
+    if let Some(fault) = &heard.fault {
+        let fields =
+            [field("request", call.plan.request), field("address", call.address), field("error", fault)];
+        record(&events::ADVICE_UNREADABLE, &fields);
+    }
+    let rest = heard.advice.rest;
+    let mut unread = Vec::new();
+    let _ = response.take_body().take(MAX_REFUSAL).read_to_end(&mut unread).await;
+    Err(if draining { EndpointError::Draining { proved } } else { EndpointError::Refused { proved, rest } })
 }
--- a/crates/micaspool-router/src/router/attempt.rs
+++ b/crates/micaspool-router/src/router/attempt.rs
@@ -13,12 +13,13 @@
 use futures::future::{select, Either};
 use futures::pin_mut;
 use http_types::{Body, Response};
+use micaspool_backpressure::AdviceSource;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::GrantFate;
 use micaspool_http::server::CallerWatch;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::HopSpan;
-use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind};
+use micaspool_types::{Cost, EndpointAdvice, EndpointName, Refusal, RefusalKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -108,6 +109,18 @@
                 lease.settle(Cost(0), GrantFate::Unsent);
                 continue;
             }
+            if let Some(advice) = self.parts.shards.advice.record_of(lease.endpoint()) {
+                let fields = [
+                    field("request", plan.request),
+                    field("endpoint", lease.endpoint()),
+                    field("held_as", "resting"),
+                    field("rest_ms", advice.advice.rest.as_millis()),
+                ];
+                record(&events::GRANT_UNUSABLE, &fields);
+                self.shard(&plan.service).advise(advice);
+                lease.settle(Cost(0), GrantFate::NotHeld);
+                continue;
+            }
             match self.allowed_address(plan, lease.endpoint()) {
                 Some(address) => return Ok(UsableGrant { lease, address }),
                 None => {
@@ -164,6 +177,7 @@
         };
         let fields = [field("request", plan.request), field("endpoint", &endpoint), field("error", error)];
         record(kind, &fields);
+        self.heed(plan, &endpoint, error);
         let fate = match error {
             EndpointError::Unreachable => GrantFate::Unreachable,
             EndpointError::Refused { .. } => GrantFate::Refused,
@@ -179,6 +193,17 @@
         }
     }
 
+    /// Takes in for how long an endpoint that turned a request away wants nothing. The dispatcher hears of it before the
+    /// grant ends.
+    fn heed(&self, plan: &CallPlan, endpoint: &EndpointName, error: EndpointError) {
+        let request = plan.request.to_string();
+        let source = AdviceSource { endpoint, service: &plan.service, request: &request };
+        let advice = EndpointAdvice { rest: error.rest(), leaving: false };
+        if let Some(advice) = self.parts.shards.advice.hear(source, advice) {
+            self.shard(&plan.service).advise(advice);
+        }
+    }
+
     async fn deliver(
         &self,
         plan: &CallPlan,
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -13,10 +13,10 @@
 use micaspool_quarantine::{CrashTable, QuarantineOptions};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, Moment, OrderNumber, Refusal, RefusalKind, RequestId,
+    AdviceRecord, Cost, CustomerName, EndpointName, Moment, OrderNumber, Refusal, RefusalKind, RequestId,
 };
 use micaspool_wire::convert::{
-    crash_record, release_reason, request_bytes, request_id, settle_message, submit_message,
+    advice_message, crash_record, release_reason, request_bytes, request_id, settle_message, submit_message,
 };
 use micaspool_wire::v1::{self, router_message::Body};
 use std::collections::{HashMap, VecDeque};
@@ -138,7 +138,7 @@
         self.unanswered_since.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
-    pub fn hello(&mut self, options: &ShardClientOptions) -> RouterHello {
+    pub fn hello(&mut self, options: &ShardClientOptions, advice: Vec<AdviceRecord>) -> RouterHello {
         self.totals.retain(|_, total| total.heard.elapsed() < TOTAL_LIFE);
         let totals = self.totals.iter().map(|(customer, total)| HeldTotal {
             customer: customer.clone(),
@@ -154,6 +154,7 @@
             waiting: self.waiting.values().map(|entry| entry.ticket.clone()).collect(),
             running: self.running.values().cloned().collect(),
             totals: totals.collect(),
+            advice,
             heartbeat: self.number_heartbeat(),
         }
     }
@@ -161,7 +162,14 @@
     /// Sends a heartbeat.
     pub fn beat(&mut self) {
         let number = self.number_heartbeat();
-        self.send(Body::Heartbeat(v1::Heartbeat { number, revision: 0 }));
+        self.send(Body::Heartbeat(v1::Heartbeat { number, ..v1::Heartbeat::default() }));
+    }
+
+    /// Says what an endpoint asked of this router. It stands beside a heartbeat without a number, since a dispatcher
+    /// that does not know of it would close the stream on a message of its own.
+    pub fn advise(&mut self, advice: &AdviceRecord) {
+        let advice = vec![advice_message(advice)];
+        self.send(Body::Heartbeat(v1::Heartbeat { advice, ..v1::Heartbeat::default() }));
     }
 
     fn number_heartbeat(&mut self) -> u64 {
@@ -341,6 +349,7 @@
             ReleaseReason::Overdue => RefusalKind::Overloaded,
             ReleaseReason::Quarantined => RefusalKind::Quarantined,
             ReleaseReason::CopyRunning => RefusalKind::CopyRunning,
+            ReleaseReason::EndpointsRest => RefusalKind::EndpointsRest,
         };
         let wait = Duration::from_millis(refused.retry_after_millis);
         let now = self.moment();
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -12,10 +12,13 @@
 
 use async_std::channel::bounded;
 use held::{HeldWork, WaitResult, WaitingEntry};
+use micaspool_backpressure::AdviceBoard;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::RequestTicket;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName};
+use micaspool_types::{
+    AdviceRecord, Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName,
+};
 use micaspool_wire::v1;
 use serde_json::json;
 use std::sync::{Arc, Mutex};
@@ -37,6 +40,8 @@
     pub incarnation: Incarnation,
     /// The dispatchers of the region.
     pub dispatchers: Arc<dyn DispatcherList>,
+    /// What endpoints asked of this process.
+    pub advice: Arc<AdviceBoard>,
     /// Counts control bytes.
     pub counter: TrafficCounter,
 }
@@ -92,6 +97,11 @@
         }
     }
 
+    /// Tells the dispatcher what an endpoint asked of this router; one that is met later hears of it at first.
+    pub fn advise(&self, advice: AdviceRecord) {
+        self.held().advise(&advice);
+    }
+
     /// The service of the shard.
     pub fn service(&self) -> &ServiceName {
         &self.service
@@ -142,7 +152,8 @@
     }
 
     fn hello(&self, held: &mut HeldWork) -> v1::RouterMessage {
-        let hello = held.hello(&self.options);
+        let advice = self.options.advice.records(&self.service);
+        let hello = held.hello(&self.options, advice);
         let mut message = micaspool_wire::convert::hello_message(&self.service, &self.options.hall, &hello);
         for submit in &mut message.waiting {
             submit.traceparent = held.traceparent_of(&submit.request);
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -3,6 +3,7 @@
 use async_std::channel::{unbounded, Sender};
 use async_std::task;
 use futures::Stream;
+use micaspool_backpressure::AdviceBoard;
 use micaspool_dispatch::{rank_candidates, GrantFate, RequestTicket};
 use micaspool_router::{ListedDispatchers, ShardClient, ShardClientOptions};
 use micaspool_settings::process::PeerAddress;
@@ -190,6 +191,7 @@
         dispatchers: Arc::new(ListedDispatchers(
             addresses.map(|(name, address)| PeerAddress { name, address }).collect(),
         )),
+        advice: AdviceBoard::new(),
         counter: TrafficCounter::default(),
     };
     ShardClient::start(service, options)
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -170,6 +170,16 @@
     kind("MP1608", Level::Info, "grant not used, endpoint not held as serving");
 /// Callers beyond the limit of connections were closed unread.
 pub const CALLERS_CLOSED: EventKind = kind("MP1609", Level::Info, "callers closed unread");
+/// An endpoint wants nothing from this process for a while.
+pub const REST_BEGUN: EventKind = kind("MP1610", Level::Info, "endpoint asks for rest");
+/// An endpoint that rests asked for more.
+pub const REST_PROLONGED: EventKind = kind("MP1611", Level::Info, "endpoint asks for more rest");
+/// An endpoint that asked this process for rest may be sent to again.
+pub const REST_OVER: EventKind = kind("MP1612", Level::Info, "rest of endpoint is over");
+/// An endpoint said in an answer that it leaves; this process sends it nothing more.
+pub const ENDPOINT_SAYS_LEAVING: EventKind = kind("MP1613", Level::Info, "endpoint says that it leaves");
+/// What an endpoint said of when to come back can't be read.
+pub const ADVICE_UNREADABLE: EventKind = kind("MP1614", Level::Warn, "advice of endpoint not readable");
 
 /// Every event, in number order.
 pub const CATALOGUE: &[EventKind] = &[
@@ -236,4 +246,9 @@
     LINES_DROPPED,
     GRANT_UNUSABLE,
     CALLERS_CLOSED,
+    REST_BEGUN,
+    REST_PROLONGED,
+    REST_OVER,
+    ENDPOINT_SAYS_LEAVING,
+    ADVICE_UNREADABLE,
 ];
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod advice;
 mod digest;
 mod hash;
 mod ids;
@@ -12,6 +13,7 @@
 mod refusal;
 mod units;
 
+pub use advice::{AdviceRecord, EndpointAdvice};
 pub use digest::{DigestError, RequestDigest};
 pub use hash::{rendezvous_score, stable_hash};
 pub use ids::{Incarnation, OrderNumber, RequestId, RequestIdError, Revision, Term};
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -56,6 +56,8 @@
     Quarantined,
     /// An endpoint ended while what it asks for ran there; it runs once at a time until that is settled.
     CopyRunning,
+    /// Every endpoint that may run it has asked to be left alone for longer than it can wait.
+    EndpointsRest,
     /// The deadline passed while the request waited.
     DeadlinePassed,
     /// Retries are spent, or the retry budget is.
@@ -100,7 +102,7 @@
             HeadTooLarge => 431,
             EndpointFailed => 502,
             NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
-            Quarantined | CopyRunning => 503,
+            Quarantined | CopyRunning | EndpointsRest => 503,
             RetriesExhausted | Draining | TooManyConnections => 503,
             DeadlinePassed => 504,
         }
@@ -134,6 +136,7 @@
             Throttled => "throttled",
             Quarantined => "quarantined",
             CopyRunning => "copy-running",
+            EndpointsRest => "endpoints-rest",
             DeadlinePassed => "deadline-passed",
             RetriesExhausted => "retries-exhausted",
             NoDispatcher => "no-dispatcher",
@@ -172,6 +175,7 @@
                 "endpoints ended while this request ran; change it, or ask the operator to lift its quarantine"
             }
             CopyRunning => "come back after the given time, once the other request with the same body has ended",
+            EndpointsRest => "come back after the given time; the operator should add endpoints",
             DeadlinePassed => "come back after the given time, or allow a longer deadline",
             RetriesExhausted => "come back after the given time",
             NoDispatcher => "come back after the given time; the operator should check the dispatchers",
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -1,10 +1,13 @@
 //! Between protocol messages and the types of the shard core.
 
+mod advice;
 mod suspicion;
 
+pub use advice::advice_message;
 pub use suspicion::{crash_record, lift_message, lifted_digest};
 
 use crate::v1;
+use advice::advice_record;
 use micaspool_dispatch::{
     CustomerTotal, GrantFate, HeldGrant, HeldTotal, RegionTotals, ReleaseReason, RequestTicket, RouterHello,
     SessionId, ShardAction, ShardEvent,
@@ -140,6 +143,7 @@
         totals: hello.totals.iter().map(total_message).collect(),
         heartbeat: hello.heartbeat,
         crashes: hello.crashes.iter().map(crash_message).collect(),
+        advice: hello.advice.iter().map(advice_message).collect(),
     }
 }
 
@@ -169,6 +173,7 @@
         totals: message.totals.into_iter().map(held_total).collect::<Result<_, _>>()?,
         heartbeat: message.heartbeat,
         crashes: message.crashes.into_iter().map(crash_record).collect::<Result<_, _>>()?,
+        advice: message.advice.iter().map(advice_record).collect::<Result<_, _>>()?,
     })
 }
 
@@ -205,6 +210,10 @@
         Body::Settle(body) => {
             ShardEvent::Settle(session, request_id(&body.request)?, Cost(body.cost), grant_fate(&body))
         }
+        Body::Heartbeat(body) if !body.advice.is_empty() => {
+            let advice = body.advice.iter().map(advice_record).collect::<Result<_, _>>()?;
+            ShardEvent::Advised(session, advice)
+        }
         Body::Heartbeat(body) => ShardEvent::Heartbeat(session, body.number),
         Body::Goodbye(_) => ShardEvent::Goodbye(session),
     })
@@ -279,6 +288,7 @@
 const OVERDUE: &str = "overdue";
 const QUARANTINED: &str = "quarantined";
 const COPY_RUNNING: &str = "copy-running";
+const ENDPOINTS_REST: &str = "endpoints-rest";
 
 /// Why a ticket was refused, as text.
 pub fn reason_text(reason: ReleaseReason) -> &'static str {
@@ -289,6 +299,7 @@
         ReleaseReason::Overdue => OVERDUE,
         ReleaseReason::Quarantined => QUARANTINED,
         ReleaseReason::CopyRunning => COPY_RUNNING,
+        ReleaseReason::EndpointsRest => ENDPOINTS_REST,
     }
 }
 
@@ -300,6 +311,7 @@
         OVERDUE => ReleaseReason::Overdue,
         QUARANTINED => ReleaseReason::Quarantined,
         COPY_RUNNING => ReleaseReason::CopyRunning,
+        ENDPOINTS_REST => ReleaseReason::EndpointsRest,
         _ => ReleaseReason::ShardFull,
     }
 }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -80,6 +80,7 @@
             running: Vec::new(),
             totals: Vec::new(),
             crashes: Vec::new(),
+            advice: Vec::new(),
             heartbeat: 1,
         };
         load.step(ShardEvent::Joined(SESSION, hello));
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -118,6 +118,7 @@
             running: Vec::new(),
             totals: Vec::new(),
             crashes: Vec::new(),
+            advice: Vec::new(),
             heartbeat: 1,
         };
         load.step(1, ShardEvent::Joined(SESSION, hello));
--- a/crates/micaspool/benches/parts/sessions.rs
+++ b/crates/micaspool/benches/parts/sessions.rs
@@ -103,7 +103,7 @@
     let beats = task::spawn(async move {
         for number in 2.. {
             task::sleep(Duration::from_secs(1)).await;
-            let beat = v1::Heartbeat { number, revision: 1 };
+            let beat = v1::Heartbeat { number, revision: 1, advice: Vec::new() };
             if beating.try_send(message(Body::Heartbeat(beat))).is_err() {
                 return;
             }
