test(dispatch): a customer with a lead from idle time gets nothing for six seconds (red)

Callers of one customer got no answer for six seconds, 95 requests a second asked for, while another's began 20 a second. Before the scarcity the customer had 15 to 23 requests a second that nobody else wanted.

--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/horizon.rs
@@ -0,0 +1,72 @@
+//! What customers received seconds ago, when capacity gets scarce.
+//!
+//! A customer that asked for many times its share got what others didn't want: 15 to 23 requests a second for four
+//! seconds. Then half of the engines turned requests away, and for six seconds it got none at all, 95 a second asked for,
+//! while another began 20 a second. That one had been refused once or twice in the three seconds before, kept its level
+//! for that, and had all of the other's lead to itself.
+
+use crate::bench::{hello, ticket, Bench};
+use micaspool_dispatch::{GrantFate, RequestTicket};
+use micaspool_types::Cost;
+use std::time::Duration;
+
+const COST: u64 = 100;
+/// What a customer may have received less than the others and still catch up, in requests: five credits of one
+/// request each, and what is being filled.
+const MOST_BEFORE: usize = 8;
+
+fn asked(number: u128, name: &str) -> RequestTicket {
+    ticket(number, name, COST)
+}
+
+/// One customer is refused once, since no slot comes free in time, and then the other has all slots to itself.
+fn lead_of_sixty() -> Bench {
+    let mut bench = Bench::new(1, 4, &["flood", "b"]);
+    bench.change(|policy| policy.idle_credit = Cost(COST));
+    bench.join(1, hello("r1", 1));
+    for number in 0..4 {
+        bench.submit(1, asked(number, "flood"));
+    }
+    let hurried = RequestTicket { objective: Some(Duration::from_millis(100)), ..asked(1_000, "b") };
+    bench.submit(1, hurried);
+    bench.pass_with(200, &[1]);
+    for number in 0..60 {
+        bench.settle(1, number, COST, GrantFate::Done);
+        bench.submit(1, asked(number + 4, "flood"));
+    }
+    bench.grants();
+    bench
+}
+
+#[test]
+fn a_lead_from_when_others_wanted_nothing_is_not_held_against_a_customer_for_long() {
+    let mut bench = lead_of_sixty();
+    for number in 0..60 {
+        bench.submit(1, asked(2_000 + number, "b"));
+        bench.submit(1, asked(3_000 + number, "flood"));
+    }
+    let mut running: Vec<u128> = (60..64).collect();
+    let mut order = Vec::new();
+    for _ in 0..40 {
+        bench.settle(1, running.remove(0), COST, GrantFate::Done);
+        running.extend(bench.granted_requests());
+        order.extend(running.last().copied());
+    }
+    let before = order.iter().take_while(|request| **request < 3_000).count();
+    assert!(before <= MOST_BEFORE, "{before} requests of the other before its first");
+}
+
+#[test]
+fn a_customer_that_was_refused_is_served_before_one_with_a_lead() {
+    let mut bench = lead_of_sixty();
+    for number in 0..4 {
+        bench.submit(1, asked(3_000 + number, "flood"));
+    }
+    for number in 0..4 {
+        bench.submit(1, asked(2_000 + number, "b"));
+    }
+    for number in 60..64 {
+        bench.settle(1, number, COST, GrantFate::Done);
+    }
+    assert_eq!(bench.granted_requests(), [2_000, 2_001, 2_002, 2_003]);
+}
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -11,6 +11,7 @@
 mod engines;
 mod faults;
 mod herding;
+mod horizon;
 mod limits;
 mod objectives;
 mod pace;
