test(dispatch): a small service is left alone after its endpoints are back (red)

Callers of a service of three endpoints were refused for seconds after all of them had come back: pauses double to 16 s and nothing bounds which part of a service is paused.

--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -14,6 +14,7 @@
 mod horizon;
 mod limits;
 mod objectives;
+mod outage;
 mod pace;
 mod poison;
 mod recovery;
