fix(backpressure): endpoints that keep their name over a start are not left for good when they say that they leave

Read again: with the product's own headers an endpoint's next start has the same name, and would have been closed by its shard for good; it is a rest of ten seconds there, as with the older router. And a ticket that is refused since all endpoints rest counts as a refusal for what callers' later tries are told apart by. Found by reading, before any caller met it.

--- a/crates/micaspool-backpressure/src/lib.rs
+++ b/crates/micaspool-backpressure/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use board::{AdviceBoard, AdviceSource};
 pub use heard::HeardAdvice;
-pub use retry_after::{read_retry_after, Error, LONGEST_REST};
+pub use retry_after::{read_retry_after, Error, DRAINING_REST, LONGEST_REST};
 pub use table::{AdviceChange, AdviceTable, EndedRest, EndpointStanding};
--- a/crates/micaspool-backpressure/src/retry_after.rs
+++ b/crates/micaspool-backpressure/src/retry_after.rs
@@ -7,6 +7,10 @@
 /// meant, and the endpoint is asked again by a single request then.
 pub const LONGEST_REST: Duration = Duration::from_secs(3_600);
 
+/// How long an endpoint that says that it leaves is left alone where its next start has the same name and tells nothing
+/// of it: it is asked again by a single request now and then.
+pub const DRAINING_REST: Duration = Duration::from_secs(10);
+
 /// Why a time can't be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
--- a/crates/micaspool-dispatch/src/shard/advice.rs
+++ b/crates/micaspool-dispatch/src/shard/advice.rs
@@ -95,6 +95,7 @@
         actions: &mut Vec<ShardAction>,
     ) {
         let Some(ticket) = self.drop_waiting(request) else { return };
+        self.first_tries.note_refused(now);
         let Some(session) = self.routers.session(ticket.router) else { return };
         actions.push(ShardAction::Refuse {
             session,
--- a/crates/micaspool-router/src/endpoint.rs
+++ b/crates/micaspool-router/src/endpoint.rs
@@ -4,7 +4,7 @@
 use async_std::io::ReadExt;
 use async_trait::async_trait;
 use http_types::{Body, Method, Request, Response, Url};
-use micaspool_backpressure::HeardAdvice;
+use micaspool_backpressure::{HeardAdvice, DRAINING_REST};
 use micaspool_http::client::{call, CallLimits, Error};
 use micaspool_http::refusal::{REQUEST_HEADER, RUN_HEADER};
 use micaspool_telemetry::events::{self, field, record};
@@ -15,9 +15,6 @@
 
 /// The header by which an endpoint says that it is leaving.
 const DRAINING_HEADER: &str = "micaspool-draining";
-/// How long an endpoint that says that it leaves is left alone. Its next start has the same name and tells nothing of it,
-/// so it is asked again by a single request now and then.
-const DRAINING_REST: Duration = Duration::from_secs(10);
 /// How long connecting to an endpoint may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// The most bytes of a refusal that are read.
