fix(dispatch): a customer that was refused lately is at most five credits behind

Callers of a customer that asked for many times its share got nothing for six seconds once half of the engines turned requests away: it had taken what nobody wanted before, and another that had been refused in the last three seconds kept its level, so that all of that lead came first.

--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -18,6 +18,10 @@
 
 /// How long a refused ticket counts as if it still waited. Callers come back after a second or two.
 const REFUSAL_MEMORY: Duration = Duration::from_secs(3);
+/// How many idle credits a customer whose tickets were refused lately may have received less than the others. Without
+/// a bound a customer that had taken what nobody wanted gets nothing until all others have had as much: 40 requests of
+/// another before its first, and twelve with this (row `horizon`, a lead of 60).
+const REFUSED_CREDITS: u64 = 5;
 
 /// What is left of an objective that has passed.
 const LEAST_OBJECTIVE: Duration = Duration::from_millis(1);
@@ -208,17 +212,19 @@
     }
 
     /// A customer that begins to wait starts no lower than those that wait already. One whose tickets
-    /// were refused lately never ceased to wait, in effect, and keeps its level.
+    /// were refused lately never ceased to wait, in effect, and keeps its level, if that is not far below.
     fn lift(&mut self, now: Moment, customer: CustomerIndex) {
         if !self.options.policy.lifts() || self.recovering_until.is_some() {
             return;
         }
         let state = self.customers.get(customer);
-        if state.refused_at.is_some_and(|at| now.since(at) < REFUSAL_MEMORY) {
+        let never_ceased = state.refused_at.is_some_and(|at| now.since(at) < REFUSAL_MEMORY);
+        if never_ceased && self.idle_credit == Cost(0) {
             return;
         }
         let level = self.options.policy.level(&state.account);
-        if let Some(floor) = self.lift_target(customer) {
+        let credits = if never_ceased { REFUSED_CREDITS } else { 1 };
+        if let Some(floor) = self.lift_target(customer, credits) {
             self.customers.get_mut(customer).account.lift(level, floor);
         }
     }
@@ -226,12 +232,12 @@
     /// The level that a customer which begins to wait has at least. With an idle credit it counts from
     /// the highest level that was served: counted from the lowest that waits, each customer that comes
     /// back would stand a credit below the one before.
-    fn lift_target(&self, customer: CustomerIndex) -> Option<ServiceLevel> {
+    fn lift_target(&self, customer: CustomerIndex, credits: u64) -> Option<ServiceLevel> {
         let state = self.customers.get(customer);
         if self.idle_credit == Cost(0) {
             return self.floor_for(state.halls).map(|floor| ServiceLevel(floor.0));
         }
-        let credit = ServiceLevel::of(self.idle_credit, state.account.weight());
+        let credit = ServiceLevel::of(Cost(self.idle_credit.0 * credits), state.account.weight());
         let served = state.halls.indices().filter_map(|hall| self.floors.get(hall)).max()?;
         Some(ServiceLevel(served.0.saturating_sub(credit.0)))
     }
