--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -3,12 +3,14 @@
 use async_std::channel::{unbounded, Sender};
 use async_std::task;
 use futures::Stream;
-use micaspool_backpressure::AdviceBoard;
+use micaspool_backpressure::{AdviceBoard, AdviceSource};
 use micaspool_dispatch::{rank_candidates, GrantFate, RequestTicket};
 use micaspool_router::{ListedDispatchers, ShardClient, ShardClientOptions};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{Cost, CustomerName, Incarnation, InstanceName, RequestDigest, RequestId, ServiceName};
+use micaspool_types::{
+    Cost, CustomerName, EndpointAdvice, Incarnation, InstanceName, RequestDigest, RequestId, ServiceName,
+};
 use micaspool_wire::socket::CountedListener;
 use micaspool_wire::v1::{self, dispatch_server::Dispatch, dispatch_server::DispatchServer};
 use micaspool_wire::v1::{dispatcher_message, router_message};
@@ -36,12 +38,18 @@
     ClearsAndMovesOn,
 }
 
-/// What routers said in each hello of requests under which endpoints ended.
-type HeardCrashes = Arc<Mutex<Vec<Vec<v1::CrashRecord>>>>;
+/// What routers said, in hellos and later of what endpoints asked of them.
+#[derive(Default)]
+struct HeardWords {
+    hellos: Vec<v1::Hello>,
+    advice: Vec<v1::EndpointAdvice>,
+}
+
+type SharedWords = Arc<Mutex<HeardWords>>;
 
 struct FakeDispatcher {
     behaviour: Behaviour,
-    heard: HeardCrashes,
+    heard: SharedWords,
 }
 
 type Messages = Pin<Box<dyn Stream<Item = Result<v1::DispatcherMessage, Status>> + Send>>;
@@ -85,13 +93,14 @@
     mut messages: Streaming<v1::RouterMessage>,
     sender: Sender<Result<v1::DispatcherMessage, Status>>,
     behaviour: Behaviour,
-    heard: HeardCrashes,
+    heard: SharedWords,
 ) {
     while let Ok(Some(message)) = messages.message().await {
         let submits = match message.body {
             Some(router_message::Body::Hello(hello)) => {
-                heard.lock().expect("nobody panics").push(hello.crashes);
-                hello.waiting
+                let waiting = hello.waiting.clone();
+                heard.lock().expect("nobody panics").hellos.push(hello);
+                waiting
             }
             Some(router_message::Body::Settle(_)) => {
                 move_on(&sender, behaviour).await;
@@ -99,6 +108,7 @@
             }
             Some(router_message::Body::Submit(submit)) => vec![submit],
             Some(router_message::Body::Heartbeat(beat)) => {
+                heard.lock().expect("nobody panics").advice.extend(beat.advice);
                 let pulse = v1::Pulse { heartbeat: beat.number, incarnation: 1 };
                 send(&sender, dispatcher_message::Body::Pulse(pulse)).await;
                 Vec::new()
@@ -145,10 +155,10 @@
 }
 
 async fn start(behaviour: Behaviour) -> SocketAddr {
-    start_hearing(behaviour, HeardCrashes::default()).await
+    start_hearing(behaviour, SharedWords::default()).await
 }
 
-async fn start_hearing(behaviour: Behaviour, heard: HeardCrashes) -> SocketAddr {
+async fn start_hearing(behaviour: Behaviour, heard: SharedWords) -> SocketAddr {
     let any = "127.0.0.1:0".parse().expect("an address");
     let listener = CountedListener::bind(any, TrafficCounter::default()).await.expect("a free port");
     let address = listener.local_address().expect("it is bound");
@@ -181,6 +191,10 @@
 
 /// A client whose first choice and second choice among dispatchers are these.
 fn client(first: SocketAddr, second: SocketAddr) -> Arc<ShardClient> {
+    client_with(first, second, AdviceBoard::new())
+}
+
+fn client_with(first: SocketAddr, second: SocketAddr, advice: Arc<AdviceBoard>) -> Arc<ShardClient> {
     let service = ServiceName::parse("modelo-acopio").expect("a name");
     let ranked = rank_candidates(&service, &[name("entry-1"), name("entry-2")]);
     let addresses = ranked.into_iter().zip([first, second]);
@@ -191,7 +205,7 @@
         dispatchers: Arc::new(ListedDispatchers(
             addresses.map(|(name, address)| PeerAddress { name, address }).collect(),
         )),
-        advice: AdviceBoard::new(),
+        advice,
         counter: TrafficCounter::default(),
     };
     ShardClient::start(service, options)
@@ -240,20 +254,51 @@
 #[test_case(Behaviour::ClearsAndMovesOn, GrantFate::Severed => 0; "one that the dispatcher knows to be harmless")]
 fn a_router_brings_what_it_saw_to_the_next_dispatcher(behaviour: Behaviour, fate: GrantFate) -> usize {
     task::block_on(async {
-        let heard = HeardCrashes::default();
+        let heard = SharedWords::default();
         let address = start_hearing(behaviour, heard.clone()).await;
         let client = client(address, address);
         let mut lease = client.acquire(ticket(1), None).await.expect("it grants");
         lease.mark_sent();
         lease.settle(Cost(1), fate);
-        for _ in 0..200 {
-            if heard.lock().expect("nobody panics").len() > 1 {
-                break;
-            }
-            task::sleep(Duration::from_millis(20)).await;
-        }
-        let hellos = heard.lock().expect("nobody panics").clone();
-        assert!(hellos.len() > 1, "it joined again");
-        hellos[1].len()
+        wait_for(&heard, |heard| heard.hellos.len() > 1).await;
+        let heard = heard.lock().expect("nobody panics");
+        heard.hellos[1].crashes.len()
     })
 }
+
+/// Waits until a dispatcher has heard something, four seconds at most.
+async fn wait_for(heard: &SharedWords, is_heard: impl Fn(&HeardWords) -> bool) {
+    for _ in 0..200 {
+        if is_heard(&heard.lock().expect("nobody panics")) {
+            return;
+        }
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("it was not heard in time");
+}
+
+/// A new dispatcher knew nothing of what endpoints had asked of a router, and granted it those that rest.
+#[test]
+fn a_router_tells_its_dispatcher_what_endpoints_asked_and_the_next_one_as_it_joins() {
+    task::block_on(async {
+        let heard = SharedWords::default();
+        let address = start_hearing(Behaviour::MovesOn, heard.clone()).await;
+        let advice = AdviceBoard::new();
+        let client = client_with(address, address, advice.clone());
+        let lease = client.acquire(ticket(1), None).await.expect("it grants");
+        let asked = EndpointAdvice { rest: Duration::from_secs(60), leaving: false };
+        let (endpoint, service) = (lease.endpoint().clone(), client.service().clone());
+        let source = AdviceSource { endpoint: &endpoint, service: &service, request: "r" };
+        client.advise(advice.hear(source, asked).expect("a rest begins"));
+        wait_for(&heard, |heard| !heard.advice.is_empty()).await;
+        lease.settle(Cost(0), GrantFate::Refused);
+        wait_for(&heard, |heard| heard.hellos.len() > 1).await;
+        let heard = heard.lock().expect("nobody panics");
+        let told = heard.hellos[1].advice.first().expect("the next one hears of it");
+        for told in [&heard.advice[0], told] {
+            assert_eq!(told.endpoint, "endpoint-1");
+            assert!((59_000..=60_000).contains(&told.rest_millis) && !told.leaving, "{told:?}");
+        }
+        assert!(heard.hellos[0].advice.is_empty());
+    });
+}
