--- a/crates/micaspool-replay/src/standin/handler.rs
+++ b/crates/micaspool-replay/src/standin/handler.rs
@@ -43,6 +43,8 @@
     ShortBody,
     /// Takes requests and says nothing.
     Silent,
+    /// Turns every request away and asks for so many seconds of rest.
+    AskForRest(u32),
 }
 
 /// A request that was begun.
@@ -65,6 +67,8 @@
     running: AtomicUsize,
     draining: AtomicBool,
     fault: Mutex<FaultMode>,
+    /// How many requests were turned away with a time to rest.
+    turned_away: AtomicUsize,
     runs: Mutex<Vec<RunRecord>>,
 }
 
@@ -75,6 +79,7 @@
             running: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             fault: Mutex::default(),
+            turned_away: AtomicUsize::new(0),
             runs: Mutex::default(),
         }
     }
@@ -83,6 +88,10 @@
         self.runs.lock().expect("no holder of the runs panics").clone()
     }
 
+    pub fn turned_away(&self) -> usize {
+        self.turned_away.load(Ordering::SeqCst)
+    }
+
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::SeqCst);
     }
@@ -139,6 +148,11 @@
             response.insert_header("micaspool-draining", "true");
             return Some(response);
         }
+        if let FaultMode::AskForRest(seconds) = self.state.fault() {
+            self.state.turned_away.fetch_add(1, Ordering::SeqCst);
+            response.insert_header("retry-after", seconds.to_string());
+            return Some(response);
+        }
         None
     }
 
--- a/crates/micaspool-replay/src/standin/mod.rs
+++ b/crates/micaspool-replay/src/standin/mod.rs
@@ -47,6 +47,11 @@
         self.state.runs()
     }
 
+    /// How many requests it turned away with a time to rest.
+    pub fn turned_away(&self) -> usize {
+        self.state.turned_away()
+    }
+
     /// Takes no new work, and says so, from now on.
     pub fn drain(&self) {
         self.state.set_draining(true);
--- a/crates/micaspool/src/cli/endpoint.rs
+++ b/crates/micaspool/src/cli/endpoint.rs
@@ -2,7 +2,7 @@
 
 use super::{EXIT_DONE, EXIT_FAILED};
 use argh::FromArgs;
-use micaspool::replay::standin::{StandInEndpoint, StandInOptions};
+use micaspool::replay::standin::{FaultMode, StandInEndpoint, StandInOptions};
 use micaspool_daemon::stop_requested;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -26,6 +26,10 @@
     /// milliseconds for a token, or for a plain call
     #[argh(option, default = "5")]
     token_ms: u64,
+
+    /// turn every request away and ask for so many seconds of rest
+    #[argh(option)]
+    ask_for_rest_s: Option<u32>,
 }
 
 pub async fn run(command: EndpointCommand) -> i32 {
@@ -37,6 +41,9 @@
     let stop = stop_requested().expect("the signals can be taken over");
     match StandInEndpoint::start(command.listen, options).await {
         Ok(endpoint) => {
+            if let Some(seconds) = command.ask_for_rest_s {
+                endpoint.set_fault(FaultMode::AskForRest(seconds));
+            }
             println!("ready endpoint listen={}", endpoint.address());
             stop.wait().await;
             EXIT_DONE
--- a/crates/micaspool/tests/dispatch_faults.rs
+++ b/crates/micaspool/tests/dispatch_faults.rs
@@ -7,7 +7,7 @@
 use harness::calls::{Answer, Call};
 use harness::{milk, wait_for, Deployment};
 use serde_json::json;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const MODEL: &str = "modelo-acopio";
 const TOKEN: Duration = Duration::from_millis(10);
@@ -300,3 +300,35 @@
         assert_eq!(answer.run.as_deref(), Some("unknown"), "it may have run: {}", answer.body);
     });
 }
+
+/// The older router forgot for how long an endpoint wanted to be left alone, and asked it again after 0.5, 1.5 and 3.5 s.
+#[test]
+fn an_endpoint_that_asks_a_router_for_rest_is_left_alone() {
+    use micaspool::replay::standin::FaultMode;
+    task::block_on(async {
+        let deployment = Deployment::start(milk(), TOKEN).await;
+        let resting = &deployment.endpoints["acopio-1"];
+        resting.set_fault(FaultMode::AskForRest(5));
+        let ask = |number: usize| {
+            let call = Call::chat(deployment.router(0), "farm-01", MODEL, &format!("call {number}"), 2, true);
+            async move { call.send().await }
+        };
+        let mut number = 0;
+        while resting.turned_away() == 0 {
+            number += 1;
+            assert!(number < 200, "the endpoint is not used");
+            let group = (0..8).map(|more| ask(number * 8 + more));
+            join_all(group).await;
+        }
+        let asked = Instant::now();
+        task::sleep(Duration::from_millis(100)).await;
+        let before = resting.turned_away();
+        while asked.elapsed() < Duration::from_millis(4_500) {
+            number += 1;
+            let answers = join_all((0..8).map(|more| ask(number * 8 + more))).await;
+            assert!(answers.iter().all(|answer| answer.as_ref().is_some_and(|answer| answer.status == 200)));
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(resting.turned_away(), before, "it got requests while it rested");
+    });
+}
