--- a/crates/micaspool-dispatch/tests/shard/outage.rs
+++ b/crates/micaspool-dispatch/tests/shard/outage.rs
@@ -109,7 +109,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut callers = Callers::new();
     callers.ask_for(1_000, || GrantFate::Done);
-    let mut grey = |rng: &mut ChaCha8Rng| {
+    let grey = |rng: &mut ChaCha8Rng| {
         if rng.random_bool(0.5) {
             GrantFate::Done
         } else {
