--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -10,14 +10,6 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// The first pause after an endpoint failed or refused; it doubles with each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(500);
-/// The longest pause.
-const LONGEST_PAUSE: Duration = Duration::from_secs(16);
-/// While fewer than half of a service's endpoints are open, those that are paused are tried so often a second together.
-/// Without it three endpoints that come back after 12 s are left alone for up to 3.5 s more, after a minute for 16 s;
-/// half a second so (row `outage`). Each tried twice a second, 200 of 320 that are gone would cost 400 requests a second.
-const TRIES_PER_SECOND: u32 = 6;
 /// Load is compared in this many parts of an endpoint's slots.
 const LOAD_PARTS: u32 = 1_000;
 
@@ -37,9 +29,9 @@
     /// It told a router that it leaves, which is final.
     said_leaving: bool,
     /// It failed, refused or answered that it leaves, and is left alone until this moment.
-    paused_until: Option<Moment>,
+    pub(super) paused_until: Option<Moment>,
     /// True when it is paused since a router was told that it leaves.
-    paused_as_leaving: bool,
+    pub(super) paused_as_leaving: bool,
 }
 
 #[derive(Debug)]
@@ -76,7 +68,7 @@
     pub(super) states: Vec<EndpointState>,
     names: HashMap<EndpointName, EndpointIndex>,
     pub(super) free: Vec<BTreeSet<(u32, EndpointIndex)>>,
-    pauses: BTreeSet<(Moment, EndpointIndex)>,
+    pub(super) pauses: BTreeSet<(Moment, EndpointIndex)>,
     /// When engines that read will have read enough to get more.
     readers: BTreeSet<(Moment, EndpointIndex)>,
     pub(super) holders: PartHolders,
@@ -92,7 +84,7 @@
 
 impl EndpointDoors {
     /// True when the endpoint is known to be leaving, or gone for a reason of its own.
-    fn is_leaving(&self) -> bool {
+    pub(super) fn is_leaving(&self) -> bool {
         self.settings || self.listed || self.draining_since.is_some() || self.said_leaving
     }
 }
@@ -381,45 +373,7 @@
             self.readers.remove(&(at, endpoint));
             self.watch_reading(now, endpoint);
         }
-        while let Some((until, endpoint)) = self.pauses.first().copied().filter(|(until, _)| *until <= now) {
-            self.pauses.remove(&(until, endpoint));
-            self.state_mut(endpoint).doors.paused_until = None;
-            self.reindex(endpoint);
-        }
-    }
-
-    pub(super) fn pause(&mut self, now: Moment, endpoint: EndpointIndex) {
-        let state = self.state_mut(endpoint);
-        if state.doors.paused_until.is_some() {
-            return;
-        }
-        let doublings = state.failures.min(8);
-        let until = now + (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
-        state.failures += 1;
-        state.doors.paused_until = Some(until);
-        self.pauses.insert((until, endpoint));
-        self.shorten_pauses(now);
-    }
-
-    /// Shortens the pauses after failures while most of the service is paused: what is left can't bear the load, so one that is back
-    /// has to be found soon.
-    fn shorten_pauses(&mut self, now: Moment) {
-        let in_use = |state: &&EndpointState| state.slots > 0 && !state.doors.is_leaving();
-        let open = self.states.iter().filter(in_use).filter(|state| state.is_open()).count();
-        let all = self.states.iter().filter(in_use).count();
-        if open * 2 >= all {
-            return;
-        }
-        let paused = u32::try_from(self.pauses.len()).unwrap_or(u32::MAX);
-        let longest = (Duration::from_secs(1) * paused / TRIES_PER_SECOND).clamp(FIRST_PAUSE, LONGEST_PAUSE);
-        let latest = now + longest;
-        let later = self.pauses.iter().rev().take_while(|(until, _)| *until > latest).copied();
-        let failed = later.filter(|(_, endpoint)| !self.state(*endpoint).doors.paused_as_leaving);
-        for (until, endpoint) in failed.collect::<Vec<_>>() {
-            self.pauses.remove(&(until, endpoint));
-            self.pauses.insert((latest, endpoint));
-            self.state_mut(endpoint).doors.paused_until = Some(latest);
-        }
+        self.end_pauses(now);
     }
 
     pub(super) fn reindex(&mut self, endpoint: EndpointIndex) {
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -17,6 +17,7 @@
 mod overdue;
 mod pace;
 mod parts;
+mod pauses;
 mod prefixes;
 mod rate;
 mod reading;
