--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -1,19 +1,20 @@
 //! Waiting for grants and sending, until there is an answer or nothing more may be tried.
 
+use super::failure::SendFailure;
 use super::headers::{request_headers, strip_single_hop};
 use super::target::CallTarget;
 use super::{Gateway, TakenCall, RETRY_AFTER};
-use crate::dialect::{AnswerVerdict, NotRunReason, SendOrder};
+use crate::dialect::{AnswerVerdict, SendOrder};
 use crate::relay::{relay_body, AnswerRelay, EventMeter};
 use crate::trail::RequestTrail;
-use http::{response, Request, Response, StatusCode, Uri};
+use http::{response, Request, Response, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use micaspool_backpressure::AdviceSource;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{GrantFate, RequestTicket};
 use micaspool_http::edge::{whole_body, EdgeBody};
-use micaspool_http::pool::{PooledBody, SendError};
+use micaspool_http::pool::PooledBody;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_router::GrantLease;
 use micaspool_routes::RunRule;
@@ -56,15 +57,6 @@
     pub response: Response<PooledBody>,
 }
 
-/// A send that gave no answer.
-struct SendFailure {
-    fate: GrantFate,
-    kind: &'static str,
-    cause: String,
-    not_run: bool,
-    arrived: bool,
-}
-
 impl Attempts {
     pub(super) fn new(call: TakenCall, target: CallTarget) -> Attempts {
         let patience = call.caller.patience.unwrap_or(target.time_limit).min(target.time_limit);
@@ -295,17 +287,11 @@
                     AnswerVerdict::Answer => {
                         return Ok(UsableAnswer { lease, response: Response::from_parts(head, body) })
                     }
-                    verdict => bad_answer(verdict, head.status),
+                    verdict => SendFailure::of_answer(verdict, head.status),
                 }
             }
-            Ok(Err(error)) => broken_send(&error),
-            Err(_) => SendFailure {
-                fate: GrantFate::Broken,
-                kind: "deadline",
-                cause: "no answer before the deadline".to_owned(),
-                not_run: false,
-                arrived: true,
-            },
+            Ok(Err(error)) => SendFailure::of_error(&error),
+            Err(_) => SendFailure::deadline(),
         };
         lease.settle(Cost(0), failure.fate);
         Err(failure)
@@ -398,28 +384,6 @@
     }
 }
 
-fn broken_send(error: &SendError) -> SendFailure {
-    let (kind, fate) = match error {
-        SendError::Unreachable(_) => ("unreachable", GrantFate::Unreachable),
-        SendError::NotSent => ("not-sent", GrantFate::Unreachable),
-        SendError::Withheld => ("withheld", GrantFate::NotHeld),
-        SendError::Broken(_) => ("broken", GrantFate::Severed),
-    };
-    let unsent = error.is_not_sent();
-    SendFailure { fate, kind, cause: error.to_string(), not_run: unsent, arrived: !unsent }
-}
-
-fn bad_answer(verdict: AnswerVerdict, status: StatusCode) -> SendFailure {
-    let (kind, fate, not_run) = match verdict {
-        AnswerVerdict::NotRun(NotRunReason::Full) => ("full", GrantFate::Refused, true),
-        AnswerVerdict::NotRun(NotRunReason::OtherEndpoint) => ("other-endpoint", GrantFate::Draining, true),
-        AnswerVerdict::NotRun(NotRunReason::Malformed) => ("malformed", GrantFate::Unsent, true),
-        AnswerVerdict::Foreign => ("foreign-answer", GrantFate::Broken, false),
-        AnswerVerdict::Unproven | AnswerVerdict::Answer => ("unproven-answer", GrantFate::Broken, false),
-    };
-    SendFailure { fate, kind, cause: format!("status {status}"), not_run, arrived: true }
-}
-
 /// Path and query, as an endpoint gets them.
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- /dev/null
+++ b/crates/micaspool-gateway/src/path/failure.rs
@@ -0,0 +1,59 @@
+//! Sends that gave no answer to pass on.
+
+use crate::dialect::{AnswerVerdict, NotRunReason};
+use http::StatusCode;
+use micaspool_dispatch::GrantFate;
+use micaspool_http::pool::SendError;
+
+/// A send that gave no answer.
+pub(super) struct SendFailure {
+    /// How its grant ends.
+    pub fate: GrantFate,
+    /// Its name in logs and metrics.
+    pub kind: &'static str,
+    /// What happened.
+    pub cause: String,
+    /// True when the request provably did not run.
+    pub not_run: bool,
+    /// True when the endpoint may have got the request.
+    pub arrived: bool,
+}
+
+impl SendFailure {
+    /// No answer came before nobody waited any more.
+    pub fn deadline() -> SendFailure {
+        SendFailure {
+            fate: GrantFate::Broken,
+            kind: "deadline",
+            cause: "no answer before the deadline".to_owned(),
+            not_run: false,
+            arrived: true,
+        }
+    }
+
+    /// No answer came.
+    pub fn of_error(error: &SendError) -> SendFailure {
+        let (kind, fate) = match error {
+            SendError::Unreachable(_) => ("unreachable", GrantFate::Unreachable),
+            SendError::NotSent => ("not-sent", GrantFate::Unreachable),
+            SendError::Withheld => ("withheld", GrantFate::NotHeld),
+            SendError::Broken(_) => ("broken", GrantFate::Severed),
+        };
+        let unsent = error.is_not_sent();
+        SendFailure { fate, kind, cause: error.to_string(), not_run: unsent, arrived: !unsent }
+    }
+
+    /// An answer came that can't be passed on.
+    pub fn of_answer(verdict: AnswerVerdict, status: StatusCode) -> SendFailure {
+        let (kind, fate, not_run) = match verdict {
+            AnswerVerdict::NotRun(NotRunReason::Full) => ("full", GrantFate::Refused, true),
+            AnswerVerdict::NotRun(NotRunReason::OtherEndpoint) => {
+                ("other-endpoint", GrantFate::Draining, true)
+            }
+            AnswerVerdict::NotRun(NotRunReason::Malformed) => ("malformed", GrantFate::Unsent, true),
+            AnswerVerdict::Foreign => ("foreign-answer", GrantFate::Broken, false),
+            AnswerVerdict::Unproven | AnswerVerdict::Answer => ("unproven-answer", GrantFate::Broken, false),
+        };
+        SendFailure { fate, kind, cause: format!("status {status}"), not_run, arrived: true }
+    }
+}
--- a/crates/micaspool-gateway/src/path/mod.rs
+++ b/crates/micaspool-gateway/src/path/mod.rs
@@ -1,6 +1,7 @@
 //! The path of a request through the gateway.
 
 mod attempt;
+mod failure;
 mod headers;
 mod target;
 
