--- a/crates/micaspool/tests/keeper_faults.rs
+++ b/crates/micaspool/tests/keeper_faults.rs
@@ -285,6 +285,10 @@
             let key = format!("t{number}");
             wait_for(|| async {
                 let answer = pickup(&deployment, number % 3, &key, &body).send().await.expect("an answer");
+                if answer.status != 200 {
+                    // Shown when the row fails: why the claim does not go on.
+                    eprintln!("{key}: {} {}", answer.status, answer.body);
+                }
                 answer.status == 200
             })
             .await;
