fix(ledger): a claim that comes after its own release holds no key

A release that was taken before its claim was dropped, since nothing was claimed; the claim that came after it then held the key for the running limit of 15 minutes, with nobody to end it. Ruled out: a second claim of the same router, which has another token; a release under another token, which is ignored on purpose.

Mend: the ledger remembers the releases of arrivals that it doesn't know, 4,096 at most and for the running limit, and runs such an arrival no more.

--- a/crates/micaspool-keeper/src/state.rs
+++ b/crates/micaspool-keeper/src/state.rs
@@ -1,8 +1,11 @@
 //! The state machines that the log drives.
 
-use micaspool_ledger::{ClaimCommand, ClaimVerdict, FinishCommand, LedgerOptions, LedgerState};
+use micaspool_ledger::{
+    ClaimCommand, ClaimVerdict, EarlierLedger, FinishCommand, LedgerOptions, LedgerState,
+};
 use micaspool_settings::apply::{self, SettingsChange, SettingsState};
 use micaspool_types::Revision;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -55,11 +58,39 @@
     pub plan: PlanDocument,
 }
 
+/// The state as versions wrote it whose ledger did not remember early releases.
+#[derive(Deserialize)]
+struct StateWithPlan {
+    settings: SettingsState,
+    ledger: EarlierLedger,
+    plan: PlanDocument,
+}
+
 /// The state as versions without route plans wrote it.
 #[derive(Deserialize)]
-struct OldState {
+struct StateWithoutPlan {
     settings: SettingsState,
-    ledger: LedgerState,
+    ledger: EarlierLedger,
+}
+
+impl From<StateWithPlan> for KeeperState {
+    fn from(earlier: StateWithPlan) -> KeeperState {
+        KeeperState {
+            settings: earlier.settings,
+            ledger: earlier.ledger.into(),
+            plan: earlier.plan,
+        }
+    }
+}
+
+impl From<StateWithoutPlan> for KeeperState {
+    fn from(earlier: StateWithoutPlan) -> KeeperState {
+        KeeperState {
+            settings: earlier.settings,
+            ledger: earlier.ledger.into(),
+            plan: PlanDocument::default(),
+        }
+    }
 }
 
 impl KeeperState {
@@ -95,11 +126,19 @@
         postcard::to_stdvec(self).expect("the state has nothing that cannot be encoded")
     }
 
-    /// The state from bytes.
+    /// The state from bytes, of this version or an earlier one. Bytes of another version end too early, or are left
+    /// over, wherever they happen to be readable.
     pub fn decode(bytes: &[u8]) -> Result<KeeperState, postcard::Error> {
-        postcard::from_bytes(bytes).or_else(|_| {
-            let old: OldState = postcard::from_bytes(bytes)?;
-            Ok(KeeperState { settings: old.settings, ledger: old.ledger, plan: PlanDocument::default() })
-        })
+        decode_whole::<KeeperState>(bytes)
+            .or_else(|_| decode_whole::<StateWithPlan>(bytes).map(KeeperState::from))
+            .or_else(|_| decode_whole::<StateWithoutPlan>(bytes).map(KeeperState::from))
+    }
+}
+
+/// Reads a value that takes all of the bytes.
+fn decode_whole<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, postcard::Error> {
+    match postcard::take_from_bytes(bytes)? {
+        (value, []) => Ok(value),
+        _ => Err(postcard::Error::DeserializeBadEncoding),
     }
 }
--- a/crates/micaspool-ledger/src/state.rs
+++ b/crates/micaspool-ledger/src/state.rs
@@ -9,6 +9,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+/// How many early releases are remembered. Each is looked at by each claim.
+const MOST_RELEASES: usize = 4_096;
+
 /// Every remembered key.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct LedgerState {
@@ -20,6 +23,33 @@
     answered: VecDeque<EndedKey>,
     answer_bytes: usize,
     newest: LedgerTime,
+    /// Arrivals that were released before their claims came in, the oldest first.
+    released: VecDeque<EndedKey>,
+}
+
+/// The ledger as versions wrote it that did not remember early releases.
+#[derive(Deserialize)]
+pub struct EarlierLedger {
+    options: LedgerOptions,
+    claims: HashMap<ClaimKey, ClaimRecord>,
+    ended: VecDeque<EndedKey>,
+    answered: VecDeque<EndedKey>,
+    answer_bytes: usize,
+    newest: LedgerTime,
+}
+
+impl From<EarlierLedger> for LedgerState {
+    fn from(earlier: EarlierLedger) -> LedgerState {
+        LedgerState {
+            options: earlier.options,
+            claims: earlier.claims,
+            ended: earlier.ended,
+            answered: earlier.answered,
+            answer_bytes: earlier.answer_bytes,
+            newest: earlier.newest,
+            released: VecDeque::new(),
+        }
+    }
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -66,10 +96,19 @@
         self.answer_bytes
     }
 
-    /// Decides on an arrival. The same arrival, sent again, gets the same verdict.
+    /// The number of arrivals that were released before their claims came in.
+    pub fn released(&self) -> usize {
+        self.released.len()
+    }
+
+    /// Decides on an arrival. The same arrival, sent again, gets the same verdict; one that was released already runs
+    /// no more.
     pub fn claim(&mut self, command: &ClaimCommand) -> ClaimVerdict {
         let now = self.pass(command.at);
         let limit = self.options.running_limit;
+        if self.is_released(&command.key, command.token) {
+            return ClaimVerdict::Running;
+        }
         let Some(record) = self.claims.get_mut(&command.key) else { return self.start(command, now) };
         if record.body != command.body {
             return ClaimVerdict::KeyReused;
@@ -93,6 +132,9 @@
         let now = self.pass(command.at);
         let Some(record) = self.claims.get(&command.key).filter(|record| record.token == command.token)
         else {
+            if command.kind == FinishKind::Released {
+                self.note_release(command, now);
+            }
             return;
         };
         let running = matches!(record.state, ClaimState::Running { .. });
@@ -107,6 +149,18 @@
         }
     }
 
+    /// Remembers the release of an arrival whose claim has not come in; it may be on its way.
+    fn note_release(&mut self, command: &FinishCommand, now: LedgerTime) {
+        if self.released.len() >= MOST_RELEASES.min(self.options.max_keys) {
+            self.released.pop_front();
+        }
+        self.released.push_back(EndedKey { key: command.key.clone(), token: command.token, at: now });
+    }
+
+    fn is_released(&self, key: &ClaimKey, token: ClaimToken) -> bool {
+        self.released.iter().any(|released| released.token == token && released.key == *key)
+    }
+
     fn start(&mut self, command: &ClaimCommand, now: LedgerTime) -> ClaimVerdict {
         if self.claims.len() >= self.options.max_keys {
             return ClaimVerdict::Full;
@@ -165,6 +219,10 @@
         while self.answered.front().is_some_and(|ended| elapsed(ended.at, now) >= retention) {
             self.answered.pop_front();
         }
+        let limit = self.options.running_limit;
+        while self.released.front().is_some_and(|released| elapsed(released.at, now) >= limit) {
+            self.released.pop_front();
+        }
         now
     }
 }
--- a/crates/micaspool-ledger/tests/state.rs
+++ b/crates/micaspool-ledger/tests/state.rs
@@ -133,3 +133,34 @@
     }
     assert!(ledger.len() <= 101);
 }
+
+/// A router whose claim got no answer in time releases it. Where the release overtakes the claim, the arrival is over
+/// all the same, and the key stays free for the next one.
+#[test]
+fn a_claim_that_comes_after_its_own_release_holds_no_key() {
+    let mut ledger = LedgerState::new(LedgerOptions::default());
+    ledger.finish(&finish("k", 1, FinishKind::Released, 0));
+    assert_eq!(ledger.claim(&claim("k", 1, 10)), ClaimVerdict::Running);
+    assert_eq!(ledger.claim(&claim("k", 2, 20)), ClaimVerdict::Granted);
+    assert_eq!(ledger.claim(&claim("k", 1, 30)), ClaimVerdict::Running, "the second arrival runs it");
+}
+
+/// What was released is remembered for as long as a claim may be on its way, and no longer.
+#[test]
+fn releases_are_forgotten_in_the_end() {
+    let options = LedgerOptions::default();
+    let mut ledger = LedgerState::new(options);
+    ledger.finish(&finish("k", 1, FinishKind::Released, 0));
+    let later = options.running_limit.as_millis() as u64 + 1;
+    assert_eq!(ledger.claim(&claim("other", 9, later)), ClaimVerdict::Granted);
+    assert_eq!(ledger.released(), 0);
+}
+
+#[test]
+fn releases_of_what_was_never_claimed_take_bounded_room() {
+    let mut ledger = LedgerState::new(LedgerOptions { max_keys: 10, ..LedgerOptions::default() });
+    for token in 0..100 {
+        ledger.finish(&finish("k", token, FinishKind::Released, token));
+    }
+    assert_eq!(ledger.released(), 10);
+}
