feat(halls): data halls are evacuated and taken back by orders in the keepers' log

Operators saw each order about a hall answered 404; its endpoints went on being served.

`micaspool halls evacuate|return|list`, MP1413 to MP1415, MP1511, a gauge, /status. The adapter translates the platform's two calls; a hall that nobody knows is a 404 that names the known ones.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -4,12 +4,14 @@
 //! highest number, and the newest record of each endpoint. So a change that any keeper took is known
 //! here as soon as that keeper can say so, whichever other keepers are cut off.
 
+mod halls;
 mod stream;
 mod table;
 
 use crate::directory::PeerDirectory;
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::task;
+use micaspool_halls::HallOrders;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_routes::{NumberedPlan, PlanFormat};
 use micaspool_settings::process::PeerAddress;
@@ -120,8 +122,26 @@
     /// The endpoints of a service that have not left.
     pub fn endpoints_of(&self, service: &ServiceName) -> Vec<EndpointRecord> {
         let table = self.lock();
+        let now = table.now();
         let present = table.registry.iter().filter(|endpoint| endpoint.stage != EndpointStage::Left);
-        present.filter(|endpoint| endpoint.service == *service).cloned().collect()
+        let of_service = present.filter(|endpoint| endpoint.service == *service);
+        of_service.map(|endpoint| table.registry.told(now, endpoint)).collect()
+    }
+
+    /// The orders about data halls that hold in this process.
+    pub fn hall_orders(&self) -> HallOrders {
+        self.lock().hall_table.orders.clone()
+    }
+
+    /// True while nothing may be sent to the endpoints of a hall.
+    pub fn is_evacuated(&self, hall: &HallName) -> bool {
+        self.lock().hall_table.orders.is_evacuated(hall)
+    }
+
+    /// How much longer the endpoints of a hall are taken for cold, if each is for `start` after the hall was taken
+    /// back.
+    pub fn presumed_cold(&self, hall: &HallName, start: Duration) -> Duration {
+        self.lock().hall_table.presumed_cold(hall, start)
     }
 
     /// The halls of all endpoints that were ever heard of, in the order of their first mention, so
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -1,5 +1,6 @@
 //! What the keepers told, merged.
 
+use super::halls::HallTable;
 use super::{notify, KeeperReach, KeeperSight};
 use crate::directory::PeerDirectory;
 use async_std::channel::Sender;
@@ -9,7 +10,7 @@
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{HallName, InstanceName, Moment};
-use micaspool_wire::convert::endpoint_record;
+use micaspool_wire::convert::{endpoint_record, hall_order};
 use micaspool_wire::v1;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -49,6 +50,7 @@
     pub plan: NumberedPlan,
     pub registry: EndpointRegistry,
     pub halls: Vec<HallName>,
+    pub hall_table: HallTable,
     pub seeds: Vec<InstanceName>,
     /// The members as a confirmed keeper last named them.
     members: Vec<InstanceName>,
@@ -63,6 +65,7 @@
             plan: NumberedPlan::default(),
             registry: EndpointRegistry::default(),
             halls: Vec::new(),
+            hall_table: HallTable::default(),
             seeds,
             members: Vec::new(),
             keepers: BTreeMap::new(),
@@ -70,7 +73,7 @@
         }
     }
 
-    fn now(&self) -> Moment {
+    pub fn now(&self) -> Moment {
         Moment(0) + self.start.elapsed()
     }
 
@@ -129,6 +132,9 @@
     pub fn take(&mut self, from: &InstanceName, news: &v1::FleetNews, format: &dyn PlanFormat) -> bool {
         self.note_keeper(from, true, news.confirmed);
         let mut changed = news.plan.as_ref().is_some_and(|plan| self.take_plan(from, plan, format));
+        for hall in &news.halls {
+            changed |= self.take_hall(from, hall);
+        }
         for endpoint in &news.endpoints {
             changed |= self.take_endpoint(from, endpoint);
         }
@@ -165,6 +171,16 @@
         }
     }
 
+    fn take_hall(&mut self, from: &InstanceName, message: &v1::HallNews) -> bool {
+        match hall_order(message) {
+            Ok((hall, order)) => self.hall_table.take(from, hall, order),
+            Err(error) => {
+                record(&events::WIRE_MALFORMED, &[field("keeper", from), field("error", error)]);
+                false
+            }
+        }
+    }
+
     fn take_endpoint(&mut self, from: &InstanceName, message: &v1::EndpointNews) -> bool {
         let endpoint = match endpoint_record(message) {
             Ok(endpoint) => endpoint,
--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -113,6 +113,27 @@
         .await
     }
 
+    /// Orders that a data hall be evacuated or taken back. A resend does no harm.
+    pub async fn order_hall(
+        &self,
+        request: v1::OrderHallRequest,
+        limit: Duration,
+    ) -> Result<v1::OrderHallReply, CallError> {
+        self.call(limit, |mut client| {
+            let request = request.clone();
+            async move { client.order_hall(request).await.map(tonic::Response::into_inner) }
+        })
+        .await
+    }
+
+    /// Reads the orders about data halls as a majority knows them.
+    pub async fn halls_confirmed(&self, limit: Duration) -> Result<v1::HallsReply, CallError> {
+        self.call(limit, |mut client| async move {
+            client.halls(v1::HallsRequest {}).await.map(tonic::Response::into_inner)
+        })
+        .await
+    }
+
     /// Asks for a settings change. A resend after a lost answer has the same change id.
     pub async fn apply(
         &self,
@@ -319,6 +340,18 @@
     }
 }
 
+impl LeaderAnswer for v1::OrderHallReply {
+    fn redirect(&self) -> Option<&v1::NotLeader> {
+        self.not_leader.as_ref()
+    }
+}
+
+impl LeaderAnswer for v1::HallsReply {
+    fn redirect(&self) -> Option<&v1::NotLeader> {
+        self.not_leader.as_ref()
+    }
+}
+
 impl LeaderAnswer for v1::PlanReply {
     fn redirect(&self) -> Option<&v1::NotLeader> {
         self.not_leader.as_ref()
--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -11,7 +11,7 @@
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{Incarnation, InstanceName, RegionName};
+use micaspool_types::{HallName, Incarnation, InstanceName, RegionName};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -35,6 +35,7 @@
     data_folder: PathBuf,
     may_form: bool,
     borne_losses: usize,
+    halls: Vec<HallName>,
     probe: Arc<dyn EndpointProbe>,
 }
 
@@ -66,6 +67,7 @@
             data_folder: PathBuf::from("."),
             may_form: true,
             borne_losses: 1,
+            halls: Vec::new(),
             probe: Arc::new(HttpEndpointProbe::default()),
         };
         CoreOptionsBuilder { options }
@@ -116,6 +118,12 @@
         self
     }
 
+    /// The data halls that operators may order about, beside those of endpoints that were heard.
+    pub fn halls(mut self, halls: Vec<HallName>) -> Self {
+        self.options.halls = halls;
+        self
+    }
+
     /// How engines are asked for their load.
     pub fn probe(mut self, probe: Arc<dyn EndpointProbe>) -> Self {
         self.options.probe = probe;
@@ -185,7 +193,8 @@
     }
     let own = PeerAddress { name: options.instance.clone(), address: keeper.wire };
     let client = Arc::new(KeeperClient::new(vec![own.clone()], TrafficCounter::default()));
-    let desk = ControlDesk::new(client, own, keeper.hub().clone(), mirror.clone(), options.format.clone());
+    let desk = ControlDesk::new(client, own, keeper.hub().clone(), mirror.clone(), options.format.clone())
+        .with_halls(options.halls.clone());
     Ok(CoreDaemon { keeper, dispatcher, mirror, desk })
 }
 
--- a/crates/micaspool-core/src/desk.rs
+++ b/crates/micaspool-core/src/desk.rs
@@ -1,12 +1,14 @@
 //! What operators and endpoints ask of the core.
 
 use micaspool_client::{FleetMirror, KeeperClient};
+use micaspool_halls::{HallUse, OrderVerdict};
 use micaspool_keeper::RegistryHub;
 use micaspool_registry::{EndpointRecord, EndpointStage, MergeOutcome};
 use micaspool_routes::{FormatError, PlanFormat};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::EndpointName;
+use micaspool_types::{EndpointName, HallName};
+use micaspool_wire::convert::order_verdict;
 use micaspool_wire::v1;
 use std::fmt;
 use std::sync::Arc;
@@ -24,6 +26,10 @@
     NoMajority,
     /// There is no plan yet.
     NoPlan,
+    /// Neither settings nor endpoints name this data hall; the known ones.
+    UnknownHall(Vec<HallName>),
+    /// The contrary was ordered in the meantime.
+    Overtaken,
 }
 
 impl fmt::Display for OrderError {
@@ -34,6 +40,13 @@
                 "no majority of keepers answered in time; send the order again, here or elsewhere",
             ),
             OrderError::NoPlan => f.write_str("there is no plan yet; send one"),
+            OrderError::UnknownHall(known) => {
+                let known = known.iter().map(HallName::as_str).collect::<Vec<_>>().join(", ");
+                write!(f, "no data hall has this name; send one of {known}")
+            }
+            OrderError::Overtaken => f.write_str(
+                "the contrary was ordered while this order was under way; send it again if it still holds",
+            ),
         }
     }
 }
@@ -48,6 +61,8 @@
     hub: Arc<RegistryHub>,
     mirror: Arc<FleetMirror>,
     format: Arc<dyn PlanFormat>,
+    /// The halls that settings name.
+    halls: Vec<HallName>,
 }
 
 impl ControlDesk {
@@ -59,7 +74,62 @@
         mirror: Arc<FleetMirror>,
         format: Arc<dyn PlanFormat>,
     ) -> ControlDesk {
-        ControlDesk { client, own, hub, mirror, format }
+        ControlDesk { client, own, hub, mirror, format, halls: Vec::new() }
+    }
+
+    /// The same with the data halls that settings name.
+    pub fn with_halls(self, halls: Vec<HallName>) -> ControlDesk {
+        ControlDesk { halls, ..self }
+    }
+
+    /// Evacuates a data hall or takes it back; gives the number of the order that holds.
+    pub async fn order_hall(&self, hall: &str, wanted: HallUse, ordered_by: &str) -> Result<u64, OrderError> {
+        // What was known when the order came in: whatever delays it from here on, it takes nothing back that was
+        // ordered after it.
+        let known = self.mirror.hall_orders().newest();
+        let hall = self.known_hall(hall)?;
+        self.list_keepers();
+        let request = v1::OrderHallRequest {
+            hall: hall.to_string(),
+            evacuate: wanted == HallUse::Evacuated,
+            known,
+            ordered_by: ordered_by.to_owned(),
+        };
+        let reply = self.client.order_hall(request, ORDER_LIMIT).await;
+        match reply.as_ref().ok().and_then(order_verdict) {
+            Some(OrderVerdict::InForce(number)) => Ok(number),
+            Some(OrderVerdict::Overtaken(_)) => Err(OrderError::Overtaken),
+            Some(OrderVerdict::TooManyHalls) => Err(OrderError::UnknownHall(self.known_halls())),
+            None => {
+                let error = reply.err().map_or_else(|| "unknown verdict".to_owned(), |e| e.to_string());
+                let fields = [
+                    field("hall", &hall),
+                    field("wanted", wanted.as_str()),
+                    field("known", known),
+                    field("error", error),
+                ];
+                record(&events::HALL_ORDER_UNCERTAIN, &fields);
+                Err(OrderError::NoMajority)
+            }
+        }
+    }
+
+    fn known_hall(&self, name: &str) -> Result<HallName, OrderError> {
+        let known = self.known_halls();
+        match known.iter().find(|hall| hall.as_str() == name) {
+            Some(hall) => Ok(hall.clone()),
+            None => Err(OrderError::UnknownHall(known)),
+        }
+    }
+
+    /// The halls that settings name, those of endpoints that were heard, and those that an order was given about.
+    fn known_halls(&self) -> Vec<HallName> {
+        let mut halls = self.halls.clone();
+        halls.extend(self.mirror.halls());
+        halls.extend(self.mirror.hall_orders().iter().map(|(hall, _)| hall.clone()));
+        halls.sort();
+        halls.dedup();
+        halls
     }
 
     /// Offers a plan; gives the number in force afterwards, at least its own.
--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -23,6 +23,8 @@
     CopyRunning,
     /// Every endpoint that may run it has asked its router for a rest that is longer than it may wait.
     EndpointsRest,
+    /// Every endpoint that may run it is in a data hall that is evacuated.
+    HallsEvacuated,
 }
 
 /// Why a request stands otherwise than before.
--- a/crates/micaspool-dispatcher/tests/subset.rs
+++ b/crates/micaspool-dispatcher/tests/subset.rs
@@ -22,6 +22,7 @@
         slots: 48,
         stage: EndpointStage::Serving,
         sequence: 1,
+        cold: std::time::Duration::ZERO,
     }
 }
 
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -9,6 +9,7 @@
 use futures::channel::oneshot;
 use micaspool_client::{ListedPeers, PeerDirectory};
 use micaspool_daemon::{open_spans, StartError};
+use micaspool_halls::HallOrders;
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_ledger::LedgerOptions;
 use micaspool_quorum::{OpenGroupOptions, QuorumOptions};
@@ -310,6 +311,7 @@
     keys: Gauge,
     answer_bytes: Gauge,
     syncs: Gauge,
+    evacuated: Gauge,
 }
 
 impl KeeperStatusSource {
@@ -335,6 +337,8 @@
             "Bytes of kept answers",
             gauges.answer_bytes.clone(),
         );
+        let help = "Data halls that are evacuated by an operator's order";
+        registry.register("micaspool_keeper_evacuated_halls", help, gauges.evacuated.clone());
         registry.register("micaspool_keeper_syncs", "Syncs of the log so far", gauges.syncs.clone());
         KeeperStatusSource { view, registry, traffic, gauges }
     }
@@ -348,6 +352,7 @@
         self.gauges.keys.set(view.ledger_keys as i64);
         self.gauges.answer_bytes.set(view.ledger_answer_bytes as i64);
         self.gauges.syncs.set(view.syncs as i64);
+        self.gauges.evacuated.set(view.halls.evacuated() as i64);
         self.traffic.refresh();
     }
 }
@@ -367,6 +372,20 @@
     }
 }
 
+/// Every hall that an order was given about.
+fn halls_json(orders: &HallOrders) -> Vec<serde_json::Value> {
+    let halls = orders.iter().map(|(hall, order)| {
+        json!({
+            "name": hall.as_str(),
+            "use": order.wanted.as_str(),
+            "order": order.number,
+            "ordered_by": &*order.ordered_by,
+            "at_ms": order.at_millis,
+        })
+    });
+    halls.collect()
+}
+
 /// The state of a keeper as JSON.
 pub(crate) fn state_json(view: &KeeperView) -> String {
     let status = &view.status;
@@ -383,6 +402,7 @@
         "commit": status.commit.0,
         "revision": view.settings.revision().0,
         "plan": view.plan.number,
+        "halls": halls_json(&view.halls),
         "confirmed": status.confirmed,
         "members": members.collect::<Vec<_>>(),
         "ledger_keys": view.ledger_keys,
--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -8,6 +8,7 @@
 use crate::clock::{ledger_time, MonotonicClock};
 use crate::state::{KeeperCommand, KeeperReply, KeeperState, PlanDocument};
 use async_std::channel::{Receiver, Sender};
+use micaspool_halls::HallOrders;
 use micaspool_ledger::{LedgerOptions, LedgerTime};
 use micaspool_quorum::{
     EntryPayload, Envelope, LogEntry, LogIndex, ProposeError, QuorumCore, QuorumEvent, QuorumOptions,
@@ -75,6 +76,8 @@
     pub settings: apply::SettingsState,
     /// The newest applied route plan.
     pub plan: PlanDocument,
+    /// The newest applied orders about data halls.
+    pub halls: HallOrders,
     /// The log.
     pub status: QuorumStatus,
     /// The keys in the ledger.
@@ -159,6 +162,7 @@
         let view = KeeperView {
             settings: state.settings.clone(),
             plan: state.plan.clone(),
+            halls: state.halls.clone(),
             status: core.status(clock.now()),
             ledger_keys: 0,
             ledger_answer_bytes: 0,
@@ -336,8 +340,10 @@
         }
         let newer = view.settings.revision() != self.state.settings.revision();
         let planned = view.plan.number != self.state.plan.number;
+        let ordered = view.halls.newest() != self.state.halls.newest();
         let changed = newer
             || planned
+            || ordered
             || view.status.confirmed != status.confirmed
             || view.status.membership != status.membership;
         if newer {
@@ -346,6 +352,9 @@
         if planned {
             view.plan = self.state.plan.clone();
         }
+        if ordered {
+            view.halls = self.state.halls.clone();
+        }
         view.status = status;
         view.ledger_keys = self.state.ledger.len();
         view.ledger_answer_bytes = self.state.ledger.answer_bytes();
@@ -376,13 +385,16 @@
     KeeperState::decode(data).expect("a snapshot that passed its checksum was written by this version")
 }
 
-/// Gives ledger commands the leader's time.
+/// Gives commands that note when they came the leader's time.
 fn stamped(command: KeeperCommand, at: LedgerTime) -> KeeperCommand {
     match command {
         KeeperCommand::Claim(claim) => KeeperCommand::Claim(micaspool_ledger::ClaimCommand { at, ..claim }),
         KeeperCommand::Finish(finish) => {
             KeeperCommand::Finish(micaspool_ledger::FinishCommand { at, ..finish })
         }
+        KeeperCommand::OrderHall(order) => {
+            KeeperCommand::OrderHall(micaspool_halls::OrderCommand { at_millis: at.0, ..order })
+        }
         other => other,
     }
 }
--- a/crates/micaspool-keeper/src/follow.rs
+++ b/crates/micaspool-keeper/src/follow.rs
@@ -1,4 +1,4 @@
-//! Tells followers of the fleet: the route plan, the endpoints heard here, and the members.
+//! Tells followers of the fleet: the route plan, orders about halls, the endpoints heard here, and the members.
 
 use crate::engine::KeeperView;
 use crate::registry_hub::{HubCursor, HubScope, RegistryHub};
@@ -7,7 +7,7 @@
 use futures::future::select;
 use futures::pin_mut;
 use micaspool_clock::BootInstant;
-use micaspool_wire::convert::endpoint_message;
+use micaspool_wire::convert::{endpoint_message, hall_messages};
 use micaspool_wire::v1;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -32,6 +32,8 @@
 /// What a follower has been told.
 struct ToldState {
     number: u64,
+    /// The number of the newest order about a hall.
+    hall_order: u64,
     cursor: HubCursor,
     /// When it is told of all endpoints that were heard.
     refresh_due: BootInstant,
@@ -48,7 +50,8 @@
     let changes = view.lock().expect("no holder of the view panics").listen();
     let records = hub.listen();
     let cursor = HubCursor::default();
-    let mut told = ToldState { number, cursor, refresh_due: BootInstant::now(), keepers: Vec::new() };
+    let mut told =
+        ToldState { number, hall_order: 0, cursor, refresh_due: BootInstant::now(), keepers: Vec::new() };
     loop {
         let (news, stopped) = told.next_news(&view, &hub);
         let names_endpoints = !news.endpoints.is_empty();
@@ -79,6 +82,10 @@
             news.plan =
                 Some(v1::PlanDocument { number: view.plan.number, document: view.plan.text.to_string() });
         }
+        if view.halls.newest() > self.hall_order {
+            self.hall_order = view.halls.newest();
+            news.halls = hall_messages(&view.halls);
+        }
         let members = view.status.membership.members.iter();
         let keepers: Vec<String> = members.map(|member| member.identity.name.to_string()).collect();
         // Followers believe a list only from a keeper that hears a majority; until then it is not told.
--- a/crates/micaspool-keeper/src/registry_hub.rs
+++ b/crates/micaspool-keeper/src/registry_hub.rs
@@ -60,7 +60,7 @@
     pub fn register(&self, endpoint: EndpointRecord) -> MergeOutcome {
         let mut content = self.lock();
         let (name, stage, sequence) = (endpoint.name.clone(), endpoint.stage, endpoint.sequence);
-        let service = endpoint.service.clone();
+        let (service, cold) = (endpoint.service.clone(), endpoint.cold);
         let outcome = content.registry.merge(self.clock.now(), endpoint);
         if outcome != MergeOutcome::Stale {
             content.note_heard(&name);
@@ -78,6 +78,10 @@
                 field("sequence", sequence),
             ];
             record(&events::ENDPOINT_STAGE, &fields);
+            if !cold.is_zero() {
+                let fields = [field("endpoint", &name), field("cold_ms", cold.as_millis())];
+                record(&events::ENDPOINT_COLD, &fields);
+            }
             content.notify();
         }
         content.forget_silent(&self.clock);
@@ -113,7 +117,9 @@
         };
         let newer =
             |endpoint: &&EndpointRecord| versions.get(&endpoint.name).is_some_and(|version| *version > seen);
-        let records = content.registry.iter().filter(newer).cloned().collect();
+        let now = self.clock.now();
+        let told = |record: &EndpointRecord| content.registry.told(now, record);
+        let records = content.registry.iter().filter(newer).map(told).collect();
         let heard = match scope {
             HubScope::Changed => cursor.heard,
             HubScope::Heard => content.version,
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -10,15 +10,17 @@
 use async_std::task;
 use futures::{Stream, StreamExt};
 use micaspool_client::PeerDirectory;
+use micaspool_halls::OrderVerdict;
 use micaspool_ledger::{
     BodyDigest, ClaimCommand, ClaimKey, ClaimToken, ClaimVerdict, FinishCommand, FinishKind, LedgerTime,
     StoredAnswer,
 };
 use micaspool_quorum::QuorumEvent;
 use micaspool_settings::apply::{SettingsChange, SettingsUpdate};
-use micaspool_telemetry::events::{self, field, record};
+use micaspool_telemetry::events::{self, field, record, EventField};
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_types::{CustomerName, InstanceName, Revision};
+use micaspool_wire::convert::{hall_messages, order_command, order_reply};
 use micaspool_wire::v1::{self, keeper_server::Keeper};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -221,6 +223,45 @@
         Ok(Response::new(reply))
     }
 
+    async fn order_hall(
+        &self,
+        request: Request<v1::OrderHallRequest>,
+    ) -> Result<Response<v1::OrderHallReply>, Status> {
+        let order = order_command(request.into_inner())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let logged = [
+            field("hall", &order.hall),
+            field("wanted", order.wanted.as_str()),
+            field("ordered_by", &order.ordered_by),
+            field("known", order.known),
+        ];
+        let reply = match self.command(KeeperCommand::OrderHall(order)).await? {
+            Ok(KeeperReply::Ordered(verdict)) => {
+                record_verdict(logged, verdict);
+                order_reply(verdict)
+            }
+            Ok(_) => return Err(Status::internal("the reply does not fit the command; report this")),
+            Err(error) => v1::OrderHallReply {
+                not_leader: Some(self.not_leader(error)?),
+                ..v1::OrderHallReply::default()
+            },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn halls(&self, _request: Request<v1::HallsRequest>) -> Result<Response<v1::HallsReply>, Status> {
+        let reply = match self.ask(EngineInput::Barrier).await? {
+            Ok(_) => {
+                let orders = self.view().halls.clone();
+                v1::HallsReply { halls: hall_messages(&orders), newest: orders.newest(), not_leader: None }
+            }
+            Err(error) => {
+                v1::HallsReply { not_leader: Some(self.not_leader(error)?), ..v1::HallsReply::default() }
+            }
+        };
+        Ok(Response::new(reply))
+    }
+
     async fn follow(
         &self,
         request: Request<v1::FollowRequest>,
@@ -273,6 +314,16 @@
     }
 }
 
+fn record_verdict(order: [EventField; 4], verdict: OrderVerdict) {
+    let (kind, number) = match verdict {
+        OrderVerdict::InForce(number) => (&events::HALL_ORDER_TAKEN, number),
+        OrderVerdict::Overtaken(number) => (&events::HALL_ORDER_NOT_TAKEN, number),
+        OrderVerdict::TooManyHalls => (&events::HALL_ORDER_NOT_TAKEN, 0),
+    };
+    let fields: Vec<EventField> = order.into_iter().chain([field("in_force", number)]).collect();
+    record(kind, &fields);
+}
+
 /// Sends a watcher what it lacks, now and after each change.
 async fn feed_watcher(view: Arc<Mutex<KeeperView>>, from: Revision, sender: Sender<v1::SettingsUpdate>) {
     let changes = view.lock().expect("no holder of the view panics").listen();
--- a/crates/micaspool-keeper/src/state.rs
+++ b/crates/micaspool-keeper/src/state.rs
@@ -1,5 +1,6 @@
 //! The state machines that the log drives.
 
+use micaspool_halls::{HallOrders, OrderCommand, OrderVerdict};
 use micaspool_ledger::{
     ClaimCommand, ClaimVerdict, EarlierLedger, FinishCommand, LedgerOptions, LedgerState,
 };
@@ -20,6 +21,8 @@
     Finish(FinishCommand),
     /// Offer a route plan.
     Publish(PlanDocument),
+    /// Evacuate a data hall or take it back.
+    OrderHall(OrderCommand),
 }
 
 /// A route plan as its operator sent it. Keepers check it before they propose it, and never read it
@@ -45,6 +48,8 @@
     Passed,
     /// The number of the plan in force after an offer.
     Published(u64),
+    /// What came of an order about a data hall.
+    Ordered(OrderVerdict),
 }
 
 /// All state machines.
@@ -56,6 +61,8 @@
     pub ledger: LedgerState,
     /// The route plan in force.
     pub plan: PlanDocument,
+    /// The orders about data halls.
+    pub halls: HallOrders,
 }
 
 /// The state as versions wrote it whose ledger did not remember early releases.
@@ -79,6 +86,7 @@
             settings: earlier.settings,
             ledger: earlier.ledger.into(),
             plan: earlier.plan,
+            halls: HallOrders::default(),
         }
     }
 }
@@ -89,6 +97,7 @@
             settings: earlier.settings,
             ledger: earlier.ledger.into(),
             plan: PlanDocument::default(),
+            halls: HallOrders::default(),
         }
     }
 }
@@ -100,6 +109,7 @@
             settings: SettingsState::default(),
             ledger: LedgerState::new(options),
             plan: PlanDocument::default(),
+            halls: HallOrders::default(),
         }
     }
 
@@ -118,6 +128,7 @@
                 }
                 KeeperReply::Published(self.plan.number)
             }
+            KeeperCommand::OrderHall(command) => KeeperReply::Ordered(self.halls.accept(command)),
         }
     }
 
--- a/crates/micaspool-registry/src/record.rs
+++ b/crates/micaspool-registry/src/record.rs
@@ -3,6 +3,7 @@
 use micaspool_types::{EndpointName, HallName, Incarnation, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Where an endpoint stands in its life.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
@@ -48,4 +49,6 @@
     pub stage: EndpointStage,
     /// Rises with each record of this endpoint.
     pub sequence: u64,
+    /// How much longer it is cold and bears few requests, from when the record is told; zero once it is warm.
+    pub cold: Duration,
 }
--- a/crates/micaspool-registry/src/registry.rs
+++ b/crates/micaspool-registry/src/registry.rs
@@ -8,6 +8,8 @@
 /// How long an endpoint that left stays known as left, and the newest start of each is known. Late records come within
 /// seconds; a longer time costs memory only.
 const LEFT_LIFE: Duration = Duration::from_secs(120);
+/// Records that differ by no more about when an endpoint will be warm say the same: they take different times to come.
+const COLD_TOLERANCE: Duration = Duration::from_millis(300);
 
 /// What came of a record.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -33,6 +35,20 @@
 struct KnownEndpoint {
     record: EndpointRecord,
     heard: Moment,
+    cold_until: Moment,
+}
+
+impl KnownEndpoint {
+    fn new(now: Moment, record: EndpointRecord) -> KnownEndpoint {
+        KnownEndpoint { cold_until: now + record.cold, heard: now, record }
+    }
+
+    /// True when an endpoint that is cold until this moment is warm much earlier or later than was known.
+    fn differs_in_warmth(&self, now: Moment, cold_until: Moment) -> bool {
+        let concerns_now = self.cold_until > now || cold_until > now;
+        let distance = self.cold_until.since(cold_until).max(cold_until.since(self.cold_until));
+        concerns_now && distance > COLD_TOLERANCE
+    }
 }
 
 /// The newest start of an endpoint.
@@ -77,7 +93,7 @@
     /// Takes a record of the newest start in.
     fn merge_start(&mut self, now: Moment, record: EndpointRecord) -> MergeOutcome {
         let Some(known) = self.endpoints.get_mut(&record.name) else {
-            self.endpoints.insert(record.name.clone(), KnownEndpoint { record, heard: now });
+            self.endpoints.insert(record.name.clone(), KnownEndpoint::new(now, record));
             return MergeOutcome::Changed;
         };
         let older = record.sequence < known.record.sequence;
@@ -87,8 +103,11 @@
             known.record.sequence = sequence;
             return MergeOutcome::Stale;
         }
-        let record = EndpointRecord { sequence, ..record };
-        let same = EndpointRecord { sequence, ..known.record.clone() } == record;
+        let cold_until = now + record.cold;
+        let differs = known.differs_in_warmth(now, cold_until);
+        known.cold_until = cold_until;
+        let record = EndpointRecord { sequence, cold: known.record.cold, ..record };
+        let same = EndpointRecord { sequence, ..known.record.clone() } == record && !differs;
         known.record = record;
         known.heard = known.heard.max(now);
         if same {
@@ -134,6 +153,16 @@
         self.endpoints.values().map(|known| &known.record)
     }
 
+    /// How much longer an endpoint is cold; zero for one that is warm or not known.
+    pub fn cold_left(&self, now: Moment, name: &EndpointName) -> Duration {
+        self.endpoints.get(name).map_or(Duration::ZERO, |known| known.cold_until.since(now))
+    }
+
+    /// A record as it is to be told at this moment.
+    pub fn told(&self, now: Moment, record: &EndpointRecord) -> EndpointRecord {
+        EndpointRecord { cold: self.cold_left(now, &record.name), ..record.clone() }
+    }
+
     /// How long ago an endpoint was heard.
     pub fn age(&self, now: Moment, name: &EndpointName) -> Option<Duration> {
         self.endpoints.get(name).map(|known| now.since(known.heard))
--- a/crates/micaspool-registry/tests/registry.rs
+++ b/crates/micaspool-registry/tests/registry.rs
@@ -17,6 +17,7 @@
         slots: 4,
         stage,
         sequence,
+        cold: std::time::Duration::ZERO,
     }
 }
 
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -350,6 +350,7 @@
             ReleaseReason::Quarantined => RefusalKind::Quarantined,
             ReleaseReason::CopyRunning => RefusalKind::CopyRunning,
             ReleaseReason::EndpointsRest => RefusalKind::EndpointsRest,
+            ReleaseReason::HallsEvacuated => RefusalKind::HallsEvacuated,
         };
         let wait = Duration::from_millis(refused.retry_after_millis);
         let now = self.moment();
--- a/crates/micaspool-routes/src/lib.rs
+++ b/crates/micaspool-routes/src/lib.rs
@@ -17,6 +17,7 @@
 pub use check::Error;
 pub use format::{FormatError, JsonFormat, NumberedPlan, PlanFormat};
 pub use plan::{
-    CallerLimits, CustomerKeys, EngineProfile, PlanParts, RoutePlan, RouteRule, RunRule, ServiceRule,
+    CallerLimits, ColdProfile, CustomerKeys, EngineProfile, PlanParts, RoutePlan, RouteRule, RunRule,
+    ServiceRule,
 };
 pub use split::ServiceShare;
--- a/crates/micaspool-routes/src/plan.rs
+++ b/crates/micaspool-routes/src/plan.rs
@@ -94,6 +94,30 @@
     pub max_connections: u32,
     /// Set for a language model.
     pub engine: Option<EngineProfile>,
+    /// Set where endpoints bear few requests for a while after their start.
+    #[serde(default)]
+    pub cold: Option<ColdProfile>,
+}
+
+/// What an endpoint bears while it is cold.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct ColdProfile {
+    /// For how long after its start it is cold, in milliseconds.
+    pub start_ms: u64,
+    /// The time that each request needs, one after the other, in microseconds.
+    pub request_us: u64,
+}
+
+impl ColdProfile {
+    /// For how long after its start an endpoint is cold.
+    pub fn start(&self) -> Duration {
+        Duration::from_millis(self.start_ms)
+    }
+
+    /// The time that each request needs.
+    pub fn request_time(&self) -> Duration {
+        Duration::from_micros(self.request_us)
+    }
 }
 
 /// A customer and the keys that name it.
--- a/crates/micaspool-routes/tests/plan.rs
+++ b/crates/micaspool-routes/tests/plan.rs
@@ -33,8 +33,13 @@
 }
 
 fn parts() -> PlanParts {
-    let rule =
-        ServiceRule { name: service("s"), health_path: "/health".into(), max_connections: 10, engine: None };
+    let rule = ServiceRule {
+        name: service("s"),
+        health_path: "/health".into(),
+        max_connections: 10,
+        engine: None,
+        cold: None,
+    };
     PlanParts {
         routes: vec![route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/")],
         services: vec![rule],
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -129,12 +129,23 @@
 pub const PLAN_REFUSED: EventKind = kind("MP1411", Level::Warn, "route plan refused");
 /// An order on the route plan got no clear answer from a majority.
 pub const PLAN_UNCERTAIN: EventKind = kind("MP1412", Level::Warn, "route plan order without a majority");
+/// An order about a data hall was taken by a majority.
+pub const HALL_ORDER_TAKEN: EventKind = kind("MP1413", Level::Info, "order about data hall taken");
+/// An order about a data hall changed nothing, since the contrary was ordered after it came in.
+pub const HALL_ORDER_NOT_TAKEN: EventKind = kind("MP1414", Level::Warn, "order about data hall not taken");
+/// An order about a data hall got no clear answer from a majority.
+pub const HALL_ORDER_UNCERTAIN: EventKind =
+    kind("MP1415", Level::Warn, "order about data hall without a majority");
 /// An endpoint has registered, or says that it drains or leaves.
 pub const ENDPOINT_STAGE: EventKind = kind("MP1501", Level::Info, "endpoint changed its stage");
 /// An endpoint has started again; its requests, caches and failures of before count no more.
 pub const ENDPOINT_RESTARTED: EventKind = kind("MP1509", Level::Info, "endpoint started again");
 /// What an endpoint said of itself can't be used; nothing that is known changes.
 pub const HEARTBEAT_REFUSED: EventKind = kind("MP1510", Level::Warn, "heartbeat not used");
+/// This process sends nothing more into a data hall, or sends into it again, by an operator's order.
+pub const HALL_USE_CHANGED: EventKind = kind("MP1511", Level::Info, "use of data hall changed");
+/// An endpoint bears few requests for a while.
+pub const ENDPOINT_COLD: EventKind = kind("MP1512", Level::Info, "endpoint is cold");
 /// An endpoint was not heard for too long.
 pub const ENDPOINT_EXPIRED: EventKind = kind("MP1502", Level::Warn, "endpoint not heard, forgotten");
 /// A newer route plan is in force in this process.
@@ -227,10 +238,15 @@
     PLAN_ACCEPTED,
     PLAN_REFUSED,
     PLAN_UNCERTAIN,
+    HALL_ORDER_TAKEN,
+    HALL_ORDER_NOT_TAKEN,
+    HALL_ORDER_UNCERTAIN,
     ENDPOINT_STAGE,
     ENDPOINT_EXPIRED,
     ENDPOINT_RESTARTED,
     HEARTBEAT_REFUSED,
+    HALL_USE_CHANGED,
+    ENDPOINT_COLD,
     PLAN_IN_FORCE,
     PLAN_UNUSABLE,
     KEEPER_FOLLOWED,
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -58,6 +58,8 @@
     CopyRunning,
     /// Every endpoint that may run it has asked to be left alone for longer than it can wait.
     EndpointsRest,
+    /// Every endpoint that may run it is in a data hall that an operator has evacuated.
+    HallsEvacuated,
     /// The deadline passed while the request waited.
     DeadlinePassed,
     /// Retries are spent, or the retry budget is.
@@ -102,7 +104,7 @@
             HeadTooLarge => 431,
             EndpointFailed => 502,
             NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
-            Quarantined | CopyRunning | EndpointsRest => 503,
+            Quarantined | CopyRunning | EndpointsRest | HallsEvacuated => 503,
             RetriesExhausted | Draining | TooManyConnections => 503,
             DeadlinePassed => 504,
         }
@@ -137,6 +139,7 @@
             Quarantined => "quarantined",
             CopyRunning => "copy-running",
             EndpointsRest => "endpoints-rest",
+            HallsEvacuated => "halls-evacuated",
             DeadlinePassed => "deadline-passed",
             RetriesExhausted => "retries-exhausted",
             NoDispatcher => "no-dispatcher",
@@ -176,6 +179,9 @@
             }
             CopyRunning => "come back after the given time, once the other request with the same body has ended",
             EndpointsRest => "come back after the given time; the operator should add endpoints",
+            HallsEvacuated => {
+                "come back after the given time; the operator should take the data hall back ('halls return')"
+            }
             DeadlinePassed => "come back after the given time, or allow a longer deadline",
             RetriesExhausted => "come back after the given time",
             NoDispatcher => "come back after the given time; the operator should check the dispatchers",
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -1,9 +1,11 @@
 //! Between protocol messages and the types of the shard core.
 
 mod advice;
+mod halls;
 mod suspicion;
 
 pub use advice::advice_message;
+pub use halls::{hall_messages, hall_order, order_command, order_reply, order_verdict};
 pub use suspicion::{crash_record, lift_message, lifted_digest};
 
 use crate::v1;
@@ -289,6 +291,7 @@
 const QUARANTINED: &str = "quarantined";
 const COPY_RUNNING: &str = "copy-running";
 const ENDPOINTS_REST: &str = "endpoints-rest";
+const HALLS_EVACUATED: &str = "halls-evacuated";
 
 /// Why a ticket was refused, as text.
 pub fn reason_text(reason: ReleaseReason) -> &'static str {
@@ -300,6 +303,7 @@
         ReleaseReason::Quarantined => QUARANTINED,
         ReleaseReason::CopyRunning => COPY_RUNNING,
         ReleaseReason::EndpointsRest => ENDPOINTS_REST,
+        ReleaseReason::HallsEvacuated => HALLS_EVACUATED,
     }
 }
 
@@ -312,6 +316,7 @@
         QUARANTINED => ReleaseReason::Quarantined,
         COPY_RUNNING => ReleaseReason::CopyRunning,
         ENDPOINTS_REST => ReleaseReason::EndpointsRest,
+        HALLS_EVACUATED => ReleaseReason::HallsEvacuated,
         _ => ReleaseReason::ShardFull,
     }
 }
@@ -389,6 +394,7 @@
         sequence: record.sequence,
         identity: record.identity.to_string(),
         incarnation: record.incarnation.0,
+        cold_millis: millis(record.cold),
     }
 }
 
@@ -410,5 +416,6 @@
         slots: message.slots,
         stage,
         sequence: message.sequence,
+        cold: Duration::from_millis(message.cold_millis),
     })
 }
--- /dev/null
+++ b/crates/micaspool-wire/src/convert/halls.rs
@@ -0,0 +1,68 @@
+//! Orders about data halls as messages.
+
+use super::Error;
+use crate::v1;
+use micaspool_halls::{HallOrder, HallOrders, HallUse, OrderCommand, OrderVerdict};
+use micaspool_types::HallName;
+
+/// An order from a message; it has no time yet.
+pub fn order_command(message: v1::OrderHallRequest) -> Result<OrderCommand, Error> {
+    Ok(OrderCommand {
+        hall: HallName::parse(&message.hall)?,
+        wanted: wanted_use(message.evacuate),
+        known: message.known,
+        ordered_by: message.ordered_by.into(),
+        at_millis: 0,
+    })
+}
+
+/// What came of an order, as a message.
+pub fn order_reply(verdict: OrderVerdict) -> v1::OrderHallReply {
+    let (verdict, number) = match verdict {
+        OrderVerdict::InForce(number) => (v1::HallVerdict::HallInForce, number),
+        OrderVerdict::Overtaken(number) => (v1::HallVerdict::HallOvertaken, number),
+        OrderVerdict::TooManyHalls => (v1::HallVerdict::HallTooMany, 0),
+    };
+    v1::OrderHallReply { verdict: verdict.into(), number, not_leader: None }
+}
+
+/// What came of an order, from a message; `None` for one that a later version may send.
+pub fn order_verdict(reply: &v1::OrderHallReply) -> Option<OrderVerdict> {
+    match reply.verdict() {
+        v1::HallVerdict::HallInForce => Some(OrderVerdict::InForce(reply.number)),
+        v1::HallVerdict::HallOvertaken => Some(OrderVerdict::Overtaken(reply.number)),
+        v1::HallVerdict::HallTooMany => Some(OrderVerdict::TooManyHalls),
+        v1::HallVerdict::HallNone => None,
+    }
+}
+
+/// The newest order about each hall as messages.
+pub fn hall_messages(orders: &HallOrders) -> Vec<v1::HallNews> {
+    let halls = orders.iter().map(|(hall, order)| v1::HallNews {
+        hall: hall.to_string(),
+        number: order.number,
+        evacuated: order.wanted == HallUse::Evacuated,
+        ordered_by: order.ordered_by.to_string(),
+        at_millis: order.at_millis,
+    });
+    halls.collect()
+}
+
+/// A hall and the newest order about it, from a message.
+pub fn hall_order(message: &v1::HallNews) -> Result<(HallName, HallOrder), Error> {
+    let order = HallOrder {
+        number: message.number,
+        wanted: wanted_use(message.evacuated),
+        ordered_by: message.ordered_by.as_str().into(),
+        at_millis: message.at_millis,
+    };
+    Ok((HallName::parse(&message.hall)?, order))
+}
+
+fn wanted_use(evacuated: bool) -> HallUse {
+    if evacuated {
+        HallUse::Evacuated
+    } else {
+        HallUse::Open
+    }
+}
--- a/crates/micaspool/src/cli/mod.rs
+++ b/crates/micaspool/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod endpoint;
 mod fetch;
+mod halls;
 mod keeper;
 mod quarantine;
 mod replay;
@@ -35,6 +36,7 @@
     Settings(settings::SettingsCommand),
     Status(status::StatusCommand),
     Customers(customers::CustomersCommand),
+    Halls(halls::HallsCommand),
     Keeper(keeper::KeeperCommand),
     Quarantine(quarantine::QuarantineCommand),
     Demo(demo::DemoCommand),
@@ -50,6 +52,7 @@
             Command::Status(command) => status::run(command).await,
             Command::Customers(command) => customers::run(command).await,
             Command::Quarantine(command) => quarantine::run(command).await,
+            Command::Halls(command) => halls::run(command).await,
             Command::Keeper(command) => keeper::run(command).await,
             Command::Replay(command) => replay::run(&command),
             Command::Demo(command) => demo::run(command).await,
--- a/crates/micaspool/src/lib.rs
+++ b/crates/micaspool/src/lib.rs
@@ -12,6 +12,7 @@
 pub use micaspool_dispatch as dispatch;
 pub use micaspool_dispatcher as dispatcher;
 pub use micaspool_fair as fair;
+pub use micaspool_halls as halls;
 pub use micaspool_http as http;
 pub use micaspool_keeper as keeper;
 pub use micaspool_ledger as ledger;
