feat(dispatch): nothing is granted in evacuated halls, and cold endpoints get what they bear

Shards close the endpoints of an evacuated hall in the moment they hear of it (closure `evacuated`), gateways give grants for them back and look once more right before bytes go out, dispatchers inside gateways choose engines elsewhere, and nothing is asked there. A ticket that only closed endpoints could run is refused at once with a reason of its own.

Cold endpoints. Nothing knew of them: by what it reads, an engine may get thirty short questions a second, and a cold one falls over above 14. Cold is believed from heartbeats, for a hall that is taken back, and for an endpoint that was away. A ticket counts how long a cold engine that keeps its parts would make it wait; a cold engine's pace is not the start of others. The other way, a count of the last second: lets two bursts through where sends are held up for different times.

What may close an endpoint moved into a module of its own (doors).

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -132,11 +132,24 @@
     pub slots: u32,
     /// True when operators have taken it out of use, or it drains.
     pub leaving: bool,
+    /// True while its data hall is evacuated.
+    pub evacuated: bool,
+    /// How much longer it is cold, from now on.
+    pub cold: Duration,
     /// The tokens that the memory of its engine holds; zero for one that is no language model or
     /// whose size is not known.
     pub memory_tokens: u64,
 }
 
+/// What endpoints of a service bear while they are cold; they bear anything where both are zero.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ColdTerms {
+    /// For how long after its start an endpoint is cold.
+    pub start: Duration,
+    /// The time that a cold endpoint needs for each request, one after the other, whoever sends it.
+    pub request_time: Duration,
+}
+
 /// A customer as settings describe it for this shard's service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ShardCustomer {
@@ -168,6 +181,8 @@
     /// What one engine probably delivers, in tokens a millisecond; zero when settings do not tell. An engine's
     /// pace is learnt, and starts here.
     pub planned_pace: f64,
+    /// What the endpoints bear while they are cold.
+    pub cold: ColdTerms,
 }
 
 /// What an endpoint says of itself, some time after it was true.
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -21,7 +21,7 @@
 pub use action::{ReleaseReason, ShardAction, StandingCause};
 pub use candidates::{CandidateChoice, CandidateKind, CandidateReach, ChoiceOptions, ChoiceStep};
 pub use event::{
-    CacheNews, CustomerTotal, EndpointSpec, GrantFate, HeldGrant, HeldTotal, KeptPart, LoadReport,
+    CacheNews, ColdTerms, CustomerTotal, EndpointSpec, GrantFate, HeldGrant, HeldTotal, KeptPart, LoadReport,
     RegionTotals, RequestTicket, RouterHello, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
 };
 pub use micaspool_quarantine::{CrashRecord, EndpointCrash, QuarantineOptions, RequestStanding};
--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -1,7 +1,8 @@
 //! Which endpoint suits a ticket best.
 
-use super::endpoints::{EndpointIndex, EndpointTable};
+use super::endpoints::{EndpointIndex, EndpointState, EndpointTable};
 use super::engine::PromptShape;
+use super::waits::QueuedBefore;
 use micaspool_types::{HallMask, Moment};
 use std::time::Duration;
 
@@ -46,24 +47,26 @@
     /// The engine that would give a prompt its first token soonest: one that keeps a part of it, free or not,
     /// or one of the least loaded free ones. One that is in time goes before one that is not: of 1,200 requests
     /// with common parts that 60 engines could read in half of their time, 190 are refused without this and none
-    /// with it. `tokens_before` tells what each will read for tickets that wait for it already. `None` when
+    /// with it. `queued` tells which tickets wait for each already. `None` when
     /// there is no such engine.
     pub fn soonest_engine(
         &self,
         now: Moment,
         query: &EngineQuery<'_>,
-        tokens_before: impl Fn(EndpointIndex) -> u64,
+        queued: impl Fn(EndpointIndex) -> QueuedBefore,
     ) -> Option<EndpointIndex> {
         let holders = self.holders_of(query);
         let candidates = holders.chain(self.least_loaded_few(query));
         let fitness = candidates.filter_map(|index| {
             let state = self.state(index);
             let engine = state.engine.as_ref()?;
-            let before = tokens_before(index);
-            let begins = now + engine.time_to_begin(now, query.prompt, before);
+            let before = queued(index);
+            let held_up = self.cold_wait(now, index, before.tickets);
+            let begins = now + held_up + engine.time_to_begin(now, query.prompt, before.tokens);
             Some(EngineFitness {
                 late: query.wanted_by.is_some_and(|wanted| begins > wanted),
-                delay: engine.delay(now, query.prompt, state.busy, before),
+                delay: engine.delay(now, query.prompt, state.busy, before.tokens)
+                    + held_up.as_micros() as u64,
                 engine: index,
             })
         });
@@ -75,10 +78,11 @@
         self.state(engine).engine.as_ref().map_or(0, |engine| engine.missing(prompt))
     }
 
-    /// Where an engine that nothing is known of starts, in microseconds a token: the mean of the
+    /// Where an engine that nothing is known of starts, in microseconds a token: the mean of the warm
     /// engines that were observed, else what settings plan.
-    pub fn usual_per_token(&self, planned_pace: f64) -> Option<f64> {
-        let engines = self.states.iter().filter_map(|state| state.engine.as_ref());
+    pub fn usual_per_token(&self, now: Moment, planned_pace: f64) -> Option<f64> {
+        let warm = self.states.iter().filter(|state| !state.doors.cold.is_cold(now));
+        let engines = warm.filter_map(|state| state.engine.as_ref());
         let known: Vec<f64> = engines.filter_map(|engine| engine.pace().settled_per_token()).collect();
         if known.is_empty() {
             return (planned_pace > 0.0).then(|| 1_000.0 / planned_pace);
@@ -88,13 +92,21 @@
 
     /// What the open endpoints do together in a second: the tokens that engines read, or the requests that others
     /// take. Infinite where nothing is known yet.
-    pub fn load_per_second(&self) -> f64 {
+    pub fn load_per_second(&self, now: Moment) -> f64 {
         let open = || self.iter().filter(|state| state.is_open());
         if self.has_no_engine() {
             return self.service_time.requests_per_second(open().map(|state| state.slots).sum());
         }
-        let engines = open().filter_map(|state| state.engine.as_ref());
-        engines.map(|engine| engine.pace().tokens_per_milli() * 1_000.0).sum()
+        let spacing = self.cold_spacing();
+        let load = |state: &EndpointState| {
+            let pace = state.engine.as_ref()?.pace();
+            let warm = pace.tokens_per_milli() * 1_000.0;
+            let usual = pace.usual_reading();
+            let is_bounded = state.doors.cold.is_cold(now) && !spacing.is_zero() && !usual.is_zero();
+            let used = if is_bounded { usual.div_duration_f64(spacing).min(1.0) } else { 1.0 };
+            Some(warm * used)
+        };
+        open().filter_map(load).sum()
     }
 
     /// True for a plain service: none of its endpoints is a language model.
@@ -107,7 +119,7 @@
     pub fn shortest_begin(&self, now: Moment, prompt: &PromptShape) -> Duration {
         let anywhere =
             EngineQuery { prompt, halls: HallMask(u32::MAX), is_excluded: &|_| false, wanted_by: None };
-        let best = self.soonest_engine(now, &anywhere, |_| 0);
+        let best = self.soonest_engine(now, &anywhere, |_| QueuedBefore::default());
         let engine = best.and_then(|index| self.state(index).engine.as_ref());
         engine.map_or(self.answer_time.mean(), |engine| engine.begin_time(prompt))
     }
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -1,11 +1,12 @@
 //! The endpoints of a shard: slots, and whether they may take new work.
 
+use super::doors::EndpointDoors;
 use super::engine::{EngineState, PartChange, PromptShape};
 use super::holders::PartHolders;
 use super::reports::SeenSurplus;
 use super::service_time::ServiceTime;
 use super::status::EndpointClosure;
-use crate::event::{CacheNews, EndpointSpec, GrantFate};
+use crate::event::{CacheNews, ColdTerms, EndpointSpec, GrantFate, ShardPolicy};
 use micaspool_types::{EndpointName, HallMask, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -17,23 +18,6 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub(super) struct EndpointIndex(u32);
 
-/// Why an endpoint takes nothing new, apart from full slots.
-#[derive(Debug, Default)]
-pub(super) struct EndpointDoors {
-    /// Settings no longer have it, or say that it leaves.
-    settings: bool,
-    /// The platform lists it as leaving.
-    listed: bool,
-    /// Its newest load report said so, at this moment. Only a later report opens it.
-    pub draining_since: Option<Moment>,
-    /// It told a router that it leaves, which is final.
-    said_leaving: bool,
-    /// It failed, refused or answered that it leaves, and is left alone until this moment.
-    pub(super) paused_until: Option<Moment>,
-    /// True when it is paused since a router was told that it leaves.
-    pub(super) paused_as_leaving: bool,
-}
-
 #[derive(Debug)]
 pub(super) struct EndpointState {
     pub name: EndpointName,
@@ -52,6 +36,8 @@
     pub failures: u32,
     /// Requests in a row that broke and were tolerated.
     breaks: u32,
+    /// How often in a row it could not be reached.
+    pub(super) absences: u32,
     /// The surplus of the last report over our own grants, and when it came.
     pub(super) last_surplus: Option<SeenSurplus>,
     /// The load under which the endpoint stands in its hall's set of free endpoints.
@@ -69,8 +55,10 @@
     names: HashMap<EndpointName, EndpointIndex>,
     pub(super) free: Vec<BTreeSet<(u32, EndpointIndex)>>,
     pub(super) pauses: BTreeSet<(Moment, EndpointIndex)>,
-    /// When engines that read will have read enough to get more.
-    readers: BTreeSet<(Moment, EndpointIndex)>,
+    /// When endpoints may get more: engines that will have read enough, and cold ones whose next request is due.
+    pub(super) wakes: BTreeSet<(Moment, EndpointIndex)>,
+    /// What endpoints bear while they are cold.
+    pub(super) cold_terms: ColdTerms,
     pub(super) holders: PartHolders,
     /// Reused to carry what changed about an engine's kept parts.
     part_changes: Vec<PartChange>,
@@ -82,29 +70,15 @@
     pub(super) answer_time: ServiceTime,
 }
 
-impl EndpointDoors {
-    /// True when the endpoint is known to be leaving, or gone for a reason of its own.
-    pub(super) fn is_leaving(&self) -> bool {
-        self.settings || self.listed || self.draining_since.is_some() || self.said_leaving
-    }
-}
-
 impl EndpointState {
     /// True when the endpoint may take new work once it has a slot.
     pub fn is_open(&self) -> bool {
-        self.closure().is_none()
+        self.doors.is_open()
     }
 
     /// Why the endpoint takes nothing new; the most lasting cause if there are several.
     pub fn closure(&self) -> Option<EndpointClosure> {
-        let doors = &self.doors;
-        let causes = [
-            (doors.settings, EndpointClosure::Settings),
-            (doors.listed, EndpointClosure::Listed),
-            (doors.draining_since.is_some() || doors.said_leaving, EndpointClosure::Draining),
-            (doors.paused_until.is_some(), EndpointClosure::Paused),
-        ];
-        causes.into_iter().find(|(closed, _)| *closed).map(|(_, cause)| cause)
+        self.doors.closure()
     }
 
     /// True when it has a free slot and little enough to read.
@@ -112,6 +86,15 @@
         self.indexed.is_some()
     }
 
+    /// Takes over what settings and the endpoint itself say.
+    fn follow(&mut self, now: Moment, spec: &EndpointSpec) {
+        self.hall = spec.hall;
+        self.slots = spec.slots;
+        self.doors.settings = spec.leaving;
+        self.doors.evacuated = spec.evacuated;
+        self.doors.cold.tell(now, spec.cold);
+    }
+
     fn size_engine(&mut self, memory: u64, first_share: u64, per_token: Option<f64>) {
         match &mut self.engine {
             Some(engine) => {
@@ -142,7 +125,7 @@
     /// read.
     fn free_load(&self) -> Option<u32> {
         let taken = self.busy + self.foreign;
-        let free = self.has_slot() && !self.reading;
+        let free = self.has_slot() && !self.reading && !self.doors.cold.spaced;
         free.then(|| taken * LOAD_PARTS / self.slots.max(1))
     }
 }
@@ -191,6 +174,7 @@
             reading: false,
             failures: 0,
             breaks: 0,
+            absences: 0,
             last_surplus: None,
             indexed: None,
         });
@@ -198,25 +182,23 @@
     }
 
     /// Takes over the endpoints of new settings; others get nothing new and finish what runs.
-    pub fn adopt(&mut self, specs: &[EndpointSpec], planned_pace: f64) {
+    pub fn adopt(&mut self, now: Moment, policy: &ShardPolicy) {
         let first_share = self.first_share;
-        let per_token = self.usual_per_token(planned_pace);
+        let per_token = self.usual_per_token(now, policy.planned_pace);
+        self.cold_terms = policy.cold;
         for index in self.indices() {
             self.unindex(index);
             self.state_mut(index).doors.settings = true;
         }
-        for spec in specs {
+        for spec in &policy.endpoints {
             let index = self.ensure(&spec.name);
-            let state = self.state_mut(index);
-            state.hall = spec.hall;
-            state.slots = spec.slots;
-            state.doors.settings = spec.leaving;
-            state.size_engine(spec.memory_tokens, first_share, per_token);
+            self.state_mut(index).follow(now, spec);
+            self.state_mut(index).size_engine(spec.memory_tokens, first_share, per_token);
         }
         let halls = self.states.iter().map(|state| state.hall + 1).max().unwrap_or(0);
         self.free.resize_with(halls.max(self.free.len()), BTreeSet::new);
         for index in self.indices() {
-            self.reindex(index);
+            self.watch_cold(now, index);
         }
     }
 
@@ -267,6 +249,7 @@
         self.holders.take(endpoint, &mut changes);
         self.part_changes = changes;
         self.watch_reading(now, endpoint);
+        self.space_out(now, endpoint);
     }
 
     /// Notes that a request has begun at its engine.
@@ -292,7 +275,7 @@
         state.reading = !engine.has_time(now);
         let wake = engine.has_time_at(now);
         if state.reading && wake > now {
-            self.readers.insert((wake, endpoint));
+            self.wakes.insert((wake, endpoint));
         }
         self.reindex(endpoint);
     }
@@ -300,8 +283,8 @@
     /// When something will be due without any event.
     pub fn next_wake(&self) -> Option<Moment> {
         let pause = self.pauses.first().map(|(at, _)| *at);
-        let reader = self.readers.first().map(|(at, _)| *at);
-        [pause, reader].into_iter().flatten().min()
+        let wake = self.wakes.first().map(|(at, _)| *at);
+        [pause, wake].into_iter().flatten().min()
     }
 
     /// Takes one slot.
@@ -318,6 +301,7 @@
             GrantFate::Done | GrantFate::Abandoned => {
                 state.failures = 0;
                 state.breaks = 0;
+                self.presume_cold(now, endpoint);
             }
             GrantFate::Broken | GrantFate::Severed if state.breaks < self.tolerated_breaks => {
                 state.breaks += 1
@@ -331,6 +315,7 @@
             | GrantFate::Broken
             | GrantFate::Severed => {
                 state.doors.paused_as_leaving = fate == GrantFate::Draining;
+                state.absences += u32::from(fate == GrantFate::Unreachable);
                 self.pause(now, endpoint)
             }
             GrantFate::Unsent | GrantFate::NotHeld => {}
@@ -367,11 +352,12 @@
         self.reindex(endpoint);
     }
 
-    /// Ends the pauses whose time has come, and opens engines that have read enough.
+    /// Ends the pauses whose time has come, and opens endpoints that may get more.
     pub fn wake(&mut self, now: Moment) {
-        while let Some((at, endpoint)) = self.readers.first().copied().filter(|(at, _)| *at <= now) {
-            self.readers.remove(&(at, endpoint));
+        while let Some((at, endpoint)) = self.wakes.first().copied().filter(|(at, _)| *at <= now) {
+            self.wakes.remove(&(at, endpoint));
             self.watch_reading(now, endpoint);
+            self.watch_cold(now, endpoint);
         }
         self.end_pauses(now);
     }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -131,7 +131,7 @@
                 || apart.contains(&endpoint)
                 || self.may_not_use(now, ticket.router, endpoint)
         };
-        let before = |engine| self.waits.tokens_before(engine, ticket.place.request);
+        let before = |engine| self.waits.before(engine, ticket.place.request);
         let query = EngineQuery {
             prompt: &ticket.prompt,
             halls,
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -6,10 +6,13 @@
 
 mod advice;
 mod choice;
+mod cold;
 mod copies;
 mod customers;
+mod doors;
 mod endpoints;
 mod engine;
+mod evacuation;
 mod evidence;
 mod grants;
 mod holders;
@@ -150,7 +153,7 @@
 
     fn take(&mut self, now: Moment, event: ShardEvent, actions: &mut Vec<ShardAction>) {
         match event {
-            ShardEvent::Policy(policy) => self.adopt(policy),
+            ShardEvent::Policy(policy) => self.adopt(now, policy, actions),
             ShardEvent::Joined(session, hello) => self.join(now, session, hello, actions),
             ShardEvent::Left(session) => self.routers.detach(session),
             ShardEvent::Goodbye(session) => self.dismiss(now, session),
@@ -186,15 +189,15 @@
     }
 
     /// Puts newer settings in force; older ones are ignored.
-    fn adopt(&mut self, policy: ShardPolicy) {
+    fn adopt(&mut self, now: Moment, policy: ShardPolicy, actions: &mut Vec<ShardAction>) {
         if policy.revision < self.revision {
             return;
         }
         self.revision = policy.revision;
         self.idle_credit = policy.idle_credit;
         self.remap_floors(&policy.halls);
+        self.endpoints.adopt(now, &policy);
         self.halls = policy.halls;
-        self.endpoints.adopt(&policy.endpoints, policy.planned_pace);
         let present = self.endpoints.halls_present();
         for customer in self.customers.indices() {
             self.unindex(customer);
@@ -203,6 +206,7 @@
         for customer in self.customers.indices() {
             self.reindex(customer);
         }
+        self.refuse_evacuated(now, actions);
     }
 
     fn remap_floors(&mut self, halls: &[HallName]) {
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -98,7 +98,7 @@
     pub(super) fn refuse_overdue(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
         while let Some((_, request)) = self.overdue.first().copied().filter(|(at, _)| *at <= now) {
             self.overdue.pop_first();
-            self.refuse(now, request, actions);
+            self.refuse_late(now, request, actions);
         }
     }
 
@@ -106,21 +106,33 @@
     /// an even share of what all endpoints do, if that is more.
     fn queue_time(&self, now: Moment, state: &CustomerState) -> Duration {
         let backlogged = self.customers.iter().filter(|other| !other.queue.is_empty()).count();
-        let share = self.endpoints.load_per_second() / backlogged.max(1) as f64;
+        let share = self.endpoints.load_per_second(now) / backlogged.max(1) as f64;
         let rate = state.grant_rate.per_second(now).max(share);
         Duration::try_from_secs_f64(state.queued_load as f64 / rate).unwrap_or(Duration::MAX)
     }
 
-    fn refuse(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
-        let Some(ticket) = self.drop_waiting(request) else { return };
+    fn refuse_late(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
+        let Some(ticket) = self.waiting.get(&request) else { return };
         self.customers.get_mut(ticket.customer).refused_at = Some(now);
+        self.refuse_for(now, request, ReleaseReason::Overdue, actions);
+    }
+
+    /// Refuses a waiting ticket.
+    pub(super) fn refuse_for(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        reason: ReleaseReason,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let Some(ticket) = self.drop_waiting(request) else { return };
         self.first_tries.note_refused(now);
         if let Some(session) = self.routers.session(ticket.router) {
             let retry_after = self.retry_after(ticket.customer);
             actions.push(ShardAction::Refuse {
                 session,
                 request,
-                reason: ReleaseReason::Overdue,
+                reason,
                 retry_after,
                 waited: now.since(ticket.since),
                 awaited: ticket.waits_for.get().map(|choice| self.endpoints.name(choice.engine).clone()),
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -41,6 +41,8 @@
     pub reading: bool,
     /// Failures in a row.
     pub failures: u32,
+    /// How much longer it is taken for cold; zero for one that is warm.
+    pub cold: Duration,
     /// How many routers it asked for rest.
     pub rests_for: usize,
     /// How fast its engine reads; `None` for other endpoints.
@@ -56,6 +58,8 @@
     Listed,
     /// It said so itself.
     Draining,
+    /// Its data hall is evacuated by an operator's order.
+    Evacuated,
     /// It failed, refused or could not be reached, and is left alone for a while.
     Paused,
 }
@@ -67,6 +71,7 @@
             EndpointClosure::Settings => "settings",
             EndpointClosure::Listed => "listed",
             EndpointClosure::Draining => "draining",
+            EndpointClosure::Evacuated => "evacuated",
             EndpointClosure::Paused => "paused",
         }
     }
@@ -163,6 +168,11 @@
             free: state.is_free(),
             reading: state.reading,
             failures: state.failures,
+            cold: if state.doors.cold.is_cold(now) {
+                state.doors.cold.until().since(now)
+            } else {
+                Duration::ZERO
+            },
             rests_for: rests.get(&index).copied().unwrap_or_default(),
             pace: state.engine.as_ref().map(|engine| PaceStatus::of(now, engine.pace())),
         });
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -144,6 +144,9 @@
         wait: WaitEstimate,
     ) -> Option<ReleaseReason> {
         let state = self.customers.get(customer);
+        if self.endpoints.all_evacuated(state.halls) {
+            return Some(ReleaseReason::HallsEvacuated);
+        }
         if self.waiting.len() >= self.options.max_waiting {
             return Some(ReleaseReason::ShardFull);
         }
--- a/crates/micaspool-dispatch/src/shard/waits.rs
+++ b/crates/micaspool-dispatch/src/shard/waits.rs
@@ -8,6 +8,15 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
+/// What chose an engine before a ticket did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct QueuedBefore {
+    /// How many tickets.
+    pub tickets: u32,
+    /// What the engine has to read for them.
+    pub tokens: u64,
+}
+
 /// A ticket in the queue of an engine.
 #[derive(Debug, Clone, Copy)]
 struct AwaitingTicket {
@@ -24,11 +33,15 @@
 }
 
 impl EngineWaits {
-    /// The tokens that an engine will read for tickets that chose it before this one.
-    pub fn tokens_before(&self, engine: EndpointIndex, request: RequestId) -> u64 {
+    /// The tickets that chose an engine before this one.
+    pub fn before(&self, engine: EndpointIndex, request: RequestId) -> QueuedBefore {
         let queues = self.queues.borrow();
-        let Some(queue) = queues.get(&engine) else { return 0 };
-        queue.iter().take_while(|ticket| ticket.request != request).map(|ticket| ticket.tokens).sum()
+        let Some(queue) = queues.get(&engine) else { return QueuedBefore::default() };
+        let earlier = queue.iter().take_while(|ticket| ticket.request != request);
+        earlier.fold(QueuedBefore::default(), |before, ticket| QueuedBefore {
+            tickets: before.tickets + 1,
+            tokens: before.tokens + ticket.tokens,
+        })
     }
 
     /// A ticket waits for an engine; it keeps its place if it did before.
--- a/crates/micaspool-dispatch/tests/shard/bench.rs
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -1,8 +1,8 @@
 //! A shard with hand-made routers, endpoints and customers.
 
 use micaspool_dispatch::{
-    EndpointSpec, GrantFate, HeldGrant, HeldTotal, LoadReport, RequestTicket, RouterHello, SessionId,
-    ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    ColdTerms, EndpointSpec, GrantFate, HeldGrant, HeldTotal, LoadReport, RequestTicket, RouterHello,
+    SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
@@ -108,6 +108,8 @@
             hall: number % 3,
             slots,
             leaving: false,
+            evacuated: false,
+            cold: Duration::ZERO,
             memory_tokens: 0,
         });
         let named = customers.iter().map(|name| ShardCustomer {
@@ -120,6 +122,7 @@
             revision: Revision(1),
             idle_credit: Cost(0),
             planned_pace: 0.0,
+            cold: ColdTerms::default(),
             halls: (0..3).map(|number| HallName::parse(&format!("h{number}")).expect("a name")).collect(),
             endpoints: specs.collect(),
             customers: named.collect(),
--- a/crates/micaspool-dispatch/tests/shard/poison.rs
+++ b/crates/micaspool-dispatch/tests/shard/poison.rs
@@ -210,6 +210,8 @@
                     hall: fresh % 3,
                     slots,
                     leaving: false,
+                    evacuated: false,
+                    cold: Duration::ZERO,
                     memory_tokens: 0,
                 });
             });
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -5,12 +5,13 @@
 use crate::subset::EngineSubset;
 use async_std::channel::Receiver;
 use micaspool_client::FleetMirror;
-use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
+use micaspool_dispatch::{ColdTerms, EndpointSpec, ShardCustomer, ShardPolicy};
 use micaspool_registry::{EndpointRecord, EndpointStage};
-use micaspool_routes::RoutePlan;
+use micaspool_routes::{ColdProfile, RoutePlan};
 use micaspool_types::{Cost, CustomerName, HallMask, Incarnation, Revision, ServiceName, Weight};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The customer under which requests of public routes wait.
 pub const PUBLIC_CUSTOMER: &str = "_public";
@@ -38,14 +39,25 @@
         FleetSource { mirror, subset, given: AtomicU64::new(1) }
     }
 
-    /// The engines of a service that are used.
+    /// The engines of a service that are used. A few are chosen among those outside of evacuated halls, if there are
+    /// any.
     fn engines_of(&self, service: &ServiceName) -> Vec<EndpointRecord> {
         let engines = self.mirror.endpoints_of(service);
-        match &self.subset {
-            Some(subset) => subset.choose(engines),
-            None => engines,
+        let Some(subset) = &self.subset else { return engines };
+        let orders = self.mirror.hall_orders();
+        let outside = |engine: &EndpointRecord| !orders.is_evacuated(&engine.hall);
+        if engines.iter().any(outside) {
+            subset.choose(engines.into_iter().filter(outside).collect())
+        } else {
+            subset.choose(engines)
         }
     }
+
+    /// How much longer an endpoint is taken for cold.
+    fn cold_left(&self, record: &EndpointRecord, profile: Option<ColdProfile>) -> Duration {
+        let Some(profile) = profile else { return Duration::ZERO };
+        record.cold.max(self.mirror.presumed_cold(&record.hall, profile.start()))
+    }
 }
 
 impl PolicySource for FleetSource {
@@ -53,7 +65,9 @@
         let revision = Revision(self.given.fetch_add(1, Ordering::SeqCst));
         let plan = self.mirror.plan().plan;
         let halls = self.mirror.halls();
-        let engine = plan.service(service.as_str()).and_then(|rule| rule.engine);
+        let rule = plan.service(service.as_str());
+        let (engine, cold) = (rule.and_then(|rule| rule.engine), rule.and_then(|rule| rule.cold));
+        let orders = self.mirror.hall_orders();
         let records = match engine {
             Some(_) => self.engines_of(service),
             None => self.mirror.endpoints_of(service),
@@ -61,6 +75,8 @@
         let endpoints = records.into_iter().map(|record| EndpointSpec {
             hall: halls.iter().position(|hall| *hall == record.hall).unwrap_or_default(),
             leaving: record.stage != EndpointStage::Serving,
+            evacuated: orders.is_evacuated(&record.hall),
+            cold: self.cold_left(&record, cold),
             slots: record.slots,
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
             name: record.name,
@@ -68,18 +84,32 @@
         let endpoints = endpoints.collect();
         let planned_pace = planned_pace(plan.parts().capacity, self.mirror.endpoints_of(service).len());
         let idle_credit = Cost(plan.parts().capacity * IDLE_CREDIT_MILLIS / 1_000);
-        ShardPolicy { revision, endpoints, customers: customers(&plan), halls, idle_credit, planned_pace }
+        let cold = cold.map_or(ColdTerms::default(), |cold| ColdTerms {
+            start: cold.start(),
+            request_time: cold.request_time(),
+        });
+        ShardPolicy {
+            revision,
+            endpoints,
+            customers: customers(&plan),
+            halls,
+            idle_credit,
+            planned_pace,
+            cold,
+        }
     }
 
     fn listen(&self) -> Receiver<()> {
         self.mirror.listen()
     }
 
-    /// Engines only: others have no load that would decide anything.
+    /// Engines only: others have no load that would decide anything. Nothing is asked in a hall that is evacuated.
     fn probed(&self, service: &ServiceName) -> Vec<ProbedEndpoint> {
         let plan = self.mirror.plan().plan;
         let is_engine = plan.service(service.as_str()).is_some_and(|rule| rule.engine.is_some());
-        let records = if is_engine { self.engines_of(service) } else { Vec::new() };
+        let mut records = if is_engine { self.engines_of(service) } else { Vec::new() };
+        let orders = self.mirror.hall_orders();
+        records.retain(|record| !orders.is_evacuated(&record.hall));
         let probed = |record: EndpointRecord| ProbedEndpoint {
             name: record.name,
             service: record.service,
--- a/crates/micaspool-dispatcher/src/shard_policy.rs
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -1,8 +1,9 @@
 //! The part of the settings that one shard needs.
 
-use micaspool_dispatch::{EndpointSpec, ShardCustomer, ShardPolicy};
+use micaspool_dispatch::{ColdTerms, EndpointSpec, ShardCustomer, ShardPolicy};
 use micaspool_settings::policy::FleetPolicy;
 use micaspool_types::{Cost, ServiceName};
+use std::time::Duration;
 
 /// The settings of one service as its shard takes them; empty when the service is not listed.
 pub fn shard_policy(fleet: &FleetPolicy, service: &ServiceName) -> ShardPolicy {
@@ -15,6 +16,8 @@
         hall: endpoint.hall,
         slots: endpoint.slots,
         leaving: endpoint.leaving,
+        evacuated: false,
+        cold: Duration::ZERO,
         memory_tokens: 0,
     });
     let customers = fleet.customers.iter().map(|customer| {
@@ -33,5 +36,6 @@
         customers: customers.collect(),
         idle_credit: Cost(0),
         planned_pace: 0.0,
+        cold: ColdTerms::default(),
     }
 }
--- a/crates/micaspool-dispatcher/src/shard_view.rs
+++ b/crates/micaspool-dispatcher/src/shard_view.rs
@@ -128,6 +128,7 @@
                 "open": endpoint.is_open(),
                 "closed_by": endpoint.closure.map(EndpointClosure::as_str),
                 "failures": endpoint.failures,
+                "cold_ms": endpoint.cold.as_millis() as u64,
                 "rests_for_routers": endpoint.rests_for,
                 "pace": endpoint.pace.map(pace_json),
             })
--- a/crates/micaspool-gateway/src/path/attempt.rs
+++ b/crates/micaspool-gateway/src/path/attempt.rs
@@ -189,6 +189,10 @@
                 continue;
             }
             match gateway.shared.parts.mirror.endpoint(lease.endpoint()) {
+                Some(record) if gateway.shared.parts.mirror.is_evacuated(&record.hall) => {
+                    trail.note_evacuated(&record);
+                    lease.settle(Cost(0), GrantFate::NotHeld);
+                }
                 Some(record) if record.stage == EndpointStage::Serving => return Ok((lease, record)),
                 held => {
                     trail.note_unusable(lease.endpoint(), held.map(|record| record.stage));
@@ -274,7 +278,7 @@
         };
         let request = self.build(gateway, &order);
         lease.mark_sent();
-        let may_send = || parts.advice.may_send(&endpoint.name);
+        let may_send = || parts.advice.may_send(&endpoint.name) && !parts.mirror.is_evacuated(&endpoint.hall);
         let sent = timeout(left, parts.pool.send_while(endpoint.address, request, may_send)).await;
         let failure = match sent {
             Ok(Ok(response)) => {
--- a/crates/micaspool-gateway/src/trail.rs
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -2,12 +2,15 @@
 
 use crate::metrics::GatewayMetrics;
 use micaspool_clock::BootInstant;
-use micaspool_registry::EndpointStage;
+use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
 use micaspool_types::{AdviceRecord, EndpointName, Refusal, RequestDigest, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How an endpoint is held whose data hall is evacuated, in logs and metrics.
+const EVACUATED: &str = "evacuated";
+
 /// What happened to a request so far. One that is dropped before its end had a caller that left.
 #[derive(Debug)]
 pub(crate) struct RequestTrail {
@@ -108,6 +111,18 @@
         record(&events::GRANT_UNUSABLE, &fields);
     }
 
+    /// Logs a grant for an endpoint in a data hall that is evacuated.
+    pub fn note_evacuated(&self, endpoint: &EndpointRecord) {
+        self.metrics.count_failure(EVACUATED);
+        let fields = [
+            field("request", &self.id),
+            field("endpoint", &endpoint.name),
+            field("held_as", EVACUATED),
+            field("hall", &endpoint.hall),
+        ];
+        record(&events::GRANT_UNUSABLE, &fields);
+    }
+
     /// Logs a send that failed; the request may go on.
     pub fn note_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
         self.metrics.count_failure(kind);
--- a/crates/micaspool-replay/src/run/setup.rs
+++ b/crates/micaspool-replay/src/run/setup.rs
@@ -3,10 +3,11 @@
 use super::queue::ReplayEvent;
 use super::{ReplayRun, HEARTBEAT, PROBE, TICK};
 use micaspool_dispatch::{
-    EndpointSpec, SessionId, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    ColdTerms, EndpointSpec, SessionId, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool_fair::policy_named;
 use micaspool_types::{Cost, CustomerName, EndpointName, HallMask, HallName, Moment, Revision, Weight};
+use std::time::Duration;
 
 impl ReplayRun<'_> {
     /// Queues everything that is known beforehand.
@@ -58,12 +59,15 @@
             hall: number % header.halls,
             slots: header.slots,
             leaving: false,
+            evacuated: false,
+            cold: Duration::ZERO,
             memory_tokens: 0,
         });
         ShardPolicy {
             revision: Revision(1),
             idle_credit: Cost(0),
             planned_pace: 0.0,
+            cold: ColdTerms::default(),
             halls: (0..header.halls).map(hall).collect(),
             endpoints: endpoints.collect(),
             customers: customers.collect(),
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -4,8 +4,8 @@
 //! slot goes to the next ticket, and a new ticket begins to wait.
 
 use micaspool::dispatch::{
-    EndpointSpec, GrantFate, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer,
-    ShardEvent, ShardOptions, ShardPolicy,
+    ColdTerms, EndpointSpec, GrantFate, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore,
+    ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool::ledger::{
     BodyDigest, ClaimCommand, ClaimKey, ClaimToken, FinishCommand, FinishKind, LedgerOptions, LedgerState,
@@ -16,6 +16,7 @@
     RequestId, Revision, Weight,
 };
 use std::collections::VecDeque;
+use std::time::Duration;
 use std::time::{Duration, Instant};
 
 const SLOTS: u32 = 8;
@@ -42,6 +43,8 @@
         hall: number % 4,
         slots: SLOTS,
         leaving: false,
+        evacuated: false,
+        cold: Duration::ZERO,
         memory_tokens: 0,
     });
     let named = (0..customers).map(|number| ShardCustomer {
@@ -54,6 +57,7 @@
         revision: Revision(1),
         idle_credit: Cost(0),
         planned_pace: 0.0,
+        cold: ColdTerms::default(),
         halls: halls.collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -5,8 +5,8 @@
 //! a request that arrives, at the usual rate of the users' grown site and at five times that.
 
 use micaspool::dispatch::{
-    CacheNews, EndpointSpec, GrantFate, KeptPart, LoadReport, RequestTicket, RouterHello, SessionId,
-    ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    CacheNews, ColdTerms, EndpointSpec, GrantFate, KeptPart, LoadReport, RequestTicket, RouterHello,
+    SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool::types::{
     Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment, RequestDigest,
@@ -14,6 +14,7 @@
 };
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::time::Duration;
 use std::time::{Duration, Instant};
 
 const SESSION: SessionId = SessionId(1);
@@ -69,6 +70,8 @@
         hall: number % 3,
         slots: SLOTS,
         leaving: false,
+        evacuated: false,
+        cold: Duration::ZERO,
         memory_tokens: MEMORY,
     });
     let named = (0..CUSTOMERS as u64).map(|number| ShardCustomer {
@@ -81,6 +84,7 @@
         revision: Revision(1),
         idle_credit: Cost(100_000),
         planned_pace: 0.0,
+        cold: ColdTerms::default(),
         halls: (0..3).map(|number| HallName::parse(&format!("hall-{number}")).expect("a name")).collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
