perf(gateway): a request that is throttled is refused before its body is kept or hashed

Cause: whether a router throttles was asked after the body was read into one buffer and hashed (10 us for 17 KB), a ticket made and a channel opened. It is asked as soon as route and customer are known now; the body is read for nothing, since unread bytes would reset the connection before the caller has its answer. Of throttled requests twenty lines a second are logged, the next one counts the others.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -284,6 +284,13 @@
     }
 }
 
+/// The names of the data halls that this process sends nothing into.
+fn evacuated_halls(mirror: &FleetMirror) -> Vec<String> {
+    let orders = mirror.hall_orders();
+    let evacuated = orders.iter().filter(|(hall, _)| orders.is_evacuated(hall));
+    evacuated.map(|(hall, _)| hall.to_string()).collect()
+}
+
 struct GatewayStatusSource {
     mirror: Arc<FleetMirror>,
     gateway: Gateway,
@@ -309,6 +316,8 @@
         let (resting, leaving) = self.advice.counts();
         self.metrics.endpoints_resting.set(i64::try_from(resting).unwrap_or(i64::MAX));
         self.metrics.endpoints_leaving.set(i64::try_from(leaving).unwrap_or(i64::MAX));
+        let evacuated = self.mirror.hall_orders().evacuated();
+        self.metrics.halls_evacuated.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
         self.traffic.refresh();
         encode_text(&self.registry)
     }
@@ -325,6 +334,7 @@
         json!({
             "process": "gateway",
             "plan": self.mirror.plan().number,
+            "evacuated_halls": evacuated_halls(&self.mirror),
             "keepers": keepers.collect::<Vec<_>>(),
             "shards": shards.collect::<Vec<_>>(),
         })
--- a/crates/micaspool-gateway/src/metrics.rs
+++ b/crates/micaspool-gateway/src/metrics.rs
@@ -1,16 +1,20 @@
 //! Counters and histograms of a gateway.
 
+use micaspool_telemetry::limit::LineLimit;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
+use std::sync::Arc;
 
 /// The smallest bucket of the latency histograms, in seconds, and how many there are; each is twice
 /// as long as the one before, up to some 16 s.
 const FIRST_BUCKET: f64 = 0.002;
 const BUCKETS: u16 = 14;
+/// How many throttled requests have a log line of their own in a second.
+const THROTTLED_LINES: u32 = 20;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabel {
@@ -46,6 +50,10 @@
     pub endpoints_resting: Gauge,
     /// Endpoints that said that they leave.
     pub endpoints_leaving: Gauge,
+    /// Data halls that are evacuated.
+    pub halls_evacuated: Gauge,
+    /// Bounds the log lines on throttled requests, which a flood makes by the hundred.
+    pub throttled_lines: Arc<LineLimit>,
 }
 
 impl GatewayMetrics {
@@ -67,6 +75,8 @@
             plan_number: Gauge::default(),
             endpoints_resting: Gauge::default(),
             endpoints_leaving: Gauge::default(),
+            halls_evacuated: Gauge::default(),
+            throttled_lines: Arc::new(LineLimit::new(THROTTLED_LINES)),
         };
         metrics.name_counters(registry);
         metrics.name_times(registry);
@@ -97,6 +107,8 @@
         registry.register("micaspool_gateway_resting_endpoints", resting, self.endpoints_resting.clone());
         let leaving = "Endpoints that said in an answer that they leave";
         registry.register("micaspool_gateway_leaving_endpoints", leaving, self.endpoints_leaving.clone());
+        let evacuated = "Data halls that are evacuated by an operator's order";
+        registry.register("micaspool_gateway_evacuated_halls", evacuated, self.halls_evacuated.clone());
     }
 
     /// Counts a refusal.
--- a/crates/micaspool-gateway/src/path/mod.rs
+++ b/crates/micaspool-gateway/src/path/mod.rs
@@ -166,6 +166,10 @@
         let limit = plan.plan.parts().limits.body_bytes;
         check_length(&head, limit)?;
         let patience = caller.patience.unwrap_or(BODY_LIMIT).min(target.time_limit);
+        if let Err(refusal) = self.shard(&target.service).admit(&target.waiting_customer()) {
+            let _ = timeout(patience, discard(body)).await;
+            return Err(refusal);
+        }
         let read = timeout(patience, collect(body, limit)).await;
         let body = read.unwrap_or_else(|_| Err(Refusal::not_run(RefusalKind::SlowRequest)))?;
         Ok(Attempts::new(TakenCall { head, caller, arrived, body }, target))
@@ -216,6 +220,11 @@
     }
 }
 
+/// Reads a body for nothing: bytes that nobody reads would reset the connection before the caller has its answer.
+async fn discard(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 /// Reads a whole body.
 async fn collect(body: Incoming, limit: u64) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
--- a/crates/micaspool-gateway/src/trail.rs
+++ b/crates/micaspool-gateway/src/trail.rs
@@ -4,7 +4,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
-use micaspool_types::{AdviceRecord, EndpointName, Refusal, RequestDigest, RequestId};
+use micaspool_types::{AdviceRecord, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -159,6 +159,14 @@
     /// Ends with a refusal.
     pub fn refuse(&mut self, refusal: &Refusal) {
         self.metrics.count_refusal(refusal.kind.as_str());
+        let left_out = match refusal.kind {
+            RefusalKind::Throttled => self.metrics.throttled_lines.turn(),
+            _ => Some(0),
+        };
+        let Some(left_out) = left_out else {
+            self.close();
+            return;
+        };
         let after = refusal.retry_after.map_or(0, |wait| wait.as_millis());
         let mut fields = vec![
             field("kind", refusal.kind.as_str()),
@@ -167,6 +175,7 @@
         ];
         fields.extend(self.ticket.map(|ticket| field("ticket", ticket)));
         fields.extend(self.digest_field());
+        fields.extend((left_out > 0).then(|| field("left_out", left_out)));
         self.end(&events::REQUEST_TURNED_AWAY, &fields);
     }
 
@@ -176,16 +185,24 @@
     }
 
     fn end(&mut self, kind: &EventKind, more: &[EventField]) {
-        if self.ended {
+        if !self.close() {
             return;
         }
-        self.ended = true;
-        self.metrics.total_seconds.observe(self.arrived.elapsed().as_secs_f64());
         let mut fields = self.fields();
         fields.extend_from_slice(more);
         record(kind, &fields);
     }
 
+    /// Counts the end of the request; false when it has ended before.
+    fn close(&mut self) -> bool {
+        if self.ended {
+            return false;
+        }
+        self.ended = true;
+        self.metrics.total_seconds.observe(self.arrived.elapsed().as_secs_f64());
+        true
+    }
+
     fn fields(&self) -> Vec<EventField> {
         let mut fields = vec![
             field("request", &self.id),
--- a/crates/micaspool-router/src/router/attempt.rs
+++ b/crates/micaspool-router/src/router/attempt.rs
@@ -145,6 +145,9 @@
         let left = state.deadline.saturating_duration_since(started);
         let shard = self.shard(&plan.service);
         let ticket = plan.ticket(state.attempt, state.avoid.clone());
+        if ticket.attempt == 0 && ticket.order.is_none() {
+            shard.admit(&ticket.customer)?;
+        }
         let grant = shard.acquire(ticket, Some(span.traceparent()));
         let hung_up = watch.hung_up();
         pin_mut!(grant, hung_up);
--- a/crates/micaspool-router/src/shard_client/held.rs
+++ b/crates/micaspool-router/src/shard_client/held.rs
@@ -193,14 +193,10 @@
         Moment(0) + self.start.elapsed()
     }
 
-    /// Refuses a request that the dispatcher would most probably refuse. One that ran already, or that the
-    /// dispatcher knows, is not.
-    pub fn throttle(&mut self, ticket: &RequestTicket) -> Result<(), Refusal> {
-        if ticket.attempt > 0 || ticket.order.is_some() {
-            return Ok(());
-        }
+    /// Refuses a new request that the dispatcher would most probably refuse.
+    pub fn throttle(&mut self, customer: &CustomerName) -> Result<(), Refusal> {
         let now = self.moment();
-        let admitted = self.throttle.admit(now, &ticket.customer, rand::random());
+        let admitted = self.throttle.admit(now, customer, rand::random());
         admitted.map_err(|wait| Refusal::not_run(RefusalKind::Throttled).after(wait))
     }
 
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -17,7 +17,7 @@
 use micaspool_dispatch::RequestTicket;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{
-    AdviceRecord, Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName,
+    AdviceRecord, CustomerName, Incarnation, InstanceName, Refusal, RefusalKind, RequestId, ServiceName,
 };
 use micaspool_wire::v1;
 use serde_json::json;
@@ -78,6 +78,12 @@
         client
     }
 
+    /// Says whether a new request of a customer may be submitted. Most of what the dispatcher would refuse is refused
+    /// here, before its router has spent anything on it. Asked once for each request.
+    pub fn admit(&self, customer: &CustomerName) -> Result<(), Refusal> {
+        self.held().throttle(customer)
+    }
+
     /// Waits until the request may run. Dropping the future gives the request up.
     pub async fn acquire(
         self: &Arc<Self>,
@@ -138,7 +144,6 @@
         if held.unreachable_for() > UNREACHABLE_LIMIT {
             return Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER));
         }
-        held.throttle(&ticket)?;
         held.add_waiting(WaitingEntry { ticket, traceparent: traceparent.unwrap_or_default(), waiter });
         Ok(())
     }
--- a/crates/micaspool-telemetry/src/lib.rs
+++ b/crates/micaspool-telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Numbered log events, spans and the counters that every process has.
 //!
 //! * [`events`] is the catalogue; `docs/EVENTS.md` explains each entry,
+//! * [`limit`] bounds how many lines of a kind are written,
 //! * [`logging`] sets the log output up,
 //! * [`metrics`] writes metrics as text,
 //! * [`spans`] writes a span for each hop of a request as JSON lines,
@@ -9,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod events;
+pub mod limit;
 pub mod logging;
 pub mod metrics;
 pub mod spans;
