feat(dispatcher): MP1304 tells what kept endpoints from getting more

Of the endpoints and moments in which something waited or was refused, the part that was bound by slots, reading ahead, cold, evacuation, pause, leaving, or nothing.

--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -41,6 +41,8 @@
     pub reading: bool,
     /// Failures in a row.
     pub failures: u32,
+    /// True while it is cold and its next request is not due.
+    pub spaced: bool,
     /// How much longer it is taken for cold; zero for one that is warm.
     pub cold: Duration,
     /// How many routers it asked for rest.
@@ -168,6 +170,7 @@
             free: state.is_free(),
             reading: state.reading,
             failures: state.failures,
+            spaced: state.doors.cold.spaced,
             cold: if state.doors.cold.is_cold(now) {
                 state.doors.cold.until().since(now)
             } else {
--- a/crates/micaspool-dispatch/tests/shard/cold.rs
+++ b/crates/micaspool-dispatch/tests/shard/cold.rs
@@ -68,7 +68,7 @@
     /// A short question.
     fn ask(&mut self) {
         self.next += 1;
-        let name = if self.next % 3 == 0 { "b" } else { "a" };
+        let name = if self.next.is_multiple_of(3) { "b" } else { "a" };
         let question = RequestTicket {
             prompt_tokens: Cost(400),
             objective: Some(Duration::from_millis(600)),
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod binding;
 mod cache_follower;
 mod closures;
 mod daemon;
--- a/crates/micaspool-dispatcher/src/tally.rs
+++ b/crates/micaspool-dispatcher/src/tally.rs
@@ -1,5 +1,6 @@
 //! What a shard decided lately: one log line now and then, and a bounded number of lines for refusals.
 
+use crate::binding::BindingTally;
 use crate::closures::ClosureLog;
 use crate::objectives::ObjectiveTally;
 use crate::standings::StandingLog;
@@ -22,6 +23,9 @@
     service: ServiceName,
     grants: u64,
     refusals: RefusalCounts,
+    /// The refusals at the last look.
+    refusals_seen: u64,
+    binding: BindingTally,
     objectives: ObjectiveTally,
     closures: ClosureLog,
     standings: StandingLog,
@@ -47,6 +51,8 @@
             service,
             grants: 0,
             refusals: RefusalCounts::default(),
+            refusals_seen: 0,
+            binding: BindingTally::default(),
             due: BootInstant::now() + INTERVAL,
         }
     }
@@ -76,6 +82,10 @@
     pub fn tell(&mut self, status: &ShardStatus) {
         let now = BootInstant::now();
         self.closures.follow(now, &status.endpoints);
+        if status.waiting > 0 || self.refusals.all > self.refusals_seen {
+            self.binding.sample(status);
+        }
+        self.refusals_seen = self.refusals.all;
         if now < self.due {
             return;
         }
@@ -87,6 +97,7 @@
         self.standings.renew();
         self.grants = 0;
         self.refusals = RefusalCounts::default();
+        self.refusals_seen = 0;
     }
 
     fn tell_refusal(&self, action: &ShardAction) {
@@ -116,7 +127,7 @@
         record(&events::TICKET_REFUSED, &fields);
     }
 
-    fn write(&self, now: BootInstant, status: &ShardStatus) {
+    fn write(&mut self, now: BootInstant, status: &ShardStatus) {
         let mut fields = vec![
             field("service", &self.service),
             field("revision", status.revision.0),
@@ -131,6 +142,7 @@
             field("routers", status.routers),
         ];
         fields.extend(endpoint_fields(status));
+        fields.extend(self.binding.take_fields());
         fields.push(field("longest_closed_ms", self.closures.longest(now).as_millis()));
         fields.extend(pace_fields(status));
         record(&events::SHARD_DECIDED, &fields);
@@ -157,6 +169,8 @@
         field("endpoints_open", count(EndpointStatus::is_open)),
         field("endpoints_paused", count(|endpoint| endpoint.closure == Some(EndpointClosure::Paused))),
         field("endpoints_draining", count(|endpoint| endpoint.closure == Some(EndpointClosure::Draining))),
+        field("endpoints_evacuated", count(|endpoint| endpoint.closure == Some(EndpointClosure::Evacuated))),
+        field("endpoints_cold", count(|endpoint| !endpoint.cold.is_zero())),
         field("endpoints_resting", count(|endpoint| endpoint.rests_for > 0)),
         field("endpoints_free", count(|endpoint| endpoint.free)),
         field("endpoints_reading", count(|endpoint| endpoint.reading)),
