feat(http): a server that is behind shares what it keeps up with between callers

Accepted as they come all of them wait inside, and in the end nobody is answered in time.

While tasks run 60 ms late, connections are taken in turns of 50 ms, as many as the server keeps up with (halved in each late turn, one more in each other), shared by callers' addresses, the newest of each first; the others are closed unread. The other way, order of arrival, stands while the server keeps up.

--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -4,6 +4,7 @@
 //! body that is being sent, is dropped. An answer whose body breaks ends with its connection, never
 //! with what looks like its end.
 
+use crate::pressure::{served_places, TurnBudget};
 use crate::socket::tune;
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -21,8 +22,8 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -36,6 +37,8 @@
 const MOST_TAKEN: usize = 256;
 /// How long a connection that is refused may take for its request.
 const REFUSED_REQUEST: Duration = Duration::from_secs(1);
+/// How often it is looked how late tasks run, and how long a turn takes while a server is behind.
+const TURN: Duration = Duration::from_millis(50);
 /// How often a draining server looks whether everything has ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
@@ -63,7 +66,8 @@
         response
     }
 
-    /// This many connections beyond those that are served were closed unread, before one that is refused.
+    /// This many connections were closed unread: beyond those that are served, before one that is refused, or while the
+    /// server is behind.
     fn note_closed(&self, _connections: usize) {}
 }
 
@@ -97,6 +101,8 @@
     options: EdgeOptions,
     open: AtomicUsize,
     draining: AtomicBool,
+    /// How late tasks ran at the last look, in microseconds.
+    lag_micros: AtomicU64,
     closing: (async_std::channel::Sender<()>, async_std::channel::Receiver<()>),
 }
 
@@ -123,6 +129,7 @@
             options,
             open: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            lag_micros: AtomicU64::new(0),
             closing: async_std::channel::bounded(1),
         };
         EdgeServer { shared: Arc::new(shared) }
@@ -132,6 +139,7 @@
     pub async fn listen(&self, address: SocketAddr) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(address).await?;
         let bound = listener.local_addr()?;
+        tokio::spawn(watch_lag(self.shared.clone()));
         tokio::spawn(accept(self.shared.clone(), listener));
         Ok(bound)
     }
@@ -167,8 +175,58 @@
     }
 }
 
+/// Notes how late tasks run, until the server ends.
+async fn watch_lag(shared: Arc<SharedState>) {
+    while !shared.closing.1.is_closed() {
+        let due = BootInstant::now() + TURN;
+        tokio::time::sleep(TURN).await;
+        let lag = BootInstant::now().saturating_duration_since(due);
+        let micros = u64::try_from(lag.as_micros()).unwrap_or(u64::MAX);
+        shared.lag_micros.store(micros, Ordering::Relaxed);
+    }
+}
+
+impl SharedState {
+    fn lag(&self) -> Duration {
+        Duration::from_micros(self.lag_micros.load(Ordering::Relaxed))
+    }
+}
+
+/// Takes what waits at the end of a turn, as far as the server keeps up with it, and closes the others unread.
+async fn take_turn(shared: &Arc<SharedState>, listener: &TcpListener, most: usize) {
+    tokio::time::sleep(TURN).await;
+    let mut waiting: Vec<(TcpStream, IpAddr)> = Vec::new();
+    while waiting.len() < MOST_TAKEN {
+        match listener.accept().now_or_never() {
+            Some(Ok((stream, caller))) => waiting.push((stream, caller.ip())),
+            Some(Err(_)) | None => break,
+        }
+    }
+    let open = shared.open.load(Ordering::SeqCst);
+    let room = shared.options.connections.saturating_sub(open);
+    let callers: Vec<IpAddr> = waiting.iter().map(|(_, caller)| *caller).collect();
+    let served = served_places(&callers, most.min(room));
+    shared.handler.note_closed(waiting.len() - served.len());
+    for (place, (stream, _)) in waiting.into_iter().enumerate() {
+        if served.binary_search(&place).is_ok() {
+            shared.open.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(serve(OpenConnection(shared.clone()), stream));
+        }
+    }
+}
+
 async fn accept(shared: Arc<SharedState>, listener: TcpListener) {
+    let mut budget = TurnBudget::default();
+    let mut observed = BootInstant::now();
     loop {
+        if observed.elapsed() >= TURN {
+            observed = BootInstant::now();
+            budget.observe(shared.lag());
+        }
+        if let (Some(most), false) = (budget.get(), shared.closing.1.is_closed()) {
+            take_turn(&shared, &listener, most).await;
+            continue;
+        }
         if shared.open.load(Ordering::SeqCst) >= shared.options.connections + shared.options.refused {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 towards callers, endpoints and operators.
 //!
 //! The fleet's edges stand on `hyper`: [`edge`] serves callers and [`pool`] calls endpoints over
-//! kept connections; both frame bodies exactly and follow a peer that leaves (design 006).
+//! kept connections; both frame bodies exactly and follow a peer that leaves (design 006). [`pressure`] decides
+//! whom a server that is behind serves.
 //!
 //! The older edges stand on `async-h1`, with the checks it lacks:
 //! `async-h1` takes a body that ends early for a whole one, accepts two different lengths, and
@@ -15,6 +16,7 @@
 pub mod edge;
 pub mod head;
 pub mod pool;
+pub mod pressure;
 pub mod refusal;
 pub mod replay;
 pub mod server;
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -16,7 +16,6 @@
     RequestId, Revision, Weight,
 };
 use std::collections::VecDeque;
-use std::time::Duration;
 use std::time::{Duration, Instant};
 
 const SLOTS: u32 = 8;
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -14,7 +14,6 @@
 };
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::time::Duration;
 use std::time::{Duration, Instant};
 
 const SESSION: SessionId = SessionId(1);
