--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -45,9 +45,7 @@
     }
 
     /// The engine that would give a prompt its first token soonest: one that keeps a part of it, free or not,
-    /// or one of the least loaded free ones. One that is in time goes before one that is not: of 1,200 requests
-    /// with common parts that 60 engines could read in half of their time, 190 are refused without this and none
-    /// with it. `queued` tells which tickets wait for each already. `None` when
+    /// or one of the least loaded free ones. One that is in time goes before one that is not. `queued` tells which tickets wait for each already. `None` when
     /// there is no such engine.
     pub fn soonest_engine(
         &self,
@@ -124,9 +122,8 @@
         engine.map_or(self.answer_time.mean(), |engine| engine.begin_time(prompt))
     }
 
-    /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps, free ones first.
-    /// Where the sixteen that kept it first stood for all, free ones behind them were not found: 197 refused
-    /// requests of 4,017 that share four parts on a calm day, 110 with this.
+    /// Engines with a slot that keep the longest leading part of a prompt that any of them keeps, free ones first: the
+    /// few that are compared would else be the busy ones that kept it first.
     fn holders_of<'a>(&'a self, query: &'a EngineQuery<'_>) -> impl Iterator<Item = EndpointIndex> + 'a {
         let usable = move |index: &EndpointIndex| {
             let state = self.state(*index);
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -307,8 +307,7 @@
                 state.breaks += 1
             }
             // One router's word is no more than a pause: endpoints that are not asked for their load would never
-            // be opened again. Credit of a small service while 41 of 58 routers restart, mean of three seeds:
-            // 0.82 to 0.91.
+            // be opened again.
             GrantFate::Refused
             | GrantFate::Unreachable
             | GrantFate::Draining
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -17,17 +17,14 @@
 const KEPT_PERCENT: u64 = 80;
 /// The same where the engine tells itself what it drops: a bound for parts whose end was never told.
 const FOLLOWED_PERCENT: u64 = 120;
-/// The part of the learnt pace at which an engine is given tokens to read, in percent. Mean worth of the days
-/// with trouble on three sites, seven days each: 0.594 at 90, 0.588 at 80.
+/// The part of the learnt pace at which an engine is given tokens to read, in percent.
 const PACE_PERCENT: u32 = 90;
 /// An engine that has this much to read gets nothing more. It bounds what can't be overtaken any more
 /// by a request of another customer, and how late first events are; a shorter time lets engines run dry
 /// between two grants.
 const READ_AHEAD: Duration = Duration::from_millis(80);
 /// What a token counts that an engine has to read although another engine may keep it, in percent: its
-/// reading takes capacity from all, and it pushes other parts out of memory. A part of 5,000 tokens that an
-/// engine reads in 75 ms is waited for up to 0.7 s longer at 1,000. Mean worth of the days with trouble on
-/// three sites, seven days each: 0.616 at 1,000, 0.613 at 400.
+/// reading takes capacity from all, and it pushes other parts out of memory.
 const MISSING_PERCENT: u64 = 1_000;
 /// What a running request adds to the delay of the next one, in tokens to read: engines that run less are
 /// preferred where reading takes equally long.
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -18,8 +18,7 @@
 const LOOK_AHEAD: usize = 16;
 
 /// How often all tickets are looked at, even when no endpoint has become free, those that wait for an engine of
-/// their choice among them. No more often than that either: 320 engines tell of their caches 500 times a second
-/// together. Looked at after each of these, 1,600 requests a second cost 80 us each, and 17 us so (bench `engines`).
+/// their choice among them. No more often than that either: engines tell of their caches hundreds of times a second.
 const FILL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A request that runs, or is about to.
@@ -91,8 +90,7 @@
 
     /// The tickets of a customer that are looked at for one that a free endpoint suits. Those of routers whose
     /// stream is lost are passed over, and don't count: they stay for the lease, and would stand before everyone
-    /// else's. Worth of requests held to their deadline while a hall is cut off: 823 to 87 of a day. It is the same for
-    /// those of routers from which no endpoint wants anything for now.
+    /// else's. It is the same for those of routers from which no endpoint wants anything for now.
     fn looked_at(&self, now: Moment, customer: CustomerIndex) -> impl Iterator<Item = &RequestId> {
         let queue = self.customers.get(customer).queue.values();
         let usable = queue.filter(move |request| {
@@ -151,8 +149,7 @@
     }
 
     /// Notes for which engine a ticket waits, if for any. Later tickets count it: else all prompts that begin
-    /// alike crowd at the few engines that keep that beginning. Of 1,200 such requests that 60 engines could read
-    /// in half of their time, 956 are refused without it and 190 with it.
+    /// alike crowd at the few engines that keep that beginning.
     fn note_choice(&self, ticket: &WaitingTicket, engine: Option<EndpointIndex>) {
         let request = ticket.place.request;
         let choice = engine.map(|engine| EngineChoice { engine, round: self.choice_round });
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -55,10 +55,8 @@
         WaitEstimate { longest: Some(longest), bound: Some(bound), expected }
     }
 
-    /// Takes in what requests of a plain service bear. The least patient set the length of a customer's queue. Judged
-    /// by each ticket's own objective, the queue grows as long as the most patient bear, and of two kinds wanted
-    /// within 150 and 200 ms from a plain service that is asked for twice too often, none of the first and 54 of 100
-    /// of the second are answered in time; 20 and 26 of 100 with this, where both come back once.
+    /// Takes in what requests of a plain service bear. The least patient set the length of a customer's queue: judged
+    /// by each ticket's own objective, the queue grows as long as the most patient bear, and the others are all late.
     fn note_tolerance(
         &mut self,
         now: Moment,
@@ -73,8 +71,7 @@
         }
     }
 
-    /// True when the customer's tickets before this one will take longer than they may. Mean worth of the
-    /// days with trouble on three sites, seven days each: 0.614 with this refusal on arrival, 0.597 without.
+    /// True when the customer's tickets before this one will take longer than they may.
     pub(super) fn comes_too_late(
         &self,
         customer: CustomerIndex,
--- a/crates/micaspool-dispatch/src/shard/pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/pauses.rs
@@ -8,9 +8,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// The longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(16);
-/// While fewer than half of a service's endpoints are open, those that are paused are tried so often a second together.
-/// Without it three endpoints that come back after 12 s are left alone for up to 3.5 s more, after a minute for 16 s;
-/// half a second so (row `outage`). Each tried twice a second, 200 of 320 that are gone would cost 400 requests a second.
+/// While fewer than half of a service's endpoints are open, those that are paused are tried so often a second together:
+/// a few that come back are found soon, and hundreds that are gone don't cost a request each.
 const TRIES_PER_SECOND: u32 = 6;
 
 impl EndpointTable {
--- a/crates/micaspool-dispatch/src/shard/routers.rs
+++ b/crates/micaspool-dispatch/src/shard/routers.rs
@@ -137,8 +137,7 @@
         }
     }
 
-    /// Notes that a router does not hold an endpoint. It is the only one that this keeps from the endpoint: three
-    /// of three were closed for all while 41 routers started, each by a router that did not hold it yet.
+    /// Notes that a router does not hold an endpoint. It is the only one that this keeps from the endpoint.
     pub fn note_lacking(&mut self, now: Moment, router: RouterIndex, endpoint: EndpointIndex) {
         if let Some(state) = self.states.get_mut(&router) {
             state.lacking.retain(|_, until| now < *until);
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -19,8 +19,7 @@
 /// How long a refused ticket counts as if it still waited. Callers come back after a second or two.
 const REFUSAL_MEMORY: Duration = Duration::from_secs(3);
 /// How many idle credits a customer whose tickets were refused lately may have received less than the others. Without
-/// a bound a customer that had taken what nobody wanted gets nothing until all others have had as much: 40 requests of
-/// another before its first, and twelve with this (row `horizon`, a lead of 60).
+/// a bound a customer that had taken what nobody wanted gets nothing until all others have had as much.
 const REFUSED_CREDITS: u64 = 5;
 
 /// What is left of an objective that has passed.
@@ -125,8 +124,7 @@
     }
 
     /// How long ago the caller first tried. It is taken off the objective: an answer is wanted within a time from then
-    /// on. Of what a service that is asked for twice too often does, 0.99 are first tries answered in time with
-    /// this, 0.55 without: callers who come back take the place of others and are late.
+    /// on. Otherwise callers who come back take the place of others, and are late.
     fn age_of(&mut self, now: Moment, ticket: &RequestTicket) -> Duration {
         match (ticket.objective, ticket.patience) {
             (Some(objective), Some(patience)) if ticket.attempt == 0 => {
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -25,9 +25,8 @@
 
 /// How often the core looks at the time.
 const TICK: Duration = Duration::from_millis(50);
-/// The least time between two policies, in which changes of plan and endpoints are gathered. A policy
-/// names every endpoint and customer: made anew for each of 325 endpoints that come back within a second
-/// it would be 105,000 endpoints' worth of work.
+/// The least time between two policies, in which changes of plan and endpoints are gathered: a policy names every
+/// endpoint and customer.
 const POLICY_GATHERING: Duration = Duration::from_millis(50);
 /// Timers go off a little early at times; this keeps a wake-up from coming twice.
 const WAKE_MARGIN: Duration = Duration::from_micros(200);
--- a/crates/micaspool-gateway/src/path/target.rs
+++ b/crates/micaspool-gateway/src/path/target.rs
@@ -79,8 +79,7 @@
 
     /// The time within which its first event is wanted, or its answer; a shard refuses it once that can't be
     /// kept. `None` where the plan names none. Held until their deadlines instead, requests of a plain service that
-    /// is asked for more than it does come late one and all: credit on two days with a hall cut off 0.66, 0.78 with
-    /// this.
+    /// is asked for more than it does come late one and all.
     pub fn wanted_within(&self) -> Option<Duration> {
         (!self.objective.is_zero()).then_some(self.objective)
     }
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -30,8 +30,8 @@
 
 /// The pause after accepting failed, for instance for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// The least time between two connections that are refused: twenty a second. Refusing each of a flood takes the
-/// processor from those who are served; worth of a day with one 0.586 when none is refused, 0.435 when all are.
+/// The least time between two connections that are refused. Refusing each of a flood takes the processor from those who
+/// are served.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
 /// How many waiting connections are taken at once to find the newest; more wait for the next pause.
 const MOST_TAKEN: usize = 256;
@@ -257,8 +257,8 @@
     }
 }
 
-/// The newest of the connections that wait; the others are closed unread. Taken oldest first, twenty a second, each
-/// of a flood had left when its turn came: behind 60 that had left a caller was refused after 3.07 s, and at once so.
+/// The newest of the connections that wait; the others are closed unread. Taken oldest first, each of a flood would have
+/// left when its turn came.
 fn newest_waiting(listener: &TcpListener, oldest: TcpStream) -> (TcpStream, usize) {
     let mut newest = oldest;
     for closed in 0..MOST_TAKEN {
@@ -294,8 +294,7 @@
     }
 }
 
-/// Takes one request and refuses it. Left unaccepted, callers of a server that is full would wait in vain: a gateway
-/// with as many callers as fit into its memory left 992 without a sign in 4.4 s.
+/// Takes one request and refuses it. Left unaccepted, callers of a server that is full would wait in vain.
 async fn turn_away(connection: OpenConnection, stream: TcpStream) {
     let shared = &connection.0;
     if tune(&stream).is_err() {
--- a/crates/micaspool-keeper/src/follow.rs
+++ b/crates/micaspool-keeper/src/follow.rs
@@ -15,18 +15,13 @@
 
 /// How often a follower hears of this keeper when nothing changes. A follower takes a keeper for lost after
 /// two and a half times as long; a router notices a dispatcher that is gone by its own requests, earlier.
-/// Each costs some 75 us on each side: with 295 followers and half of the time a core machine spent 0.055 of
-/// a core on nothing else.
 const PULSE: Duration = Duration::from_secs(1);
 
-/// How often a follower is told of endpoints that said nothing new. It forgets one after ten seconds, and
-/// they register every second or so: 18,000 records a second at each keeper with 295 followers when told at
-/// each pulse of half a second.
+/// How often a follower is told of endpoints that said nothing new. It forgets one after ten seconds.
 const REFRESH: Duration = Duration::from_secs(3);
 
-/// The least time between two messages that name endpoints, in which what they say is gathered. 325 endpoints that come back within a
-/// second are then ten messages for a follower instead of 325, and 2,950 instead of 96,000 for 295 of them.
-/// A new plan and a new majority are told at once.
+/// The least time between two messages that name endpoints, in which what they say is gathered: they may come back by the
+/// hundred. A new plan, an order about a hall and a new majority are told at once.
 const GATHERING: Duration = Duration::from_millis(100);
 
 /// What a follower has been told.
--- a/crates/micaspool-keeper/src/peers.rs
+++ b/crates/micaspool-keeper/src/peers.rs
@@ -1,9 +1,8 @@
 //! The exchange with the other keepers, on a thread of its own.
 //!
 //! A leader has to speak every 100 ms and is given up after 500 ms. On the executor that all followers,
-//! routers and endpoints of a process share, its messages wait behind whatever came before them: when
-//! 295 gateways and 325 endpoints came back at once at 0.3 of a core, leaders lasted 0.5 to 1.3 s, and each
-//! change of leader made more such work. A thread of its own gets its turn whatever the others do.
+//! routers and endpoints of a process share, its messages would wait behind whatever came before them. A thread of its own
+//! gets its turn whatever the others do.
 
 use crate::engine::EngineInput;
 use crate::service::KeeperService;
