--- a/crates/micaspool-dispatch/src/shard/advice.rs
+++ b/crates/micaspool-dispatch/src/shard/advice.rs
@@ -4,6 +4,7 @@
 //! round trip, and refuses a ticket that no endpoint wants in time from its router.
 
 use super::endpoints::EndpointIndex;
+use super::overdue::RefusalCause;
 use super::routers::RouterIndex;
 use super::tickets::WaitingTicket;
 use super::ShardCore;
@@ -65,7 +66,12 @@
         let halls = self.customers.get(ticket.customer).halls;
         let Some(wanted_again) = self.unwanted_until(now, ticket.router, halls) else { return };
         if ticket.latest().is_some_and(|latest| latest < wanted_again) {
-            self.refuse_until(now, request, wanted_again, actions);
+            self.refuse_for(
+                now,
+                request,
+                RefusalCause::not_before(ReleaseReason::EndpointsRest, wanted_again),
+                actions,
+            );
         }
     }
 
@@ -87,28 +93,6 @@
         soonest
     }
 
-    fn refuse_until(
-        &mut self,
-        now: Moment,
-        request: RequestId,
-        wanted_again: Moment,
-        actions: &mut Vec<ShardAction>,
-    ) {
-        let Some(ticket) = self.drop_waiting(request) else { return };
-        self.first_tries.note_refused(now);
-        let Some(session) = self.routers.session(ticket.router) else { return };
-        actions.push(ShardAction::Refuse {
-            session,
-            request,
-            reason: ReleaseReason::EndpointsRest,
-            retry_after: wanted_again.since(now).max(self.retry_after(ticket.customer)),
-            waited: now.since(ticket.since),
-            awaited: None,
-            objective: ticket.objective,
-            expected_wait: ticket.expected_wait,
-        });
-    }
-
     /// True when a router may send nothing to an endpoint now: it does not hold it, or was asked for rest.
     pub(super) fn may_not_use(&self, now: Moment, router: RouterIndex, endpoint: EndpointIndex) -> bool {
         self.routers.lacks(now, router, endpoint) || self.routers.rests_until(now, router, endpoint).is_some()
--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -45,8 +45,8 @@
     }
 
     /// The engine that would give a prompt its first token soonest: one that keeps a part of it, free or not,
-    /// or one of the least loaded free ones. One that is in time goes before one that is not. `queued` tells which tickets wait for each already. `None` when
-    /// there is no such engine.
+    /// or one of the least loaded free ones. One that is in time goes before one that is not. `queued` tells which
+    /// tickets wait for each already. `None` when there is no such engine.
     pub fn soonest_engine(
         &self,
         now: Moment,
--- a/crates/micaspool-dispatch/src/shard/evacuation.rs
+++ b/crates/micaspool-dispatch/src/shard/evacuation.rs
@@ -5,6 +5,7 @@
 //! it is refused at once.
 
 use super::endpoints::EndpointTable;
+use super::overdue::RefusalCause;
 use super::ShardCore;
 use crate::action::{ReleaseReason, ShardAction};
 use micaspool_types::{HallMask, Moment, RequestId};
@@ -37,7 +38,7 @@
         let mut requests: Vec<RequestId> = self.waiting.keys().copied().filter(closed).collect();
         requests.sort();
         for request in requests {
-            self.refuse_for(now, request, ReleaseReason::HallsEvacuated, actions);
+            self.refuse_for(now, request, RefusalCause::of(ReleaseReason::HallsEvacuated), actions);
         }
     }
 }
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -28,6 +28,25 @@
     pub expected: Duration,
 }
 
+/// Why a waiting ticket is refused, and the first moment at which coming back may help, if that is known.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RefusalCause {
+    reason: ReleaseReason,
+    earliest: Option<Moment>,
+}
+
+impl RefusalCause {
+    /// A cause whose end nobody knows; callers come back as grants allow.
+    pub fn of(reason: ReleaseReason) -> RefusalCause {
+        RefusalCause { reason, earliest: None }
+    }
+
+    /// A cause that ends at this moment.
+    pub fn not_before(reason: ReleaseReason, earliest: Moment) -> RefusalCause {
+        RefusalCause { reason, earliest: Some(earliest) }
+    }
+}
+
 impl ShardCore {
     /// How long a ticket would wait behind its customer's others, and how long it may. What a caller's first try
     /// bears counts for the others of its customer.
@@ -111,7 +130,7 @@
     fn refuse_late(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
         let Some(ticket) = self.waiting.get(&request) else { return };
         self.customers.get_mut(ticket.customer).refused_at = Some(now);
-        self.refuse_for(now, request, ReleaseReason::Overdue, actions);
+        self.refuse_for(now, request, RefusalCause::of(ReleaseReason::Overdue), actions);
     }
 
     /// Refuses a waiting ticket.
@@ -119,17 +138,18 @@
         &mut self,
         now: Moment,
         request: RequestId,
-        reason: ReleaseReason,
+        cause: RefusalCause,
         actions: &mut Vec<ShardAction>,
     ) {
         let Some(ticket) = self.drop_waiting(request) else { return };
         self.first_tries.note_refused(now);
         if let Some(session) = self.routers.session(ticket.router) {
-            let retry_after = self.retry_after(ticket.customer);
+            let earliest = cause.earliest.map_or(Duration::ZERO, |earliest| earliest.since(now));
+            let retry_after = self.retry_after(ticket.customer).max(earliest);
             actions.push(ShardAction::Refuse {
                 session,
                 request,
-                reason,
+                reason: cause.reason,
                 retry_after,
                 waited: now.since(ticket.since),
                 awaited: ticket.waits_for.get().map(|choice| self.endpoints.name(choice.engine).clone()),
--- a/crates/micaspool/src/cli/halls.rs
+++ b/crates/micaspool/src/cli/halls.rs
@@ -1,12 +1,10 @@
 //! `micaspool halls`: evacuate a data hall, take it back, and see what was ordered.
 
-use super::{EXIT_DONE, EXIT_FAILED, EXIT_REJECTED, EXIT_USAGE};
+use super::{keeper_client, EXIT_DONE, EXIT_FAILED, EXIT_REJECTED, EXIT_USAGE};
 use argh::FromArgs;
 use micaspool::client::KeeperClient;
 use micaspool::halls::OrderVerdict;
-use micaspool::settings::process::PeerAddress;
-use micaspool::telemetry::traffic::TrafficCounter;
-use micaspool::types::{HallName, InstanceName};
+use micaspool::types::HallName;
 use micaspool::wire::convert::order_verdict;
 use micaspool::wire::v1;
 use serde_json::json;
@@ -107,17 +105,6 @@
     }
 }
 
-fn client(keepers: &[SocketAddr]) -> Result<KeeperClient, (i32, String)> {
-    if keepers.is_empty() {
-        return Err((EXIT_USAGE, "give --keeper ADDRESS, once for each keeper".to_owned()));
-    }
-    let peer = |(number, address): (usize, &SocketAddr)| PeerAddress {
-        name: InstanceName::parse(&format!("keeper-{number}")).expect("the name is well-formed"),
-        address: *address,
-    };
-    Ok(KeeperClient::new(keepers.iter().enumerate().map(peer).collect(), TrafficCounter::default()))
-}
-
 async fn read(client: &KeeperClient) -> Result<v1::HallsReply, (i32, String)> {
     client.halls_confirmed(CALL_LIMIT).await.map_err(|error| (EXIT_FAILED, error.to_string()))
 }
@@ -125,7 +112,7 @@
 /// Orders on what a majority knows now, so that an order that is held up takes nothing back that comes after it.
 async fn order(keepers: &[SocketAddr], wanted: WantedUse) -> CommandResult {
     HallName::parse(&wanted.hall).map_err(|error| (EXIT_USAGE, error.to_string()))?;
-    let client = client(keepers)?;
+    let client = keeper_client(keepers)?;
     let known = read(&client).await?.newest;
     let request = v1::OrderHallRequest {
         hall: wanted.hall.clone(),
@@ -153,7 +140,7 @@
 }
 
 async fn list(command: ListCommand) -> CommandResult {
-    let reply = read(&client(&command.keeper)?).await?;
+    let reply = read(&keeper_client(&command.keeper)?).await?;
     for hall in &reply.halls {
         let used = if hall.evacuated { "evacuated" } else { "open" };
         if command.json {
--- a/crates/micaspool/src/cli/mod.rs
+++ b/crates/micaspool/src/cli/mod.rs
@@ -13,6 +13,11 @@
 
 use argh::FromArgs;
 use async_std::task;
+use micaspool::client::KeeperClient;
+use micaspool::settings::process::PeerAddress;
+use micaspool::telemetry::traffic::TrafficCounter;
+use micaspool::types::InstanceName;
+use std::net::SocketAddr;
 
 /// Done.
 pub const EXIT_DONE: i32 = 0;
@@ -44,6 +49,18 @@
     Endpoint(endpoint::EndpointCommand),
 }
 
+/// A client of the keepers that were named; without any an exit code and what to do.
+fn keeper_client(keepers: &[SocketAddr]) -> Result<KeeperClient, (i32, String)> {
+    if keepers.is_empty() {
+        return Err((EXIT_USAGE, "give --keeper ADDRESS, once for each keeper".to_owned()));
+    }
+    let peer = |(number, address): (usize, &SocketAddr)| PeerAddress {
+        name: InstanceName::parse(&format!("keeper-{number}")).expect("the name is well-formed"),
+        address: *address,
+    };
+    Ok(KeeperClient::new(keepers.iter().enumerate().map(peer).collect(), TrafficCounter::default()))
+}
+
 /// Runs a command and gives the exit code.
 pub fn run(arguments: Arguments) -> i32 {
     task::block_on(async {
--- a/crates/micaspool/src/cli/settings.rs
+++ b/crates/micaspool/src/cli/settings.rs
@@ -1,16 +1,13 @@
 //! `micaspool settings`: read, check and change the settings tree.
 
-use super::{EXIT_DONE, EXIT_FAILED, EXIT_REJECTED, EXIT_USAGE};
+use super::{keeper_client, EXIT_DONE, EXIT_FAILED, EXIT_REJECTED, EXIT_USAGE};
 use argh::FromArgs;
-use micaspool::client::KeeperClient;
 use micaspool::settings::diff::diff_trees;
 use micaspool::settings::document::join_faults;
 use micaspool::settings::key::KeyDigest;
 use micaspool::settings::merge::merge_patch;
 use micaspool::settings::policy::{compile_tree, effective_values};
-use micaspool::settings::process::PeerAddress;
-use micaspool::telemetry::traffic::TrafficCounter;
-use micaspool::types::{InstanceName, Revision};
+use micaspool::types::Revision;
 use micaspool::wire::v1;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -134,17 +131,6 @@
         .map_err(|error| (EXIT_USAGE, format!("{} is not JSON ({error}); mend it", path.display())))
 }
 
-fn client(keepers: &[SocketAddr]) -> Result<KeeperClient, (i32, String)> {
-    if keepers.is_empty() {
-        return Err((EXIT_USAGE, "give --keeper ADDRESS, once for each keeper".to_owned()));
-    }
-    let peer = |(number, address): (usize, &SocketAddr)| PeerAddress {
-        name: InstanceName::parse(&format!("keeper-{number}")).expect("the name is well-formed"),
-        address: *address,
-    };
-    Ok(KeeperClient::new(keepers.iter().enumerate().map(peer).collect(), TrafficCounter::default()))
-}
-
 async fn apply(command: ApplyCommand) -> CommandResult {
     let patch = read_json(&command.patch)?;
     let id = command.id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
@@ -154,7 +140,7 @@
         base: command.base,
         patch: patch.to_string(),
     };
-    let reply = client(&command.keeper)?.apply(request, CALL_LIMIT).await;
+    let reply = keeper_client(&command.keeper)?.apply(request, CALL_LIMIT).await;
     let reply = reply.map_err(|error| (EXIT_FAILED, format!("{error} (--id {id})")))?;
     match reply.outcome {
         Some(v1::apply_reply::Outcome::Revision(revision)) => {
@@ -167,7 +153,7 @@
 }
 
 async fn read_tree(keepers: &[SocketAddr]) -> Result<(u64, Value), (i32, String)> {
-    let reply = client(keepers)?.get_confirmed(CALL_LIMIT).await;
+    let reply = keeper_client(keepers)?.get_confirmed(CALL_LIMIT).await;
     let reply = reply.map_err(|error| (EXIT_FAILED, error.to_string()))?;
     let Some(v1::get_reply::Outcome::Settings(update)) = reply.outcome else {
         return Err((EXIT_FAILED, "the keepers gave no settings; try again".to_owned()));
