--- a/crates/micaspool-dispatcher/tests/subset.rs
+++ b/crates/micaspool-dispatcher/tests/subset.rs
@@ -4,6 +4,7 @@
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 const HALLS: usize = 4;
 
@@ -22,7 +23,7 @@
         slots: 48,
         stage: EndpointStage::Serving,
         sequence: 1,
-        cold: std::time::Duration::ZERO,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/micaspool-keeper/tests/follow.rs
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -36,7 +36,7 @@
         stage: EndpointStage::Serving,
         slots: 12,
         sequence: 1,
-        cold: std::time::Duration::ZERO,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/micaspool-registry/tests/registry.rs
+++ b/crates/micaspool-registry/tests/registry.rs
@@ -17,7 +17,7 @@
         slots: 4,
         stage,
         sequence,
-        cold: std::time::Duration::ZERO,
+        cold: Duration::ZERO,
     }
 }
 
@@ -145,3 +145,46 @@
         prop_assert_eq!(merged(&records), merged(&shuffled));
     }
 }
+
+fn cold(sequence: u64, millis: u64) -> EndpointRecord {
+    EndpointRecord { cold: Duration::from_millis(millis), ..record(sequence, EndpointStage::Serving) }
+}
+
+/// A heartbeat each second while an endpoint warms up tells nothing new: each says how much is left, and comes a little
+/// earlier or later than the one before.
+#[test_case(1_000, 2_000, MergeOutcome::Refreshed; "as was expected")]
+#[test_case(1_200, 2_000, MergeOutcome::Refreshed; "as was expected, a little late")]
+#[test_case(1_000, 0, MergeOutcome::Changed; "warm much earlier")]
+#[test_case(1_000, 3_000, MergeOutcome::Changed; "cold again")]
+fn what_a_cold_endpoint_says_is_news_where_it_differs(after: u64, left: u64, expected: MergeOutcome) {
+    let mut registry = EndpointRegistry::default();
+    let start = Moment::from_millis(10_000);
+    registry.merge(start, cold(1, 3_000));
+    let later = start + Duration::from_millis(after);
+    assert_eq!(registry.merge(later, cold(2, left)), expected);
+    assert_eq!(registry.cold_left(later, &cold(1, 0).name), Duration::from_millis(left));
+}
+
+/// It ends by the clock of whoever heard it, without another word, and is told on as what is left.
+#[test]
+fn an_endpoint_becomes_warm_by_itself() {
+    let mut registry = EndpointRegistry::default();
+    let start = Moment::from_millis(10_000);
+    registry.merge(start, cold(1, 3_000));
+    let name = cold(1, 0).name;
+    let left = |millis: u64| registry.cold_left(start + Duration::from_millis(millis), &name).as_millis();
+    assert_eq!([left(0), left(1_000), left(2_999), left(3_000), left(9_000)], [3_000, 2_000, 1, 0, 0]);
+    let known = registry.get(&name).expect("it was heard");
+    let told = registry.told(start + Duration::from_millis(1_000), known);
+    assert_eq!(told.cold, Duration::from_millis(2_000));
+}
+
+/// A record that was overtaken on its way says nothing of now.
+#[test]
+fn an_older_record_makes_nothing_cold() {
+    let mut registry = EndpointRegistry::default();
+    let start = Moment::from_millis(10_000);
+    registry.merge(start, cold(5, 0));
+    assert_eq!(registry.merge(start, cold(4, 3_000)), MergeOutcome::Stale);
+    assert_eq!(registry.cold_left(start, &cold(1, 0).name), Duration::ZERO);
+}
