fix(http): turns go round between callers, and only gateways take them

And the cores' edge took turns as well: after the return of a large fleet it would close heartbeats and orders unread, whose senders count each as a failure.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -85,7 +85,7 @@
             format: Arc::new(JsonFormat),
             probe: Arc::new(HttpEndpointProbe::default()),
             advice: AdviceBoard::new(),
-            edge: EdgeOptions::default(),
+            edge: EdgeOptions { turns: true, ..EdgeOptions::default() },
         };
         GatewayOptionsBuilder { options }
     }
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -4,7 +4,7 @@
 //! body that is being sent, is dropped. An answer whose body breaks ends with its connection, never
 //! with what looks like its end.
 
-use crate::pressure::{served_places, TurnBudget};
+use crate::pressure::{CallerTurns, TurnBudget};
 use crate::socket::tune;
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -82,11 +82,20 @@
     pub connections: usize,
     /// How many more are accepted to be refused at once; further ones wait unaccepted.
     pub refused: usize,
+    /// True where callers may come back elsewhere: while tasks run late, connections are taken in turns between callers
+    /// and the others closed unread.
+    pub turns: bool,
 }
 
 impl Default for EdgeOptions {
     fn default() -> Self {
-        EdgeOptions { head_bytes: 32 * 1024, idle: Duration::from_secs(20), connections: 3_000, refused: 100 }
+        EdgeOptions {
+            head_bytes: 32 * 1024,
+            idle: Duration::from_secs(20),
+            connections: 3_000,
+            refused: 100,
+            turns: false,
+        }
     }
 }
 
@@ -139,7 +148,9 @@
     pub async fn listen(&self, address: SocketAddr) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(address).await?;
         let bound = listener.local_addr()?;
-        tokio::spawn(watch_lag(self.shared.clone()));
+        if self.shared.options.turns {
+            tokio::spawn(watch_lag(self.shared.clone()));
+        }
         tokio::spawn(accept(self.shared.clone(), listener));
         Ok(bound)
     }
@@ -193,7 +204,7 @@
 }
 
 /// Takes what waits at the end of a turn, as far as the server keeps up with it, and closes the others unread.
-async fn take_turn(shared: &Arc<SharedState>, listener: &TcpListener, most: usize) {
+async fn take_turn(shared: &Arc<SharedState>, listener: &TcpListener, turns: &mut CallerTurns, most: usize) {
     tokio::time::sleep(TURN).await;
     let mut waiting: Vec<(TcpStream, IpAddr)> = Vec::new();
     while waiting.len() < MOST_TAKEN {
@@ -205,7 +216,7 @@
     let open = shared.open.load(Ordering::SeqCst);
     let room = shared.options.connections.saturating_sub(open);
     let callers: Vec<IpAddr> = waiting.iter().map(|(_, caller)| *caller).collect();
-    let served = served_places(&callers, most.min(room));
+    let served = turns.served_places(&callers, most.min(room));
     shared.handler.note_closed(waiting.len() - served.len());
     for (place, (stream, _)) in waiting.into_iter().enumerate() {
         if served.binary_search(&place).is_ok() {
@@ -217,14 +228,15 @@
 
 async fn accept(shared: Arc<SharedState>, listener: TcpListener) {
     let mut budget = TurnBudget::default();
+    let mut turns = CallerTurns::default();
     let mut observed = BootInstant::now();
     loop {
-        if observed.elapsed() >= TURN {
+        if shared.options.turns && observed.elapsed() >= TURN {
             observed = BootInstant::now();
             budget.observe(shared.lag());
         }
         if let (Some(most), false) = (budget.get(), shared.closing.1.is_closed()) {
-            take_turn(&shared, &listener, most).await;
+            take_turn(&shared, &listener, &mut turns, most).await;
             continue;
         }
         if shared.open.load(Ordering::SeqCst) >= shared.options.connections + shared.options.refused {
--- a/crates/micaspool-http/src/pressure.rs
+++ b/crates/micaspool-http/src/pressure.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// A server whose tasks run this much later than they were due is behind.
@@ -47,19 +48,39 @@
     }
 }
 
-/// The places of the connections to serve, of those that wait in this order: `budget` of them, in turns between the
-/// callers' addresses, the newest of each first.
-pub fn served_places(waiting: &[IpAddr], budget: usize) -> Vec<usize> {
-    let mut by_caller: BTreeMap<IpAddr, Vec<usize>> = BTreeMap::new();
-    for (place, caller) in waiting.iter().enumerate() {
-        by_caller.entry(*caller).or_default().push(place);
+/// Whose turn it is.
+#[derive(Debug, Default)]
+pub struct CallerTurns {
+    /// The caller that was served last.
+    last: Option<IpAddr>,
+}
+
+impl CallerTurns {
+    /// The places of the connections to serve, of those that wait in this order: `budget` of them, in turns between the
+    /// callers' addresses from the one after the last that was served, the newest of each first.
+    pub fn served_places(&mut self, waiting: &[IpAddr], budget: usize) -> Vec<usize> {
+        let mut by_caller: BTreeMap<IpAddr, Vec<usize>> = BTreeMap::new();
+        for (place, caller) in waiting.iter().enumerate() {
+            by_caller.entry(*caller).or_default().push(place);
+        }
+        let mut served = Vec::new();
+        while served.len() < budget {
+            let Some(caller) = self.next_caller(&by_caller) else { break };
+            let places = by_caller.get_mut(&caller).expect("it is one of them");
+            served.extend(places.pop());
+            if places.is_empty() {
+                by_caller.remove(&caller);
+            }
+            self.last = Some(caller);
+        }
+        served.sort_unstable();
+        served
     }
-    let mut served = Vec::new();
-    while served.len() < budget && !by_caller.is_empty() {
-        let turn = by_caller.values_mut().filter_map(Vec::pop);
-        served.extend(turn.take(budget - served.len()));
-        by_caller.retain(|_, places| !places.is_empty());
+
+    /// The first caller after the last that was served, in the order of addresses, else the first of all.
+    fn next_caller(&self, by_caller: &BTreeMap<IpAddr, Vec<usize>>) -> Option<IpAddr> {
+        let after = self.last.map_or(Bound::Unbounded, Bound::Excluded);
+        let next = by_caller.range((after, Bound::Unbounded)).next().or_else(|| by_caller.iter().next());
+        next.map(|(caller, _)| *caller)
     }
-    served.sort_unstable();
-    served
 }
--- a/crates/micaspool-http/tests/pressure.rs
+++ b/crates/micaspool-http/tests/pressure.rs
@@ -1,6 +1,6 @@
 //! A server that is behind shares what it keeps up with between callers.
 
-use micaspool_http::pressure::{served_places, TurnBudget};
+use micaspool_http::pressure::{CallerTurns, TurnBudget};
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 use test_case::test_case;
@@ -17,7 +17,7 @@
 fn a_flood_of_one_caller_leaves_the_others_their_turns() {
     let mut waiting = vec![caller(1); 50];
     waiting.extend((2..6).map(caller));
-    let served = served_places(&waiting, 8);
+    let served = CallerTurns::default().served_places(&waiting, 8);
     assert_eq!(served, [46, 47, 48, 49, 50, 51, 52, 53], "the newest of the flood, and each of the others");
 }
 
@@ -26,7 +26,16 @@
 #[test_case(5, 9, 5; "more turns than connections")]
 #[test_case(5, 2, 2)]
 fn as_many_are_served_as_wait_or_may_be(waiting: usize, budget: usize, served: usize) {
-    assert_eq!(served_places(&vec![caller(1); waiting], budget).len(), served);
+    assert_eq!(CallerTurns::default().served_places(&vec![caller(1); waiting], budget).len(), served);
+}
+
+/// A server that takes one connection in a turn serves every caller in time, and none twice before another.
+#[test]
+fn turns_go_round_between_callers() {
+    let waiting: Vec<IpAddr> = (1..6).chain(1..6).map(caller).collect();
+    let mut turns = CallerTurns::default();
+    let served: Vec<IpAddr> = (0..5).map(|_| waiting[turns.served_places(&waiting, 1)[0]]).collect();
+    assert_eq!(served, (1..6).map(caller).collect::<Vec<_>>());
 }
 
 #[test]
