--- a/crates/micaspool-dispatch/tests/shard/bench.rs
+++ b/crates/micaspool-dispatch/tests/shard/bench.rs
@@ -1,8 +1,8 @@
 //! A shard with hand-made routers, endpoints and customers.
 
 use micaspool_dispatch::{
-    ColdTerms, EndpointSpec, GrantFate, HeldGrant, HeldTotal, LoadReport, RequestTicket, RouterHello,
-    SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    ColdTerms, EndpointSpec, GrantFate, HeldGrant, HeldTotal, LoadReport, ReleaseReason, RequestTicket,
+    RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
@@ -195,6 +195,15 @@
         grants
     }
 
+    /// The refusals since the grants were last taken.
+    pub fn refused(&self) -> Vec<(u128, ReleaseReason)> {
+        let refusals = self.seen.iter().filter_map(|action| match action {
+            ShardAction::Refuse { request, reason, .. } => Some((request.0, *reason)),
+            _ => None,
+        });
+        refusals.collect()
+    }
+
     pub fn granted_requests(&mut self) -> Vec<u128> {
         self.grants().iter().map(|grant| grant.request.0).collect()
     }
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -2,7 +2,7 @@
 
 use crate::bench::{endpoint, hello, ticket, Bench};
 use micaspool_dispatch::{
-    CacheNews, GrantFate, KeptPart, ReleaseReason, RequestTicket, SessionId, ShardAction, ShardEvent,
+    CacheNews, GrantFate, KeptPart, ReleaseReason, RequestTicket, SessionId, ShardEvent,
 };
 use micaspool_types::{Cost, RequestId};
 use std::collections::HashMap;
@@ -132,18 +132,10 @@
         RequestTicket { objective: Some(Duration::from_millis(180)), ..prompt(2, "a", (2, 1_000), 10) };
     bench.submit(1, urgent);
     bench.pass_with(150, &[1]);
-    assert!(refused(&bench).is_empty());
+    assert!(bench.refused().is_empty());
     assert!(bench.core.next_wake().is_some(), "the driver is told when to look again");
     bench.pass_with(50, &[1]);
-    assert_eq!(refused(&bench), [(2, ReleaseReason::Overdue)]);
-}
-
-fn refused(bench: &Bench) -> Vec<(u128, ReleaseReason)> {
-    let refusals = bench.seen.iter().filter_map(|action| match action {
-        ShardAction::Refuse { request, reason, .. } => Some((request.0, *reason)),
-        _ => None,
-    });
-    refusals.collect()
+    assert_eq!(bench.refused(), [(2, ReleaseReason::Overdue)]);
 }
 
 /// Two customers ask for more than there is, one ten times as often. Long prompts keep the engine
@@ -269,11 +261,11 @@
     for number in 0..20 {
         bench.submit(1, wanted(number, "flood"));
     }
-    let late = refused(&bench);
+    let late = bench.refused();
     assert!((15..20).contains(&late.len()), "one runs and two or three may wait: {late:?}");
     assert!(late.iter().all(|(_, reason)| *reason == ReleaseReason::Overdue));
     bench.submit(1, wanted(100, "small"));
-    assert_eq!(refused(&bench).len(), late.len(), "the small customer has nothing in the queue");
+    assert_eq!(bench.refused().len(), late.len(), "the small customer has nothing in the queue");
 }
 
 /// A queue of what engines read soon is no reason to refuse, however little its customer got lately.
@@ -284,5 +276,5 @@
         let ticket = prompt(number, "a", (number as u64, 10), 600);
         bench.submit(1, RequestTicket { objective: Some(Duration::from_millis(600)), ..ticket });
     }
-    assert!(refused(&bench).is_empty(), "18,000 tokens are read in 90 ms");
+    assert!(bench.refused().is_empty(), "18,000 tokens are read in 90 ms");
 }
--- a/crates/micaspool-dispatcher/src/platform.rs
+++ b/crates/micaspool-dispatcher/src/platform.rs
@@ -24,7 +24,7 @@
 }
 
 /// Reads the list over HTTP: `GET /instances` gives
-/// `{"instances": [{"name": "acopio-1", "state": "live" or "leaving"}]}`.
+/// `{"instances": [{"name": "endpoint-1", "state": "live" or "leaving"}]}`.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpInstanceList {
     address: SocketAddr,
--- a/crates/micaspool-keeper/src/lib.rs
+++ b/crates/micaspool-keeper/src/lib.rs
@@ -13,6 +13,7 @@
 mod registry_hub;
 mod service;
 mod state;
+mod status;
 
 pub use daemon::{
     run_keeper, start_keeper, Error, ExchangePlace, KeeperDaemon, KeeperOptions, KeeperOptionsBuilder,
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -309,7 +309,7 @@
         &self,
         _request: Request<v1::StatusRequest>,
     ) -> Result<Response<v1::StatusReply>, Status> {
-        let json = crate::daemon::state_json(&self.view());
+        let json = crate::status::state_json(&self.view());
         Ok(Response::new(v1::StatusReply { json }))
     }
 }
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -1,10 +1,12 @@
 //! Between protocol messages and the types of the shard core.
 
 mod advice;
+mod endpoints;
 mod halls;
 mod suspicion;
 
 pub use advice::advice_message;
+pub use endpoints::{endpoint_message, endpoint_record};
 pub use halls::{hall_messages, hall_order, order_command, order_reply, order_verdict};
 pub use suspicion::{crash_record, lift_message, lifted_digest};
 
@@ -15,10 +17,9 @@
     SessionId, ShardAction, ShardEvent,
 };
 use micaspool_fair::ServiceLevel;
-use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, HallName, Incarnation, InstanceName, NameError, OrderNumber,
-    RegionName, RequestDigest, RequestId, ServiceName,
+    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RegionName,
+    RequestDigest, RequestId, ServiceName,
 };
 use std::fmt;
 use std::time::Duration;
@@ -376,46 +377,3 @@
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// An endpoint's record as a message.
-pub fn endpoint_message(record: &EndpointRecord) -> v1::EndpointNews {
-    let stage = match record.stage {
-        EndpointStage::Serving => v1::EndpointStage::EndpointServing,
-        EndpointStage::Draining => v1::EndpointStage::EndpointDraining,
-        EndpointStage::Left => v1::EndpointStage::EndpointLeft,
-    };
-    v1::EndpointNews {
-        name: record.name.to_string(),
-        service: record.service.to_string(),
-        address: record.address.to_string(),
-        hall: record.hall.to_string(),
-        slots: record.slots,
-        stage: stage.into(),
-        sequence: record.sequence,
-        identity: record.identity.to_string(),
-        incarnation: record.incarnation.0,
-        cold_millis: millis(record.cold),
-    }
-}
-
-/// An endpoint's record from a message.
-pub fn endpoint_record(message: &v1::EndpointNews) -> Result<EndpointRecord, Error> {
-    let stage = match message.stage() {
-        v1::EndpointStage::EndpointServing => EndpointStage::Serving,
-        v1::EndpointStage::EndpointDraining => EndpointStage::Draining,
-        v1::EndpointStage::EndpointLeft => EndpointStage::Left,
-    };
-    let identity = if message.identity.is_empty() { &message.name } else { &message.identity };
-    Ok(EndpointRecord {
-        name: EndpointName::parse(&message.name)?,
-        identity: EndpointName::parse(identity)?,
-        incarnation: Incarnation(message.incarnation),
-        service: ServiceName::parse(&message.service)?,
-        address: message.address.parse().map_err(|_| Error::Address)?,
-        hall: HallName::parse(&message.hall)?,
-        slots: message.slots,
-        stage,
-        sequence: message.sequence,
-        cold: Duration::from_millis(message.cold_millis),
-    })
-}
