feat(dispatcher): MP1317 tells what a customer was granted and refused, and how far it stands behind

Whether a customer that is refused stands before others by its level, or has no ticket, could not be told from any line: MP1304 counts the whole shard, MP1307 a few refusals, and neither says what another customer got in the same seconds. The three customers that were refused most and the one that was served most now have a line in two seconds each, only while something is refused.

--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 pub use options::{ShardOptions, ShardOptionsBuilder};
 pub use ranking::{rank_apart, rank_candidates};
 pub use shard::{
-    CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardCore, ShardStatus, SuspectStatus,
+    CustomerFlow, CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardCore, ShardStatus,
+    SuspectStatus,
 };
 pub use throttle::AskThrottle;
--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -1,5 +1,6 @@
 //! The customers of a shard: accounts, queues and limits.
 
+use super::flow::CustomerFlow;
 use super::rate::FadingRate;
 use super::tickets::WaitingTicket;
 use super::tolerance::SharedTolerance;
@@ -33,6 +34,8 @@
     pub queued_load: u64,
     /// The same of its grants, a second.
     pub grant_rate: FadingRate,
+    /// What became of its tickets.
+    pub flow: CustomerFlow,
     /// What its tickets bear.
     pub tolerance: SharedTolerance,
     pub running: u32,
@@ -92,6 +95,7 @@
             queue: BTreeMap::new(),
             queued_load: 0,
             grant_rate: FadingRate::default(),
+            flow: CustomerFlow::default(),
             tolerance: SharedTolerance::default(),
             running: 0,
             served: Cost(0),
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/flow.rs
@@ -0,0 +1,46 @@
+//! What became of a customer's tickets.
+
+use std::time::Duration;
+
+/// What became of a customer's tickets since the shard began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CustomerFlow {
+    /// Tickets that were granted.
+    pub granted: u64,
+    /// Their prompt tokens; requests where they have none.
+    pub granted_load: u64,
+    /// Tickets that were refused when they came.
+    pub refused_on_arrival: u64,
+    /// Tickets that were refused after a wait.
+    pub refused_after_wait: u64,
+}
+
+impl CustomerFlow {
+    /// All refused tickets.
+    pub fn refused(&self) -> u64 {
+        self.refused_on_arrival + self.refused_after_wait
+    }
+
+    /// What came since an earlier look.
+    pub fn since(&self, before: &CustomerFlow) -> CustomerFlow {
+        CustomerFlow {
+            granted: self.granted - before.granted,
+            granted_load: self.granted_load - before.granted_load,
+            refused_on_arrival: self.refused_on_arrival - before.refused_on_arrival,
+            refused_after_wait: self.refused_after_wait - before.refused_after_wait,
+        }
+    }
+
+    pub(super) fn note_grant(&mut self, load: u64) {
+        self.granted += 1;
+        self.granted_load += load;
+    }
+
+    pub(super) fn note_refusal(&mut self, waited: Duration) {
+        if waited.is_zero() {
+            self.refused_on_arrival += 1;
+        } else {
+            self.refused_after_wait += 1;
+        }
+    }
+}
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -14,6 +14,7 @@
 mod engine;
 mod evacuation;
 mod evidence;
+mod flow;
 mod grants;
 mod holders;
 mod joining;
@@ -36,6 +37,7 @@
 mod tries;
 mod waits;
 
+pub use flow::CustomerFlow;
 pub use status::{CustomerStatus, EndpointClosure, EndpointStatus, PaceStatus, ShardStatus, SuspectStatus};
 
 use crate::action::ShardAction;
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -143,6 +143,7 @@
     ) {
         let Some(ticket) = self.drop_waiting(request) else { return };
         self.first_tries.note_refused(now);
+        self.customers.get_mut(ticket.customer).flow.note_refusal(now.since(ticket.since));
         if let Some(session) = self.routers.session(ticket.router) {
             let earliest = cause.earliest.map_or(Duration::ZERO, |earliest| earliest.since(now));
             let retry_after = self.retry_after(ticket.customer).max(earliest);
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -1,6 +1,8 @@
 //! What operators and tests may see of a shard.
 
+use super::customers::CustomerState;
 use super::endpoints::EndpointIndex;
+use super::flow::CustomerFlow;
 use super::reading::ReadingPace;
 use super::ShardCore;
 use micaspool_fair::ServiceLevel;
@@ -20,6 +22,10 @@
     pub running: u32,
     /// Its level; the gap between two waiting customers is the difference of theirs.
     pub level: ServiceLevel,
+    /// How far that is below the highest level that was served in its halls.
+    pub behind: ServiceLevel,
+    /// What became of its tickets.
+    pub flow: CustomerFlow,
 }
 
 /// One endpoint in a shard.
@@ -151,13 +157,7 @@
 impl ShardCore {
     /// The state of the shard.
     pub fn status(&self, now: Moment) -> ShardStatus {
-        let active = self.customers.iter().filter(|state| !state.queue.is_empty() || state.running > 0);
-        let customers = active.map(|state| CustomerStatus {
-            name: state.name.clone(),
-            waiting: state.queue.len(),
-            running: state.running,
-            level: state.level(self.options.policy.as_ref()),
-        });
+        let customers = self.customers.iter().filter_map(|state| self.customer_status(state));
         let mut rests: HashMap<EndpointIndex, usize> = HashMap::new();
         self.routers.resting(now).for_each(|endpoint| *rests.entry(endpoint).or_default() += 1);
         let indexed = self.endpoints.indices().zip(self.endpoints.iter());
@@ -196,6 +196,23 @@
         }
     }
 
+    /// The state of a customer that has, or had, a ticket here.
+    fn customer_status(&self, state: &CustomerState) -> Option<CustomerStatus> {
+        if state.queue.is_empty() && state.running == 0 && state.flow == CustomerFlow::default() {
+            return None;
+        }
+        let level = state.level(self.options.policy.as_ref());
+        let served = state.halls.indices().filter_map(|hall| self.floors.get(hall)).max();
+        Some(CustomerStatus {
+            name: state.name.clone(),
+            waiting: state.queue.len(),
+            running: state.running,
+            level,
+            behind: ServiceLevel(served.map_or(0, |rank| rank.0.saturating_sub(level.0))),
+            flow: state.flow,
+        })
+    }
+
     /// The halls that some waiting ticket may use.
     pub fn waiting_halls(&self) -> HallMask {
         let waiting = self.customers.iter().filter(|state| !state.queue.is_empty());
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -103,6 +103,7 @@
         let wait = self.wait_estimate(now, customer, &ticket, is_first_try);
         if let Some(reason) = self.reason_to_refuse(now, customer, &ticket, wait) {
             self.first_tries.note_refused(now);
+            self.customers.get_mut(customer).flow.note_refusal(Duration::ZERO);
             actions.push(ShardAction::Refuse {
                 session,
                 request,
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -11,6 +11,7 @@
 mod binding;
 mod cache_follower;
 mod closures;
+mod customer_log;
 mod daemon;
 mod driver;
 mod fleet;
--- a/crates/micaspool-dispatcher/src/tally.rs
+++ b/crates/micaspool-dispatcher/src/tally.rs
@@ -2,6 +2,7 @@
 
 use crate::binding::BindingTally;
 use crate::closures::ClosureLog;
+use crate::customer_log::CustomerLog;
 use crate::objectives::ObjectiveTally;
 use crate::standings::StandingLog;
 use micaspool_clock::BootInstant;
@@ -28,6 +29,7 @@
     binding: BindingTally,
     objectives: ObjectiveTally,
     closures: ClosureLog,
+    customers: CustomerLog,
     standings: StandingLog,
     due: BootInstant,
 }
@@ -46,6 +48,7 @@
     pub fn new(service: ServiceName) -> ShardTally {
         ShardTally {
             closures: ClosureLog::new(service.clone()),
+            customers: CustomerLog::new(service.clone()),
             objectives: ObjectiveTally::new(service.clone()),
             standings: StandingLog::new(service.clone()),
             service,
@@ -94,6 +97,7 @@
             self.write(now, status);
         }
         self.objectives.tell();
+        self.customers.tell(&status.customers);
         self.standings.renew();
         self.grants = 0;
         self.refusals = RefusalCounts::default();
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -101,6 +101,8 @@
 pub const LIFT_ORDERED: EventKind = kind("MP1315", Level::Info, "quarantine lifted by operator");
 /// A load report came from another start than the one that was asked, and was not used.
 pub const REPORT_OF_ANOTHER: EventKind = kind("MP1316", Level::Info, "load report of another start");
+/// What a shard granted and refused a customer lately, and how far it stands behind.
+pub const CUSTOMER_DECIDED: EventKind = kind("MP1317", Level::Info, "customer decisions");
 /// A message from another process could not be understood.
 pub const WIRE_MALFORMED: EventKind = kind("MP1302", Level::Warn, "message not understood");
 /// A keeper has become leader.
@@ -226,6 +228,7 @@
     STANDINGS_LEFT_OUT,
     LIFT_ORDERED,
     REPORT_OF_ANOTHER,
+    CUSTOMER_DECIDED,
     LEADER_ELECTED,
     LEADER_STEPPED_DOWN,
     GROUP_FORMED,
