fix(dispatch): a ticket that moves up when another is refused is looked at at once

Callers saw: a ticket waited up to 20 ms though an endpoint was free that it could use. Cause: 16 tickets of a customer are looked at. When one of them is refused late, the seventeenth moves up, and nothing looked at it before the next look at all tickets. Ruled out: that the look at all tickets comes first (it does; the refusal comes after it in the same step). Mend: a queue that lost a ticket without a grant makes the shard fill once more. Test: a_ticket_that_moves_up_when_another_is_refused_gets_a_free_slot_at_once, red before ("a free slot was left to an eligible ticket").

--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -57,10 +57,11 @@
         }
     }
 
-    /// Fills when an endpoint has become free, or when it was not done for a while. Other steps leave
-    /// no pair behind: a new ticket is looked at when it is taken.
+    /// Fills when an endpoint has become free, when tickets have moved up in a queue, or when it was not done for a
+    /// while. Other steps leave no pair behind: a new ticket is looked at when it is taken.
     pub(super) fn fill_if_due(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
-        if self.endpoints.take_opened() || now >= self.fill_due {
+        let moved_up = std::mem::take(&mut self.moved_up);
+        if self.endpoints.take_opened() || moved_up || now >= self.fill_due {
             self.fill(now, actions);
         }
     }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -89,6 +89,8 @@
     next_order: OrderNumber,
     /// When all tickets are looked at again in any case.
     fill_due: Moment,
+    /// True when a ticket has left a queue without a grant, so that one behind it may be looked at.
+    moved_up: bool,
     /// Before this moment they are not, whatever may have changed for them.
     next_round: Moment,
     /// Counts the times that all tickets were looked at, whatever they had chosen before.
@@ -122,6 +124,7 @@
             pace: GrantPace::new(now),
             next_order: OrderNumber(1),
             fill_due: now,
+            moved_up: false,
             next_round: now,
             choice_round: 0,
             recovering_until: Some(now + options.recovery_window),
@@ -145,6 +148,7 @@
         self.endpoints.wake(now);
         self.fill_if_due(now, actions);
         self.refuse_overdue(now, actions);
+        self.fill_if_due(now, actions);
     }
 
     /// When something will be due without any event.
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -264,6 +264,7 @@
         self.forget_overdue(request, &ticket);
         self.forget_choice(&ticket);
         self.customers.get_mut(ticket.customer).take_from_queue(&ticket);
+        self.moved_up = true;
         self.routers.release(ticket.router, request);
         self.reindex(ticket.customer);
         Some(ticket)
--- a/crates/micaspool-dispatch/tests/shard/capacity.rs
+++ b/crates/micaspool-dispatch/tests/shard/capacity.rs
@@ -4,6 +4,7 @@
 use micaspool_dispatch::{CacheNews, GrantFate, RequestTicket, ShardEvent, ShardPolicy};
 use micaspool_types::HallMask;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use test_case::test_case;
 
 fn bench(endpoints: usize) -> Bench {
@@ -254,3 +255,20 @@
     bench.settle(1, 3, 5, GrantFate::Done);
     assert_eq!(bench.granted_requests(), vec![1, 3, 2]);
 }
+
+/// The tickets that are looked at all stay away from the free endpoint, and one behind them need not.
+#[test]
+fn a_ticket_that_moves_up_when_another_is_refused_gets_a_free_slot_at_once() {
+    const LOOKED_AT: u128 = 16;
+    let mut bench = Bench::new(2, 1, &["a"]);
+    bench.join(1, hello("r1", 1));
+    bench.submit(1, RequestTicket { avoid: Some(endpoint(1)), ..ticket(0, "a", 10) });
+    let away = |number| RequestTicket { avoid: Some(endpoint(1)), ..ticket(number, "a", 10) };
+    bench.submit(1, RequestTicket { objective: Some(Duration::from_millis(150)), ..away(1) });
+    (2..=LOOKED_AT).for_each(|number| bench.submit(1, away(number)));
+    bench.submit(1, ticket(LOOKED_AT + 1, "a", 10));
+    bench.grants();
+    bench.now = bench.now + Duration::from_millis(150);
+    bench.step(ShardEvent::Wake);
+    assert_eq!(bench.granted_requests(), [LOOKED_AT + 1]);
+}
