test(dispatch): customers are shut out when engines are lost, red

Engines read in order of arrival and keep shared parts, routers throttle, callers come back at once or after what they were told; 10 to 80 of 100 engines are gone, silent or slow from 3 s on, at once or one by one; one to eight customers ask for 0.6 to 2.5 times the whole capacity together, three to ten others for 0.4 to 0.9 of it. The check is the users' rule.

Row `horizon`: a customer that always has a ticket that waits by choice, while another gets what is free: all of 40 requests before the other's first.

--- a/crates/micaspool-dispatch/tests/shard/horizon.rs
+++ b/crates/micaspool-dispatch/tests/shard/horizon.rs
@@ -5,7 +5,7 @@
 //! while another began 20 a second. That one had been refused once or twice in the three seconds before, kept its level
 //! for that, and had all of the other's lead to itself.
 
-use crate::bench::{hello, ticket, Bench};
+use crate::bench::{endpoint, hello, ticket, Bench};
 use micaspool_dispatch::{GrantFate, RequestTicket};
 use micaspool_types::Cost;
 use std::time::Duration;
@@ -39,13 +39,9 @@
     bench
 }
 
-#[test]
-fn a_lead_from_when_others_wanted_nothing_is_not_held_against_a_customer_for_long() {
-    let mut bench = lead_of_sixty();
-    for number in 0..60 {
-        bench.submit(1, asked(2_000 + number, "b"));
-        bench.submit(1, asked(3_000 + number, "flood"));
-    }
+/// How many of forty grants go to the other customer before the flood's first, while its four last requests and then
+/// what is granted end one after the other.
+fn granted_before_the_flood(bench: &mut Bench) -> usize {
     let mut running: Vec<u128> = (60..64).collect();
     let mut order = Vec::new();
     for _ in 0..40 {
@@ -53,7 +49,17 @@
         running.extend(bench.granted_requests());
         order.extend(running.last().copied());
     }
-    let before = order.iter().take_while(|request| **request < 3_000).count();
+    order.iter().take_while(|request| **request < 3_000).count()
+}
+
+#[test]
+fn a_lead_from_when_others_wanted_nothing_is_not_held_against_a_customer_for_long() {
+    let mut bench = lead_of_sixty();
+    for number in 0..60 {
+        bench.submit(1, asked(2_000 + number, "b"));
+        bench.submit(1, asked(3_000 + number, "flood"));
+    }
+    let before = granted_before_the_flood(&mut bench);
     assert!(before <= MOST_BEFORE, "{before} requests of the other before its first");
 }
 
@@ -71,3 +77,24 @@
     }
     assert_eq!(bench.granted_requests(), [2_000, 2_001, 2_002, 2_003]);
 }
+
+/// A ticket that waits though an endpoint is free keeps its customer's queue from ever being empty.
+#[test]
+fn tickets_that_wait_by_choice_add_up_no_claim() {
+    let mut bench = Bench::new(1, SLOTS, &["flood", "b"]);
+    bench.change(|policy| policy.idle_credit = Cost(COST));
+    bench.join(1, hello("r1", 1));
+    bench.submit(1, RequestTicket { avoid: Some(endpoint(0)), ..asked(1_000, "b") });
+    (0..4).for_each(|number| bench.submit(1, asked(number, "flood")));
+    for number in 0..60 {
+        bench.settle(1, number, COST, GrantFate::Done);
+        bench.submit(1, asked(number + 4, "flood"));
+    }
+    bench.grants();
+    for number in 0..60 {
+        bench.submit(1, asked(2_000 + number, "b"));
+        bench.submit(1, asked(3_000 + number, "flood"));
+    }
+    let before = granted_before_the_flood(&mut bench);
+    assert!(before <= MOST_BEFORE, "{before} requests of the other before its first");
+}
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -23,5 +23,6 @@
 mod regions;
 mod reports;
 mod returning;
+mod scarcity;
 mod suspects;
 mod throttling;
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/fleet.rs
@@ -0,0 +1,321 @@
+//! A shard, the routers before it with their throttles, and engines of which some are lost.
+
+use super::load::{LoadPlan, LossKind, RetryHabit, LOSS_AT, PACE_PER_SECOND};
+use super::share::ShareRecord;
+use crate::bench::{customer, endpoint, hello, ticket, Bench};
+use micaspool_dispatch::{AskThrottle, GrantFate, RequestTicket, SessionId, ShardAction, ShardEvent};
+use micaspool_types::{Cost, EndpointName, Moment, RequestId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+const ROUTERS: u64 = 6;
+const SLOTS: u32 = 16;
+const MEMORY_TOKENS: u64 = 500_000;
+const LENGTH: Duration = Duration::from_secs(12);
+/// From the end of reading to the first event.
+const LATENCY: Duration = Duration::from_millis(50);
+/// How long a request runs after its first event at most.
+const LONGEST_RUN: Duration = Duration::from_millis(2_000);
+/// How long a refused connection takes, one that nobody answers, and a run that says nothing.
+const REFUSED_CONNECT: Duration = Duration::from_millis(1);
+const SILENT_CONNECT: Duration = Duration::from_millis(500);
+const SILENT_RUN: Duration = Duration::from_millis(3_000);
+const SLOW_FACTOR: f64 = 4.0;
+const TICK: Duration = Duration::from_millis(50);
+/// How soon a caller that presses comes back, and how often callers try.
+const PRESSING: Duration = Duration::from_millis(50);
+const MOST_TRIES: u32 = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A caller of this customer comes for the first time.
+    Arrive(usize),
+    /// A caller comes again.
+    Return(CallerTry),
+    Begin(u128),
+    End(u128, GrantFate),
+    /// The engine with this number is lost.
+    Lose(usize),
+    Tick,
+}
+
+/// One try of a caller.
+#[derive(Clone, Copy, Debug)]
+struct CallerTry {
+    customer: usize,
+    part: u64,
+    own_tokens: u32,
+    tries: u32,
+}
+
+/// A request that waits or runs.
+#[derive(Clone, Copy, Debug)]
+struct OpenRequest {
+    caller: CallerTry,
+    router: u64,
+    since: Duration,
+    engine: Option<usize>,
+}
+
+/// What really happens at an engine.
+#[derive(Debug, Default)]
+struct RealEngine {
+    loss: Option<LossKind>,
+    busy_until: Duration,
+    kept: BTreeSet<u64>,
+}
+
+/// One day.
+pub struct ScarceFleet<'a> {
+    plan: &'a LoadPlan,
+    bench: Bench,
+    start: Moment,
+    now: Duration,
+    throttles: Vec<AskThrottle>,
+    engines: Vec<RealEngine>,
+    numbers: HashMap<EndpointName, usize>,
+    open: HashMap<u128, OpenRequest>,
+    due: BTreeMap<(Duration, u64), Step>,
+    steps: u64,
+    requests: u128,
+    rng: ChaCha8Rng,
+    record: ShareRecord,
+}
+
+impl<'a> ScarceFleet<'a> {
+    pub fn new(plan: &'a LoadPlan, seed: u64) -> ScarceFleet<'a> {
+        let names: Vec<String> = (0..plan.customers.len()).map(|number| format!("c{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut bench = Bench::new(plan.engines, SLOTS, &names);
+        let capacity = plan.engines as f64 * PACE_PER_SECOND;
+        bench.change(|policy| {
+            policy.endpoints.iter_mut().for_each(|spec| spec.memory_tokens = MEMORY_TOKENS);
+            policy.planned_pace = PACE_PER_SECOND / 1_000.0;
+            policy.idle_credit = Cost((capacity / 10.0) as u64);
+        });
+        (1..=ROUTERS).for_each(|router| bench.join(router, hello(&format!("r{router}"), 1)));
+        let mut fleet = ScarceFleet {
+            plan,
+            start: bench.now,
+            bench,
+            now: Duration::ZERO,
+            throttles: vec![AskThrottle::default(); ROUTERS as usize],
+            engines: (0..plan.engines).map(|_| RealEngine::default()).collect(),
+            numbers: (0..plan.engines).map(|number| (endpoint(number), number)).collect(),
+            open: HashMap::new(),
+            due: BTreeMap::new(),
+            steps: 0,
+            requests: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            record: ShareRecord::new(plan.customers.len(), LENGTH),
+        };
+        fleet.at(TICK, Step::Tick);
+        (0..plan.customers.len()).for_each(|customer| fleet.expect_arrival(customer));
+        (0..plan.lost).for_each(|number| fleet.at(LOSS_AT + plan.gap * number as u32, Step::Lose(number)));
+        fleet
+    }
+
+    pub fn play(mut self) -> ShareRecord {
+        while self.now < LENGTH {
+            let ((at, _), step) = self.due.pop_first().expect("ticks never end");
+            self.wake_until(at);
+            self.set_time(at);
+            self.take(step);
+            self.heed();
+        }
+        self.record
+    }
+
+    fn at(&mut self, at: Duration, step: Step) {
+        self.steps += 1;
+        self.due.insert((at, self.steps), step);
+    }
+
+    fn set_time(&mut self, now: Duration) {
+        self.now = now;
+        self.bench.now = self.start + now;
+    }
+
+    /// Lets the shard do by itself what is due before a moment.
+    fn wake_until(&mut self, at: Duration) {
+        while let Some(wake) = self.bench.core.next_wake().map(|wake| wake.since(self.start)) {
+            if wake >= at {
+                return;
+            }
+            self.set_time(wake.max(self.now));
+            self.bench.step(ShardEvent::Wake);
+            self.heed();
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Arrive(customer) => {
+                self.expect_arrival(customer);
+                let caller = self.draw_caller(customer);
+                self.ask(caller);
+            }
+            Step::Return(caller) => self.ask(caller),
+            Step::Begin(number) => self.begin(number),
+            Step::End(number, fate) => self.end(number, fate),
+            Step::Lose(engine) => self.lose(engine),
+            Step::Tick => {
+                self.at(self.now + TICK, Step::Tick);
+                (1..=ROUTERS).for_each(|router| self.bench.step(ShardEvent::Heartbeat(SessionId(router), 1)));
+                self.bench.step(ShardEvent::Tick);
+            }
+        }
+    }
+
+    fn expect_arrival(&mut self, customer: usize) {
+        let mean = 1.0 / self.plan.customers[customer].rate;
+        let gap = -self.rng.random_range(f64::MIN_POSITIVE..1.0).ln() * mean;
+        self.at(self.now + Duration::from_secs_f64(gap), Step::Arrive(customer));
+    }
+
+    fn draw_caller(&mut self, customer: usize) -> CallerTry {
+        let load = &self.plan.customers[customer];
+        let own = f64::from(load.own_tokens) * -self.rng.random_range(0.01..1.0_f64).ln();
+        CallerTry {
+            customer,
+            part: customer as u64 * 100 + self.rng.random_range(0..load.parts),
+            own_tokens: own as u32 + 1,
+            tries: 1,
+        }
+    }
+
+    fn ask(&mut self, caller: CallerTry) {
+        let load = self.plan.customers[caller.customer];
+        let tokens = load.part_tokens + caller.own_tokens;
+        self.record.ask(self.now, caller.customer, u64::from(tokens));
+        let router = self.rng.random_range(1..=ROUTERS);
+        let draw = self.rng.random();
+        let name = customer(&format!("c{}", caller.customer));
+        let throttle = &mut self.throttles[router as usize - 1];
+        if let Err(retry_after) = throttle.admit(self.bench.now, &name, draw) {
+            self.refuse(caller, retry_after);
+            return;
+        }
+        self.requests += 1;
+        let number = self.requests;
+        self.open.insert(number, OpenRequest { caller, router, since: self.now, engine: None });
+        let prompt = RequestTicket {
+            prefixes: vec![caller.part, 1_000_000 + number as u64],
+            prefix_tokens: vec![load.part_tokens, caller.own_tokens],
+            prompt_tokens: Cost(u64::from(tokens)),
+            objective: Some(load.objective),
+            ..ticket(number, name.as_str(), u64::from(tokens))
+        };
+        self.bench.submit(router, prompt);
+    }
+
+    /// A caller is turned away and may come back.
+    fn refuse(&mut self, caller: CallerTry, retry_after: Duration) {
+        self.record.leave_unserved(self.now, caller.customer);
+        if caller.tries >= MOST_TRIES {
+            return;
+        }
+        let wait = match self.plan.habit {
+            RetryHabit::Pressing => PRESSING,
+            RetryHabit::Told => retry_after,
+        };
+        self.at(self.now + wait, Step::Return(CallerTry { tries: caller.tries + 1, ..caller }));
+    }
+
+    fn heed(&mut self) {
+        for action in std::mem::take(&mut self.bench.seen) {
+            match action {
+                ShardAction::Grant { request, endpoint, .. } => self.send(request.0, &endpoint),
+                ShardAction::Refuse { request, retry_after, .. } => {
+                    let Some(open) = self.open.remove(&request.0) else { continue };
+                    let name = customer(&format!("c{}", open.caller.customer));
+                    let now = self.bench.now;
+                    self.throttles[open.router as usize - 1].note_refused(now, &name, retry_after);
+                    self.refuse(open.caller, retry_after);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A router sends a granted request on.
+    fn send(&mut self, number: u128, endpoint: &EndpointName) {
+        let engine = self.numbers[endpoint];
+        let open = self.open.get_mut(&number).expect("granted requests are open");
+        open.engine = Some(engine);
+        let OpenRequest { caller, router, .. } = *open;
+        let name = customer(&format!("c{}", caller.customer));
+        self.throttles[router as usize - 1].note_taken(self.bench.now, &name);
+        let real = &mut self.engines[engine];
+        let slowness = match real.loss {
+            Some(LossKind::Gone) => {
+                self.at(self.now + REFUSED_CONNECT, Step::End(number, GrantFate::Unreachable));
+                return;
+            }
+            Some(LossKind::Silent) => {
+                self.at(self.now + SILENT_CONNECT, Step::End(number, GrantFate::Unreachable));
+                return;
+            }
+            Some(LossKind::Slow) => SLOW_FACTOR,
+            None => 1.0,
+        };
+        let load = &self.plan.customers[caller.customer];
+        let is_new = real.kept.insert(caller.part);
+        let tokens = caller.own_tokens + if is_new { load.part_tokens } else { 0 };
+        let reading = Duration::from_secs_f64(f64::from(tokens) / PACE_PER_SECOND * slowness);
+        real.busy_until = self.now.max(real.busy_until) + reading;
+        let begins = real.busy_until + LATENCY;
+        self.at(begins, Step::Begin(number));
+    }
+
+    fn begin(&mut self, number: u128) {
+        let Some(open) = self.open.get(&number).copied() else { return };
+        let engine = open.engine.expect("it was granted");
+        if matches!(self.engines[engine].loss, Some(LossKind::Gone | LossKind::Silent)) {
+            return;
+        }
+        let load = self.plan.customers[open.caller.customer];
+        let tokens = u64::from(load.part_tokens + open.caller.own_tokens);
+        self.record.begin(self.now, open.caller.customer, tokens);
+        if self.now - open.since > load.objective {
+            self.record.leave_unserved(self.now, open.caller.customer);
+        }
+        let begun = ShardEvent::Progress(SessionId(open.router), RequestId(number), Cost(tokens));
+        self.bench.step(begun);
+        let run = LONGEST_RUN.mul_f64(self.rng.random());
+        self.at(self.now + run, Step::End(number, GrantFate::Done));
+    }
+
+    fn end(&mut self, number: u128, fate: GrantFate) {
+        let Some(open) = self.open.get(&number).copied() else { return };
+        let engine = open.engine.expect("it was granted");
+        let is_lost = matches!(self.engines[engine].loss, Some(LossKind::Gone | LossKind::Silent));
+        if fate == GrantFate::Done && is_lost {
+            return;
+        }
+        self.open.remove(&number);
+        let load = &self.plan.customers[open.caller.customer];
+        let cost = match fate {
+            GrantFate::Done => u64::from(load.part_tokens + open.caller.own_tokens),
+            _ => 0,
+        };
+        self.bench.settle(open.router, number, cost, fate);
+        if fate == GrantFate::Unreachable {
+            self.refuse(open.caller, Duration::from_secs(1));
+        }
+    }
+
+    fn lose(&mut self, engine: usize) {
+        self.engines[engine].loss = Some(self.plan.loss);
+        let (fate, after) = match self.plan.loss {
+            LossKind::Gone => (GrantFate::Severed, Duration::ZERO),
+            LossKind::Silent => (GrantFate::Broken, SILENT_RUN),
+            LossKind::Slow => return,
+        };
+        let running = self.open.iter().filter(|(_, open)| open.engine == Some(engine));
+        let running: BTreeSet<u128> = running.map(|(number, _)| *number).collect();
+        running.into_iter().for_each(|number| self.at(self.now + after, Step::End(number, fate)));
+    }
+}
