fix(dispatch): a customer with tickets that wait by choice adds up no claim on what it did not want

Cause: who waits is lifted to a bounded distance below the highest level that was served, but only with the first ticket of a queue. A ticket that waits for the engine that keeps its prompt's parts is passed over though others are free, and a customer that always has one such ticket never begins to wait: it was 2 to 14 million behind the customer that took what nobody else wanted. When capacity fell, all of that was paid back at once. Ruled out: the length of queues (16 to 170 tickets of the customer waited), free engines (0 of 70), charges of broken work (its level did not rise). Mend: every ticket lifts its customer. Whoever is served while others are behind has taken what these had no use for: ranks are asked in order. What stands further behind than the credit is therefore no claim.

--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -18,6 +18,7 @@
 mod grants;
 mod holders;
 mod joining;
+mod lag;
 mod overdue;
 mod pace;
 mod parts;
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -8,7 +8,7 @@
 use crate::event::{RequestTicket, SessionId};
 use crate::shard::endpoints::EndpointIndex;
 use crate::shard::engine::PromptShape;
-use micaspool_fair::{CustomerIndex, HeadTicket, ServiceLevel};
+use micaspool_fair::{CustomerIndex, HeadTicket};
 use micaspool_types::{Cost, Moment, OrderNumber, RequestDigest, RequestId};
 use std::cell::Cell;
 use std::time::Duration;
@@ -16,12 +16,6 @@
 /// How long a ticket stays away from the endpoint that failed it.
 const AVOIDANCE: Duration = Duration::from_secs(5);
 
-/// How long a refused ticket counts as if it still waited. Callers come back after a second or two.
-const REFUSAL_MEMORY: Duration = Duration::from_secs(3);
-/// How many idle credits a customer whose tickets were refused lately may have received less than the others. Without
-/// a bound a customer that had taken what nobody wanted gets nothing until all others have had as much.
-const REFUSED_CREDITS: u64 = 5;
-
 /// What is left of an objective that has passed.
 const LEAST_OBJECTIVE: Duration = Duration::from_millis(1);
 
@@ -195,9 +189,7 @@
 
     pub(super) fn insert_waiting(&mut self, now: Moment, request: RequestId, ticket: WaitingTicket) {
         let customer = ticket.customer;
-        if self.customers.get(customer).queue.is_empty() {
-            self.lift(now, customer);
-        }
+        self.lift(now, customer);
         self.routers.hold(ticket.router, request);
         let state = self.customers.get_mut(customer);
         state.queue.insert(ticket.place, request);
@@ -213,37 +205,6 @@
         self.next_order = self.next_order.max(OrderNumber(order.0 + 1));
     }
 
-    /// A customer that begins to wait starts no lower than those that wait already. One whose tickets
-    /// were refused lately never ceased to wait, in effect, and keeps its level, if that is not far below.
-    fn lift(&mut self, now: Moment, customer: CustomerIndex) {
-        if !self.options.policy.lifts() || self.recovering_until.is_some() {
-            return;
-        }
-        let state = self.customers.get(customer);
-        let never_ceased = state.refused_at.is_some_and(|at| now.since(at) < REFUSAL_MEMORY);
-        if never_ceased && self.idle_credit == Cost(0) {
-            return;
-        }
-        let level = self.options.policy.level(&state.account);
-        let credits = if never_ceased { REFUSED_CREDITS } else { 1 };
-        if let Some(floor) = self.lift_target(customer, credits) {
-            self.customers.get_mut(customer).account.lift(level, floor);
-        }
-    }
-
-    /// The level that a customer which begins to wait has at least. With an idle credit it counts from
-    /// the highest level that was served: counted from the lowest that waits, each customer that comes
-    /// back would stand a credit below the one before.
-    fn lift_target(&self, customer: CustomerIndex, credits: u64) -> Option<ServiceLevel> {
-        let state = self.customers.get(customer);
-        if self.idle_credit == Cost(0) {
-            return self.floor_for(state.halls).map(|floor| ServiceLevel(floor.0));
-        }
-        let credit = ServiceLevel::of(Cost(self.idle_credit.0 * credits), state.account.weight());
-        let served = state.halls.indices().filter_map(|hall| self.floors.get(hall)).max()?;
-        Some(ServiceLevel(served.0.saturating_sub(credit.0)))
-    }
-
     /// Gives a waiting ticket up.
     pub(super) fn cancel(&mut self, now: Moment, session: SessionId, request: RequestId) {
         let owner = self.routers.by_session(session);
