--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -245,6 +245,7 @@
             self.endpoints.begin(now, endpoint, request);
             since.into_iter().for_each(|since| self.endpoints.note_answer(endpoint, now.since(since)));
         }
+        self.delivered.add(now, delivered.minus(before).0);
         self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
         self.reindex(customer);
         self.hear_endpoint(now, endpoint, actions);
@@ -293,6 +294,7 @@
                 let cost = cost.unwrap_or(grant.delivered);
                 state.account.charge_end(grant.estimate, grant.delivered, cost);
                 state.served = state.served.plus(cost.minus(grant.delivered));
+                self.delivered.add(now, cost.minus(grant.delivered).0);
                 if matches!(fate, GrantFate::Done | GrantFate::Abandoned) && cost > Cost(0) {
                     state.estimator.learn(grant.hint, cost);
                 }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -52,6 +52,7 @@
 use micaspool_types::{Cost, HallMask, HallName, Moment, OrderNumber, RequestId, Revision};
 use pace::GrantPace;
 use prefixes::PrefixMemory;
+use rate::FadingRate;
 use retries::RetryBudgets;
 use routers::RouterTable;
 use sharing::RemoteTotals;
@@ -87,6 +88,8 @@
     suspects: SuspectWatch,
     copies: CopyCounts,
     pace: GrantPace,
+    /// The cost that is delivered to all customers.
+    delivered: FadingRate,
     next_order: OrderNumber,
     /// When all tickets are looked at again in any case.
     fill_due: Moment,
@@ -123,6 +126,7 @@
             suspects: SuspectWatch::new(options.quarantine),
             copies: CopyCounts::default(),
             pace: GrantPace::new(now),
+            delivered: FadingRate::default(),
             next_order: OrderNumber(1),
             fill_due: now,
             moved_up: false,
