fix(dispatch): refused callers are told to come back later when capacity falls

Cause: the time follows the length of queues, and queues are short when all that comes is refused. Mend: not before what the customer asks for in a second has been served, at the rate at which it is served (at least an even share of what endpoints do). Ten seconds at most, since nobody knows what is asked for by then; a longer queue counts as before. Ruled out: leaving the queue out of it (row `limits`, the_time_to_come_back_follows_the_backlog: 20 tickets at 2 a second).

--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -32,6 +32,8 @@
     pub queue: BTreeMap<QueuePlace, RequestId>,
     /// The prompt tokens of the queue; requests where they have none.
     pub queued_load: u64,
+    /// The same of all its tickets that came, a second.
+    pub ask_rate: FadingRate,
     /// The same of its grants, a second.
     pub grant_rate: FadingRate,
     /// What became of its tickets.
@@ -94,6 +96,7 @@
             estimator: CostEstimator::new(self.ceiling),
             queue: BTreeMap::new(),
             queued_load: 0,
+            ask_rate: FadingRate::default(),
             grant_rate: FadingRate::default(),
             flow: CustomerFlow::default(),
             tolerance: SharedTolerance::default(),
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -68,6 +68,11 @@
         self.total.max(1)
     }
 
+    /// The same of a ticket.
+    pub fn load_of(ticket: &RequestTicket) -> u64 {
+        ticket.prompt_tokens.0.max(1)
+    }
+
     /// Each prefix with the tokens that it adds; unknown sizes count as one token.
     fn parts(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         let tokens = self.tokens.iter().map(|tokens| u64::from(*tokens)).chain(std::iter::repeat(1));
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod choice;
 mod cold;
+mod come_back;
 mod copies;
 mod customers;
 mod doors;
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -118,15 +118,24 @@
         }
     }
 
-    /// How long the customer's waiting tickets will take: at the pace at which it was served lately, or at
-    /// an even share of what all endpoints do, if that is more.
+    /// How long the customer's waiting tickets will take.
     fn queue_time(&self, now: Moment, state: &CustomerState) -> Duration {
-        let backlogged = self.customers.iter().filter(|other| !other.queue.is_empty()).count();
-        let share = self.endpoints.load_per_second(now) / backlogged.max(1) as f64;
-        let rate = state.grant_rate.per_second(now).max(share);
+        let rate = self.service_rate(now, state);
         Duration::try_from_secs_f64(state.queued_load as f64 / rate).unwrap_or(Duration::MAX)
     }
 
+    /// The load a second at which a customer is served: as it was lately, or an even share of what all endpoints do, if
+    /// that is more.
+    pub(super) fn service_rate(&self, now: Moment, state: &CustomerState) -> f64 {
+        let share = self.endpoints.load_per_second(now) / self.backlogged().max(1) as f64;
+        state.grant_rate.per_second(now).max(share)
+    }
+
+    /// How many customers have a ticket that waits.
+    pub(super) fn backlogged(&self) -> usize {
+        self.customers.iter().filter(|state| !state.queue.is_empty()).count()
+    }
+
     fn refuse_late(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
         let Some(ticket) = self.waiting.get(&request) else { return };
         self.customers.get_mut(ticket.customer).refused_at = Some(now);
@@ -146,7 +155,7 @@
         self.customers.get_mut(ticket.customer).flow.note_refusal(now.since(ticket.since));
         if let Some(session) = self.routers.session(ticket.router) {
             let earliest = cause.earliest.map_or(Duration::ZERO, |earliest| earliest.since(now));
-            let retry_after = self.retry_after(ticket.customer).max(earliest);
+            let retry_after = self.retry_after(now, ticket.customer).max(earliest);
             actions.push(ShardAction::Refuse {
                 session,
                 request,
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -90,6 +90,8 @@
             actions.push(refusal.action(session, &ticket));
             return;
         }
+        let load = PromptShape::load_of(&ticket);
+        self.customers.get_mut(customer).ask_rate.add(now, load);
         let age = self.age_of(now, &ticket);
         let is_first_try = age.is_zero() && ticket.attempt == 0;
         let objective = ticket.objective.map(|objective| objective.saturating_sub(age).max(LEAST_OBJECTIVE));
@@ -102,7 +104,7 @@
                 session,
                 request,
                 reason,
-                retry_after: self.retry_after(customer),
+                retry_after: self.retry_after(now, customer),
                 waited: Duration::ZERO,
                 awaited: None,
                 objective: ticket.objective,
@@ -255,11 +257,4 @@
         }
         self.customers.get_mut(customer).indexed = entry;
     }
-
-    /// When a refused request of the customer may find room.
-    pub(super) fn retry_after(&self, customer: CustomerIndex) -> Duration {
-        let ahead = self.customers.get(customer).queue.len() + 1;
-        let backlogged = self.customers.iter().filter(|state| !state.queue.is_empty()).count();
-        self.pace.wait_for(ahead * backlogged.max(1))
-    }
 }
--- a/crates/micaspool-dispatch/tests/shard/scarcity/fleet.rs
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/fleet.rs
@@ -214,6 +214,7 @@
     /// A caller is turned away and may come back.
     fn refuse(&mut self, caller: CallerTry, retry_after: Duration) {
         self.record.leave_unserved(self.now, caller.customer);
+        self.record.tell(self.now, retry_after);
         if caller.tries >= MOST_TRIES {
             return;
         }
--- a/crates/micaspool-dispatch/tests/shard/scarcity/load.rs
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/load.rs
@@ -58,7 +58,7 @@
     pub gap: Duration,
     pub habit: RetryHabit,
     pub customers: Vec<CustomerLoad>,
-    floods: usize,
+    pub floods: usize,
 }
 
 impl LoadPlan {
--- a/crates/micaspool-dispatch/tests/shard/scarcity/share.rs
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/share.rs
@@ -1,11 +1,14 @@
 //! Who got how much of what was asked for, and who was starved.
 
+use std::ops::Range;
 use std::time::Duration;
 
 /// Over how many seconds shares are compared.
 const WINDOW: usize = 6;
 /// How many of the largest requests one may have less.
 const SPARED_REQUESTS: u64 = 3;
+/// Of how many refused callers a mean is taken.
+const LEAST_TOLD: u32 = 20;
 
 /// One customer in one second.
 #[derive(Clone, Copy, Debug, Default)]
@@ -21,12 +24,18 @@
 pub struct ShareRecord {
     customers: Vec<Vec<SecondFlow>>,
     largest: u64,
+    /// When refused callers were told to come back after how long.
+    told: Vec<(Duration, Duration)>,
 }
 
 impl ShareRecord {
     pub fn new(customers: usize, length: Duration) -> ShareRecord {
         let seconds = usize::try_from(length.as_secs()).expect("a short day") + 1;
-        ShareRecord { customers: vec![vec![SecondFlow::default(); seconds]; customers], largest: 0 }
+        ShareRecord {
+            customers: vec![vec![SecondFlow::default(); seconds]; customers],
+            largest: 0,
+            told: Vec::new(),
+        }
     }
 
     pub fn ask(&mut self, now: Duration, customer: usize, tokens: u64) {
@@ -42,6 +51,19 @@
         self.flow(now, customer).unserved = true;
     }
 
+    /// A refused caller is told when to come back.
+    pub fn tell(&mut self, now: Duration, retry_after: Duration) {
+        self.told.push((now, retry_after));
+    }
+
+    /// The mean of what callers were told in a span; `None` where hardly any was refused.
+    pub fn mean_told(&self, span: Range<Duration>) -> Option<Duration> {
+        let told: Vec<Duration> =
+            self.told.iter().filter(|(at, _)| span.contains(at)).map(|(_, told)| *told).collect();
+        let count = u32::try_from(told.len()).expect("a short day");
+        (count >= LEAST_TOLD).then(|| told.iter().sum::<Duration>() / count)
+    }
+
     /// The customers that were refused in each second of a window and got less than half of what they asked for or the
     /// best served got, whichever is less, second by second.
     pub fn starved(&self) -> Vec<String> {
