--- a/crates/micaspool-dispatch/tests/shard/horizon.rs
+++ b/crates/micaspool-dispatch/tests/shard/horizon.rs
@@ -80,7 +80,7 @@
 
 /// A ticket that waits though an endpoint is free keeps its customer's queue from ever being empty.
 #[test]
-fn tickets_that_wait_by_choice_add_up_no_claim() {
+fn a_customer_is_not_owed_what_its_tickets_passed_over_by_choice() {
     let mut bench = Bench::new(1, SLOTS, &["flood", "b"]);
     bench.change(|policy| policy.idle_credit = Cost(COST));
     bench.join(1, hello("r1", 1));
--- a/crates/micaspool-dispatch/tests/shard/scarcity/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/mod.rs
@@ -34,6 +34,16 @@
     assert!(found.is_empty(), "{} times:\n{}", found.len(), found.join("\n"));
 }
 
+/// The same on days that were found among further seeds.
+#[test_case(2_865)]
+#[test_case(2_928)]
+#[test_case(3_384)]
+#[test_case(4_044)]
+fn nobody_is_shut_out_on_days_found_later(seed: u64) {
+    let found = starved(seed..seed + 1);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 /// How often callers are told to come back later after a loss than before, of the days on which both can be told.
 fn later_after_a_loss(seeds: Range<u64>) -> (usize, usize) {
     let second = Duration::from_secs(1);
