--- a/crates/micaspool-dispatch/src/shard/come_back.rs
+++ b/crates/micaspool-dispatch/src/shard/come_back.rs
@@ -1,5 +1,6 @@
 //! When refused callers shall come back.
 
+use super::customers::CustomerState;
 use super::ShardCore;
 use micaspool_fair::CustomerIndex;
 use micaspool_types::Moment;
@@ -18,9 +19,13 @@
         let state = self.customers.get(customer);
         let ahead = state.queue.len() + 1;
         let queue = self.pace.wait_for(ahead * self.backlogged().max(1));
+        queue.max(self.time_for_a_span(now, state))
+    }
+
+    /// How long a customer is served what it asks for in a span.
+    fn time_for_a_span(&self, now: Moment, state: &CustomerState) -> Duration {
         let asked = state.ask_rate.per_second(now) * SPAN.as_secs_f64();
         let seconds = asked / self.service_rate(now, state);
-        let flow = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST);
-        queue.max(flow.min(LONGEST))
+        Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST).min(LONGEST)
     }
 }
--- a/crates/micaspool-dispatch/src/shard/lag.rs
+++ b/crates/micaspool-dispatch/src/shard/lag.rs
@@ -6,7 +6,7 @@
 
 use super::ShardCore;
 use micaspool_fair::{CustomerIndex, ServiceLevel, LEVEL_SCALE};
-use micaspool_types::{Cost, Moment};
+use micaspool_types::{Cost, HallMask, Moment};
 use std::time::Duration;
 
 /// How long a refused ticket counts as if it still waited. Callers come back after a second or two.
@@ -44,10 +44,16 @@
         let credits = if never_ceased { REFUSED_CREDITS } else { 1 };
         let credit = ServiceLevel::of(Cost(self.idle_credit.0 * credits), state.account.weight());
         let lag = credit.min(self.even_share(now));
-        let served = state.halls.indices().filter_map(|hall| self.floors.get(hall)).max()?;
+        let served = self.highest_served(state.halls)?;
         Some(ServiceLevel(served.0.saturating_sub(lag.0)))
     }
 
+    /// The highest level that was served in one of these halls.
+    pub(super) fn highest_served(&self, halls: HallMask) -> Option<ServiceLevel> {
+        let served = halls.indices().filter_map(|hall| self.floors.get(hall)).max()?;
+        Some(ServiceLevel(served.0))
+    }
+
     /// What the shard delivers to each customer that waits while all catch up, shared evenly.
     fn even_share(&self, now: Moment) -> ServiceLevel {
         let waiting = self.customers.iter().filter(|state| !state.queue.is_empty());
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -202,13 +202,13 @@
             return None;
         }
         let level = state.level(self.options.policy.as_ref());
-        let served = state.halls.indices().filter_map(|hall| self.floors.get(hall)).max();
+        let served = self.highest_served(state.halls).unwrap_or_default();
         Some(CustomerStatus {
             name: state.name.clone(),
             waiting: state.queue.len(),
             running: state.running,
             level,
-            behind: ServiceLevel(served.map_or(0, |rank| rank.0.saturating_sub(level.0))),
+            behind: ServiceLevel(served.0.saturating_sub(level.0)),
             flow: state.flow,
         })
     }
