feat(dispatch): count what began, what was lost and lifts of a customer (MP1317)

Hypotheses about an unfair distribution differ in whether what is charged is what begins: grants at silent engines that end unanswered, and levels raised towards those of others, were on no line. Each customer's line now has begun_load, lost_load and lifted beside what was granted.

--- a/crates/micaspool-dispatch/src/shard/counters.rs
+++ b/crates/micaspool-dispatch/src/shard/counters.rs
@@ -1,14 +1,21 @@
-//! Counters of a customer's granted and refused tickets.
+//! Counters of a customer's tickets and of changes of its level.
 
+use micaspool_fair::ServiceLevel;
 use std::time::Duration;
 
-/// Counters of a customer's tickets since the shard started.
+/// Counters of a customer's tickets and of changes of its level since the shard started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CustomerCounters {
     /// Tickets that were granted.
     pub granted: u64,
     /// The load of the granted tickets: prompt tokens, or requests without any.
     pub granted_load: u64,
+    /// The load of the granted tickets whose response has begun.
+    pub begun_load: u64,
+    /// The load of the granted tickets that ended before a response began.
+    pub lost_load: u64,
+    /// How far the level was raised towards those of other customers.
+    pub lifted: ServiceLevel,
     /// Tickets that were refused on arrival.
     pub refused_on_arrival: u64,
     /// Tickets that were refused after waiting.
@@ -26,6 +33,9 @@
         CustomerCounters {
             granted: self.granted - before.granted,
             granted_load: self.granted_load - before.granted_load,
+            begun_load: self.begun_load - before.begun_load,
+            lost_load: self.lost_load - before.lost_load,
+            lifted: ServiceLevel(self.lifted.0 - before.lifted.0),
             refused_on_arrival: self.refused_on_arrival - before.refused_on_arrival,
             refused_after_wait: self.refused_after_wait - before.refused_after_wait,
         }
@@ -36,6 +46,18 @@
         self.granted_load += load;
     }
 
+    pub(super) fn note_begun(&mut self, load: u64) {
+        self.begun_load += load;
+    }
+
+    pub(super) fn note_lost(&mut self, load: u64) {
+        self.lost_load += load;
+    }
+
+    pub(super) fn note_lift(&mut self, lift: ServiceLevel) {
+        self.lifted = self.lifted.saturating_add(lift);
+    }
+
     pub(super) fn note_refusal(&mut self, waited: Duration) {
         if waited.is_zero() {
             self.refused_on_arrival += 1;
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -242,9 +242,10 @@
         }
         let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
         grant.delivered = delivered;
-        let (endpoint, since) = (grant.endpoint, grant.since);
+        let (endpoint, since, load) = (grant.endpoint, grant.since, grant.prompt.load());
         let is_first_event = std::mem::take(&mut grant.awaits_first_event);
         if is_first_event {
+            self.customers.get_mut(customer).counters.note_begun(load);
             self.endpoints.note_first_event(now, endpoint, request);
             since.into_iter().for_each(|since| self.endpoints.note_answer(endpoint, now.since(since)));
         }
@@ -301,6 +302,12 @@
         }
         let state = self.customers.get_mut(grant.customer);
         state.running -= 1;
+        let load = grant.prompt.load();
+        match outcome {
+            _ if !grant.awaits_first_event => {}
+            GrantOutcome::Done => state.counters.note_begun(load),
+            _ => state.counters.note_lost(load),
+        }
         match outcome {
             GrantOutcome::Done | GrantOutcome::Abandoned | GrantOutcome::Broken | GrantOutcome::Severed => {
                 let cost = cost.unwrap_or(grant.delivered);
--- a/crates/micaspool-dispatch/src/shard/level_floor.rs
+++ b/crates/micaspool-dispatch/src/shard/level_floor.rs
@@ -28,7 +28,9 @@
         let refused_recently = state.refused_at.is_some_and(|at| now.since(at) < REFUSAL_MEMORY);
         let level = self.options.policy.level(&state.account);
         if let Some(floor) = self.minimum_level(now, customer, refused_recently) {
-            self.customers.get_mut(customer).account.lift(level, floor);
+            let state = self.customers.get_mut(customer);
+            let lift = state.account.lift(level, floor);
+            state.counters.note_lift(lift);
         }
     }
 
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod closing;
 mod cold;
+mod counters;
 mod engine_objectives;
 mod engines;
 mod evacuation;
--- a/crates/micaspool-fair/src/account.rs
+++ b/crates/micaspool-fair/src/account.rs
@@ -129,13 +129,13 @@
         self.granted_estimate = self.granted_estimate.saturating_sub(estimate);
     }
 
-    /// Raises the base so that base and `level` together are at least `floor`; `level` is the level without
-    /// the base.
-    pub fn lift(&mut self, level: ServiceLevel, floor: ServiceLevel) {
+    /// Raises the base so that base and `level` together are at least `floor`, and returns by how much;
+    /// `level` is the level without the base.
+    pub fn lift(&mut self, level: ServiceLevel, floor: ServiceLevel) -> ServiceLevel {
         let current = self.base.saturating_add(level);
-        if current < floor {
-            self.base = ServiceLevel(floor.0 - level.0);
-        }
+        let raise = ServiceLevel(floor.0.saturating_sub(current.0));
+        self.base = self.base.saturating_add(raise);
+        raise
     }
 
     /// Raises the base by service that the customer received from other shards.
