test(dispatch): a customer of few routers is held off after capacity returned (red)

The model of the throttle has late retries now, which a shard refuses however short its queue for first attempts is.

--- a/crates/micaspool-dispatch/tests/shard/throttling.rs
+++ b/crates/micaspool-dispatch/tests/shard/throttling.rs
@@ -13,6 +13,11 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Requests that the model of the shard queues.
 const QUEUE_DEPTH: f64 = 16.0;
+/// How long a first attempt and a retry whose objective has passed can wait, in seconds.
+const FIRST_ATTEMPT_TOLERANCE: f64 = 0.8;
+const LATE_RETRY_TOLERANCE: f64 = 0.1;
+/// Late retries per first attempt.
+const LATE_RETRIES: u32 = 2;
 
 /// The routers of one customer, and the shard's queue for it.
 struct CrowdedFleet {
@@ -51,18 +56,38 @@
         let mut outcome = FlowOutcome::default();
         let end = self.now + seconds;
         while self.now < end {
-            self.now += 1.0 / submitted_per_second;
-            self.queue = (self.queue - self.taken_per_second / submitted_per_second).max(0.0);
-            self.submit(&mut outcome);
+            self.advance(1.0 / submitted_per_second);
+            self.submit(QUEUE_DEPTH, &mut outcome);
         }
         outcome
     }
 
-    fn submit(&mut self, outcome: &mut FlowOutcome) {
+    /// Submits first attempts and `LATE_RETRIES` retries of each, and returns the outcome of the first
+    /// attempts.
+    fn run_with_retries(&mut self, callers_per_second: f64, seconds: f64) -> FlowOutcome {
+        let mut first_attempts = FlowOutcome::default();
+        let mut retries = FlowOutcome::default();
+        let end = self.now + seconds;
+        while self.now < end {
+            self.advance(1.0 / callers_per_second);
+            self.submit(self.taken_per_second * FIRST_ATTEMPT_TOLERANCE, &mut first_attempts);
+            (0..LATE_RETRIES)
+                .for_each(|_| self.submit(self.taken_per_second * LATE_RETRY_TOLERANCE, &mut retries));
+        }
+        first_attempts
+    }
+
+    fn advance(&mut self, seconds: f64) {
+        self.now += seconds;
+        self.queue = (self.queue - self.taken_per_second * seconds).max(0.0);
+    }
+
+    /// Submits a request for which the shard has room behind fewer than `depth` others.
+    fn submit(&mut self, depth: f64, outcome: &mut FlowOutcome) {
         let now = Moment((self.now * 1e6) as u64);
         let index = self.random.random_range(0..self.routers.len());
         let draw = self.random.random();
-        let has_room = self.queue + 1.0 <= QUEUE_DEPTH;
+        let has_room = self.queue + 1.0 <= depth;
         outcome.submitted += 1;
         let router = &mut self.routers[index];
         if router.admit(now, &self.customer, draw).is_err() {
@@ -118,3 +143,21 @@
     let flow = fleet.run(130.0, 10.0);
     assert!(f64::from(flow.taken) >= 0.99 * 1_000.0, "{flow:?}");
 }
+
+#[test_case(1, 110.0, 8.0, 130.0; "one router")]
+#[test_case(2, 110.0, 8.0, 130.0; "two routers")]
+#[test_case(2, 350.0, 30.0, 400.0; "two routers, more callers")]
+#[test_case(6, 110.0, 4.0, 130.0; "six routers, hardly any capacity")]
+fn a_customer_of_few_routers_is_served_again_as_soon_as_capacity_returns(
+    routers: usize,
+    callers_per_second: f64,
+    scarce_per_second: f64,
+    taken_per_second: f64,
+) {
+    let mut fleet = CrowdedFleet::new(routers, scarce_per_second);
+    fleet.run_with_retries(callers_per_second, 10.0);
+    fleet.taken_per_second = taken_per_second;
+    let seconds: Vec<FlowOutcome> = (0..2).map(|_| fleet.run_with_retries(callers_per_second, 1.0)).collect();
+    let is_served = |second: &FlowOutcome| second.taken * 2 >= second.submitted;
+    assert!(seconds.iter().all(is_served), "{seconds:?}");
+}
