fix(dispatch): don't throttle customers whose queue at the dispatcher is short

Cause: a gateway sends twice what was lately granted, over two seconds. After a scarcity that grows by a factor of e in two seconds; each gateway lets two requests through besides, so a customer of 56 gateways is back at once and one of two gateways is not. Refused late retries keep the throttle on, although the shard would take all first attempts; where they are half of the requests or more, the ratio never recovers.

Change: the dispatcher tells with each answer how full the customer's queue was, in percent of what its least patient first attempts can wait. Below half nothing is throttled. The limit follows from the same estimate by which the shard refuses on arrival, and no longer only from what was lately served.

--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -1,6 +1,7 @@
 //! Actions that a shard requests from its driver.
 
 use crate::event::SessionId;
+use crate::queue_fill::QueueFill;
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashRecord, RequestStanding};
 use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId, Revision};
@@ -69,6 +70,8 @@
         request: RequestId,
         /// Its position in the arrival order.
         order: OrderNumber,
+        /// The fill of the customer's queue on arrival; `None` if unknown.
+        queue_fill: Option<QueueFill>,
     },
     /// Tell the router to send its request to an endpoint.
     Grant {
@@ -93,6 +96,8 @@
         revision: Revision,
         /// The time within which the response was due when the ticket arrived.
         objective: Option<Duration>,
+        /// The fill of the customer's queue on arrival; `None` if unknown.
+        queue_fill: Option<QueueFill>,
     },
     /// Tell the router that its request is refused and was not run.
     Refuse {
@@ -112,6 +117,8 @@
         objective: Option<Duration>,
         /// The wait that was expected on arrival.
         expected_wait: Duration,
+        /// The fill of the customer's queue on arrival; `None` if unknown.
+        queue_fill: Option<QueueFill>,
     },
     /// Answer a heartbeat.
     Pulse {
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod candidates;
 mod event;
 mod options;
+mod queue_fill;
 mod ranking;
 mod shard;
 mod throttle;
@@ -27,6 +28,7 @@
 };
 pub use micaspool_quarantine::{CrashRecord, EndpointCrash, QuarantineOptions, RequestStanding};
 pub use options::{ShardOptions, ShardOptionsBuilder};
+pub use queue_fill::QueueFill;
 pub use ranking::{rank_candidates, rank_distinct};
 pub use shard::{
     CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardCore, ShardStatus,
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -213,6 +213,7 @@
                 lease: self.options.lease,
                 revision: self.revision,
                 objective: ticket.objective,
+                queue_fill: ticket.queue_fill,
             });
         }
         self.running.insert(request, RunningGrant::start(now, ticket, endpoint, estimate));
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -94,6 +94,7 @@
             prompt: grant.prompt,
             objective: None,
             expected_wait: Duration::ZERO,
+            queue_fill: None,
             first_event_due: None,
             refuse_at: None,
             caller_leaves_at: None,
@@ -134,7 +135,8 @@
         self.enqueue(now, router, customer, ticket, wait);
         let order = self.waiting[&request].place.order;
         if !had_order {
-            actions.push(ShardAction::Accepted { session, request, order });
+            let queue_fill = wait.queue_fill;
+            actions.push(ShardAction::Accepted { session, request, order, queue_fill });
         }
     }
 
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -6,6 +6,7 @@
 use super::ShardCore;
 use crate::action::{RefusalReason, ShardAction};
 use crate::event::RequestTicket;
+use crate::queue_fill::QueueFill;
 use crate::shard::engine::PromptShape;
 use micaspool_fair::CustomerIndex;
 use micaspool_types::{Moment, RequestId};
@@ -27,6 +28,8 @@
     pub queue_bound: Option<Duration>,
     /// The expected wait.
     pub expected: Duration,
+    /// The fill of the customer's queue; `None` while it is unknown how long first attempts can wait.
+    pub queue_fill: Option<QueueFill>,
 }
 
 /// Why a waiting ticket is refused, and the earliest moment at which a retry may succeed, if known.
@@ -62,23 +65,24 @@
         let first_event = self.endpoints.min_time_to_first_event(now, &PromptShape::of(ticket));
         let expected = self.queue_wait(now, self.customers.get(customer));
         let Some(objective) = ticket.objective else {
-            return WaitEstimate { max_wait: None, queue_bound: None, expected };
+            return WaitEstimate { max_wait: None, queue_bound: None, expected, queue_fill: None };
         };
-        let max_wait = objective.saturating_sub(first_event).max(MIN_WAIT);
-        if !self.endpoints.has_no_engine() {
-            return WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(max_wait), expected };
-        }
         if is_first_attempt {
             self.note_tolerance(now, customer, objective, first_event);
         }
         let tolerated = self.customers.get_mut(customer).tolerance.shortest(now);
-        let queue_bound = engineless_bound(objective, first_event, tolerated);
-        WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(queue_bound), expected }
+        let max_wait = objective.saturating_sub(first_event).max(MIN_WAIT);
+        let queue_bound = match self.endpoints.has_no_engine() {
+            true => engineless_bound(objective, first_event, tolerated),
+            false => max_wait,
+        };
+        let queue_fill = (tolerated < Duration::MAX).then(|| QueueFill::of(expected, tolerated));
+        WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(queue_bound), expected, queue_fill }
     }
 
-    /// Records how long a request can wait in a service without engines. The least patient requests
-    /// limit the queue of their customer: if each ticket were judged by its own objective, the queue
-    /// would grow to the limit of the most patient ones and all others would be late.
+    /// Records how long a first attempt can wait. In a service without engines, the least patient
+    /// requests limit the queue of their customer: if each ticket were judged by its own objective, the
+    /// queue would grow to the limit of the most patient ones and all others would be late.
     fn note_tolerance(
         &mut self,
         now: Moment,
@@ -169,6 +173,7 @@
                 awaited: ticket.waits_for.get().map(|choice| self.endpoints.name(choice.engine).clone()),
                 objective: ticket.objective,
                 expected_wait: ticket.expected_wait,
+                queue_fill: ticket.queue_fill,
             });
         }
     }
--- a/crates/micaspool-dispatch/src/shard/suspects.rs
+++ b/crates/micaspool-dispatch/src/shard/suspects.rs
@@ -122,6 +122,7 @@
             awaited: None,
             objective: ticket.objective,
             expected_wait: Duration::ZERO,
+            queue_fill: None,
         }
     }
 }
@@ -214,6 +215,7 @@
                 awaited: None,
                 objective: ticket.objective,
                 expected_wait: ticket.expected_wait,
+                queue_fill: ticket.queue_fill,
             });
         }
     }
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -6,6 +6,7 @@
 use super::ShardCore;
 use crate::action::{RefusalReason, ShardAction};
 use crate::event::{RequestTicket, SessionId};
+use crate::queue_fill::QueueFill;
 use crate::shard::endpoints::EndpointIndex;
 use crate::shard::engine::PromptShape;
 use micaspool_fair::{CustomerIndex, HeadTicket};
@@ -35,6 +36,8 @@
     pub objective: Option<Duration>,
     /// The wait that was expected when the ticket arrived.
     pub expected_wait: Duration,
+    /// The fill of its customer's queue when it arrived, if known.
+    pub queue_fill: Option<QueueFill>,
     /// When the first event is due; `None` without an objective.
     pub first_event_due: Option<Moment>,
     /// When the ticket is refused because it can no longer begin in time; `None` for never.
@@ -109,6 +112,10 @@
                 awaited: None,
                 objective: ticket.objective,
                 expected_wait: wait.expected,
+                queue_fill: match reason {
+                    RefusalReason::CustomerFull => Some(QueueFill::FULL),
+                    _ => wait.queue_fill,
+                },
             });
             return;
         }
@@ -116,7 +123,8 @@
         self.refuse_resting_ticket(now, request, actions);
         self.grant_new(now, request, actions);
         if let Some(ticket) = self.waiting.get(&request) {
-            actions.push(ShardAction::Accepted { session, request, order: ticket.place.order });
+            let (order, queue_fill) = (ticket.place.order, ticket.queue_fill);
+            actions.push(ShardAction::Accepted { session, request, order, queue_fill });
         }
     }
 
@@ -182,6 +190,7 @@
             avoid: avoid.map(|endpoint| Avoidance { endpoint, until: now + AVOIDANCE_PERIOD }),
             objective: ticket.objective,
             expected_wait: wait.expected,
+            queue_fill: wait.queue_fill,
             first_event_due: ticket.objective.map(|objective| now + objective),
             refuse_at: wait.max_wait.map(|max_wait| now + max_wait),
             caller_leaves_at: ticket.patience.map(|patience| now + patience),
--- a/crates/micaspool-dispatch/src/throttle.rs
+++ b/crates/micaspool-dispatch/src/throttle.rs
@@ -13,7 +13,13 @@
 //! The limits prevent the refusal of requests that could be served. Only customers with a very recent
 //! refusal are throttled, so throttling ends half a second after the last one. A customer with a few
 //! requests per second at a router is never throttled there.
+//!
+//! The ratio alone says little about requests that were not sent. After a scarcity it takes seconds to
+//! recover, the longer the fewer routers a customer uses, and it never does while most requests are
+//! refused for another reason than a long queue, for example late retries. A customer is therefore not
+//! throttled while the dispatcher says that its queue is short.
 
+use crate::queue_fill::QueueFill;
 use micaspool_types::{CustomerName, Moment};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -29,6 +35,8 @@
 /// How long a customer may be throttled after a refusal by the dispatcher. After that its next request
 /// is sent to the dispatcher.
 const REFUSAL_LIFETIME: Duration = Duration::from_millis(500);
+/// How long a queue fill told by the dispatcher is considered current.
+const FILL_LIFETIME: Duration = Duration::from_millis(500);
 /// The maximum number of customers tracked; beyond it the least recently active one is evicted.
 const MAX_CUSTOMERS: usize = 1_024;
 
@@ -41,11 +49,28 @@
     refused_at: Option<Moment>,
     /// When a refused request may be retried, according to the dispatcher's latest refusal.
     retry_after: Duration,
+    /// The latest known fill of the customer's queue.
+    queue: Option<FillReport>,
+}
+
+/// The fill of a queue when a request arrived there.
+#[derive(Clone, Copy, Debug)]
+struct FillReport {
+    /// When the request was sent.
+    sent_at: Moment,
+    fill: QueueFill,
 }
 
 impl RequestRecord {
     fn new(now: Moment) -> RequestRecord {
-        RequestRecord { requests: 0.0, accepts: 0.0, at: now, refused_at: None, retry_after: Duration::ZERO }
+        RequestRecord {
+            requests: 0.0,
+            accepts: 0.0,
+            at: now,
+            refused_at: None,
+            retry_after: Duration::ZERO,
+            queue: None,
+        }
     }
 
     fn decay(&mut self, now: Moment) {
@@ -55,9 +80,14 @@
         self.at = now;
     }
 
+    fn has_short_queue(&self, now: Moment) -> bool {
+        let current = self.queue.filter(|queue| now.since(queue.sent_at) < FILL_LIFETIME);
+        current.is_some_and(|queue| queue.fill.is_short())
+    }
+
     /// The probability that a request of the customer is refused here.
     fn refusal_probability(&self, now: Moment) -> f64 {
-        if self.refused_at.is_none_or(|at| now.since(at) >= REFUSAL_LIFETIME) {
+        if self.refused_at.is_none_or(|at| now.since(at) >= REFUSAL_LIFETIME) || self.has_short_queue(now) {
             return 0.0;
         }
         let excess = self.requests - OVERCOMMIT * self.accepts - FREE_REQUESTS;
@@ -103,6 +133,15 @@
         }
     }
 
+    /// Records the fill of the customer's queue that the dispatcher saw when a request sent at `sent_at`
+    /// arrived.
+    pub fn note_queue_fill(&mut self, sent_at: Moment, customer: &CustomerName, fill: QueueFill) {
+        let Some(record) = self.customers.get_mut(customer) else { return };
+        if record.queue.is_none_or(|known| known.sent_at <= sent_at) {
+            record.queue = Some(FillReport { sent_at, fill });
+        }
+    }
+
     fn evict_oldest(&mut self, customer: &CustomerName) {
         if self.customers.len() < MAX_CUSTOMERS || self.customers.contains_key(customer) {
             return;
--- a/crates/micaspool-dispatch/tests/shard/throttling.rs
+++ b/crates/micaspool-dispatch/tests/shard/throttling.rs
@@ -3,7 +3,7 @@
 //! A model of the shard takes a customer's requests at a fixed rate and refuses the rest at once. The tests
 //! check how many requests reach it, and how many it could have taken but did not get.
 
-use micaspool_dispatch::RequestThrottle;
+use micaspool_dispatch::{QueueFill, RequestThrottle};
 use micaspool_types::{CustomerName, Moment};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,6 +25,8 @@
     customer: CustomerName,
     taken_per_second: f64,
     queue: f64,
+    /// For how many requests the shard has room before a first attempt.
+    depth: f64,
     now: f64,
     random: ChaCha8Rng,
 }
@@ -46,6 +48,7 @@
             customer: CustomerName::parse("coop-01").expect("valid name"),
             taken_per_second,
             queue: 0.0,
+            depth: QUEUE_DEPTH,
             now: 1.0,
             random: ChaCha8Rng::seed_from_u64(7),
         }
@@ -57,7 +60,7 @@
         let end = self.now + seconds;
         while self.now < end {
             self.advance(1.0 / submitted_per_second);
-            self.submit(QUEUE_DEPTH, &mut outcome);
+            self.submit(self.depth, &mut outcome);
         }
         outcome
     }
@@ -68,9 +71,10 @@
         let mut first_attempts = FlowOutcome::default();
         let mut retries = FlowOutcome::default();
         let end = self.now + seconds;
+        self.depth = self.taken_per_second * FIRST_ATTEMPT_TOLERANCE;
         while self.now < end {
             self.advance(1.0 / callers_per_second);
-            self.submit(self.taken_per_second * FIRST_ATTEMPT_TOLERANCE, &mut first_attempts);
+            self.submit(self.depth, &mut first_attempts);
             (0..LATE_RETRIES)
                 .for_each(|_| self.submit(self.taken_per_second * LATE_RETRY_TOLERANCE, &mut retries));
         }
@@ -95,6 +99,8 @@
             return;
         }
         outcome.reached += 1;
+        let fill = QueueFill((self.queue / self.depth * 100.0) as u32);
+        router.note_queue_fill(now, &self.customer, fill);
         if has_room {
             self.queue += 1.0;
             outcome.taken += 1;
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -146,7 +146,9 @@
         if state.unreachable_for() > UNREACHABLE_TIMEOUT {
             return Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER));
         }
-        state.add_waiting(WaitingEntry { ticket, traceparent: traceparent.unwrap_or_default(), waiter });
+        let submitted_at = state.current_moment();
+        let traceparent = traceparent.unwrap_or_default();
+        state.add_waiting(WaitingEntry { ticket, traceparent, waiter, submitted_at });
         Ok(())
     }
 
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -7,7 +7,7 @@
 use async_std::channel::Sender;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{
-    GrantOutcome, HeldGrant, HeldLevel, RefusalReason, RequestThrottle, RequestTicket, RouterHello,
+    GrantOutcome, HeldGrant, HeldLevel, QueueFill, RefusalReason, RequestThrottle, RequestTicket, RouterHello,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashTable, QuarantineOptions};
@@ -46,6 +46,8 @@
     /// The trace context of the wait; empty if there is none.
     pub traceparent: String,
     pub waiter: Sender<WaitResult>,
+    /// When the request was submitted.
+    pub submitted_at: Moment,
 }
 
 /// The last known service level of a customer.
@@ -190,7 +192,7 @@
     }
 
     /// Returns the current time as an offset from the creation of this state.
-    fn current_moment(&self) -> Moment {
+    pub fn current_moment(&self) -> Moment {
         Moment(0) + self.start.elapsed()
     }
 
@@ -284,8 +286,15 @@
 
     fn handle_accepted(&mut self, accepted: &v1::Accepted) {
         let entry = request_id(&accepted.request).ok().and_then(|request| self.waiting.get_mut(&request));
-        if let Some(entry) = entry {
-            entry.ticket.order = Some(OrderNumber(accepted.order));
+        let Some(entry) = entry else { return };
+        entry.ticket.order = Some(OrderNumber(accepted.order));
+        let (submitted_at, customer) = (entry.submitted_at, entry.ticket.customer.clone());
+        self.note_queue_fill(submitted_at, &customer, accepted.queue_fill_percent);
+    }
+
+    fn note_queue_fill(&mut self, submitted_at: Moment, customer: &CustomerName, percent: Option<u32>) {
+        if let Some(percent) = percent {
+            self.throttle.note_queue_fill(submitted_at, customer, QueueFill(percent));
         }
     }
 
@@ -303,6 +312,7 @@
         let order = OrderNumber(grant.order);
         let now = self.current_moment();
         self.throttle.note_granted(now, &entry.ticket.customer);
+        self.note_queue_fill(entry.submitted_at, &entry.ticket.customer, grant.queue_fill_percent);
         self.update_level(&entry.ticket.customer, ServiceLevel(grant.level), order);
         let held_grant = HeldGrant {
             request,
@@ -357,6 +367,7 @@
         if matches!(kind, RefusalKind::Overloaded | RefusalKind::CustomerBacklogFull) {
             self.throttle.note_refused(now, &entry.ticket.customer, wait);
         }
+        self.note_queue_fill(entry.submitted_at, &entry.ticket.customer, refused.queue_fill_percent);
         let _ = entry.waiter.try_send(Err(Refusal::not_run(kind).after(wait)));
     }
 
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -331,8 +331,13 @@
 ) -> Option<(SessionId, v1::DispatcherMessage)> {
     use v1::dispatcher_message::Body;
     let (session, body) = match action {
-        ShardAction::Accepted { session, request, order } => {
-            (session, Body::Accepted(v1::Accepted { request: request_bytes(request), order: order.0 }))
+        ShardAction::Accepted { session, request, order, queue_fill } => {
+            let accepted = v1::Accepted {
+                request: request_bytes(request),
+                order: order.0,
+                queue_fill_percent: queue_fill.map(|fill| fill.0),
+            };
+            (session, Body::Accepted(accepted))
         }
         ShardAction::Grant {
             session,
@@ -344,6 +349,7 @@
             heartbeat,
             lease,
             revision,
+            queue_fill,
             ..
         } => {
             let grant = v1::Grant {
@@ -355,14 +361,16 @@
                 heartbeat,
                 lease_millis: millis(lease),
                 revision: revision.0,
+                queue_fill_percent: queue_fill.map(|fill| fill.0),
             };
             (session, Body::Grant(grant))
         }
-        ShardAction::Refuse { session, request, reason, retry_after, .. } => {
+        ShardAction::Refuse { session, request, reason, retry_after, queue_fill, .. } => {
             let refused = v1::Refused {
                 request: request_bytes(request),
                 kind: reason_text(reason).to_owned(),
                 retry_after_millis: millis(retry_after),
+                queue_fill_percent: queue_fill.map(|fill| fill.0),
             };
             (session, Body::Refused(refused))
         }
