--- a/crates/micaspool-dispatch/tests/shard/scarcity/fleet.rs
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/fleet.rs
@@ -3,18 +3,17 @@
 use super::load::{LoadPlan, LossKind, RetryHabit, LOSS_AT, PACE_PER_SECOND};
 use super::share::ShareRecord;
 use crate::harness::{customer, endpoint, hello, ticket, ShardHarness};
-use micaspool_dispatch::{GrantOutcome, RequestThrottle, RequestTicket, SessionId, ShardAction, ShardEvent};
+use micaspool_dispatch::{
+    GrantOutcome, QueueFill, RequestThrottle, RequestTicket, SessionId, ShardAction, ShardEvent,
+};
 use micaspool_types::{Cost, EndpointName, Moment, RequestId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-const ROUTERS: u64 = 6;
 const SLOTS: u32 = 16;
 const MEMORY_TOKENS: u64 = 500_000;
-/// Length of a run.
-const LENGTH: Duration = Duration::from_secs(12);
 /// Time from the end of prefill to the first event.
 const LATENCY: Duration = Duration::from_millis(50);
 /// The longest time that a request runs after its first event.
@@ -28,8 +27,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// The retry delay of callers that retry at once.
 const IMMEDIATE_RETRY: Duration = Duration::from_millis(50);
-/// The most attempts of a caller.
-const MAX_ATTEMPTS: u32 = 3;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -41,6 +38,8 @@
     End(u128, GrantOutcome),
     /// The engine with this number is lost.
     LoseEngine(usize),
+    /// It returns, with an empty cache.
+    RestoreEngine(usize),
     Tick,
 }
 
@@ -51,6 +50,8 @@
     part: u64,
     own_tokens: u32,
     attempts: u32,
+    /// When its caller sent the first one.
+    first_at: Duration,
 }
 
 /// A waiting or running request.
@@ -98,13 +99,13 @@
             policy.planned_pace = PACE_PER_SECOND / 1_000.0;
             policy.idle_credit = Cost((capacity / 10.0) as u64);
         });
-        (1..=ROUTERS).for_each(|router| harness.join(router, hello(&format!("r{router}"), 1)));
+        (1..=plan.routers).for_each(|router| harness.join(router, hello(&format!("r{router}"), 1)));
         let mut fleet = ScarceFleet {
             plan,
             start: harness.now,
             harness,
             now: Duration::ZERO,
-            throttles: vec![RequestThrottle::default(); ROUTERS as usize],
+            throttles: vec![RequestThrottle::default(); plan.routers as usize],
             engines: (0..plan.engines).map(|_| EngineModel::default()).collect(),
             engine_numbers: (0..plan.engines).map(|number| (endpoint(number), number)).collect(),
             open: HashMap::new(),
@@ -112,7 +113,7 @@
             steps: 0,
             requests: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            record: ShareRecord::new(plan.customers.len(), LENGTH),
+            record: ShareRecord::new(plan.customers.len(), plan.length),
         };
         fleet.schedule(TICK, Step::Tick);
         (0..plan.customers.len()).for_each(|customer| fleet.schedule_arrival(customer));
@@ -122,7 +123,7 @@
     }
 
     pub fn play(mut self) -> ShareRecord {
-        while self.now < LENGTH {
+        while self.now < self.plan.length {
             let ((at, _), step) = self.due.pop_first().expect("a tick is always scheduled");
             self.wake_until(at);
             self.set_time(at);
@@ -165,9 +166,10 @@
             Step::Begin(number) => self.begin(number),
             Step::End(number, outcome) => self.end(number, outcome),
             Step::LoseEngine(engine) => self.lose_engine(engine),
+            Step::RestoreEngine(engine) => self.engines[engine] = EngineModel::default(),
             Step::Tick => {
                 self.schedule(self.now + TICK, Step::Tick);
-                (1..=ROUTERS)
+                (1..=self.plan.routers)
                     .for_each(|router| self.harness.step(ShardEvent::Heartbeat(SessionId(router), 1)));
                 self.harness.step(ShardEvent::Tick);
             }
@@ -188,6 +190,7 @@
             part: customer as u64 * 100 + self.rng.random_range(0..load.parts),
             own_tokens: own as u32 + 1,
             attempts: 1,
+            first_at: self.now,
         }
     }
 
@@ -195,7 +198,8 @@
         let load = self.plan.customers[caller.customer];
         let tokens = load.part_tokens + caller.own_tokens;
         self.record.record_demand(self.now, caller.customer, u64::from(tokens));
-        let router = self.rng.random_range(1..=ROUTERS);
+        let draw = self.rng.random_range(1..=load.routers.count);
+        let router = (load.routers.first + draw - 1) % self.plan.routers + 1;
         let draw = self.rng.random();
         let name = customer(&format!("c{}", caller.customer));
         let throttle = &mut self.throttles[router as usize - 1];
@@ -211,6 +215,7 @@
             prefix_tokens: vec![load.part_tokens, caller.own_tokens],
             prompt_tokens: Cost(u64::from(tokens)),
             objective: Some(load.objective),
+            patience: self.plan.patience.map(|patience| patience.saturating_sub(self.now - caller.first_at)),
             ..ticket(number, name.as_str(), u64::from(tokens))
         };
         self.harness.submit(router, prompt);
@@ -220,7 +225,7 @@
     fn refuse(&mut self, caller: CallerAttempt, retry_after: Duration) {
         self.record.mark_unserved(self.now, caller.customer);
         self.record.record_retry_delay(self.now, retry_after);
-        if caller.attempts >= MAX_ATTEMPTS {
+        if caller.attempts >= self.plan.attempts {
             return;
         }
         let wait = match self.plan.habit {
@@ -236,8 +241,15 @@
     fn take_actions(&mut self) {
         for action in std::mem::take(&mut self.harness.actions) {
             match action {
-                ShardAction::Grant { request, endpoint, .. } => self.send(request.0, &endpoint),
-                ShardAction::Refuse { request, retry_after, .. } => {
+                ShardAction::Accepted { request, queue_fill, .. } => {
+                    self.note_queue_fill(request.0, queue_fill)
+                }
+                ShardAction::Grant { request, endpoint, queue_fill, .. } => {
+                    self.note_queue_fill(request.0, queue_fill);
+                    self.send(request.0, &endpoint);
+                }
+                ShardAction::Refuse { request, retry_after, queue_fill, .. } => {
+                    self.note_queue_fill(request.0, queue_fill);
                     let Some(open) = self.open.remove(&request.0) else { continue };
                     let name = customer(&format!("c{}", open.caller.customer));
                     let now = self.harness.now;
@@ -249,6 +261,14 @@
         }
     }
 
+    /// A router hears how full the customer's queue was when its request arrived.
+    fn note_queue_fill(&mut self, number: u128, fill: Option<QueueFill>) {
+        let (Some(open), Some(fill)) = (self.open.get(&number), fill) else { return };
+        let name = customer(&format!("c{}", open.caller.customer));
+        let sent_at = self.start + open.since;
+        self.throttles[open.router as usize - 1].note_queue_fill(sent_at, &name, fill);
+    }
+
     /// A router sends a granted request to its engine.
     fn send(&mut self, number: u128, endpoint: &EndpointName) {
         let engine = self.engine_numbers[endpoint];
@@ -318,6 +338,9 @@
 
     fn lose_engine(&mut self, engine: usize) {
         self.engines[engine].loss = Some(self.plan.loss);
+        if let Some(absence) = self.plan.absence {
+            self.schedule(self.now + absence, Step::RestoreEngine(engine));
+        }
         let (outcome, after) = match self.plan.loss {
             LossKind::Gone => (GrantOutcome::Severed, Duration::ZERO),
             LossKind::Silent => (GrantOutcome::Broken, SILENT_RUN),
--- a/crates/micaspool-dispatch/tests/shard/scarcity/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/mod.rs
@@ -11,9 +11,9 @@
 use test_case::test_case;
 
 /// Runs the plans of these seeds and describes the starved customers; see `ShareRecord::starved`.
-fn starved(seeds: Range<u64>) -> Vec<String> {
+fn starved(seeds: Range<u64>, draw: fn(u64) -> LoadPlan) -> Vec<String> {
     let plays = seeds.flat_map(|seed| {
-        let plan = LoadPlan::draw(seed);
+        let plan = draw(seed);
         let record = ScarceFleet::new(&plan, seed).play();
         let found = record.starved();
         found.into_iter().map(move |found| format!("seed {seed}, {}: {found}", plan.describe()))
@@ -30,7 +30,7 @@
 #[test_case(750..875)]
 #[test_case(875..1_000)]
 fn no_customer_starves_while_engines_are_lost(seeds: Range<u64>) {
-    let found = starved(seeds);
+    let found = starved(seeds, LoadPlan::draw);
     assert!(found.is_empty(), "{} starved customers:\n{}", found.len(), found.join("\n"));
 }
 
@@ -40,10 +40,23 @@
 #[test_case(3_384)]
 #[test_case(4_044)]
 fn nobody_is_shut_out_on_days_found_later(seed: u64) {
-    let found = starved(seed..seed + 1);
+    let found = starved(seed..seed + 1, LoadPlan::draw);
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+#[test_case(0..125)]
+#[test_case(125..250)]
+#[test_case(250..375)]
+#[test_case(375..500)]
+#[test_case(500..625)]
+#[test_case(625..750)]
+#[test_case(750..875)]
+#[test_case(875..1_000)]
+fn no_customer_with_few_routers_starves_when_engines_return(seeds: Range<u64>) {
+    let found = starved(seeds, LoadPlan::draw_return);
+    assert!(found.is_empty(), "{} starved customers:\n{}", found.len(), found.join("\n"));
+}
+
 /// Returns in how many runs refusals state a longer retry delay after a loss than before, and how many runs
 /// have enough refusals to compare.
 fn longer_delays_after_loss(seeds: Range<u64>) -> (usize, usize) {
