fix(dispatch): charge a run for what it delivered, however it ends

A customer with many runs at engines that fall silent was served again for all that these had delivered: from 3 s after the loss its level fell by 100,000 tokens and more a second, and it got up to five times what others got.

Cause: a grant that ends takes its charge back and puts the router's final cost in its place.

Found with begun_load, lost_load and the level of each customer twice a second. Ruled out: a limit of the lag that forgives what is owed (levels fell, nobody was lifted), charges left at silent engines.

--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -273,8 +273,8 @@
         self.record_outcome(now, &ended, outcome, actions);
     }
 
-    /// Ends the request's grant, if it has one. Without a final `cost`, the cost delivered so far is
-    /// charged.
+    /// Ends the request's grant, if it has one, and charges its final `cost`, at least the cost
+    /// delivered so far. Otherwise a customer would be served again for what it has received.
     pub(super) fn end_grant(
         &mut self,
         now: Moment,
@@ -311,7 +311,7 @@
         }
         match outcome {
             GrantOutcome::Done | GrantOutcome::Abandoned | GrantOutcome::Broken | GrantOutcome::Severed => {
-                let cost = cost.unwrap_or(grant.delivered);
+                let cost = cost.unwrap_or_default().max(grant.delivered);
                 state.account.charge_end(grant.estimate, grant.delivered, cost);
                 state.served = state.served.saturating_add(cost.saturating_sub(grant.delivered));
                 self.delivered.add(now, cost.saturating_sub(grant.delivered).0);
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod bound;
 mod capacity;
+mod charges;
 mod choice;
 mod closing;
 mod cold;
