fix(dispatch): don't let prompts wait for engines whose last prompt is overdue

Cause: a ticket chooses the engine with the least delay, where a token that must be read again weighs ten. An engine that falls silent keeps the prompt's parts as far as the shard knows, and what it is overdue counts once. So tickets waited for silent engines by choice, or went there, while the customer with most tickets always had one that took what was free.

Change: an engine with an overdue first event comes after all others that may be chosen.

Test: a_prompt_does_not_wait_for_an_engine_that_fell_silent, red before (the prompt went to the silent engine beside a free one).

--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -25,6 +25,8 @@
 /// How well an engine suits a prompt; lower is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct EngineScore {
+    /// True if the first event of an earlier prompt is overdue.
+    overdue: bool,
     /// True if the first event is expected after the deadline.
     late: bool,
     /// See [`EngineState::delay`](super::engine::EngineState::delay).
@@ -45,8 +47,9 @@
     }
 
     /// The engine with the lowest expected delay for a prompt, among those that cache part of it (free
-    /// or busy) and the least loaded free ones. Engines that meet the deadline are preferred. `queued`
-    /// returns the work already queued for an engine. `None` if there is no candidate.
+    /// or busy) and the least loaded free ones. Engines without an overdue prompt are preferred, then
+    /// those that meet the deadline. `queued` returns the work already queued for an engine. `None` if
+    /// there is no candidate.
     pub fn soonest_engine(
         &self,
         now: Moment,
@@ -63,6 +66,7 @@
             let first_event_at =
                 now + cold_delay + engine.time_to_first_event(now, query.prompt, ahead.tokens);
             Some(EngineScore {
+                overdue: engine.is_overdue(now),
                 late: query.first_event_due.is_some_and(|due| first_event_at > due),
                 delay: engine.delay(now, query.prompt, state.busy, ahead.tokens)
                     + cold_delay.as_micros() as u64,
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -176,8 +176,20 @@
         let Some(oldest) = self.pending.front() else { return Duration::ZERO };
         let passed = now.since(self.prefill_start(oldest));
         let remaining = self.rate.prefill_time(self.pending_tokens).saturating_sub(passed);
+        remaining + self.overdue_time(now)
+    }
+
+    /// True if the first event of a prompt is overdue. When the engine will process another one is unknown
+    /// then, or whether it still responds.
+    pub fn is_overdue(&self, now: Moment) -> bool {
+        !self.overdue_time(now).is_zero()
+    }
+
+    /// By how much the first event of the oldest pending prompt is overdue.
+    fn overdue_time(&self, now: Moment) -> Duration {
+        let Some(oldest) = self.pending.front() else { return Duration::ZERO };
         let usual = self.rate.prefill_time(oldest.tokens) * LATE_FACTOR + self.rate.latency() * 2;
-        remaining + passed.saturating_sub(usual)
+        now.since(self.prefill_start(oldest)).saturating_sub(usual)
     }
 
     /// When processing of `prompt`, the oldest pending one, began: at its grant, or when the previous
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -71,6 +71,22 @@
     assert_eq!(harness.take_grants()[0].endpoint, first);
 }
 
+#[test]
+fn a_prompt_does_not_wait_for_an_engine_that_fell_silent() {
+    let mut harness = engines(2, &["a"]);
+    harness.submit(1, prompt(1, "a", (7, 13_000), 500));
+    let silent = harness.take_grants()[0].endpoint.clone();
+    prefill_and_run(&mut harness, 1, 13_500, 13_500);
+    harness.advance_with_heartbeats(1_000, &[1]);
+    harness.submit(1, prompt(2, "a", (7, 13_000), 8_000));
+    assert_eq!(harness.take_grants()[0].endpoint, silent);
+    harness.advance_with_heartbeats(1_500, &[1]);
+    harness.submit(1, prompt(3, "a", (7, 13_000), 500));
+    let grants = harness.take_grants();
+    assert_eq!(grants.len(), 1, "the first event of prompt 2 was due after 229 ms; the other engine is free");
+    assert_ne!(grants[0].endpoint, silent);
+}
+
 #[test]
 fn a_short_shared_part_is_prefilled_again_instead_of_waiting() {
     let mut harness = engines(2, &["a"]);
