test(dispatch, router): what routers are told about queues, and what they make of it

A router whose dispatcher refuses everything sends at most half of fifty requests while it is told a full queue or none, and all of them while the queue is short; shards tell fills with each answer.

--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -20,6 +20,7 @@
 mod outage;
 mod pace;
 mod poison;
+mod queue_fill;
 mod recovery;
 mod regions;
 mod reports;
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -28,6 +28,8 @@
 enum Behaviour {
     /// Grants every request immediately.
     Grants,
+    /// Refuses every request as overdue and tells this fill of the customer's queue, in percent.
+    Overloaded(Option<u32>),
     /// Refuses every stream.
     Refuses,
     /// Accepts streams and sends nothing, like a machine that has just lost power.
@@ -116,6 +118,13 @@
             _ => Vec::new(),
         };
         for submit in submits {
+            if let Behaviour::Overloaded(queue_fill_percent) = behaviour {
+                let kind = "overdue".to_owned();
+                let request = submit.request;
+                let refused = v1::Refused { request, kind, retry_after_millis: 1_000, queue_fill_percent };
+                send(&sender, dispatcher_message::Body::Refused(refused)).await;
+                continue;
+            }
             let grant = v1::Grant {
                 request: submit.request,
                 endpoint: "endpoint-1".to_owned(),
@@ -237,6 +246,26 @@
     });
 }
 
+/// Returns how many of 50 requests the router sends to a dispatcher that refuses all of them.
+#[test_case(None => matches 1..=25; "the fill is unknown")]
+#[test_case(Some(100) => matches 1..=25; "the queue is full")]
+#[test_case(Some(10) => 50; "the queue is short")]
+fn sends_every_request_while_the_queue_of_its_customer_is_short(fill: Option<u32>) -> usize {
+    task::block_on(async {
+        let address = start(Behaviour::Overloaded(fill)).await;
+        let client = client(address, address);
+        let mut sent = 0;
+        for number in 0..50 {
+            let ticket = ticket(number);
+            if client.admit(&ticket.customer).is_ok() {
+                sent += 1;
+                client.acquire(ticket, None).await.map(drop).expect_err("the dispatcher refuses");
+            }
+        }
+        sent
+    })
+}
+
 #[test]
 fn leaves_a_dispatcher_that_does_not_answer_tickets() {
     task::block_on(async {
