feat(gateway, dispatch): serve a request only in the regions that its route and customer allow

Operators may limit a route or a customer to regions (`allowed_regions`). The field was ignored, so such a request ran wherever an engine was free.

The gateway turns the regions into data halls by its settings; a hall of unknown region is not among them. The ticket carries the halls, the shard grants only there, and the gateway looks once more before it sends, so that a dispatcher that doesn't know the field can't break the limit. Prompts leave the gateway only for the endpoint. Where no allowed hall has an endpoint the request is refused at once as not run, on arrival and when the last one leaves.

--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -26,6 +26,8 @@
     EndpointsRest,
     /// Every endpoint that may run it is in an evacuated data hall.
     HallsEvacuated,
+    /// No endpoint is in the data halls to which the request is limited.
+    NoEndpoint,
 }
 
 /// Why the standing of a request has changed.
--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -3,8 +3,8 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::CrashRecord;
 use micaspool_types::{
-    AdviceRecord, Cost, CustomerName, EndpointName, HallMask, HallName, Incarnation, InstanceName, Moment,
-    OrderNumber, RegionName, RequestDigest, RequestId, Revision, Weight,
+    AdviceRecord, Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName,
+    Moment, OrderNumber, RegionName, RequestDigest, RequestId, Revision, Weight,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -43,6 +43,8 @@
     pub patience: Option<Duration>,
     /// The order number that it was given earlier, if any.
     pub order: Option<OrderNumber>,
+    /// The data halls in which it may run, in addition to the limits of its customer.
+    pub halls: HallLimit,
 }
 
 /// A grant that a router holds when it joins.
--- a/crates/micaspool-dispatch/src/shard/advice.rs
+++ b/crates/micaspool-dispatch/src/shard/advice.rs
@@ -67,8 +67,7 @@
         actions: &mut Vec<ShardAction>,
     ) {
         let Some(ticket) = self.waiting.get(&request) else { return };
-        let halls = self.customers.get(ticket.customer).halls;
-        let Some(rest_end_at) = self.rest_end(now, ticket.router, halls) else { return };
+        let Some(rest_end_at) = self.rest_end(now, ticket.router, self.halls_of(ticket)) else { return };
         if ticket.latest_start().is_some_and(|latest_start| latest_start < rest_end_at) {
             self.refuse_for(
                 now,
@@ -106,7 +105,6 @@
 
     /// True while all endpoints that the ticket may use have asked its router to rest.
     pub(super) fn is_resting(&self, now: Moment, ticket: &WaitingTicket) -> bool {
-        let halls = self.customers.get(ticket.customer).halls;
-        self.rest_end(now, ticket.router, halls).is_some()
+        self.rest_end(now, ticket.router, self.halls_of(ticket)).is_some()
     }
 }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -10,7 +10,7 @@
 use crate::action::ShardAction;
 use crate::event::{CacheUpdate, GrantOutcome, SessionId};
 use micaspool_fair::{CustomerIndex, Rank};
-use micaspool_types::{Cost, Moment, OrderNumber, RequestDigest, RequestId};
+use micaspool_types::{Cost, HallLimit, Moment, OrderNumber, RequestDigest, RequestId};
 use std::time::Duration;
 
 /// How many tickets of a customer are considered when looking for one that can run on a free endpoint.
@@ -35,6 +35,8 @@
     pub order: OrderNumber,
     pub priority: u8,
     pub prompt: PromptShape,
+    /// The data halls in which it may run; without limit if another dispatcher granted it.
+    pub halls: HallLimit,
     /// True until the first event of its response arrives.
     pub awaits_first_event: bool,
     /// When this shard granted it; `None` if another dispatcher did.
@@ -119,7 +121,7 @@
     /// each time any engine becomes free would cost more than it gains.
     fn awaits_busy_engine(&self, ticket: &WaitingTicket) -> bool {
         let Some(choice) = ticket.waits_for.get() else { return false };
-        let halls = self.customers.get(ticket.customer).halls;
+        let halls = self.halls_of(ticket);
         choice.pass == self.pass_number && !self.endpoints.is_free(choice.engine, halls)
     }
 
@@ -127,7 +129,7 @@
     /// free endpoint that holds the longest known prefix of the prompt, otherwise the least loaded one.
     fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<EndpointIndex> {
         let excluded = self.isolation_exclusions(now, ticket)?;
-        let halls = self.customers.get(ticket.customer).halls;
+        let halls = self.halls_of(ticket);
         let is_excluded = |endpoint| {
             ticket.avoided(now) == Some(endpoint)
                 || excluded.contains(&endpoint)
@@ -351,6 +353,7 @@
             order: ticket.place.order,
             priority: ticket.place.priority,
             prompt: ticket.prompt,
+            halls: ticket.halls,
             awaits_first_event: true,
             since: Some(now),
         }
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -15,7 +15,7 @@
 use crate::event::{GrantOutcome, HeldGrant, HeldLevel, RequestTicket, RouterHello, SessionId};
 use crate::shard::customers::QueuePlace;
 use micaspool_fair::{CustomerIndex, Rank, ServiceLevel};
-use micaspool_types::{Cost, Moment, RequestId};
+use micaspool_types::{Cost, HallLimit, Moment, RequestId};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -98,6 +98,7 @@
             first_event_due: None,
             refuse_at: None,
             caller_leaves_at: None,
+            halls: grant.halls,
             waits_for: Cell::new(None),
         };
         self.insert_waiting(now, request, ticket);
@@ -166,6 +167,7 @@
             order: held.order,
             priority: 0,
             prompt: PromptShape::default(),
+            halls: HallLimit::Anywhere,
             awaits_first_event: false,
             since: None,
         };
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -15,7 +15,6 @@
 mod endpoints;
 mod engine;
 mod engine_queues;
-mod evacuation;
 mod evidence;
 mod grant_throughput;
 mod grants;
@@ -25,6 +24,7 @@
 mod overdue;
 mod parts;
 mod pauses;
+mod placement;
 mod prefill;
 mod prefixes;
 mod rate;
@@ -220,7 +220,7 @@
         for customer in self.customers.indices() {
             self.reindex(customer);
         }
-        self.refuse_evacuated(now, actions);
+        self.refuse_unplaceable(now, actions);
     }
 
     fn remap_floors(&mut self, halls: &[HallName]) {
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/placement.rs
@@ -0,0 +1,69 @@
+//! Tickets whose data halls have no endpoint that could run them.
+//!
+//! Closed endpoints don't count when waits are estimated, so most tickets that can't be served are
+//! refused on arrival, as after any other loss of capacity. A ticket that can only run in evacuated
+//! halls is refused at once, since it would otherwise wait until an operator reopens one; so is a ticket
+//! that is limited to halls without endpoints.
+
+use super::endpoints::EndpointTable;
+use super::overdue::RefusalCause;
+use super::tickets::WaitingTicket;
+use super::ShardCore;
+use crate::action::{RefusalReason, ShardAction};
+use micaspool_types::{HallLimit, HallMask, Moment, RequestId};
+
+/// Whether the endpoints in a set of data halls may be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HallUsability {
+    /// No endpoint is in the halls.
+    Vacant,
+    /// All endpoints are in evacuated halls.
+    Evacuated,
+    /// Some endpoint is not in an evacuated hall.
+    Usable,
+}
+
+impl EndpointTable {
+    fn usability(&self, halls: HallMask) -> HallUsability {
+        let mut usability = HallUsability::Vacant;
+        for state in self.iter() {
+            if state.slots == 0 || !halls.contains(state.hall) || state.availability.is_leaving() {
+                continue;
+            }
+            if !state.availability.evacuated {
+                return HallUsability::Usable;
+            }
+            usability = HallUsability::Evacuated;
+        }
+        usability
+    }
+}
+
+impl ShardCore {
+    /// Why a ticket with this limit that may run in `halls` can't be placed; `None` if it can. Without a limit a ticket
+    /// waits for endpoints that are not registered yet.
+    pub(super) fn placement_refusal(&self, halls: HallMask, limit: &HallLimit) -> Option<RefusalReason> {
+        match self.endpoints.usability(halls) {
+            HallUsability::Usable => None,
+            HallUsability::Evacuated => Some(RefusalReason::HallsEvacuated),
+            HallUsability::Vacant if *limit == HallLimit::Anywhere => None,
+            HallUsability::Vacant => Some(RefusalReason::NoEndpoint),
+        }
+    }
+
+    /// Refuses the waiting tickets that can't be placed any more.
+    pub(super) fn refuse_unplaceable(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
+        let has_evacuations = self.endpoints.iter().any(|state| state.availability.evacuated);
+        let may_be_affected = |ticket: &WaitingTicket| has_evacuations || ticket.halls != HallLimit::Anywhere;
+        let affected = self.waiting.iter().filter(|(_, ticket)| may_be_affected(ticket));
+        let refusals = affected.filter_map(|(request, ticket)| {
+            let reason = self.placement_refusal(self.halls_of(ticket), &ticket.halls)?;
+            Some((*request, reason))
+        });
+        let mut refusals: Vec<(RequestId, RefusalReason)> = refusals.collect();
+        refusals.sort_by_key(|(request, _)| *request);
+        for (request, reason) in refusals {
+            self.refuse_for(now, request, RefusalCause::of(reason), actions);
+        }
+    }
+}
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -10,7 +10,7 @@
 use crate::shard::endpoints::EndpointIndex;
 use crate::shard::engine::PromptShape;
 use micaspool_fair::{CustomerIndex, HeadTicket};
-use micaspool_types::{Cost, Moment, OrderNumber, RequestDigest, RequestId};
+use micaspool_types::{Cost, HallLimit, HallMask, Moment, OrderNumber, RequestDigest, RequestId};
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -44,6 +44,8 @@
     pub refuse_at: Option<Moment>,
     /// When its caller gives up; `None` if unknown.
     pub caller_leaves_at: Option<Moment>,
+    /// The data halls in which it may run, in addition to the limits of its customer.
+    pub halls: HallLimit,
     /// The busy engine that the ticket waits for, if any.
     pub waits_for: Cell<Option<EngineChoice>>,
 }
@@ -147,10 +149,11 @@
         ticket: &RequestTicket,
         wait: WaitEstimate,
     ) -> Option<RefusalReason> {
-        let state = self.customers.get(customer);
-        if self.endpoints.all_evacuated(state.halls) {
-            return Some(RefusalReason::HallsEvacuated);
+        let halls = self.allowed_halls(customer, &ticket.halls);
+        if let Some(reason) = self.placement_refusal(halls, &ticket.halls) {
+            return Some(reason);
         }
+        let state = self.customers.get(customer);
         if self.waiting.len() >= self.options.max_waiting {
             return Some(RefusalReason::ShardFull);
         }
@@ -195,11 +198,26 @@
             refuse_at: wait.max_wait.map(|max_wait| now + max_wait),
             caller_leaves_at: ticket.patience.map(|patience| now + patience),
             prompt,
+            halls: ticket.halls,
             waits_for: Cell::new(None),
         };
         self.insert_waiting(now, ticket.request, waiting);
     }
 
+    /// The halls in which a ticket of the customer with this limit may run.
+    pub(super) fn allowed_halls(&self, customer: CustomerIndex, limit: &HallLimit) -> HallMask {
+        let halls = self.customers.get(customer).halls;
+        let HallLimit::Only(names) = limit else { return halls };
+        let positions = names.iter().filter_map(|name| self.halls.iter().position(|hall| hall == name));
+        let named = positions.fold(HallMask::EMPTY, |mask, hall| mask.union(HallMask::single(hall)));
+        halls.intersect(named)
+    }
+
+    /// The halls in which a waiting ticket may run.
+    pub(super) fn halls_of(&self, ticket: &WaitingTicket) -> HallMask {
+        self.allowed_halls(ticket.customer, &ticket.halls)
+    }
+
     pub(super) fn insert_waiting(&mut self, now: Moment, request: RequestId, ticket: WaitingTicket) {
         let customer = ticket.customer;
         self.raise_to_floor(now, customer);
--- a/crates/micaspool-dispatch/tests/shard/harness.rs
+++ b/crates/micaspool-dispatch/tests/shard/harness.rs
@@ -41,6 +41,7 @@
         objective: None,
         patience: None,
         order: None,
+        halls: micaspool_types::HallLimit::Anywhere,
     }
 }
 
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -19,6 +19,7 @@
 mod objectives;
 mod outage;
 mod pace;
+mod placement;
 mod poison;
 mod queue_fill;
 mod recovery;
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -21,7 +21,7 @@
 use micaspool_telemetry::metrics::encode_text;
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
-use micaspool_types::{HallName, Incarnation, InstanceName, RegionName};
+use micaspool_types::{HallName, HallRegions, Incarnation, InstanceName, RegionName};
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -53,6 +53,7 @@
     instance: InstanceName,
     hall: HallName,
     region: RegionName,
+    hall_regions: HallRegions,
     callers: SocketAddr,
     status: Vec<SocketAddr>,
     seeds: Vec<InstanceName>,
@@ -81,6 +82,7 @@
             instance,
             hall,
             region,
+            hall_regions: HallRegions::default(),
             callers: loopback,
             status: vec![loopback],
             seeds: Vec::new(),
@@ -97,6 +99,12 @@
 }
 
 impl GatewayOptionsBuilder {
+    /// Sets the region of each data hall, for requests that may run only in some regions.
+    pub fn hall_regions(mut self, regions: HallRegions) -> Self {
+        self.options.hall_regions = regions;
+        self
+    }
+
     /// Sets the address on which callers are served.
     pub fn callers(mut self, address: SocketAddr) -> Self {
         self.options.callers = address;
@@ -225,6 +233,7 @@
     let gateway = Gateway::new(GatewayParts {
         instance: options.instance.clone(),
         hall: options.hall.to_string(),
+        hall_regions: options.hall_regions.clone(),
         incarnation,
         mirror: mirror.clone(),
         dispatchers: options.dispatchers.clone(),
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -193,6 +193,10 @@
                     log.log_evacuated_grant(&record);
                     lease.settle(Cost(0), GrantOutcome::NotHeld);
                 }
+                Some(record) if !self.target.halls.allows(&record.hall) => {
+                    log.log_forbidden_grant(&record);
+                    lease.settle(Cost(0), GrantOutcome::NotHeld);
+                }
                 Some(record) if record.stage == EndpointStage::Serving => return Ok((lease, record)),
                 unusable => {
                     log.log_unusable_grant(lease.endpoint(), unusable.map(|record| record.stage));
@@ -214,13 +218,18 @@
         }
     }
 
-    /// Applies a newer plan. Returns true if it changes the service or the customer of the request.
+    /// Applies a newer plan. Returns true if it changes the service, the customer or the data halls of the request.
     fn apply_newest_plan(&mut self, gateway: &Gateway) -> Result<bool, Refusal> {
         let plan = gateway.shared.parts.mirror.plan();
         if plan.number == self.target.plan_number {
             return Ok(false);
         }
-        let target = CallTarget::resolve(&plan, &self.call.head, &self.call.caller)?;
+        let target = CallTarget::resolve(
+            &plan,
+            &gateway.shared.parts.hall_regions,
+            &self.call.head,
+            &self.call.caller,
+        )?;
         let is_changed = !target.has_same_destination(&self.target);
         self.target = target;
         Ok(is_changed)
@@ -245,6 +254,7 @@
             objective: self.remaining_objective(),
             patience: self.call.caller.patience,
             order: None,
+            halls: self.target.halls.clone(),
         }
     }
 
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -26,7 +26,7 @@
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{Incarnation, InstanceName, Refusal, RefusalKind, ServiceName};
+use micaspool_types::{HallRegions, Incarnation, InstanceName, Refusal, RefusalKind, ServiceName};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -45,6 +45,8 @@
     pub instance: InstanceName,
     /// The data hall of the instance.
     pub hall: String,
+    /// The region of each data hall.
+    pub hall_regions: HallRegions,
     /// Distinguishes this run of the process from earlier and later ones.
     pub incarnation: Incarnation,
     /// The local view of the fleet.
@@ -162,7 +164,7 @@
     ) -> Result<Attempts, Refusal> {
         let arrived_at = log.arrived_at();
         let plan = self.shared.parts.mirror.plan();
-        let target = CallTarget::resolve(&plan, &head, &caller)?;
+        let target = CallTarget::resolve(&plan, &self.shared.parts.hall_regions, &head, &caller)?;
         target.write_to_log(log);
         let limit = plan.plan.parts().limits.body_bytes;
         check_length(&head, limit)?;
--- a/crates/micaspool-gateway/src/proxy/target.rs
+++ b/crates/micaspool-gateway/src/proxy/target.rs
@@ -6,8 +6,8 @@
 use http::header::HOST;
 use http::request;
 use micaspool_dispatcher::PUBLIC_CUSTOMER;
-use micaspool_routes::{EngineProfile, NumberedPlan, RouteRule, RunRule};
-use micaspool_types::{CustomerName, Refusal, RefusalKind, ServiceName};
+use micaspool_routes::{CustomerKeys, EngineProfile, NumberedPlan, RouteRule, RunRule};
+use micaspool_types::{CustomerName, HallLimit, HallRegions, Refusal, RefusalKind, ServiceName};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +34,8 @@
     pub objective: Duration,
     /// The engine profile if the service is a language model.
     pub engine: Option<EngineProfile>,
+    /// The data halls in which the request may run.
+    pub halls: HallLimit,
 }
 
 /// The number of priority levels of a route, and the weight of one level of a customer's priority.
@@ -43,6 +45,7 @@
     /// Resolves the route, customer and service of a request, or refuses it.
     pub fn resolve(
         plan: &NumberedPlan,
+        hall_regions: &HallRegions,
         head: &request::Parts,
         caller: &CallerHead,
     ) -> Result<CallTarget, Refusal> {
@@ -54,12 +57,19 @@
         let rules = &plan.plan;
         let unknown = || Refusal::not_run(RefusalKind::UnknownService);
         let route = rules.find(host, head.uri.path()).ok_or_else(unknown)?;
-        let (customer, customer_priority) = identify_customer(plan, route, caller)?;
+        let customer = identify_customer(plan, route, caller)?;
+        let customer_priority = customer.map_or(0, |customer| customer.priority);
+        let regions =
+            customer.map_or(route.regions.clone(), |customer| route.regions.intersect(&customer.regions));
+        let halls = hall_regions.halls_within(&regions);
+        if halls.is_nowhere() {
+            return Err(Refusal::not_run(RefusalKind::NoEndpoint).after(RETRY_AFTER));
+        }
         let service = route.choose_service(&caller.id).ok_or_else(unknown)?.clone();
         Ok(CallTarget {
             plan_number: plan.number,
             route: route.name.clone(),
-            customer,
+            customer: customer.map(|customer| customer.name.clone()),
             run: route.run,
             time_limit: route.time_limit(),
             objective: route.objective(),
@@ -68,6 +78,7 @@
                 + route.priority.min(ROUTE_PRIORITY_LEVELS - 1),
             engine: rules.service(service.as_str()).and_then(|rule| rule.engine),
             service,
+            halls,
         })
     }
 
@@ -92,24 +103,21 @@
         self.customer.clone().unwrap_or_else(public)
     }
 
-    /// Returns true if both targets have the same service and customer.
+    /// Returns true if both targets have the same service, customer and data halls.
     pub fn has_same_destination(&self, other: &CallTarget) -> bool {
-        self.service == other.service && self.customer == other.customer
+        self.service == other.service && self.customer == other.customer && self.halls == other.halls
     }
 }
 
-/// Returns the customer that owns the caller's key, and its priority.
-fn identify_customer(
-    plan: &NumberedPlan,
+/// Returns the customer that owns the caller's key; `None` if the route needs no key.
+fn identify_customer<'a>(
+    plan: &'a NumberedPlan,
     route: &RouteRule,
     caller: &CallerHead,
-) -> Result<(Option<CustomerName>, u8), Refusal> {
+) -> Result<Option<&'a CustomerKeys>, Refusal> {
     if route.public || !plan.plan.has_customers() {
-        return Ok((None, 0));
+        return Ok(None);
     }
     let customer = caller.key.as_deref().and_then(|key| plan.plan.customer_of_key(key));
-    match customer {
-        Some(customer) => Ok((Some(customer.name.clone()), customer.priority)),
-        None => Err(Refusal::not_run(RefusalKind::UnknownKey)),
-    }
+    customer.map(Some).ok_or(Refusal::not_run(RefusalKind::UnknownKey))
 }
--- a/crates/micaspool-gateway/src/request_log.rs
+++ b/crates/micaspool-gateway/src/request_log.rs
@@ -10,6 +10,8 @@
 
 /// The reason in logs and metrics for not using a grant whose endpoint is in an evacuated data hall.
 const EVACUATED: &str = "evacuated";
+/// The reason in logs and metrics for not using a grant whose endpoint is in a data hall that the request may not use.
+const FORBIDDEN: &str = "forbidden-hall";
 
 /// The state of a request for its log line. Dropping it before the request has ended logs that the caller disconnected.
 #[derive(Debug)]
@@ -124,6 +126,18 @@
         record(&events::GRANT_UNUSABLE, &fields);
     }
 
+    /// Logs a grant that is not used because the request may not run in the endpoint's data hall.
+    pub fn log_forbidden_grant(&self, endpoint: &EndpointRecord) {
+        self.metrics.count_failure(FORBIDDEN);
+        let fields = [
+            field("request", &self.id),
+            field("endpoint", &endpoint.name),
+            field("held_as", FORBIDDEN),
+            field("hall", &endpoint.hall),
+        ];
+        record(&events::GRANT_UNUSABLE, &fields);
+    }
+
     /// Logs a failed send; the request may be sent again.
     pub fn log_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
         self.metrics.count_failure(kind);
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -97,6 +97,7 @@
             objective: None,
             patience: None,
             order: None,
+            halls: micaspool_types::HallLimit::Anywhere,
         }
     }
 
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -150,6 +150,7 @@
             objective: None,
             patience: None,
             order: None,
+            halls: micaspool_types::HallLimit::Anywhere,
         }
     }
 }
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -361,6 +361,7 @@
             RefusalReason::CopyRunning => RefusalKind::CopyRunning,
             RefusalReason::EndpointsRest => RefusalKind::EndpointsRest,
             RefusalReason::HallsEvacuated => RefusalKind::HallsEvacuated,
+            RefusalReason::NoEndpoint => RefusalKind::NoEndpoint,
         };
         let wait = Duration::from_millis(refused.retry_after_millis);
         let now = self.current_moment();
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -191,6 +191,7 @@
         objective: None,
         patience: None,
         order: None,
+        halls: micaspool_types::HallLimit::Anywhere,
     }
 }
 
--- a/crates/micaspool-routes/src/plan.rs
+++ b/crates/micaspool-routes/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::check::{check_parts, Error};
 use crate::split::ServiceShare;
-use micaspool_types::{CustomerName, ServiceName};
+use micaspool_types::{CustomerName, RegionLimit, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -58,6 +58,9 @@
     pub public: bool,
     /// The target for the longest pause between two events of a stream, in milliseconds; zero if there is none.
     pub pause_ms: u64,
+    /// The regions in which its requests may run.
+    #[serde(default)]
+    pub regions: RegionLimit,
 }
 
 impl RouteRule {
@@ -129,6 +132,9 @@
     pub keys: Vec<Arc<str>>,
     /// The priority of its requests, which is compared before that of the route; lower is more urgent.
     pub priority: u8,
+    /// The regions in which its requests may run, in addition to the limit of the route.
+    #[serde(default)]
+    pub regions: RegionLimit,
 }
 
 /// Limits on the size and slowness of what callers send.
--- a/crates/micaspool-routes/tests/plan.rs
+++ b/crates/micaspool-routes/tests/plan.rs
@@ -24,12 +24,18 @@
         priority: 1,
         public: false,
         pause_ms: 0,
+        regions: micaspool_types::RegionLimit::Anywhere,
     }
 }
 
 fn customer(name: &str, keys: &[&str]) -> CustomerKeys {
     let keys = keys.iter().map(|key| (*key).into()).collect();
-    CustomerKeys { name: CustomerName::parse(name).expect("a name"), keys, priority: 1 }
+    CustomerKeys {
+        name: CustomerName::parse(name).expect("a name"),
+        keys,
+        priority: 1,
+        regions: micaspool_types::RegionLimit::Anywhere,
+    }
 }
 
 fn parts() -> PlanParts {
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -187,7 +187,7 @@
 pub const LINES_DROPPED: EventKind = kind("MP1607", Level::Warn, "log lines dropped");
 
 /// A grant was not used, because this process does not know its endpoint as serving, because the endpoint asked for
-/// rest or is leaving, or because its data hall is evacuated.
+/// rest or is leaving, or because its data hall is evacuated or may not be used by the request.
 pub const GRANT_UNUSABLE: EventKind = kind("MP1608", Level::Info, "grant not used, endpoint not available");
 /// Caller connections above the limit, or more than an overloaded server keeps up with, were closed unread.
 pub const CALLERS_CLOSED: EventKind = kind("MP1609", Level::Info, "caller connections closed unread");
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -18,6 +18,6 @@
 pub use hash::{rendezvous_score, stable_hash};
 pub use ids::{Incarnation, OrderNumber, RequestId, RequestIdError, Revision, Term};
 pub use names::{CustomerName, EndpointName, HallName, InstanceName, NameError, RegionName, ServiceName};
-pub use placement::{HallMask, MAX_HALLS};
+pub use placement::{HallLimit, HallMask, HallRegions, PlacementLimit, RegionLimit, MAX_HALLS};
 pub use refusal::{Refusal, RefusalKind, RunState};
 pub use units::{Cost, Moment, Weight};
--- a/crates/micaspool-types/src/placement.rs
+++ b/crates/micaspool-types/src/placement.rs
@@ -1,6 +1,10 @@
-//! Sets of data halls as bit masks.
+//! Where requests may run: sets of data halls as bit masks, and limits by name.
 
+use crate::names::{HallName, RegionName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 
 /// The maximum number of data halls in a settings tree.
 pub const MAX_HALLS: usize = 32;
@@ -49,3 +53,59 @@
         write!(f, "halls:{:b}", self.0)
     }
 }
+
+/// Limits where a request may run, by the names of regions or data halls.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlacementLimit<N> {
+    /// The request may run anywhere.
+    #[default]
+    Anywhere,
+    /// The request may run only in these places; nowhere if the list is empty.
+    Only(Arc<[N]>),
+}
+
+/// The regions in which a request may run.
+pub type RegionLimit = PlacementLimit<RegionName>;
+
+/// The data halls in which a request may run.
+pub type HallLimit = PlacementLimit<HallName>;
+
+impl<N: Clone + PartialEq> PlacementLimit<N> {
+    /// Returns true if the request may run in this place.
+    pub fn allows(&self, place: &N) -> bool {
+        match self {
+            PlacementLimit::Anywhere => true,
+            PlacementLimit::Only(places) => places.contains(place),
+        }
+    }
+
+    /// Returns true if the request may run nowhere.
+    pub fn is_nowhere(&self) -> bool {
+        matches!(self, PlacementLimit::Only(places) if places.is_empty())
+    }
+
+    /// Returns the places that both limits allow.
+    pub fn intersect(&self, other: &PlacementLimit<N>) -> PlacementLimit<N> {
+        match (self, other) {
+            (limit, PlacementLimit::Anywhere) | (PlacementLimit::Anywhere, limit) => limit.clone(),
+            (PlacementLimit::Only(places), other) => {
+                PlacementLimit::Only(places.iter().filter(|place| other.allows(place)).cloned().collect())
+            }
+        }
+    }
+}
+
+/// The region of each data hall, from the settings of this process.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HallRegions(pub BTreeMap<HallName, RegionName>);
+
+impl HallRegions {
+    /// Returns the data halls in the regions that a limit allows. A hall whose region is unknown is not among them.
+    pub fn halls_within(&self, limit: &RegionLimit) -> HallLimit {
+        if *limit == RegionLimit::Anywhere {
+            return HallLimit::Anywhere;
+        }
+        let allowed = self.0.iter().filter(|(_, region)| limit.allows(region));
+        HallLimit::Only(allowed.map(|(hall, _)| hall.clone()).collect())
+    }
+}
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -18,8 +18,8 @@
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, Incarnation, InstanceName, NameError, OrderNumber, RegionName,
-    RequestDigest, RequestId, ServiceName,
+    Cost, CustomerName, EndpointName, HallLimit, HallName, Incarnation, InstanceName, NameError, OrderNumber,
+    RegionName, RequestDigest, RequestId, ServiceName,
 };
 use quarantine::crash_message;
 use std::fmt;
@@ -108,9 +108,25 @@
         objective_millis: ticket.objective.map_or(0, |objective| objective.as_millis() as u64),
         patience_millis: ticket.patience.map_or(0, |patience| patience.as_millis() as u64),
         digest: digest_bytes(ticket.digest),
+        allowed_halls: allowed_halls_message(&ticket.halls),
     }
 }
 
+fn allowed_halls_message(limit: &HallLimit) -> Option<v1::AllowedHalls> {
+    match limit {
+        HallLimit::Anywhere => None,
+        HallLimit::Only(halls) => {
+            Some(v1::AllowedHalls { names: halls.iter().map(ToString::to_string).collect() })
+        }
+    }
+}
+
+fn hall_limit(message: Option<v1::AllowedHalls>) -> Result<HallLimit, Error> {
+    let Some(allowed) = message else { return Ok(HallLimit::Anywhere) };
+    let halls = allowed.names.iter().map(|name| HallName::parse(name)).collect::<Result<_, _>>()?;
+    Ok(HallLimit::Only(halls))
+}
+
 /// Decodes a ticket.
 pub fn ticket(message: v1::Submit) -> Result<RequestTicket, Error> {
     let avoid = match message.avoid.as_str() {
@@ -131,6 +147,7 @@
         objective: (message.objective_millis > 0).then(|| Duration::from_millis(message.objective_millis)),
         patience: (message.patience_millis > 0).then(|| Duration::from_millis(message.patience_millis)),
         order: (message.order > 0).then_some(OrderNumber(message.order)),
+        halls: hall_limit(message.allowed_halls)?,
     })
 }
 
@@ -294,6 +311,7 @@
 const COPY_RUNNING: &str = "copy-running";
 const ENDPOINTS_REST: &str = "endpoints-rest";
 const HALLS_EVACUATED: &str = "halls-evacuated";
+const NO_ENDPOINT: &str = "no-endpoint";
 
 /// Encodes why a ticket was refused.
 pub fn reason_text(reason: RefusalReason) -> &'static str {
@@ -306,6 +324,7 @@
         RefusalReason::CopyRunning => COPY_RUNNING,
         RefusalReason::EndpointsRest => ENDPOINTS_REST,
         RefusalReason::HallsEvacuated => HALLS_EVACUATED,
+        RefusalReason::NoEndpoint => NO_ENDPOINT,
     }
 }
 
@@ -319,6 +338,7 @@
         COPY_RUNNING => RefusalReason::CopyRunning,
         ENDPOINTS_REST => RefusalReason::EndpointsRest,
         HALLS_EVACUATED => RefusalReason::HallsEvacuated,
+        NO_ENDPOINT => RefusalReason::NoEndpoint,
         _ => RefusalReason::ShardFull,
     }
 }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -120,6 +120,7 @@
             objective: None,
             patience: None,
             order: None,
+            halls: micaspool_types::HallLimit::Anywhere,
         };
         self.step(ShardEvent::Submit(SESSION, ticket));
     }
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -180,6 +180,7 @@
             objective: Some(Duration::from_millis(230)),
             patience: None,
             order: None,
+            halls: micaspool_types::HallLimit::Anywhere,
         }
     }
 
