perf(keeper, client): announce a plan's number, and send its text once to each process

Cause: every process follows every keeper, and every keeper pushed each new plan to every follower. With 25 keepers a gateway got each plan 25 times, and a keeper sent it to 985 followers within the same moment: with 100 KB a plan 98 MB a keeper and change, held in memory until sent, at three changes a second in a storm.

A change is sent once to each process, spread over all keepers.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -1,11 +1,12 @@
 //! A local copy of the fleet's state, merged from all keepers.
 //!
 //! A stream is open to each keeper, and their updates are merged: the plan with the highest number, the newest order
-//! about each data hall and the newest record of each endpoint apply. So a change that any keeper has accepted arrives
+//! about each data hall and the newest record of each endpoint apply. A plan is fetched from one keeper. So a change that any keeper has accepted arrives
 //! as long as that keeper is reachable, even if others are cut off.
 
 mod halls;
 mod holders;
+mod plans;
 mod stream;
 mod table;
 
--- a/crates/micaspool-client/src/fleet/stream.rs
+++ b/crates/micaspool-client/src/fleet/stream.rs
@@ -1,6 +1,6 @@
 //! The stream of updates from one keeper.
 
-use super::FleetMirror;
+use super::{plans, FleetMirror};
 use async_std::future::timeout;
 use async_std::task;
 use micaspool_clock::BootInstant;
@@ -39,16 +39,17 @@
 
 async fn open_stream(mirror: &FleetMirror, peer: &PeerAddress) -> Option<Streaming<v1::FleetNews>> {
     let channel = socket::connect(peer.address, mirror.options.counter.clone()).await.ok()?;
+    mirror.lock().connect_keeper(&peer.name, channel.clone());
     let mut client = KeeperClient::new(channel).max_decoding_message_size(crate::keeper::MAX_MESSAGE);
-    let request =
-        v1::FollowRequest { follower: mirror.options.follower.clone(), number: mirror.plan().number };
+    let request = v1::FollowRequest { follower: mirror.options.follower.clone() };
     let reply = timeout(OPEN_TIMEOUT, client.follow(request)).await.ok()?.ok()?;
     Some(reply.into_inner())
 }
 
 async fn apply_updates(mirror: &Arc<FleetMirror>, peer: &PeerAddress, mut stream: Streaming<v1::FleetNews>) {
     while let Ok(Ok(Some(update))) = timeout(STREAM_TIMEOUT, stream.message()).await {
-        let has_new_members = mirror.lock().apply(&peer.name, &update, mirror.options.format.as_ref());
+        let has_new_members = mirror.lock().apply(&peer.name, &update);
+        plans::fetch_if_newer(mirror);
         if has_new_members {
             mirror.follow_new_keepers();
         }
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -10,11 +10,13 @@
 use micaspool_routes::{NumberedPlan, PlanFormat};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::{EndpointName, HallName, InstanceName, Moment};
+use micaspool_types::{rendezvous_score, EndpointName, HallName, InstanceName, Moment};
 use micaspool_wire::convert::{endpoint_record, hall_order};
 use micaspool_wire::v1;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use tonic::transport::Channel;
 
 /// How long a keeper still counts as confirmed after it last reported contact with a majority. An election takes up to
 /// 1.5 s, or two tries. In its course the keepers of a group lose and regain their majority at different moments,
@@ -35,6 +37,10 @@
     /// When it last reported contact with a majority on the current stream.
     confirmed_at: Option<BootInstant>,
     last_message_at: Option<BootInstant>,
+    /// The number of the plan that it holds, according to its latest message; zero once it could not be asked for it.
+    plan_number: u64,
+    /// The connection of the current stream.
+    channel: Option<Channel>,
 }
 
 impl KeeperState {
@@ -47,11 +53,22 @@
     }
 }
 
+/// A keeper that can be asked for a newer plan.
+#[derive(Debug)]
+pub(super) struct PlanSource {
+    pub keeper: InstanceName,
+    pub channel: Channel,
+}
+
 /// The plan, endpoints, data halls and keepers as reported so far.
 #[derive(Debug)]
 pub(super) struct FleetTable {
     start: BootInstant,
     pub plan: NumberedPlan,
+    /// The number of the newest plan that could not be decoded.
+    unusable_plan: u64,
+    /// True while a newer plan is being fetched.
+    pub fetches_plan: bool,
     pub registry: EndpointRegistry,
     holders: EndpointHolders,
     /// How long an endpoint is kept after the last keeper that vouched for it was lost.
@@ -72,6 +89,8 @@
         FleetTable {
             start: BootInstant::now(),
             plan: NumberedPlan::default(),
+            unusable_plan: 0,
+            fetches_plan: false,
             registry: EndpointRegistry::default(),
             holders: EndpointHolders::default(),
             max_silence,
@@ -135,6 +154,8 @@
             return;
         }
         if !connected {
+            state.plan_number = 0;
+            state.channel = None;
             let now = self.start.elapsed();
             self.holders.release_all(Moment(0) + now, name, self.max_silence);
         }
@@ -146,9 +167,12 @@
     }
 
     /// Applies an update from a keeper. Returns true if it contains members that are not followed yet.
-    pub fn apply(&mut self, from: &InstanceName, update: &v1::FleetNews, format: &dyn PlanFormat) -> bool {
+    pub fn apply(&mut self, from: &InstanceName, update: &v1::FleetNews) -> bool {
         self.update_keeper(from, true, update.confirmed);
-        let mut changed = update.plan.as_ref().is_some_and(|plan| self.apply_plan(from, plan, format));
+        if let Some(state) = self.keepers.get_mut(from) {
+            state.plan_number = update.plan_number;
+        }
+        let mut changed = false;
         for hall in &update.halls {
             changed |= self.apply_hall(from, hall);
         }
@@ -164,8 +188,42 @@
         self.apply_members(update)
     }
 
+    /// Notes the connection of the stream from a keeper.
+    pub fn connect_keeper(&mut self, name: &InstanceName, channel: Channel) {
+        if let Some(state) = self.keepers.get_mut(name) {
+            state.channel = Some(channel);
+        }
+    }
+
+    /// Returns the keepers that hold a newer plan, the preferred one of this follower first.
+    pub fn plan_sources(&self, follower: &str) -> Vec<PlanSource> {
+        let known = self.plan.number.max(self.unusable_plan);
+        let newer = self.keepers.iter().filter(|(_, state)| state.plan_number > known);
+        let sources = newer.filter_map(|(name, state)| {
+            Some(PlanSource { keeper: name.clone(), channel: state.channel.clone()? })
+        });
+        let mut sources: Vec<PlanSource> = sources.collect();
+        sources.sort_by_cached_key(|source| Reverse(rendezvous_score(follower, source.keeper.as_str())));
+        sources
+    }
+
+    /// Returns the connected keeper that this follower prefers to ask for plans.
+    pub fn preferred_source(&self, follower: &str) -> Option<InstanceName> {
+        let connected =
+            self.keepers.iter().filter(|(_, state)| state.connection == KeeperConnection::Connected);
+        let score = |name: &&InstanceName| rendezvous_score(follower, name.as_str());
+        connected.map(|(name, _)| name).max_by_key(score).cloned()
+    }
+
+    /// Notes that a keeper did not answer with its plan, until its next message.
+    pub fn skip_source(&mut self, name: &InstanceName) {
+        if let Some(state) = self.keepers.get_mut(name) {
+            state.plan_number = 0;
+        }
+    }
+
     /// Puts a plan in force if its number is higher than the current one. Returns true if it was.
-    fn apply_plan(
+    pub fn apply_plan(
         &mut self,
         from: &InstanceName,
         document: &v1::PlanDocument,
@@ -181,11 +239,13 @@
                 let fields =
                     [field("number", document.number), field("before", previous), field("keeper", from)];
                 record(&events::PLAN_IN_FORCE, &fields);
+                notify(&mut self.subscribers);
                 true
             }
             Err(error) => {
                 let fields = [field("number", document.number), field("error", error)];
                 record(&events::PLAN_UNUSABLE, &fields);
+                self.unusable_plan = document.number;
                 false
             }
         }
--- a/crates/micaspool-keeper/src/follow.rs
+++ b/crates/micaspool-keeper/src/follow.rs
@@ -1,5 +1,5 @@
-//! Streams the state of the fleet to followers: the route plan, data hall orders, the endpoints
-//! registered at this keeper, and the members of the keeper group.
+//! Streams the state of the fleet to followers: the number of the route plan, data hall orders, the
+//! endpoints registered at this keeper, and the members of the keeper group.
 
 use crate::engine::KeeperView;
 use crate::registry_hub::{HubVersion, RegistryHub};
@@ -33,8 +33,6 @@
 
 /// What has been sent to a follower.
 struct FollowerState {
-    /// The number of the latest route plan.
-    number: u64,
     /// The number of the latest hall order.
     hall_order_number: u64,
     /// The endpoint changes that have been sent.
@@ -51,17 +49,15 @@
 }
 
 /// Sends the complete state to a follower, then changes, until it disconnects or the keeper stops.
-/// A plan is sent only if its number is greater than `number`.
 pub(crate) async fn feed_follower(
     view: Arc<Mutex<KeeperView>>,
     hub: Arc<RegistryHub>,
-    number: u64,
     sender: Sender<Result<v1::FleetNews, Status>>,
 ) {
     let changes = view.lock().expect("no holder of the view panics").subscribe();
     let records = hub.subscribe();
     let mut state =
-        FollowerState { number, hall_order_number: 0, version: HubVersion::default(), keepers: Vec::new() };
+        FollowerState { hall_order_number: 0, version: HubVersion::default(), keepers: Vec::new() };
     loop {
         let update = state.next_update(&view, &hub);
         let changed = update.news.endpoints.len() + update.news.silent.len();
@@ -97,12 +93,11 @@
 impl FollowerState {
     fn next_update(&mut self, view: &Mutex<KeeperView>, hub: &RegistryHub) -> FollowerUpdate {
         let view = view.lock().expect("no holder of the view panics");
-        let mut news = v1::FleetNews { confirmed: view.status.confirmed, ..v1::FleetNews::default() };
-        if view.plan.number > self.number {
-            self.number = view.plan.number;
-            news.plan =
-                Some(v1::PlanDocument { number: view.plan.number, document: view.plan.text.to_string() });
-        }
+        let mut news = v1::FleetNews {
+            confirmed: view.status.confirmed,
+            plan_number: view.plan.number,
+            ..v1::FleetNews::default()
+        };
         if view.halls.newest_number() > self.hall_order_number {
             self.hall_order_number = view.halls.newest_number();
             news.halls = hall_messages(&view.halls);
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -223,6 +223,14 @@
         Ok(Response::new(reply))
     }
 
+    async fn held_plan(
+        &self,
+        _request: Request<v1::HeldPlanRequest>,
+    ) -> Result<Response<v1::PlanDocument>, Status> {
+        let plan = self.view().plan.clone();
+        Ok(Response::new(v1::PlanDocument { number: plan.number, document: plan.text.to_string() }))
+    }
+
     async fn order_hall(
         &self,
         request: Request<v1::OrderHallRequest>,
@@ -268,11 +276,10 @@
 
     async fn follow(
         &self,
-        request: Request<v1::FollowRequest>,
+        _request: Request<v1::FollowRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
         let (sender, receiver) = bounded(STREAM_QUEUE_LEN);
-        let number = request.into_inner().number;
-        task::spawn(feed_follower(self.view.clone(), self.hub.clone(), number, sender));
+        task::spawn(feed_follower(self.view.clone(), self.hub.clone(), sender));
         Ok(Response::new(Box::pin(receiver)))
     }
 
--- a/crates/micaspool-keeper/tests/follow.rs
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -10,7 +10,7 @@
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName};
 use micaspool_wire::socket;
-use micaspool_wire::v1::{keeper_client::KeeperClient, FollowRequest};
+use micaspool_wire::v1::{keeper_client::KeeperClient, FollowRequest, PublishRequest};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -57,7 +57,7 @@
 /// Follows until every endpoint has been received, and returns the number of messages with endpoints.
 async fn count_messages_until_complete(address: SocketAddr) -> usize {
     let channel = connect(address).await;
-    let request = FollowRequest { follower: "test".to_owned(), number: 0 };
+    let request = FollowRequest { follower: "test".to_owned() };
     let mut news = KeeperClient::new(channel).follow(request).await.expect("the keeper answers").into_inner();
     let mut known = BTreeSet::new();
     let mut messages = 0;
@@ -119,7 +119,7 @@
 
 /// Returns the number of endpoint records that a follower receives within [`WATCH_PERIOD`].
 async fn count_records(address: SocketAddr) -> usize {
-    let request = FollowRequest { follower: "test".to_owned(), number: 0 };
+    let request = FollowRequest { follower: "test".to_owned() };
     let mut client = KeeperClient::new(connect(address).await);
     let mut news = client.follow(request).await.expect("the keeper answers").into_inner();
     let mut records = 0;
@@ -241,3 +241,43 @@
         keeper.stop().await;
     });
 }
+
+/// Publishes a plan without routes under a number.
+async fn publish(name: &str, keeper: &KeeperDaemon, number: u64) {
+    let peer =
+        PeerAddress { name: InstanceName::parse(name).expect("the name is valid"), address: keeper.wire };
+    let client = micaspool_client::KeeperClient::new(vec![peer], TrafficCounter::default());
+    let plan = "{\"routes\":[],\"services\":[],\"customers\":[],\"capacity\":0,\"limits\":{\"head_bytes\":1,\
+                \"body_bytes\":1,\"head_ms\":1,\"idle_ms\":1}}";
+    let document = format!("{{\"number\":{number},\"plan\":{plan}}}");
+    let start = Instant::now();
+    loop {
+        let request = PublishRequest { number, document: document.clone() };
+        if client.publish(request, Duration::from_secs(1)).await.is_ok() {
+            return;
+        }
+        assert!(start.elapsed() < Duration::from_secs(10), "the keeper takes the plan");
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A follower takes the newest plan, whichever keeper holds it, and keeps it when that keeper is gone.
+#[test]
+fn the_newest_plan_is_fetched_from_a_keeper_that_holds_it() {
+    task::block_on(async {
+        let (one, other) = (start_single("10.0.0.4").await, start_single("10.0.0.5").await);
+        let mirror = follow(&[("10.0.0.4", &one), ("10.0.0.5", &other)]);
+        for (name, keeper, number) in [("10.0.0.4", &one, 5), ("10.0.0.5", &other, 7), ("10.0.0.4", &one, 6)]
+        {
+            publish(name, keeper, number).await;
+            let start = Instant::now();
+            while mirror.plan().number < number && start.elapsed() < Duration::from_secs(2) {
+                task::sleep(Duration::from_millis(10)).await;
+            }
+            assert!(mirror.plan().number >= number, "plan {number} in force within two seconds");
+        }
+        other.stop().await;
+        assert_eq!(mirror.plan().number, 7);
+        one.stop().await;
+    });
+}
