perf(dispatch): keep sums over endpoints instead of walking all of them for each ticket

Cause: each ticket's wait estimate summed the rates of all engines and counted all customers with a queue, each pause counted all endpoints, and each tick looked at every endpoint for outdated reports.

Now an endpoint's contribution is replaced when it changes (`reindex`), in whole numbers, so that the sums are exact; a queue counts its customer when it becomes empty or not. Cold engines are looked at one by one, while there are any and they are limited.

--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -96,25 +96,35 @@
     /// The combined capacity of the open endpoints per second: prompt tokens for engines, otherwise
     /// requests. Infinite if nothing has been observed yet.
     pub fn load_per_second(&self, now: Moment) -> f64 {
-        let open = || self.iter().filter(|state| state.is_open());
+        let totals = self.totals();
         if self.has_no_engine() {
-            return self.service_time.requests_per_second(open().map(|state| state.slots).sum());
+            let slots = u32::try_from(totals.open_slots).unwrap_or(u32::MAX);
+            return self.service_time.requests_per_second(slots);
         }
+        (totals.tokens_per_second() - self.unused_while_cold(now)).max(0.0)
+    }
+
+    /// The part of the capacity of the open engines, in prompt tokens per second, that is not used because they are
+    /// cold.
+    fn unused_while_cold(&self, now: Moment) -> f64 {
         let spacing = self.cold_spacing();
-        let load = |state: &EndpointState| {
+        if spacing.is_zero() {
+            return 0.0;
+        }
+        let unused = |state: &EndpointState| {
             let rate = state.engine.as_ref()?.rate();
-            let warm = rate.tokens_per_milli() * 1_000.0;
             let usual = rate.mean_prefill_time();
-            let is_bounded = state.availability.cold.is_cold(now) && !spacing.is_zero() && !usual.is_zero();
+            let is_bounded = state.availability.cold.is_cold(now) && !usual.is_zero();
             let used = if is_bounded { usual.div_duration_f64(spacing).min(1.0) } else { 1.0 };
-            Some(warm * used)
+            Some(rate.tokens_per_milli() * 1_000.0 * (1.0 - used))
         };
-        open().filter_map(load).sum()
+        let cold = self.cold.iter().map(|endpoint| self.state(*endpoint));
+        cold.filter(|state| state.is_open()).filter_map(unused).sum()
     }
 
     /// True if no endpoint of the service is a language model engine.
     pub fn has_no_engine(&self) -> bool {
-        self.iter().all(|state| state.engine.is_none())
+        self.totals().engines == 0
     }
 
     /// The shortest expected time from a grant to the first event on an engine without a queue. For a
--- a/crates/micaspool-dispatch/src/shard/cold.rs
+++ b/crates/micaspool-dispatch/src/shard/cold.rs
@@ -98,6 +98,12 @@
         self.update_cold_limit(now, endpoint);
     }
 
+    /// Forgets the endpoints that have become warm.
+    pub(super) fn forget_warm(&mut self, now: Moment) {
+        let states = &self.states;
+        self.cold.retain(|endpoint| states[endpoint.position()].availability.cold.is_cold(now));
+    }
+
     /// Opens or closes an endpoint according to its cold limit, and schedules the next change.
     pub(super) fn update_cold_limit(&mut self, now: Moment, endpoint: EndpointIndex) {
         let limiter = &mut self.state_mut(endpoint).availability.cold;
@@ -118,6 +124,7 @@
         state.connect_failures = 0;
         if was_absent && !limits.request_time.is_zero() {
             state.availability.cold.infer_cold(now, limits.start);
+            self.cold.insert(endpoint);
             self.delay_next_grant(now, endpoint);
         }
     }
--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -56,12 +56,14 @@
 pub(super) struct CustomerTable {
     states: Vec<CustomerState>,
     names: HashMap<CustomerName, CustomerIndex>,
+    /// The number of customers with waiting tickets.
+    backlogged: usize,
     ceiling: Cost,
 }
 
 impl CustomerTable {
     pub fn new(ceiling: Cost) -> CustomerTable {
-        CustomerTable { states: Vec::new(), names: HashMap::new(), ceiling }
+        CustomerTable { states: Vec::new(), names: HashMap::new(), backlogged: 0, ceiling }
     }
 
     pub fn indices(&self) -> impl Iterator<Item = CustomerIndex> {
@@ -109,6 +111,30 @@
         index
     }
 
+    /// The number of customers with waiting tickets.
+    pub fn backlogged(&self) -> usize {
+        let count = || self.states.iter().filter(|state| !state.queue.is_empty()).count();
+        debug_assert_eq!(self.backlogged, count(), "every change of a queue updates the count");
+        self.backlogged
+    }
+
+    /// Adds a ticket to the queue of its customer.
+    pub fn add_to_queue(&mut self, request: RequestId, ticket: &WaitingTicket) {
+        let state = &mut self.states[ticket.customer.0 as usize];
+        self.backlogged += usize::from(state.queue.is_empty());
+        state.queue.insert(ticket.place, request);
+        state.queued_load += ticket.prompt.load();
+    }
+
+    /// Removes a ticket from the queue of its customer.
+    pub fn take_from_queue(&mut self, ticket: &WaitingTicket) {
+        let state = &mut self.states[ticket.customer.0 as usize];
+        if state.queue.remove(&ticket.place).is_some() {
+            state.queued_load -= ticket.prompt.load();
+            self.backlogged -= usize::from(state.queue.is_empty());
+        }
+    }
+
     /// Applies weights, halls and limits; customers that are missing from the settings lose all halls.
     pub fn adopt(&mut self, specs: &[ShardCustomer], present: HallMask, policy: &dyn OrderPolicy) {
         for state in &mut self.states {
@@ -130,13 +156,6 @@
         self.account.base().saturating_add(policy.level(&self.account))
     }
 
-    /// Removes a ticket from the queue.
-    pub fn take_from_queue(&mut self, ticket: &WaitingTicket) {
-        if self.queue.remove(&ticket.place).is_some() {
-            self.queued_load -= ticket.prompt.load();
-        }
-    }
-
     /// Charges the progress of a running request.
     pub fn note_delivered(&mut self, estimate: Cost, before: Cost, after: Cost) {
         self.account.charge_progress(estimate, before, after);
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -6,6 +6,7 @@
 use super::reports::ReportedSurplus;
 use super::service_time::ServiceTime;
 use super::status::EndpointClosure;
+use super::totals::EndpointTotals;
 use crate::event::{CacheUpdate, ColdStartLimits, EndpointSpec, GrantOutcome, ShardPolicy};
 use micaspool_types::{EndpointName, HallMask, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap};
@@ -18,6 +19,13 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub(super) struct EndpointIndex(u32);
 
+impl EndpointIndex {
+    /// The position in [`EndpointTable::states`].
+    pub(super) fn position(self) -> usize {
+        self.0 as usize
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct EndpointState {
     pub name: EndpointName,
@@ -42,6 +50,8 @@
     pub(super) last_surplus: Option<ReportedSurplus>,
     /// The load under which the endpoint is listed in its hall's set of free endpoints.
     indexed: Option<u32>,
+    /// What the totals of the table include for this endpoint.
+    pub(super) contribution: EndpointTotals,
 }
 
 /// All endpoints known to the shard, and the free ones by hall.
@@ -53,6 +63,11 @@
     pub(super) initial_share: u64,
     pub(super) states: Vec<EndpointState>,
     names: HashMap<EndpointName, EndpointIndex>,
+    pub(super) totals: EndpointTotals,
+    /// Endpoints that were cold when last looked at.
+    pub(super) cold: BTreeSet<EndpointIndex>,
+    /// Endpoints with a load report.
+    pub(super) reported: BTreeSet<EndpointIndex>,
     pub(super) free: Vec<BTreeSet<(u32, EndpointIndex)>>,
     pub(super) pauses: BTreeSet<(Moment, EndpointIndex)>,
     /// When endpoints may become available: engines once their prefill work has shrunk, cold endpoints
@@ -177,6 +192,7 @@
             connect_failures: 0,
             last_surplus: None,
             indexed: None,
+            contribution: EndpointTotals::default(),
         });
         index
     }
@@ -195,6 +211,9 @@
             let index = self.ensure(&spec.name);
             self.state_mut(index).apply_spec(now, spec);
             self.state_mut(index).configure_engine(spec.memory_tokens, initial_share, per_token);
+            if !spec.cold.is_zero() {
+                self.cold.insert(index);
+            }
         }
         let halls = self.states.iter().map(|state| state.hall + 1).max().unwrap_or(0);
         self.free.resize_with(halls.max(self.free.len()), BTreeSet::new);
@@ -372,6 +391,7 @@
     }
 
     pub(super) fn reindex(&mut self, endpoint: EndpointIndex) {
+        self.update_totals(endpoint);
         let state = self.state(endpoint);
         let load = state.free_load();
         if load == state.indexed {
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -187,8 +187,8 @@
         self.copies.begin_running(ticket.digest, endpoint);
         self.forget_overdue(request, &ticket);
         self.forget_choice(&ticket);
+        self.customers.take_from_queue(&ticket);
         let state = self.customers.get_mut(ticket.customer);
-        state.take_from_queue(&ticket);
         state.grant_rate.add(now, ticket.prompt.load());
         state.counters.note_grant(ticket.prompt.load());
         let served_rank = state.indexed.map(|(_, rank)| rank).unwrap_or_default();
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -38,6 +38,7 @@
 mod suspects;
 mod tickets;
 mod tolerance;
+mod totals;
 
 pub use counters::CustomerCounters;
 pub use status::{
@@ -241,6 +242,7 @@
             }
         }
         self.endpoints.expire_reports(now);
+        self.endpoints.forget_warm(now);
         self.throughput.advance(now);
     }
 
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -141,7 +141,7 @@
 
     /// The number of customers with waiting tickets.
     pub(super) fn backlogged_customers(&self) -> usize {
-        self.customers.iter().filter(|state| !state.queue.is_empty()).count()
+        self.customers.backlogged()
     }
 
     fn refuse_overdue_ticket(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
--- a/crates/micaspool-dispatch/src/shard/pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/pauses.rs
@@ -1,6 +1,6 @@
 //! Pauses of endpoints after failures.
 
-use super::endpoints::{EndpointIndex, EndpointState, EndpointTable};
+use super::endpoints::{EndpointIndex, EndpointTable};
 use micaspool_types::Moment;
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
         let until = now + (FIRST_PAUSE * (1 << doublings)).min(MAX_PAUSE);
         state.failures += 1;
         state.availability.paused_until = Some(until);
+        self.update_totals(endpoint);
         self.pauses.insert((until, endpoint));
         self.shorten_pauses(now);
     }
@@ -31,10 +32,8 @@
     /// Shortens the pauses after failures while most endpoints of the service are paused: the others
     /// can't carry the load, so returning endpoints must be found soon.
     fn shorten_pauses(&mut self, now: Moment) {
-        let in_use = |state: &&EndpointState| state.slots > 0 && !state.availability.is_leaving();
-        let open = self.states.iter().filter(in_use).filter(|state| state.is_open()).count();
-        let all = self.states.iter().filter(in_use).count();
-        if open * 2 >= all {
+        let totals = self.totals();
+        if totals.open * 2 >= totals.in_use {
             return;
         }
         let paused = u32::try_from(self.pauses.len()).unwrap_or(u32::MAX);
--- a/crates/micaspool-dispatch/src/shard/placement.rs
+++ b/crates/micaspool-dispatch/src/shard/placement.rs
@@ -53,7 +53,7 @@
 
     /// Refuses the waiting tickets that can't be placed any more.
     pub(super) fn refuse_unplaceable(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
-        let has_evacuations = self.endpoints.iter().any(|state| state.availability.evacuated);
+        let has_evacuations = self.endpoints.totals().evacuated > 0;
         let may_be_affected = |ticket: &WaitingTicket| has_evacuations || ticket.halls != HallLimit::Anywhere;
         let affected = self.waiting.iter().filter(|(_, ticket)| may_be_affected(ticket));
         let refusals = affected.filter_map(|(request, ticket)| {
--- a/crates/micaspool-dispatch/src/shard/reports.rs
+++ b/crates/micaspool-dispatch/src/shard/reports.rs
@@ -1,6 +1,6 @@
 //! Load reports of endpoints, and how long each is valid.
 
-use super::endpoints::EndpointTable;
+use super::endpoints::{EndpointIndex, EndpointTable};
 use crate::event::LoadReport;
 use micaspool_types::{EndpointName, Moment};
 use std::time::Duration;
@@ -48,6 +48,8 @@
         state.foreign = before.map_or(0, |seen| seen.requests.min(surplus));
         let (busy, foreign) = (state.busy, state.foreign);
         state.last_surplus = Some(ReportedSurplus::new(now, surplus, before));
+        self.reported.insert(endpoint);
+        let state = self.state_mut(endpoint);
         if let Some(engine) = &mut state.engine {
             engine.note_waiting(now, report.waiting);
             if before.is_some() {
@@ -67,11 +69,13 @@
     /// reporting would stay full for ever.
     pub fn expire_reports(&mut self, now: Moment) {
         let initial_share = self.initial_share;
-        for endpoint in self.indices() {
+        let is_outdated = |endpoint: &EndpointIndex| {
+            !self.state(*endpoint).last_surplus.is_some_and(|seen| seen.is_current(now))
+        };
+        let outdated: Vec<EndpointIndex> = self.reported.iter().copied().filter(is_outdated).collect();
+        for endpoint in outdated {
+            self.reported.remove(&endpoint);
             let state = self.state_mut(endpoint);
-            if state.last_surplus.is_none_or(|seen| seen.is_current(now)) {
-                continue;
-            }
             state.last_surplus = None;
             state.foreign = 0;
             if let Some(engine) = &mut state.engine {
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -222,9 +222,7 @@
         let customer = ticket.customer;
         self.raise_to_floor(now, customer);
         self.routers.hold(ticket.router, request);
-        let state = self.customers.get_mut(customer);
-        state.queue.insert(ticket.place, request);
-        state.queued_load += ticket.prompt.load();
+        self.customers.add_to_queue(request, &ticket);
         self.copies.begin_waiting(ticket.digest);
         self.overdue.extend(ticket.refuse_at.map(|refuse_at| (refuse_at, request)));
         self.waiting.insert(request, ticket);
@@ -255,7 +253,7 @@
         self.copies.end_waiting(ticket.digest);
         self.forget_overdue(request, &ticket);
         self.forget_choice(&ticket);
-        self.customers.get_mut(ticket.customer).take_from_queue(&ticket);
+        self.customers.take_from_queue(&ticket);
         self.queue_advanced = true;
         self.routers.release(ticket.router, request);
         self.reindex(ticket.customer);
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -4,7 +4,9 @@
 use crate::trace::RecordedTrace;
 use micaspool_dispatch::{HeldGrant, HeldLevel, RequestTicket, RouterHello, SessionId};
 use micaspool_fair::ServiceLevel;
-use micaspool_types::{Cost, CustomerName, EndpointName, Incarnation, InstanceName, OrderNumber, RequestId};
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, HallLimit, Incarnation, InstanceName, OrderNumber, RequestId,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The number of prefixes of a prompt, each longer than the one before.
@@ -97,7 +99,7 @@
             objective: None,
             patience: None,
             order: None,
-            halls: micaspool_types::HallLimit::Anywhere,
+            halls: HallLimit::Anywhere,
         }
     }
 
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -4,7 +4,9 @@
 
 use micaspool_dispatch::RequestTicket;
 use micaspool_settings::policy::{RequestPolicy, ServiceKind, ServicePolicy, SharedPolicy};
-use micaspool_types::{Cost, CustomerName, Refusal, RefusalKind, RequestDigest, RequestId, ServiceName};
+use micaspool_types::{
+    Cost, CustomerName, HallLimit, Refusal, RefusalKind, RequestDigest, RequestId, ServiceName,
+};
 use model::ModelBody;
 use sha2::{Digest, Sha256};
 
@@ -150,7 +152,7 @@
             objective: None,
             patience: None,
             order: None,
-            halls: micaspool_types::HallLimit::Anywhere,
+            halls: HallLimit::Anywhere,
         }
     }
 }
