perf(dispatcher): bound what a shard spends on looking at all its endpoints

Cause: some work of a shard looks at every endpoint, at fixed intervals: its status 20 times a second, a new policy up to 20 times a second while endpoints change, and the load and cache of every engine, each 10 ms after the one before: 98 s a round at 9,845 engines, with one follower each. A dispatcher inside a gateway did the same for a shard that it hardly ever uses.

Now status and policy are paced by what they took last (2% and 4% of the time, a second between two at most). Of more than 100 engines only those are asked that run requests of this shard, did so in the last 10 s, or drain. A shard without routers ticks once a second and gets a policy when a router comes.

Test: the_pause_grows_with_the_work_within_its_bounds, of_many_engines_those_in_use_are_asked.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -132,6 +132,13 @@
         of_service.map(|endpoint| table.registry.with_remaining_cold(now, endpoint)).collect()
     }
 
+    /// Returns the number of endpoints of a service that have not left.
+    pub fn endpoint_count(&self, service: &ServiceName) -> usize {
+        let table = self.lock();
+        let present = table.registry.iter().filter(|endpoint| endpoint.stage != EndpointStage::Left);
+        present.filter(|endpoint| endpoint.service == *service).count()
+    }
+
     /// Returns the newest known orders about data halls.
     pub fn hall_orders(&self) -> HallOrders {
         self.lock().hall_table.orders.clone()
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -4,10 +4,11 @@
 use crate::host::HostOptions;
 use crate::policy_source::PolicySource;
 use crate::probe::ProbedEndpoint;
+use crate::probe_selection::{ProbeSelection, UsedEngines};
 use crate::sharing::share_totals;
 use crate::tally::ShardTally;
-use async_std::channel::{unbounded, Receiver, Sender};
-use micaspool_clock::BootInstant;
+use async_std::channel::{bounded, unbounded, Receiver, Sender};
+use micaspool_clock::{BootInstant, DutyCycle};
 use micaspool_dispatch::{
     CacheUpdate, CustomerTotal, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus,
 };
@@ -23,11 +24,17 @@
 use tokio::time::timeout;
 use tonic::Status;
 
-/// The interval of [`ShardEvent::Tick`] and of status updates.
+/// The interval of [`ShardEvent::Tick`].
 const TICK: Duration = Duration::from_millis(50);
-/// The minimum time between two policies. Changes of the plan and endpoints in between are combined, since a policy
-/// contains every endpoint and customer.
-const MIN_POLICY_INTERVAL: Duration = Duration::from_millis(50);
+/// The same interval while no router uses the shard.
+const IDLE_TICK: Duration = Duration::from_secs(1);
+/// The pace of status updates, which look at every endpoint and customer.
+const STATUS_CYCLE: DutyCycle =
+    DutyCycle { percent: 2, min_pause: Duration::ZERO, max_pause: Duration::from_secs(1) };
+/// The pace of policies. Changes of the plan and endpoints in between are combined, since a policy contains every
+/// endpoint and customer.
+const POLICY_CYCLE: DutyCycle =
+    DutyCycle { percent: 4, min_pause: Duration::from_millis(50), max_pause: Duration::from_secs(1) };
 /// Added to wake-ups, since timers sometimes fire slightly early and would have to be set a second time.
 const WAKE_MARGIN: Duration = Duration::from_micros(200);
 /// The minimum probe interval per probed endpoint, which limits probes to 100 a second. Each takes this process
@@ -98,6 +105,10 @@
     status: Arc<Mutex<ShardStatus>>,
     totals: Arc<Mutex<Vec<CustomerTotal>>>,
     tally: ShardTally,
+    next_tick: BootInstant,
+    status_due: BootInstant,
+    /// Receives a message when a session opens.
+    opened: Sender<()>,
 }
 
 /// Starts a shard and the tasks that feed it with policies, load reports and totals of other regions.
@@ -111,6 +122,7 @@
     let status = Arc::new(Mutex::new(core.status(clock.now())));
     let totals: Arc<Mutex<Vec<CustomerTotal>>> = Arc::default();
     let (inputs, receiver) = unbounded();
+    let (opened, opened_receiver) = bounded(1);
     let driver = ShardDriver {
         clock,
         core,
@@ -124,10 +136,20 @@
         status: status.clone(),
         totals: totals.clone(),
         tally: ShardTally::new(service.clone()),
+        next_tick: BootInstant::now() + TICK,
+        status_due: BootInstant::now(),
+        opened,
     };
     record(&events::SHARD_STARTED, &[field("service", &service)]);
-    let changes = source.subscribe();
-    tokio::spawn(feed_policy(service.clone(), source.clone(), changes, inputs.clone()));
+    let feed = PolicyFeed {
+        service: service.clone(),
+        source: source.clone(),
+        changes: source.subscribe(),
+        opened: opened_receiver,
+        inputs: inputs.clone(),
+        status: status.clone(),
+    };
+    tokio::spawn(feed.run());
     let handle = ShardHandle { inputs: inputs.clone(), status: status.clone(), totals };
     tokio::spawn(share_totals(service.clone(), options.clone(), handle.clone()));
     tokio::spawn(poll_endpoints(clock, service, options, source, inputs, status));
@@ -137,28 +159,40 @@
 
 impl ShardDriver {
     async fn run(mut self, inputs: Receiver<ShardInput>) {
-        let mut next_tick = BootInstant::now() + TICK;
         loop {
-            match timeout(self.time_until_due(next_tick), inputs.recv()).await {
+            match timeout(self.time_until_due(), inputs.recv()).await {
                 Ok(Ok(input)) => self.handle(input),
                 Ok(Err(_)) => return,
-                Err(_) if BootInstant::now() < next_tick => self.step(ShardEvent::Wake),
+                Err(_) if BootInstant::now() < self.next_tick => self.step(ShardEvent::Wake),
                 Err(_) => {}
             }
-            if BootInstant::now() >= next_tick {
-                self.step(ShardEvent::Tick);
-                let status = self.core.status(self.clock.now());
-                self.tally.report(&status);
-                *self.status.lock().expect("the lock of the status is not poisoned") = status;
-                *self.totals.lock().expect("the lock of the totals is not poisoned") = self.core.totals();
-                next_tick = BootInstant::now() + TICK;
+            if BootInstant::now() >= self.next_tick {
+                self.tick();
             }
         }
     }
 
+    fn tick(&mut self) {
+        self.step(ShardEvent::Tick);
+        let now = BootInstant::now();
+        if now >= self.status_due {
+            self.update_status();
+            self.status_due = BootInstant::now() + STATUS_CYCLE.pause_after(now.elapsed());
+        }
+        let interval = if self.streams.is_empty() { IDLE_TICK } else { TICK };
+        self.next_tick = BootInstant::now() + interval;
+    }
+
+    fn update_status(&mut self) {
+        let status = self.core.status(self.clock.now());
+        self.tally.report(&status);
+        *self.status.lock().expect("the lock of the status is not poisoned") = status;
+        *self.totals.lock().expect("the lock of the totals is not poisoned") = self.core.totals();
+    }
+
     /// Returns the time until the next tick or the core's next wake-up, whichever is first.
-    fn time_until_due(&self, next_tick: BootInstant) -> Duration {
-        let tick = next_tick.saturating_duration_since(BootInstant::now());
+    fn time_until_due(&self) -> Duration {
+        let tick = self.next_tick.saturating_duration_since(BootInstant::now());
         let wake = self.core.next_wake().map(|at| at.since(self.clock.now()) + WAKE_MARGIN);
         wake.map_or(tick, |wake| wake.min(tick))
     }
@@ -167,6 +201,10 @@
         match input {
             ShardInput::Open(session, stream) => {
                 self.streams.insert(session, stream);
+                self.next_tick = self.next_tick.min(BootInstant::now() + TICK);
+                self.status_due = self.next_tick;
+                // A message that is still unread serves as well.
+                let _ = self.opened.try_send(());
             }
             ShardInput::Traced(request, traceparent) => {
                 if self.spans.len() < MAX_SPANS {
@@ -216,8 +254,8 @@
 impl ShardDriver {
     /// Starts a probe of an endpoint if it is among the probed ones. The result becomes an input of the shard.
     fn probe(&self, endpoint: &EndpointName) {
-        let probed = self.source.probed_endpoints(&self.service);
-        let Some(probed) = probed.into_iter().find(|probed| probed.name == *endpoint) else { return };
+        let selection = ProbeSelection::Only([endpoint.clone()].into());
+        let Some(probed) = self.source.probed_endpoints(&self.service, &selection).pop() else { return };
         let options = self.options.clone();
         tokio::spawn(probe_endpoint(self.clock, options, probed, self.inputs.clone()));
     }
@@ -238,28 +276,46 @@
     }
 }
 
-/// Sends the shard its current policy, and again after each change.
-async fn feed_policy(
+/// Sends a shard its policy.
+struct PolicyFeed {
     service: ServiceName,
     source: Arc<dyn PolicySource>,
+    /// Receives a message after each change of the policy.
     changes: Receiver<()>,
+    /// Receives a message when a session opens.
+    opened: Receiver<()>,
     inputs: Sender<ShardInput>,
-) {
-    loop {
-        // The policy made next includes all changes notified so far.
-        while changes.try_recv().is_ok() {}
-        let policy = source.policy(&service);
-        if inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err() {
-            return;
-        }
-        tokio::time::sleep(MIN_POLICY_INTERVAL).await;
-        if changes.recv().await.is_err() {
-            return;
+    status: Arc<Mutex<ShardStatus>>,
+}
+
+impl PolicyFeed {
+    /// Sends the current policy, and again after each change. Changes while no router uses the shard are combined until
+    /// one does: each gateway has a shard that it uses only while it reaches no other.
+    async fn run(self) {
+        loop {
+            // The policy made next includes all changes notified so far.
+            while self.changes.try_recv().is_ok() {}
+            let started = BootInstant::now();
+            let policy = self.source.policy(&self.service);
+            let took = started.elapsed();
+            if self.inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(POLICY_CYCLE.pause_after(took)).await;
+            if self.changes.recv().await.is_err() || !self.wait_for_use().await {
+                return;
+            }
         }
     }
+
+    /// Waits until a router uses the shard. Returns false once the shard has ended.
+    async fn wait_for_use(&self) -> bool {
+        let is_used = || self.status.lock().expect("the lock of the status is not poisoned").routers > 0;
+        is_used() || self.opened.recv().await.is_ok()
+    }
 }
 
-/// Probes the endpoints and reads the platform's list at intervals, and runs a cache follower for each probed endpoint,
+/// Probes the selected endpoints and reads the platform's list at intervals, and runs a cache follower for each of them,
 /// while routers use the shard.
 async fn poll_endpoints(
     clock: ShardClock,
@@ -270,11 +326,15 @@
     status: Arc<Mutex<ShardStatus>>,
 ) {
     let mut followers: HashMap<EndpointName, JoinHandle<()>> = HashMap::new();
+    let mut used_engines = UsedEngines::default();
     loop {
-        let is_used = status.lock().expect("the lock of the status is not poisoned").routers > 0;
+        let selection = {
+            let status = status.lock().expect("the lock of the status is not poisoned");
+            (status.routers > 0).then(|| used_engines.select(BootInstant::now(), &status.endpoints))
+        };
         let mut pause = options.probe_interval;
-        if is_used {
-            let probed = source.probed_endpoints(&service);
+        if let Some(selection) = selection {
+            let probed = source.probed_endpoints(&service, &selection);
             pause = pause.max(MIN_PROBE_SPACING * u32::try_from(probed.len()).unwrap_or(u32::MAX));
             stop_followers(&mut followers, &probed);
             for endpoint in probed {
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -2,13 +2,16 @@
 
 use crate::policy_source::PolicySource;
 use crate::probe::ProbedEndpoint;
+use crate::probe_selection::ProbeSelection;
 use crate::subset::EngineSubset;
 use async_std::channel::Receiver;
 use micaspool_client::FleetMirror;
 use micaspool_dispatch::{ColdStartLimits, EndpointSpec, ShardCustomer, ShardPolicy};
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_routes::{ColdProfile, RoutePlan};
-use micaspool_types::{Cost, CustomerName, HallMask, Incarnation, Revision, ServiceName, Weight};
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, HallMask, Incarnation, Revision, ServiceName, Weight,
+};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +56,13 @@
         }
     }
 
+    /// Returns the record of an endpoint of a service, unless the endpoint left.
+    fn present_of(&self, service: &ServiceName, name: &EndpointName) -> Option<EndpointRecord> {
+        let is_present =
+            |record: &EndpointRecord| record.service == *service && record.stage != EndpointStage::Left;
+        self.mirror.endpoint(name).filter(is_present)
+    }
+
     /// Returns how much longer an endpoint is treated as cold.
     fn remaining_cold(&self, record: &EndpointRecord, profile: Option<ColdProfile>) -> Duration {
         let Some(profile) = profile else { return Duration::ZERO };
@@ -82,7 +92,7 @@
             name: record.name,
         });
         let endpoints = endpoints.collect();
-        let planned_pace = planned_pace(plan.parts().capacity, self.mirror.endpoints_of(service).len());
+        let planned_pace = planned_pace(plan.parts().capacity, self.mirror.endpoint_count(service));
         let idle_credit = Cost(plan.parts().capacity * IDLE_CREDIT_MILLIS / 1_000);
         let cold = cold.map_or(ColdStartLimits::default(), |cold| ColdStartLimits {
             start: cold.start(),
@@ -104,10 +114,16 @@
     }
 
     /// Returns only engines, since the load of other endpoints affects no decision, and none in evacuated halls.
-    fn probed_endpoints(&self, service: &ServiceName) -> Vec<ProbedEndpoint> {
+    fn probed_endpoints(&self, service: &ServiceName, selection: &ProbeSelection) -> Vec<ProbedEndpoint> {
         let plan = self.mirror.plan().plan;
         let is_engine = plan.service(service.as_str()).is_some_and(|rule| rule.engine.is_some());
-        let mut records = if is_engine { self.engines_of(service) } else { Vec::new() };
+        let mut records = match selection {
+            _ if !is_engine => Vec::new(),
+            ProbeSelection::All => self.engines_of(service),
+            ProbeSelection::Only(names) => {
+                names.iter().filter_map(|name| self.present_of(service, name)).collect()
+            }
+        };
         let orders = self.mirror.hall_orders();
         records.retain(|record| !orders.is_evacuated(&record.hall));
         let probed = |record: EndpointRecord| ProbedEndpoint {
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -20,6 +20,7 @@
 mod platform;
 mod policy_source;
 mod probe;
+mod probe_selection;
 mod service;
 mod shard_policy;
 mod shard_view;
@@ -37,6 +38,7 @@
 pub use probe::{
     CacheChanges, CacheCursor, CacheSnapshot, EndpointProbe, HttpEndpointProbe, ProbeAnswer, ProbedEndpoint,
 };
+pub use probe_selection::{ProbeSelection, UsedEngines};
 pub use service::DispatchService;
 pub use shard_policy::shard_policy;
 pub use subset::EngineSubset;
--- a/crates/micaspool-dispatcher/src/policy_source.rs
+++ b/crates/micaspool-dispatcher/src/policy_source.rs
@@ -1,11 +1,12 @@
 //! Sources of the policies of shards.
 
 use crate::probe::ProbedEndpoint;
+use crate::probe_selection::ProbeSelection;
 use crate::shard_policy::shard_policy;
 use async_std::channel::Receiver;
 use micaspool_client::SettingsMirror;
 use micaspool_dispatch::ShardPolicy;
-use micaspool_types::ServiceName;
+use micaspool_types::{EndpointName, ServiceName};
 use std::fmt;
 use std::sync::Arc;
 
@@ -17,8 +18,8 @@
     /// Returns a channel that receives a message after the policy of any service has changed.
     fn subscribe(&self) -> Receiver<()>;
 
-    /// Returns the endpoints of a service whose load is probed.
-    fn probed_endpoints(&self, service: &ServiceName) -> Vec<ProbedEndpoint>;
+    /// Returns the selected ones among the endpoints of a service whose load is probed.
+    fn probed_endpoints(&self, service: &ServiceName, selection: &ProbeSelection) -> Vec<ProbedEndpoint>;
 }
 
 /// A policy source that reads the settings tree.
@@ -34,10 +35,15 @@
         self.0.subscribe()
     }
 
-    fn probed_endpoints(&self, service: &ServiceName) -> Vec<ProbedEndpoint> {
+    fn probed_endpoints(&self, service: &ServiceName, selection: &ProbeSelection) -> Vec<ProbedEndpoint> {
         let policy = self.0.policy();
         let Some(index) = policy.service_index(service.as_str()) else { return Vec::new() };
-        let endpoints = policy.services[index].endpoints.iter();
+        let is_selected = |name: &EndpointName| match selection {
+            ProbeSelection::All => true,
+            ProbeSelection::Only(names) => names.contains(name),
+        };
+        let endpoints =
+            policy.services[index].endpoints.iter().filter(|endpoint| is_selected(&endpoint.name));
         let probed = endpoints.map(|endpoint| ProbedEndpoint {
             name: endpoint.name.clone(),
             service: service.clone(),
