perf(client): one log line for a message with many endpoint records

Cause: each process wrote a line, and formatted its fields also for records that changed nothing, for every endpoint that it learnt of: 985 gateways x 10,000 lines before traffic begins. Messages of up to 32 records keep a line for each change; a larger one, as when a stream opens, is one line (MP1513). The core at which an endpoint registers still has a line for each.

--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -26,6 +26,9 @@
 /// A keeper without a message for this long is unresponsive. Keepers send a message once a second.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1_300);
 
+/// The number of records in one message up to which each change has its own log line. More come when a stream opens.
+const MAX_LOGGED_RECORDS: usize = 32;
+
 /// The interval at which endpoints that left are forgotten. They are kept for minutes.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -176,9 +179,7 @@
         for hall in &update.halls {
             changed |= self.apply_hall(from, hall);
         }
-        for endpoint in &update.endpoints {
-            changed |= self.apply_endpoint(from, endpoint);
-        }
+        changed |= self.apply_endpoints(from, &update.endpoints);
         for name in &update.silent {
             self.apply_silence(from, name);
         }
@@ -261,7 +262,20 @@
         }
     }
 
-    fn apply_endpoint(&mut self, from: &InstanceName, message: &v1::EndpointNews) -> bool {
+    /// Merges the records of one message. Returns true if any was new or changed.
+    fn apply_endpoints(&mut self, from: &InstanceName, messages: &[v1::EndpointNews]) -> bool {
+        let is_logged = messages.len() <= MAX_LOGGED_RECORDS;
+        let mut changes = 0;
+        for message in messages {
+            changes += usize::from(self.apply_endpoint(from, message, is_logged));
+        }
+        if changes > 0 && !is_logged {
+            record(&events::ENDPOINTS_LEARNT, &[field("endpoints", changes), field("keeper", from)]);
+        }
+        changes > 0
+    }
+
+    fn apply_endpoint(&mut self, from: &InstanceName, message: &v1::EndpointNews, is_logged: bool) -> bool {
         let endpoint = match endpoint_record(message) {
             Ok(endpoint) => endpoint,
             Err(error) => {
@@ -272,16 +286,18 @@
         if !self.halls.contains(&endpoint.hall) {
             self.halls.push(endpoint.hall.clone());
         }
-        let fields = [
-            field("endpoint", &endpoint.name),
-            field("service", &endpoint.service),
-            field("stage", format!("{:?}", endpoint.stage)),
-            field("sequence", endpoint.sequence),
-            field("keeper", from),
-        ];
-        self.holders.hold(from, &endpoint.name);
+        let (name, service, stage) = (endpoint.name.clone(), endpoint.service.clone(), endpoint.stage);
+        let sequence = endpoint.sequence;
+        self.holders.hold(from, &name);
         let changed = self.registry.merge(self.now(), endpoint).is_change();
-        if changed {
+        if changed && is_logged {
+            let fields = [
+                field("endpoint", name),
+                field("service", service),
+                field("stage", format!("{stage:?}")),
+                field("sequence", sequence),
+                field("keeper", from),
+            ];
             record(&events::ENDPOINT_STAGE, &fields);
         }
         changed
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -155,6 +155,8 @@
 pub const HALL_USE_CHANGED: EventKind = kind("MP1511", Level::Info, "use of data hall changed");
 /// An endpoint is cold: it can take only a few requests for a while.
 pub const ENDPOINT_COLD: EventKind = kind("MP1512", Level::Info, "endpoint is cold");
+/// Many endpoints registered or changed at once, so that they have no lines of their own in this process.
+pub const ENDPOINTS_LEARNT: EventKind = kind("MP1513", Level::Info, "endpoints learnt");
 /// No heartbeat of an endpoint arrived for too long.
 pub const ENDPOINT_EXPIRED: EventKind = kind("MP1502", Level::Warn, "endpoint expired without heartbeat");
 /// A newer route plan is in force in this process.
