feat(http, gateway): bound what is held for slow callers by bytes

Cause: a gateway bounded its callers by number, at 55 KB each, but a body may have 4 MB, and what was read ahead of an answer that a caller takes slowly was bounded at some 400 KB a connection only. A thousand callers could fill a process of 120 MB.

Now request bodies share half of what the memory limit leaves for callers; one that doesn't fit is refused as not run, with a time to come back, after it was read and discarded. At most 32 KB of an answer are read ahead, so that the endpoint is held up.

Test: rows of `micaspool-http` `body`. The row of the issue (1,000 readers of a byte a second against a process of 120 MB) is not written.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -14,6 +14,7 @@
 use micaspool_dispatcher::{
     EndpointProbe, EngineSubset, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe,
 };
+use micaspool_http::body::BodyBudget;
 use micaspool_http::edge::{EdgeOptions, EdgeServer};
 use micaspool_http::pool::{EndpointPool, PoolOptions};
 use micaspool_http::status::{serve_status, StatusSource};
@@ -44,6 +45,10 @@
 /// One in this many connections is reserved for refusing callers immediately. A refusal occupies its
 /// connection for a single round trip.
 const REFUSED_DIVISOR: usize = 16;
+/// One part in this many of the memory that callers may use is for their request bodies.
+const BODY_DIVISOR: u64 = 2;
+/// The memory for request bodies without a memory limit, in bytes.
+const DEFAULT_BODY_BYTES: u64 = 256_000_000;
 /// The minimum number of caller connections, regardless of the memory limit.
 const MIN_CONNECTIONS: usize = 64;
 
@@ -64,6 +69,7 @@
     probe: Arc<dyn EndpointProbe>,
     advice: Arc<SharedAdvice>,
     edge: EdgeOptions,
+    body_bytes: u64,
 }
 
 /// Builds [`GatewayOptions`].
@@ -93,6 +99,7 @@
             probe: Arc::new(HttpEndpointProbe::default()),
             advice: SharedAdvice::new(),
             edge: EdgeOptions { sheds_load: true, ..EdgeOptions::default() },
+            body_bytes: DEFAULT_BODY_BYTES,
         };
         GatewayOptionsBuilder { options }
     }
@@ -159,9 +166,12 @@
         self
     }
 
-    /// Limits the memory of the process, in bytes, by limiting the number of caller connections.
+    /// Limits the memory of the process, in bytes, by limiting the number of caller connections and the size of all
+    /// request bodies together.
     pub fn memory(mut self, bytes: u64) -> Self {
-        let affordable = usize::try_from(bytes.saturating_sub(BASELINE_BYTES) / CONNECTION_BYTES);
+        let available = bytes.saturating_sub(BASELINE_BYTES);
+        self.options.body_bytes = available / BODY_DIVISOR;
+        let affordable = usize::try_from(available / CONNECTION_BYTES);
         let maximum = EdgeOptions::default().max_connections;
         let total = affordable.unwrap_or(maximum).clamp(MIN_CONNECTIONS, maximum);
         self.options.edge.max_refused = total / REFUSED_DIVISOR;
@@ -239,6 +249,7 @@
         dispatchers: options.dispatchers.clone(),
         local_dispatcher,
         pool: pool.clone(),
+        bodies: BodyBudget::new(options.body_bytes),
         advice: options.advice.clone(),
         dialect: options.dialect.clone(),
         spans,
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -61,7 +61,7 @@
         let caller_timeout = call.caller.patience.unwrap_or(target.time_limit).min(target.time_limit);
         let uri = origin_form(&call.head.uri).to_string();
         let customer = target.queue_customer();
-        let digest = RequestDigest::of(&customer, call.head.method.as_str(), &uri, &call.body);
+        let digest = RequestDigest::of(&customer, call.head.method.as_str(), &uri, call.body.bytes());
         Attempts {
             deadline: call.arrived_at + caller_timeout,
             call,
@@ -339,7 +339,7 @@
         let head = &self.call.head;
         let mut headers = forwarded_headers(&head.headers);
         gateway.shared.parts.dialect.rewrite_headers(&mut headers, context);
-        let mut request = Request::new(Full::new(self.call.body.clone()));
+        let mut request = Request::new(Full::new(self.call.body.bytes().clone()));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = origin_form(&head.uri);
         *request.headers_mut() = headers;
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -11,15 +11,15 @@
 use crate::request_log::RequestLog;
 use async_trait::async_trait;
 pub(crate) use attempt::Attempts;
-use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{request, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use micaspool_backpressure::SharedAdvice;
 use micaspool_client::{FleetMirror, PeerDirectory};
 use micaspool_clock::BootInstant;
 use micaspool_dispatcher::FleetDispatcher;
+use micaspool_http::body::{self, BodyBudget, HeldBody};
 use micaspool_http::edge::{EdgeBody, EdgeHandler};
 use micaspool_http::pool::EndpointPool;
 use micaspool_router::{ShardClient, ShardClientOptions};
@@ -57,6 +57,8 @@
     pub local_dispatcher: FleetDispatcher,
     /// The pool of connections to endpoints.
     pub pool: Arc<EndpointPool>,
+    /// The memory for request bodies.
+    pub bodies: BodyBudget,
     /// The advice that endpoints gave this process: to send nothing for a while (a rest), or that they are leaving.
     pub advice: Arc<SharedAdvice>,
     /// The headers and statuses that callers and endpoints use.
@@ -88,7 +90,7 @@
     head: request::Parts,
     caller: CallerHead,
     arrived_at: BootInstant,
-    body: Bytes,
+    body: HeldBody,
 }
 
 impl Gateway {
@@ -173,7 +175,7 @@
             let _ = timeout(body_timeout, drain_body(body)).await;
             return Err(refusal);
         }
-        let read = timeout(body_timeout, read_body(body, limit)).await;
+        let read = timeout(body_timeout, read_body(&self.shared.parts.bodies, body, limit)).await;
         let body = read.unwrap_or_else(|_| Err(Refusal::not_run(RefusalKind::SlowRequest)))?;
         Ok(Attempts::new(AcceptedCall { head, caller, arrived_at, body }, target))
     }
@@ -228,12 +230,16 @@
     while let Some(Ok(_)) = body.frame().await {}
 }
 
-/// Reads a whole body of at most `limit` bytes.
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Refusal> {
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::not_run(RefusalKind::BodyTooLarge)),
-        Err(_) => Err(Refusal::not_run(RefusalKind::MalformedRequest)),
+/// Reads a whole body of at most `limit` bytes. A body for which there is no memory is read on and discarded, so that its
+/// caller receives the refusal.
+async fn read_body(budget: &BodyBudget, mut body: Incoming, limit: u64) -> Result<HeldBody, Refusal> {
+    match budget.read(&mut body, limit).await {
+        Ok(held) => Ok(held),
+        Err(body::Error::TooLong) => Err(Refusal::not_run(RefusalKind::BodyTooLarge)),
+        Err(body::Error::NoBudget) => {
+            drain_body(body).await;
+            Err(Refusal::not_run(RefusalKind::FleetBacklogFull).after(RETRY_AFTER))
+        }
+        Err(body::Error::Broken) => Err(Refusal::not_run(RefusalKind::MalformedRequest)),
     }
 }
--- /dev/null
+++ b/crates/micaspool-http/src/body.rs
@@ -0,0 +1,95 @@
+//! Reads whole request bodies within a budget of memory that all requests of a process share.
+//!
+//! A body is kept until its request has ended, since it may be sent again. Without a budget, as many callers as fit by
+//! their number could each send the longest body allowed.
+
+use bytes::{Bytes, BytesMut};
+use http_body::Body;
+use http_body_util::BodyExt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+/// The bytes that request bodies may occupy together.
+#[derive(Clone, Debug)]
+pub struct BodyBudget {
+    left: Arc<AtomicU64>,
+}
+
+/// A part of a [`BodyBudget`], which is returned when this is dropped.
+#[derive(Debug)]
+struct BodyReservation {
+    budget: BodyBudget,
+    bytes: u64,
+}
+
+/// A whole request body.
+#[derive(Debug)]
+pub struct HeldBody {
+    bytes: Bytes,
+    _reservation: BodyReservation,
+}
+
+/// Why a body was not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The body is longer than a single one may be.
+    TooLong,
+    /// The bodies of other requests occupy the budget.
+    NoBudget,
+    /// The body broke off or is malformed.
+    Broken,
+}
+
+impl BodyBudget {
+    /// Creates a budget.
+    pub fn new(bytes: u64) -> BodyBudget {
+        BodyBudget { left: Arc::new(AtomicU64::new(bytes)) }
+    }
+
+    /// Returns how many bytes are left.
+    pub fn left(&self) -> u64 {
+        self.left.load(Ordering::Relaxed)
+    }
+
+    /// Reads a whole body of at most `limit` bytes. The rest of a body that is not kept is left unread.
+    pub async fn read<B>(&self, body: &mut B, limit: u64) -> Result<HeldBody, Error>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut reservation = BodyReservation { budget: self.clone(), bytes: 0 };
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Error::Broken)?;
+            let Ok(data) = frame.into_data() else { continue };
+            if (bytes.len() + data.len()) as u64 > limit {
+                return Err(Error::TooLong);
+            }
+            reservation.grow(data.len() as u64)?;
+            bytes.extend_from_slice(&data);
+        }
+        Ok(HeldBody { bytes: bytes.freeze(), _reservation: reservation })
+    }
+}
+
+impl BodyReservation {
+    fn grow(&mut self, bytes: u64) -> Result<(), Error> {
+        let take = |left: u64| left.checked_sub(bytes);
+        let taken = self.budget.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        taken.map_err(|_| Error::NoBudget)?;
+        self.bytes += bytes;
+        Ok(())
+    }
+}
+
+impl Drop for BodyReservation {
+    fn drop(&mut self) {
+        self.budget.left.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
+
+impl HeldBody {
+    /// Returns the content.
+    pub fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
+}
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`edge`] serves callers and [`pool`] calls endpoints over persistent connections. Both are based on `hyper`, frame
 //! bodies exactly and detect a peer that closes its connection (design 006). [`pressure`] selects the connections
-//! that an overloaded server serves.
+//! that an overloaded server serves. [`body`] bounds the memory of request bodies.
 //!
 //! [`server`] and [`client`] are older and based on `async-h1`. They add checks that it lacks: `async-h1` treats a
 //! body that ends early as complete, accepts two different lengths, and closes the connection without a response
@@ -11,6 +11,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod body;
 pub mod client;
 pub mod edge;
 pub mod head;
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -51,6 +51,10 @@
 /// The maximum idle time of a connection, whatever `Keep-Alive` timeout the endpoint sends.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(8);
 
+/// The most that is read of a response before its reader takes it, in bytes. A slow reader then holds up the endpoint
+/// instead of filling the memory of this process.
+const READ_AHEAD_BYTES: usize = 32 * 1024;
+
 /// Why a request got no response head.
 #[derive(Debug)]
 pub enum SendError {
@@ -176,8 +180,11 @@
         let stream = socket::connect(address, self.options.connect_limit).await;
         let stream = stream.map_err(SendError::Unreachable)?;
         self.opened.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendError::NotSent)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_AHEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| SendError::NotSent)?;
         // An error of the connection is also reported to the reader of the response.
         tokio::spawn(async move { drop(connection.await) });
         Ok(sender)
--- /dev/null
+++ b/crates/micaspool-http/tests/body.rs
@@ -0,0 +1,49 @@
+//! Request bodies that are read into a shared budget of memory.
+
+use async_std::task::block_on;
+use bytes::Bytes;
+use futures::stream;
+use http_body::Frame;
+use http_body_util::{Full, StreamBody};
+use micaspool_http::body::{BodyBudget, Error, HeldBody};
+
+const LIMIT: u64 = 1_000;
+
+fn read(budget: &BodyBudget, bytes: usize) -> Result<HeldBody, Error> {
+    block_on(budget.read(&mut Full::new(Bytes::from(vec![7; bytes])), LIMIT))
+}
+
+#[test]
+fn a_body_occupies_its_length_until_it_is_dropped() {
+    let budget = BodyBudget::new(2_000);
+    let held = read(&budget, 600).expect("within the limits");
+    assert_eq!((held.bytes().len(), budget.left()), (600, 1_400));
+    drop(held);
+    assert_eq!(budget.left(), 2_000);
+}
+
+#[test]
+fn a_body_beyond_the_limit_of_one_occupies_nothing() {
+    let budget = BodyBudget::new(2_000);
+    assert_eq!(read(&budget, 1_001).err(), Some(Error::TooLong));
+    assert_eq!(budget.left(), 2_000);
+}
+
+/// Guards against a process that bounds the number of callers but not what each of them sends.
+#[test]
+fn a_thousand_long_bodies_occupy_no_more_than_the_budget() {
+    let budget = BodyBudget::new(20_000);
+    let held: Vec<HeldBody> = (0..1_000).filter_map(|_| read(&budget, 900).ok()).collect();
+    assert_eq!(held.len(), 22);
+    assert_eq!(read(&budget, 900).err(), Some(Error::NoBudget));
+    assert_eq!(read(&budget, 200).map(|body| body.bytes().len()), Ok(200), "a short one still fits");
+}
+
+#[test]
+fn a_body_that_breaks_off_is_not_kept() {
+    let budget = BodyBudget::new(2_000);
+    let parts = [Ok(Frame::data(Bytes::from_static(b"part"))), Err("broke off")];
+    let mut body = StreamBody::new(stream::iter(parts));
+    assert_eq!(block_on(budget.read(&mut body, LIMIT)).err(), Some(Error::Broken));
+    assert_eq!(budget.left(), 2_000);
+}
