--- a/crates/micaspool/benches/parts/mod.rs
+++ b/crates/micaspool/benches/parts/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod delay;
+pub mod followers;
 pub mod requests;
 pub mod sessions;
 pub mod usage;
--- a/crates/micaspool/benches/parts/usage.rs
+++ b/crates/micaspool/benches/parts/usage.rs
@@ -56,7 +56,7 @@
 }
 
 /// The processor time of all threads of a process.
-fn cpu_time(pid: u32) -> Duration {
+pub fn cpu_time(pid: u32) -> Duration {
     let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).into_iter().flatten().flatten();
     let nanos = tasks.filter_map(|task| {
         let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
@@ -66,7 +66,7 @@
 }
 
 /// The resident memory of a process in bytes.
-fn resident(pid: u32) -> u64 {
+pub fn resident(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0) * 1_024
--- a/crates/micaspool/benches/slopes.rs
+++ b/crates/micaspool/benches/slopes.rs
@@ -1,7 +1,7 @@
 //! Measures the resource usage of each role by numbers of processes and requests.
 //!
 //! Run with `cargo bench -p micaspool --bench slopes [-- PART]`, where a part is `watchers`,
-//! `claims`, `sessions`, `requests` or `delay`. It starts daemons on loopback and reads their processor time,
+//! `followers`, `claims`, `sessions`, `requests` or `delay`. It starts daemons on loopback and reads their processor time,
 //! resident memory and control bytes. Every part is limited in its number of requests and in time.
 
 #[path = "../tests/harness/mod.rs"]
@@ -17,6 +17,9 @@
         if wanted("watchers") {
             parts::watchers::run().await;
         }
+        if wanted("followers") {
+            parts::followers::run().await;
+        }
         if wanted("claims") {
             parts::claims::run().await;
         }
