fix(gateway): refuse what still waits shortly before a stopping gateway ends

Cause: a stopping gateway waits for its connections until its time is up, but a request that waits for a grant has no part in that: only its own deadline ends the wait.

Now requests that still wait 0.7 s before the end are refused as not run, or as unknown if they may have run.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::native::NativeDialect;
 use crate::proxy::{Gateway, GatewayParts};
+use crate::stopping::StopNotice;
 use async_std::task;
 use micaspool_backpressure::SharedAdvice;
 use micaspool_client::{
@@ -36,6 +37,9 @@
 /// apart, and the response. Requests that arrive later would have too little time to complete.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 
+/// How long before the end of a stop the requests that still wait are refused.
+const LAST_REFUSALS: Duration = Duration::from_millis(700);
+
 /// The memory that a gateway uses without any callers, in bytes. 13 MB were measured on the users' small sites.
 const BASELINE_BYTES: u64 = 30_000_000;
 /// The memory of one caller connection, including its request and the connection to the endpoint, in bytes.
@@ -195,6 +199,7 @@
     server: EdgeServer,
     mirror: Arc<FleetMirror>,
     is_stopping: Arc<AtomicBool>,
+    stop_notice: StopNotice,
 }
 
 impl GatewayDaemon {
@@ -206,10 +211,12 @@
     /// Stops the gateway gracefully.
     ///
     /// It reports not ready at once, keeps accepting requests until load balancers have noticed, and waits up
-    /// to `limit` for open connections. Returns true if all connections ended in time.
+    /// to `limit` for open connections. Requests that still wait for an endpoint shortly before are refused. Returns true
+    /// if all connections ended in time.
     pub async fn stop(self, limit: Duration) -> bool {
         self.is_stopping.store(true, Ordering::SeqCst);
         self.server.drain();
+        task::spawn(self.stop_notice.clone().give_after(limit.saturating_sub(LAST_REFUSALS)));
         let now = BootInstant::now();
         let latest = now + limit;
         self.server.drained(now + DRAIN_NOTICE.min(limit), latest).await
@@ -239,6 +246,7 @@
     });
     let mut registry = Registry::default();
     let metrics = GatewayMetrics::register(&mut registry);
+    let stop_notice = StopNotice::default();
     let pool = EndpointPool::new(PoolOptions::default());
     let gateway = Gateway::new(GatewayParts {
         instance: options.instance.clone(),
@@ -250,6 +258,7 @@
         local_dispatcher,
         pool: pool.clone(),
         bodies: BodyBudget::new(options.body_bytes),
+        stop_notice: stop_notice.clone(),
         advice: options.advice.clone(),
         dialect: options.dialect.clone(),
         spans,
@@ -276,7 +285,7 @@
     for address in &options.status {
         status.push(serve_status(*address, source.clone()).await.map_err(StartError::bind(*address))?);
     }
-    Ok(GatewayDaemon { callers, status, server, mirror, is_stopping })
+    Ok(GatewayDaemon { callers, status, server, mirror, is_stopping, stop_notice })
 }
 
 /// Opens shards for the services of new plans, closes connections that were idle for too long and expires endpoint
--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod proxy;
 mod relay;
 mod request_log;
+mod stopping;
 
 pub use daemon::{start_gateway, GatewayDaemon, GatewayOptions, GatewayOptionsBuilder};
 pub use dialect::{
@@ -27,3 +28,4 @@
 pub use metrics::GatewayMetrics;
 pub use native::NativeDialect;
 pub use proxy::{Gateway, GatewayParts};
+pub use stopping::StopNotice;
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -210,11 +210,13 @@
     async fn wait_for_grant(&self, gateway: &Gateway) -> Result<GrantLease, Refusal> {
         let time_left = self.time_left()?;
         let shard = gateway.shard(&self.target.service);
-        match timeout(time_left, shard.acquire(self.ticket(), None)).await {
-            Ok(Ok(lease)) => Ok(lease),
-            Ok(Err(refusal)) if self.possible_runs > 0 => Err(Refusal::unknown(refusal.kind)),
-            Ok(Err(refusal)) => Err(refusal),
-            Err(_) => Err(self.final_refusal(RefusalKind::DeadlinePassed)),
+        let granted = timeout(time_left, shard.acquire(self.ticket(), None));
+        match gateway.shared.parts.stop_notice.unless_stopping(granted).await {
+            Some(Ok(Ok(lease))) => Ok(lease),
+            Some(Ok(Err(refusal))) if self.possible_runs > 0 => Err(Refusal::unknown(refusal.kind)),
+            Some(Ok(Err(refusal))) => Err(refusal),
+            Some(Err(_)) => Err(self.final_refusal(RefusalKind::DeadlinePassed)),
+            None => Err(self.final_refusal(RefusalKind::Draining)),
         }
     }
 
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 use crate::dispatchers::FleetDispatchers;
 use crate::metrics::GatewayMetrics;
 use crate::request_log::RequestLog;
+use crate::stopping::StopNotice;
 use async_trait::async_trait;
 pub(crate) use attempt::Attempts;
 use http::header::CONTENT_LENGTH;
@@ -59,6 +60,8 @@
     pub pool: Arc<EndpointPool>,
     /// The memory for request bodies.
     pub bodies: BodyBudget,
+    /// Ends the waits of requests before the gateway stops.
+    pub stop_notice: StopNotice,
     /// The advice that endpoints gave this process: to send nothing for a while (a rest), or that they are leaving.
     pub advice: Arc<SharedAdvice>,
     /// The headers and statuses that callers and endpoints use.
