perf(dispatch): let prompts wait for cached parts only where prefill capacity is scarce

Waiting tickets also lengthen their customer's queue, so that others of it are refused on arrival.

Now the weight goes from 1 at no demand to 10 where the prompt tokens asked for reach half of the capacity, which is what all smaller deployments show in use (demand counts cached parts, so that their engines see several times their capacity).

--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -68,8 +68,13 @@
             Some(EngineScore {
                 overdue: engine.is_overdue(now),
                 late: query.first_event_due.is_some_and(|due| first_event_at > due),
-                delay: engine.delay(now, query.prompt, state.busy, ahead.tokens)
-                    + cold_delay.as_micros() as u64,
+                delay: engine.delay(
+                    now,
+                    query.prompt,
+                    state.busy,
+                    ahead.tokens,
+                    self.scarcity.uncached_percent,
+                ) + cold_delay.as_micros() as u64,
                 engine: index,
             })
         });
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -4,6 +4,7 @@
 use super::engine::{EngineState, PartChange, PromptShape};
 use super::holders::PartHolders;
 use super::reports::ReportedSurplus;
+use super::scarcity::PrefillScarcity;
 use super::service_time::ServiceTime;
 use super::status::EndpointClosure;
 use super::totals::EndpointTotals;
@@ -64,6 +65,7 @@
     pub(super) states: Vec<EndpointState>,
     names: HashMap<EndpointName, EndpointIndex>,
     pub(super) totals: EndpointTotals,
+    pub(super) scarcity: PrefillScarcity,
     /// Endpoints that were cold when last looked at.
     pub(super) cold: BTreeSet<EndpointIndex>,
     /// Endpoints with a load report.
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -23,9 +23,6 @@
 /// a request of another customer can no longer overtake, and the delay of first events. A shorter limit
 /// lets engines run idle between two grants.
 const MAX_PREFILL_QUEUE: Duration = Duration::from_millis(80);
-/// Weight in percent of a token that the engine has not cached, though another engine may have. Its
-/// prefill takes capacity from all requests, and it evicts other cached parts.
-const UNCACHED_PERCENT: u64 = 1_000;
 /// Delay that a running request adds for the next one, in tokens of prefill. It prefers engines with
 /// fewer running requests if prefill would take equally long.
 const RUNNING_REQUEST_TOKENS: u64 = 35;
@@ -207,10 +204,17 @@
     }
 
     /// The weighted delay of a prompt's first token in microseconds, if `tokens_before` tokens for
-    /// other waiting tickets are processed first. Uncached tokens weigh more than their prefill time
-    /// because they evict other cached parts.
-    pub fn delay(&self, now: Moment, prompt: &PromptShape, running: u32, tokens_before: u64) -> u64 {
-        let uncached_tokens = self.uncached_tokens(prompt) * UNCACHED_PERCENT / 100;
+    /// other waiting tickets are processed first. Uncached tokens weigh `uncached_percent` of their prefill
+    /// time.
+    pub fn delay(
+        &self,
+        now: Moment,
+        prompt: &PromptShape,
+        running: u32,
+        tokens_before: u64,
+        uncached_percent: u64,
+    ) -> u64 {
+        let uncached_tokens = self.uncached_tokens(prompt) * uncached_percent / 100;
         let tokens = tokens_before + uncached_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
         (self.queued_prefill_time(now) + self.rate.prefill_time(tokens)).as_micros() as u64
     }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -32,6 +32,7 @@
 mod retries;
 mod retry_after;
 mod routers;
+mod scarcity;
 mod service_time;
 mod sharing;
 mod status;
@@ -244,6 +245,7 @@
         self.endpoints.expire_reports(now);
         self.endpoints.forget_warm(now);
         self.throughput.advance(now);
+        self.update_scarcity(now);
     }
 
     fn end_recovery(&mut self, now: Moment) {
