--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -1,19 +1,22 @@
 //! The merged state that keepers have reported.
 
 use super::halls::HallTable;
+use super::holders::EndpointHolders;
 use super::{notify, KeeperConnection, KeeperStatus};
 use crate::directory::PeerDirectory;
 use async_std::channel::Sender;
 use micaspool_clock::BootInstant;
-use micaspool_registry::{EndpointRegistry, EndpointStage};
+use micaspool_registry::EndpointRegistry;
 use micaspool_routes::{NumberedPlan, PlanFormat};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::{HallName, InstanceName, Moment};
+use micaspool_types::{rendezvous_score, EndpointName, HallName, InstanceName, Moment};
 use micaspool_wire::convert::{endpoint_record, hall_order};
 use micaspool_wire::v1;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use tonic::transport::Channel;
 
 /// How long a keeper still counts as confirmed after it last reported contact with a majority. An election takes up to
 /// 1.5 s, or two tries. In its course the keepers of a group lose and regain their majority at different moments,
@@ -23,6 +26,12 @@
 /// A keeper without a message for this long is unresponsive. Keepers send a message once a second.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1_300);
 
+/// The number of records in one message up to which each change has its own log line. More come when a stream opens.
+const MAX_LOGGED_RECORDS: usize = 32;
+
+/// The interval at which endpoints that left are forgotten. They are kept for minutes.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The state of one followed keeper.
 #[derive(Debug, Default)]
 pub(super) struct KeeperState {
@@ -31,6 +40,10 @@
     /// When it last reported contact with a majority on the current stream.
     confirmed_at: Option<BootInstant>,
     last_message_at: Option<BootInstant>,
+    /// The number of the plan that it holds, according to its latest message; zero once it could not be asked for it.
+    plan_number: u64,
+    /// The connection of the current stream.
+    channel: Option<Channel>,
 }
 
 impl KeeperState {
@@ -43,12 +56,28 @@
     }
 }
 
+/// A keeper that can be asked for a newer plan.
+#[derive(Debug)]
+pub(super) struct PlanSource {
+    pub keeper: InstanceName,
+    pub channel: Channel,
+}
+
 /// The plan, endpoints, data halls and keepers as reported so far.
 #[derive(Debug)]
 pub(super) struct FleetTable {
     start: BootInstant,
     pub plan: NumberedPlan,
+    /// The number of the newest plan that could not be decoded.
+    unusable_plan: u64,
+    /// True while a newer plan is being fetched.
+    pub fetches_plan: bool,
     pub registry: EndpointRegistry,
+    holders: EndpointHolders,
+    /// How long an endpoint is kept after the last keeper that vouched for it was lost.
+    max_silence: Duration,
+    /// When endpoints that left are looked for next.
+    forget_due: Moment,
     pub halls: Vec<HallName>,
     pub hall_table: HallTable,
     pub seeds: Vec<InstanceName>,
@@ -59,11 +88,16 @@
 }
 
 impl FleetTable {
-    pub fn new(seeds: Vec<InstanceName>) -> FleetTable {
+    pub fn new(seeds: Vec<InstanceName>, max_silence: Duration) -> FleetTable {
         FleetTable {
             start: BootInstant::now(),
             plan: NumberedPlan::default(),
+            unusable_plan: 0,
+            fetches_plan: false,
             registry: EndpointRegistry::default(),
+            holders: EndpointHolders::default(),
+            max_silence,
+            forget_due: Moment(0),
             halls: Vec::new(),
             hall_table: HallTable::default(),
             seeds,
@@ -122,6 +156,12 @@
         if state.connection == connection && state.confirmed == confirmed {
             return;
         }
+        if !connected {
+            state.plan_number = 0;
+            state.channel = None;
+            let now = self.start.elapsed();
+            self.holders.release_all(Moment(0) + now, name, self.max_silence);
+        }
         let kind = if connected { &events::KEEPER_FOLLOWED } else { &events::KEEPER_LOST };
         record(kind, &[field("keeper", name), field("hears_majority", confirmed)]);
         state.connection = connection;
@@ -130,14 +170,18 @@
     }
 
     /// Applies an update from a keeper. Returns true if it contains members that are not followed yet.
-    pub fn apply(&mut self, from: &InstanceName, update: &v1::FleetNews, format: &dyn PlanFormat) -> bool {
+    pub fn apply(&mut self, from: &InstanceName, update: &v1::FleetNews) -> bool {
         self.update_keeper(from, true, update.confirmed);
-        let mut changed = update.plan.as_ref().is_some_and(|plan| self.apply_plan(from, plan, format));
+        if let Some(state) = self.keepers.get_mut(from) {
+            state.plan_number = update.plan_number;
+        }
+        let mut changed = false;
         for hall in &update.halls {
             changed |= self.apply_hall(from, hall);
         }
-        for endpoint in &update.endpoints {
-            changed |= self.apply_endpoint(from, endpoint);
+        changed |= self.apply_endpoints(from, &update.endpoints);
+        for name in &update.silent {
+            self.apply_silence(from, name);
         }
         if changed {
             notify(&mut self.subscribers);
@@ -145,8 +189,42 @@
         self.apply_members(update)
     }
 
+    /// Notes the connection of the stream from a keeper.
+    pub fn connect_keeper(&mut self, name: &InstanceName, channel: Channel) {
+        if let Some(state) = self.keepers.get_mut(name) {
+            state.channel = Some(channel);
+        }
+    }
+
+    /// Returns the keepers that hold a newer plan, the preferred one of this follower first.
+    pub fn plan_sources(&self, follower: &str) -> Vec<PlanSource> {
+        let known = self.plan.number.max(self.unusable_plan);
+        let newer = self.keepers.iter().filter(|(_, state)| state.plan_number > known);
+        let sources = newer.filter_map(|(name, state)| {
+            Some(PlanSource { keeper: name.clone(), channel: state.channel.clone()? })
+        });
+        let mut sources: Vec<PlanSource> = sources.collect();
+        sources.sort_by_cached_key(|source| Reverse(rendezvous_score(follower, source.keeper.as_str())));
+        sources
+    }
+
+    /// Returns the connected keeper that this follower prefers to ask for plans.
+    pub fn preferred_source(&self, follower: &str) -> Option<InstanceName> {
+        let connected =
+            self.keepers.iter().filter(|(_, state)| state.connection == KeeperConnection::Connected);
+        let score = |name: &&InstanceName| rendezvous_score(follower, name.as_str());
+        connected.map(|(name, _)| name).max_by_key(score).cloned()
+    }
+
+    /// Notes that a keeper did not answer with its plan, until its next message.
+    pub fn skip_source(&mut self, name: &InstanceName) {
+        if let Some(state) = self.keepers.get_mut(name) {
+            state.plan_number = 0;
+        }
+    }
+
     /// Puts a plan in force if its number is higher than the current one. Returns true if it was.
-    fn apply_plan(
+    pub fn apply_plan(
         &mut self,
         from: &InstanceName,
         document: &v1::PlanDocument,
@@ -162,11 +240,13 @@
                 let fields =
                     [field("number", document.number), field("before", previous), field("keeper", from)];
                 record(&events::PLAN_IN_FORCE, &fields);
+                notify(&mut self.subscribers);
                 true
             }
             Err(error) => {
                 let fields = [field("number", document.number), field("error", error)];
                 record(&events::PLAN_UNUSABLE, &fields);
+                self.unusable_plan = document.number;
                 false
             }
         }
@@ -182,7 +262,20 @@
         }
     }
 
-    fn apply_endpoint(&mut self, from: &InstanceName, message: &v1::EndpointNews) -> bool {
+    /// Merges the records of one message. Returns true if any was new or changed.
+    fn apply_endpoints(&mut self, from: &InstanceName, messages: &[v1::EndpointNews]) -> bool {
+        let is_logged = messages.len() <= MAX_LOGGED_RECORDS;
+        let mut changes = 0;
+        for message in messages {
+            changes += usize::from(self.apply_endpoint(from, message, is_logged));
+        }
+        if changes > 0 && !is_logged {
+            record(&events::ENDPOINTS_LEARNT, &[field("endpoints", changes), field("keeper", from)]);
+        }
+        changes > 0
+    }
+
+    fn apply_endpoint(&mut self, from: &InstanceName, message: &v1::EndpointNews, is_logged: bool) -> bool {
         let endpoint = match endpoint_record(message) {
             Ok(endpoint) => endpoint,
             Err(error) => {
@@ -193,15 +286,18 @@
         if !self.halls.contains(&endpoint.hall) {
             self.halls.push(endpoint.hall.clone());
         }
-        let fields = [
-            field("endpoint", &endpoint.name),
-            field("service", &endpoint.service),
-            field("stage", format!("{:?}", endpoint.stage)),
-            field("sequence", endpoint.sequence),
-            field("keeper", from),
-        ];
+        let (name, service, stage) = (endpoint.name.clone(), endpoint.service.clone(), endpoint.stage);
+        let sequence = endpoint.sequence;
+        self.holders.hold(from, &name);
         let changed = self.registry.merge(self.now(), endpoint).is_change();
-        if changed {
+        if changed && is_logged {
+            let fields = [
+                field("endpoint", name),
+                field("service", service),
+                field("stage", format!("{stage:?}")),
+                field("sequence", sequence),
+                field("keeper", from),
+            ];
             record(&events::ENDPOINT_STAGE, &fields);
         }
         changed
@@ -217,25 +313,32 @@
         self.members.iter().any(|name| !self.keepers.contains_key(name))
     }
 
-    /// Removes endpoints without a record for longer than `max_silence`. Nothing is removed without a confirmed keeper,
-    /// since records could not have arrived then.
-    pub fn expire_silent(&mut self, max_silence: Duration) {
+    fn apply_silence(&mut self, from: &InstanceName, name: &str) {
+        match EndpointName::parse(name) {
+            Ok(endpoint) => self.holders.release(self.now(), from, &endpoint),
+            Err(error) => record(&events::WIRE_MALFORMED, &[field("keeper", from), field("error", error)]),
+        }
+    }
+
+    /// Removes the endpoints that no keeper vouches for any more. Nothing is removed without a confirmed keeper, since
+    /// endpoints could not have registered then.
+    pub fn expire_silent(&mut self) {
+        let now = self.now();
+        if now >= self.forget_due {
+            self.forget_due = now + FORGET_INTERVAL;
+            self.registry.forget_left(now);
+        }
         if !self.keepers.values().any(|keeper| keeper.confirmed) {
             return;
         }
-        let now = self.now();
-        let silent: Vec<String> = self
-            .registry
-            .iter()
-            .filter(|endpoint| endpoint.stage != EndpointStage::Left)
-            .filter(|endpoint| self.registry.age(now, &endpoint.name).is_some_and(|age| age > max_silence))
-            .map(|endpoint| endpoint.name.to_string())
-            .collect();
-        self.registry.expire(now, max_silence);
-        if silent.is_empty() {
+        let due = self.holders.take_due(now);
+        let removed: Vec<EndpointName> =
+            due.into_iter().filter(|name| self.registry.remove(now, name)).collect();
+        if removed.is_empty() {
             return;
         }
-        record(&events::ENDPOINT_EXPIRED, &[field("endpoints", silent.join(","))]);
+        let names: Vec<&str> = removed.iter().map(EndpointName::as_str).collect();
+        record(&events::ENDPOINT_EXPIRED, &[field("endpoints", names.join(","))]);
         notify(&mut self.subscribers);
     }
 }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -15,7 +15,6 @@
 mod endpoints;
 mod engine;
 mod engine_queues;
-mod evacuation;
 mod evidence;
 mod grant_throughput;
 mod grants;
@@ -25,6 +24,7 @@
 mod overdue;
 mod parts;
 mod pauses;
+mod placement;
 mod prefill;
 mod prefixes;
 mod rate;
@@ -32,12 +32,14 @@
 mod retries;
 mod retry_after;
 mod routers;
+mod scarcity;
 mod service_time;
 mod sharing;
 mod status;
 mod suspects;
 mod tickets;
 mod tolerance;
+mod totals;
 
 pub use counters::CustomerCounters;
 pub use status::{
@@ -220,7 +222,7 @@
         for customer in self.customers.indices() {
             self.reindex(customer);
         }
-        self.refuse_evacuated(now, actions);
+        self.refuse_unplaceable(now, actions);
     }
 
     fn remap_floors(&mut self, halls: &[HallName]) {
@@ -241,7 +243,9 @@
             }
         }
         self.endpoints.expire_reports(now);
+        self.endpoints.forget_warm(now);
         self.throughput.advance(now);
+        self.update_scarcity(now);
     }
 
     fn end_recovery(&mut self, now: Moment) {
--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::native::NativeDialect;
 use crate::proxy::{Gateway, GatewayParts};
+use crate::stopping::StopNotice;
 use async_std::task;
 use micaspool_backpressure::SharedAdvice;
 use micaspool_client::{
@@ -14,6 +15,7 @@
 use micaspool_dispatcher::{
     EndpointProbe, EngineSubset, FleetDispatcher, FleetDispatcherOptions, HttpEndpointProbe,
 };
+use micaspool_http::body::BodyBudget;
 use micaspool_http::edge::{EdgeOptions, EdgeServer};
 use micaspool_http::pool::{EndpointPool, PoolOptions};
 use micaspool_http::status::{serve_status, StatusSource};
@@ -21,7 +23,7 @@
 use micaspool_telemetry::metrics::encode_text;
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::{TrafficCounter, TrafficMetrics};
-use micaspool_types::{HallName, Incarnation, InstanceName, RegionName};
+use micaspool_types::{HallName, HallRegions, Incarnation, InstanceName, RegionName};
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -35,6 +37,9 @@
 /// apart, and the response. Requests that arrive later would have too little time to complete.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 
+/// How long before the end of a stop the requests that still wait are refused.
+const LAST_REFUSALS: Duration = Duration::from_millis(700);
+
 /// The memory that a gateway uses without any callers, in bytes. 13 MB were measured on the users' small sites.
 const BASELINE_BYTES: u64 = 30_000_000;
 /// The memory of one caller connection, including its request and the connection to the endpoint, in bytes.
@@ -44,6 +49,10 @@
 /// One in this many connections is reserved for refusing callers immediately. A refusal occupies its
 /// connection for a single round trip.
 const REFUSED_DIVISOR: usize = 16;
+/// One part in this many of the memory that callers may use is for their request bodies.
+const BODY_DIVISOR: u64 = 2;
+/// The memory for request bodies without a memory limit, in bytes.
+const DEFAULT_BODY_BYTES: u64 = 256_000_000;
 /// The minimum number of caller connections, regardless of the memory limit.
 const MIN_CONNECTIONS: usize = 64;
 
@@ -53,6 +62,7 @@
     instance: InstanceName,
     hall: HallName,
     region: RegionName,
+    hall_regions: HallRegions,
     callers: SocketAddr,
     status: Vec<SocketAddr>,
     seeds: Vec<InstanceName>,
@@ -63,6 +73,7 @@
     probe: Arc<dyn EndpointProbe>,
     advice: Arc<SharedAdvice>,
     edge: EdgeOptions,
+    body_bytes: u64,
 }
 
 /// Builds [`GatewayOptions`].
@@ -81,6 +92,7 @@
             instance,
             hall,
             region,
+            hall_regions: HallRegions::default(),
             callers: loopback,
             status: vec![loopback],
             seeds: Vec::new(),
@@ -91,12 +103,19 @@
             probe: Arc::new(HttpEndpointProbe::default()),
             advice: SharedAdvice::new(),
             edge: EdgeOptions { sheds_load: true, ..EdgeOptions::default() },
+            body_bytes: DEFAULT_BODY_BYTES,
         };
         GatewayOptionsBuilder { options }
     }
 }
 
 impl GatewayOptionsBuilder {
+    /// Sets the region of each data hall, for requests that may run only in some regions.
+    pub fn hall_regions(mut self, regions: HallRegions) -> Self {
+        self.options.hall_regions = regions;
+        self
+    }
+
     /// Sets the address on which callers are served.
     pub fn callers(mut self, address: SocketAddr) -> Self {
         self.options.callers = address;
@@ -151,9 +170,12 @@
         self
     }
 
-    /// Limits the memory of the process, in bytes, by limiting the number of caller connections.
+    /// Limits the memory of the process, in bytes, by limiting the number of caller connections and the size of all
+    /// request bodies together.
     pub fn memory(mut self, bytes: u64) -> Self {
-        let affordable = usize::try_from(bytes.saturating_sub(BASELINE_BYTES) / CONNECTION_BYTES);
+        let available = bytes.saturating_sub(BASELINE_BYTES);
+        self.options.body_bytes = available / BODY_DIVISOR;
+        let affordable = usize::try_from(available / CONNECTION_BYTES);
         let maximum = EdgeOptions::default().max_connections;
         let total = affordable.unwrap_or(maximum).clamp(MIN_CONNECTIONS, maximum);
         self.options.edge.max_refused = total / REFUSED_DIVISOR;
@@ -177,6 +199,7 @@
     server: EdgeServer,
     mirror: Arc<FleetMirror>,
     is_stopping: Arc<AtomicBool>,
+    stop_notice: StopNotice,
 }
 
 impl GatewayDaemon {
@@ -188,10 +211,12 @@
     /// Stops the gateway gracefully.
     ///
     /// It reports not ready at once, keeps accepting requests until load balancers have noticed, and waits up
-    /// to `limit` for open connections. Returns true if all connections ended in time.
+    /// to `limit` for open connections. Requests that still wait for an endpoint shortly before are refused. Returns true
+    /// if all connections ended in time.
     pub async fn stop(self, limit: Duration) -> bool {
         self.is_stopping.store(true, Ordering::SeqCst);
         self.server.drain();
+        task::spawn(self.stop_notice.clone().give_after(limit.saturating_sub(LAST_REFUSALS)));
         let now = BootInstant::now();
         let latest = now + limit;
         self.server.drained(now + DRAIN_NOTICE.min(limit), latest).await
@@ -221,15 +246,19 @@
     });
     let mut registry = Registry::default();
     let metrics = GatewayMetrics::register(&mut registry);
+    let stop_notice = StopNotice::default();
     let pool = EndpointPool::new(PoolOptions::default());
     let gateway = Gateway::new(GatewayParts {
         instance: options.instance.clone(),
         hall: options.hall.to_string(),
+        hall_regions: options.hall_regions.clone(),
         incarnation,
         mirror: mirror.clone(),
         dispatchers: options.dispatchers.clone(),
         local_dispatcher,
         pool: pool.clone(),
+        bodies: BodyBudget::new(options.body_bytes),
+        stop_notice: stop_notice.clone(),
         advice: options.advice.clone(),
         dialect: options.dialect.clone(),
         spans,
@@ -256,7 +285,7 @@
     for address in &options.status {
         status.push(serve_status(*address, source.clone()).await.map_err(StartError::bind(*address))?);
     }
-    Ok(GatewayDaemon { callers, status, server, mirror, is_stopping })
+    Ok(GatewayDaemon { callers, status, server, mirror, is_stopping, stop_notice })
 }
 
 /// Opens shards for the services of new plans, closes connections that were idle for too long and expires endpoint
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -61,7 +61,7 @@
         let caller_timeout = call.caller.patience.unwrap_or(target.time_limit).min(target.time_limit);
         let uri = origin_form(&call.head.uri).to_string();
         let customer = target.queue_customer();
-        let digest = RequestDigest::of(&customer, call.head.method.as_str(), &uri, &call.body);
+        let digest = RequestDigest::of(&customer, call.head.method.as_str(), &uri, call.body.bytes());
         Attempts {
             deadline: call.arrived_at + caller_timeout,
             call,
@@ -193,6 +193,10 @@
                     log.log_evacuated_grant(&record);
                     lease.settle(Cost(0), GrantOutcome::NotHeld);
                 }
+                Some(record) if !self.target.halls.allows(&record.hall) => {
+                    log.log_forbidden_grant(&record);
+                    lease.settle(Cost(0), GrantOutcome::NotHeld);
+                }
                 Some(record) if record.stage == EndpointStage::Serving => return Ok((lease, record)),
                 unusable => {
                     log.log_unusable_grant(lease.endpoint(), unusable.map(|record| record.stage));
@@ -206,21 +210,28 @@
     async fn wait_for_grant(&self, gateway: &Gateway) -> Result<GrantLease, Refusal> {
         let time_left = self.time_left()?;
         let shard = gateway.shard(&self.target.service);
-        match timeout(time_left, shard.acquire(self.ticket(), None)).await {
-            Ok(Ok(lease)) => Ok(lease),
-            Ok(Err(refusal)) if self.possible_runs > 0 => Err(Refusal::unknown(refusal.kind)),
-            Ok(Err(refusal)) => Err(refusal),
-            Err(_) => Err(self.final_refusal(RefusalKind::DeadlinePassed)),
+        let granted = timeout(time_left, shard.acquire(self.ticket(), None));
+        match gateway.shared.parts.stop_notice.unless_stopping(granted).await {
+            Some(Ok(Ok(lease))) => Ok(lease),
+            Some(Ok(Err(refusal))) if self.possible_runs > 0 => Err(Refusal::unknown(refusal.kind)),
+            Some(Ok(Err(refusal))) => Err(refusal),
+            Some(Err(_)) => Err(self.final_refusal(RefusalKind::DeadlinePassed)),
+            None => Err(self.final_refusal(RefusalKind::Draining)),
         }
     }
 
-    /// Applies a newer plan. Returns true if it changes the service or the customer of the request.
+    /// Applies a newer plan. Returns true if it changes the service, the customer or the data halls of the request.
     fn apply_newest_plan(&mut self, gateway: &Gateway) -> Result<bool, Refusal> {
         let plan = gateway.shared.parts.mirror.plan();
         if plan.number == self.target.plan_number {
             return Ok(false);
         }
-        let target = CallTarget::resolve(&plan, &self.call.head, &self.call.caller)?;
+        let target = CallTarget::resolve(
+            &plan,
+            &gateway.shared.parts.hall_regions,
+            &self.call.head,
+            &self.call.caller,
+        )?;
         let is_changed = !target.has_same_destination(&self.target);
         self.target = target;
         Ok(is_changed)
@@ -245,6 +256,7 @@
             objective: self.remaining_objective(),
             patience: self.call.caller.patience,
             order: None,
+            halls: self.target.halls.clone(),
         }
     }
 
@@ -329,7 +341,7 @@
         let head = &self.call.head;
         let mut headers = forwarded_headers(&head.headers);
         gateway.shared.parts.dialect.rewrite_headers(&mut headers, context);
-        let mut request = Request::new(Full::new(self.call.body.clone()));
+        let mut request = Request::new(Full::new(self.call.body.bytes().clone()));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = origin_form(&head.uri);
         *request.headers_mut() = headers;
--- a/crates/micaspool-routes/tests/plan.rs
+++ b/crates/micaspool-routes/tests/plan.rs
@@ -4,7 +4,7 @@
     CallerLimits, CustomerKeys, Error, FormatError, JsonFormat, PlanFormat, PlanParts, RoutePlan, RouteRule,
     RunRule, ServiceRule, ServiceShare,
 };
-use micaspool_types::{CustomerName, ServiceName};
+use micaspool_types::{CustomerName, RegionLimit, ServiceName};
 use test_case::test_case;
 
 fn service(name: &str) -> ServiceName {
@@ -24,12 +24,18 @@
         priority: 1,
         public: false,
         pause_ms: 0,
+        regions: RegionLimit::Anywhere,
     }
 }
 
 fn customer(name: &str, keys: &[&str]) -> CustomerKeys {
     let keys = keys.iter().map(|key| (*key).into()).collect();
-    CustomerKeys { name: CustomerName::parse(name).expect("a name"), keys, priority: 1 }
+    CustomerKeys {
+        name: CustomerName::parse(name).expect("a name"),
+        keys,
+        priority: 1,
+        regions: RegionLimit::Anywhere,
+    }
 }
 
 fn parts() -> PlanParts {
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -155,6 +155,8 @@
 pub const HALL_USE_CHANGED: EventKind = kind("MP1511", Level::Info, "use of data hall changed");
 /// An endpoint is cold: it can take only a few requests for a while.
 pub const ENDPOINT_COLD: EventKind = kind("MP1512", Level::Info, "endpoint is cold");
+/// Many endpoints registered or changed at once, so that they have no lines of their own in this process.
+pub const ENDPOINTS_LEARNT: EventKind = kind("MP1513", Level::Info, "endpoints learnt");
 /// No heartbeat of an endpoint arrived for too long.
 pub const ENDPOINT_EXPIRED: EventKind = kind("MP1502", Level::Warn, "endpoint expired without heartbeat");
 /// A newer route plan is in force in this process.
@@ -187,7 +189,7 @@
 pub const LINES_DROPPED: EventKind = kind("MP1607", Level::Warn, "log lines dropped");
 
 /// A grant was not used, because this process does not know its endpoint as serving, because the endpoint asked for
-/// rest or is leaving, or because its data hall is evacuated.
+/// rest or is leaving, or because its data hall is evacuated or may not be used by the request.
 pub const GRANT_UNUSABLE: EventKind = kind("MP1608", Level::Info, "grant not used, endpoint not available");
 /// Caller connections above the limit, or more than an overloaded server keeps up with, were closed unread.
 pub const CALLERS_CLOSED: EventKind = kind("MP1609", Level::Info, "caller connections closed unread");
@@ -258,6 +260,7 @@
     HEARTBEAT_REFUSED,
     HALL_USE_CHANGED,
     ENDPOINT_COLD,
+    ENDPOINTS_LEARNT,
     PLAN_IN_FORCE,
     PLAN_UNUSABLE,
     KEEPER_FOLLOWED,
