fix(client): fetch plans from nearby keepers, and ask another one instead of starting over

Cause (shown by the order of sizes, not by a trace): a process preferred one keeper by hash, wherever it is. Half of the gateways fetched some 450 KB across the link between the regions, 18 MB in all at 60 Mbit/s, 2.4 s; a fetch that took over 0.8 s was given up and started over at the next keeper.

Now keepers to which connecting took at most four times as long as to the nearest are preferred, by hash among them; a fetch may take five seconds, and after half a second the next keeper is asked as well, three at most.

--- a/crates/micaspool-client/src/fleet/plans.rs
+++ b/crates/micaspool-client/src/fleet/plans.rs
@@ -1,24 +1,30 @@
 //! Fetches new plans.
 //!
 //! Every keeper announces the number of its plan, and each process asks one of them for the document. Processes prefer
-//! different keepers; otherwise all would ask the first one that announces a plan, which is the leader.
+//! different keepers nearby; otherwise all would ask the first one that announces a plan, which is the leader.
 
+use super::table::PlanSource;
 use super::FleetMirror;
 use async_std::future::timeout;
 use async_std::task;
+use futures::stream::{FuturesUnordered, StreamExt};
 use micaspool_clock::BootInstant;
+use micaspool_types::InstanceName;
 use micaspool_wire::v1::{self, keeper_client::KeeperClient};
 use std::sync::Arc;
 use std::time::Duration;
-use tonic::transport::Channel;
 
 /// How long to wait until the preferred keeper announces a plan that another one holds already. Followers of the log
 /// apply a change some milliseconds after the leader.
 const PREFERENCE_TIME: Duration = Duration::from_millis(150);
 /// The interval at which the announcements are looked at meanwhile.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// How long to wait for a keeper's plan before another one is asked as well. The first may still be sending.
+const HEDGE_DELAY: Duration = Duration::from_millis(500);
+/// The maximum number of keepers that are asked at the same time.
+const MAX_ASKED: usize = 3;
 /// How long a keeper may take to answer with its plan.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Starts to fetch the newest plan if a keeper announces one and no fetch is under way.
 pub(super) fn fetch_if_newer(mirror: &Arc<FleetMirror>) {
@@ -35,33 +41,52 @@
     let follower = &mirror.options.follower;
     let mut announced_at = BootInstant::now();
     loop {
-        let (source, preferred) = {
+        let (mut sources, preferred) = {
             let mut table = mirror.lock();
-            let Some(source) = table.plan_sources(follower).into_iter().next() else {
+            let sources = table.plan_sources(follower);
+            if sources.is_empty() {
                 table.fetches_plan = false;
                 return;
-            };
-            (source, table.preferred_source(follower))
+            }
+            (sources, table.preferred_source(follower))
         };
-        if preferred.as_ref() != Some(&source.keeper) && announced_at.elapsed() < PREFERENCE_TIME {
+        if preferred.as_ref() != Some(&sources[0].keeper) && announced_at.elapsed() < PREFERENCE_TIME {
             task::sleep(CHECK_INTERVAL).await;
             continue;
         }
-        let document = fetch(source.channel).await;
+        sources.truncate(MAX_ASKED);
+        let found = fetch_first(&sources).await;
         let mut table = mirror.lock();
         let format = mirror.options.format.as_ref();
-        let is_newer = document.is_some_and(|document| table.apply_plan(&source.keeper, &document, format));
+        let is_newer = found.is_some_and(|(keeper, document)| table.apply_plan(&keeper, &document, format));
         if is_newer {
             announced_at = BootInstant::now();
         } else {
-            table.skip_source(&source.keeper);
+            sources.iter().for_each(|source| table.skip_source(&source.keeper));
+        }
+    }
+}
+
+/// Asks keepers for their plan, the next one whenever one fails or takes longer than `HEDGE_DELAY`, and returns the first
+/// answer. The others are dropped.
+async fn fetch_first(sources: &[PlanSource]) -> Option<(InstanceName, v1::PlanDocument)> {
+    let mut unasked = sources.iter();
+    let mut fetches = FuturesUnordered::new();
+    loop {
+        fetches.extend(unasked.next().map(fetch));
+        match timeout(HEDGE_DELAY, fetches.next()).await {
+            Ok(Some(Some(found))) => return Some(found),
+            Ok(Some(None)) if fetches.is_empty() && unasked.len() == 0 => return None,
+            Ok(None) => return None,
+            Ok(Some(None)) | Err(_) => {}
         }
     }
 }
 
 /// Asks a keeper for its plan; `None` if it does not answer in time.
-async fn fetch(channel: Channel) -> Option<v1::PlanDocument> {
-    let mut client = KeeperClient::new(channel).max_decoding_message_size(crate::keeper::MAX_MESSAGE);
+async fn fetch(source: &PlanSource) -> Option<(InstanceName, v1::PlanDocument)> {
+    let client = KeeperClient::new(source.channel.clone());
+    let mut client = client.max_decoding_message_size(crate::keeper::MAX_MESSAGE);
     let reply = timeout(FETCH_TIMEOUT, client.held_plan(v1::HeldPlanRequest {})).await.ok()?.ok()?;
-    Some(reply.into_inner())
+    Some((source.keeper.clone(), reply.into_inner()))
 }
--- a/crates/micaspool-client/src/fleet/stream.rs
+++ b/crates/micaspool-client/src/fleet/stream.rs
@@ -38,8 +38,9 @@
 }
 
 async fn open_stream(mirror: &FleetMirror, peer: &PeerAddress) -> Option<Streaming<v1::FleetNews>> {
+    let started = BootInstant::now();
     let channel = socket::connect(peer.address, mirror.options.counter.clone()).await.ok()?;
-    mirror.lock().connect_keeper(&peer.name, channel.clone());
+    mirror.lock().connect_keeper(&peer.name, channel.clone(), started.elapsed());
     let mut client = KeeperClient::new(channel).max_decoding_message_size(crate::keeper::MAX_MESSAGE);
     let request = v1::FollowRequest { follower: mirror.options.follower.clone() };
     let reply = timeout(OPEN_TIMEOUT, client.follow(request)).await.ok()?.ok()?;
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -32,6 +32,11 @@
 /// The interval at which endpoints that left are forgotten. They are kept for minutes.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
+/// A keeper is nearby if connecting to it took at most this many times as long as to the nearest one, and a margin for
+/// the delays of a busy process.
+const NEAR_FACTOR: u32 = 4;
+const NEAR_MARGIN: Duration = Duration::from_millis(4);
+
 /// The state of one followed keeper.
 #[derive(Debug, Default)]
 pub(super) struct KeeperState {
@@ -42,8 +47,9 @@
     last_message_at: Option<BootInstant>,
     /// The number of the plan that it holds, according to its latest message; zero once it could not be asked for it.
     plan_number: u64,
-    /// The connection of the current stream.
+    /// The connection of the current stream, and how long it took to make.
     channel: Option<Channel>,
+    connect_time: Duration,
 }
 
 impl KeeperState {
@@ -189,10 +195,11 @@
         self.apply_members(update)
     }
 
-    /// Notes the connection of the stream from a keeper.
-    pub fn connect_keeper(&mut self, name: &InstanceName, channel: Channel) {
+    /// Notes the connection of the stream from a keeper, and how long it took to make.
+    pub fn connect_keeper(&mut self, name: &InstanceName, channel: Channel, took: Duration) {
         if let Some(state) = self.keepers.get_mut(name) {
             state.channel = Some(channel);
+            state.connect_time = took;
         }
     }
 
@@ -204,7 +211,7 @@
             Some(PlanSource { keeper: name.clone(), channel: state.channel.clone()? })
         });
         let mut sources: Vec<PlanSource> = sources.collect();
-        sources.sort_by_cached_key(|source| Reverse(rendezvous_score(follower, source.keeper.as_str())));
+        sources.sort_by_cached_key(|source| Reverse(self.preference(follower, &source.keeper)));
         sources
     }
 
@@ -212,8 +219,19 @@
     pub fn preferred_source(&self, follower: &str) -> Option<InstanceName> {
         let connected =
             self.keepers.iter().filter(|(_, state)| state.connection == KeeperConnection::Connected);
-        let score = |name: &&InstanceName| rendezvous_score(follower, name.as_str());
-        connected.map(|(name, _)| name).max_by_key(score).cloned()
+        connected.map(|(name, _)| name).max_by_key(|name| self.preference(follower, name)).cloned()
+    }
+
+    /// Returns how much this follower prefers a keeper as a source of plans: first those nearby, so that a plan crosses
+    /// to another region only if it must, then in an order that differs between followers.
+    fn preference(&self, follower: &str, keeper: &InstanceName) -> (bool, u64) {
+        let connected = self.keepers.values().filter(|state| state.channel.is_some());
+        let nearest = connected.map(|state| state.connect_time).min().unwrap_or_default();
+        let is_near = self
+            .keepers
+            .get(keeper)
+            .is_some_and(|state| state.connect_time <= nearest * NEAR_FACTOR + NEAR_MARGIN);
+        (is_near, rendezvous_score(follower, keeper.as_str()))
     }
 
     /// Notes that a keeper did not answer with its plan, until its next message.
