fix(gateway): don't say that a request has not run when a newer plan refuses it after a send

Cause: a request that was sent and may have run is resolved by the newest plan before it is sent again; a refusal there, such as one for regions without endpoints (503), said that it had not run. Found while reading. Now it says that it may have run (502 in place of 503), as refusals of the shard do. No row of its own; the two places share one function.

--- a/crates/micaspool-dispatch/tests/shard/placement.rs
+++ b/crates/micaspool-dispatch/tests/shard/placement.rs
@@ -1,7 +1,7 @@
 //! Tickets that may run only in some data halls.
 
 use crate::harness::{endpoint, hello, request_id, ticket, ShardHarness};
-use micaspool_dispatch::{GrantOutcome, RefusalReason, RequestTicket, ShardEvent};
+use micaspool_dispatch::{GrantOutcome, RefusalReason, RequestTicket, SessionId, ShardEvent};
 use micaspool_types::{HallLimit, HallName};
 
 fn limited_ticket(number: u128, halls: &[&str]) -> RequestTicket {
@@ -54,7 +54,7 @@
     harness.join(1, hello("r1", 1));
     harness.submit(1, limited_ticket(1, &["h1"]));
     assert_eq!(harness.take_grants()[0].endpoint, endpoint(1));
-    harness.step(ShardEvent::Left(micaspool_dispatch::SessionId(1)));
+    harness.step(ShardEvent::Left(SessionId(1)));
     let mut again = hello("r1", 1);
     again.waiting.push(limited_ticket(1, &["h1"]));
     harness.join(2, again);
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -213,8 +213,7 @@
         let granted = timeout(time_left, shard.acquire(self.ticket(), None));
         match gateway.shared.parts.stop_notice.unless_stopping(granted).await {
             Some(Ok(Ok(lease))) => Ok(lease),
-            Some(Ok(Err(refusal))) if self.possible_runs > 0 => Err(Refusal::unknown(refusal.kind)),
-            Some(Ok(Err(refusal))) => Err(refusal),
+            Some(Ok(Err(refusal))) => Err(self.with_run_state(refusal)),
             Some(Err(_)) => Err(self.final_refusal(RefusalKind::DeadlinePassed)),
             None => Err(self.final_refusal(RefusalKind::Draining)),
         }
@@ -231,12 +230,22 @@
             &gateway.shared.parts.hall_regions,
             &self.call.head,
             &self.call.caller,
-        )?;
+        )
+        .map_err(|refusal| self.with_run_state(refusal))?;
         let is_changed = !target.has_same_destination(&self.target);
         self.target = target;
         Ok(is_changed)
     }
 
+    /// Returns a refusal that does not claim that the request has not run if it may have.
+    fn with_run_state(&self, refusal: Refusal) -> Refusal {
+        if self.possible_runs > 0 {
+            Refusal::unknown(refusal.kind)
+        } else {
+            refusal
+        }
+    }
+
     fn ticket(&self) -> RequestTicket {
         let prompt = self.call.caller.prompt.as_ref();
         let tokens = prompt.map_or(0, |prompt| prompt.prompt_tokens);
