fix(keeper): queue one message for a follower, and move the watchers' stream to its own file

Cause: a follower's messages are made one at a time so that a keeper doesn't hold all of them for hundreds of followers, but its stream had a queue of 16. Found while reading.

--- a/crates/micaspool-keeper/src/lib.rs
+++ b/crates/micaspool-keeper/src/lib.rs
@@ -15,6 +15,7 @@
 mod service;
 mod state;
 mod status;
+mod watch;
 
 pub use daemon::{
     run_keeper, start_keeper, Error, ExchangeAddresses, KeeperDaemon, KeeperOptions, KeeperOptionsBuilder,
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -5,6 +5,7 @@
 use crate::peers::decode_frame;
 use crate::registry_hub::RegistryHub;
 use crate::state::{KeeperCommand, KeeperReply, PlanDocument};
+use crate::watch::{feed_watcher, update_message};
 use async_std::channel::{bounded, Sender};
 use async_std::future::timeout;
 use async_std::task;
@@ -16,7 +17,7 @@
     StoredAnswer,
 };
 use micaspool_quorum::QuorumEvent;
-use micaspool_settings::apply::{SettingsChange, SettingsUpdate};
+use micaspool_settings::apply::SettingsChange;
 use micaspool_telemetry::events::{self, field, record, EventField};
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_types::{CustomerName, InstanceName, Revision};
@@ -29,8 +30,11 @@
 
 /// The maximum time that a command waits for its commit.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
-/// The maximum number of messages queued for one watcher or follower.
-const STREAM_QUEUE_LEN: usize = 16;
+/// The maximum number of messages queued for one watcher.
+const WATCHER_QUEUE_LEN: usize = 16;
+/// The same for a follower. Hundreds of followers may return at once, so that the next message is made only when the
+/// stream has taken the one before.
+const FOLLOWER_QUEUE_LEN: usize = 1;
 
 /// The gRPC service for routers, dispatchers, operators and other keepers.
 #[derive(Clone, Debug)]
@@ -147,7 +151,7 @@
 
     async fn watch(&self, request: Request<v1::WatchRequest>) -> Result<Response<Self::WatchStream>, Status> {
         let from = Revision(request.into_inner().revision);
-        let (sender, receiver) = bounded(STREAM_QUEUE_LEN);
+        let (sender, receiver) = bounded(WATCHER_QUEUE_LEN);
         task::spawn(feed_watcher(self.view.clone(), from, sender));
         Ok(Response::new(Box::pin(receiver.map(Ok))))
     }
@@ -278,7 +282,7 @@
         &self,
         _request: Request<v1::FollowRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
-        let (sender, receiver) = bounded(STREAM_QUEUE_LEN);
+        let (sender, receiver) = bounded(FOLLOWER_QUEUE_LEN);
         task::spawn(feed_follower(self.view.clone(), self.hub.clone(), sender));
         Ok(Response::new(Box::pin(receiver)))
     }
@@ -335,63 +339,6 @@
     record(kind, &fields);
 }
 
-/// Sends a watcher the settings updates that it does not have, now and after each change.
-async fn feed_watcher(view: Arc<Mutex<KeeperView>>, from: Revision, sender: Sender<v1::SettingsUpdate>) {
-    let changes = view.lock().expect("no holder of the view panics").subscribe();
-    let mut known_revision = from;
-    let mut last_confirmed = None;
-    loop {
-        let (updates, confirmed, stopped) = {
-            let view = view.lock().expect("no holder of the view panics");
-            (view.updates_since(known_revision), view.status.confirmed, view.stopped)
-        };
-        if updates.is_empty() && last_confirmed != Some(confirmed) {
-            let message =
-                v1::SettingsUpdate { revision: known_revision.0, confirmed, ..v1::SettingsUpdate::default() };
-            if sender.send(message).await.is_err() {
-                return;
-            }
-        }
-        for update in updates {
-            known_revision = update.revision;
-            if sender.send(update_message(update, confirmed)).await.is_err() {
-                return;
-            }
-        }
-        last_confirmed = Some(confirmed);
-        if stopped || !wait_for_change(&changes, &sender).await {
-            return;
-        }
-    }
-}
-
-/// Waits for a change of the view. Returns false once the watcher has disconnected or the view has
-/// been dropped.
-async fn wait_for_change(
-    changes: &async_std::channel::Receiver<()>,
-    sender: &Sender<v1::SettingsUpdate>,
-) -> bool {
-    const CLOSE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-    loop {
-        match timeout(CLOSE_CHECK_INTERVAL, changes.recv()).await {
-            Ok(Ok(())) => return true,
-            Ok(Err(_)) => return false,
-            Err(_) if sender.is_closed() => return false,
-            Err(_) => {}
-        }
-    }
-}
-
-fn update_message(update: SettingsUpdate, confirmed: bool) -> v1::SettingsUpdate {
-    v1::SettingsUpdate {
-        base: update.base.0,
-        revision: update.revision.0,
-        patch: update.patch.unwrap_or_default(),
-        tree: update.tree.unwrap_or_default(),
-        confirmed,
-    }
-}
-
 fn claim_key(customer: &str, key: &str) -> Result<ClaimKey, Status> {
     let customer =
         CustomerName::parse(customer).map_err(|error| Status::invalid_argument(error.to_string()))?;
