feat(dispatch, wire): carry what a request generates, engine traits and a cache source

Cause: tickets say nothing of output tokens and of the pause that a route allows, and a grant can't name an engine to copy cached prompt parts from. Events of a shard are boxed on their queue, as tickets have grown.

--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -83,6 +83,8 @@
         request: RequestId,
         /// The endpoint to send it to.
         endpoint: EndpointName,
+        /// The engine from which that endpoint copies cached parts of the prompt, if any.
+        cache_source: Option<EndpointName>,
         /// The estimated cost that was charged.
         estimate: Cost,
         /// The customer's level after the charge.
--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -13,6 +13,17 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub struct SessionId(pub u64);
 
+/// What a caller says of the tokens that its request generates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GenerationOutline {
+    /// The maximum number of output tokens; zero if unknown.
+    pub max_output_tokens: u64,
+    /// The caller's guess of the number of output tokens; zero if it made none.
+    pub output_hint: u64,
+    /// The longest pause between two events that keeps a stream in time; `None` without such a target.
+    pub pause: Option<Duration>,
+}
+
 /// A request that waits for an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestTicket {
@@ -45,6 +56,8 @@
     pub order: Option<OrderNumber>,
     /// The data halls in which it may run, in addition to the limits of its customer.
     pub halls: HallLimit,
+    /// The tokens that it generates.
+    pub generation: GenerationOutline,
 }
 
 /// A grant that a router holds when it joins.
@@ -143,6 +156,18 @@
     pub memory_tokens: u64,
 }
 
+/// Properties that all engines of a service have in common; zero where unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineTraits {
+    /// The number of tokens in one event of a stream.
+    pub event_tokens: u32,
+    /// The size of one cached token in bytes, when an engine copies cached prompt parts from another.
+    pub token_bytes: u64,
+    /// The throughput of the link of one engine, in bytes per second. Engines copy no cached parts if this or
+    /// `token_bytes` is zero.
+    pub link_bytes_per_second: u64,
+}
+
 /// The load limits of a service's cold endpoints; there is no limit if both are zero.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ColdStartLimits {
@@ -186,6 +211,8 @@
     pub planned_pace: f64,
     /// The load limits of cold endpoints.
     pub cold: ColdStartLimits,
+    /// The common properties of the service's engines.
+    pub engine: EngineTraits,
 }
 
 /// A load report of an endpoint; it is outdated by some time when it arrives.
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -208,6 +208,7 @@
                 session,
                 request,
                 endpoint: self.endpoints.name(endpoint).clone(),
+                cache_source: None,
                 estimate,
                 level,
                 order: ticket.place.order,
--- a/crates/micaspool-dispatch/tests/shard/harness.rs
+++ b/crates/micaspool-dispatch/tests/shard/harness.rs
@@ -1,9 +1,9 @@
 //! Drives a [`ShardCore`] directly with constructed routers, endpoints and customers.
 
 use micaspool_dispatch::{
-    ColdStartLimits, EndpointSpec, GrantOutcome, HeldGrant, HeldLevel, LoadReport, RefusalReason,
-    RequestTicket, RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions,
-    ShardPolicy,
+    ColdStartLimits, EndpointSpec, EngineTraits, GenerationOutline, GrantOutcome, HeldGrant, HeldLevel,
+    LoadReport, RefusalReason, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer,
+    ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
@@ -42,6 +42,7 @@
         patience: None,
         order: None,
         halls: HallLimit::Anywhere,
+        generation: GenerationOutline::default(),
     }
 }
 
@@ -132,6 +133,7 @@
             idle_credit: Cost(0),
             planned_pace: 0.0,
             cold: ColdStartLimits::default(),
+            engine: EngineTraits::default(),
             halls: (0..3).map(|number| HallName::parse(&format!("h{number}")).expect("valid name")).collect(),
             endpoints: specs.collect(),
             customers: named.collect(),
--- a/crates/micaspool-dispatcher/src/cache_follower.rs
+++ b/crates/micaspool-dispatcher/src/cache_follower.rs
@@ -102,7 +102,7 @@
     ) -> Result<(), ShardEnded> {
         let endpoint = self.endpoint.name.clone();
         let update = CacheUpdate { endpoint, stored: Vec::new(), dropped, cached_parts, whole };
-        let sent = self.inputs.send(ShardInput::Event(ShardEvent::Cache(update))).await;
+        let sent = self.inputs.send(ShardInput::Event(Box::new(ShardEvent::Cache(update)))).await;
         sent.map_err(|_| ShardEnded)
     }
 }
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -56,7 +56,7 @@
     /// The `traceparent` of a request that is about to be submitted.
     Traced(RequestId, String),
     /// An event for the core.
-    Event(ShardEvent),
+    Event(Box<ShardEvent>),
 }
 
 /// Gives other tasks access to a shard.
@@ -213,14 +213,14 @@
                 }
             }
             ShardInput::Event(event) => {
-                if let ShardEvent::Cancel(_, request) = &event {
+                if let ShardEvent::Cancel(_, request) = &*event {
                     self.spans.remove(request);
                 }
-                let closed_session = match &event {
+                let closed_session = match &*event {
                     ShardEvent::Left(session) => Some(*session),
                     _ => None,
                 };
-                self.step(event);
+                self.step(*event);
                 if let Some(session) = closed_session {
                     self.streams.remove(&session);
                 }
@@ -298,7 +298,7 @@
             let started = BootInstant::now();
             let policy = self.source.policy(&self.service);
             let took = started.elapsed();
-            if self.inputs.send(ShardInput::Event(ShardEvent::Policy(policy))).await.is_err() {
+            if self.inputs.send(ShardInput::Event(Box::new(ShardEvent::Policy(policy)))).await.is_err() {
                 return;
             }
             tokio::time::sleep(POLICY_CYCLE.pause_after(took)).await;
@@ -346,7 +346,7 @@
                 tokio::spawn(probe_endpoint(clock, options.clone(), endpoint, inputs.clone()));
             }
             if let Some(leaving) = options.list.leaving().await {
-                let _ = inputs.send(ShardInput::Event(ShardEvent::Listed(leaving))).await;
+                let _ = inputs.send(ShardInput::Event(Box::new(ShardEvent::Listed(leaving)))).await;
             }
         } else {
             stop_followers(&mut followers, &[]);
@@ -383,7 +383,7 @@
         if !options.reports_unreachable {
             return;
         }
-        let _ = inputs.send(ShardInput::Event(ShardEvent::Unreachable(endpoint))).await;
+        let _ = inputs.send(ShardInput::Event(Box::new(ShardEvent::Unreachable(endpoint)))).await;
         return;
     };
     if !probed.matches_incarnation(&answer) {
@@ -397,7 +397,7 @@
         draining: answer.draining,
         requested_at,
     };
-    let _ = inputs.send(ShardInput::Event(ShardEvent::Load(report))).await;
+    let _ = inputs.send(ShardInput::Event(Box::new(ShardEvent::Load(report)))).await;
     if !answer.stored.is_empty() || !answer.dropped.is_empty() {
         let update = CacheUpdate {
             endpoint,
@@ -406,6 +406,6 @@
             cached_parts: Vec::new(),
             whole: false,
         };
-        let _ = inputs.send(ShardInput::Event(ShardEvent::Cache(update))).await;
+        let _ = inputs.send(ShardInput::Event(Box::new(ShardEvent::Cache(update)))).await;
     }
 }
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -6,9 +6,9 @@
 use crate::subset::EngineSubset;
 use async_std::channel::Receiver;
 use micaspool_client::FleetMirror;
-use micaspool_dispatch::{ColdStartLimits, EndpointSpec, ShardCustomer, ShardPolicy};
+use micaspool_dispatch::{ColdStartLimits, EndpointSpec, EngineTraits, ShardCustomer, ShardPolicy};
 use micaspool_registry::{EndpointRecord, EndpointStage};
-use micaspool_routes::{ColdProfile, RoutePlan};
+use micaspool_routes::{ColdProfile, EngineProfile, RoutePlan};
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallMask, Incarnation, Revision, ServiceName, Weight,
 };
@@ -106,6 +106,7 @@
             idle_credit,
             planned_pace,
             cold,
+            engine: engine.map_or(EngineTraits::default(), engine_traits),
         }
     }
 
@@ -136,6 +137,16 @@
     }
 }
 
+/// Converts the profile of a service's engines.
+fn engine_traits(profile: EngineProfile) -> EngineTraits {
+    const BYTES_PER_MEGABIT: u64 = 125_000;
+    EngineTraits {
+        event_tokens: profile.event_tokens,
+        token_bytes: profile.token_bytes,
+        link_bytes_per_second: profile.link_mbps.saturating_mul(BYTES_PER_MEGABIT),
+    }
+}
+
 /// Returns one engine's share of the planned capacity of all engines, in tokens per millisecond. `capacity` is in tokens
 /// per second.
 fn planned_pace(capacity: u64, engines: usize) -> f64 {
--- a/crates/micaspool-dispatcher/src/host.rs
+++ b/crates/micaspool-dispatcher/src/host.rs
@@ -82,7 +82,7 @@
     /// Asks the routers of every shard to rejoin at another dispatcher.
     pub fn stop(&self) {
         for shard in self.lock().values() {
-            let _ = shard.inputs.try_send(ShardInput::Event(ShardEvent::Stop));
+            let _ = shard.inputs.try_send(ShardInput::Event(Box::new(ShardEvent::Stop)));
         }
     }
 
@@ -94,7 +94,7 @@
         let services = self.statuses().into_iter().filter(|(_, status)| is_suspect(status));
         let services = services.map(|(service, _)| service).collect();
         for shard in self.lock().values() {
-            let _ = shard.inputs.try_send(ShardInput::Event(ShardEvent::Lift(digest)));
+            let _ = shard.inputs.try_send(ShardInput::Event(Box::new(ShardEvent::Lift(digest))));
         }
         services
     }
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -113,7 +113,7 @@
     match shard_event(session, message) {
         Ok(event) => {
             let stopped = |_| Status::unavailable("the shard has stopped; connect again");
-            shard.inputs.send(ShardInput::Event(event)).await.map_err(stopped)
+            shard.inputs.send(ShardInput::Event(Box::new(event))).await.map_err(stopped)
         }
         Err(error) => {
             record(&events::WIRE_MALFORMED, &[field("error", &error)]);
@@ -144,5 +144,5 @@
             break;
         }
     }
-    let _ = shard.inputs.send(ShardInput::Event(ShardEvent::Left(session))).await;
+    let _ = shard.inputs.send(ShardInput::Event(Box::new(ShardEvent::Left(session)))).await;
 }
--- a/crates/micaspool-dispatcher/src/shard_policy.rs
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -1,6 +1,6 @@
 //! Derives the policy of a shard from the settings tree.
 
-use micaspool_dispatch::{ColdStartLimits, EndpointSpec, ShardCustomer, ShardPolicy};
+use micaspool_dispatch::{ColdStartLimits, EndpointSpec, EngineTraits, ShardCustomer, ShardPolicy};
 use micaspool_settings::policy::FleetPolicy;
 use micaspool_types::{Cost, ServiceName};
 use std::time::Duration;
@@ -37,5 +37,6 @@
         idle_credit: Cost(0),
         planned_pace: 0.0,
         cold: ColdStartLimits::default(),
+        engine: EngineTraits::default(),
     }
 }
--- a/crates/micaspool-dispatcher/src/sharing.rs
+++ b/crates/micaspool-dispatcher/src/sharing.rs
@@ -51,7 +51,7 @@
 /// Passes the totals of another region to the shard; malformed ones are ignored.
 pub(crate) async fn apply_totals(shard: &ShardHandle, message: SharedTotals) {
     if let Ok(totals) = region_totals(message) {
-        let _ = shard.inputs.send(ShardInput::Event(ShardEvent::Shared(totals))).await;
+        let _ = shard.inputs.send(ShardInput::Event(Box::new(ShardEvent::Shared(totals)))).await;
     }
 }
 
--- a/crates/micaspool-gateway/src/dialect.rs
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use micaspool_http::edge::EdgeBody;
 use micaspool_types::{CustomerName, EndpointName, Refusal};
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     pub prompt_tokens: u64,
     /// The maximum number of tokens in the answer.
     pub max_output_tokens: u64,
+    /// The caller's guess of the number of tokens in the answer; zero if it made none.
+    pub output_hint: u64,
     /// The parts in order.
     pub parts: Vec<PromptPart>,
 }
@@ -60,6 +63,8 @@
     pub time_left: Duration,
     /// The id of the last event that the caller received; set when a broken stream is resumed.
     pub last_event: Option<&'a str>,
+    /// The address of the engine from which the endpoint copies cached parts of the prompt, if any.
+    pub cache_source: Option<SocketAddr>,
 }
 
 /// The reason an endpoint gave for not running a request.
--- a/crates/micaspool-gateway/src/native.rs
+++ b/crates/micaspool-gateway/src/native.rs
@@ -41,7 +41,7 @@
         prefix = stable_hash(u64::to_be_bytes(prefix).into_iter().chain(id.bytes()));
         Some(PromptPart { prefix, tokens: tokens.parse().ok()? })
     });
-    Some(PromptOutline { prompt_tokens, max_output_tokens, parts: parts.collect() })
+    Some(PromptOutline { prompt_tokens, max_output_tokens, output_hint: 0, parts: parts.collect() })
 }
 
 impl GatewayDialect for NativeDialect {
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use micaspool_backpressure::AdviceSource;
 use micaspool_clock::BootInstant;
-use micaspool_dispatch::{GrantOutcome, RequestTicket};
+use micaspool_dispatch::{GenerationOutline, GrantOutcome, RequestTicket};
 use micaspool_http::edge::{full_body, EdgeBody};
 use micaspool_http::pool::PooledBody;
 use micaspool_registry::{EndpointRecord, EndpointStage};
@@ -20,6 +20,7 @@
 use micaspool_routes::RunRule;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -266,6 +267,11 @@
             patience: self.call.caller.patience,
             order: None,
             halls: self.target.halls.clone(),
+            generation: GenerationOutline {
+                max_output_tokens: prompt.map_or(0, |prompt| prompt.max_output_tokens),
+                output_hint: prompt.map_or(0, |prompt| prompt.output_hint),
+                pause: self.target.pause,
+            },
         }
     }
 
@@ -296,6 +302,7 @@
             customer: self.target.customer.as_ref(),
             time_left,
             last_event,
+            cache_source: lease.cache_source().and_then(|name| self.source_address(gateway, name)),
         };
         let request = self.build_request(gateway, &context);
         lease.mark_sent();
@@ -322,6 +329,18 @@
         Err(failure)
     }
 
+    /// Returns the address of the engine from which the endpoint may copy cached parts; `None` unless it is known, in
+    /// service and in a hall where the request may run.
+    fn source_address(&self, gateway: &Gateway, name: &EndpointName) -> Option<SocketAddr> {
+        let mirror = &gateway.shared.parts.mirror;
+        let source = mirror.endpoint(name)?;
+        let is_usable = source.stage == EndpointStage::Serving
+            && source.service == self.target.service
+            && self.target.halls.allows(&source.hall)
+            && !mirror.is_evacuated(&source.hall);
+        is_usable.then_some(source.address)
+    }
+
     /// Applies the advice in the head of an endpoint's answer and reports it to the dispatcher before the grant ends.
     fn apply_advice(&self, gateway: &Gateway, endpoint: &EndpointRecord, head: &response::Parts) {
         let parts = &gateway.shared.parts;
--- a/crates/micaspool-gateway/src/proxy/target.rs
+++ b/crates/micaspool-gateway/src/proxy/target.rs
@@ -32,6 +32,8 @@
     pub priority: u8,
     /// The latency objective; zero if the plan has none.
     pub objective: Duration,
+    /// The longest pause between two events that keeps a stream in time; `None` without such a target.
+    pub pause: Option<Duration>,
     /// The engine profile if the service is a language model.
     pub engine: Option<EngineProfile>,
     /// The data halls in which the request may run.
@@ -73,6 +75,7 @@
             run: route.run,
             time_limit: route.time_limit(),
             objective: route.objective(),
+            pause: route.pause(),
             attempts: route.attempts.max(1),
             priority: customer_priority.min(ROUTE_PRIORITY_LEVELS - 1) * ROUTE_PRIORITY_LEVELS
                 + route.priority.min(ROUTE_PRIORITY_LEVELS - 1),
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -2,7 +2,7 @@
 
 use super::setup::session_number;
 use crate::trace::RecordedTrace;
-use micaspool_dispatch::{HeldGrant, HeldLevel, RequestTicket, RouterHello, SessionId};
+use micaspool_dispatch::{GenerationOutline, HeldGrant, HeldLevel, RequestTicket, RouterHello, SessionId};
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallLimit, Incarnation, InstanceName, OrderNumber, RequestId,
@@ -100,6 +100,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            generation: GenerationOutline::default(),
         }
     }
 
--- a/crates/micaspool-replay/src/run/setup.rs
+++ b/crates/micaspool-replay/src/run/setup.rs
@@ -3,7 +3,8 @@
 use super::queue::ReplayEvent;
 use super::{ReplayRun, HEARTBEAT_INTERVAL, PROBE_INTERVAL, TICK_INTERVAL};
 use micaspool_dispatch::{
-    ColdStartLimits, EndpointSpec, SessionId, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    ColdStartLimits, EndpointSpec, EngineTraits, SessionId, ShardCore, ShardCustomer, ShardEvent,
+    ShardOptions, ShardPolicy,
 };
 use micaspool_fair::policy_named;
 use micaspool_types::{Cost, CustomerName, EndpointName, HallMask, HallName, Moment, Revision, Weight};
@@ -68,6 +69,7 @@
             idle_credit: Cost(0),
             planned_pace: 0.0,
             cold: ColdStartLimits::default(),
+            engine: EngineTraits::default(),
             halls: (0..header.halls).map(hall).collect(),
             endpoints: endpoints.collect(),
             customers: customers.collect(),
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -2,7 +2,7 @@
 
 mod model;
 
-use micaspool_dispatch::RequestTicket;
+use micaspool_dispatch::{GenerationOutline, RequestTicket};
 use micaspool_settings::policy::{RequestPolicy, ServiceKind, ServicePolicy, SharedPolicy};
 use micaspool_types::{
     Cost, CustomerName, HallLimit, Refusal, RefusalKind, RequestDigest, RequestId, ServiceName,
@@ -153,6 +153,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            generation: GenerationOutline::default(),
         }
     }
 }
--- a/crates/micaspool-router/src/shard_client/lease.rs
+++ b/crates/micaspool-router/src/shard_client/lease.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct LeaseTerms {
     pub endpoint: EndpointName,
+    pub cache_source: Option<EndpointName>,
     pub order: OrderNumber,
     pub expires: Option<BootInstant>,
 }
@@ -53,6 +54,11 @@
         &self.terms.endpoint
     }
 
+    /// Returns the engine from which the endpoint copies cached parts of the prompt, if any.
+    pub fn cache_source(&self) -> Option<&EndpointName> {
+        self.terms.cache_source.as_ref()
+    }
+
     /// Returns the order number of the request.
     pub fn order(&self) -> OrderNumber {
         self.terms.order
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -327,6 +327,8 @@
         let lease = Duration::from_millis(grant.lease_millis);
         let terms = LeaseTerms {
             endpoint,
+            // A name that can't be parsed only costs a prefill.
+            cache_source: EndpointName::parse(&grant.cache_source).ok(),
             order,
             expires: self.heartbeat_sent_at(grant.heartbeat).map(|at| at + lease),
         };
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -4,7 +4,7 @@
 use async_std::task;
 use futures::Stream;
 use micaspool_backpressure::{AdviceSource, SharedAdvice};
-use micaspool_dispatch::{rank_candidates, GrantOutcome, RequestTicket};
+use micaspool_dispatch::{rank_candidates, GenerationOutline, GrantOutcome, RequestTicket};
 use micaspool_router::{ListedDispatchers, ShardClient, ShardClientOptions};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
@@ -193,6 +193,7 @@
         patience: None,
         order: None,
         halls: HallLimit::Anywhere,
+        generation: GenerationOutline::default(),
     }
 }
 
--- a/crates/micaspool-routes/src/plan.rs
+++ b/crates/micaspool-routes/src/plan.rs
@@ -73,6 +73,11 @@
     pub fn objective(&self) -> Duration {
         Duration::from_millis(self.objective_ms)
     }
+
+    /// Returns the target for the longest pause between two events of a stream; `None` if there is none.
+    pub fn pause(&self) -> Option<Duration> {
+        (self.pause_ms > 0).then(|| Duration::from_millis(self.pause_ms))
+    }
 }
 
 /// The capacity of a language model engine; the same for every endpoint of a service.
@@ -84,6 +89,13 @@
     pub memory_tokens: u64,
     /// The number of tokens in one event of a stream.
     pub event_tokens: u32,
+    /// The size of one cached token in bytes, when an engine copies cached prompt parts from another; zero if engines
+    /// copy none.
+    #[serde(default)]
+    pub token_bytes: u64,
+    /// The throughput of the link of one engine, in megabits per second; zero if engines copy no cached parts.
+    #[serde(default)]
+    pub link_mbps: u64,
 }
 
 /// One service: a set of endpoints that register under its name.
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -13,8 +13,8 @@
 use crate::v1;
 use advice::advice_record;
 use micaspool_dispatch::{
-    CustomerTotal, GrantOutcome, HeldGrant, HeldLevel, RefusalReason, RegionTotals, RequestTicket,
-    RouterHello, SessionId, ShardAction, ShardEvent,
+    CustomerTotal, GenerationOutline, GrantOutcome, HeldGrant, HeldLevel, RefusalReason, RegionTotals,
+    RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
@@ -109,6 +109,9 @@
         patience_millis: ticket.patience.map_or(0, |patience| patience.as_millis() as u64),
         digest: digest_bytes(ticket.digest),
         allowed_halls: allowed_halls_message(&ticket.halls),
+        max_output_tokens: ticket.generation.max_output_tokens,
+        output_hint: ticket.generation.output_hint,
+        pause_millis: ticket.generation.pause.map_or(0, millis),
     }
 }
 
@@ -148,6 +151,11 @@
         patience: (message.patience_millis > 0).then(|| Duration::from_millis(message.patience_millis)),
         order: (message.order > 0).then_some(OrderNumber(message.order)),
         halls: hall_limit(message.allowed_halls)?,
+        generation: GenerationOutline {
+            max_output_tokens: message.max_output_tokens,
+            output_hint: message.output_hint,
+            pause: (message.pause_millis > 0).then(|| Duration::from_millis(message.pause_millis)),
+        },
     })
 }
 
@@ -363,6 +371,7 @@
             session,
             request,
             endpoint,
+            cache_source,
             estimate,
             level,
             order,
@@ -382,6 +391,7 @@
                 lease_millis: millis(lease),
                 revision: revision.0,
                 queue_fill_percent: queue_fill.map(|fill| fill.0),
+                cache_source: cache_source.map(|name| name.to_string()).unwrap_or_default(),
             };
             (session, Body::Grant(grant))
         }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -4,8 +4,8 @@
 //! the next ticket, and a new ticket is submitted. It also measures the memory of a ticket and of a ledger key.
 
 use micaspool::dispatch::{
-    ColdStartLimits, EndpointSpec, GrantOutcome, RequestTicket, RouterHello, SessionId, ShardAction,
-    ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    ColdStartLimits, EndpointSpec, EngineTraits, GenerationOutline, GrantOutcome, RequestTicket, RouterHello,
+    SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool::ledger::{
     BodyDigest, ClaimCommand, ClaimKey, ClaimToken, FinishCommand, FinishKind, LedgerOptions, LedgerState,
@@ -58,6 +58,7 @@
         idle_credit: Cost(0),
         planned_pace: 0.0,
         cold: ColdStartLimits::default(),
+        engine: EngineTraits::default(),
         halls: halls.collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
@@ -121,6 +122,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            generation: GenerationOutline::default(),
         };
         self.step(ShardEvent::Submit(SESSION, ticket));
     }
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -5,8 +5,9 @@
 //! rates are the usual ones of the users' grown site and up to five times those.
 
 use micaspool::dispatch::{
-    CacheUpdate, CachedPart, ColdStartLimits, EndpointSpec, GrantOutcome, LoadReport, RequestTicket,
-    RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
+    CacheUpdate, CachedPart, ColdStartLimits, EndpointSpec, EngineTraits, GenerationOutline, GrantOutcome,
+    LoadReport, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer, ShardEvent,
+    ShardOptions, ShardPolicy,
 };
 use micaspool::types::{
     Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName, Moment,
@@ -99,6 +100,7 @@
         idle_credit: Cost(100_000),
         planned_pace: 0.0,
         cold: ColdStartLimits::default(),
+        engine: EngineTraits::default(),
         halls: (0..3).map(|number| HallName::parse(&format!("hall-{number}")).expect("a name")).collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
@@ -192,6 +194,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            generation: GenerationOutline::default(),
         }
     }
 
