feat(dispatch): name the engine to copy cached prompt parts from

Cause: a prompt waits for the busy engine that caches its shared part, or another engine prefills the part again. Change: the shard searches the engines that are known to have the deepest part of a prompt, compares engines by waiting, copying and prefill, and names the source in the grant. Copies from one engine and to one engine queue; their duration is learnt from first events, and sources whose copies bring nothing are suspended. Off without token_bytes or link_bytes_per_second.

--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -31,7 +31,7 @@
 pub use queue_fill::QueueFill;
 pub use ranking::{rank_candidates, rank_distinct};
 pub use shard::{
-    CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardCore, ShardStatus,
-    SuspectStatus,
+    CacheCopyStatus, CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus,
+    ShardCore, ShardStatus, SuspectStatus,
 };
 pub use throttle::RequestThrottle;
--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -1,5 +1,6 @@
 //! Chooses the endpoint for a ticket.
 
+use super::copy_link::PlannedCopy;
 use super::endpoints::{EndpointIndex, EndpointState, EndpointTable};
 use super::engine::PromptShape;
 use super::engine_queues::WorkAhead;
@@ -34,6 +35,18 @@
     engine: EndpointIndex,
 }
 
+/// The engine chosen for a prompt.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChosenEngine {
+    pub engine: EndpointIndex,
+    /// The copy of cached parts that it makes first, if any.
+    pub copy: Option<PlannedCopy>,
+    /// The tokens that it prefills.
+    pub prefill_tokens: u64,
+    /// The expected time from the grant to the first event without queued prompts.
+    unqueued_time: Duration,
+}
+
 impl EndpointTable {
     /// The free endpoint with the lowest load in one of `halls` that is not excluded.
     pub fn least_loaded(
@@ -49,13 +62,14 @@
     /// The engine with the lowest expected delay for a prompt, among those that cache part of it (free
     /// or busy) and the least loaded free ones. Engines without an overdue prompt are preferred, then
     /// those that meet the deadline. `queued` returns the work already queued for an engine. `None` if
-    /// there is no candidate.
+    /// there is no candidate. An engine may copy the parts that others have cached.
     pub fn soonest_engine(
         &self,
         now: Moment,
         query: &EngineQuery<'_>,
         queued: impl Fn(EndpointIndex) -> WorkAhead,
-    ) -> Option<EndpointIndex> {
+    ) -> Option<ChosenEngine> {
+        let sources = self.cache_sources(now, query);
         let holders = self.holders_of(query);
         let candidates = holders.chain(self.least_loaded_few(query));
         let scores = candidates.filter_map(|index| {
@@ -63,27 +77,28 @@
             let engine = state.engine.as_ref()?;
             let ahead = queued(index);
             let cold_delay = self.cold_wait(now, index, ahead.tickets);
-            let first_event_at =
-                now + cold_delay + engine.time_to_first_event(now, query.prompt, ahead.tokens);
-            Some(EngineScore {
+            let queue_time = engine.queue_time(now, ahead.tokens);
+            let cached = engine.cached_tokens(query.prompt);
+            let copy = self.plan_copy(now, &sources, index, cached, queue_time);
+            let work = engine.work_of(query.prompt, cached, copy, queue_time);
+            let first_event_at = now + cold_delay + queue_time + engine.unqueued_time_to_first_event(&work);
+            let score = EngineScore {
                 overdue: engine.is_overdue(now),
                 late: query.first_event_due.is_some_and(|due| first_event_at > due),
-                delay: engine.delay(
-                    now,
-                    query.prompt,
-                    state.busy,
-                    ahead.tokens,
-                    self.scarcity.uncached_percent,
-                ) + cold_delay.as_micros() as u64,
+                delay: engine.delay(now, &work, state.busy, ahead.tokens, self.scarcity.uncached_percent)
+                    + cold_delay.as_micros() as u64,
                 engine: index,
-            })
+            };
+            let unqueued = engine.work_of(query.prompt, cached, copy, Duration::MAX);
+            let chosen = ChosenEngine {
+                engine: index,
+                copy,
+                prefill_tokens: work.prefill_tokens,
+                unqueued_time: engine.unqueued_time_to_first_event(&unqueued),
+            };
+            Some((score, chosen))
         });
-        scores.min().map(|best| best.engine)
-    }
-
-    /// How many tokens of a prompt the engine does not have cached.
-    pub fn uncached_tokens(&self, engine: EndpointIndex, prompt: &PromptShape) -> u64 {
-        self.state(engine).engine.as_ref().map_or(0, |engine| engine.uncached_tokens(prompt))
+        scores.min_by_key(|(score, _)| *score).map(|(_, chosen)| chosen)
     }
 
     /// The initial prefill time per token of an engine without observations, in microseconds: the mean
@@ -138,8 +153,7 @@
         let anywhere =
             EngineQuery { prompt, halls: HallMask(u32::MAX), is_excluded: &|_| false, first_event_due: None };
         let best = self.soonest_engine(now, &anywhere, |_| WorkAhead::default());
-        let engine = best.and_then(|index| self.state(index).engine.as_ref());
-        engine.map_or(self.answer_time.mean(), |engine| engine.unqueued_time_to_first_event(prompt))
+        best.map_or(self.answer_time.mean(), |chosen| chosen.unqueued_time)
     }
 
     /// Engines with a free slot that cache the longest prefix of the prompt which any such engine
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -1,6 +1,7 @@
 //! The endpoints of a shard: their slots and whether they may take new work.
 
 use super::availability::EndpointAvailability;
+use super::copy_link::{CopyLink, PlannedCopy};
 use super::engine::{EngineState, PartChange, PromptShape};
 use super::holders::PartHolders;
 use super::reports::ReportedSurplus;
@@ -78,6 +79,8 @@
     /// The load limits of cold endpoints.
     pub(super) cold_limits: ColdStartLimits,
     pub(super) holders: PartHolders,
+    /// Copies of cached prompt parts between engines.
+    pub(super) copy_link: CopyLink,
     /// Reusable buffer for changes of an engine's cached parts.
     part_changes: Vec<PartChange>,
     /// True if an endpoint has become free since the last `take_became_free`.
@@ -205,6 +208,7 @@
         let initial_share = self.initial_share;
         let per_token = self.default_per_token(now, policy.planned_pace);
         self.cold_limits = policy.cold;
+        self.copy_link.configure(&policy.engine);
         for index in self.indices() {
             self.unindex(index);
             self.state_mut(index).availability.settings = true;
@@ -263,17 +267,21 @@
         self.part_changes = changes;
     }
 
-    /// Records a grant of a prompt to an endpoint.
+    /// Records a grant of a prompt to an endpoint, with the copy of cached parts that precedes prefill.
     pub fn record_grant(
         &mut self,
         now: Moment,
         endpoint: EndpointIndex,
         request: RequestId,
         prompt: &PromptShape,
+        copy: Option<PlannedCopy>,
     ) {
         let mut changes = std::mem::take(&mut self.part_changes);
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
-            engine.record_grant(now, request, prompt, &mut changes);
+            engine.record_grant(now, request, prompt, copy, &mut changes);
+        }
+        if let Some(copy) = copy {
+            self.note_copy_granted(now, endpoint, copy);
         }
         self.holders.apply_changes(endpoint, &mut changes);
         self.part_changes = changes;
@@ -282,9 +290,17 @@
     }
 
     /// Records the first event of a request.
-    pub fn note_first_event(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId) {
+    pub fn note_first_event(
+        &mut self,
+        now: Moment,
+        endpoint: EndpointIndex,
+        request: RequestId,
+        prompt: &PromptShape,
+    ) {
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
-            engine.note_first_event(now, request);
+            if let Some(observation) = engine.note_first_event(now, request, prompt) {
+                self.note_copy_observed(now, endpoint, prompt, observation);
+            }
             self.update_prefill_limit(now, endpoint);
         }
     }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -4,6 +4,9 @@
 //! Between two chunks of a prompt it generates one token for each running request, so continuous
 //! prefill slows down every stream. The prefill rate is learnt from observations (see [`PrefillRate`]).
 
+use super::cache_sources::SourceRecord;
+use super::copy_link::{CopyQueues, PlannedCopy};
+use super::endpoints::EndpointIndex;
 use super::parts::PartCache;
 use super::prefill::PrefillRate;
 use crate::event::{CacheUpdate, RequestTicket};
@@ -40,6 +43,9 @@
 /// A prompt that takes this many times its expected prefill time is overdue. Its engine is then assumed
 /// to stay behind by as long as the prompt is overdue.
 const LATE_FACTOR: u32 = 3;
+/// A first event this many times later than expected without a copy shows a slow engine, whatever became
+/// of the copy.
+const SLOW_FACTOR: f64 = 1.3;
 
 /// The properties of a ticket's prompt that placement needs.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -73,7 +79,7 @@
     }
 
     /// Each prefix with the tokens that it adds; an unknown size counts as one token.
-    fn parts(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
+    pub fn parts(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         let tokens = self.tokens.iter().map(|tokens| u64::from(*tokens)).chain(std::iter::repeat(1));
         self.prefixes.iter().copied().zip(tokens)
     }
@@ -90,8 +96,53 @@
 #[derive(Debug, Clone, Copy)]
 struct PendingPrompt {
     request: RequestId,
+    /// The tokens that the engine prefills.
     tokens: u64,
     granted_at: Moment,
+    /// The copy that precedes prefill, if any.
+    copy: Option<PlannedCopy>,
+}
+
+impl PendingPrompt {
+    /// When its copy may have ended at the earliest, or when it was granted.
+    fn copied_at(&self) -> Moment {
+        self.copy.map_or(self.granted_at, |copy| self.granted_at + copy.total())
+    }
+
+    fn copied_tokens(&self) -> u64 {
+        self.copy.map_or(0, |copy| copy.tokens)
+    }
+}
+
+/// What an engine has to do for a prompt before its first event.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PromptWork {
+    /// The tokens to prefill; at least one.
+    pub prefill_tokens: u64,
+    /// The time that a copy adds to waiting and prefill.
+    pub copy_delay: Duration,
+}
+
+/// What the first event of a prompt shows about the copy that preceded its prefill.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct CopyObservation {
+    pub source: EndpointIndex,
+    pub outcome: CopyOutcome,
+    /// The expected time by which the copy delayed prefill.
+    pub expected: Duration,
+    /// The observed one, in microseconds; `None` if the outcome is unclear.
+    pub observed: Option<f64>,
+}
+
+/// Whether a copy seems to have brought the parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CopyOutcome {
+    /// The first event came about when it was expected.
+    Copied,
+    /// It came about as late as if the parts had been prefilled.
+    Missed,
+    /// It came even later, or both times are alike.
+    Unclear,
 }
 
 /// The state of one engine.
@@ -113,6 +164,10 @@
     cached: PartCache,
     /// True once the engine has reported its cache.
     reports_cache: bool,
+    /// Its copies to and from other engines.
+    pub(super) copies: CopyQueues,
+    /// What is known about copies from it.
+    pub(super) source_record: SourceRecord,
 }
 
 impl EngineState {
@@ -129,6 +184,8 @@
             rate: PrefillRate::new(per_token),
             cached: PartCache::default(),
             reports_cache: false,
+            copies: CopyQueues::default(),
+            source_record: SourceRecord::default(),
         }
     }
 
@@ -171,9 +228,9 @@
     /// The expected time until the prompts granted by this shard are processed.
     fn own_prefill_time(&self, now: Moment) -> Duration {
         let Some(oldest) = self.pending.front() else { return Duration::ZERO };
-        let passed = now.since(self.prefill_start(oldest));
-        let remaining = self.rate.prefill_time(self.pending_tokens).saturating_sub(passed);
-        remaining + self.overdue_time(now)
+        let start = self.prefill_start(oldest);
+        let remaining = self.rate.prefill_time(self.pending_tokens).saturating_sub(now.since(start));
+        start.since(now) + remaining + self.overdue_time(now)
     }
 
     /// True if the first event of a prompt is overdue. When the engine will process another one is unknown
@@ -186,51 +243,91 @@
     fn overdue_time(&self, now: Moment) -> Duration {
         let Some(oldest) = self.pending.front() else { return Duration::ZERO };
         let usual = self.rate.prefill_time(oldest.tokens) * LATE_FACTOR + self.rate.latency() * 2;
+        // If the copy fails, the engine prefills its tokens as well.
+        let usual = usual + self.rate.prefill_time(oldest.copied_tokens());
         now.since(self.prefill_start(oldest)).saturating_sub(usual)
     }
 
-    /// When processing of `prompt`, the oldest pending one, began: at its grant, or when the previous
-    /// prompt was done.
+    /// When processing of `prompt`, the oldest pending one, began or will begin: at its grant, or when
+    /// the previous prompt was done, or when its copy has ended.
     fn prefill_start(&self, prompt: &PendingPrompt) -> Moment {
+        let idle_since = self.idle_since(prompt);
+        match prompt.copy {
+            Some(copy) => idle_since.max(prompt.granted_at + copy.wait) + copy.duration,
+            None => idle_since,
+        }
+    }
+
+    /// When the engine had nothing left to prefill but `prompt`: at its grant, or when the previous
+    /// prompt was done.
+    fn idle_since(&self, prompt: &PendingPrompt) -> Moment {
         let latency = self.rate.latency().as_micros() as u64;
         prompt.granted_at.max(Moment(self.last_first_event.0.saturating_sub(latency)))
     }
 
-    /// How many tokens of a prompt are not cached here; at least one.
-    pub fn uncached_tokens(&self, prompt: &PromptShape) -> u64 {
+    /// How many of a prompt's leading tokens are cached here, or will be once the pending prompts are
+    /// prefilled.
+    pub fn cached_tokens(&self, prompt: &PromptShape) -> u64 {
         let cached_parts = prompt.parts().take_while(|(prefix, _)| self.cached.has(*prefix));
-        let cached_tokens: u64 = cached_parts.map(|(_, tokens)| tokens).sum();
-        prompt.total.saturating_sub(cached_tokens).max(1)
+        cached_parts.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// How many of a prompt's leading tokens another engine can copy from here.
+    pub fn present_tokens(&self, prompt: &PromptShape) -> u64 {
+        let present_parts = prompt.parts().take_while(|(prefix, _)| self.cached.is_present(*prefix));
+        present_parts.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Records that a copy of this part from here seems to have brought nothing. The engine is no source
+    /// of the part until a first event or a report shows that it has it.
+    pub fn doubt_part(&mut self, prefix: u64) {
+        self.cached.set_present(prefix, false);
+    }
+
+    /// What this engine has to do for a prompt of which `cached` tokens are cached here, after the queue
+    /// `queue_time`.
+    pub fn work_of(
+        &self,
+        prompt: &PromptShape,
+        cached: u64,
+        copy: Option<PlannedCopy>,
+        queue_time: Duration,
+    ) -> PromptWork {
+        let copied = copy.map_or(0, |copy| copy.tokens);
+        PromptWork {
+            prefill_tokens: prompt.total.saturating_sub(cached + copied).max(1),
+            copy_delay: copy
+                .map_or(Duration::ZERO, |copy| copy.wait.saturating_sub(queue_time) + copy.duration),
+        }
+    }
+
+    /// The expected time until the queued prompts and `tokens_before` tokens for other waiting tickets
+    /// are prefilled.
+    pub fn queue_time(&self, now: Moment, tokens_before: u64) -> Duration {
+        self.queued_prefill_time(now) + self.rate.prefill_time(tokens_before)
     }
 
     /// The weighted delay of a prompt's first token in microseconds, if `tokens_before` tokens for
-    /// other waiting tickets are processed first. Uncached tokens weigh `uncached_percent` of their prefill
-    /// time.
+    /// other waiting tickets are processed first. Tokens to prefill weigh `uncached_percent` of their
+    /// prefill time.
     pub fn delay(
         &self,
         now: Moment,
-        prompt: &PromptShape,
+        work: &PromptWork,
         running: u32,
         tokens_before: u64,
         uncached_percent: u64,
     ) -> u64 {
-        let uncached_tokens = self.uncached_tokens(prompt) * uncached_percent / 100;
+        let uncached_tokens = work.prefill_tokens * uncached_percent / 100;
         let tokens = tokens_before + uncached_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
-        (self.queued_prefill_time(now) + self.rate.prefill_time(tokens)).as_micros() as u64
-    }
-
-    /// The expected time from now to the first event of a prompt, if `tokens_before` tokens for other
-    /// waiting tickets are processed first.
-    pub fn time_to_first_event(&self, now: Moment, prompt: &PromptShape, tokens_before: u64) -> Duration {
-        self.queued_prefill_time(now)
-            + self.rate.prefill_time(tokens_before)
-            + self.unqueued_time_to_first_event(prompt)
+        let delay = self.queued_prefill_time(now) + self.rate.prefill_time(tokens) + work.copy_delay;
+        delay.as_micros() as u64
     }
 
     /// The expected time from a grant to the first event of a prompt on an engine without queued
     /// prompts.
-    pub fn unqueued_time_to_first_event(&self, prompt: &PromptShape) -> Duration {
-        self.rate.latency() + self.rate.prefill_time(self.uncached_tokens(prompt))
+    pub fn unqueued_time_to_first_event(&self, work: &PromptWork) -> Duration {
+        self.rate.latency() + work.copy_delay + self.rate.prefill_time(work.prefill_tokens)
     }
 
     /// Records a grant of a prompt to this engine, and appends the resulting cache changes to
@@ -240,10 +337,12 @@
         now: Moment,
         request: RequestId,
         prompt: &PromptShape,
+        copy: Option<PlannedCopy>,
         changes: &mut Vec<PartChange>,
     ) {
-        let tokens = self.uncached_tokens(prompt);
-        self.pending.push_back(PendingPrompt { request, tokens, granted_at: now });
+        let cached = self.cached_tokens(prompt);
+        let tokens = self.work_of(prompt, cached, copy, Duration::ZERO).prefill_tokens;
+        self.pending.push_back(PendingPrompt { request, tokens, granted_at: now, copy });
         self.pending_tokens += tokens;
         let paced = self.rate.prefill_time(tokens) * 100 / RATE_PERCENT;
         self.paced_until = self.paced_until.max(now) + paced;
@@ -255,20 +354,58 @@
 
     /// Records the first event of a prompt and learns from it. Engines process prompts in order of
     /// arrival, so prompts granted clearly earlier are done as well and only their first events are
-    /// delayed.
-    pub fn note_first_event(&mut self, now: Moment, request: RequestId) {
-        let Some(prompt) = self.pending.iter().find(|prompt| prompt.request == request).copied() else {
-            return;
+    /// delayed. Returns what it shows about the copy of the prompt, if it had one.
+    pub fn note_first_event(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        shape: &PromptShape,
+    ) -> Option<CopyObservation> {
+        shape.prefixes.iter().for_each(|prefix| self.cached.set_present(*prefix, true));
+        let prompt = self.pending.iter().find(|prompt| prompt.request == request).copied()?;
+        let observation = match prompt.copy {
+            Some(copy) => Some(self.observe_copied(now, &prompt, copy)),
+            None => {
+                let idle = self.idle_since(&prompt) == prompt.granted_at;
+                let since = if idle { prompt.granted_at } else { self.last_first_event };
+                self.rate.observe(now, prompt.tokens, now.since(since), idle);
+                None
+            }
         };
-        let prefill_start = self.prefill_start(&prompt);
-        let idle = prefill_start == prompt.granted_at;
-        let since = if idle { prompt.granted_at } else { self.last_first_event };
-        self.rate.observe(now, prompt.tokens, now.since(since), idle);
         self.last_first_event = now;
         let latency = self.rate.latency();
         self.retain_pending(|other| {
-            other.request != request && other.granted_at + latency >= prompt.granted_at
+            let may_precede = other.granted_at + latency >= prompt.granted_at || other.copied_at() > now;
+            other.request != request && may_precede
         });
+        observation
+    }
+
+    /// Learns from the first event of a prompt of which tokens were copied. The latency isn't learnt from
+    /// it, as a copy that takes a few milliseconds longer would count as latency. An event that may be
+    /// late because nothing was copied counts for the prefill rate as late as one that is just in time.
+    fn observe_copied(&mut self, now: Moment, prompt: &PendingPrompt, copy: PlannedCopy) -> CopyObservation {
+        let idle_since = self.idle_since(prompt);
+        let copying = self.prefill_start(prompt).since(idle_since);
+        let rest = self.rate.prefill_time(prompt.tokens);
+        let if_missed = self.rate.prefill_time(prompt.tokens + copy.tokens);
+        let latest_if_copied = (copying + rest + if_missed) / 2;
+        let took = now.since(idle_since).saturating_sub(self.rate.latency());
+        let outcome = match took {
+            _ if copying + rest >= if_missed || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
+            _ if took > latest_if_copied => CopyOutcome::Missed,
+            _ => CopyOutcome::Copied,
+        };
+        let counted = if outcome == CopyOutcome::Missed { latest_if_copied } else { took };
+        self.rate.observe(now, prompt.tokens, counted.saturating_sub(copying), false);
+        let most = self.rate.prefill_time(copy.tokens).as_micros() as f64;
+        let extra = took.as_micros() as f64 - rest.as_micros() as f64;
+        CopyObservation {
+            source: copy.source,
+            outcome,
+            expected: copying,
+            observed: (outcome != CopyOutcome::Unclear).then(|| extra.clamp(-most, most)),
+        }
     }
 
     /// Removes a prompt whose request ended before its first event.
@@ -319,6 +456,7 @@
         }
         for part in &update.cached_parts {
             self.cached.touch(part.prefix, u64::from(part.tokens), changes);
+            self.cached.set_present(part.prefix, true);
         }
         self.evict_excess(changes);
     }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -1,6 +1,7 @@
 //! Grants: assigns free slots to waiting tickets, charges their cost and ends grants.
 
-use super::choice::EngineQuery;
+use super::choice::{ChosenEngine, EngineQuery};
+use super::copy_link::PlannedCopy;
 use super::endpoints::EndpointIndex;
 use super::engine::PromptShape;
 use super::routers::RouterIndex;
@@ -22,6 +23,14 @@
 /// because engines send hundreds of them per second.
 const PASS_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Where a ticket runs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Placement {
+    endpoint: EndpointIndex,
+    /// The copy of cached parts that an engine makes first, if any.
+    copy: Option<PlannedCopy>,
+}
+
 /// A request that is running or has just been granted.
 #[derive(Debug, Clone)]
 pub(super) struct RunningGrant {
@@ -55,8 +64,8 @@
             self.earliest_pass = self.next_pass_due;
             self.pass_number += 1;
         }
-        while let Some((request, endpoint)) = self.next_grant(now) {
-            self.grant(now, request, endpoint, actions);
+        while let Some((request, placement)) = self.next_grant(now) {
+            self.grant(now, request, placement, actions);
         }
     }
 
@@ -79,13 +88,13 @@
         if !self.candidate_tickets(now, ticket.customer).any(|id| *id == request) {
             return;
         }
-        if let Some(endpoint) = self.choose_endpoint(now, ticket) {
-            self.grant(now, request, endpoint, actions);
+        if let Some(placement) = self.choose_endpoint(now, ticket) {
+            self.grant(now, request, placement, actions);
         }
     }
 
-    /// The next ticket to run and its endpoint; `None` if no free slot has an eligible ticket.
-    pub(super) fn next_grant(&self, now: Moment) -> Option<(RequestId, EndpointIndex)> {
+    /// The next ticket to run and where; `None` if no free slot has an eligible ticket.
+    pub(super) fn next_grant(&self, now: Moment) -> Option<(RequestId, Placement)> {
         let free = self.endpoints.free_halls();
         if free.is_empty() {
             return None;
@@ -106,14 +115,14 @@
         usable.take(LOOK_AHEAD)
     }
 
-    fn choose_ticket(&self, now: Moment, customer: CustomerIndex) -> Option<(RequestId, EndpointIndex)> {
+    fn choose_ticket(&self, now: Moment, customer: CustomerIndex) -> Option<(RequestId, Placement)> {
         self.candidate_tickets(now, customer).find_map(|request| {
             let ticket = &self.waiting[request];
             if self.awaits_busy_engine(ticket) {
                 return None;
             }
-            let endpoint = self.choose_endpoint(now, ticket)?;
-            Some((*request, endpoint))
+            let placement = self.choose_endpoint(now, ticket)?;
+            Some((*request, placement))
         })
     }
 
@@ -127,7 +136,7 @@
 
     /// The engine with the earliest expected first event, provided it is free. Without engines, the
     /// free endpoint that holds the longest known prefix of the prompt, otherwise the least loaded one.
-    fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<EndpointIndex> {
+    fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<Placement> {
         let excluded = self.isolation_exclusions(now, ticket)?;
         let halls = self.halls_of(ticket);
         let is_excluded = |endpoint| {
@@ -143,28 +152,32 @@
             first_event_due: ticket.first_event_due,
         };
         let soonest = self.endpoints.soonest_engine(now, &query, before);
-        self.note_choice(ticket, soonest.filter(|engine| !self.endpoints.is_free(*engine, halls)));
-        if let Some(engine) = soonest {
-            return self.endpoints.is_free(engine, halls).then_some(engine);
+        let is_free = |chosen: &ChosenEngine| self.endpoints.is_free(chosen.engine, halls);
+        self.note_choice(ticket, soonest.filter(|chosen| !is_free(chosen)));
+        if let Some(chosen) = soonest {
+            let placement = Placement { endpoint: chosen.engine, copy: chosen.copy };
+            return is_free(&chosen).then_some(placement);
         }
         let usable =
             |endpoint: &EndpointIndex| !is_excluded(*endpoint) && self.endpoints.is_free(*endpoint, halls);
         let known = ticket.prompt.prefixes.iter().rev().filter_map(|prefix| self.prefixes.holder(*prefix));
         let cached = known.filter(|_| self.options.use_prefixes).find(usable);
-        cached.or_else(|| self.endpoints.least_loaded(halls, is_excluded))
+        let endpoint = cached.or_else(|| self.endpoints.least_loaded(halls, is_excluded))?;
+        Some(Placement { endpoint, copy: None })
     }
 
     /// Records which engine the ticket waits for, if any. Later tickets take it into account; otherwise
     /// all prompts with a common prefix would queue for the few engines that cache it.
-    fn note_choice(&self, ticket: &WaitingTicket, engine: Option<EndpointIndex>) {
+    fn note_choice(&self, ticket: &WaitingTicket, chosen: Option<ChosenEngine>) {
         let request = ticket.place.request;
+        let engine = chosen.map(|chosen| chosen.engine);
         let choice = engine.map(|engine| EngineChoice { engine, pass: self.pass_number });
         let before = ticket.waits_for.replace(choice);
         if let Some(left) = before.filter(|before| Some(before.engine) != engine) {
             self.engine_queues.leave(left.engine, request);
         }
-        if let Some(engine) = engine {
-            self.engine_queues.join(engine, request, self.endpoints.uncached_tokens(engine, &ticket.prompt));
+        if let Some(chosen) = chosen {
+            self.engine_queues.join(chosen.engine, request, chosen.prefill_tokens);
         }
     }
 
@@ -179,9 +192,10 @@
         &mut self,
         now: Moment,
         request: RequestId,
-        endpoint: EndpointIndex,
+        placement: Placement,
         actions: &mut Vec<ShardAction>,
     ) {
+        let Placement { endpoint, copy } = placement;
         let ticket = self.waiting.remove(&request).expect("the chosen ticket waits");
         self.copies.end_waiting(ticket.digest);
         self.copies.begin_running(ticket.digest, endpoint);
@@ -199,7 +213,7 @@
         let level = state.level(self.options.policy.as_ref());
         self.reindex(ticket.customer);
         self.raise_floor(endpoint, served_rank);
-        self.endpoints.record_grant(now, endpoint, request, &ticket.prompt);
+        self.endpoints.record_grant(now, endpoint, request, &ticket.prompt, copy);
         self.endpoints.occupy(endpoint);
         self.prefixes.remember(&ticket.prompt.prefixes, endpoint);
         self.throughput.count();
@@ -208,7 +222,7 @@
                 session,
                 request,
                 endpoint: self.endpoints.name(endpoint).clone(),
-                cache_source: None,
+                cache_source: copy.map(|copy| self.endpoints.name(copy.source).clone()),
                 estimate,
                 level,
                 order: ticket.place.order,
@@ -250,7 +264,7 @@
         let is_first_event = std::mem::take(&mut grant.awaits_first_event);
         if is_first_event {
             self.customers.get_mut(customer).counters.note_begun(load);
-            self.endpoints.note_first_event(now, endpoint, request);
+            self.endpoints.note_first_event(now, endpoint, request, &grant.prompt);
             since.into_iter().for_each(|since| self.endpoints.note_answer(endpoint, now.since(since)));
         }
         self.delivered.add(now, delivered.saturating_sub(before).0);
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -6,10 +6,12 @@
 
 mod advice;
 mod availability;
+mod cache_sources;
 mod caller_attempts;
 mod choice;
 mod cold;
 mod copies;
+mod copy_link;
 mod counters;
 mod customers;
 mod endpoints;
@@ -43,7 +45,8 @@
 
 pub use counters::CustomerCounters;
 pub use status::{
-    CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardStatus, SuspectStatus,
+    CacheCopyStatus, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardStatus,
+    SuspectStatus,
 };
 
 use crate::action::ShardAction;
@@ -244,6 +247,7 @@
         }
         self.endpoints.expire_reports(now);
         self.endpoints.forget_warm(now);
+        self.endpoints.copy_link.fade(now);
         self.throughput.advance(now);
         self.update_scarcity(now);
     }
--- a/crates/micaspool-dispatch/src/shard/parts.rs
+++ b/crates/micaspool-dispatch/src/shard/parts.rs
@@ -16,6 +16,9 @@
 struct PartEntry {
     tokens: u64,
     last_used: u64,
+    /// True once the engine is known to have it: a first event followed, or the engine reported it.
+    /// Until then it may still be prefilled or copied.
+    is_present: bool,
 }
 
 impl PartCache {
@@ -32,7 +35,7 @@
                 part.last_used = last_used;
             }
             None => {
-                self.parts.insert(prefix, PartEntry { tokens, last_used });
+                self.parts.insert(prefix, PartEntry { tokens, last_used, is_present: false });
                 self.tokens += tokens;
                 changes.push(PartChange::Added(prefix));
             }
@@ -40,6 +43,18 @@
         self.recency.insert(last_used, prefix);
     }
 
+    /// True if the engine is known to have the part already.
+    pub fn is_present(&self, prefix: u64) -> bool {
+        self.parts.get(&prefix).is_some_and(|part| part.is_present)
+    }
+
+    /// Sets whether the engine is known to have the part, if the model contains it.
+    pub fn set_present(&mut self, prefix: u64, is_present: bool) {
+        if let Some(part) = self.parts.get_mut(&prefix) {
+            part.is_present = is_present;
+        }
+    }
+
     /// Removes a part.
     pub fn drop(&mut self, prefix: u64, changes: &mut Vec<PartChange>) {
         let Some(part) = self.parts.remove(&prefix) else { return };
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -109,6 +109,21 @@
     pub record: CrashRecord,
 }
 
+/// The copies of cached prompt parts between engines since the shard started.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CacheCopyStatus {
+    /// Grants that named an engine to copy from.
+    pub grants: u64,
+    /// The tokens that were to be copied.
+    pub tokens: u64,
+    /// First events that came as late as if nothing had been copied.
+    pub missed: u64,
+    /// How often an engine was not copied from for a while after repeated misses.
+    pub suspensions: u64,
+    /// The duration of copies relative to what the settings of the engines lead to expect.
+    pub slowdown: f64,
+}
+
 /// The state of a shard.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ShardStatus {
@@ -128,6 +143,8 @@
     pub running: usize,
     /// The number of passes over all waiting tickets.
     pub passes: u64,
+    /// Copies of cached prompt parts between engines; `None` if they copy none.
+    pub copies: Option<CacheCopyStatus>,
     /// The customers with waiting or running requests, or with any tickets since the shard started.
     pub customers: Vec<CustomerStatus>,
     /// The endpoints.
@@ -190,6 +207,7 @@
             awaited_engines: engines.len(),
             running: self.running.len(),
             passes: self.pass_number,
+            copies: self.endpoints.copy_link.status(),
             customers: customers.collect(),
             endpoints: endpoints.collect(),
             suspects: self.suspects.suspected(now),
