feat(dispatch): weigh copied tokens, replay a load that shares large parts

Cause: a copy evicts other cached parts, and each copied byte has a cost. Change: a copied token weighs a tenth of an uncached one beside its copy time. tests/shard/shared_parts.rs replays prompts that share parts at engines of both kinds.

--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -43,6 +43,10 @@
 /// A prompt that takes this many times its expected prefill time is overdue. Its engine is then assumed
 /// to stay behind by as long as the prompt is overdue.
 const LATE_FACTOR: u32 = 3;
+/// The weight of a copied token beside its copy time, in percent of the weight of an uncached one. A copy
+/// takes no prefill capacity, but evicts other cached parts and costs bytes. With this weight, a replayed
+/// load copies half as many tokens as without and prefills fewer shared parts again.
+const COPIED_PERCENT: u64 = 10;
 /// A first event this many times later than expected without a copy shows a slow engine, whatever became
 /// of the copy.
 const SLOW_FACTOR: f64 = 1.3;
@@ -121,6 +125,8 @@
     pub prefill_tokens: u64,
     /// The time that a copy adds to waiting and prefill.
     pub copy_delay: Duration,
+    /// The tokens that it copies.
+    pub copied_tokens: u64,
 }
 
 /// What the first event of a prompt shows about the copy that preceded its prefill.
@@ -293,9 +299,10 @@
         copy: Option<PlannedCopy>,
         queue_time: Duration,
     ) -> PromptWork {
-        let copied = copy.map_or(0, |copy| copy.tokens);
+        let copied_tokens = copy.map_or(0, |copy| copy.tokens);
         PromptWork {
-            prefill_tokens: prompt.total.saturating_sub(cached + copied).max(1),
+            copied_tokens,
+            prefill_tokens: prompt.total.saturating_sub(cached + copied_tokens).max(1),
             copy_delay: copy
                 .map_or(Duration::ZERO, |copy| copy.wait.saturating_sub(queue_time) + copy.duration),
         }
@@ -309,7 +316,7 @@
 
     /// The weighted delay of a prompt's first token in microseconds, if `tokens_before` tokens for
     /// other waiting tickets are processed first. Tokens to prefill weigh `uncached_percent` of their
-    /// prefill time.
+    /// prefill time, and copied ones a tenth of that.
     pub fn delay(
         &self,
         now: Moment,
@@ -319,7 +326,9 @@
         uncached_percent: u64,
     ) -> u64 {
         let uncached_tokens = work.prefill_tokens * uncached_percent / 100;
-        let tokens = tokens_before + uncached_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
+        let copied_tokens = work.copied_tokens * uncached_percent * COPIED_PERCENT / 10_000;
+        let weighted_tokens = uncached_tokens + copied_tokens;
+        let tokens = tokens_before + weighted_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
         let delay = self.queued_prefill_time(now) + self.rate.prefill_time(tokens) + work.copy_delay;
         delay.as_micros() as u64
     }
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -28,5 +28,6 @@
 mod scaling;
 mod scarcity;
 mod service_lead;
+mod shared_parts;
 mod suspects;
 mod throttling;
