feat(dispatcher): report copies between engines; test the way of a source

Change: metrics micaspool_cache_copy_grants, _tokens and micaspool_cache_copies_missed, the same in /status and in MP1304. Rows for the source in the grant message and in the lease.

--- a/crates/micaspool-dispatcher/src/shard_view.rs
+++ b/crates/micaspool-dispatcher/src/shard_view.rs
@@ -1,7 +1,9 @@
 //! Metrics and JSON status of the shards of a dispatcher.
 
 use crate::host::ShardHost;
-use micaspool_dispatch::{EndpointClosure, PrefillStatus, RequestStanding, ShardStatus, SuspectStatus};
+use micaspool_dispatch::{
+    CacheCopyStatus, EndpointClosure, PrefillStatus, RequestStanding, ShardStatus, SuspectStatus,
+};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -23,6 +25,9 @@
     slowest_prefill_rate: Family<ShardLabels, Gauge>,
     suspected: Family<ShardLabels, Gauge>,
     quarantined: Family<ShardLabels, Gauge>,
+    copy_grants: Family<ShardLabels, Gauge>,
+    copied_tokens: Family<ShardLabels, Gauge>,
+    missed_copies: Family<ShardLabels, Gauge>,
     /// The revision of the settings or the number of the plan in force.
     pub revision: Gauge,
 }
@@ -47,6 +52,12 @@
         registry.register("micaspool_suspected_requests", suspected_help, gauges.suspected.clone());
         let quarantined_help = "Requests that are shut out since endpoints ended under them";
         registry.register("micaspool_quarantined_requests", quarantined_help, gauges.quarantined.clone());
+        let copy_grants_help = "Grants that named an engine to copy cached prompt parts from";
+        registry.register("micaspool_cache_copy_grants", copy_grants_help, gauges.copy_grants.clone());
+        let copied_help = "Tokens that engines were to copy instead of prefilling them";
+        registry.register("micaspool_cache_copy_tokens", copied_help, gauges.copied_tokens.clone());
+        let missed_help = "First events as late as if nothing had been copied";
+        registry.register("micaspool_cache_copies_missed", missed_help, gauges.missed_copies.clone());
         registry.register("micaspool_settings_revision", "Revision in force", gauges.revision.clone());
         gauges
     }
@@ -61,6 +72,11 @@
             self.open_slots.get_or_create(&labels).set(i64::from(open));
             self.suspected.get_or_create(&labels).set(status.suspects.len() as i64);
             self.quarantined.get_or_create(&labels).set(quarantined(&status) as i64);
+            if let Some(copies) = status.copies {
+                self.copy_grants.get_or_create(&labels).set(copies.grants as i64);
+                self.copied_tokens.get_or_create(&labels).set(copies.tokens as i64);
+                self.missed_copies.get_or_create(&labels).set(copies.missed as i64);
+            }
             self.gap.get_or_create(&labels).set(level_gap(&status) as i64);
             self.slowest_prefill_rate
                 .get_or_create(&labels)
@@ -79,6 +95,17 @@
     })
 }
 
+/// Encodes the copies between engines as JSON.
+fn copies_json(copies: CacheCopyStatus) -> serde_json::Value {
+    json!({
+        "grants": copies.grants,
+        "tokens": copies.tokens,
+        "missed": copies.missed,
+        "suspensions": copies.suspensions,
+        "slowdown": copies.slowdown,
+    })
+}
+
 /// Encodes a suspected or quarantined request as JSON.
 fn suspect_json(suspect: &SuspectStatus) -> serde_json::Value {
     let crashes =
@@ -148,6 +175,7 @@
             "waiting": status.waiting,
             "running": status.running,
             "rounds": status.passes,
+            "cache_copies": status.copies.map(copies_json),
             "gap": level_gap(&status),
             "customers": customers.collect::<Vec<_>>(),
             "endpoints": endpoints.collect::<Vec<_>>(),
--- a/crates/micaspool-dispatcher/src/tally.rs
+++ b/crates/micaspool-dispatcher/src/tally.rs
@@ -6,7 +6,9 @@
 use crate::objectives::ObjectiveTally;
 use crate::standings::StandingLog;
 use micaspool_clock::BootInstant;
-use micaspool_dispatch::{EndpointClosure, EndpointStatus, PrefillStatus, ShardAction, ShardStatus};
+use micaspool_dispatch::{
+    CacheCopyStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardAction, ShardStatus,
+};
 use micaspool_telemetry::events::{self, field, record, EventField};
 use micaspool_types::ServiceName;
 use micaspool_wire::convert::reason_text;
@@ -23,6 +25,8 @@
 pub(crate) struct ShardTally {
     service: ServiceName,
     grants: u64,
+    /// The copies between engines at the last summary.
+    reported_copies: CacheCopyStatus,
     refusals: RefusalCounts,
     /// The number of refusals when endpoint constraints were last sampled.
     sampled_refusals: u64,
@@ -53,6 +57,7 @@
             standings: StandingLog::new(service.clone()),
             service,
             grants: 0,
+            reported_copies: CacheCopyStatus::default(),
             refusals: RefusalCounts::default(),
             sampled_refusals: 0,
             constraints: ConstraintTally::default(),
@@ -149,8 +154,22 @@
         fields.extend(self.constraints.take_fields());
         fields.push(field("longest_closed_ms", self.closures.longest_closure(now).as_millis()));
         fields.extend(prefill_fields(status));
+        fields.extend(self.copy_fields(status));
         record(&events::SHARD_DECIDED, &fields);
     }
+
+    /// Returns the copies between engines since the last summary, if they copy any.
+    fn copy_fields(&mut self, status: &ShardStatus) -> Vec<EventField> {
+        let Some(copies) = status.copies else { return Vec::new() };
+        let before = std::mem::replace(&mut self.reported_copies, copies);
+        vec![
+            field("copy_grants", copies.grants.saturating_sub(before.grants)),
+            field("copied_tokens", copies.tokens.saturating_sub(before.tokens)),
+            field("missed_copies", copies.missed.saturating_sub(before.missed)),
+            field("suspended_sources", copies.suspensions.saturating_sub(before.suspensions)),
+            field("copy_slowdown", format!("{:.2}", copies.slowdown)),
+        ]
+    }
 }
 
 impl RefusalCounts {
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -4,14 +4,18 @@
 use async_std::task;
 use futures::Stream;
 use micaspool_backpressure::{AdviceSource, SharedAdvice};
-use micaspool_dispatch::{rank_candidates, GenerationOutline, GrantOutcome, RequestTicket};
+use micaspool_dispatch::{
+    rank_candidates, GenerationOutline, GrantOutcome, RequestTicket, SessionId, ShardAction,
+};
+use micaspool_fair::ServiceLevel;
 use micaspool_router::{ListedDispatchers, ShardClient, ShardClientOptions};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{
-    Cost, CustomerName, EndpointAdvice, HallLimit, Incarnation, InstanceName, RequestDigest, RequestId,
-    ServiceName,
+    Cost, CustomerName, EndpointAdvice, EndpointName, HallLimit, Incarnation, InstanceName, OrderNumber,
+    RequestDigest, RequestId, Revision, ServiceName,
 };
+use micaspool_wire::convert::action_message;
 use micaspool_wire::socket::CountedListener;
 use micaspool_wire::v1::{self, dispatch_server::Dispatch, dispatch_server::DispatchServer};
 use micaspool_wire::v1::{dispatcher_message, router_message};
@@ -29,6 +33,8 @@
 enum Behaviour {
     /// Grants every request immediately.
     Grants,
+    /// Like `Grants`, and names this engine as the source of cached prompt parts.
+    NamesSource(&'static str),
     /// Refuses every request as overdue and tells this fill of the customer's queue, in percent.
     Overloaded(Option<u32>),
     /// Refuses every stream.
@@ -50,6 +56,15 @@
 
 type SharedMessages = Arc<Mutex<ReceivedMessages>>;
 
+impl Behaviour {
+    fn cache_source(self) -> &'static str {
+        match self {
+            Behaviour::NamesSource(name) => name,
+            _ => "",
+        }
+    }
+}
+
 struct FakeDispatcher {
     behaviour: Behaviour,
     received: SharedMessages,
@@ -131,6 +146,7 @@
                 endpoint: "endpoint-1".to_owned(),
                 heartbeat: 1,
                 lease_millis: 60_000,
+                cache_source: behaviour.cache_source().to_owned(),
                 ..v1::Grant::default()
             };
             send(&sender, dispatcher_message::Body::Grant(grant)).await;
@@ -223,6 +239,46 @@
     ShardClient::start(service, options)
 }
 
+/// Guards against a lease that loses the source of its grant, or that is refused because a dispatcher
+/// sends none or a name that isn't valid.
+#[test_case("endpoint-2", Some("endpoint-2"); "a source")]
+#[test_case("", None; "no source, as from an older dispatcher")]
+#[test_case("not a name", None; "an invalid name")]
+fn a_lease_names_the_cache_source_of_its_grant(sent: &'static str, expected: Option<&str>) {
+    task::block_on(async {
+        let address = start(Behaviour::NamesSource(sent)).await;
+        let client = client(address, address);
+        let lease = client.acquire(ticket(1), None).await.expect("the dispatcher grants");
+        assert_eq!(lease.endpoint().as_str(), "endpoint-1");
+        assert_eq!(lease.cache_source().map(EndpointName::as_str), expected);
+    });
+}
+
+/// Guards against a conversion that drops the source of a grant.
+#[test]
+fn a_grant_message_carries_the_cache_source() {
+    let name = |name: &str| EndpointName::parse(name).expect("a valid name");
+    for (source, expected) in [(Some(name("endpoint-2")), "endpoint-2"), (None, "")] {
+        let action = ShardAction::Grant {
+            session: SessionId(1),
+            request: RequestId(1),
+            endpoint: name("endpoint-1"),
+            cache_source: source,
+            estimate: Cost(1),
+            level: ServiceLevel(0),
+            order: OrderNumber(1),
+            heartbeat: 1,
+            lease: Duration::from_secs(1),
+            revision: Revision(1),
+            objective: None,
+            queue_fill: None,
+        };
+        let (_, message) = action_message(action, Incarnation(1)).expect("grants are sent");
+        let Some(dispatcher_message::Body::Grant(grant)) = message.body else { panic!("not a grant") };
+        assert_eq!(grant.cache_source, expected);
+    }
+}
+
 #[test]
 fn keeps_its_dispatcher_while_a_higher_ranked_one_refuses_streams() {
     task::block_on(async {
