--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod bound;
+mod cache_sources;
 mod capacity;
 mod charges;
 mod choice;
@@ -28,5 +29,6 @@
 mod scaling;
 mod scarcity;
 mod service_lead;
+mod shared_parts;
 mod suspects;
 mod throttling;
