--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -25,10 +25,14 @@
 /// How well an engine suits a prompt; lower is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct EngineScore {
-    /// True if the first event of an earlier prompt is overdue.
+    /// True if the first event of an earlier prompt is overdue, or the engine is behind its streams.
     overdue: bool,
     /// True if the first event is expected after the deadline.
     late: bool,
+    /// How many running streams the prompt is expected to delay beyond their pause, in percent of a stream. Being
+    /// late counts more: a ticket whose every engine is late is mostly refused in the end, which costs its
+    /// whole value, while a stream with a broken pause still earns a part, and most breaks are only possible.
+    broken_pauses: u64,
     /// See [`EngineState::delay`](super::engine::EngineState::delay).
     delay: u64,
     engine: EndpointIndex,
@@ -48,7 +52,7 @@
 
     /// The engine with the lowest expected delay for a prompt, among those that cache part of it (free
     /// or busy) and the least loaded free ones. Engines without an overdue prompt are preferred, then
-    /// those that meet the deadline. `queued` returns the work already queued for an engine. `None` if
+    /// those that meet the deadline, then those that keep the pauses of their streams. `queued` returns the work already queued for an engine. `None` if
     /// there is no candidate.
     pub fn soonest_engine(
         &self,
@@ -66,8 +70,9 @@
             let first_event_at =
                 now + cold_delay + engine.time_to_first_event(now, query.prompt, ahead.tokens);
             Some(EngineScore {
-                overdue: engine.is_overdue(now),
+                overdue: engine.is_overdue(now) || engine.is_behind(now),
                 late: query.first_event_due.is_some_and(|due| first_event_at > due),
+                broken_pauses: engine.expected_breaks(query.prompt),
                 delay: engine.delay(
                     now,
                     query.prompt,
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -9,7 +9,7 @@
 use super::status::EndpointClosure;
 use super::totals::EndpointTotals;
 use crate::event::{CacheUpdate, ColdStartLimits, EndpointSpec, GrantOutcome, ShardPolicy};
-use micaspool_types::{EndpointName, HallMask, Moment, RequestId};
+use micaspool_types::{Cost, EndpointName, HallMask, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -113,7 +113,13 @@
         self.availability.cold.set_reported(now, spec.cold);
     }
 
-    fn configure_engine(&mut self, memory: u64, initial_share: u64, per_token: Option<f64>) {
+    fn configure_engine(
+        &mut self,
+        memory: u64,
+        initial_share: u64,
+        per_token: Option<f64>,
+        event_tokens: u32,
+    ) {
         match &mut self.engine {
             Some(engine) => {
                 engine.resize(memory);
@@ -122,6 +128,9 @@
             None if memory > 0 => self.engine = Some(EngineState::new(memory, initial_share, per_token)),
             None => {}
         }
+        if let Some(engine) = &mut self.engine {
+            engine.set_event_tokens(event_tokens);
+        }
     }
 
     /// The slots that may be used now: after a failure only one, until a request succeeds.
@@ -212,7 +221,12 @@
         for spec in &policy.endpoints {
             let index = self.ensure(&spec.name);
             self.state_mut(index).apply_spec(now, spec);
-            self.state_mut(index).configure_engine(spec.memory_tokens, initial_share, per_token);
+            self.state_mut(index).configure_engine(
+                spec.memory_tokens,
+                initial_share,
+                per_token,
+                policy.engine.event_tokens,
+            );
             if !spec.cold.is_zero() {
                 self.cold.insert(index);
             }
@@ -289,6 +303,28 @@
         }
     }
 
+    /// Records progress of a running request.
+    pub fn note_progress(
+        &mut self,
+        now: Moment,
+        endpoint: EndpointIndex,
+        request: RequestId,
+        delivered: Cost,
+    ) {
+        let engine = self.state_mut(endpoint).engine.as_mut();
+        if engine.is_some_and(|engine| engine.note_progress(now, request, delivered)) {
+            self.update_prefill_limit(now, endpoint);
+        }
+    }
+
+    /// Removes an ended request from the streams of its engine, whose pauses limit further prompts.
+    pub fn end_stream(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId) {
+        let engine = self.state_mut(endpoint).engine.as_mut();
+        if engine.is_some_and(|engine| engine.end_stream(request)) {
+            self.update_prefill_limit(now, endpoint);
+        }
+    }
+
     /// Removes a prompt from an engine's pending ones because its request ended before its first event.
     pub fn withdraw(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId) {
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
@@ -297,12 +333,14 @@
         }
     }
 
-    /// Closes an engine while it has too much queued prefill work.
+    /// Closes an engine while it has too much queued prefill work, for itself or for the pauses of its streams.
     pub(super) fn update_prefill_limit(&mut self, now: Moment, endpoint: EndpointIndex) {
         let state = self.state_mut(endpoint);
-        let Some(engine) = &state.engine else { return };
-        state.prefill_limited = !engine.has_prefill_budget(now);
-        let wake = engine.prefill_budget_at(now);
+        let Some(engine) = &mut state.engine else { return };
+        let closed_until = engine.closed_until(now);
+        state.prefill_limited =
+            closed_until.is_some() || engine.is_filled() || !engine.has_prefill_budget(now);
+        let wake = engine.prefill_budget_at(now).max(closed_until.unwrap_or(now));
         if state.prefill_limited && wake > now {
             self.wakes.insert((wake, endpoint));
         }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -6,8 +6,9 @@
 
 use super::parts::PartCache;
 use super::prefill::PrefillRate;
+use super::stream_pauses::StreamPauses;
 use crate::event::{CacheUpdate, RequestTicket};
-use micaspool_types::{Moment, RequestId};
+use micaspool_types::{Cost, Moment, RequestId};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     pub tokens: Box<[u32]>,
     /// The number of tokens in the whole prompt.
     pub total: u64,
+    /// The longest pause between two events that keeps its stream in time; `None` without such a target.
+    pub pause: Option<Duration>,
 }
 
 impl PromptShape {
@@ -59,6 +62,7 @@
             prefixes: ticket.prefixes.as_slice().into(),
             tokens: ticket.prefix_tokens.as_slice().into(),
             total: ticket.prompt_tokens.0,
+            pause: ticket.generation.pause,
         }
     }
 
@@ -110,6 +114,7 @@
     /// Until when the engine is assumed to process prompts of others, according to its load reports.
     others_until: Moment,
     rate: PrefillRate,
+    streams: StreamPauses,
     cached: PartCache,
     /// True once the engine has reported its cache.
     reports_cache: bool,
@@ -127,6 +132,7 @@
             paced_until: Moment(0),
             others_until: Moment(0),
             rate: PrefillRate::new(per_token),
+            streams: StreamPauses::default(),
             cached: PartCache::default(),
             reports_cache: false,
         }
@@ -137,6 +143,11 @@
         self.memory = memory;
     }
 
+    /// Sets the number of tokens in one event of a stream; zero if unknown.
+    pub fn set_event_tokens(&mut self, event_tokens: u32) {
+        self.streams.set_event_tokens(event_tokens);
+    }
+
     /// The learnt prefill rate.
     pub fn rate(&self) -> &PrefillRate {
         &self.rate
@@ -203,6 +214,71 @@
         prompt.total.saturating_sub(cached_tokens).max(1)
     }
 
+    /// The expected time until all queued prompts are processed and the streams have room for another one.
+    fn time_until_prefill(&self, now: Moment) -> Duration {
+        self.queued_prefill_time(now).max(self.pause_wait(now))
+    }
+
+    /// The expected time until enough prompts have had their first event for another one to be granted
+    /// without breaking the pauses of streams.
+    fn pause_wait(&self, now: Moment) -> Duration {
+        let Some(oldest) = self.pending.front() else { return Duration::ZERO };
+        let (mut unanswered, mut answered) = (self.unanswered_tokens(), 0);
+        for prompt in &self.pending {
+            if !self.streams.is_filled(self.rate.prefill_time(unanswered), &self.rate) {
+                break;
+            }
+            unanswered = unanswered.saturating_sub(prompt.tokens);
+            answered += prompt.tokens;
+        }
+        if answered == 0 {
+            return Duration::ZERO;
+        }
+        let until_first_event = self.rate.prefill_time(answered) + self.rate.latency();
+        until_first_event.saturating_sub(now.since(self.prefill_start(oldest)))
+    }
+
+    /// The tokens of the prompts without a first event that delay a stream. Before any stream has begun,
+    /// the oldest prompt delays none.
+    fn unanswered_tokens(&self) -> u64 {
+        let oldest = self.pending.front().filter(|_| !self.streams.has_begun());
+        self.pending_tokens - oldest.map_or(0, |prompt| prompt.tokens)
+    }
+
+    /// True if the prompts without a first event leave no room for another one within the pauses of the
+    /// engine's streams.
+    pub fn is_filled(&self) -> bool {
+        self.streams.is_filled(self.rate.prefill_time(self.unanswered_tokens()), &self.rate)
+    }
+
+    /// Until when the engine gets no prompt because it is behind its streams; `None` if it may get one.
+    pub fn closed_until(&mut self, now: Moment) -> Option<Moment> {
+        self.streams.closed_until(now)
+    }
+
+    /// The expected number of streams that break their pause if the prompt is granted now or once the engine
+    /// takes it, in percent of a stream.
+    pub fn expected_breaks(&self, prompt: &PromptShape) -> u64 {
+        let unanswered = if self.is_filled() { 0 } else { self.unanswered_tokens() };
+        let prefill = self.rate.prefill_time(unanswered + self.uncached_tokens(prompt));
+        self.streams.expected_breaks(prefill, &self.rate)
+    }
+
+    /// True if the engine's streams get less than one event per pause.
+    pub fn is_behind(&self, now: Moment) -> bool {
+        self.streams.is_behind(now)
+    }
+
+    /// Records the first event of a request or its later progress; true if it is a stream with a pause.
+    pub fn note_progress(&mut self, now: Moment, request: RequestId, delivered: Cost) -> bool {
+        self.streams.note_progress(now, request, delivered)
+    }
+
+    /// Removes a request that has ended from the streams; true if it was one with a pause.
+    pub fn end_stream(&mut self, request: RequestId) -> bool {
+        self.streams.remove(request)
+    }
+
     /// The weighted delay of a prompt's first token in microseconds, if `tokens_before` tokens for
     /// other waiting tickets are processed first. Uncached tokens weigh `uncached_percent` of their prefill
     /// time.
@@ -216,13 +292,13 @@
     ) -> u64 {
         let uncached_tokens = self.uncached_tokens(prompt) * uncached_percent / 100;
         let tokens = tokens_before + uncached_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
-        (self.queued_prefill_time(now) + self.rate.prefill_time(tokens)).as_micros() as u64
+        (self.time_until_prefill(now) + self.rate.prefill_time(tokens)).as_micros() as u64
     }
 
     /// The expected time from now to the first event of a prompt, if `tokens_before` tokens for other
     /// waiting tickets are processed first.
     pub fn time_to_first_event(&self, now: Moment, prompt: &PromptShape, tokens_before: u64) -> Duration {
-        self.queued_prefill_time(now)
+        self.time_until_prefill(now)
             + self.rate.prefill_time(tokens_before)
             + self.unqueued_time_to_first_event(prompt)
     }
@@ -245,6 +321,7 @@
         let tokens = self.uncached_tokens(prompt);
         self.pending.push_back(PendingPrompt { request, tokens, granted_at: now });
         self.pending_tokens += tokens;
+        self.streams.add(request, prompt.pause);
         let paced = self.rate.prefill_time(tokens) * 100 / RATE_PERCENT;
         self.paced_until = self.paced_until.max(now) + paced;
         for (prefix, tokens) in prompt.parts() {
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -253,6 +253,7 @@
             self.endpoints.note_first_event(now, endpoint, request);
             since.into_iter().for_each(|since| self.endpoints.note_answer(endpoint, now.since(since)));
         }
+        self.endpoints.note_progress(now, endpoint, request, delivered);
         self.delivered.add(now, delivered.saturating_sub(before).0);
         self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
         self.reindex(customer);
@@ -291,6 +292,7 @@
         if grant.awaits_first_event {
             self.endpoints.withdraw(now, grant.endpoint, request);
         }
+        self.endpoints.end_stream(now, grant.endpoint, request);
         self.endpoints.vacate(now, grant.endpoint, outcome);
         if let Some(since) =
             grant.since.filter(|_| matches!(outcome, GrantOutcome::Done | GrantOutcome::Abandoned))
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -36,6 +36,7 @@
 mod service_time;
 mod sharing;
 mod status;
+mod stream_pauses;
 mod suspects;
 mod tickets;
 mod tolerance;
--- /dev/null
+++ b/crates/micaspool-dispatch/src/shard/stream_pauses.rs
@@ -0,0 +1,177 @@
+//! Spaces the prompts of an engine so that the streams running there keep their longest pause.
+//!
+//! Between two chunks of a prompt, an engine makes one token for each running request. A pause between two
+//! events of a stream therefore lasts as long as the steps of one event and all prefill between them. The
+//! first event of a prompt comes as many steps after its prefill as any other event takes, so the prefill
+//! that one pause can contain belongs to prompts that were without a first event at the same time. Keeping
+//! that work below the limit of the shortest pause keeps every pause, without knowing when the engine
+//! begins or ends a chunk. First events that come late, as in a slow period, delay the next prompt.
+
+use super::prefill::PrefillRate;
+use micaspool_types::{Cost, Moment, RequestId};
+use std::time::Duration;
+
+/// Engines have slow periods that can't be foreseen. The limit allows for prefill that takes longer than
+/// learnt by this many times its mean deviation: with 15% of the time at 2.5 times the usual duration, the
+/// mean deviation is 0.31 of the mean, and the slow periods lie 1.04 above it.
+const DEVIATIONS: f64 = 3.3;
+/// Bounds of the factor by which prefill may take longer than learnt. The lower one covers the size of a
+/// chunk; the upper one keeps an engine whose first events are reported unevenly from getting hardly
+/// any work.
+const SLOWDOWN_RANGE: (f64, f64) = (1.25, 2.0);
+/// The least part of a pause that prefill may take, as a divisor, so that short prompts are still granted
+/// together if first events come late.
+const MIN_LIMIT_DIVISOR: u32 = 4;
+/// An engine is closed while the prefill without a first event exceeds the limit divided by this. The
+/// rest of the limit is left for the next prompt, whose length is unknown here.
+const OPEN_DIVISOR: u32 = 2;
+/// How likely a stream breaks its pause in percent if the prefill exceeds the limit but would be done within
+/// the pause at the learnt rate. It then breaks in slow periods only.
+const POSSIBLE_BREAK_PERCENT: u64 = 20;
+const CERTAIN_BREAK_PERCENT: u64 = 100;
+/// Cost units per output token in the reports of routers.
+const TOKEN_COST: u64 = 2;
+/// Routers report the progress of a request about this often.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// A stream without a report for this many pauses beyond the interval is behind. One is the pause itself, the
+/// other allows for reports that are delayed at busy routers.
+const SILENT_PAUSES: u32 = 2;
+/// The longest time for which an engine is closed because it is behind its streams. Most prompts are
+/// prefilled within it, and a first event after that shows more than the streams do.
+const MAX_CLOSED: Duration = Duration::from_secs(1);
+
+/// A request with a pause that was granted to the engine.
+#[derive(Debug, Clone, Copy)]
+struct RunningStream {
+    request: RequestId,
+    pause: Duration,
+    /// The latest report; `None` before the first event.
+    reported_at: Option<Moment>,
+    delivered: Cost,
+    /// True if its events came too slowly for its pause between the two latest reports.
+    late: bool,
+}
+
+/// The streams of an engine, and whether they keep their pauses.
+#[derive(Debug, Default)]
+pub(super) struct StreamPauses {
+    /// Tokens in one event; zero if unknown, which disables all limits.
+    event_tokens: u32,
+    streams: Vec<RunningStream>,
+    shortest: Option<Duration>,
+    /// Since when the engine has been behind without a new grant.
+    behind_since: Option<Moment>,
+}
+
+impl RunningStream {
+    /// True if it gets less than one event per pause.
+    fn is_behind(&self, now: Moment) -> bool {
+        let silence = REPORT_INTERVAL + self.pause * SILENT_PAUSES;
+        self.reported_at.is_some_and(|at| self.late || now.since(at) > silence)
+    }
+}
+
+impl StreamPauses {
+    /// Sets the number of tokens in one event.
+    pub fn set_event_tokens(&mut self, event_tokens: u32) {
+        self.event_tokens = event_tokens;
+    }
+
+    /// Adds a granted request.
+    pub fn add(&mut self, request: RequestId, pause: Option<Duration>) {
+        self.behind_since = None;
+        let Some(pause) = pause.filter(|_| self.event_tokens > 0) else { return };
+        self.streams.push(RunningStream {
+            request,
+            pause,
+            reported_at: None,
+            delivered: Cost(0),
+            late: false,
+        });
+        self.update_shortest();
+    }
+
+    /// Records the first event of a request or its later progress; true if it is a stream with a pause.
+    pub fn note_progress(&mut self, now: Moment, request: RequestId, delivered: Cost) -> bool {
+        let event_cost = u64::from(self.event_tokens) * TOKEN_COST;
+        let Some(stream) = self.streams.iter_mut().find(|stream| stream.request == request) else {
+            return false;
+        };
+        if let Some(reported_at) = stream.reported_at {
+            let events = (delivered.saturating_sub(stream.delivered).0 / event_cost.max(1)).max(1);
+            let allowed = stream.pause * u32::try_from(events).unwrap_or(u32::MAX);
+            stream.late = now.since(reported_at) > allowed;
+        }
+        stream.reported_at = Some(now);
+        stream.delivered = delivered;
+        true
+    }
+
+    /// Removes a request; true if it was a stream with a pause.
+    pub fn remove(&mut self, request: RequestId) -> bool {
+        let before = self.streams.len();
+        self.streams.retain(|stream| stream.request != request);
+        self.update_shortest();
+        self.streams.len() < before
+    }
+
+    /// True if a stream has had its first event.
+    pub fn has_begun(&self) -> bool {
+        self.streams.iter().any(|stream| stream.reported_at.is_some())
+    }
+
+    /// The most prefill work between two events that keeps all pauses, also in a slow period; `None` without
+    /// streams.
+    pub fn prefill_limit(&self, rate: &PrefillRate) -> Option<Duration> {
+        self.shortest.map(|pause| limit_for(pause, rate))
+    }
+
+    /// True if this much prefill work without a first event leaves no room for another prompt.
+    pub fn is_filled(&self, unanswered: Duration, rate: &PrefillRate) -> bool {
+        self.prefill_limit(rate).is_some_and(|limit| unanswered > limit / OPEN_DIVISOR)
+    }
+
+    /// The expected number of streams that break their pause, in percent of a stream, if the engine
+    /// prefills this much between two events.
+    pub fn expected_breaks(&self, prefill: Duration, rate: &PrefillRate) -> u64 {
+        if self.prefill_limit(rate).is_none_or(|limit| prefill <= limit) {
+            return 0;
+        }
+        let breaks = self.streams.iter().map(|stream| match prefill {
+            _ if prefill <= limit_for(stream.pause, rate) => 0,
+            _ if prefill + rate.latency() <= stream.pause => POSSIBLE_BREAK_PERCENT,
+            _ => CERTAIN_BREAK_PERCENT,
+        });
+        breaks.sum()
+    }
+
+    /// True if at least half of the streams get less than one event per pause. Prefill delays all streams
+    /// of an engine alike; a few late ones are put down to their routers.
+    pub fn is_behind(&self, now: Moment) -> bool {
+        let begun = self.streams.iter().filter(|stream| stream.reported_at.is_some()).count();
+        let behind = self.streams.iter().filter(|stream| stream.is_behind(now)).count();
+        behind > 0 && behind * 2 >= begun
+    }
+
+    /// Until when the engine gets nothing new because it is behind; `None` if it may get a prompt.
+    pub fn closed_until(&mut self, now: Moment) -> Option<Moment> {
+        if !self.is_behind(now) {
+            self.behind_since = None;
+            return None;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        Some(since + MAX_CLOSED).filter(|until| now < *until)
+    }
+
+    fn update_shortest(&mut self) {
+        self.shortest = self.streams.iter().map(|stream| stream.pause).min();
+    }
+}
+
+/// The most prefill work between two events of a stream with this pause. The latency contains the steps of
+/// one event.
+fn limit_for(pause: Duration, rate: &PrefillRate) -> Duration {
+    let (least, most) = SLOWDOWN_RANGE;
+    let slowdown = (1.0 + DEVIATIONS * rate.spread()).clamp(least, most);
+    pause.div_f64(slowdown).saturating_sub(rate.latency()).max(pause / MIN_LIMIT_DIVISOR)
+}
