--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -338,12 +338,10 @@
         let state = self.state_mut(endpoint);
         let Some(engine) = &mut state.engine else { return };
         let closed_until = engine.closed_until(now);
-        state.prefill_limited =
-            closed_until.is_some() || engine.is_filled() || !engine.has_prefill_budget(now);
-        let wake = engine.prefill_budget_at(now).max(closed_until.unwrap_or(now));
-        if state.prefill_limited && wake > now {
-            self.wakes.insert((wake, endpoint));
-        }
+        let budget_at = (!engine.has_prefill_budget(now)).then(|| engine.prefill_budget_at(now));
+        state.prefill_limited = closed_until.is_some() || budget_at.is_some() || engine.is_filled();
+        let wake = budget_at.max(closed_until).filter(|wake| *wake > now);
+        self.wakes.extend(wake.map(|wake| (wake, endpoint)));
         self.reindex(endpoint);
     }
 
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -28,5 +28,6 @@
 mod scaling;
 mod scarcity;
 mod service_lead;
+mod stream_pauses;
 mod suspects;
 mod throttling;
