--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -11,6 +11,9 @@
 /// How many of the least loaded engines of each hall are compared.
 const LEAST_LOADED_PER_HALL: usize = 4;
 
+/// How many of the engines that become free soonest are compared if the others break pauses.
+const MAX_WAKING: usize = 16;
+
 /// Requirements for choosing an engine.
 pub(super) struct EngineQuery<'a> {
     pub prompt: &'a PromptShape,
@@ -60,9 +63,7 @@
         query: &EngineQuery<'_>,
         queued: impl Fn(EndpointIndex) -> WorkAhead,
     ) -> Option<EndpointIndex> {
-        let holders = self.holders_of(query);
-        let candidates = holders.chain(self.least_loaded_few(query));
-        let scores = candidates.filter_map(|index| {
+        let score = |index: EndpointIndex| {
             let state = self.state(index);
             let engine = state.engine.as_ref()?;
             let ahead = queued(index);
@@ -82,8 +83,14 @@
                 ) + cold_delay.as_micros() as u64,
                 engine: index,
             })
-        });
-        scores.min().map(|best| best.engine)
+        };
+        let candidates = self.holders_of(query).chain(self.least_loaded_few(query));
+        let best = candidates.filter_map(score).min()?;
+        if best.broken_pauses == 0 {
+            return Some(best.engine);
+        }
+        let others = self.soonest_free(query).filter_map(score);
+        others.chain([best]).min().map(|best| best.engine)
     }
 
     /// How many tokens of a prompt the engine does not have cached.
@@ -164,6 +171,17 @@
         free.chain(busy)
     }
 
+    /// The busy engines that are expected to take a prompt soonest. They are compared if a prompt would break
+    /// pauses on every other candidate: where the free engines are slow ones, waiting for a fast one
+    /// is better for their streams.
+    fn soonest_free<'a>(&'a self, query: &'a EngineQuery<'_>) -> impl Iterator<Item = EndpointIndex> + 'a {
+        let waking = self.wakes.iter().map(|(_, endpoint)| *endpoint).take(MAX_WAKING);
+        waking.filter(move |index| {
+            let state = self.state(*index);
+            state.has_slot() && query.halls.contains(state.hall) && !(query.is_excluded)(*index)
+        })
+    }
+
     /// The least loaded free endpoints of each hall, without excluded ones. Excluded endpoints are
     /// filtered before the limit applies; otherwise a hall would yield no candidate when its least
     /// loaded endpoints are all excluded.
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -340,7 +340,7 @@
         let closed_until = engine.closed_until(now);
         let budget_at = (!engine.has_prefill_budget(now)).then(|| engine.prefill_budget_at(now));
         state.prefill_limited = closed_until.is_some() || budget_at.is_some() || engine.is_filled();
-        let wake = budget_at.max(closed_until).filter(|wake| *wake > now);
+        let wake = budget_at.max(closed_until).max(engine.unfilled_at(now)).filter(|wake| *wake > now);
         self.wakes.extend(wake.map(|wake| (wake, endpoint)));
         self.reindex(endpoint);
     }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -251,6 +251,11 @@
         self.streams.is_filled(self.rate.prefill_time(self.unanswered_tokens()), &self.rate)
     }
 
+    /// When the engine is expected to have room for a prompt again; `None` if it has.
+    pub fn unfilled_at(&self, now: Moment) -> Option<Moment> {
+        self.is_filled().then(|| now + self.pause_wait(now))
+    }
+
     /// Until when the engine gets no prompt because it is behind its streams; `None` if it may get one.
     pub fn closed_until(&mut self, now: Moment) -> Option<Moment> {
         self.streams.closed_until(now)
