--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -35,6 +35,9 @@
 /// The number of engines up to which all are asked for their load and cache.
 const MAX_ASKED_UNUSED: usize = 100;
 const TICK_INTERVAL: u64 = 50_000;
+/// Engines that copy cached parts from each other, in the last rows of the result.
+const COPYING: EngineTraits =
+    EngineTraits { event_tokens: 8, token_bytes: 18_432, link_bytes_per_second: 22_500_000_000 };
 /// The time from the grant to the first token.
 const FIRST_TOKEN_DELAY: u64 = 150_000;
 /// The time from the grant to the end of the answer.
@@ -62,6 +65,8 @@
     /// The engine of each running request.
     running: HashMap<u128, usize>,
     granted: u64,
+    /// Grants that name an engine to copy cached parts from.
+    copied: u64,
     refused: u64,
     step_time: Duration,
 }
@@ -79,7 +84,7 @@
     CustomerName::parse(&format!("customer-{number}")).expect("a name")
 }
 
-fn policy(engines: usize) -> ShardPolicy {
+fn policy(engines: usize, traits: EngineTraits) -> ShardPolicy {
     let specs = (0..engines).map(|number| EndpointSpec {
         name: engine(number),
         hall: number % 3,
@@ -100,7 +105,7 @@
         idle_credit: Cost(100_000),
         planned_pace: 0.0,
         cold: ColdStartLimits::default(),
-        engine: EngineTraits::default(),
+        engine: traits,
         halls: (0..3).map(|number| HallName::parse(&format!("hall-{number}")).expect("a name")).collect(),
         endpoints: specs.collect(),
         customers: named.collect(),
@@ -113,7 +118,7 @@
 }
 
 impl EngineLoad {
-    fn new(engines: usize, arrivals_a_second: u64) -> EngineLoad {
+    fn new(engines: usize, arrivals_a_second: u64, traits: EngineTraits) -> EngineLoad {
         let options = ShardOptions::builder()
             .recovery_window(Duration::ZERO)
             .cost_ceiling(Cost(262_144))
@@ -128,10 +133,11 @@
             arrived: 0,
             running: HashMap::new(),
             granted: 0,
+            copied: 0,
             refused: 0,
             step_time: Duration::ZERO,
         };
-        load.step(1, ShardEvent::Policy(policy(engines)));
+        load.step(1, ShardEvent::Policy(policy(engines, traits)));
         let hello = RouterHello {
             router: InstanceName::parse("router").expect("a name"),
             incarnation: Incarnation(1),
@@ -159,8 +165,9 @@
         self.step_time += started.elapsed();
         for action in self.actions.drain(..) {
             match action {
-                ShardAction::Grant { request, endpoint, .. } => {
+                ShardAction::Grant { request, endpoint, cache_source, .. } => {
                     self.granted += 1;
+                    self.copied += u64::from(cache_source.is_some());
                     self.running.insert(request.0, engine_number(&endpoint));
                     self.queue
                         .push(Reverse((now + FIRST_TOKEN_DELAY, SimulatedEvent::FirstToken(request.0))));
@@ -274,14 +281,17 @@
             self.handle_event(at, event);
         }
         let micros = self.step_time.as_secs_f64() * 1e6 / self.arrived as f64;
-        println!("{:>8} {arrivals:>11} {micros:>13.1} {:>9} {:>9}", self.engines, self.granted, self.refused);
+        println!(
+            "{:>8} {arrivals:>11} {micros:>13.1} {:>9} {:>9} {:>9}",
+            self.engines, self.granted, self.refused, self.copied
+        );
     }
 }
 
 fn main() {
     println!(
-        "{:>8} {:>11} {:>13} {:>9} {:>9}",
-        "engines", "arrivals/s", "us a request", "granted", "refused"
+        "{:>8} {:>11} {:>13} {:>9} {:>9} {:>9}",
+        "engines", "arrivals/s", "us a request", "granted", "refused", "copied"
     );
     for (engines, rate) in [
         (9, 96),
@@ -299,6 +309,9 @@
         (20_000, 1_350),
         (20_000, 2_700),
     ] {
-        EngineLoad::new(engines, rate).run(rate);
+        EngineLoad::new(engines, rate, EngineTraits::default()).run(rate);
+    }
+    for (engines, rate) in [(90, 915), (320, 1_350), (320, 4_000), (9_845, 1_350)] {
+        EngineLoad::new(engines, rate, COPYING).run(rate);
     }
 }
