--- a/crates/micaspool-dispatch/src/shard/stream_pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/stream_pauses.rs
@@ -24,7 +24,7 @@
 const MIN_LIMIT_DIVISOR: u32 = 4;
 /// An engine is closed while the prefill without a first event exceeds the limit divided by this. The
 /// rest of the limit is left for the next prompt, whose length is unknown here.
-const OPEN_DIVISOR: u32 = 2;
+const OPEN_DIVISOR: u32 = 3;
 /// How likely a stream breaks its pause in percent if the prefill exceeds the limit but would be done within
 /// the pause at the learnt rate. It then breaks in slow periods only.
 const POSSIBLE_BREAK_PERCENT: u64 = 20;
