--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -74,7 +74,7 @@
             let is_late = query.first_event_due.is_some_and(|due| first_event_at > due);
             Some(EngineScore {
                 overdue: engine.is_overdue(now) || engine.is_behind(now),
-                losses: engine.expected_breaks(query.prompt) + if is_late { LATE_PERCENT } else { 0 },
+                losses: engine.expected_breaks(now, query.prompt) + if is_late { LATE_PERCENT } else { 0 },
                 delay: engine.delay(
                     now,
                     query.prompt,
@@ -87,7 +87,7 @@
         };
         let candidates = self.holders_of(query).chain(self.least_loaded_few(query));
         let best = candidates.filter_map(score).min()?;
-        let breaks_pauses = |engine: &EngineState| engine.expected_breaks(query.prompt) > 0;
+        let breaks_pauses = |engine: &EngineState| engine.expected_breaks(now, query.prompt) > 0;
         if !self.state(best.engine).engine.as_ref().is_some_and(breaks_pauses) {
             return Some(best.engine);
         }
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -338,9 +338,10 @@
         let state = self.state_mut(endpoint);
         let Some(engine) = &mut state.engine else { return };
         let closed_until = engine.closed_until(now);
+        let filled_until = engine.filled_until(now);
         let budget_at = (!engine.has_prefill_budget(now)).then(|| engine.prefill_budget_at(now));
-        state.prefill_limited = closed_until.is_some() || budget_at.is_some() || engine.is_filled();
-        let wake = budget_at.max(closed_until).max(engine.unfilled_at(now)).filter(|wake| *wake > now);
+        state.prefill_limited = closed_until.is_some() || budget_at.is_some() || filled_until.is_some();
+        let wake = budget_at.max(closed_until).max(filled_until).filter(|wake| *wake > now);
         self.wakes.extend(wake.map(|wake| (wake, endpoint)));
         self.reindex(endpoint);
     }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -219,41 +219,66 @@
         self.queued_prefill_time(now).max(self.pause_wait(now))
     }
 
-    /// The expected time until enough prompts have had their first event for another one to be granted
-    /// without breaking the pauses of streams.
+    /// The expected time until enough prompts are answered for another one to be granted without breaking the
+    /// pauses of streams.
     fn pause_wait(&self, now: Moment) -> Duration {
         let Some(oldest) = self.pending.front() else { return Duration::ZERO };
-        let (mut unanswered, mut answered) = (self.unanswered_tokens(), 0);
+        let passed = now.since(self.prefill_start(oldest));
+        let mut unanswered = self.unanswered_tokens(now);
+        let (mut processed, mut wait) = (0, Duration::ZERO);
         for prompt in &self.pending {
-            if !self.streams.is_filled(self.rate.prefill_time(unanswered), &self.rate) {
+            processed += prompt.tokens;
+            if !self.is_filled_by(unanswered) {
                 break;
             }
-            unanswered = unanswered.saturating_sub(prompt.tokens);
-            answered += prompt.tokens;
+            let prefill = self.rate.prefill_time(processed);
+            let surely_answered = self.streams.time_until_answered(prefill, &self.rate);
+            if passed < surely_answered {
+                let first_event = prefill + self.rate.latency();
+                let expected = if passed < first_event { first_event } else { surely_answered };
+                wait = expected.min(surely_answered) - passed;
+                unanswered = unanswered.saturating_sub(prompt.tokens);
+            }
         }
-        if answered == 0 {
-            return Duration::ZERO;
+        wait
+    }
+
+    /// The tokens of the prompts that may still delay an event: their first events have not come, nor
+    /// has the time passed in which they surely were prefilled. Before any stream has begun, the oldest
+    /// prompt delays none.
+    fn unanswered_tokens(&self, now: Moment) -> u64 {
+        let Some(oldest) = self.pending.front() else { return 0 };
+        let passed = now.since(self.prefill_start(oldest));
+        let (mut processed, mut answered) = (0, 0);
+        for prompt in &self.pending {
+            processed += prompt.tokens;
+            let prefill = self.rate.prefill_time(processed);
+            if passed < self.streams.time_until_answered(prefill, &self.rate) {
+                break;
+            }
+            answered = processed;
         }
-        let until_first_event = self.rate.prefill_time(answered) + self.rate.latency();
-        until_first_event.saturating_sub(now.since(self.prefill_start(oldest)))
+        let harmless = if self.streams.has_begun() { 0 } else { oldest.tokens };
+        self.pending_tokens - answered.max(harmless)
     }
 
-    /// The tokens of the prompts without a first event that delay a stream. Before any stream has begun,
-    /// the oldest prompt delays none.
-    fn unanswered_tokens(&self) -> u64 {
-        let oldest = self.pending.front().filter(|_| !self.streams.has_begun());
-        self.pending_tokens - oldest.map_or(0, |prompt| prompt.tokens)
+    fn is_filled_by(&self, unanswered_tokens: u64) -> bool {
+        self.streams.is_filled(self.rate.prefill_time(unanswered_tokens), &self.rate)
     }
 
-    /// True if the prompts without a first event leave no room for another one within the pauses of the
-    /// engine's streams.
-    pub fn is_filled(&self) -> bool {
-        self.streams.is_filled(self.rate.prefill_time(self.unanswered_tokens()), &self.rate)
+    /// When the engine is expected to have room for a prompt again without breaking the pauses of its
+    /// streams; `None` if it has.
+    pub fn filled_until(&self, now: Moment) -> Option<Moment> {
+        self.is_filled_by(self.unanswered_tokens(now)).then(|| now + self.pause_wait(now))
     }
 
-    /// When the engine is expected to have room for a prompt again; `None` if it has.
-    pub fn unfilled_at(&self, now: Moment) -> Option<Moment> {
-        self.is_filled().then(|| now + self.pause_wait(now))
+    /// The expected number of streams that break their pause if the prompt is granted now, or once the engine
+    /// takes it, in percent of a stream.
+    pub fn expected_breaks(&self, now: Moment, prompt: &PromptShape) -> u64 {
+        let unanswered = self.unanswered_tokens(now);
+        let before = if self.is_filled_by(unanswered) { 0 } else { unanswered };
+        let prefill = self.rate.prefill_time(before + self.uncached_tokens(prompt));
+        self.streams.expected_breaks(prefill, &self.rate)
     }
 
     /// Until when the engine gets no prompt because it is behind its streams; `None` if it may get one.
@@ -261,14 +286,6 @@
         self.streams.closed_until(now)
     }
 
-    /// The expected number of streams that break their pause if the prompt is granted now or once the engine
-    /// takes it, in percent of a stream.
-    pub fn expected_breaks(&self, prompt: &PromptShape) -> u64 {
-        let unanswered = if self.is_filled() { 0 } else { self.unanswered_tokens() };
-        let prefill = self.rate.prefill_time(unanswered + self.uncached_tokens(prompt));
-        self.streams.expected_breaks(prefill, &self.rate)
-    }
-
     /// True if the engine's streams get less than one event per pause.
     pub fn is_behind(&self, now: Moment) -> bool {
         self.streams.is_behind(now)
--- a/crates/micaspool-dispatch/src/shard/stream_pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/stream_pauses.rs
@@ -31,6 +31,10 @@
 const CERTAIN_BREAK_PERCENT: u64 = 100;
 /// Cost units per output token in the reports of routers.
 const TOKEN_COST: u64 = 2;
+/// The quantile of the observed times per event that is taken as the time without prefill.
+const EVENT_TIME_QUANTILE: f64 = 0.1;
+/// Step of that time per observation, relative to it.
+const EVENT_TIME_STEP: f64 = 0.2;
 /// Routers report the progress of a request about this often.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// A stream without a report for this many pauses beyond the interval is behind. One is the pause itself, the
@@ -59,6 +63,8 @@
     event_tokens: u32,
     streams: Vec<RunningStream>,
     shortest: Option<Duration>,
+    /// The time that the steps of one event take without prefill; `None` before the first observation.
+    event_time: Option<Duration>,
     /// Since when the engine has been behind without a new grant.
     behind_since: Option<Moment>,
 }
@@ -97,13 +103,19 @@
         let Some(stream) = self.streams.iter_mut().find(|stream| stream.request == request) else {
             return false;
         };
+        let mut observed = None;
         if let Some(reported_at) = stream.reported_at {
             let events = (delivered.saturating_sub(stream.delivered).0 / event_cost.max(1)).max(1);
             let allowed = stream.pause * u32::try_from(events).unwrap_or(u32::MAX);
-            stream.late = now.since(reported_at) > allowed;
+            let took = now.since(reported_at);
+            stream.late = took > allowed;
+            observed = Some(took / u32::try_from(events).unwrap_or(u32::MAX));
         }
         stream.reported_at = Some(now);
         stream.delivered = delivered;
+        if let Some(observed) = observed {
+            self.note_event_time(observed);
+        }
         true
     }
 
@@ -123,7 +135,7 @@
     /// The most prefill work between two events that keeps all pauses, also in a slow period; `None` without
     /// streams.
     pub fn prefill_limit(&self, rate: &PrefillRate) -> Option<Duration> {
-        self.shortest.map(|pause| limit_for(pause, rate))
+        self.shortest.map(|pause| self.limit_for(pause, rate))
     }
 
     /// True if this much prefill work without a first event leaves no room for another prompt.
@@ -138,8 +150,8 @@
             return 0;
         }
         let breaks = self.streams.iter().map(|stream| match prefill {
-            _ if prefill <= limit_for(stream.pause, rate) => 0,
-            _ if prefill + rate.latency() <= stream.pause => POSSIBLE_BREAK_PERCENT,
+            _ if prefill <= self.limit_for(stream.pause, rate) => 0,
+            _ if prefill + self.event_time(rate) <= stream.pause => POSSIBLE_BREAK_PERCENT,
             _ => CERTAIN_BREAK_PERCENT,
         });
         breaks.sum()
@@ -163,15 +175,41 @@
         Some(since + MAX_CLOSED).filter(|until| now < *until)
     }
 
+    /// Moves the time per event towards a low quantile of the observations.
+    fn note_event_time(&mut self, observed: Duration) {
+        let time = self.event_time.unwrap_or(observed);
+        let part = if observed > time { EVENT_TIME_QUANTILE } else { 1.0 - EVENT_TIME_QUANTILE };
+        let step = time.mul_f64(EVENT_TIME_STEP * part);
+        let moved = if observed > time { (time + step).min(observed) } else { (time - step).max(observed) };
+        self.event_time = Some(moved);
+    }
+
+    /// The time that the steps of one event take without prefill. Before it is known, the latency of first
+    /// events, which contains it.
+    fn event_time(&self, rate: &PrefillRate) -> Duration {
+        self.event_time.map_or(rate.latency(), |time| time.min(rate.latency()))
+    }
+
+    /// How long after its start a stretch of this much prefill surely is done, and so is one event of each
+    /// stream after it. The next prompt may begin then even if the report of the first event is still
+    /// on its way.
+    pub fn time_until_answered(&self, prefill: Duration, rate: &PrefillRate) -> Duration {
+        (prefill + self.event_time(rate)).mul_f64(slowdown(rate))
+    }
+
+    /// The most prefill work between two events of a stream with this pause.
+    fn limit_for(&self, pause: Duration, rate: &PrefillRate) -> Duration {
+        let limit = pause.div_f64(slowdown(rate)).saturating_sub(self.event_time(rate));
+        limit.max(pause / MIN_LIMIT_DIVISOR)
+    }
+
     fn update_shortest(&mut self) {
         self.shortest = self.streams.iter().map(|stream| stream.pause).min();
     }
 }
 
-/// The most prefill work between two events of a stream with this pause. The latency contains the steps of
-/// one event.
-fn limit_for(pause: Duration, rate: &PrefillRate) -> Duration {
+/// The factor by which prefill may take longer than learnt.
+fn slowdown(rate: &PrefillRate) -> f64 {
     let (least, most) = SLOWDOWN_RANGE;
-    let slowdown = (1.0 + DEVIATIONS * rate.spread()).clamp(least, most);
-    pause.div_f64(slowdown).saturating_sub(rate.latency()).max(pause / MIN_LIMIT_DIVISOR)
+    (1.0 + DEVIATIONS * rate.spread()).clamp(least, most)
 }
