--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -89,7 +89,7 @@
             let work = engine.work_of(query.prompt, cached, copy, queue_time);
             let first_event_at = now + cold_delay + queue_time + engine.unqueued_time_to_first_event(&work);
             let is_late = query.first_event_due.is_some_and(|due| first_event_at > due);
-            let breaks = engine.expected_breaks(work.prefill_tokens);
+            let breaks = engine.expected_breaks(now, work.prefill_tokens);
             let score = EngineScore {
                 overdue: engine.is_overdue(now) || engine.is_behind(now),
                 losses: breaks + if is_late { LATE_PERCENT } else { 0 },
