fix(dispatch): count a ticket's own prefill while all engines are at their prefill limit

Cause: the time from grant to first event is taken from the best engine with prefill budget left. While every engine is at its limit there is none, the time counts as zero, and a ticket waits for its whole objective: it begins too late. Change: the engine whose budget is free next gives the time, otherwise the mean rate. Tickets on arrival are judged with latency, waiting ones without.

--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -34,6 +34,22 @@
     engine: EndpointIndex,
 }
 
+/// The expected time from a grant to the first event of a prompt.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FirstEventTime {
+    /// What it takes at least. While all engines are at their prefill limit this is the prefill alone: a
+    /// ticket that has waited is not refused for a latency that is known only roughly.
+    pub shortest: Duration,
+    /// What it usually takes.
+    pub usual: Duration,
+}
+
+impl FirstEventTime {
+    fn exactly(time: Duration) -> FirstEventTime {
+        FirstEventTime { shortest: time, usual: time }
+    }
+}
+
 impl EndpointTable {
     /// The free endpoint with the lowest load in one of `halls` that is not excluded.
     pub fn least_loaded(
@@ -132,14 +148,39 @@
         self.totals().engines == 0
     }
 
-    /// The shortest expected time from a grant to the first event on an engine without a queue. For a
-    /// service without engines, the mean time until a response begins.
-    pub fn min_time_to_first_event(&self, now: Moment, prompt: &PromptShape) -> Duration {
+    /// The time from a grant to the first event of a prompt on an engine without a queue. For a service
+    /// without engines, the mean time until a response begins.
+    pub fn time_to_first_event(&self, now: Moment, prompt: &PromptShape) -> FirstEventTime {
         let anywhere =
             EngineQuery { prompt, halls: HallMask(u32::MAX), is_excluded: &|_| false, first_event_due: None };
         let best = self.soonest_engine(now, &anywhere, |_| WorkAhead::default());
-        let engine = best.and_then(|index| self.state(index).engine.as_ref());
-        engine.map_or(self.answer_time.mean(), |engine| engine.unqueued_time_to_first_event(prompt))
+        let engine = |index| self.state(index).engine.as_ref();
+        if let Some(engine) = best.and_then(engine) {
+            return FirstEventTime::exactly(engine.unqueued_time_to_first_event(prompt));
+        }
+        if self.has_no_engine() {
+            return FirstEventTime::exactly(self.answer_time.mean());
+        }
+        let Some(engine) = self.next_available_engine().and_then(engine) else {
+            return FirstEventTime::exactly(self.mean_prefill_time(prompt));
+        };
+        let usual = engine.unqueued_time_to_first_event(prompt);
+        FirstEventTime { shortest: usual.saturating_sub(engine.rate().latency()), usual }
+    }
+
+    /// The engine whose queued prefill work drops below its limit first. While all engines are at the limit,
+    /// none is a candidate for a prompt, but prefill takes as long as otherwise.
+    fn next_available_engine(&self) -> Option<EndpointIndex> {
+        let wakes = self.wakes.iter().take(LEAST_LOADED_PER_HALL).map(|(_, index)| *index);
+        wakes.into_iter().find(|index| self.state(*index).has_slot() && self.state(*index).engine.is_some())
+    }
+
+    /// The prefill time of a prompt without cached parts at the mean rate of the open engines; zero without
+    /// open engines.
+    fn mean_prefill_time(&self, prompt: &PromptShape) -> Duration {
+        let totals = self.totals();
+        let seconds = prompt.total as f64 * totals.open as f64 / totals.tokens_per_second();
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
     }
 
     /// Engines with a free slot that cache the longest prefix of the prompt which any such engine
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -62,19 +62,19 @@
         ticket: &RequestTicket,
         is_first_attempt: bool,
     ) -> WaitEstimate {
-        let first_event = self.endpoints.min_time_to_first_event(now, &PromptShape::of(ticket));
+        let first_event = self.endpoints.time_to_first_event(now, &PromptShape::of(ticket));
         let expected = self.queue_wait(now, self.customers.get(customer));
         let Some(objective) = ticket.objective else {
             return WaitEstimate { max_wait: None, queue_bound: None, expected, queue_fill: None };
         };
         if is_first_attempt {
-            self.note_tolerance(now, customer, objective, first_event);
+            self.note_tolerance(now, customer, objective, first_event.shortest);
         }
         let tolerated = self.customers.get_mut(customer).tolerance.shortest(now);
-        let max_wait = objective.saturating_sub(first_event).max(MIN_WAIT);
+        let max_wait = objective.saturating_sub(first_event.shortest).max(MIN_WAIT);
         let queue_bound = match self.endpoints.has_no_engine() {
-            true => engineless_bound(objective, first_event, tolerated),
-            false => max_wait,
+            true => engineless_bound(objective, first_event.usual, tolerated),
+            false => objective.saturating_sub(first_event.usual).max(MIN_WAIT),
         };
         let queue_fill = (tolerated < Duration::MAX).then(|| QueueFill::of(expected, tolerated));
         WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(queue_bound), expected, queue_fill }
--- a/crates/micaspool-dispatch/tests/shard/engines.rs
+++ b/crates/micaspool-dispatch/tests/shard/engines.rs
@@ -163,6 +163,21 @@
     assert_eq!(harness.refusals(), [(2, RefusalReason::Overdue)]);
 }
 
+/// Guards against a ticket that begins too late for its objective because its own prefill time was taken as
+/// zero while every engine had enough queued prefill work.
+#[test]
+fn a_ticket_is_refused_once_its_own_prefill_no_longer_fits_while_all_engines_are_busy() {
+    let mut harness = engines(2, &["a"]);
+    harness.submit(1, prompt(1, "a", (1, 60_000), 10));
+    harness.submit(1, prompt(2, "a", (2, 60_000), 10));
+    let objective = Some(Duration::from_millis(800));
+    harness.submit(1, RequestTicket { objective, ..prompt(3, "a", (3, 8_000), 10) });
+    harness.advance_with_heartbeats(550, &[1]);
+    assert!(harness.refusals().is_empty(), "its prefill takes 229 ms of 800");
+    harness.advance_with_heartbeats(50, &[1]);
+    assert_eq!(harness.refusals(), [(3, RefusalReason::Overdue)]);
+}
+
 /// Two customers together send more than the engine can prefill, one of them fifty times as often. Long
 /// prompts keep the engine busy for longer than a ticket may wait, so that the flood has a ticket ready
 /// whenever the engine becomes free, and the small customer seldom has. The small customer must still get
