feat(dispatch): queue a customer's tickets by kind

Cause: a customer has one queue, and each ticket is judged by its own objective against the wait behind all of it. Kinds with a long objective fill the queue, and those with a short one are refused. Change: one queue for each priority and objective of the first attempt, at most eight, served by tags in proportion to the kinds' demand. A ticket is admitted by the wait in its own kind's queue. Services without engines keep one queue.

--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -1,13 +1,14 @@
 //! The customers of a shard: accounts, queues and limits.
 
 use super::counters::CustomerCounters;
+use super::kind_queues::{KindQueues, TicketKind};
 use super::rate::DecayingRate;
 use super::tickets::WaitingTicket;
 use super::tolerance::WaitTolerance;
 use crate::event::ShardCustomer;
 use micaspool_fair::{CostEstimator, CustomerIndex, OrderPolicy, Rank, ServiceAccount, ServiceLevel};
 use micaspool_types::{Cost, CustomerName, HallMask, Moment, OrderNumber, RequestId, Weight};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 /// The limit for a customer that is not in the settings yet.
 const UNLISTED_MAX_WAITING: u32 = 64;
@@ -19,6 +20,8 @@
     pub priority: u8,
     pub order: OrderNumber,
     pub request: RequestId,
+    /// The kind whose queue holds the ticket.
+    pub kind: TicketKind,
 }
 
 /// One customer in one shard.
@@ -29,9 +32,7 @@
     pub max_waiting: u32,
     pub account: ServiceAccount,
     pub estimator: CostEstimator,
-    pub queue: BTreeMap<QueuePlace, RequestId>,
-    /// The load of the queue: prompt tokens, or requests without any.
-    pub queued_load: u64,
+    pub queue: KindQueues,
     /// Load of the submitted tickets per second, except those refused because of crashes.
     pub demand_rate: DecayingRate,
     /// Load of the granted tickets per second.
@@ -96,8 +97,7 @@
             max_waiting: UNLISTED_MAX_WAITING,
             account: ServiceAccount::new(Weight::ONE),
             estimator: CostEstimator::new(self.ceiling),
-            queue: BTreeMap::new(),
-            queued_load: 0,
+            queue: KindQueues::default(),
             demand_rate: DecayingRate::default(),
             grant_rate: DecayingRate::default(),
             counters: CustomerCounters::default(),
@@ -118,19 +118,17 @@
         self.backlogged
     }
 
-    /// Adds a ticket to the queue of its customer.
-    pub fn add_to_queue(&mut self, request: RequestId, ticket: &WaitingTicket) {
+    /// Adds a ticket to the queue of its customer. Returns true if it is not the last one of its kind.
+    pub fn add_to_queue(&mut self, now: Moment, ticket: &WaitingTicket) -> bool {
         let state = &mut self.states[ticket.customer.0 as usize];
         self.backlogged += usize::from(state.queue.is_empty());
-        state.queue.insert(ticket.place, request);
-        state.queued_load += ticket.prompt.load();
+        state.queue.insert(now, ticket.place, ticket.prompt.load())
     }
 
     /// Removes a ticket from the queue of its customer.
     pub fn take_from_queue(&mut self, ticket: &WaitingTicket) {
         let state = &mut self.states[ticket.customer.0 as usize];
-        if state.queue.remove(&ticket.place).is_some() {
-            state.queued_load -= ticket.prompt.load();
+        if state.queue.remove(&ticket.place) {
             self.backlogged -= usize::from(state.queue.is_empty());
         }
     }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -3,6 +3,7 @@
 use super::choice::EngineQuery;
 use super::endpoints::EndpointIndex;
 use super::engine::PromptShape;
+use super::kind_queues::TicketKind;
 use super::routers::RouterIndex;
 use super::suspects::EndedRun;
 use super::tickets::{EngineChoice, WaitingTicket};
@@ -34,6 +35,7 @@
     pub delivered: Cost,
     pub order: OrderNumber,
     pub priority: u8,
+    pub kind: TicketKind,
     pub prompt: PromptShape,
     /// The data halls in which it may run; without limit if another dispatcher granted it.
     pub halls: HallLimit,
@@ -58,6 +60,14 @@
         while let Some((request, endpoint)) = self.next_grant(now) {
             self.grant(now, request, endpoint, actions);
         }
+        self.queue_advanced = false;
+    }
+
+    /// True if a grant or a ticket that precedes others may bring a ticket of the customer into
+    /// [`LOOK_AHEAD`] that was beyond it.
+    pub(super) fn order_may_change(&self, customer: CustomerIndex) -> bool {
+        let queue = &self.customers.get(customer).queue;
+        queue.len() > LOOK_AHEAD && queue.is_mixed()
     }
 
     /// Assigns free slots if an endpoint has become free, a ticket has left a queue without a grant, or
@@ -98,7 +108,7 @@
     /// the customer's other tickets. The same holds for routers that all usable endpoints have asked to
     /// rest.
     fn candidate_tickets(&self, now: Moment, customer: CustomerIndex) -> impl Iterator<Item = &RequestId> {
-        let queue = self.customers.get(customer).queue.values();
+        let queue = self.customers.get(customer).queue.in_service_order();
         let usable = queue.filter(move |request| {
             let ticket = &self.waiting[*request];
             self.routers.session(ticket.router).is_some() && !self.is_resting(now, ticket)
@@ -190,6 +200,7 @@
         self.customers.take_from_queue(&ticket);
         let state = self.customers.get_mut(ticket.customer);
         state.grant_rate.add(now, ticket.prompt.load());
+        state.queue.charge(now, ticket.place.kind, ticket.prompt.load());
         state.counters.note_grant(ticket.prompt.load());
         let served_rank = state.indexed.map(|(_, rank)| rank).unwrap_or_default();
         let estimate = state.estimator.predict(ticket.hint);
@@ -197,6 +208,7 @@
         state.running += 1;
         state.level_order = state.level_order.max(ticket.place.order);
         let level = state.level(self.options.policy.as_ref());
+        self.queue_advanced |= self.order_may_change(ticket.customer);
         self.reindex(ticket.customer);
         self.raise_floor(endpoint, served_rank);
         self.endpoints.record_grant(now, endpoint, request, &ticket.prompt);
@@ -353,6 +365,7 @@
             delivered: Cost(0),
             order: ticket.place.order,
             priority: ticket.place.priority,
+            kind: ticket.place.kind,
             prompt: ticket.prompt,
             halls: ticket.halls,
             awaits_first_event: true,
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -8,6 +8,7 @@
 
 use super::engine::PromptShape;
 use super::grants::RunningGrant;
+use super::kind_queues::TicketKind;
 use super::routers::RouterIndex;
 use super::tickets::WaitingTicket;
 use super::ShardCore;
@@ -83,12 +84,13 @@
     fn revert_grant(&mut self, now: Moment, request: RequestId) {
         let Some(grant) = self.running.get(&request).cloned() else { return };
         self.end_grant(now, request, None, GrantOutcome::Unsent);
+        let kind = self.resolve_kind(now, grant.customer, grant.kind);
         let ticket = WaitingTicket {
             customer: grant.customer,
             router: grant.router,
             digest: grant.digest,
             hint: grant.hint,
-            place: QueuePlace { priority: grant.priority, order: grant.order, request },
+            place: QueuePlace { priority: grant.priority, order: grant.order, request, kind },
             since: now,
             avoid: None,
             prompt: grant.prompt,
@@ -132,7 +134,8 @@
         }
         let customer = self.customers.ensure(&ticket.customer);
         let had_order = ticket.order.is_some();
-        let wait = self.wait_estimate(now, customer, &ticket, false);
+        let kind = self.resolve_kind(now, customer, TicketKind::of(ticket.priority, ticket.objective));
+        let wait = self.wait_estimate(now, customer, &ticket, kind, false);
         self.enqueue(now, router, customer, ticket, wait);
         let order = self.waiting[&request].place.order;
         if !had_order {
@@ -166,6 +169,7 @@
             delivered: held.delivered,
             order: held.order,
             priority: 0,
+            kind: TicketKind::SINGLE,
             prompt: PromptShape::default(),
             halls: HallLimit::Anywhere,
             awaits_first_event: false,
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -20,6 +20,7 @@
 mod grants;
 mod holders;
 mod joining;
+mod kind_queues;
 mod level_floor;
 mod overdue;
 mod parts;
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -2,6 +2,7 @@
 //! as it is.
 
 use super::customers::CustomerState;
+use super::kind_queues::TicketKind;
 use super::tickets::WaitingTicket;
 use super::ShardCore;
 use crate::action::{RefusalReason, ShardAction};
@@ -26,7 +27,9 @@
     pub max_wait: Option<Duration>,
     /// The longest expected wait at which the ticket is accepted; `None` for no limit.
     pub queue_bound: Option<Duration>,
-    /// The expected wait.
+    /// The kind whose queue the ticket joins.
+    pub kind: TicketKind,
+    /// The expected wait behind that queue.
     pub expected: Duration,
     /// The fill of the customer's queue; `None` while it is unknown how long first attempts can wait.
     pub queue_fill: Option<QueueFill>,
@@ -52,7 +55,7 @@
 }
 
 impl ShardCore {
-    /// Estimates how long a ticket would wait behind its customer's queue, and how long it may wait. In
+    /// Estimates how long a ticket would wait behind the queue of its kind, and how long it may wait. In
     /// a service without engines, the tolerance of a first attempt also limits the customer's other
     /// tickets.
     pub(super) fn wait_estimate(
@@ -60,12 +63,17 @@
         now: Moment,
         customer: CustomerIndex,
         ticket: &RequestTicket,
+        kind: TicketKind,
         is_first_attempt: bool,
     ) -> WaitEstimate {
         let first_event = self.endpoints.time_to_first_event(now, &PromptShape::of(ticket));
-        let expected = self.queue_wait(now, self.customers.get(customer));
+        let state = self.customers.get(customer);
+        let rate = self.service_rate(now, state);
+        let expected = state.queue.expected_wait(now, kind, rate);
+        let whole_queue =
+            Duration::try_from_secs_f64(state.queue.load() as f64 / rate).unwrap_or(Duration::MAX);
         let Some(objective) = ticket.objective else {
-            return WaitEstimate { max_wait: None, queue_bound: None, expected, queue_fill: None };
+            return WaitEstimate { max_wait: None, queue_bound: None, kind, expected, queue_fill: None };
         };
         if is_first_attempt {
             self.note_tolerance(now, customer, objective, first_event.shortest);
@@ -76,8 +84,8 @@
             true => engineless_bound(objective, first_event.usual, tolerated),
             false => objective.saturating_sub(first_event.usual).max(MIN_WAIT),
         };
-        let queue_fill = (tolerated < Duration::MAX).then(|| QueueFill::of(expected, tolerated));
-        WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(queue_bound), expected, queue_fill }
+        let queue_fill = (tolerated < Duration::MAX).then(|| QueueFill::of(whole_queue, tolerated));
+        WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(queue_bound), kind, expected, queue_fill }
     }
 
     /// Records how long a first attempt can wait. In a service without engines, the least patient
@@ -126,12 +134,6 @@
         }
     }
 
-    /// The expected time until the customer's queue is served.
-    fn queue_wait(&self, now: Moment, state: &CustomerState) -> Duration {
-        let rate = self.service_rate(now, state);
-        Duration::try_from_secs_f64(state.queued_load as f64 / rate).unwrap_or(Duration::MAX)
-    }
-
     /// The load per second at which the customer is served: its recent rate, or an even share of the
     /// endpoints' capacity if that is more.
     pub(super) fn service_rate(&self, now: Moment, state: &CustomerState) -> f64 {
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -1,6 +1,7 @@
 //! Waiting tickets: admission, queueing and cancellation, and the index of waiting customers by rank.
 
 use super::customers::QueuePlace;
+use super::kind_queues::TicketKind;
 use super::overdue::WaitEstimate;
 use super::routers::RouterIndex;
 use super::ShardCore;
@@ -98,11 +99,13 @@
         let load = PromptShape::load_of(&ticket);
         self.customers.get_mut(customer).demand_rate.add(now, load);
         self.endpoints.scarcity.note_demand(now, load);
+        let kind = self.resolve_kind(now, customer, TicketKind::of(ticket.priority, ticket.objective));
+        self.customers.get_mut(customer).queue.note_demand(now, kind, load);
         let age = self.caller_age(now, &ticket);
         let is_first_attempt = age.is_zero() && ticket.attempt == 0;
         let objective = ticket.objective.map(|objective| objective.saturating_sub(age).max(MIN_OBJECTIVE));
         let ticket = RequestTicket { objective, ..ticket };
-        let wait = self.wait_estimate(now, customer, &ticket, is_first_attempt);
+        let wait = self.wait_estimate(now, customer, &ticket, kind, is_first_attempt);
         if let Some(reason) = self.reason_to_refuse(now, customer, &ticket, wait) {
             self.first_attempts.note_refused(now);
             self.customers.get_mut(customer).counters.note_refusal(Duration::ZERO);
@@ -181,7 +184,7 @@
     ) {
         let order = ticket.order.unwrap_or(self.next_order);
         self.note_order(order);
-        let place = QueuePlace { priority: ticket.priority, order, request: ticket.request };
+        let place = QueuePlace { priority: ticket.priority, order, request: ticket.request, kind: wait.kind };
         let prompt = PromptShape::of(&ticket);
         let avoid = ticket.avoid.and_then(|name| self.endpoints.by_name(&name));
         let waiting = WaitingTicket {
@@ -205,6 +208,18 @@
         self.insert_waiting(now, ticket.request, waiting);
     }
 
+    /// The kind whose queue takes a ticket of this kind. Without engines all tickets of a customer are of one
+    /// kind: they tolerate what the least patient ones do.
+    pub(super) fn resolve_kind(
+        &mut self,
+        now: Moment,
+        customer: CustomerIndex,
+        kind: TicketKind,
+    ) -> TicketKind {
+        let kind = if self.endpoints.has_no_engine() { TicketKind::SINGLE } else { kind };
+        self.customers.get_mut(customer).queue.resolve(now, kind)
+    }
+
     /// The halls in which a ticket of the customer with this limit may run.
     pub(super) fn allowed_halls(&self, customer: CustomerIndex, limit: &HallLimit) -> HallMask {
         let halls = self.customers.get(customer).halls;
@@ -223,7 +238,8 @@
         let customer = ticket.customer;
         self.raise_to_floor(now, customer);
         self.routers.hold(ticket.router, request);
-        self.customers.add_to_queue(request, &ticket);
+        let precedes_others = self.customers.add_to_queue(now, &ticket);
+        self.queue_advanced |= precedes_others && self.order_may_change(customer);
         self.copies.begin_waiting(ticket.digest);
         self.overdue.extend(ticket.refuse_at.map(|refuse_at| (refuse_at, request)));
         self.waiting.insert(request, ticket);
@@ -272,8 +288,8 @@
     /// hall.
     pub(super) fn reindex(&mut self, customer: CustomerIndex) {
         let state = self.customers.get(customer);
-        let head = state.queue.first_key_value().filter(|_| !state.halls.is_empty());
-        let entry = head.map(|(place, _)| {
+        let head = state.queue.first_place().filter(|_| !state.halls.is_empty());
+        let entry = head.map(|place| {
             let head = HeadTicket { order: place.order };
             (state.halls, self.options.policy.rank(&state.account, head))
         });
--- a/crates/micaspool-dispatch/tests/shard/engine_objectives.rs
+++ b/crates/micaspool-dispatch/tests/shard/engine_objectives.rs
@@ -41,6 +41,14 @@
 /// So long that their first events are always late.
 const ARCHIVES: PromptKind = PromptKind { objective: 1_000, tokens: 50_000, rate: 0.3 };
 
+/// The kinds of a site with little capacity, at a rate that exceeds the capacity by a fifth: long prompts,
+/// without the part that engines have cached, short prompts and labels.
+const SITE_KINDS: [PromptKind; 3] = [
+    PromptKind { objective: 1_000, tokens: 6_610, rate: 20.0 },
+    PromptKind { objective: 400, tokens: 826, rate: 15.3 },
+    PromptKind { objective: 500, tokens: 2_368, rate: 40.0 },
+];
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Begin,
@@ -173,3 +181,16 @@
     assert!(served(question) >= 0.75 * served(dossier), "{outcomes:?}");
     assert!(in_time(question) >= 0.3 && in_time(dossier) >= 0.6, "{outcomes:?}");
 }
+
+/// The kinds of one customer are refused alike, and most of what is served is in time.
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
+fn each_kind_of_a_site_is_served_its_part(seed: u64) {
+    let outcomes = EngineQueue::new(&SITE_KINDS).play(seed);
+    let served = |outcome: &KindOutcome| 1.0 - f64::from(outcome.refused) / f64::from(outcome.submitted);
+    let most = outcomes.iter().map(served).fold(0.0, f64::max);
+    assert!(outcomes.iter().all(|outcome| served(outcome) >= 0.75 * most), "{outcomes:?}");
+    let in_time = |outcome: &KindOutcome| f64::from(outcome.in_time) / f64::from(outcome.submitted);
+    assert!(outcomes.iter().all(|outcome| in_time(outcome) >= 0.3), "{outcomes:?}");
+}
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod harness;
 mod herding;
+mod kinds;
 mod limits;
 mod objectives;
 mod outage;
