fix(dispatch): compute a customer's share from the rate at which engines are granted prompts

Cause: the even share counts the whole learnt prefill rate, but engines are granted prompts at 90 percent of it, so expected waits are too short and tickets begin at the edge of their objective. Change: service_rate takes RATE_PERCENT of the capacity of engines.

--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -18,7 +18,7 @@
 /// reported.
 const REPORTED_CACHE_PERCENT: u64 = 120;
 /// The share of the learnt prefill rate at which an engine is given tokens, in percent.
-const RATE_PERCENT: u32 = 90;
+pub(super) const RATE_PERCENT: u32 = 90;
 /// An engine with this much queued prefill work gets no further prompts. The limit bounds the work that
 /// a request of another customer can no longer overtake, and the delay of first events. A shorter limit
 /// lets engines run idle between two grants.
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -8,7 +8,7 @@
 use crate::action::{RefusalReason, ShardAction};
 use crate::event::RequestTicket;
 use crate::queue_fill::QueueFill;
-use crate::shard::engine::PromptShape;
+use crate::shard::engine::{PromptShape, RATE_PERCENT};
 use micaspool_fair::CustomerIndex;
 use micaspool_types::{Moment, RequestId};
 use std::time::Duration;
@@ -135,9 +135,11 @@
     }
 
     /// The load per second at which the customer is served: its recent rate, or an even share of the
-    /// endpoints' capacity if that is more.
+    /// endpoints' capacity if that is more. Engines are granted [`RATE_PERCENT`] of theirs.
     pub(super) fn service_rate(&self, now: Moment, state: &CustomerState) -> f64 {
-        let share = self.endpoints.load_per_second(now) / self.backlogged_customers().max(1) as f64;
+        let granted_percent = if self.endpoints.has_no_engine() { 100 } else { RATE_PERCENT };
+        let capacity = self.endpoints.load_per_second(now) * f64::from(granted_percent) / 100.0;
+        let share = capacity / self.backlogged_customers().max(1) as f64;
         state.grant_rate.per_second(now).max(share)
     }
 
