--- a/crates/micaspool-dispatch/src/shard/cache_sources.rs
+++ b/crates/micaspool-dispatch/src/shard/cache_sources.rs
@@ -18,9 +18,10 @@
 /// For how many parts of a prompt, from the deepest one with a source on, sources are compared. The
 /// deepest part is often cached by a single engine, whose copies may have a queue.
 const MAX_LEVELS: usize = 2;
-/// Prefill must take at least this many times as long as copying. Copies take capacity of links, delay
-/// the streams of neither engine, but may fail, and their time is less certain than that of prefill.
-const MIN_PREFILL_FACTOR: u32 = 2;
+/// Prefill must take at least this many times as long as copying, since a copy may fail and its time is
+/// less certain. With a higher factor, fast engines would copy nothing from other halls at sites where a
+/// copy takes a fifth of the prefill time.
+const MIN_PREFILL_FACTOR: f64 = 1.5;
 /// Points from which a source is suspended, after copies in a row that brought nothing. A slow engine or a
 /// pause of a router looks the same in a single case, and a slow engine does several times in a row.
 const MAX_MISS_POINTS: u32 = 6;
@@ -205,8 +206,8 @@
         let duration = self.copy_link.duration(tokens, source.hall == self.hall(index))?;
         let wait = source.sent_by.max(engine.copies.received_by).since(now);
         let prefill = engine.rate().prefill_time(tokens);
-        let is_worthwhile =
-            prefill >= duration * MIN_PREFILL_FACTOR && prefill > wait.saturating_sub(queue_time) + duration;
+        let is_worthwhile = prefill >= duration.mul_f64(MIN_PREFILL_FACTOR)
+            && prefill > wait.saturating_sub(queue_time) + duration;
         is_worthwhile.then_some(PlannedCopy { source: source.engine, tokens, wait, duration })
     }
 
--- a/crates/micaspool-dispatch/src/shard/copy_link.rs
+++ b/crates/micaspool-dispatch/src/shard/copy_link.rs
@@ -17,7 +17,7 @@
 const OTHER_HALL_FACTOR: u32 = 2;
 /// Limits of the learnt slowdown. The lower one is above zero because a copy is never free; at the upper
 /// one hardly any part is worth copying.
-const SLOWDOWN_RANGE: (f64, f64) = (0.25, 8.0);
+const SLOWDOWN_RANGE: (f64, f64) = (0.5, 8.0);
 /// Factor applied to older observations of copy times with each new one. Prefill varies more than a copy
 /// takes, so that only the mean of many observations shows the copy time.
 const DECAY: f64 = 1.0 - 1.0 / 64.0;
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -139,7 +139,7 @@
     pub outcome: CopyOutcome,
     /// The expected time by which the copy delayed prefill.
     pub expected: Duration,
-    /// The observed one, in microseconds; `None` if the outcome is unclear.
+    /// The observed one, in microseconds; `None` if it takes as long as prefill.
     pub observed: Option<f64>,
 }
 
@@ -411,8 +411,9 @@
         let if_missed = self.rate.prefill_time(prompt.tokens + copy.tokens);
         let latest_if_copied = (copying + rest + if_missed) / 2;
         let took = now.since(idle_since).saturating_sub(self.rate.latency());
+        let is_separable = copying + rest < if_missed;
         let outcome = match took {
-            _ if copying + rest >= if_missed || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
+            _ if !is_separable || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
             _ if took > latest_if_copied => CopyOutcome::Missed,
             _ => CopyOutcome::Copied,
         };
@@ -429,7 +430,7 @@
             source: copy.source,
             outcome,
             expected: copying,
-            observed: (outcome != CopyOutcome::Unclear).then(|| extra.clamp(-most, most)),
+            observed: is_separable.then(|| extra.clamp(-most, most)),
         }
     }
 
--- a/crates/micaspool-dispatch/tests/shard/shared_parts.rs
+++ b/crates/micaspool-dispatch/tests/shard/shared_parts.rs
@@ -35,6 +35,9 @@
 /// milliseconds.
 const REUSE_TIME: u64 = 10_000;
 const PLAY_MILLIS: u64 = 20_000;
+/// The length of a slow period of an engine in milliseconds, and how much longer work takes in it.
+const SLOW_PERIOD: u64 = 600;
+const SLOW_FACTOR: f64 = 2.5;
 
 /// The engines of a site and their load.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +46,8 @@
     /// Prefill rate of an engine in tokens per millisecond, and the factors by which engines differ.
     pace: f64,
     speeds: &'static [f64],
+    /// The part of the time, in percent, in which work takes `SLOW_FACTOR` times as long.
+    slow_percent: u64,
     token_bytes: u64,
     link_bytes_per_second: u64,
     /// Time until a copy begins to transfer, in milliseconds.
@@ -54,6 +59,13 @@
 }
 
 impl Site {
+    /// The prefill rate of an engine at a moment.
+    fn pace_of(&self, index: usize, at: u64) -> f64 {
+        let drawn = (at / SLOW_PERIOD * 1_009 + index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+        let factor = if drawn % 100 < self.slow_percent { SLOW_FACTOR } else { 1.0 };
+        self.pace * self.speeds[index % self.speeds.len()] / factor
+    }
+
     /// Draws a shared part: the one with the number n is used 1 / (n + 1) times as often as the first.
     fn draw_part(&self, rng: &mut ChaCha8Rng) -> u64 {
         let weight = |part: u64| 1.0 / (part + 1) as f64;
@@ -70,6 +82,7 @@
     engines: 18,
     pace: 56.6,
     speeds: &[0.9, 1.1, 1.0],
+    slow_percent: 0,
     token_bytes: 18_432,
     link_bytes_per_second: 22_500_000_000,
     copy_start: 8.0,
@@ -81,13 +94,17 @@
     engines: 20,
     pace: 64.2,
     speeds: &[0.55, 1.2, 1.2, 1.2],
+    slow_percent: 15,
     token_bytes: 163_840,
     link_bytes_per_second: 68_750_000_000,
     copy_start: 2.7,
-    rate: 190.0,
+    rate: 160.0,
     parts: 60,
 };
 
+/// Site B without slow periods, at the load that it can take then.
+const STEADY_SITE_B: Site = Site { slow_percent: 0, rate: 190.0, ..SITE_B };
+
 /// A part in the memory of an engine, with times in milliseconds.
 #[derive(Debug)]
 struct CachedState {
@@ -162,6 +179,9 @@
     site: Site,
     /// False if copies bring nothing.
     copies_work: bool,
+    /// True if engines begin a copy only when it is the prompt's turn to be prefilled, and prefill nothing
+    /// meanwhile.
+    copies_block: bool,
     harness: ShardHarness,
     engines: Vec<EngineModel>,
     due: BTreeMap<(u64, u128), Step>,
@@ -191,6 +211,7 @@
         SharedLoad {
             site,
             copies_work: true,
+            copies_block: false,
             harness,
             engines: (0..site.engines).map(|_| EngineModel::default()).collect(),
             due: BTreeMap::new(),
@@ -300,7 +321,8 @@
             let transfer = f64::from(SHARED_TOKENS) * self.site.token_bytes as f64
                 / self.site.link_bytes_per_second as f64;
             let factor = if source % HALLS == index % HALLS { 1.0 } else { 2.0 };
-            let begin = arrival.max(self.engines[source].sent_by).max(self.engines[index].received_by);
+            let ready = if self.copies_block { start } else { arrival };
+            let begin = ready.max(self.engines[source].sent_by).max(self.engines[index].received_by);
             let end = begin + (self.site.copy_start + transfer * 1_000.0) * factor;
             self.engines[source].sent_by = end;
             self.engines[index].received_by = end;
@@ -312,7 +334,7 @@
         } else if self.last_used.get(&part).is_some_and(|used| now.saturating_sub(*used) < REUSE_TIME) {
             self.outcome.repeated_tokens += u64::from(SHARED_TOKENS);
         }
-        let pace = self.site.pace * self.site.speeds[index % self.site.speeds.len()];
+        let pace = self.site.pace_of(index, start as u64);
         let prefill = f64::from(tokens) / pace;
         let engine = &mut self.engines[index];
         engine.busy_until = start + prefill;
@@ -332,6 +354,7 @@
 #[test_case(SITE_A, 1; "site A")]
 #[test_case(SITE_A, 2; "site A, another seed")]
 #[test_case(SITE_A, 3; "site A, a third seed")]
+#[test_case(STEADY_SITE_B, 1; "site B without slow periods")]
 #[test_case(SITE_B, 1; "site B")]
 #[test_case(SITE_B, 2; "site B, another seed")]
 #[test_case(SITE_B, 3; "site B, a third seed")]
@@ -343,9 +366,19 @@
     assert!(with.in_time_share() > without.in_time_share(), "with {with:?}, without {without:?}");
 }
 
-/// Copies that bring nothing cost no more than prefill without copies would, and no request fails.
+/// Guards against a gain that rests on copies beside the prefill of other prompts.
 #[test_case(SITE_A, 1; "site A")]
 #[test_case(SITE_B, 1; "site B")]
+fn copies_also_pay_off_on_engines_that_prefill_nothing_meanwhile(site: Site, seed: u64) {
+    let without = SharedLoad::new(site, false).play(seed);
+    let blocking = SharedLoad { copies_block: true, ..SharedLoad::new(site, true) }.play(seed);
+    assert!(blocking.repeated_tokens * 2 < without.repeated_tokens, "{blocking:?}, without {without:?}");
+    assert!(blocking.in_time_share() > without.in_time_share(), "{blocking:?}, without {without:?}");
+}
+
+/// Copies that bring nothing cost no more than prefill without copies would, and no request fails.
+#[test_case(SITE_A, 1; "site A")]
+#[test_case(STEADY_SITE_B, 1; "site B without slow periods")]
 fn copies_that_bring_nothing_cost_only_prefill(site: Site, seed: u64) {
     let without = SharedLoad::new(site, false).play(seed);
     let failing = SharedLoad { copies_work: false, ..SharedLoad::new(site, true) }.play(seed);
