--- a/crates/micaspool-dispatch/tests/shard/cache_sources.rs
+++ b/crates/micaspool-dispatch/tests/shard/cache_sources.rs
@@ -127,6 +127,10 @@
     grants[0].clone()
 }
 
+fn number_of(name: &EndpointName) -> usize {
+    name.as_str()[1..].parse().expect("endpoints are numbered")
+}
+
 fn copies(harness: &ShardHarness) -> CacheCopyStatus {
     harness.core.status(harness.now).copies.expect("the engines copy parts")
 }
@@ -292,25 +296,46 @@
 /// Guards against copying from an engine that still prefills the part.
 #[test]
 fn an_engine_is_a_source_only_after_its_first_event() {
-    let mut harness = engines(2, TRAITS);
-    warm_up(&mut harness, 2);
+    let mut harness = engines(3, TRAITS);
+    warm_up(&mut harness, 3);
     let first = submit_and_take(&mut harness, prompt(1, LARGE_PART, 500));
-    let other = if first.engine == endpoint(0) { 1 } else { 0 };
-    let avoid = Some(first.engine.clone());
-    harness.advance_with_heartbeats(50, &[1]);
-    let early = RequestTicket { avoid: avoid.clone(), ..prompt(2, LARGE_PART, 500) };
-    let grant = submit_and_take(&mut harness, early);
-    assert_eq!((grant.engine, grant.source), (endpoint(other), None));
-    harness.advance_with_heartbeats(100, &[1]);
+    let others: Vec<usize> = (0..3).filter(|number| endpoint(*number) != first.engine).collect();
+    harness.advance_with_heartbeats(20, &[1]);
+    occupy(&mut harness, &[number_of(&first.engine), others[0]]);
+    let early = submit_and_take(&mut harness, prompt(2, LARGE_PART, 500));
+    assert_eq!((early.engine, early.source), (endpoint(others[1]), None));
+    harness.advance_with_heartbeats(130, &[1]);
+    begin(&mut harness, 1);
+    harness.advance_with_heartbeats(1_000, &[1]);
+    occupy(&mut harness, &[number_of(&first.engine), others[1]]);
+    let late = submit_and_take(&mut harness, prompt(3, LARGE_PART, 500));
+    assert_eq!((late.engine, late.source), (endpoint(others[0]), Some(first.engine)));
+}
+
+/// Guards against naming an engine again and again for a part that it doesn't have.
+#[test]
+fn a_source_that_gave_nothing_is_not_named_for_the_part_until_it_is_known_to_have_it() {
+    // e0 and e3 are in the same hall.
+    let mut harness = engines(4, TRAITS);
+    warm_up(&mut harness, 4);
+    report_part(&mut harness, LARGE_PART, &[0]);
+    occupy(&mut harness, &[0, 2, 3]);
+    let first = submit_and_take(&mut harness, prompt(1, LARGE_PART, 1_500));
+    assert_eq!((first.engine, first.source), (endpoint(1), Some(endpoint(0))));
+    harness.advance_with_heartbeats(7_000 / PACE + LATENCY, &[1]);
     finish(&mut harness, 1);
+    harness.advance_with_heartbeats(1_500, &[1]);
+    occupy(&mut harness, &[0, 1, 2]);
+    let second = submit_and_take(&mut harness, prompt(2, LARGE_PART, 1_500));
+    assert_eq!((second.engine, second.source), (endpoint(3), Some(endpoint(1))));
     harness.settle(1, 2, 0, GrantOutcome::Unsent);
-    harness.step(ShardEvent::Cache(CacheUpdate { whole: true, ..update(other) }));
-    harness.advance_with_heartbeats(1_000, &[1]);
-    let holder = if other == 1 { 0 } else { 1 };
-    occupy(&mut harness, &[holder]);
+    harness.step(ShardEvent::Cache(CacheUpdate { whole: true, ..update(3) }));
+    report_part(&mut harness, LARGE_PART, &[0]);
+    harness.advance_with_heartbeats(1_500, &[1]);
+    occupy(&mut harness, &[0, 1, 2]);
     take_grants(&mut harness);
-    let grant = submit_and_take(&mut harness, prompt(3, LARGE_PART, 500));
-    assert_eq!((grant.engine, grant.source), (endpoint(other), Some(first.engine)));
+    let third = submit_and_take(&mut harness, prompt(3, LARGE_PART, 1_500));
+    assert_eq!((third.engine, third.source), (endpoint(3), Some(endpoint(0))));
 }
 
 /// Grants one prompt with a copy from `e0` to another engine of the shard, and lets its first event come as if
