--- a/crates/micaspool-dispatch/tests/shard/stream_pauses/rules.rs
+++ b/crates/micaspool-dispatch/tests/shard/stream_pauses/rules.rs
@@ -113,7 +113,7 @@
     let mut harness = engines(2);
     let engines = start_streams(&mut harness, 3);
     let busier = if engines.iter().filter(|name| **name == endpoint(0)).count() == 2 { 0 } else { 1 };
-    harness.submit(1, prompt(10, 500 * RATE));
+    harness.submit(1, prompt(10, 1_000 * RATE));
     assert_eq!(harness.take_grants()[0].endpoint, endpoint(1 - busier));
 }
 
