--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -322,6 +322,7 @@
     pub fn time_to_first_event(&self, now: Moment, prompt: &PromptShape, tokens_before: u64) -> Duration {
         self.time_until_prefill(now)
             + self.rate.prefill_time(tokens_before)
+            + self.streams.gaps_within(self.rate.prefill_time(tokens_before), &self.rate)
             + self.unqueued_time_to_first_event(prompt)
     }
 
--- a/crates/micaspool-dispatch/src/shard/stream_pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/stream_pauses.rs
@@ -140,6 +140,14 @@
         self.shortest.map(|pause| self.limit_for(pause, rate))
     }
 
+    /// The time for events of the streams that interrupts this much prefill work of waiting tickets.
+    pub fn gaps_within(&self, prefill: Duration, rate: &PrefillRate) -> Duration {
+        let Some(limit) = self.prefill_limit(rate).filter(|limit| !limit.is_zero()) else {
+            return Duration::ZERO;
+        };
+        self.event_time(rate).mul_f64(prefill.div_duration_f64(limit).floor())
+    }
+
     /// True if this much prefill work without a first event leaves no room for another prompt.
     pub fn is_filled(&self, unanswered: Duration, rate: &PrefillRate) -> bool {
         self.prefill_limit(rate).is_some_and(|limit| unanswered > limit * OPEN_PERCENT / 100)
