--- a/crates/micaspool-dispatch/src/shard/stream_pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/stream_pauses.rs
@@ -74,7 +74,7 @@
 impl RunningStream {
     /// True if it gets less than one event per pause.
     fn is_behind(&self, now: Moment) -> bool {
-        let silence = REPORT_INTERVAL + self.pause * SILENT_PAUSES;
+        let silence = REPORT_INTERVAL.saturating_add(self.pause.saturating_mul(SILENT_PAUSES));
         self.reported_at.is_some_and(|at| self.late || now.since(at) > silence)
     }
 }
@@ -108,7 +108,7 @@
         let mut observed = None;
         if let Some(reported_at) = stream.reported_at {
             let events = (delivered.saturating_sub(stream.delivered).0 / event_cost.max(1)).max(1);
-            let allowed = stream.pause * u32::try_from(events).unwrap_or(u32::MAX);
+            let allowed = stream.pause.saturating_mul(u32::try_from(events).unwrap_or(u32::MAX));
             let took = now.since(reported_at);
             stream.late = took > allowed;
             observed = Some(took / u32::try_from(events).unwrap_or(u32::MAX));
