feat(quorum): elect a leader at once when all voters have just started

Cause: after a power loss of all processes each voter waits out a random election timeout of 500 to 1,000 ms from its start, although nobody has a leader whose loss could be noticed by waiting. A fleet had its leader 1.14 s after its keepers were connected.

Change: a voter that has heard no leader since its start probes the other voters. It begins an ordinary pre-vote as soon as a majority has answered, nobody who answered hears a leader, and either all voters have answered or three heartbeat intervals have passed since its start, which a sitting leader needs to reach it. Voters with a worse log or a higher name wait 25 ms for each better one, and give way to its pre-vote. Probes start no term and grant nothing.

--- a/crates/micaspool-quorum/src/core/election.rs
+++ b/crates/micaspool-quorum/src/core/election.rs
@@ -18,6 +18,7 @@
     /// Asks the other voters whether they would vote for this keeper.
     pub(super) fn begin_pre_vote(&mut self, now: Moment) {
         self.reset_election_deadline(now);
+        self.hold_startup(now);
         self.leader = None;
         let own = HashSet::from([self.identity.clone()]);
         self.role = RoleState::Candidate(ElectionState { is_pre_vote: true, granted: own });
@@ -39,7 +40,7 @@
         self.check_majority(now);
     }
 
-    fn send_to_voters(&mut self, request: &PeerBody) {
+    pub(super) fn send_to_voters(&mut self, request: &PeerBody) {
         let others = self.log.membership().voters().filter(|voter| **voter != self.identity);
         let others: Vec<KeeperIdentity> = others.cloned().collect();
         for voter in others {
@@ -47,12 +48,12 @@
         }
     }
 
-    fn last_entry(&self) -> (Term, LogIndex) {
+    pub(super) fn last_entry(&self) -> (Term, LogIndex) {
         (self.log.last_term(), self.log.last_index())
     }
 
     /// Returns whether this keeper may vote at all: its own incarnation must be a member of the group.
-    fn may_vote(&self) -> bool {
+    pub(super) fn may_vote(&self) -> bool {
         self.log.membership().has_member(&self.identity)
     }
 
@@ -63,12 +64,19 @@
         next: Term,
         last: (Term, LogIndex),
     ) {
-        let has_leader = self.is_leader()
-            || self
-                .leader_last_contact
-                .is_some_and(|contact| now.since(contact) < self.options.election_timeout);
+        let has_leader = self.hears_leader(now);
         let granted = self.may_vote() && !has_leader && next > self.hard.term && last >= self.last_entry();
         self.send(&from.name, PeerBody::PreVoteReply { next, granted });
+        if granted {
+            self.yield_at_startup(now, from, last);
+        }
+    }
+
+    /// Ends a pre-vote of this keeper. Does not affect an election.
+    pub(super) fn abandon_pre_vote(&mut self) {
+        if matches!(&self.role, RoleState::Candidate(state) if state.is_pre_vote) {
+            self.role = RoleState::Follower;
+        }
     }
 
     pub(super) fn handle_pre_vote_reply(
@@ -104,6 +112,7 @@
             self.hard.vote = Some(from.clone());
             self.hard_dirty = true;
             self.reset_election_deadline(now);
+            self.hold_startup(now);
         }
         self.send(&from.name, PeerBody::VoteReply { granted });
     }
@@ -134,6 +143,7 @@
     }
 
     pub(super) fn become_leader(&mut self, now: Moment) {
+        self.startup.finish();
         self.leader = Some(self.identity.clone());
         self.role = RoleState::Leader(super::replication::LeaderState::new(now));
         self.append_entry(EntryPayload::Blank);
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod forming;
 mod group;
 mod replication;
+mod startup;
 
 use crate::log::EntryLog;
 use crate::message::{PeerBody, PeerMessage};
@@ -18,6 +19,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use replication::LeaderState;
+use startup::StartupState;
 use std::fmt;
 use std::time::Duration;
 
@@ -104,6 +106,7 @@
     /// When the next pre-vote starts, unless the deadline is reset before.
     election_deadline: Moment,
     forming: FormingState,
+    startup: StartupState,
     rng: ChaCha8Rng,
     output: QuorumOutput,
     /// Whether `hard` has changed since the last output.
@@ -127,6 +130,7 @@
             leader_last_contact: None,
             election_deadline: now,
             forming: FormingState::default(),
+            startup: StartupState::new(now),
             rng: ChaCha8Rng::seed_from_u64(seed),
             output: QuorumOutput::default(),
             hard_dirty: false,
@@ -231,12 +235,15 @@
         }
         if self.is_leader() {
             self.tick_leader(now);
-        } else if now >= self.election_deadline && self.log.membership().is_voter(&self.identity) {
-            self.begin_pre_vote(now);
+        } else if self.log.membership().is_voter(&self.identity) {
+            self.tick_startup(now);
+            if now >= self.election_deadline {
+                self.begin_pre_vote(now);
+            }
         }
     }
 
-    /// Handles a message by its kind. Announcements, `Form` and pre-votes do not affect the term; any
+    /// Handles a message by its kind. Announcements, `Form`, pre-votes and startup probes do not affect the term; any
     /// other message with a newer term makes this keeper adopt it.
     fn receive(&mut self, now: Moment, message: PeerMessage) {
         let PeerMessage { from, term, body } = message;
@@ -251,6 +258,12 @@
             PeerBody::PreVoteReply { next, granted } => {
                 return self.handle_pre_vote_reply(now, from, next, granted)
             }
+            PeerBody::StartupProbe { last, last_term } => {
+                return self.handle_startup_probe(now, &from, term, (last_term, last));
+            }
+            PeerBody::StartupReply { hears_leader, last, last_term } => {
+                return self.handle_startup_reply(now, &from, term, hears_leader, (last_term, last));
+            }
             _ => {}
         }
         if term > self.hard.term {
--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -169,6 +169,7 @@
         }
         self.become_follower(now, Some(from.clone()));
         self.leader_last_contact = Some(now);
+        self.startup.finish();
         true
     }
 
--- /dev/null
+++ b/crates/micaspool-quorum/src/core/startup.rs
@@ -0,0 +1,223 @@
+//! The first election after a start.
+//!
+//! After a power loss all voters start at about the same time, and none of them has a leader. A voter that has heard no
+//! leader since its start therefore probes the others and begins a pre-vote as soon as a majority has answered and nobody
+//! who answered hears a leader. It does not wait for an election timeout, whose purpose is to notice the loss of a leader
+//! that was heard before. Probes start no term and grant nothing; pre-votes and votes decide as in any other election.
+
+use super::{QuorumCore, RoleState};
+use crate::message::PeerBody;
+use crate::options::QuorumOptions;
+use crate::types::{GroupMembership, KeeperIdentity, LogIndex};
+use micaspool_types::{Moment, Term};
+use rand::Rng;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The interval of the first probes. It doubles up to the heartbeat interval, so that a voter without a majority causes
+/// no more messages than a leader.
+const FIRST_PROBE_INTERVAL: Duration = Duration::from_millis(20);
+/// An answer counts for this long. Two probes may be lost meanwhile.
+const ANSWER_VALIDITY: Duration = Duration::from_millis(300);
+/// The delay for each voter with a better claim to lead. It covers the messages of an election and the sync of a vote, so
+/// that votes are rarely split.
+const RANK_DELAY: Duration = Duration::from_millis(25);
+/// The number of heartbeat intervals after the start for which a missing answer could be that of a leader: it may have to
+/// reopen its stream to this voter first, and sends a heartbeat only then.
+const SETTLE_HEARTBEATS: u32 = 3;
+/// The delay until the next attempt after a first pre-vote or vote without a leader. It doubles up to the election
+/// timeout, since another attempt discards the votes of one that is merely slow.
+const FIRST_RETRY: Duration = Duration::from_millis(200);
+
+/// What a voter is known to have, from its latest probe or reply.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StartupAnswer {
+    at: Moment,
+    hears_leader: bool,
+    term: Term,
+    last: (Term, LogIndex),
+}
+
+/// What a voter knows of the others until it hears a leader for the first time since its start.
+#[derive(Debug)]
+pub(super) struct StartupState {
+    started: Moment,
+    /// Whether no leader has been heard since the start.
+    active: bool,
+    answers: HashMap<KeeperIdentity, StartupAnswer>,
+    next_probe: Moment,
+    probe_interval: Duration,
+    /// Since when an election may begin, but for voters with a better claim.
+    eligible_since: Option<Moment>,
+    /// No attempt begins before this moment.
+    held_until: Moment,
+    retry: Duration,
+}
+
+impl StartupState {
+    pub fn new(now: Moment) -> StartupState {
+        StartupState {
+            started: now,
+            active: true,
+            answers: HashMap::new(),
+            next_probe: now,
+            probe_interval: FIRST_PROBE_INTERVAL,
+            eligible_since: None,
+            held_until: now,
+            retry: FIRST_RETRY,
+        }
+    }
+
+    /// Ends the startup, because a leader is known.
+    pub fn finish(&mut self) {
+        self.active = false;
+        self.answers.clear();
+    }
+
+    /// Delays the next attempt, because one is under way. `jitter` is between 0 and 1.
+    fn hold(&mut self, now: Moment, jitter: f64, limit: Duration) {
+        self.eligible_since = None;
+        self.held_until = now + self.retry + self.retry.mul_f64(jitter / 2.0);
+        self.retry = (self.retry * 2).min(limit);
+    }
+
+    fn take_due_probe(&mut self, now: Moment, limit: Duration) -> bool {
+        if !self.active || now < self.next_probe {
+            return false;
+        }
+        self.next_probe = now + self.probe_interval;
+        self.probe_interval = (self.probe_interval * 2).min(limit);
+        true
+    }
+
+    /// Returns whether this voter, whose log ends with `last`, is to begin an election now.
+    fn is_due(
+        &mut self,
+        now: Moment,
+        own: &KeeperIdentity,
+        last: (Term, LogIndex),
+        membership: &GroupMembership,
+        options: &QuorumOptions,
+    ) -> bool {
+        if !self.active || now < self.held_until {
+            return false;
+        }
+        let answers: Vec<(&KeeperIdentity, &StartupAnswer)> = membership
+            .voters()
+            .filter(|voter| *voter != own)
+            .filter_map(|voter| self.answers.get_key_value(voter))
+            .filter(|(_, answer)| now.since(answer.at) <= ANSWER_VALIDITY)
+            .collect();
+        let reached = answers.len() + 1;
+        let is_settled = now.since(self.started) >= options.heartbeat * SETTLE_HEARTBEATS;
+        let is_eligible = reached >= membership.majority()
+            && (is_settled || reached == membership.voters().count())
+            && !answers.iter().any(|(_, answer)| answer.hears_leader);
+        if !is_eligible {
+            self.eligible_since = None;
+            return false;
+        }
+        let is_better = |(voter, answer): &&(&KeeperIdentity, &StartupAnswer)| {
+            has_better_claim((voter, answer.last), (own, last))
+        };
+        let rank = answers.iter().filter(is_better).count();
+        let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
+        now.since(*self.eligible_since.get_or_insert(now)) >= delay
+    }
+
+    /// Returns the highest term that a voter has reported.
+    fn highest_term(&self) -> Term {
+        self.answers.values().map(|answer| answer.term).max().unwrap_or_default()
+    }
+}
+
+/// Returns whether a voter has a better claim to lead than another: a log with more entries or, if the logs are equal, the
+/// lower name.
+fn has_better_claim(
+    (voter, last): (&KeeperIdentity, (Term, LogIndex)),
+    (other, other_last): (&KeeperIdentity, (Term, LogIndex)),
+) -> bool {
+    last > other_last || (last == other_last && voter < other)
+}
+
+impl QuorumCore {
+    /// Probes the other voters if this is due, and begins a pre-vote if that is due. Called for voters that do not lead.
+    pub(super) fn tick_startup(&mut self, now: Moment) {
+        if self.startup.take_due_probe(now, self.options.heartbeat) {
+            let (last_term, last) = self.last_entry();
+            self.send_to_voters(&PeerBody::StartupProbe { last, last_term });
+        }
+        self.elect_at_startup(now);
+    }
+
+    pub(super) fn handle_startup_probe(
+        &mut self,
+        now: Moment,
+        from: &KeeperIdentity,
+        term: Term,
+        last: (Term, LogIndex),
+    ) {
+        if self.may_vote() {
+            let hears_leader = self.hears_leader(now);
+            let (last_term, last) = self.last_entry();
+            self.send(&from.name, PeerBody::StartupReply { hears_leader, last, last_term });
+        }
+        self.note_startup_answer(now, from, StartupAnswer { at: now, hears_leader: false, term, last });
+    }
+
+    pub(super) fn handle_startup_reply(
+        &mut self,
+        now: Moment,
+        from: &KeeperIdentity,
+        term: Term,
+        hears_leader: bool,
+        last: (Term, LogIndex),
+    ) {
+        self.note_startup_answer(now, from, StartupAnswer { at: now, hears_leader, term, last });
+    }
+
+    fn note_startup_answer(&mut self, now: Moment, from: &KeeperIdentity, answer: StartupAnswer) {
+        if self.startup.active && self.log.membership().is_voter(from) {
+            self.startup.answers.insert(from.clone(), answer);
+            self.elect_at_startup(now);
+        }
+    }
+
+    fn elect_at_startup(&mut self, now: Moment) {
+        let membership = self.log.membership();
+        let may_stand = !self.is_leader() && membership.is_voter(&self.identity);
+        let last = (self.log.last_term(), self.log.last_index());
+        if !may_stand || !self.startup.is_due(now, &self.identity, last, membership, &self.options) {
+            return;
+        }
+        // A pre-vote for a term that a voter has seen already would be refused by that voter.
+        let highest_term = self.startup.highest_term();
+        if highest_term > self.hard.term {
+            self.enter_term(now, highest_term);
+        }
+        self.begin_pre_vote(now);
+    }
+
+    /// Gives way to a voter with a better claim to whom a pre-vote has been granted, so that two candidates do not split the
+    /// votes. A pre-vote of this keeper that is under way ends.
+    pub(super) fn yield_at_startup(&mut self, now: Moment, to: &KeeperIdentity, last: (Term, LogIndex)) {
+        if self.startup.active && has_better_claim((to, last), (&self.identity, self.last_entry())) {
+            self.abandon_pre_vote();
+            self.hold_startup(now);
+        }
+    }
+
+    /// Delays the next attempt of the startup while this keeper stands for election or has voted.
+    pub(super) fn hold_startup(&mut self, now: Moment) {
+        if self.startup.active {
+            let jitter = self.rng.random_range(0.0..1.0);
+            self.startup.hold(now, jitter, self.options.election_timeout);
+        }
+    }
+
+    /// Returns whether this keeper leads or has had contact with a leader within the election timeout.
+    pub(super) fn hears_leader(&self, now: Moment) -> bool {
+        let has_contact = |contact| now.since(contact) < self.options.election_timeout;
+        matches!(self.role, RoleState::Leader(_)) || self.leader_last_contact.is_some_and(has_contact)
+    }
+}
