fix(quorum): count a voter as reached at the start only when it has replied

Cause: a probe of a voter shows only that its stream to this keeper is open. While the stream in the other direction is still being opened, pre-votes sent on it are lost, and the next attempt waits 200 to 300 ms.

Change: only replies to own probes count. A probe from a voter that has not replied yet is answered with a probe as well, so that a late voter does not wait for the next interval. The probe needs no content any more.

--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -258,11 +258,9 @@
             PeerBody::PreVoteReply { next, granted } => {
                 return self.handle_pre_vote_reply(now, from, next, granted)
             }
-            PeerBody::StartupProbe { last, last_term } => {
-                return self.handle_startup_probe(now, &from, term, (last_term, last));
-            }
+            PeerBody::StartupProbe => return self.handle_startup_probe(now, &from),
             PeerBody::StartupReply { hears_leader, last, last_term } => {
-                return self.handle_startup_reply(now, &from, term, hears_leader, (last_term, last));
+                return self.handle_startup_reply(now, from, term, hears_leader, (last_term, last));
             }
             _ => {}
         }
--- a/crates/micaspool-quorum/src/core/startup.rs
+++ b/crates/micaspool-quorum/src/core/startup.rs
@@ -29,7 +29,7 @@
 /// timeout, since another attempt discards the votes of one that is merely slow.
 const FIRST_RETRY: Duration = Duration::from_millis(200);
 
-/// What a voter is known to have, from its latest probe or reply.
+/// The latest reply of a voter to a probe. It shows that messages pass in both directions.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StartupAnswer {
     at: Moment,
@@ -38,7 +38,7 @@
     last: (Term, LogIndex),
 }
 
-/// What a voter knows of the others until it hears a leader for the first time since its start.
+/// What a voter knows about the others until it hears a leader for the first time since its start.
 #[derive(Debug)]
 pub(super) struct StartupState {
     started: Moment,
@@ -81,6 +81,11 @@
         self.retry = (self.retry * 2).min(limit);
     }
 
+    /// Returns the answer of a voter unless it is too old.
+    fn recent_answer(&self, now: Moment, voter: &KeeperIdentity) -> Option<&StartupAnswer> {
+        self.answers.get(voter).filter(|answer| now.since(answer.at) <= ANSWER_VALIDITY)
+    }
+
     fn take_due_probe(&mut self, now: Moment, limit: Duration) -> bool {
         if !self.active || now < self.next_probe {
             return false;
@@ -105,8 +110,7 @@
         let answers: Vec<(&KeeperIdentity, &StartupAnswer)> = membership
             .voters()
             .filter(|voter| *voter != own)
-            .filter_map(|voter| self.answers.get_key_value(voter))
-            .filter(|(_, answer)| now.since(answer.at) <= ANSWER_VALIDITY)
+            .filter_map(|voter| Some((voter, self.recent_answer(now, voter)?)))
             .collect();
         let reached = answers.len() + 1;
         let is_settled = now.since(self.started) >= options.heartbeat * SETTLE_HEARTBEATS;
@@ -144,41 +148,36 @@
     /// Probes the other voters if this is due, and begins a pre-vote if that is due. Called for voters that do not lead.
     pub(super) fn tick_startup(&mut self, now: Moment) {
         if self.startup.take_due_probe(now, self.options.heartbeat) {
-            let (last_term, last) = self.last_entry();
-            self.send_to_voters(&PeerBody::StartupProbe { last, last_term });
+            self.send_to_voters(&PeerBody::StartupProbe);
         }
         self.elect_at_startup(now);
     }
 
-    pub(super) fn handle_startup_probe(
-        &mut self,
-        now: Moment,
-        from: &KeeperIdentity,
-        term: Term,
-        last: (Term, LogIndex),
-    ) {
+    /// Replies to a probe. If the sender has not replied to this keeper yet, its stream has probably been opened only
+    /// now, and it is probed at once.
+    pub(super) fn handle_startup_probe(&mut self, now: Moment, from: &KeeperIdentity) {
         if self.may_vote() {
             let hears_leader = self.hears_leader(now);
             let (last_term, last) = self.last_entry();
             self.send(&from.name, PeerBody::StartupReply { hears_leader, last, last_term });
         }
-        self.note_startup_answer(now, from, StartupAnswer { at: now, hears_leader: false, term, last });
+        let membership = self.log.membership();
+        let are_voters = membership.is_voter(from) && membership.is_voter(&self.identity);
+        if self.startup.active && are_voters && self.startup.recent_answer(now, from).is_none() {
+            self.send(&from.name, PeerBody::StartupProbe);
+        }
     }
 
     pub(super) fn handle_startup_reply(
         &mut self,
         now: Moment,
-        from: &KeeperIdentity,
+        from: KeeperIdentity,
         term: Term,
         hears_leader: bool,
         last: (Term, LogIndex),
     ) {
-        self.note_startup_answer(now, from, StartupAnswer { at: now, hears_leader, term, last });
-    }
-
-    fn note_startup_answer(&mut self, now: Moment, from: &KeeperIdentity, answer: StartupAnswer) {
-        if self.startup.active && self.log.membership().is_voter(from) {
-            self.startup.answers.insert(from.clone(), answer);
+        if self.startup.active && self.log.membership().is_voter(&from) {
+            self.startup.answers.insert(from, StartupAnswer { at: now, hears_leader, term, last });
             self.elect_at_startup(now);
         }
     }
--- a/crates/micaspool-quorum/src/message.rs
+++ b/crates/micaspool-quorum/src/message.rs
@@ -90,12 +90,7 @@
     },
     /// Sent by a voter that has heard no leader since its start, to learn who else is reachable and has none. Starts no
     /// term. Keepers of earlier versions ignore it.
-    StartupProbe {
-        /// The sender's last entry.
-        last: LogIndex,
-        /// The term of that entry.
-        last_term: Term,
-    },
+    StartupProbe,
     /// The reply to `StartupProbe`.
     StartupReply {
         /// Whether the sender leads or has had contact with a leader within the election timeout.
