test(quorum): cover a startup election by a voter with an older term

Cause: no test failed when a starting candidate did not adopt the highest term that the other voters report.

Change: a test with two of three voters, of which the one with the longer log has the older term.

--- a/crates/micaspool-quorum/tests/startup.rs
+++ b/crates/micaspool-quorum/tests/startup.rs
@@ -211,6 +211,28 @@
     }
 }
 
+/// Guards against a standstill when the only voter that can be elected, by its log, has an older term than the others and
+/// its pre-votes name a term that they have seen already.
+#[test]
+fn voter_with_the_longest_log_and_an_older_term_is_elected() {
+    for seed in 0..50 {
+        let mut harness = formed_group(3, seed);
+        let leader = harness.leader().expect("a leader exists");
+        let behind = (leader + 1) % 3;
+        harness.isolate(behind, true);
+        harness.run_for(100);
+        harness.commit(b"not everywhere", 5_000);
+        crash_all(&mut harness);
+        harness.isolate(behind, false);
+        harness.run_for(1_400);
+        harness.nodes[behind].disk.hard.term.0 += 2;
+        harness.nodes[behind].disk.hard.vote = None;
+        harness.start(leader);
+        harness.start(behind);
+        assert_eq!(harness.elect(MINORITY_MISSING_BOUND_MILLIS), leader);
+    }
+}
+
 /// Guards against votes of a split term, on the disks of all voters, that keep a leader from being elected at once.
 #[test]
 fn split_votes_are_resolved() {
