feat(client): fetch the first plan after 30 ms from any keeper

Cause: a follower waits up to 150 ms until the keeper that it prefers announces a plan, also when it has no plan at all and refuses every request. After an election a part of the keepers applies the log only with the next heartbeat.

Change: while no plan is in force the follower waits 30 ms. Later plans are waited for as before. The number of a plan is announced only after its commit, so this brings no plan of a minority into force.

--- a/crates/micaspool-client/src/fleet/plans.rs
+++ b/crates/micaspool-client/src/fleet/plans.rs
@@ -17,6 +17,9 @@
 /// How long to wait until the preferred keeper announces a plan that another one holds already. Followers of the log
 /// apply a change some milliseconds after the leader.
 const PREFERENCE_TIME: Duration = Duration::from_millis(150);
+/// The same time for a process that has no plan yet and refuses all requests meanwhile. Keepers apply the log at about the
+/// same time after an election, so most have announced their plan by then and share the followers.
+const FIRST_PREFERENCE_TIME: Duration = Duration::from_millis(30);
 /// The interval at which the announcements are looked at meanwhile.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long to wait for a keeper's plan before another one is asked as well. The first may still be sending.
@@ -41,16 +44,18 @@
     let follower = &mirror.options.follower;
     let mut announced_at = BootInstant::now();
     loop {
-        let (mut sources, preferred) = {
+        let (mut sources, preferred, preference_time) = {
             let mut table = mirror.lock();
             let sources = table.plan_sources(follower);
             if sources.is_empty() {
                 table.fetches_plan = false;
                 return;
             }
-            (sources, table.preferred_source(follower))
+            let preference_time =
+                if table.plan.number == 0 { FIRST_PREFERENCE_TIME } else { PREFERENCE_TIME };
+            (sources, table.preferred_source(follower), preference_time)
         };
-        if preferred.as_ref() != Some(&sources[0].keeper) && announced_at.elapsed() < PREFERENCE_TIME {
+        if preferred.as_ref() != Some(&sources[0].keeper) && announced_at.elapsed() < preference_time {
             task::sleep(CHECK_INTERVAL).await;
             continue;
         }
