feat(client): retry a keeper after 25 ms at first

Cause: a follower that starts a little before its keeper tries again only 200 ms after the first refusal.

Change: the pause starts at 25 ms and doubles up to 200 ms.

--- a/crates/micaspool-client/src/fleet/stream.rs
+++ b/crates/micaspool-client/src/fleet/stream.rs
@@ -15,8 +15,11 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
 /// A stream without a message for this long is closed. Keepers send a message once a second.
 const STREAM_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// The pause before a stream is opened again.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The pause before a stream is opened again. It doubles with each failure in a row. After a power loss followers are often
+/// ready a little earlier than keepers.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(25);
+/// The maximum of that pause.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long to keep trying a keeper that is neither a seed nor a member any more.
 const UNWANTED_RETENTION: Duration = Duration::from_secs(30);
 
@@ -24,15 +27,18 @@
 /// [`UNWANTED_RETENTION`] ago.
 pub(super) async fn follow_keeper(mirror: Arc<FleetMirror>, peer: PeerAddress) {
     let mut wanted_at = BootInstant::now();
+    let mut pause = FIRST_RETRY_PAUSE;
     while wanted_at.elapsed() < UNWANTED_RETENTION {
         if let Some(stream) = open_stream(&mirror, &peer).await {
             apply_updates(&mirror, &peer, stream).await;
+            pause = FIRST_RETRY_PAUSE;
         }
         mirror.lock().update_keeper(&peer.name, false, false);
         if mirror.lock().is_wanted(&peer.name) {
             wanted_at = BootInstant::now();
         }
-        task::sleep(RETRY_PAUSE).await;
+        task::sleep(pause).await;
+        pause = (pause * 2).min(MAX_RETRY_PAUSE);
     }
     mirror.lock().keepers.remove(&peer.name);
 }
