feat(client): count a keeper as pending for 500 ms after the start

Cause: a keeper that refuses the first connection counts as lost, and routers leave the dispatcher of a lost keeper alone for another 0.6 to 1.1 s after it answers. Until now the wait for a leader hid this: after a power loss all keepers were connected long before a plan came.

Change: until the first connection, but at most for 500 ms after the start of the mirror, a keeper stays pending. Routers wait for pending dispatchers for at most 300 ms, as before.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -52,7 +52,7 @@
 /// The state of the stream from a keeper.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum KeeperConnection {
-    /// The first try to open the stream has not ended.
+    /// The first try to open the stream has not ended, or the mirror has just started and no try has succeeded yet.
     #[default]
     Pending,
     /// The stream is open.
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -23,6 +23,11 @@
 /// without being cut off.
 const CONFIRMATION_RETENTION: Duration = Duration::from_secs(3);
 
+/// For this long after the start of the mirror, a keeper that could not be reached yet counts as pending instead of lost.
+/// After a power loss keepers are ready within some hundred milliseconds of their followers. Routers leave the dispatcher
+/// of a lost keeper alone for another 0.6 s after its return, and would all move to others.
+const FIRST_CONNECT_TIME: Duration = Duration::from_millis(500);
+
 /// A keeper without a message for this long is unresponsive. Keepers send a message once a second.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1_300);
 
@@ -151,7 +156,11 @@
 
     /// Records whether the stream from a keeper is open and whether the keeper has contact with a majority.
     pub fn update_keeper(&mut self, name: &InstanceName, connected: bool, confirmed: bool) {
+        let is_starting = self.start.elapsed() < FIRST_CONNECT_TIME;
         let Some(state) = self.keepers.get_mut(name) else { return };
+        if !connected && is_starting && state.connection == KeeperConnection::Pending {
+            return;
+        }
         state.last_message_at = connected.then(BootInstant::now);
         let connection = if connected { KeeperConnection::Connected } else { KeeperConnection::Lost };
         state.confirmed_at = match (connected, confirmed) {
