perf(router): look at pending dispatchers every 25 ms

Cause: a router without a stream sleeps up to 200 ms before it looks at its candidates again, also when the keeper of a pending dispatcher connects meanwhile.

Change: it sleeps at most 25 ms. With a stream nothing changes.

--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -30,9 +30,10 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long opening a stream, or a probe, may take.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
-/// The bounds of the pause before the next step of the candidate choice.
+/// The bounds of the pause before the next step of the candidate choice. The health of candidates is looked at after each
+/// pause, and requests wait for a dispatcher meanwhile.
 const MIN_WAIT: Duration = Duration::from_millis(1);
-const MAX_WAIT: Duration = Duration::from_millis(200);
+const MAX_WAIT: Duration = Duration::from_millis(25);
 /// The largest message accepted from a dispatcher.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
