feat(dispatcher): ask engines for their caches when the first router joins

Cause: a shard starts with its first session, looks for routers before that session has joined, finds none, and looks again only at the next probe, 500 ms later. Engines that register after a round wait for the next one, 0.9 s at 90 engines. Until then the shard sends prompts without regard to what the engines have cached.

Change: the driver wakes the poll when its status shows the first router. Between two rounds the poll starts the cache followers of engines that register, within the duty cycle of policies, where all engines are asked (up to 100). Load probes keep their interval. The poll becomes a struct, since it has more state.

--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -109,6 +109,8 @@
     status_due: BootInstant,
     /// Receives a message when a session opens.
     opened: Sender<()>,
+    /// Receives a message when the status shows the first router.
+    in_use: Sender<()>,
 }
 
 /// Starts a shard and the tasks that feed it with policies, load reports and totals of other regions.
@@ -123,6 +125,7 @@
     let totals: Arc<Mutex<Vec<CustomerTotal>>> = Arc::default();
     let (inputs, receiver) = unbounded();
     let (opened, opened_receiver) = bounded(1);
+    let (in_use, in_use_receiver) = bounded(1);
     let driver = ShardDriver {
         clock,
         core,
@@ -139,6 +142,7 @@
         next_tick: BootInstant::now() + TICK,
         status_due: BootInstant::now(),
         opened,
+        in_use,
     };
     record(&events::SHARD_STARTED, &[field("service", &service)]);
     let feed = PolicyFeed {
@@ -152,7 +156,20 @@
     tokio::spawn(feed.run());
     let handle = ShardHandle { inputs: inputs.clone(), status: status.clone(), totals };
     tokio::spawn(share_totals(service.clone(), options.clone(), handle.clone()));
-    tokio::spawn(poll_endpoints(clock, service, options, source, inputs, status));
+    let poll = EndpointPoll {
+        clock,
+        service,
+        changes: source.subscribe(),
+        source,
+        inputs,
+        status,
+        in_use: in_use_receiver,
+        followers: HashMap::new(),
+        used_engines: UsedEngines::default(),
+        pause: options.probe_interval,
+        options,
+    };
+    tokio::spawn(poll.run());
     tokio::spawn(driver.run(receiver));
     handle
 }
@@ -186,7 +203,15 @@
     fn update_status(&mut self) {
         let status = self.core.status(self.clock.now());
         self.tally.report(&status);
-        *self.status.lock().expect("the lock of the status is not poisoned") = status;
+        let is_used = status.routers > 0;
+        let before = std::mem::replace(
+            &mut *self.status.lock().expect("the lock of the status is not poisoned"),
+            status,
+        );
+        if is_used && before.routers == 0 {
+            // A message that is still unread serves as well.
+            let _ = self.in_use.try_send(());
+        }
         *self.totals.lock().expect("the lock of the totals is not poisoned") = self.core.totals();
     }
 
@@ -317,43 +342,82 @@
 
 /// Probes the selected endpoints and reads the platform's list at intervals, and runs a cache follower for each of them,
 /// while routers use the shard.
-async fn poll_endpoints(
+struct EndpointPoll {
     clock: ShardClock,
     service: ServiceName,
     options: HostOptions,
     source: Arc<dyn PolicySource>,
     inputs: Sender<ShardInput>,
     status: Arc<Mutex<ShardStatus>>,
-) {
-    let mut followers: HashMap<EndpointName, JoinHandle<()>> = HashMap::new();
-    let mut used_engines = UsedEngines::default();
-    loop {
-        let selection = {
-            let status = status.lock().expect("the lock of the status is not poisoned");
-            (status.routers > 0).then(|| used_engines.select(BootInstant::now(), &status.endpoints))
-        };
-        let mut pause = options.probe_interval;
-        if let Some(selection) = selection {
-            let probed = source.probed_endpoints(&service, &selection);
-            pause = pause.max(MIN_PROBE_SPACING * u32::try_from(probed.len()).unwrap_or(u32::MAX));
-            stop_followers(&mut followers, &probed);
-            for endpoint in probed {
-                let follow = || {
-                    let follower = CacheFollower::new(&options, endpoint.clone(), inputs.clone());
-                    tokio::spawn(follower.run(pause))
-                };
-                followers.entry(endpoint.name.clone()).or_insert_with(follow);
-                tokio::spawn(probe_endpoint(clock, options.clone(), endpoint, inputs.clone()));
+    /// Receives a message when the first router joins.
+    in_use: Receiver<()>,
+    /// Receives a message after each change of the endpoints.
+    changes: Receiver<()>,
+    followers: HashMap<EndpointName, JoinHandle<()>>,
+    used_engines: UsedEngines,
+    /// The pause after the latest round.
+    pause: Duration,
+}
+
+impl EndpointPoll {
+    async fn run(mut self) {
+        while !self.inputs.is_closed() {
+            // The round includes all changes notified so far.
+            while self.changes.try_recv().is_ok() {}
+            match self.selection() {
+                Some(selection) => {
+                    self.probe_selected(&selection).await;
+                    self.follow_new_until(BootInstant::now() + self.pause).await;
+                }
+                None => {
+                    stop_followers(&mut self.followers, &[]);
+                    let _ = timeout(self.options.probe_interval, self.in_use.recv()).await;
+                }
             }
-            if let Some(leaving) = options.list.leaving().await {
-                let _ = inputs.send(ShardInput::Event(Box::new(ShardEvent::Listed(leaving)))).await;
+        }
+    }
+
+    /// Returns the endpoints to probe; `None` while no router uses the shard.
+    fn selection(&mut self) -> Option<ProbeSelection> {
+        let status = self.status.lock().expect("the lock of the status is not poisoned");
+        (status.routers > 0).then(|| self.used_engines.select(BootInstant::now(), &status.endpoints))
+    }
+
+    async fn probe_selected(&mut self, selection: &ProbeSelection) {
+        let probed = self.source.probed_endpoints(&self.service, selection);
+        let spaced = MIN_PROBE_SPACING * u32::try_from(probed.len()).unwrap_or(u32::MAX);
+        self.pause = self.options.probe_interval.max(spaced);
+        stop_followers(&mut self.followers, &probed);
+        for endpoint in probed {
+            self.follow(&endpoint);
+            tokio::spawn(probe_endpoint(self.clock, self.options.clone(), endpoint, self.inputs.clone()));
+        }
+        if let Some(leaving) = self.options.list.leaving().await {
+            let _ = self.inputs.send(ShardInput::Event(Box::new(ShardEvent::Listed(leaving)))).await;
+        }
+    }
+
+    /// Starts the cache followers of endpoints that register before the next round. After a return of the fleet the
+    /// first round finds only some of them, and prompts would be sent without regard to the caches of the others.
+    async fn follow_new_until(&mut self, end: BootInstant) {
+        let rest = || end.saturating_duration_since(BootInstant::now());
+        while !rest().is_zero() && matches!(timeout(rest(), self.changes.recv()).await, Ok(Ok(()))) {
+            let started = BootInstant::now();
+            // Of many engines only those in use are asked, and a new one is not in use yet.
+            let Some(ProbeSelection::All) = self.selection() else { break };
+            for endpoint in self.source.probed_endpoints(&self.service, &ProbeSelection::All) {
+                self.follow(&endpoint);
             }
-        } else {
-            stop_followers(&mut followers, &[]);
+            tokio::time::sleep(POLICY_CYCLE.pause_after(started.elapsed()).min(rest())).await;
         }
-        tokio::time::sleep(pause).await;
-        if inputs.is_closed() {
-            return;
+        tokio::time::sleep(rest()).await;
+    }
+
+    /// Starts a cache follower for an endpoint that has none.
+    fn follow(&mut self, endpoint: &ProbedEndpoint) {
+        if !self.followers.contains_key(&endpoint.name) {
+            let follower = CacheFollower::new(&self.options, endpoint.clone(), self.inputs.clone());
+            self.followers.insert(endpoint.name.clone(), tokio::spawn(follower.run(self.pause)));
         }
     }
 }
