test(keeper): plan in force after a restart of all processes

Cause: the stages between the start of all processes and a plan in force had no test together.

Change: twelve followers and three keepers start at the same time, with the plan in the log.

--- a/crates/micaspool-keeper/tests/follower_start.rs
+++ b/crates/micaspool-keeper/tests/follower_start.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const FIRST_PORT: u16 = 17_680;
+const FIRST_PORT: u16 = 17_700;
 
 fn peer(number: u16) -> PeerAddress {
     PeerAddress {
--- a/crates/micaspool-keeper/tests/restart.rs
+++ b/crates/micaspool-keeper/tests/restart.rs
@@ -1,10 +1,16 @@
-//! The time until keepers that start together have a leader again.
+//! The time until keepers that start together have a leader again, and their followers a plan.
 
 use async_std::task;
-use micaspool_client::{AddressDirectory, PeerDirectory};
+use micaspool_client::{
+    AddressDirectory, FleetMirror, FleetMirrorOptions, KeeperClient, PeerDirectory, StaticDirectory,
+};
 use micaspool_keeper::{start_keeper, KeeperDaemon, KeeperOptions};
 use micaspool_quorum::OpenGroupOptions;
+use micaspool_routes::JsonFormat;
+use micaspool_settings::process::PeerAddress;
+use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::InstanceName;
+use micaspool_wire::v1::PublishRequest;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -83,3 +89,90 @@
     times.sort();
     assert!(times[times.len() / 2] < ELECTION_TIMEOUT, "confirmed only after {times:?}");
 }
+
+/// The bound on the time from the start of all processes to a plan in force, for most of them: of the second in which a
+/// fleet is to be back, the streams to shards, their recovery window and the engines' lists need more than half.
+const PLAN_BOUND: Duration = Duration::from_millis(400);
+const FOLLOWERS: usize = 12;
+
+fn peers(port: u16) -> Vec<PeerAddress> {
+    let peer = |number| PeerAddress { name: name(number), address: SocketAddr::new(address(number), port) };
+    (1..=3).map(peer).collect()
+}
+
+async fn publish(port: u16) {
+    let client = KeeperClient::new(peers(port), TrafficCounter::default());
+    let document = "{\"number\":1,\"plan\":{\"routes\":[],\"services\":[],\"customers\":[],\"capacity\":0,\
+                    \"limits\":{\"head_bytes\":1,\"body_bytes\":1,\"head_ms\":1,\"idle_ms\":1}}}";
+    let request = PublishRequest { number: 1, document: document.to_owned() };
+    let start = Instant::now();
+    while client.publish(request.clone(), Duration::from_secs(1)).await.is_err() {
+        assert!(start.elapsed() < Duration::from_secs(10), "the keepers take the plan");
+        task::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Starts followers and, a moment later, all keepers. Returns how long after the start each follower has a plan.
+async fn start_with_followers(port: u16, folders: &[TemporaryFolder]) -> Vec<Duration> {
+    let started = Instant::now();
+    let follow = |number: usize| {
+        FleetMirror::start(FleetMirrorOptions {
+            follower: format!("gateway-{number}"),
+            seeds: (1..=3).map(name).collect(),
+            directory: Arc::new(StaticDirectory(peers(port))),
+            format: Arc::new(JsonFormat),
+            counter: TrafficCounter::default(),
+            max_endpoint_silence: Duration::from_secs(10),
+        })
+    };
+    let mirrors: Vec<Arc<FleetMirror>> = (0..FOLLOWERS).map(follow).collect();
+    let mut keepers = Vec::new();
+    for (number, folder) in (1..).zip(folders) {
+        keepers.push(keeper(number, port, folder).await);
+    }
+    let mut times = vec![None; FOLLOWERS];
+    while times.contains(&None) {
+        assert!(started.elapsed() < Duration::from_secs(15), "no plan within 15 s");
+        for (time, mirror) in times.iter_mut().zip(&mirrors) {
+            if time.is_none() && mirror.has_plan() {
+                *time = Some(started.elapsed());
+            }
+        }
+        task::sleep(Duration::from_millis(2)).await;
+    }
+    for keeper in keepers {
+        keeper.stop().await;
+    }
+    times.into_iter().flatten().collect()
+}
+
+/// Guards against waiting times between the start of all processes and a plan in force that are not those of an election:
+/// late reconnects, and followers that wait for the keeper that they prefer. The plan is in the log and not in a snapshot,
+/// so that no keeper announces it before a majority has committed the first entry of a leader.
+#[test]
+fn followers_have_the_plan_soon_after_all_processes_restart() {
+    let folder = |number: u8| {
+        TemporaryFolder(std::env::temp_dir().join(format!("micaspool-plan-{}-{number}", std::process::id())))
+    };
+    let folders: Vec<TemporaryFolder> = (1..=3).map(folder).collect();
+    let first_port = FIRST_PORT + 10;
+    task::block_on(async {
+        let mut keepers = Vec::new();
+        for (number, folder) in (1..).zip(&folders) {
+            keepers.push(keeper(number, first_port, folder).await);
+        }
+        publish(first_port).await;
+        for keeper in keepers {
+            keeper.stop().await;
+        }
+    });
+    let mut medians = Vec::new();
+    for round in 1..=ROUNDS {
+        let mut times = task::block_on(start_with_followers(first_port + round, &folders));
+        times.sort();
+        println!("plan in force after {times:?}");
+        medians.push(times[times.len() / 2]);
+    }
+    medians.sort();
+    assert!(medians[medians.len() / 2] < PLAN_BOUND, "plan in force only after {medians:?}");
+}
