feat(client, gateway): treat keepers as settling for a second after the start

Cause: gateways rank the dispatchers of connected keepers without a majority last. With a leader within some ten milliseconds of the start, a plan is in force while a slower keeper has not heard the leader yet. Gateways that start at the same time would then rank differently, use two shards for one service, and move together only after 2 s; both shards would grant all slots meanwhile. Until now the plan came so late that all keepers were confirmed before.

Change: a keeper that has not reported a majority since the start of the mirror counts as settling for one second. A keeper that was never reached is pending for the same second instead of 500 ms.

Result: tests/follower_start.rs has a test of the status. The mapping in the gateway has no test of its own.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -74,6 +74,9 @@
     pub confirmed: bool,
     /// True while its stream is open and it has or recently had contact with a majority. Stays true during an election.
     pub recently_confirmed: bool,
+    /// True if it has not reported contact with a majority yet and this process has just started, so that its group may
+    /// be about to elect a leader.
+    pub settling: bool,
     /// True while the seeds or the group's members contain it.
     pub wanted: bool,
 }
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -23,10 +23,11 @@
 /// without being cut off.
 const CONFIRMATION_RETENTION: Duration = Duration::from_secs(3);
 
-/// For this long after the start of the mirror, a keeper that could not be reached yet counts as pending instead of lost.
-/// After a power loss keepers are ready within some hundred milliseconds of their followers. Routers leave the dispatcher
-/// of a lost keeper alone for another 0.6 s after its return, and would all move to others.
-const FIRST_CONNECT_TIME: Duration = Duration::from_millis(500);
+/// For this long after the start of the mirror, a keeper that could not be reached yet counts as pending instead of lost,
+/// and one that has not reported a majority yet as settling. After a power loss keepers are ready within some hundred
+/// milliseconds of their followers. Routers leave the dispatcher of a lost keeper alone for another 0.6 s after its return,
+/// and that of one without a majority for 2 s if they have chosen another.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 
 /// A keeper without a message for this long is unresponsive. Keepers send a message once a second.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1_300);
@@ -122,6 +123,11 @@
         Moment(0) + self.start.elapsed()
     }
 
+    /// Returns whether keepers may still be starting together with this process.
+    fn is_starting(&self) -> bool {
+        self.start.elapsed() < SETTLE_TIME
+    }
+
     /// Returns the seeds and members that are not followed yet, and marks them as followed.
     pub fn claim_unfollowed(&mut self) -> Vec<InstanceName> {
         let wanted = self.seeds.iter().chain(&self.members).cloned();
@@ -148,6 +154,7 @@
                 unresponsive: state.is_unresponsive(),
                 confirmed: state.confirmed,
                 recently_confirmed: state.recently_confirmed(),
+                settling: self.is_starting() && !state.recently_confirmed(),
                 wanted: self.is_wanted(name),
             })
         });
@@ -156,7 +163,7 @@
 
     /// Records whether the stream from a keeper is open and whether the keeper has contact with a majority.
     pub fn update_keeper(&mut self, name: &InstanceName, connected: bool, confirmed: bool) {
-        let is_starting = self.start.elapsed() < FIRST_CONNECT_TIME;
+        let is_starting = self.is_starting();
         let Some(state) = self.keepers.get_mut(name) else { return };
         if !connected && is_starting && state.connection == KeeperConnection::Pending {
             return;
--- a/crates/micaspool-gateway/src/dispatchers.rs
+++ b/crates/micaspool-gateway/src/dispatchers.rs
@@ -51,6 +51,9 @@
         let address = self.directory.address(&status.peer.name)?;
         let health = match status.connection {
             KeeperConnection::Pending => CandidateHealth::Pending,
+            // Gateways that start at the same time would choose different dispatchers, depending on which keepers have
+            // heard the new leader first.
+            KeeperConnection::Connected if status.settling => CandidateHealth::Pending,
             KeeperConnection::Connected if status.unresponsive => CandidateHealth::Unresponsive,
             KeeperConnection::Connected => CandidateHealth::Answering,
             KeeperConnection::Lost => CandidateHealth::Lost,
@@ -70,7 +73,8 @@
     statuses: &'a [KeeperStatus],
 ) -> Vec<&'a KeeperStatus> {
     let ranked = |lacks_majority: bool| {
-        let is_cut_off = |status: &KeeperStatus| status.is_connected() && !status.recently_confirmed;
+        let is_cut_off =
+            |status: &KeeperStatus| status.is_connected() && !status.recently_confirmed && !status.settling;
         let chosen = statuses.iter().filter(|status| status.wanted && is_cut_off(status) == lacks_majority);
         let names: Vec<InstanceName> = chosen.map(|status| status.peer.name.clone()).collect();
         rank_distinct(service, services, &names)
--- a/crates/micaspool-keeper/tests/follower_start.rs
+++ b/crates/micaspool-keeper/tests/follower_start.rs
@@ -98,6 +98,32 @@
     });
 }
 
+/// Guards against routers that start together and choose different dispatchers, since some keepers have not heard the new
+/// leader yet. A keeper without a majority counts as cut off only later.
+#[test]
+fn keeper_without_a_majority_is_settling_at_first() {
+    task::block_on(async {
+        let folder = std::env::temp_dir().join(format!("micaspool-start-{}-30", std::process::id()));
+        let directory: Arc<dyn PeerDirectory> = Arc::new(StaticDirectory(Vec::new()));
+        let group = vec![peer(30).name, peer(31).name];
+        let options = KeeperOptions::builder(peer(30).name, group, directory)
+            .wire(peer(30).address)
+            .data_folder(folder)
+            .build();
+        let keeper = start_keeper(options).await.expect("the keeper starts");
+        let started = Instant::now();
+        let mirror = follow("early", vec![peer(30)]);
+        let status = || mirror.keepers().remove(0);
+        time_until(|| status().is_connected()).await;
+        // The process may have been delayed for longer before the check.
+        assert!(status().settling || started.elapsed() > Duration::from_millis(900));
+        time_until(|| !status().settling).await;
+        assert!(started.elapsed() >= Duration::from_millis(900), "settling ends a second after the start");
+        assert!(status().is_connected() && !status().recently_confirmed);
+        keeper.stop().await;
+    });
+}
+
 async fn publish(keeper: PeerAddress, number: u64) {
     let client = KeeperClient::new(vec![keeper], TrafficCounter::default());
     let plan = "{\"routes\":[],\"services\":[],\"customers\":[],\"capacity\":0,\"limits\":{\"head_bytes\":1,\
