fix(quorum): don't elect a leader beside one that may still be confirmed

Cause: a leader counts as confirmed for an election timeout after the latest answers of a majority, and its reads are marked so. Restarted voters elected another leader already 300 ms after their start when the old one was isolated, and voters that had just elected one that was then isolated elected the next after 200 to 300 ms.

Change: at the start a leader is elected at once only if all voters have answered, since one that leads would say so. With a majority, an election timeout must have passed since the start and since the latest vote. Answers from before an attempt don't count for the next one.

--- a/crates/micaspool-quorum/src/core/election.rs
+++ b/crates/micaspool-quorum/src/core/election.rs
@@ -112,7 +112,7 @@
             self.hard.vote = Some(from.clone());
             self.hard_dirty = true;
             self.reset_election_deadline(now);
-            self.hold_startup(now);
+            self.note_vote_at_startup(now);
         }
         self.send(&from.name, PeerBody::VoteReply { granted });
     }
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -130,7 +130,7 @@
             leader_last_contact: None,
             election_deadline: now,
             forming: FormingState::default(),
-            startup: StartupState::new(now),
+            startup: StartupState::new(now, &options),
             rng: ChaCha8Rng::seed_from_u64(seed),
             output: QuorumOutput::default(),
             hard_dirty: false,
--- a/crates/micaspool-quorum/src/core/startup.rs
+++ b/crates/micaspool-quorum/src/core/startup.rs
@@ -1,9 +1,12 @@
 //! The first election after a start.
 //!
 //! After a power loss all voters start at about the same time, and none of them has a leader. A voter that has heard no
-//! leader since its start therefore probes the others and begins a pre-vote as soon as a majority has answered and nobody
-//! who answered hears a leader. It does not wait for an election timeout, whose purpose is to notice the loss of a leader
-//! that was heard before. Probes start no term and grant nothing; pre-votes and votes decide as in any other election.
+//! leader since its start therefore probes the others and begins a pre-vote as soon as all voters have answered and nobody
+//! hears a leader. Probes start no term and grant nothing; pre-votes and votes decide as in any other election.
+//!
+//! While a voter has not answered, it could be a leader that counts on answers, or on a vote, that this voter gave before.
+//! It counts on them for an election timeout, and what is read from it meanwhile is taken as confirmed by a majority. So a
+//! majority of answers is enough only when an election timeout has passed since the start and since the latest vote.
 
 use super::{QuorumCore, RoleState};
 use crate::message::PeerBody;
@@ -22,9 +25,6 @@
 /// The delay for each voter with a better claim to lead. It covers the messages of an election and the sync of a vote, so
 /// that votes are rarely split.
 const RANK_DELAY: Duration = Duration::from_millis(25);
-/// The number of heartbeat intervals after the start for which a missing answer could be that of a leader: it may have to
-/// reopen its stream to this voter first, and sends a heartbeat only then.
-const SETTLE_HEARTBEATS: u32 = 3;
 /// The delay until the next attempt after a first pre-vote or vote without a leader. It doubles up to the election
 /// timeout, since another attempt discards the votes of one that is merely slow.
 const FIRST_RETRY: Duration = Duration::from_millis(200);
@@ -41,7 +41,8 @@
 /// What a voter knows about the others until it hears a leader for the first time since its start.
 #[derive(Debug)]
 pub(super) struct StartupState {
-    started: Moment,
+    /// Until when a voter that has not answered may be a leader that counts on this one.
+    relied_on_until: Moment,
     /// Whether no leader has been heard since the start.
     active: bool,
     answers: HashMap<KeeperIdentity, StartupAnswer>,
@@ -55,9 +56,9 @@
 }
 
 impl StartupState {
-    pub fn new(now: Moment) -> StartupState {
+    pub fn new(now: Moment, options: &QuorumOptions) -> StartupState {
         StartupState {
-            started: now,
+            relied_on_until: now + options.election_timeout,
             active: true,
             answers: HashMap::new(),
             next_probe: now,
@@ -74,8 +75,9 @@
         self.answers.clear();
     }
 
-    /// Delays the next attempt, because one is under way. `jitter` is between 0 and 1.
+    /// Delays the next attempt, because one is under way, and requires new answers for it. `jitter` is between 0 and 1.
     fn hold(&mut self, now: Moment, jitter: f64, limit: Duration) {
+        self.answers.clear();
         self.eligible_since = None;
         self.held_until = now + self.retry + self.retry.mul_f64(jitter / 2.0);
         self.retry = (self.retry * 2).min(limit);
@@ -102,7 +104,6 @@
         own: &KeeperIdentity,
         last: (Term, LogIndex),
         membership: &GroupMembership,
-        options: &QuorumOptions,
     ) -> bool {
         if !self.active || now < self.held_until {
             return false;
@@ -113,9 +114,8 @@
             .filter_map(|voter| Some((voter, self.recent_answer(now, voter)?)))
             .collect();
         let reached = answers.len() + 1;
-        let is_settled = now.since(self.started) >= options.heartbeat * SETTLE_HEARTBEATS;
         let is_eligible = reached >= membership.majority()
-            && (is_settled || reached == membership.voters().count())
+            && (now >= self.relied_on_until || reached == membership.voters().count())
             && !answers.iter().any(|(_, answer)| answer.hears_leader);
         if !is_eligible {
             self.eligible_since = None;
@@ -186,7 +186,7 @@
         let membership = self.log.membership();
         let may_stand = !self.is_leader() && membership.is_voter(&self.identity);
         let last = (self.log.last_term(), self.log.last_index());
-        if !may_stand || !self.startup.is_due(now, &self.identity, last, membership, &self.options) {
+        if !may_stand || !self.startup.is_due(now, &self.identity, last, membership) {
             return;
         }
         // A pre-vote for a term that a voter has seen already would be refused by that voter.
@@ -206,7 +206,13 @@
         }
     }
 
-    /// Delays the next attempt of the startup while this keeper stands for election or has voted.
+    /// Notes that this keeper has voted for another one, which may lead now and count on the vote.
+    pub(super) fn note_vote_at_startup(&mut self, now: Moment) {
+        self.startup.relied_on_until = now + self.options.election_timeout;
+        self.hold_startup(now);
+    }
+
+    /// Delays the next attempt of the startup while an election is under way.
     pub(super) fn hold_startup(&mut self, now: Moment) {
         if self.startup.active {
             let jitter = self.rng.random_range(0.0..1.0);
