fix(quorum): don't outbid an election that is under way at the start

A starting voter adopted the term of an election in progress from a reply and began a pre-vote for the next one at once, and a voter that granted a vote went on with its own pre-vote.

Change: a newer term is adopted when it is heard of, and like a vote it delays the next attempt and the use of a mere majority. A vote ends a pre-vote of the voter.

All tests of micaspool-quorum and micaspool-keeper pass.

--- a/crates/micaspool-quorum/src/core/election.rs
+++ b/crates/micaspool-quorum/src/core/election.rs
@@ -33,6 +33,7 @@
         self.hard.vote = Some(self.identity.clone());
         self.hard_dirty = true;
         self.reset_election_deadline(now);
+        self.note_term_at_startup(now);
         let own = HashSet::from([self.identity.clone()]);
         self.role = RoleState::Candidate(ElectionState { is_pre_vote: false, granted: own });
         let (last_term, last) = self.last_entry();
@@ -112,7 +113,8 @@
             self.hard.vote = Some(from.clone());
             self.hard_dirty = true;
             self.reset_election_deadline(now);
-            self.note_vote_at_startup(now);
+            self.note_term_at_startup(now);
+            self.abandon_pre_vote();
         }
         self.send(&from.name, PeerBody::VoteReply { granted });
     }
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -299,6 +299,7 @@
         self.hard = HardState { term, vote: None };
         self.hard_dirty = true;
         self.become_follower(now, None);
+        self.note_term_at_startup(now);
     }
 
     fn become_follower(&mut self, now: Moment, leader: Option<KeeperIdentity>) {
--- a/crates/micaspool-quorum/src/core/startup.rs
+++ b/crates/micaspool-quorum/src/core/startup.rs
@@ -34,7 +34,6 @@
 pub(super) struct StartupAnswer {
     at: Moment,
     hears_leader: bool,
-    term: Term,
     last: (Term, LogIndex),
 }
 
@@ -128,11 +127,6 @@
         let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
         now.since(*self.eligible_since.get_or_insert(now)) >= delay
     }
-
-    /// Returns the highest term that a voter has reported.
-    fn highest_term(&self) -> Term {
-        self.answers.values().map(|answer| answer.term).max().unwrap_or_default()
-    }
 }
 
 /// Returns whether a voter has a better claim to lead than another: a log with more entries or, if the logs are equal, the
@@ -176,10 +170,16 @@
         hears_leader: bool,
         last: (Term, LogIndex),
     ) {
-        if self.startup.active && self.log.membership().is_voter(&from) {
-            self.startup.answers.insert(from, StartupAnswer { at: now, hears_leader, term, last });
-            self.elect_at_startup(now);
+        if !self.startup.active || !self.log.membership().is_voter(&from) {
+            return;
         }
+        // A pre-vote for a term that a voter has seen already would be refused by that voter. An election of that term may
+        // be under way, so it is adopted with a pause.
+        if term > self.hard.term {
+            self.enter_term(now, term);
+        }
+        self.startup.answers.insert(from, StartupAnswer { at: now, hears_leader, last });
+        self.elect_at_startup(now);
     }
 
     fn elect_at_startup(&mut self, now: Moment) {
@@ -189,11 +189,6 @@
         if !may_stand || !self.startup.is_due(now, &self.identity, last, membership) {
             return;
         }
-        // A pre-vote for a term that a voter has seen already would be refused by that voter.
-        let highest_term = self.startup.highest_term();
-        if highest_term > self.hard.term {
-            self.enter_term(now, highest_term);
-        }
         self.begin_pre_vote(now);
     }
 
@@ -206,13 +201,14 @@
         }
     }
 
-    /// Notes that this keeper has voted for another one, which may lead now and count on the vote.
-    pub(super) fn note_vote_at_startup(&mut self, now: Moment) {
+    /// Notes that a newer term has begun or that this keeper has voted. Somebody may lead in that term now and count on the
+    /// votes of it.
+    pub(super) fn note_term_at_startup(&mut self, now: Moment) {
         self.startup.relied_on_until = now + self.options.election_timeout;
         self.hold_startup(now);
     }
 
-    /// Delays the next attempt of the startup while an election is under way.
+    /// Delays the next attempt of the startup while this keeper stands for election or has voted.
     pub(super) fn hold_startup(&mut self, now: Moment) {
         if self.startup.active {
             let jitter = self.rng.random_range(0.0..1.0);
--- a/crates/micaspool-quorum/tests/startup.rs
+++ b/crates/micaspool-quorum/tests/startup.rs
@@ -309,7 +309,7 @@
 /// middle of elections.
 #[test]
 fn repeated_power_losses_keep_every_invariant() {
-    for seed in 0..400 {
+    for seed in 0..2_500 {
         let voters = if seed % 2 == 0 { 3 } else { 5 };
         let mut harness = formed_group(voters, 10_000 + seed);
         for round in 0..8_u8 {
