test(keeper): a follower's second try, without the start of a keeper

Cause: follower_that_starts_before_its_keeper_is_connected_soon failed once in a run of several crates at a load of 36. It started a real keeper 60 ms after the follower; a start that takes longer than 15 ms misses the try at 75 ms, and the next one is at 175 ms.

Change: a listener stands in for the keeper. The limit stays at 80 ms.

--- a/crates/micaspool-keeper/tests/follower_start.rs
+++ b/crates/micaspool-keeper/tests/follower_start.rs
@@ -1,5 +1,6 @@
 //! How soon a follower that starts with its keepers has connections and a plan.
 
+use async_std::net::TcpListener;
 use async_std::task;
 use micaspool_client::{
     FleetMirror, FleetMirrorOptions, KeeperClient, KeeperConnection, PeerDirectory, StaticDirectory,
@@ -60,24 +61,25 @@
 }
 
 /// Guards against followers that try a keeper again only 200 ms after a first refusal. Until they are connected they hear
-/// of no plan and rank the dispatcher of that keeper last. The median leaves room for a busy machine.
+/// of no plan and rank the dispatcher of that keeper last. A listener stands in for the keeper, whose start takes a time of
+/// its own. The median leaves room for a busy machine.
 #[test]
-fn follower_that_starts_before_its_keeper_is_connected_soon() {
+fn follower_tries_a_keeper_soon_after_it_was_refused() {
     const HEAD_START: Duration = Duration::from_millis(60);
     const LIMIT: Duration = Duration::from_millis(80);
     let mut times = Vec::new();
     for number in 1..=5 {
         times.push(task::block_on(async {
-            let mirror = follow("early", vec![peer(number)]);
+            let _mirror = follow("early", vec![peer(number)]);
             task::sleep(HEAD_START).await;
-            let keeper = start_single(number).await;
-            let took = time_until(|| mirror.keepers().iter().all(|keeper| keeper.is_connected())).await;
-            keeper.stop().await;
-            took
+            let listener = TcpListener::bind(peer(number).address).await.expect("the port is free");
+            let start = Instant::now();
+            listener.accept().await.expect("the follower connects");
+            start.elapsed()
         }));
     }
-    println!("connected after {times:?}");
-    assert!(median(times.clone()) < LIMIT, "connected only after {times:?}");
+    println!("tried again after {times:?}");
+    assert!(median(times.clone()) < LIMIT, "tried again only after {times:?}");
 }
 
 /// Guards against a keeper that starts some hundred milliseconds after its followers and counts as lost for them: routers
