--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -5,8 +5,8 @@
 //! prefill slows down every stream. The prefill rate is learnt from observations (see [`PrefillRate`]).
 
 use super::parts::PartCache;
-use super::prefill::PrefillRate;
 use crate::event::{CacheUpdate, RequestTicket};
+use micaspool_engine::PrefillRate;
 use micaspool_types::{Moment, RequestId};
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -25,7 +25,6 @@
 mod parts;
 mod pauses;
 mod placement;
-mod prefill;
 mod prefixes;
 mod rate;
 mod reports;
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -3,8 +3,8 @@
 use super::counters::CustomerCounters;
 use super::customers::CustomerState;
 use super::endpoints::EndpointIndex;
-use super::prefill::PrefillRate;
 use super::ShardCore;
+use micaspool_engine::PrefillRate;
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashRecord, RequestStanding};
 use micaspool_types::{CustomerName, EndpointName, HallMask, Moment, Revision};
--- a/crates/micaspool-dispatch/src/shard/prefill.rs
+++ b/crates/micaspool-engine/src/prefill.rs
@@ -69,7 +69,7 @@
 
 /// The learnt prefill rate of an engine.
 #[derive(Debug, Clone)]
-pub(super) struct PrefillRate {
+pub struct PrefillRate {
     /// Lower quartile of the time from a grant to the first event without prefill, in microseconds.
     latency: f64,
     /// Mean of the same time.
