feat(dispatch): count the own place of a ticket that waits for a slot

Cause: behind k tickets, a ticket needs k + 1 slots to be freed; the expected wait counted k. Change: the expected wait includes the load of the ticket itself while no endpoint is free and slots bind before prefill.

--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -62,8 +62,10 @@
         ticket: &RequestTicket,
         is_first_attempt: bool,
     ) -> WaitEstimate {
-        let first_event = self.endpoints.min_time_to_first_event(now, &PromptShape::of(ticket));
-        let expected = self.queue_wait(now, self.customers.get(customer));
+        let prompt = PromptShape::of(ticket);
+        let first_event = self.endpoints.min_time_to_first_event(now, &prompt);
+        let slot_load = self.endpoints.slot_load(now, &prompt);
+        let expected = self.queue_wait(now, self.customers.get(customer), slot_load);
         let Some(objective) = ticket.objective else {
             return WaitEstimate { max_wait: None, queue_bound: None, expected, queue_fill: None };
         };
@@ -126,10 +128,10 @@
         }
     }
 
-    /// The expected time until the customer's queue is served.
-    fn queue_wait(&self, now: Moment, state: &CustomerState) -> Duration {
+    /// The expected time until the customer's queue is served, and this much load beyond it.
+    fn queue_wait(&self, now: Moment, state: &CustomerState, beyond: u64) -> Duration {
         let rate = self.service_rate(now, state);
-        Duration::try_from_secs_f64(state.queued_load as f64 / rate).unwrap_or(Duration::MAX)
+        Duration::try_from_secs_f64((state.queued_load + beyond) as f64 / rate).unwrap_or(Duration::MAX)
     }
 
     /// The load per second at which the customer is served: its recent rate, or an even share of the
--- a/crates/micaspool-dispatch/src/shard/service_model.rs
+++ b/crates/micaspool-dispatch/src/shard/service_model.rs
@@ -203,6 +203,17 @@
         bound().unwrap_or(f64::INFINITY)
     }
 
+    /// The load of a request that waits for a slot of its own after those before it have theirs; zero where
+    /// slots are not what it waits for.
+    pub(super) fn slot_load(&self, now: Moment, prompt: &PromptShape) -> u64 {
+        let waits = prompt.output.is_known() && self.free_halls().is_empty();
+        if waits && self.slot_bound_load() < self.prefill_per_second(now) {
+            prompt.load()
+        } else {
+            0
+        }
+    }
+
     /// The expected time from a grant to the first event on a mean engine that has cached as much of the
     /// prompt as any.
     pub(super) fn mean_time_to_first_event(&self, prompt: &PromptShape) -> Duration {
