--- a/crates/micaspool-dispatch/src/shard/service_model.rs
+++ b/crates/micaspool-dispatch/src/shard/service_model.rs
@@ -235,7 +235,7 @@
 
     /// How many tokens of a prompt no engine has cached, as far as known; at least one.
     fn least_uncached_tokens(&self, prompt: &PromptShape) -> u64 {
-        let cached = prompt.parts().take_while(|(prefix, _)| self.holders.of(*prefix).len() > 0);
+        let cached = prompt.parts().take_while(|(prefix, _)| !self.holders.of(*prefix).is_empty());
         let cached_tokens: u64 = cached.map(|(_, tokens)| tokens).sum();
         prompt.total.saturating_sub(cached_tokens).max(1)
     }
