--- a/crates/micaspool-dispatch/tests/shard/generation/fleet.rs
+++ b/crates/micaspool-dispatch/tests/shard/generation/fleet.rs
@@ -169,7 +169,6 @@
 
     /// Runs for this many milliseconds.
     pub fn play(&mut self, millis: u64) {
-        let mut number = self.outcomes.len() as u128;
         let begin = self.played;
         self.played += millis;
         for now in begin..self.played {
@@ -179,8 +178,7 @@
             for kind in 0..self.site.kinds.len() {
                 let expected = self.site.kinds[kind].rate / 1_000.0;
                 if self.rng.random_bool(expected.min(1.0)) {
-                    number += 1;
-                    self.submit(now, number, kind);
+                    self.submit(now, kind);
                 }
             }
             self.harness.step(ShardEvent::Wake);
@@ -192,7 +190,16 @@
         }
     }
 
-    fn submit(&mut self, now: u64, number: u128, kind: usize) {
+    /// Submits this many requests of the first kind at once.
+    pub fn submit_burst(&mut self, count: usize) {
+        for _ in 0..count {
+            self.submit(self.played, 0);
+        }
+        self.take_actions(self.played);
+    }
+
+    fn submit(&mut self, now: u64, kind: usize) {
+        let number = self.outcomes.len() as u128 + 1;
         let Kind { objective_millis, prompt_tokens, output_tokens, .. } = self.site.kinds[kind];
         // Lengths vary by up to a half, and hints miss them by up to a half again.
         let output = (output_tokens as f64 * self.rng.random_range(0.5..1.5)) as u64 + 1;
--- a/crates/micaspool-dispatch/tests/shard/generation/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/generation/mod.rs
@@ -121,6 +121,57 @@
     assert_eq!(refused, 0, "of {}", fleet.outcomes.len());
 }
 
+/// Guards against refusals by an assumed rate before the first event has arrived: engines need 0.3 s and 0.4 s for
+/// these bursts, and would need 2 s and 3 s at 8 tokens per millisecond.
+#[test_case(0.0, 2_368, 30; "labels, without a planned pace")]
+#[test_case(8.0, 2_368, 30; "labels, planned far too slow")]
+#[test_case(8.0, 11_992, 8; "long prompts, planned far too slow")]
+fn a_burst_before_the_first_event_is_served(planned_pace: f64, prompt_tokens: u64, count: usize) {
+    let kind = Kind { objective_millis: 800, prompt_tokens, output_tokens: 24, rate: 0.0 };
+    let site = Site { engines: 4, slots: 24, kinds: vec![kind], ..half_loaded_site(planned_pace) };
+    let mut fleet = Fleet::new(Site { customers: 1, ..site }, 1);
+    fleet.submit_burst(count);
+    fleet.play(1_500);
+    let begun: Vec<u64> = fleet.outcomes.values().filter_map(|outcome| outcome.begun_at).collect();
+    println!("{begun:?}");
+    assert_eq!(begun.len(), count, "{begun:?}");
+    assert!(begun.iter().all(|at| *at <= 800), "{begun:?}");
+}
+
+/// Guards against a wrong plan that outlives the first observations: each engine would need several prompts of its
+/// own to correct it.
+#[test]
+fn a_wrong_plan_is_corrected_for_all_engines_at_once() {
+    let mut fleet = Fleet::new(half_loaded_site(2.0), 1);
+    fleet.play(500);
+    let status = fleet.harness.core.status(fleet.harness.now);
+    let rates = status.endpoints.iter().filter_map(|endpoint| endpoint.prefill);
+    let rates: Vec<f64> = rates.map(|prefill| prefill.tokens_per_milli).collect();
+    println!("{rates:.0?}");
+    let slow = rates.iter().filter(|rate| **rate < 20.0).count();
+    assert!(slow * 10 <= rates.len(), "{rates:.0?}");
+}
+
+/// Guards against the assumption that a prompt needs no time to its first event while no engine has a slot. Its
+/// wait ended at its objective then, half a second after its first event could no longer be in time.
+#[test]
+fn a_prompt_that_waits_for_a_slot_is_refused_once_it_would_be_late() {
+    let long = Kind { objective_millis: 1_000, prompt_tokens: 30_000, output_tokens: 2_000, rate: 0.0 };
+    let site = Site { engines: 2, slots: 4, kinds: vec![long], ..half_loaded_site(60.0) };
+    let mut fleet = Fleet::new(Site { customers: 1, ..site }, 2);
+    for _ in 0..8 {
+        fleet.submit_burst(1);
+        fleet.play(800);
+    }
+    let running = fleet.outcomes.values().filter(|outcome| outcome.granted_at.is_some()).count();
+    assert_eq!(running, 8, "all slots are taken");
+    fleet.submit_burst(1);
+    fleet.play(1_500);
+    let refusal = fleet.outcomes.values().last().and_then(|outcome| outcome.refusal).expect("a refusal");
+    println!("{refusal:?}");
+    assert!((250.0..650.0).contains(&refusal.waited), "{refusal:?}");
+}
+
 /// Guards against counting prefill as decode, in a shard that knows only grants, first events and progress: the
 /// step time of each engine is found beside prompts that take from a tenth to half of its time.
 #[test_case(1.0, 1)]
