--- a/crates/micaspool-dispatch/tests/shard/generation/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/generation/mod.rs
@@ -121,6 +121,26 @@
     assert_eq!(refused, 0, "of {}", fleet.outcomes.len());
 }
 
+/// Guards against queues as long as recent grants or the slots of others suggest: right after 48 free slots were
+/// granted at once, the recent rate was 96 requests a second, where slots sustain some 28.
+#[test_case(0, 18..=34; "all slots")]
+#[test_case(3, 9..=17; "half of the slots are used by others")]
+#[test_case(6, 3..=8; "all slots are used by others for now")]
+fn a_queue_is_as_long_as_slots_allow(foreign: u32, expected: std::ops::RangeInclusive<usize>) {
+    let mut fleet = Fleet::new(slot_bound_site(1, 40.0), 7);
+    fleet.play(8_000);
+    fleet.set_rate(0.0);
+    fleet.play(4_000);
+    for _ in 0..2 {
+        (0..8).for_each(|engine| fleet.harness.report_load(engine, foreign, false));
+        fleet.play(50);
+    }
+    fleet.submit_burst(150);
+    let waiting = fleet.harness.core.waiting_count();
+    println!("{waiting}");
+    assert!(expected.contains(&waiting), "{waiting}");
+}
+
 /// Guards against refusals by an assumed rate before the first event has arrived: engines need 0.3 s and 0.4 s for
 /// these bursts, and would need 2 s and 3 s at 8 tokens per millisecond.
 #[test_case(0.0, 2_368, 30; "labels, without a planned pace")]
