--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -2,10 +2,11 @@
 
 use super::availability::EndpointAvailability;
 use super::copy_link::{CopyLink, PlannedCopy};
-use super::engine::{EngineState, PartChange, PromptShape};
+use super::engine::{EngineState, FirstEvent, PartChange, PromptShape};
 use super::holders::PartHolders;
 use super::reports::ReportedSurplus;
 use super::scarcity::PrefillScarcity;
+use super::service_model::ServiceModel;
 use super::service_time::ServiceTime;
 use super::status::EndpointClosure;
 use super::totals::EndpointTotals;
@@ -69,6 +70,7 @@
     names: HashMap<EndpointName, EndpointIndex>,
     pub(super) totals: EndpointTotals,
     pub(super) scarcity: PrefillScarcity,
+    pub(super) model: ServiceModel,
     /// Endpoints that were cold when last looked at.
     pub(super) cold: BTreeSet<EndpointIndex>,
     /// Endpoints with a load report.
@@ -219,6 +221,8 @@
     pub fn adopt(&mut self, now: Moment, policy: &ShardPolicy) {
         let initial_share = self.initial_share;
         let per_token = self.default_per_token(now, policy.planned_pace);
+        let per_step = self.learnt_per_step();
+        self.plan_model(policy.planned_pace);
         self.cold_limits = policy.cold;
         self.copy_link.configure(&policy.engine);
         for index in self.indices() {
@@ -234,6 +238,7 @@
                 per_token,
                 policy.engine.event_tokens,
             );
+            self.state_mut(index).engine.iter_mut().for_each(|engine| engine.assume_step(per_step));
             if !spec.cold.is_zero() {
                 self.cold.insert(index);
             }
@@ -293,6 +298,7 @@
         prompt: &PromptShape,
         copy: Option<PlannedCopy>,
     ) {
+        self.note_mix(endpoint, prompt, copy);
         let mut changes = std::mem::take(&mut self.part_changes);
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
             engine.record_grant(now, request, prompt, copy, &mut changes);
@@ -315,8 +321,12 @@
         prompt: &PromptShape,
     ) {
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
-            if let Some(observation) = engine.note_first_event(now, request, prompt) {
-                self.note_copy_observed(now, endpoint, prompt, observation);
+            match engine.note_first_event(now, request, prompt) {
+                Some(FirstEvent::Copied(observation)) => {
+                    self.note_copy_observed(now, endpoint, prompt, observation)
+                }
+                Some(FirstEvent::Prefilled(observation)) => self.learn_prefill(now, endpoint, observation),
+                None => {}
             }
             self.update_prefill_limit(now, endpoint);
         }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -8,9 +8,9 @@
 use super::copy_link::{CopyQueues, PlannedCopy};
 use super::endpoints::EndpointIndex;
 use super::parts::PartCache;
-use super::prefill::PrefillRate;
 use super::stream_pauses::StreamPauses;
 use crate::event::{CacheUpdate, RequestTicket};
+use micaspool_engine::{DecodeRate, PrefillClock, PrefillRate, PrefillWork, StatedOutput, StreamSpan};
 use micaspool_types::{Cost, Moment, RequestId};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -66,6 +66,8 @@
     pub total: u64,
     /// The longest pause between two events that keeps its stream in time; `None` without such a target.
     pub pause: Option<Duration>,
+    /// What the caller states of the output.
+    pub output: StatedOutput,
 }
 
 impl PromptShape {
@@ -76,6 +78,7 @@
             tokens: ticket.prefix_tokens.as_slice().into(),
             total: ticket.prompt_tokens.0,
             pause: ticket.generation.pause,
+            output: ticket.generation.stated_output(),
         }
     }
 
@@ -158,6 +161,26 @@
     Unclear,
 }
 
+/// What the first event of a prompt shows.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum FirstEvent {
+    /// The prompt was prefilled as a whole, as far as it was not cached.
+    Prefilled(PrefillObservation),
+    /// Parts of it were to be copied from another engine.
+    Copied(CopyObservation),
+}
+
+/// The first event of a prompt without a copy, as observed for the prefill rate.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PrefillObservation {
+    /// The tokens that the engine had to prefill.
+    pub tokens: u64,
+    /// See [`PrefillRate::observe`].
+    pub took: Duration,
+    /// True if the engine had nothing to prefill at the grant.
+    pub idle: bool,
+}
+
 /// The state of one engine.
 #[derive(Debug)]
 pub(super) struct EngineState {
@@ -179,6 +202,9 @@
     /// The source of the last copy to this engine, if it seems to have brought nothing.
     missed_source: Option<EndpointIndex>,
     streams: StreamPauses,
+    decode: DecodeRate,
+    /// The prefill that it has done so far.
+    clock: PrefillClock,
     cached: PartCache,
     /// True once the engine has reported its cache.
     reports_cache: bool,
@@ -203,6 +229,8 @@
             uncopied_observed_at: Moment(0),
             missed_source: None,
             streams: StreamPauses::default(),
+            decode: DecodeRate::default(),
+            clock: PrefillClock::default(),
             cached: PartCache::default(),
             reports_cache: false,
             copies: CopyQueues::default(),
@@ -230,6 +258,45 @@
         self.rate.assume(per_token);
     }
 
+    /// Starts from another prefill rate, unless the engine's own is settled.
+    pub fn restart_rate(&mut self, now: Moment, per_token: Option<f64>) {
+        if self.rate.settled_per_token().is_none() {
+            self.rate = PrefillRate::new(per_token);
+            self.repace(now);
+        }
+    }
+
+    /// Shortens the pacing of earlier grants to the present rate until the rate is settled. Otherwise an
+    /// engine whose rate was assumed far too low gets no prompts for seconds after it has shown its real one.
+    pub fn repace(&mut self, now: Moment) {
+        if self.rate.settled_per_token().is_none() {
+            let paced = self.rate.prefill_time(self.pending_tokens) * 100 / RATE_PERCENT;
+            self.paced_until = self.paced_until.min(now + paced);
+        }
+    }
+
+    /// The learnt time of a decode step.
+    pub fn decode(&self) -> &DecodeRate {
+        &self.decode
+    }
+
+    /// Replaces the initial step time in microseconds, unless there are observations already.
+    pub fn assume_step(&mut self, per_step: Option<f64>) {
+        self.decode.assume(per_step);
+    }
+
+    /// Learns the time of a decode step from a stream.
+    pub fn observe_decode(&mut self, span: &StreamSpan) {
+        self.decode.observe(span);
+    }
+
+    /// The prefill that the engine has done so far, as far as known.
+    pub fn prefill_done(&self, now: Moment) -> PrefillWork {
+        let passed =
+            self.pending.front().map_or(Duration::ZERO, |oldest| now.since(self.prefill_start(oldest)));
+        self.clock.total(passed, self.rate.prefill_time(self.pending_tokens), self.pending_tokens)
+    }
+
     /// True if the queued prefill work is below the limit.
     pub fn has_prefill_budget(&self, now: Moment) -> bool {
         self.queued_prefill_time(now) < self.prefill_budget()
@@ -472,31 +539,40 @@
 
     /// Records the first event of a prompt and learns from it. Engines process prompts in order of
     /// arrival, so prompts granted clearly earlier are done as well and only their first events are
-    /// delayed. Returns what it shows about the copy of the prompt, if it had one.
+    /// delayed. `None` if the prompt is unknown.
     pub fn note_first_event(
         &mut self,
         now: Moment,
         request: RequestId,
         shape: &PromptShape,
-    ) -> Option<CopyObservation> {
+    ) -> Option<FirstEvent> {
         shape.prefixes.iter().for_each(|prefix| self.cached.set_present(*prefix, true));
         let prompt = self.pending.iter().find(|prompt| prompt.request == request).copied()?;
-        let observation = match prompt.copy {
-            Some(copy) => Some(self.observe_copied(now, &prompt, copy)),
-            None => {
-                let idle = self.idle_since(&prompt) == prompt.granted_at;
-                let since = if idle { prompt.granted_at } else { self.last_first_event };
-                self.rate.observe(now, prompt.tokens, now.since(since), idle);
-                self.uncopied_observed_at = now;
-                None
-            }
+        let first = match prompt.copy {
+            Some(copy) => FirstEvent::Copied(self.observe_copied(now, &prompt, copy)),
+            None => FirstEvent::Prefilled(self.observe_prefilled(now, &prompt)),
         };
-        self.last_first_event = now;
+        let prefill_start = self.prefill_start(&prompt);
         let latency = self.rate.latency();
+        let prefill_time = now.since(prefill_start).saturating_sub(latency);
+        let pending_before = self.pending_tokens;
+        self.last_first_event = now;
         self.retain_pending(|other| {
             let may_precede = other.granted_at + latency >= prompt.granted_at || other.copied_at() > now;
             other.request != request && may_precede
         });
+        let done = pending_before - self.pending_tokens;
+        self.clock.complete(done, prefill_time, self.rate.prefill_time(done));
+        Some(first)
+    }
+
+    /// Learns from the first event of a prompt without a copy.
+    fn observe_prefilled(&mut self, now: Moment, prompt: &PendingPrompt) -> PrefillObservation {
+        let idle = self.idle_since(prompt) == prompt.granted_at;
+        let since = if idle { prompt.granted_at } else { self.last_first_event };
+        let observation = PrefillObservation { tokens: prompt.tokens, took: now.since(since), idle };
+        self.rate.observe(now, observation.tokens, observation.took, idle);
+        self.uncopied_observed_at = now;
         observation
     }
 
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -6,6 +6,7 @@
 use super::engine::PromptShape;
 use super::kind_queues::TicketKind;
 use super::routers::RouterIndex;
+use super::service_model::StreamedPrompt;
 use super::suspects::EndedRun;
 use super::tickets::{EngineChoice, WaitingTicket};
 use super::ShardCore;
@@ -273,6 +274,7 @@
         let (customer, estimate, before) = (grant.customer, grant.estimate, grant.delivered);
         grant.delivered = delivered;
         let (endpoint, since, load) = (grant.endpoint, grant.since, grant.prompt.load());
+        let streamed = StreamedPrompt::of(grant);
         let is_first_event = std::mem::take(&mut grant.awaits_first_event);
         if is_first_event {
             self.customers.get_mut(customer).counters.note_begun(load);
@@ -280,6 +282,7 @@
             since.into_iter().for_each(|since| self.endpoints.note_answer(endpoint, now.since(since)));
         }
         self.endpoints.note_progress(now, endpoint, request, delivered);
+        self.endpoints.note_stream(now, endpoint, request, &streamed, delivered);
         self.delivered.add(now, delivered.saturating_sub(before).0);
         self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
         self.reindex(customer);
@@ -315,6 +318,7 @@
         let Some(grant) = self.running.remove(&request) else { return };
         self.copies.end_running(grant.digest, grant.endpoint);
         self.routers.release(grant.router, request);
+        self.endpoints.end_generation(now, request, &grant, cost, outcome);
         if grant.awaits_first_event {
             self.endpoints.withdraw(now, grant.endpoint, request);
         }
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -66,12 +66,14 @@
         kind: TicketKind,
         is_first_attempt: bool,
     ) -> WaitEstimate {
-        let first_event = self.endpoints.time_to_first_event(now, &PromptShape::of(ticket));
+        let prompt = PromptShape::of(ticket);
+        let first_event = self.endpoints.time_to_first_event(now, &prompt);
+        let slot_load = self.endpoints.slot_load(now, &prompt);
         let state = self.customers.get(customer);
         let rate = self.service_rate(now, state);
-        let expected = state.queue.expected_wait(now, kind, rate);
-        let whole_queue =
-            Duration::try_from_secs_f64(state.queue.load() as f64 / rate).unwrap_or(Duration::MAX);
+        let time_for = |load: u64| Duration::try_from_secs_f64(load as f64 / rate).unwrap_or(Duration::MAX);
+        let expected = state.queue.expected_wait(now, kind, rate).saturating_add(time_for(slot_load));
+        let whole_queue = time_for(state.queue.load().saturating_add(slot_load));
         let Some(objective) = ticket.objective else {
             return WaitEstimate { max_wait: None, queue_bound: None, kind, expected, queue_fill: None };
         };
@@ -135,12 +137,13 @@
     }
 
     /// The load per second at which the customer is served: its recent rate, or an even share of the
-    /// endpoints' capacity if that is more. Engines are granted [`RATE_PERCENT`] of theirs.
+    /// endpoints' capacity if that is more. Engines are granted [`RATE_PERCENT`] of theirs. Slots that were
+    /// free are granted faster than they are freed again, so the recent rate counts up to what slots sustain.
     pub(super) fn service_rate(&self, now: Moment, state: &CustomerState) -> f64 {
         let granted_percent = if self.endpoints.has_no_engine() { 100 } else { RATE_PERCENT };
         let capacity = self.endpoints.load_per_second(now) * f64::from(granted_percent) / 100.0;
         let share = capacity / self.backlogged_customers().max(1) as f64;
-        state.grant_rate.per_second(now).max(share)
+        state.grant_rate.per_second(now).min(self.endpoints.slot_bound_load()).max(share)
     }
 
     /// The number of customers with waiting tickets.
--- a/crates/micaspool-dispatch/src/shard/stream_pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/stream_pauses.rs
@@ -7,7 +7,7 @@
 //! that work below the limit of the shortest pause keeps every pause, without knowing when the engine
 //! begins or ends a chunk. First events that come late, as in a slow period, delay the next prompt.
 
-use super::prefill::PrefillRate;
+use micaspool_engine::PrefillRate;
 use micaspool_types::{Cost, Moment, RequestId};
 use std::time::Duration;
 
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -101,6 +101,7 @@
         self.endpoints.scarcity.note_demand(now, load);
         let kind = self.resolve_kind(now, customer, TicketKind::of(ticket.priority, ticket.objective));
         self.customers.get_mut(customer).queue.note_demand(now, kind, load);
+        self.endpoints.note_submitted(now, &ticket.generation);
         let age = self.caller_age(now, &ticket);
         let is_first_attempt = age.is_zero() && ticket.attempt == 0;
         let objective = ticket.objective.map(|objective| objective.saturating_sub(age).max(MIN_OBJECTIVE));
