--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -1,5 +1,6 @@
 //! Chooses the endpoint for a ticket.
 
+use super::copy_link::PlannedCopy;
 use super::endpoints::{EndpointIndex, EndpointState, EndpointTable};
 use super::engine::PromptShape;
 use super::engine_queues::WorkAhead;
@@ -11,6 +12,13 @@
 /// How many of the least loaded engines of each hall are compared.
 const LEAST_LOADED_PER_HALL: usize = 4;
 
+/// How many of the engines that become free soonest are compared if the others break pauses.
+const MAX_WAKING: usize = 16;
+
+/// What a late first event counts in percent of a stream that breaks its pause. A ticket that is late at every
+/// engine is mostly refused in the end, which costs its whole value of 4.1, while a late stream loses 2.9 of it.
+const LATE_PERCENT: u64 = 150;
+
 /// Requirements for choosing an engine.
 pub(super) struct EngineQuery<'a> {
     pub prompt: &'a PromptShape,
@@ -25,15 +33,44 @@
 /// How well an engine suits a prompt; lower is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct EngineScore {
-    /// True if the first event of an earlier prompt is overdue.
+    /// True if the first event of an earlier prompt is overdue, or the engine is behind its streams.
     overdue: bool,
-    /// True if the first event is expected after the deadline.
-    late: bool,
+    /// The responses that are expected to lose value, in percent of one: running streams that the prompt
+    /// delays beyond their pause, and the prompt's own response if its first event is expected after the deadline.
+    losses: u64,
     /// See [`EngineState::delay`](super::engine::EngineState::delay).
     delay: u64,
     engine: EndpointIndex,
 }
 
+/// The engine chosen for a prompt.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChosenEngine {
+    pub engine: EndpointIndex,
+    /// The copy of cached parts that it makes first, if any.
+    pub copy: Option<PlannedCopy>,
+    /// The tokens that it prefills.
+    pub prefill_tokens: u64,
+    /// The expected time from the grant to the first event without queued prompts.
+    unqueued_time: Duration,
+}
+
+/// The expected time from a grant to the first event of a prompt.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FirstEventTime {
+    /// What it takes at least. While all engines are at their prefill limit this is the prefill alone: a
+    /// ticket that has waited is not refused for a latency that is known only roughly.
+    pub shortest: Duration,
+    /// What it usually takes.
+    pub usual: Duration,
+}
+
+impl FirstEventTime {
+    fn exactly(time: Duration) -> FirstEventTime {
+        FirstEventTime { shortest: time, usual: time }
+    }
+}
+
 impl EndpointTable {
     /// The free endpoint with the lowest load in one of `halls` that is not excluded.
     pub fn least_loaded(
@@ -48,42 +85,50 @@
 
     /// The engine with the lowest expected delay for a prompt, among those that cache part of it (free
     /// or busy) and the least loaded free ones. Engines without an overdue prompt are preferred, then
-    /// those that meet the deadline. `queued` returns the work already queued for an engine. `None` if
-    /// there is no candidate.
+    /// those where the fewest responses are late. `queued` returns the work already queued for an engine. `None` if
+    /// there is no candidate. An engine may copy the parts that others have cached.
     pub fn soonest_engine(
         &self,
         now: Moment,
         query: &EngineQuery<'_>,
         queued: impl Fn(EndpointIndex) -> WorkAhead,
-    ) -> Option<EndpointIndex> {
-        let holders = self.holders_of(query);
-        let candidates = holders.chain(self.least_loaded_few(query));
-        let scores = candidates.filter_map(|index| {
+    ) -> Option<ChosenEngine> {
+        let sources = self.cache_sources(now, query);
+        let score = |index: EndpointIndex| {
             let state = self.state(index);
             let engine = state.engine.as_ref()?;
             let ahead = queued(index);
             let cold_delay = self.cold_wait(now, index, ahead.tickets);
-            let first_event_at =
-                now + cold_delay + engine.time_to_first_event(now, query.prompt, ahead.tokens);
-            Some(EngineScore {
-                overdue: engine.is_overdue(now),
-                late: query.first_event_due.is_some_and(|due| first_event_at > due),
-                delay: engine.delay(
-                    now,
-                    query.prompt,
-                    state.busy,
-                    ahead.tokens,
-                    self.scarcity.uncached_percent,
-                ) + cold_delay.as_micros() as u64,
+            let queue_time = engine.queue_time(now, ahead.tokens);
+            let cached = engine.cached_tokens(query.prompt);
+            let copy = self.plan_copy(now, &sources, index, cached, queue_time);
+            let work = engine.work_of(query.prompt, cached, copy, queue_time);
+            let first_event_at = now + cold_delay + queue_time + engine.unqueued_time_to_first_event(&work);
+            let is_late = query.first_event_due.is_some_and(|due| first_event_at > due);
+            let breaks = engine.expected_breaks(now, work.prefill_tokens);
+            let score = EngineScore {
+                overdue: engine.is_overdue(now) || engine.is_behind(now),
+                losses: breaks + if is_late { LATE_PERCENT } else { 0 },
+                delay: engine.delay(now, &work, state.busy, ahead.tokens, self.scarcity.uncached_percent)
+                    + cold_delay.as_micros() as u64,
                 engine: index,
-            })
-        });
-        scores.min().map(|best| best.engine)
-    }
-
-    /// How many tokens of a prompt the engine does not have cached.
-    pub fn uncached_tokens(&self, engine: EndpointIndex, prompt: &PromptShape) -> u64 {
-        self.state(engine).engine.as_ref().map_or(0, |engine| engine.uncached_tokens(prompt))
+            };
+            let unqueued = engine.work_of(query.prompt, cached, copy, Duration::MAX);
+            let chosen = ChosenEngine {
+                engine: index,
+                copy,
+                prefill_tokens: work.prefill_tokens,
+                unqueued_time: engine.unqueued_time_to_first_event(&unqueued),
+            };
+            Some((score, breaks, chosen))
+        };
+        let candidates = self.holders_of(query).chain(self.least_loaded_few(query));
+        let best = candidates.filter_map(score).min_by_key(|(score, ..)| *score)?;
+        if best.1 == 0 {
+            return Some(best.2);
+        }
+        let others = self.soonest_free(query).filter_map(score);
+        others.chain([best]).min_by_key(|(score, ..)| *score).map(|(.., chosen)| chosen)
     }
 
     /// The initial prefill time per token of an engine without observations, in microseconds: the mean
@@ -93,20 +138,28 @@
         let engines = warm.filter_map(|state| state.engine.as_ref());
         let known: Vec<f64> = engines.filter_map(|engine| engine.rate().settled_per_token()).collect();
         if known.is_empty() {
-            return (planned_pace > 0.0).then(|| 1_000.0 / planned_pace);
+            return self.learnt_per_token().or((planned_pace > 0.0).then(|| 1_000.0 / planned_pace));
         }
         Some(known.iter().sum::<f64>() / known.len() as f64)
     }
 
-    /// The combined capacity of the open endpoints per second: prompt tokens for engines, otherwise
-    /// requests. Infinite if nothing has been observed yet.
+    /// The combined capacity of the open endpoints per second: prompt tokens for engines, bounded by prefill
+    /// and by slots, otherwise requests. Infinite if nothing has been observed yet.
     pub fn load_per_second(&self, now: Moment) -> f64 {
         let totals = self.totals();
         if self.has_no_engine() {
             let slots = u32::try_from(totals.open_slots).unwrap_or(u32::MAX);
             return self.service_time.requests_per_second(slots);
         }
-        (totals.tokens_per_second() - self.unused_while_cold(now)).max(0.0)
+        if totals.open > 0 && self.rates_are_assumed(now) {
+            return f64::INFINITY;
+        }
+        self.prefill_per_second(now).min(self.slot_bound_load())
+    }
+
+    /// The prompt tokens per second that the open engines prefill.
+    pub fn prefill_per_second(&self, now: Moment) -> f64 {
+        (self.totals().tokens_per_second() - self.unused_while_cold(now)).max(0.0)
     }
 
     /// The part of the capacity of the open engines, in prompt tokens per second, that is not used because they are
@@ -132,14 +185,52 @@
         self.totals().engines == 0
     }
 
-    /// The shortest expected time from a grant to the first event on an engine without a queue. For a
-    /// service without engines, the mean time until a response begins.
-    pub fn min_time_to_first_event(&self, now: Moment, prompt: &PromptShape) -> Duration {
+    /// The time from a grant to the first event of a prompt on an engine without a queue. For a service
+    /// without engines, the mean time until a response begins.
+    pub fn time_to_first_event(&self, now: Moment, prompt: &PromptShape) -> FirstEventTime {
         let anywhere =
             EngineQuery { prompt, halls: HallMask(u32::MAX), is_excluded: &|_| false, first_event_due: None };
         let best = self.soonest_engine(now, &anywhere, |_| WorkAhead::default());
-        let engine = best.and_then(|index| self.state(index).engine.as_ref());
-        engine.map_or(self.answer_time.mean(), |engine| engine.unqueued_time_to_first_event(prompt))
+        let states_output = prompt.output.is_known() && !self.has_no_engine();
+        if states_output && self.rates_are_assumed(now) {
+            return FirstEventTime::exactly(self.learnt_latency());
+        }
+        if let Some(chosen) = best {
+            return FirstEventTime::exactly(chosen.unqueued_time);
+        }
+        if self.has_no_engine() {
+            return FirstEventTime::exactly(self.answer_time.mean());
+        }
+        let next = self.next_available_engine();
+        let Some((index, engine)) = next.and_then(|index| Some((index, self.state(index).engine.as_ref()?)))
+        else {
+            let usual = match states_output {
+                true => self.mean_time_to_first_event(prompt),
+                false => self.mean_prefill_time(prompt),
+            };
+            return FirstEventTime::exactly(usual);
+        };
+        let cached = engine.cached_tokens(prompt);
+        let sources = self.cache_sources(now, &anywhere);
+        let copy = self.plan_copy(now, &sources, index, cached, Duration::MAX);
+        let work = engine.work_of(prompt, cached, copy, Duration::MAX);
+        let usual = engine.unqueued_time_to_first_event(&work);
+        FirstEventTime { shortest: usual.saturating_sub(engine.rate().latency()), usual }
+    }
+
+    /// The engine whose queued prefill work drops below its limit first. While all engines are at the limit,
+    /// none is a candidate for a prompt, but prefill takes as long as otherwise.
+    fn next_available_engine(&self) -> Option<EndpointIndex> {
+        let wakes = self.wakes.iter().take(LEAST_LOADED_PER_HALL).map(|(_, index)| *index);
+        wakes.into_iter().find(|index| self.state(*index).has_slot() && self.state(*index).engine.is_some())
+    }
+
+    /// The prefill time of a prompt without cached parts at the mean rate of the open engines; zero without
+    /// open engines.
+    fn mean_prefill_time(&self, prompt: &PromptShape) -> Duration {
+        let totals = self.totals();
+        let seconds = prompt.total as f64 * totals.open as f64 / totals.tokens_per_second();
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
     }
 
     /// Engines with a free slot that cache the longest prefix of the prompt which any such engine
@@ -159,6 +250,17 @@
         free.chain(busy)
     }
 
+    /// The busy engines that are expected to take a prompt soonest. They are compared if a prompt would break
+    /// pauses on every other candidate: where the free engines are slow ones, waiting for a fast one
+    /// is better for their streams.
+    fn soonest_free<'a>(&'a self, query: &'a EngineQuery<'_>) -> impl Iterator<Item = EndpointIndex> + 'a {
+        let waking = self.wakes.iter().map(|(_, endpoint)| *endpoint).take(MAX_WAKING);
+        waking.filter(move |index| {
+            let state = self.state(*index);
+            state.has_slot() && query.halls.contains(state.hall) && !(query.is_excluded)(*index)
+        })
+    }
+
     /// The least loaded free endpoints of each hall, without excluded ones. Excluded endpoints are
     /// filtered before the limit applies; otherwise a hall would yield no candidate when its least
     /// loaded endpoints are all excluded.
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -1,15 +1,17 @@
 //! The endpoints of a shard: their slots and whether they may take new work.
 
 use super::availability::EndpointAvailability;
-use super::engine::{EngineState, PartChange, PromptShape};
+use super::copy_link::{CopyLink, PlannedCopy};
+use super::engine::{EngineState, FirstEvent, PartChange, PromptShape};
 use super::holders::PartHolders;
 use super::reports::ReportedSurplus;
 use super::scarcity::PrefillScarcity;
+use super::service_model::ServiceModel;
 use super::service_time::ServiceTime;
 use super::status::EndpointClosure;
 use super::totals::EndpointTotals;
 use crate::event::{CacheUpdate, ColdStartLimits, EndpointSpec, GrantOutcome, ShardPolicy};
-use micaspool_types::{EndpointName, HallMask, Moment, RequestId};
+use micaspool_types::{Cost, EndpointName, HallMask, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -41,6 +43,8 @@
     pub(super) engine: Option<EngineState>,
     /// True while the engine has too much queued prefill work for another prompt.
     pub prefill_limited: bool,
+    /// True while the engine gets no prompt for the sake of its streams' pauses.
+    pub pause_limited: bool,
     /// Successive failures.
     pub failures: u32,
     /// Successive broken requests that were tolerated.
@@ -66,6 +70,7 @@
     names: HashMap<EndpointName, EndpointIndex>,
     pub(super) totals: EndpointTotals,
     pub(super) scarcity: PrefillScarcity,
+    pub(super) model: ServiceModel,
     /// Endpoints that were cold when last looked at.
     pub(super) cold: BTreeSet<EndpointIndex>,
     /// Endpoints with a load report.
@@ -78,6 +83,8 @@
     /// The load limits of cold endpoints.
     pub(super) cold_limits: ColdStartLimits,
     pub(super) holders: PartHolders,
+    /// Copies of cached prompt parts between engines.
+    pub(super) copy_link: CopyLink,
     /// Reusable buffer for changes of an engine's cached parts.
     part_changes: Vec<PartChange>,
     /// True if an endpoint has become free since the last `take_became_free`.
@@ -113,7 +120,13 @@
         self.availability.cold.set_reported(now, spec.cold);
     }
 
-    fn configure_engine(&mut self, memory: u64, initial_share: u64, per_token: Option<f64>) {
+    fn configure_engine(
+        &mut self,
+        memory: u64,
+        initial_share: u64,
+        per_token: Option<f64>,
+        event_tokens: u32,
+    ) {
         match &mut self.engine {
             Some(engine) => {
                 engine.resize(memory);
@@ -122,6 +135,9 @@
             None if memory > 0 => self.engine = Some(EngineState::new(memory, initial_share, per_token)),
             None => {}
         }
+        if let Some(engine) = &mut self.engine {
+            engine.set_event_tokens(event_tokens);
+        }
     }
 
     /// The slots that may be used now: after a failure only one, until a request succeeds.
@@ -189,6 +205,7 @@
             availability: EndpointAvailability { settings: true, ..EndpointAvailability::default() },
             engine: None,
             prefill_limited: false,
+            pause_limited: false,
             failures: 0,
             breaks: 0,
             connect_failures: 0,
@@ -204,7 +221,10 @@
     pub fn adopt(&mut self, now: Moment, policy: &ShardPolicy) {
         let initial_share = self.initial_share;
         let per_token = self.default_per_token(now, policy.planned_pace);
+        let per_step = self.learnt_per_step();
+        self.plan_model(policy.planned_pace);
         self.cold_limits = policy.cold;
+        self.copy_link.configure(&policy.engine);
         for index in self.indices() {
             self.unindex(index);
             self.state_mut(index).availability.settings = true;
@@ -212,7 +232,13 @@
         for spec in &policy.endpoints {
             let index = self.ensure(&spec.name);
             self.state_mut(index).apply_spec(now, spec);
-            self.state_mut(index).configure_engine(spec.memory_tokens, initial_share, per_token);
+            self.state_mut(index).configure_engine(
+                spec.memory_tokens,
+                initial_share,
+                per_token,
+                policy.engine.event_tokens,
+            );
+            self.state_mut(index).engine.iter_mut().for_each(|engine| engine.assume_step(per_step));
             if !spec.cold.is_zero() {
                 self.cold.insert(index);
             }
@@ -263,17 +289,22 @@
         self.part_changes = changes;
     }
 
-    /// Records a grant of a prompt to an endpoint.
+    /// Records a grant of a prompt to an endpoint, with the copy of cached parts that precedes prefill.
     pub fn record_grant(
         &mut self,
         now: Moment,
         endpoint: EndpointIndex,
         request: RequestId,
         prompt: &PromptShape,
+        copy: Option<PlannedCopy>,
     ) {
+        self.note_mix(endpoint, prompt, copy);
         let mut changes = std::mem::take(&mut self.part_changes);
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
-            engine.record_grant(now, request, prompt, &mut changes);
+            engine.record_grant(now, request, prompt, copy, &mut changes);
+        }
+        if let Some(copy) = copy {
+            self.note_copy_granted(now, endpoint, copy);
         }
         self.holders.apply_changes(endpoint, &mut changes);
         self.part_changes = changes;
@@ -282,9 +313,43 @@
     }
 
     /// Records the first event of a request.
-    pub fn note_first_event(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId) {
+    pub fn note_first_event(
+        &mut self,
+        now: Moment,
+        endpoint: EndpointIndex,
+        request: RequestId,
+        prompt: &PromptShape,
+    ) {
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
-            engine.note_first_event(now, request);
+            match engine.note_first_event(now, request, prompt) {
+                Some(FirstEvent::Copied(observation)) => {
+                    self.note_copy_observed(now, endpoint, prompt, observation)
+                }
+                Some(FirstEvent::Prefilled(observation)) => self.learn_prefill(now, endpoint, observation),
+                None => {}
+            }
+            self.update_prefill_limit(now, endpoint);
+        }
+    }
+
+    /// Records progress of a running request.
+    pub fn note_progress(
+        &mut self,
+        now: Moment,
+        endpoint: EndpointIndex,
+        request: RequestId,
+        delivered: Cost,
+    ) {
+        let engine = self.state_mut(endpoint).engine.as_mut();
+        if engine.is_some_and(|engine| engine.note_progress(now, request, delivered)) {
+            self.update_prefill_limit(now, endpoint);
+        }
+    }
+
+    /// Removes an ended request from the streams of its engine, whose pauses limit further prompts.
+    pub fn end_stream(&mut self, now: Moment, endpoint: EndpointIndex, request: RequestId) {
+        let engine = self.state_mut(endpoint).engine.as_mut();
+        if engine.is_some_and(|engine| engine.end_stream(request)) {
             self.update_prefill_limit(now, endpoint);
         }
     }
@@ -297,15 +362,17 @@
         }
     }
 
-    /// Closes an engine while it has too much queued prefill work.
+    /// Closes an engine while it has too much queued prefill work, for itself or for the pauses of its streams.
     pub(super) fn update_prefill_limit(&mut self, now: Moment, endpoint: EndpointIndex) {
         let state = self.state_mut(endpoint);
-        let Some(engine) = &state.engine else { return };
-        state.prefill_limited = !engine.has_prefill_budget(now);
-        let wake = engine.prefill_budget_at(now);
-        if state.prefill_limited && wake > now {
-            self.wakes.insert((wake, endpoint));
-        }
+        let Some(engine) = &mut state.engine else { return };
+        let closed_until = engine.closed_until(now);
+        let filled_until = engine.filled_until(now);
+        let budget_at = (!engine.has_prefill_budget(now)).then(|| engine.prefill_budget_at(now));
+        state.pause_limited = closed_until.is_some() || filled_until.is_some();
+        state.prefill_limited = state.pause_limited || budget_at.is_some();
+        let wake = budget_at.max(closed_until).max(filled_until).filter(|wake| *wake > now);
+        self.wakes.extend(wake.map(|wake| (wake, endpoint)));
         self.reindex(endpoint);
     }
 
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -4,10 +4,14 @@
 //! Between two chunks of a prompt it generates one token for each running request, so continuous
 //! prefill slows down every stream. The prefill rate is learnt from observations (see [`PrefillRate`]).
 
+use super::cache_sources::SourceRecord;
+use super::copy_link::{CopyQueues, PlannedCopy};
+use super::endpoints::EndpointIndex;
 use super::parts::PartCache;
-use super::prefill::PrefillRate;
+use super::stream_pauses::StreamPauses;
 use crate::event::{CacheUpdate, RequestTicket};
-use micaspool_types::{Moment, RequestId};
+use micaspool_engine::{DecodeRate, PrefillClock, PrefillRate, PrefillWork, StatedOutput, StreamSpan};
+use micaspool_types::{Cost, Moment, RequestId};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -18,7 +22,7 @@
 /// reported.
 const REPORTED_CACHE_PERCENT: u64 = 120;
 /// The share of the learnt prefill rate at which an engine is given tokens, in percent.
-const RATE_PERCENT: u32 = 90;
+pub(super) const RATE_PERCENT: u32 = 90;
 /// An engine with this much queued prefill work gets no further prompts. The limit bounds the work that
 /// a request of another customer can no longer overtake, and the delay of first events. A shorter limit
 /// lets engines run idle between two grants.
@@ -40,6 +44,18 @@
 /// A prompt that takes this many times its expected prefill time is overdue. Its engine is then assumed
 /// to stay behind by as long as the prompt is overdue.
 const LATE_FACTOR: u32 = 3;
+/// The weight of a copied token beside its copy time, in percent of the weight of an uncached one. A copy
+/// takes no prefill capacity, but evicts other cached parts and costs bytes.
+const COPIED_PERCENT: u64 = 10;
+/// The lower limit of that weight, in percent of the prefill time. Copies take memory and links also while
+/// engines are idle, so a prompt then waits for the engine that has its parts, unless the wait is long.
+const MIN_COPIED_PERCENT: u64 = 50;
+/// A first event this many times later than expected without a copy shows a slow engine, whatever became
+/// of the copy.
+const SLOW_FACTOR: f64 = 1.3;
+/// While the first event of a prompt without a copy is this recent, one that is late for an unknown reason
+/// isn't used to learn the prefill rate.
+const RECENT_OBSERVATION: Duration = Duration::from_secs(1);
 
 /// The properties of a ticket's prompt that placement needs.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -50,6 +66,10 @@
     pub tokens: Box<[u32]>,
     /// The number of tokens in the whole prompt.
     pub total: u64,
+    /// The longest pause between two events that keeps its stream in time; `None` without such a target.
+    pub pause: Option<Duration>,
+    /// What the caller states of the output.
+    pub output: StatedOutput,
 }
 
 impl PromptShape {
@@ -59,6 +79,8 @@
             prefixes: ticket.prefixes.as_slice().into(),
             tokens: ticket.prefix_tokens.as_slice().into(),
             total: ticket.prompt_tokens.0,
+            pause: ticket.generation.pause,
+            output: ticket.generation.stated_output(),
         }
     }
 
@@ -73,7 +95,7 @@
     }
 
     /// Each prefix with the tokens that it adds; an unknown size counts as one token.
-    fn parts(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
+    pub fn parts(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         let tokens = self.tokens.iter().map(|tokens| u64::from(*tokens)).chain(std::iter::repeat(1));
         self.prefixes.iter().copied().zip(tokens)
     }
@@ -90,8 +112,75 @@
 #[derive(Debug, Clone, Copy)]
 struct PendingPrompt {
     request: RequestId,
+    /// The tokens that the engine prefills.
     tokens: u64,
     granted_at: Moment,
+    /// The copy that precedes prefill, if any.
+    copy: Option<PlannedCopy>,
+}
+
+impl PendingPrompt {
+    /// When its copy may have ended at the earliest, or when it was granted.
+    fn copied_at(&self) -> Moment {
+        self.copy.map_or(self.granted_at, |copy| self.granted_at + copy.total())
+    }
+
+    fn copied_tokens(&self) -> u64 {
+        self.copy.map_or(0, |copy| copy.tokens)
+    }
+}
+
+/// What an engine has to do for a prompt before its first event.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PromptWork {
+    /// The tokens to prefill; at least one.
+    pub prefill_tokens: u64,
+    /// The time that a copy adds to waiting and prefill.
+    pub copy_delay: Duration,
+    /// The tokens that it copies.
+    pub copied_tokens: u64,
+}
+
+/// What the first event of a prompt shows about the copy that preceded its prefill.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct CopyObservation {
+    pub source: EndpointIndex,
+    pub outcome: CopyOutcome,
+    /// The expected time by which the copy delayed prefill.
+    pub expected: Duration,
+    /// The observed one, in microseconds; `None` if it takes as long as prefill.
+    pub observed: Option<f64>,
+}
+
+/// Whether a copy seems to have brought the parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CopyOutcome {
+    /// The first event came about when it was expected.
+    Copied,
+    /// It came about as late as if the parts had been prefilled.
+    Missed,
+    /// It came even later, or both times are alike.
+    Unclear,
+}
+
+/// What the first event of a prompt shows.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum FirstEvent {
+    /// The prompt was prefilled as a whole, as far as it was not cached.
+    Prefilled(PrefillObservation),
+    /// Parts of it were to be copied from another engine.
+    Copied(CopyObservation),
+}
+
+/// The first event of a prompt without a copy, as observed for the prefill rate.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PrefillObservation {
+    /// The tokens that the engine had to prefill.
+    pub tokens: u64,
+    /// See [`PrefillRate::observe`].
+    pub took: Duration,
+    /// True if the engine had nothing to prefill at the grant.
+    pub idle: bool,
 }
 
 /// The state of one engine.
@@ -110,9 +199,21 @@
     /// Until when the engine is assumed to process prompts of others, according to its load reports.
     others_until: Moment,
     rate: PrefillRate,
+    /// When the first event of a prompt without a copy last arrived.
+    uncopied_observed_at: Moment,
+    /// The source of the last copy to this engine, if it seems to have brought nothing.
+    missed_source: Option<EndpointIndex>,
+    streams: StreamPauses,
+    decode: DecodeRate,
+    /// The prefill that it has done so far.
+    clock: PrefillClock,
     cached: PartCache,
     /// True once the engine has reported its cache.
     reports_cache: bool,
+    /// Its copies to and from other engines.
+    pub(super) copies: CopyQueues,
+    /// What is known about copies from it.
+    pub(super) source_record: SourceRecord,
 }
 
 impl EngineState {
@@ -127,8 +228,15 @@
             paced_until: Moment(0),
             others_until: Moment(0),
             rate: PrefillRate::new(per_token),
+            uncopied_observed_at: Moment(0),
+            missed_source: None,
+            streams: StreamPauses::default(),
+            decode: DecodeRate::default(),
+            clock: PrefillClock::default(),
             cached: PartCache::default(),
             reports_cache: false,
+            copies: CopyQueues::default(),
+            source_record: SourceRecord::default(),
         }
     }
 
@@ -137,6 +245,11 @@
         self.memory = memory;
     }
 
+    /// Sets the number of tokens in one event of a stream; zero if unknown.
+    pub fn set_event_tokens(&mut self, event_tokens: u32) {
+        self.streams.set_event_tokens(event_tokens);
+    }
+
     /// The learnt prefill rate.
     pub fn rate(&self) -> &PrefillRate {
         &self.rate
@@ -147,6 +260,45 @@
         self.rate.assume(per_token);
     }
 
+    /// Starts from another prefill rate, unless the engine's own is settled.
+    pub fn restart_rate(&mut self, now: Moment, per_token: Option<f64>) {
+        if self.rate.settled_per_token().is_none() {
+            self.rate = PrefillRate::new(per_token);
+            self.repace(now);
+        }
+    }
+
+    /// Shortens the pacing of earlier grants to the present rate until the rate is settled. Otherwise an
+    /// engine whose rate was assumed far too low gets no prompts for seconds after it has shown its real one.
+    pub fn repace(&mut self, now: Moment) {
+        if self.rate.settled_per_token().is_none() {
+            let paced = self.rate.prefill_time(self.pending_tokens) * 100 / RATE_PERCENT;
+            self.paced_until = self.paced_until.min(now + paced);
+        }
+    }
+
+    /// The learnt time of a decode step.
+    pub fn decode(&self) -> &DecodeRate {
+        &self.decode
+    }
+
+    /// Replaces the initial step time in microseconds, unless there are observations already.
+    pub fn assume_step(&mut self, per_step: Option<f64>) {
+        self.decode.assume(per_step);
+    }
+
+    /// Learns the time of a decode step from a stream.
+    pub fn observe_decode(&mut self, span: &StreamSpan) {
+        self.decode.observe(span);
+    }
+
+    /// The prefill that the engine has done so far, as far as known.
+    pub fn prefill_done(&self, now: Moment) -> PrefillWork {
+        let passed =
+            self.pending.front().map_or(Duration::ZERO, |oldest| now.since(self.prefill_start(oldest)));
+        self.clock.total(passed, self.rate.prefill_time(self.pending_tokens), self.pending_tokens)
+    }
+
     /// True if the queued prefill work is below the limit.
     pub fn has_prefill_budget(&self, now: Moment) -> bool {
         self.queued_prefill_time(now) < self.prefill_budget()
@@ -171,9 +323,9 @@
     /// The expected time until the prompts granted by this shard are processed.
     fn own_prefill_time(&self, now: Moment) -> Duration {
         let Some(oldest) = self.pending.front() else { return Duration::ZERO };
-        let passed = now.since(self.prefill_start(oldest));
-        let remaining = self.rate.prefill_time(self.pending_tokens).saturating_sub(passed);
-        remaining + self.overdue_time(now)
+        let start = self.prefill_start(oldest);
+        let remaining = self.rate.prefill_time(self.pending_tokens).saturating_sub(now.since(start));
+        start.since(now) + remaining + self.overdue_time(now)
     }
 
     /// True if the first event of a prompt is overdue. When the engine will process another one is unknown
@@ -186,51 +338,183 @@
     fn overdue_time(&self, now: Moment) -> Duration {
         let Some(oldest) = self.pending.front() else { return Duration::ZERO };
         let usual = self.rate.prefill_time(oldest.tokens) * LATE_FACTOR + self.rate.latency() * 2;
+        // If the copy fails, the engine prefills its tokens as well.
+        let usual = usual + self.rate.prefill_time(oldest.copied_tokens());
         now.since(self.prefill_start(oldest)).saturating_sub(usual)
     }
 
-    /// When processing of `prompt`, the oldest pending one, began: at its grant, or when the previous
-    /// prompt was done.
+    /// When processing of `prompt`, the oldest pending one, began or will begin: at its grant, or when
+    /// the previous prompt was done, or when its copy has ended.
     fn prefill_start(&self, prompt: &PendingPrompt) -> Moment {
+        let idle_since = self.idle_since(prompt);
+        match prompt.copy {
+            Some(copy) => idle_since.max(prompt.granted_at + copy.wait) + copy.duration,
+            None => idle_since,
+        }
+    }
+
+    /// When the engine had nothing left to prefill but `prompt`: at its grant, or when the previous
+    /// prompt was done.
+    fn idle_since(&self, prompt: &PendingPrompt) -> Moment {
         let latency = self.rate.latency().as_micros() as u64;
         prompt.granted_at.max(Moment(self.last_first_event.0.saturating_sub(latency)))
     }
 
-    /// How many tokens of a prompt are not cached here; at least one.
-    pub fn uncached_tokens(&self, prompt: &PromptShape) -> u64 {
+    /// How many of a prompt's leading tokens are cached here, or will be once the pending prompts are
+    /// prefilled.
+    pub fn cached_tokens(&self, prompt: &PromptShape) -> u64 {
         let cached_parts = prompt.parts().take_while(|(prefix, _)| self.cached.has(*prefix));
-        let cached_tokens: u64 = cached_parts.map(|(_, tokens)| tokens).sum();
-        prompt.total.saturating_sub(cached_tokens).max(1)
+        cached_parts.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// How many of a prompt's leading tokens another engine can copy from here.
+    pub fn present_tokens(&self, prompt: &PromptShape) -> u64 {
+        let present_parts = prompt.parts().take_while(|(prefix, _)| self.cached.is_present(*prefix));
+        present_parts.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Records that a copy of this part from here seems to have brought nothing. The engine is no source
+    /// of the part until a first event or a report shows that it has it.
+    pub fn doubt_part(&mut self, prefix: u64) {
+        self.cached.set_present(prefix, false);
+    }
+
+    /// What this engine has to do for a prompt of which `cached` tokens are cached here, after the queue
+    /// `queue_time`.
+    pub fn work_of(
+        &self,
+        prompt: &PromptShape,
+        cached: u64,
+        copy: Option<PlannedCopy>,
+        queue_time: Duration,
+    ) -> PromptWork {
+        let copied_tokens = copy.map_or(0, |copy| copy.tokens);
+        PromptWork {
+            copied_tokens,
+            prefill_tokens: prompt.total.saturating_sub(cached + copied_tokens).max(1),
+            copy_delay: copy
+                .map_or(Duration::ZERO, |copy| copy.wait.saturating_sub(queue_time) + copy.duration),
+        }
+    }
+
+    /// The expected time until the queued prompts and `tokens_before` tokens for other waiting tickets
+    /// are prefilled.
+    pub fn queue_time(&self, now: Moment, tokens_before: u64) -> Duration {
+        let prefill_before = self.rate.prefill_time(tokens_before);
+        self.time_until_prefill(now) + prefill_before + self.streams.gaps_within(prefill_before, &self.rate)
+    }
+
+    /// The expected time until all queued prompts are processed and the streams have room for another one.
+    fn time_until_prefill(&self, now: Moment) -> Duration {
+        self.queued_prefill_time(now).max(self.pause_wait(now))
+    }
+
+    /// The expected time until enough prompts are answered for another one to be granted without breaking the
+    /// pauses of streams.
+    fn pause_wait(&self, now: Moment) -> Duration {
+        let Some(oldest) = self.pending.front() else { return Duration::ZERO };
+        let passed = now.since(self.prefill_start(oldest));
+        let mut unanswered = self.unanswered_tokens(now);
+        let (mut processed, mut wait) = (0, Duration::ZERO);
+        for prompt in &self.pending {
+            processed += prompt.tokens;
+            if !self.is_filled_by(unanswered) {
+                break;
+            }
+            let prefill = self.rate.prefill_time(processed);
+            let surely_answered = self.streams.time_until_answered(prefill, &self.rate);
+            if passed < surely_answered {
+                let first_event = prefill + self.rate.latency();
+                let expected = if passed < first_event { first_event } else { surely_answered };
+                wait = expected.min(surely_answered) - passed;
+                unanswered = unanswered.saturating_sub(prompt.tokens);
+            }
+        }
+        wait
+    }
+
+    /// The tokens of the prompts that may still delay an event: their first events have not come, nor
+    /// has the time passed in which they surely were prefilled. Before any stream has begun, the oldest
+    /// prompt delays none.
+    fn unanswered_tokens(&self, now: Moment) -> u64 {
+        let Some(oldest) = self.pending.front() else { return 0 };
+        let passed = now.since(self.prefill_start(oldest));
+        let (mut processed, mut answered) = (0, 0);
+        for prompt in &self.pending {
+            processed += prompt.tokens;
+            let prefill = self.rate.prefill_time(processed);
+            if passed < self.streams.time_until_answered(prefill, &self.rate) {
+                break;
+            }
+            answered = processed;
+        }
+        let harmless = if self.streams.has_begun() { 0 } else { oldest.tokens };
+        self.pending_tokens - answered.max(harmless)
+    }
+
+    fn is_filled_by(&self, unanswered_tokens: u64) -> bool {
+        self.streams.is_filled(self.rate.prefill_time(unanswered_tokens), &self.rate)
+    }
+
+    /// When the engine is expected to have room for a prompt again without breaking the pauses of its
+    /// streams; `None` if it has.
+    pub fn filled_until(&self, now: Moment) -> Option<Moment> {
+        self.is_filled_by(self.unanswered_tokens(now)).then(|| now + self.pause_wait(now))
+    }
+
+    /// The expected number of streams that break their pause if a prompt with this many tokens to prefill is
+    /// granted now, or once the engine takes it, in percent of a stream.
+    pub fn expected_breaks(&self, now: Moment, prefill_tokens: u64) -> u64 {
+        let unanswered = self.unanswered_tokens(now);
+        let before = if self.is_filled_by(unanswered) { 0 } else { unanswered };
+        let prefill = self.rate.prefill_time(before + prefill_tokens);
+        self.streams.expected_breaks(prefill, &self.rate)
+    }
+
+    /// Until when the engine gets no prompt because it is behind its streams; `None` if it may get one.
+    pub fn closed_until(&mut self, now: Moment) -> Option<Moment> {
+        self.streams.closed_until(now)
+    }
+
+    /// True if the engine's streams get less than one event per pause.
+    pub fn is_behind(&self, now: Moment) -> bool {
+        self.streams.is_behind(now)
+    }
+
+    /// Records the first event of a request or its later progress; true if it is a stream with a pause.
+    pub fn note_progress(&mut self, now: Moment, request: RequestId, delivered: Cost) -> bool {
+        self.streams.note_progress(now, request, delivered)
+    }
+
+    /// Removes a request that has ended from the streams; true if it was one with a pause.
+    pub fn end_stream(&mut self, request: RequestId) -> bool {
+        self.streams.remove(request)
     }
 
     /// The weighted delay of a prompt's first token in microseconds, if `tokens_before` tokens for
-    /// other waiting tickets are processed first. Uncached tokens weigh `uncached_percent` of their prefill
-    /// time.
+    /// other waiting tickets are processed first. Tokens to prefill weigh `uncached_percent` of their
+    /// prefill time, and copied ones a tenth of that.
     pub fn delay(
         &self,
         now: Moment,
-        prompt: &PromptShape,
+        work: &PromptWork,
         running: u32,
         tokens_before: u64,
         uncached_percent: u64,
     ) -> u64 {
-        let uncached_tokens = self.uncached_tokens(prompt) * uncached_percent / 100;
-        let tokens = tokens_before + uncached_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
-        (self.queued_prefill_time(now) + self.rate.prefill_time(tokens)).as_micros() as u64
-    }
-
-    /// The expected time from now to the first event of a prompt, if `tokens_before` tokens for other
-    /// waiting tickets are processed first.
-    pub fn time_to_first_event(&self, now: Moment, prompt: &PromptShape, tokens_before: u64) -> Duration {
-        self.queued_prefill_time(now)
-            + self.rate.prefill_time(tokens_before)
-            + self.unqueued_time_to_first_event(prompt)
+        let uncached_tokens = work.prefill_tokens * uncached_percent / 100;
+        let copied_percent = (uncached_percent * COPIED_PERCENT / 100).max(MIN_COPIED_PERCENT);
+        let copied_tokens = work.copied_tokens * copied_percent / 100;
+        let weighted_tokens = uncached_tokens + copied_tokens;
+        let tokens = tokens_before + weighted_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
+        let delay = self.time_until_prefill(now) + self.rate.prefill_time(tokens) + work.copy_delay;
+        delay.as_micros() as u64
     }
 
     /// The expected time from a grant to the first event of a prompt on an engine without queued
     /// prompts.
-    pub fn unqueued_time_to_first_event(&self, prompt: &PromptShape) -> Duration {
-        self.rate.latency() + self.rate.prefill_time(self.uncached_tokens(prompt))
+    pub fn unqueued_time_to_first_event(&self, work: &PromptWork) -> Duration {
+        self.rate.latency() + work.copy_delay + self.rate.prefill_time(work.prefill_tokens)
     }
 
     /// Records a grant of a prompt to this engine, and appends the resulting cache changes to
@@ -240,11 +524,14 @@
         now: Moment,
         request: RequestId,
         prompt: &PromptShape,
+        copy: Option<PlannedCopy>,
         changes: &mut Vec<PartChange>,
     ) {
-        let tokens = self.uncached_tokens(prompt);
-        self.pending.push_back(PendingPrompt { request, tokens, granted_at: now });
+        let cached = self.cached_tokens(prompt);
+        let tokens = self.work_of(prompt, cached, copy, Duration::ZERO).prefill_tokens;
+        self.pending.push_back(PendingPrompt { request, tokens, granted_at: now, copy });
         self.pending_tokens += tokens;
+        self.streams.add(request, prompt.pause);
         let paced = self.rate.prefill_time(tokens) * 100 / RATE_PERCENT;
         self.paced_until = self.paced_until.max(now) + paced;
         for (prefix, tokens) in prompt.parts() {
@@ -255,20 +542,75 @@
 
     /// Records the first event of a prompt and learns from it. Engines process prompts in order of
     /// arrival, so prompts granted clearly earlier are done as well and only their first events are
-    /// delayed.
-    pub fn note_first_event(&mut self, now: Moment, request: RequestId) {
-        let Some(prompt) = self.pending.iter().find(|prompt| prompt.request == request).copied() else {
-            return;
+    /// delayed. `None` if the prompt is unknown.
+    pub fn note_first_event(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        shape: &PromptShape,
+    ) -> Option<FirstEvent> {
+        shape.prefixes.iter().for_each(|prefix| self.cached.set_present(*prefix, true));
+        let prompt = self.pending.iter().find(|prompt| prompt.request == request).copied()?;
+        let first = match prompt.copy {
+            Some(copy) => FirstEvent::Copied(self.observe_copied(now, &prompt, copy)),
+            None => FirstEvent::Prefilled(self.observe_prefilled(now, &prompt)),
         };
         let prefill_start = self.prefill_start(&prompt);
-        let idle = prefill_start == prompt.granted_at;
-        let since = if idle { prompt.granted_at } else { self.last_first_event };
-        self.rate.observe(now, prompt.tokens, now.since(since), idle);
-        self.last_first_event = now;
         let latency = self.rate.latency();
+        let prefill_time = now.since(prefill_start).saturating_sub(latency);
+        let pending_before = self.pending_tokens;
+        self.last_first_event = now;
         self.retain_pending(|other| {
-            other.request != request && other.granted_at + latency >= prompt.granted_at
+            let may_precede = other.granted_at + latency >= prompt.granted_at || other.copied_at() > now;
+            other.request != request && may_precede
         });
+        let done = pending_before - self.pending_tokens;
+        self.clock.complete(done, prefill_time, self.rate.prefill_time(done));
+        Some(first)
+    }
+
+    /// Learns from the first event of a prompt without a copy.
+    fn observe_prefilled(&mut self, now: Moment, prompt: &PendingPrompt) -> PrefillObservation {
+        let idle = self.idle_since(prompt) == prompt.granted_at;
+        let since = if idle { prompt.granted_at } else { self.last_first_event };
+        let observation = PrefillObservation { tokens: prompt.tokens, took: now.since(since), idle };
+        self.rate.observe(now, observation.tokens, observation.took, idle);
+        self.uncopied_observed_at = now;
+        observation
+    }
+
+    /// Learns from the first event of a prompt of which tokens were copied. The latency isn't learnt from
+    /// it, as a copy that takes a few milliseconds longer would count as latency. A slow engine and a copy
+    /// that brought nothing look alike. Prompts without a copy show which one it is, or copies from several
+    /// sources that all seem to have brought nothing.
+    fn observe_copied(&mut self, now: Moment, prompt: &PendingPrompt, copy: PlannedCopy) -> CopyObservation {
+        let idle_since = self.idle_since(prompt);
+        let copying = self.prefill_start(prompt).since(idle_since);
+        let rest = self.rate.prefill_time(prompt.tokens);
+        let if_missed = self.rate.prefill_time(prompt.tokens + copy.tokens);
+        let latest_if_copied = (copying + rest + if_missed) / 2;
+        let took = now.since(idle_since).saturating_sub(self.rate.latency());
+        let is_separable = copying + rest < if_missed;
+        let outcome = match took {
+            _ if !is_separable || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
+            _ if took > latest_if_copied => CopyOutcome::Missed,
+            _ => CopyOutcome::Copied,
+        };
+        let prefill_time = took.saturating_sub(copying);
+        let is_rate_unknown = now.since(self.uncopied_observed_at) > RECENT_OBSERVATION;
+        let missed_before = self.missed_source.is_some_and(|source| source != copy.source);
+        if outcome != CopyOutcome::Missed || (is_rate_unknown && missed_before) {
+            self.rate.observe(now, prompt.tokens, prefill_time, false);
+        }
+        self.missed_source = (outcome == CopyOutcome::Missed).then_some(copy.source);
+        let most = self.rate.prefill_time(copy.tokens).as_micros() as f64;
+        let extra = took.as_micros() as f64 - rest.as_micros() as f64;
+        CopyObservation {
+            source: copy.source,
+            outcome,
+            expected: copying,
+            observed: is_separable.then(|| extra.clamp(-most, most)),
+        }
     }
 
     /// Removes a prompt whose request ended before its first event.
@@ -319,6 +661,7 @@
         }
         for part in &update.cached_parts {
             self.cached.touch(part.prefix, u64::from(part.tokens), changes);
+            self.cached.set_present(part.prefix, true);
         }
         self.evict_excess(changes);
     }
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -6,10 +6,12 @@
 
 mod advice;
 mod availability;
+mod cache_sources;
 mod caller_attempts;
 mod choice;
 mod cold;
 mod copies;
+mod copy_link;
 mod counters;
 mod customers;
 mod endpoints;
@@ -20,12 +22,12 @@
 mod grants;
 mod holders;
 mod joining;
+mod kind_queues;
 mod level_floor;
 mod overdue;
 mod parts;
 mod pauses;
 mod placement;
-mod prefill;
 mod prefixes;
 mod rate;
 mod reports;
@@ -33,9 +35,11 @@
 mod retry_after;
 mod routers;
 mod scarcity;
+mod service_model;
 mod service_time;
 mod sharing;
 mod status;
+mod stream_pauses;
 mod suspects;
 mod tickets;
 mod tolerance;
@@ -43,7 +47,8 @@
 
 pub use counters::CustomerCounters;
 pub use status::{
-    CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardStatus, SuspectStatus,
+    CacheCopyStatus, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardStatus,
+    SuspectStatus,
 };
 
 use crate::action::ShardAction;
@@ -244,6 +249,7 @@
         }
         self.endpoints.expire_reports(now);
         self.endpoints.forget_warm(now);
+        self.endpoints.copy_link.fade(now);
         self.throughput.advance(now);
         self.update_scarcity(now);
     }
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -2,12 +2,13 @@
 //! as it is.
 
 use super::customers::CustomerState;
+use super::kind_queues::TicketKind;
 use super::tickets::WaitingTicket;
 use super::ShardCore;
 use crate::action::{RefusalReason, ShardAction};
 use crate::event::RequestTicket;
 use crate::queue_fill::QueueFill;
-use crate::shard::engine::PromptShape;
+use crate::shard::engine::{PromptShape, RATE_PERCENT};
 use micaspool_fair::CustomerIndex;
 use micaspool_types::{Moment, RequestId};
 use std::time::Duration;
@@ -26,7 +27,9 @@
     pub max_wait: Option<Duration>,
     /// The longest expected wait at which the ticket is accepted; `None` for no limit.
     pub queue_bound: Option<Duration>,
-    /// The expected wait.
+    /// The kind whose queue the ticket joins.
+    pub kind: TicketKind,
+    /// The expected wait behind that queue.
     pub expected: Duration,
     /// The fill of the customer's queue; `None` while it is unknown how long first attempts can wait.
     pub queue_fill: Option<QueueFill>,
@@ -52,7 +55,7 @@
 }
 
 impl ShardCore {
-    /// Estimates how long a ticket would wait behind its customer's queue, and how long it may wait. In
+    /// Estimates how long a ticket would wait behind the queue of its kind, and how long it may wait. In
     /// a service without engines, the tolerance of a first attempt also limits the customer's other
     /// tickets.
     pub(super) fn wait_estimate(
@@ -60,24 +63,31 @@
         now: Moment,
         customer: CustomerIndex,
         ticket: &RequestTicket,
+        kind: TicketKind,
         is_first_attempt: bool,
     ) -> WaitEstimate {
-        let first_event = self.endpoints.min_time_to_first_event(now, &PromptShape::of(ticket));
-        let expected = self.queue_wait(now, self.customers.get(customer));
+        let prompt = PromptShape::of(ticket);
+        let first_event = self.endpoints.time_to_first_event(now, &prompt);
+        let slot_load = self.endpoints.slot_load(now, &prompt);
+        let state = self.customers.get(customer);
+        let rate = self.service_rate(now, state);
+        let time_for = |load: u64| Duration::try_from_secs_f64(load as f64 / rate).unwrap_or(Duration::MAX);
+        let expected = state.queue.expected_wait(now, kind, rate).saturating_add(time_for(slot_load));
+        let whole_queue = time_for(state.queue.load().saturating_add(slot_load));
         let Some(objective) = ticket.objective else {
-            return WaitEstimate { max_wait: None, queue_bound: None, expected, queue_fill: None };
+            return WaitEstimate { max_wait: None, queue_bound: None, kind, expected, queue_fill: None };
         };
         if is_first_attempt {
-            self.note_tolerance(now, customer, objective, first_event);
+            self.note_tolerance(now, customer, objective, first_event.shortest);
         }
         let tolerated = self.customers.get_mut(customer).tolerance.shortest(now);
-        let max_wait = objective.saturating_sub(first_event).max(MIN_WAIT);
+        let max_wait = objective.saturating_sub(first_event.shortest).max(MIN_WAIT);
         let queue_bound = match self.endpoints.has_no_engine() {
-            true => engineless_bound(objective, first_event, tolerated),
-            false => max_wait,
+            true => engineless_bound(objective, first_event.usual, tolerated),
+            false => objective.saturating_sub(first_event.usual).max(MIN_WAIT),
         };
-        let queue_fill = (tolerated < Duration::MAX).then(|| QueueFill::of(expected, tolerated));
-        WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(queue_bound), expected, queue_fill }
+        let queue_fill = (tolerated < Duration::MAX).then(|| QueueFill::of(whole_queue, tolerated));
+        WaitEstimate { max_wait: Some(max_wait), queue_bound: Some(queue_bound), kind, expected, queue_fill }
     }
 
     /// Records how long a first attempt can wait. In a service without engines, the least patient
@@ -126,17 +136,14 @@
         }
     }
 
-    /// The expected time until the customer's queue is served.
-    fn queue_wait(&self, now: Moment, state: &CustomerState) -> Duration {
-        let rate = self.service_rate(now, state);
-        Duration::try_from_secs_f64(state.queued_load as f64 / rate).unwrap_or(Duration::MAX)
-    }
-
     /// The load per second at which the customer is served: its recent rate, or an even share of the
-    /// endpoints' capacity if that is more.
+    /// endpoints' capacity if that is more. Engines are granted [`RATE_PERCENT`] of theirs. Slots that were
+    /// free are granted faster than they are freed again, so the recent rate counts up to what slots sustain.
     pub(super) fn service_rate(&self, now: Moment, state: &CustomerState) -> f64 {
-        let share = self.endpoints.load_per_second(now) / self.backlogged_customers().max(1) as f64;
-        state.grant_rate.per_second(now).max(share)
+        let granted_percent = if self.endpoints.has_no_engine() { 100 } else { RATE_PERCENT };
+        let capacity = self.endpoints.load_per_second(now) * f64::from(granted_percent) / 100.0;
+        let share = capacity / self.backlogged_customers().max(1) as f64;
+        state.grant_rate.per_second(now).min(self.endpoints.slot_bound_load()).max(share)
     }
 
     /// The number of customers with waiting tickets.
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -3,8 +3,8 @@
 use super::counters::CustomerCounters;
 use super::customers::CustomerState;
 use super::endpoints::EndpointIndex;
-use super::prefill::PrefillRate;
 use super::ShardCore;
+use micaspool_engine::{DecodeRate, PrefillRate};
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashRecord, RequestStanding};
 use micaspool_types::{CustomerName, EndpointName, HallMask, Moment, Revision};
@@ -96,6 +96,8 @@
     pub age: Option<Duration>,
     /// Mean deviation of observations from the rate, relative to the expected time.
     pub spread: f64,
+    /// The learnt or assumed time of a decode step without prefill; `None` while unknown.
+    pub step: Option<Duration>,
 }
 
 /// A request that is suspected or quarantined because endpoints crashed while running it.
@@ -109,6 +111,21 @@
     pub record: CrashRecord,
 }
 
+/// The copies of cached prompt parts between engines since the shard started.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CacheCopyStatus {
+    /// Grants that named an engine to copy from.
+    pub grants: u64,
+    /// The tokens that were to be copied.
+    pub tokens: u64,
+    /// First events that came as late as if nothing had been copied.
+    pub missed: u64,
+    /// How often an engine was not copied from for a while after repeated misses.
+    pub suspensions: u64,
+    /// The duration of copies relative to what the settings of the engines lead to expect.
+    pub slowdown: f64,
+}
+
 /// The state of a shard.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ShardStatus {
@@ -128,6 +145,10 @@
     pub running: usize,
     /// The number of passes over all waiting tickets.
     pub passes: u64,
+    /// Copies of cached prompt parts between engines; `None` if they copy none.
+    pub copies: Option<CacheCopyStatus>,
+    /// The number of engines that get no prompt for the sake of their streams' pauses.
+    pub pause_limited: usize,
     /// The customers with waiting or running requests, or with any tickets since the shard started.
     pub customers: Vec<CustomerStatus>,
     /// The endpoints.
@@ -144,12 +165,13 @@
 }
 
 impl PrefillStatus {
-    fn of(now: Moment, rate: &PrefillRate) -> PrefillStatus {
+    fn of(now: Moment, rate: &PrefillRate, decode: &DecodeRate) -> PrefillStatus {
         PrefillStatus {
             tokens_per_milli: rate.tokens_per_milli(),
             latency: rate.latency(),
             age: rate.last_observed_at().map(|observed_at| now.since(observed_at)),
             spread: rate.spread(),
+            step: decode.per_step().map(|micros| Duration::from_micros(micros as u64)),
         }
     }
 }
@@ -177,7 +199,10 @@
                 Duration::ZERO
             },
             resting_routers: rests.get(&index).copied().unwrap_or_default(),
-            prefill: state.engine.as_ref().map(|engine| PrefillStatus::of(now, engine.rate())),
+            prefill: state
+                .engine
+                .as_ref()
+                .map(|engine| PrefillStatus::of(now, engine.rate(), engine.decode())),
         });
         let awaited = || self.waiting.values().filter_map(|ticket| ticket.waits_for.get());
         let engines: HashSet<EndpointIndex> = awaited().map(|choice| choice.engine).collect();
@@ -190,6 +215,8 @@
             awaited_engines: engines.len(),
             running: self.running.len(),
             passes: self.pass_number,
+            copies: self.endpoints.copy_link.status(),
+            pause_limited: self.endpoints.iter().filter(|state| state.pause_limited).count(),
             customers: customers.collect(),
             endpoints: endpoints.collect(),
             suspects: self.suspects.suspected(now),
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod bound;
+mod cache_sources;
 mod capacity;
 mod charges;
 mod choice;
@@ -13,8 +14,10 @@
 mod evacuation;
 mod failure_tolerance;
 mod faults;
+mod generation;
 mod harness;
 mod herding;
+mod kinds;
 mod limits;
 mod objectives;
 mod outage;
@@ -28,5 +31,7 @@
 mod scaling;
 mod scarcity;
 mod service_lead;
+mod shared_parts;
+mod stream_pauses;
 mod suspects;
 mod throttling;
