revert: copy less while engines are idle

Demand counts the cached parts of prompts, so capacity counts as scarce there too and the lower limit hardly ever applies.

This reverts.

--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -45,11 +45,9 @@
 /// to stay behind by as long as the prompt is overdue.
 const LATE_FACTOR: u32 = 3;
 /// The weight of a copied token beside its copy time, in percent of the weight of an uncached one. A copy
-/// takes no prefill capacity, but evicts other cached parts and costs bytes.
+/// takes no prefill capacity, but evicts other cached parts and costs bytes. With this weight, a replayed
+/// load copies half as many tokens as without and prefills fewer shared parts again.
 const COPIED_PERCENT: u64 = 10;
-/// The lower limit of that weight, in percent of the prefill time. Copies take memory and links also while
-/// engines are idle, so a prompt then waits for the engine that has its parts, unless the wait is long.
-const MIN_COPIED_PERCENT: u64 = 50;
 /// A first event this many times later than expected without a copy shows a slow engine, whatever became
 /// of the copy.
 const SLOW_FACTOR: f64 = 1.3;
@@ -503,8 +501,7 @@
         uncached_percent: u64,
     ) -> u64 {
         let uncached_tokens = work.prefill_tokens * uncached_percent / 100;
-        let copied_percent = (uncached_percent * COPIED_PERCENT / 100).max(MIN_COPIED_PERCENT);
-        let copied_tokens = work.copied_tokens * copied_percent / 100;
+        let copied_tokens = work.copied_tokens * uncached_percent * COPIED_PERCENT / 10_000;
         let weighted_tokens = uncached_tokens + copied_tokens;
         let tokens = tokens_before + weighted_tokens + u64::from(running) * RUNNING_REQUEST_TOKENS;
         let delay = self.time_until_prefill(now) + self.rate.prefill_time(tokens) + work.copy_delay;
