fix(dispatch): wake engines once their room for prompts is surely free

Moments are rounded down to microseconds. At the wake for the time in which a prompt surely is prefilled, the engine was still closed by a part of a microsecond, and no further wake was set, so it stayed closed until the next report. The dispatcher's timers add 200 us to wakes and hid this; the replay of stream pauses, which wakes exactly, did not release room by time.

--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -27,6 +27,9 @@
 /// a request of another customer can no longer overtake, and the delay of first events. A shorter limit
 /// lets engines run idle between two grants.
 const MAX_PREFILL_QUEUE: Duration = Duration::from_millis(80);
+/// Added to the end of an expected time, which moments round down to microseconds. At a moment before the end the
+/// engine would still be closed, and nothing would wake the shard again.
+const ROUNDING: Duration = Duration::from_micros(1);
 /// Delay that a running request adds for the next one, in tokens of prefill. It prefers engines with
 /// fewer running requests if prefill would take equally long.
 const RUNNING_REQUEST_TOKENS: u64 = 35;
@@ -307,7 +310,7 @@
     /// When the queued prefill work is expected to drop below the limit.
     pub fn prefill_budget_at(&self, now: Moment) -> Moment {
         let excess = self.queued_prefill_time(now).saturating_sub(self.prefill_budget());
-        now + excess + Duration::from_micros(1)
+        now + excess + ROUNDING
     }
 
     fn prefill_budget(&self) -> Duration {
@@ -459,7 +462,7 @@
     /// When the engine is expected to have room for a prompt again without breaking the pauses of its
     /// streams; `None` if it has.
     pub fn filled_until(&self, now: Moment) -> Option<Moment> {
-        self.is_filled_by(self.unanswered_tokens(now)).then(|| now + self.pause_wait(now))
+        self.is_filled_by(self.unanswered_tokens(now)).then(|| now + self.pause_wait(now) + ROUNDING)
     }
 
     /// The expected number of streams that break their pause if a prompt with this many tokens to prefill is
--- a/crates/micaspool-dispatch/tests/shard/stream_pauses/rules.rs
+++ b/crates/micaspool-dispatch/tests/shard/stream_pauses/rules.rs
@@ -4,6 +4,7 @@
 use crate::harness::{endpoint, hello, ticket, ShardHarness};
 use micaspool_dispatch::{EngineTraits, GenerationOutline, RequestTicket, SessionId, ShardEvent};
 use micaspool_types::{Cost, EndpointName, RequestId};
+use std::time::Duration;
 
 const EVENT_COST: u64 = 14;
 /// The prefill rate that settings plan, in tokens per millisecond.
@@ -107,6 +108,23 @@
     assert_eq!(harness.take_granted_requests(), [11]);
 }
 
+/// Guards against an engine that stays closed after the wake at which its prompt is surely prefilled, until
+/// something else is reported of it.
+#[test]
+fn the_next_prompt_follows_at_the_wake_if_the_first_event_is_not_reported() {
+    let mut harness = engines(1);
+    start_streams(&mut harness, 1);
+    harness.submit(1, prompt(10, 200 * RATE));
+    harness.submit(1, prompt(11, 200 * RATE));
+    assert_eq!(harness.take_granted_requests(), [10]);
+    let until = harness.now + Duration::from_millis(600);
+    while let Some(wake) = harness.core.next_wake().filter(|wake| *wake < until) {
+        harness.now = wake.max(harness.now);
+        harness.step(ShardEvent::Wake);
+    }
+    assert_eq!(harness.take_granted_requests(), [11]);
+}
+
 /// A prompt that breaks pauses goes where the fewest streams run.
 #[test]
 fn a_very_long_prompt_goes_to_the_engine_with_the_fewest_streams() {
