fix(dispatch): name only sources that have all parts up to the sought one

An engine that lacks a part in the middle of a prompt was compared as a source of the last part. With the shorter queue of copies it hid the engine of its hall that has all parts, and the rest was prefilled again.

--- a/crates/micaspool-dispatch/src/shard/cache_sources.rs
+++ b/crates/micaspool-dispatch/src/shard/cache_sources.rs
@@ -19,8 +19,7 @@
 /// deepest part is often cached by a single engine, whose copies may have a queue.
 const MAX_LEVELS: usize = 2;
 /// Prefill must take at least this many times as long as copying, since a copy may fail and its time is
-/// less certain. With a higher factor, fast engines would copy nothing from other halls at sites where a
-/// copy takes a fifth of the prefill time.
+/// less certain. A much higher factor would rule out copies between halls, which take twice as long.
 const MIN_PREFILL_FACTOR: f64 = 1.5;
 /// Points from which a source is suspended, after copies in a row that brought nothing. A slow engine or a
 /// pause of a router looks the same in a single case, and a slow engine does several times in a row.
@@ -64,6 +63,16 @@
     }
 }
 
+/// A part of a prompt for which sources are searched.
+#[derive(Debug, Clone, Copy)]
+struct SoughtPart {
+    /// Its position in the prompt.
+    level: usize,
+    prefix: u64,
+    /// The tokens of the prompt up to the end of the part.
+    depth: u64,
+}
+
 /// An engine from which parts of a prompt can be copied.
 #[derive(Debug, Clone, Copy)]
 struct SourceOption {
@@ -105,42 +114,42 @@
             return sources;
         }
         let least = self.least_worthwhile_tokens();
-        let spread = prompt.prefixes.last().copied().unwrap_or_default();
         let mut depth: u64 = prompt.parts().map(|(_, tokens)| tokens).sum();
         let mut levels = 0;
         for (level, (prefix, tokens)) in prompt.parts().enumerate().collect::<Vec<_>>().into_iter().rev() {
             if depth < least || levels == MAX_LEVELS {
                 break;
             }
-            depth -= tokens;
             let before = sources.options.len();
-            self.add_sources(now, query, (level, prefix), spread, &mut sources);
+            self.add_sources(now, query, SoughtPart { level, prefix, depth }, &mut sources);
+            depth -= tokens;
             levels += usize::from(sources.options.len() > before);
         }
         sources
     }
 
-    /// Adds the sources that cache the part `prefix`. The search starts at a different engine for each
-    /// prompt, so that more sources than are compared are used.
+    /// Adds the sources that cache the prompt up to the end of `part`. The search starts at a different
+    /// engine for each prompt, so that more sources than are compared are used.
     fn add_sources(
         &self,
         now: Moment,
         query: &EngineQuery<'_>,
-        (level, prefix): (usize, u64),
-        spread: u64,
+        part: SoughtPart,
         sources: &mut CacheSources,
     ) {
-        let holders = self.holders.of(prefix);
+        let holders = self.holders.of(part.prefix);
         if holders.is_empty() {
             return;
         }
+        let spread = query.prompt.prefixes.last().copied().unwrap_or_default();
         let (earlier, later) = holders.split_at((spread % holders.len() as u64) as usize);
         let options = later.iter().chain(earlier).take(MAX_EXAMINED).filter_map(|index| {
             let engine = self.usable_source(now, query, *index)?;
             let tokens = engine.present_tokens(query.prompt);
             let hall = self.hall(*index);
             let sent_by = engine.copies.sent_by.max(now);
-            (tokens > 0).then_some(SourceOption { level, engine: *index, hall, tokens, sent_by })
+            let has_all = tokens > 0 && tokens >= part.depth;
+            has_all.then_some(SourceOption { level: part.level, engine: *index, hall, tokens, sent_by })
         });
         options.take(MAX_COMPARED).for_each(|option| sources.add(option));
     }
--- a/crates/micaspool-dispatch/tests/shard/cache_sources.rs
+++ b/crates/micaspool-dispatch/tests/shard/cache_sources.rs
@@ -216,7 +216,8 @@
     assert!(later.iter().all(|grant| grant.source.is_some() || grant.engine == endpoint(count - 1)));
 }
 
-/// Guards against copies between halls, which take twice as long, and against using one source only.
+/// Guards against copies between halls, which take twice as long, while the same hall has a source, and against a
+/// queue of copies at one source while another one has none.
 #[test]
 fn a_source_in_the_same_hall_is_preferred_then_the_one_with_fewer_copies() {
     // e1, e4 and e7 are in hall 1.
@@ -234,7 +235,7 @@
     assert_eq!(sources, BTreeSet::from([endpoint(1), endpoint(4)]), "both sources of hall 1 are used");
 }
 
-/// Guards against a source that is in the wrong hall being named although its hall has none.
+/// Guards against prefill of a part that only an engine in another hall has, although copying it is faster.
 #[test]
 fn a_source_in_another_hall_is_used_if_there_is_none_in_the_same() {
     let mut harness = engines(2, TRAITS);
@@ -312,6 +313,32 @@
     assert_eq!((late.engine, late.source), (endpoint(others[0]), Some(first.engine)));
 }
 
+/// Guards against a source that lacks a part in the middle being named instead of one that has all parts, because
+/// it has the shorter queue of copies.
+#[test]
+fn a_source_of_all_parts_goes_before_one_that_lacks_a_part() {
+    // e1, e4, e7 and e10 are in hall 1.
+    let mut harness = engines(12, TRAITS);
+    warm_up(&mut harness, 12);
+    let parts = [LARGE_PART, CachedPart { prefix: 8, ..LARGE_PART }, CachedPart { prefix: 9, ..LARGE_PART }];
+    let other_part = CachedPart { prefix: 20, ..LARGE_PART };
+    parts.iter().for_each(|part| report_part(&mut harness, *part, &[1]));
+    report_part(&mut harness, parts[0], &[4]);
+    report_part(&mut harness, parts[2], &[4]);
+    report_part(&mut harness, other_part, &[1]);
+    occupy(&mut harness, &[0, 1, 2, 3, 4, 5, 6, 8, 9, 11]);
+    let first = submit_and_take(&mut harness, prompt(1, other_part, 500));
+    assert_eq!(first.source, Some(endpoint(1)), "e1 has a queue of copies now");
+    let all_parts = RequestTicket {
+        prefixes: parts.iter().map(|part| part.prefix).collect(),
+        prefix_tokens: parts.iter().map(|part| part.tokens).collect(),
+        prompt_tokens: Cost(17_000),
+        ..ticket(2, "a", 17_000)
+    };
+    let second = submit_and_take(&mut harness, all_parts);
+    assert_eq!(second.source, Some(endpoint(1)), "e4 has only the first and the last part");
+}
+
 /// Guards against naming an engine again and again for a part that it doesn't have.
 #[test]
 fn a_source_that_gave_nothing_is_not_named_for_the_part_until_it_is_known_to_have_it() {
