--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -1,5 +1,6 @@
 //! Chooses the endpoint for a ticket.
 
+use super::cache_sources::CacheSources;
 use super::copy_link::PlannedCopy;
 use super::endpoints::{EndpointIndex, EndpointState, EndpointTable};
 use super::engine::PromptShape;
@@ -13,10 +14,10 @@
 const LEAST_LOADED_PER_HALL: usize = 4;
 
 /// How many of the engines that become free soonest are compared if the others break pauses.
-const MAX_WAKING: usize = 16;
+const MAX_SOON_FREE: usize = 16;
 
 /// What a late first event counts in percent of a stream that breaks its pause. A ticket that is late at every
-/// engine is mostly refused in the end, which costs its whole value of 4.1, while a late stream loses 2.9 of it.
+/// engine is mostly refused in the end and loses its whole value, while a late stream keeps a part of it.
 const LATE_PERCENT: u64 = 150;
 
 /// Requirements for choosing an engine.
@@ -55,6 +56,15 @@
     unqueued_time: Duration,
 }
 
+/// An engine compared for a prompt.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    score: EngineScore,
+    /// See [`EngineState::expected_breaks`](super::engine::EngineState::expected_breaks).
+    breaks: u64,
+    chosen: ChosenEngine,
+}
+
 /// The expected time from a grant to the first event of a prompt.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct FirstEventTime {
@@ -85,8 +95,8 @@
 
     /// The engine with the lowest expected delay for a prompt, among those that cache part of it (free
     /// or busy) and the least loaded free ones. Engines without an overdue prompt are preferred, then
-    /// those where the fewest responses are late. `queued` returns the work already queued for an engine. `None` if
-    /// there is no candidate. An engine may copy the parts that others have cached.
+    /// those where the fewest responses lose value. `queued` returns the work already queued for an engine. `None`
+    /// if there is no candidate. An engine may copy the parts that others have cached.
     pub fn soonest_engine(
         &self,
         now: Moment,
@@ -94,41 +104,50 @@
         queued: impl Fn(EndpointIndex) -> WorkAhead,
     ) -> Option<ChosenEngine> {
         let sources = self.cache_sources(now, query);
-        let score = |index: EndpointIndex| {
-            let state = self.state(index);
-            let engine = state.engine.as_ref()?;
-            let ahead = queued(index);
-            let cold_delay = self.cold_wait(now, index, ahead.tickets);
-            let queue_time = engine.queue_time(now, ahead.tokens);
-            let cached = engine.cached_tokens(query.prompt);
-            let copy = self.plan_copy(now, &sources, index, cached, queue_time);
-            let work = engine.work_of(query.prompt, cached, copy, queue_time);
-            let first_event_at = now + cold_delay + queue_time + engine.unqueued_time_to_first_event(&work);
-            let is_late = query.first_event_due.is_some_and(|due| first_event_at > due);
-            let breaks = engine.expected_breaks(now, work.prefill_tokens);
-            let score = EngineScore {
-                overdue: engine.is_overdue(now) || engine.is_behind(now),
-                losses: breaks + if is_late { LATE_PERCENT } else { 0 },
-                delay: engine.delay(now, &work, state.busy, ahead.tokens, self.scarcity.uncached_percent)
-                    + cold_delay.as_micros() as u64,
-                engine: index,
-            };
-            let unqueued = engine.work_of(query.prompt, cached, copy, Duration::MAX);
-            let chosen = ChosenEngine {
-                engine: index,
-                copy,
-                prefill_tokens: work.prefill_tokens,
-                unqueued_time: engine.unqueued_time_to_first_event(&unqueued),
-            };
-            Some((score, breaks, chosen))
-        };
-        let candidates = self.holders_of(query).chain(self.least_loaded_few(query));
-        let best = candidates.filter_map(score).min_by_key(|(score, ..)| *score)?;
-        if best.1 == 0 {
-            return Some(best.2);
+        let candidate = |index| self.candidate(now, query, &sources, queued(index), index);
+        let engines = self.holders_of(query).chain(self.least_loaded_few(query));
+        let best = engines.filter_map(candidate).min_by_key(|candidate| candidate.score)?;
+        if best.breaks == 0 {
+            return Some(best.chosen);
         }
-        let others = self.soonest_free(query).filter_map(score);
-        others.chain([best]).min_by_key(|(score, ..)| *score).map(|(.., chosen)| chosen)
+        let others = self.soonest_free(query).filter_map(candidate);
+        others.chain([best]).min_by_key(|candidate| candidate.score).map(|candidate| candidate.chosen)
+    }
+
+    /// An endpoint as a candidate for a prompt, behind the work already queued for it; `None` if it is no engine.
+    fn candidate(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        sources: &CacheSources,
+        ahead: WorkAhead,
+        index: EndpointIndex,
+    ) -> Option<Candidate> {
+        let state = self.state(index);
+        let engine = state.engine.as_ref()?;
+        let cold_delay = self.cold_wait(now, index, ahead.tickets);
+        let queue_time = engine.queue_time(now, ahead.tokens);
+        let cached = engine.cached_tokens(query.prompt);
+        let copy = self.plan_copy(now, sources, index, cached, queue_time);
+        let work = engine.work_of(query.prompt, cached, copy, queue_time);
+        let first_event_at = now + cold_delay + queue_time + engine.unqueued_time_to_first_event(&work);
+        let is_late = query.first_event_due.is_some_and(|due| first_event_at > due);
+        let breaks = engine.expected_breaks(now, work.prefill_tokens);
+        let score = EngineScore {
+            overdue: engine.is_overdue(now) || engine.is_behind(now),
+            losses: breaks + if is_late { LATE_PERCENT } else { 0 },
+            delay: engine.delay(now, &work, state.busy, ahead.tokens, self.scarcity.uncached_percent)
+                + cold_delay.as_micros() as u64,
+            engine: index,
+        };
+        let unqueued = engine.work_of(query.prompt, cached, copy, Duration::MAX);
+        let chosen = ChosenEngine {
+            engine: index,
+            copy,
+            prefill_tokens: work.prefill_tokens,
+            unqueued_time: engine.unqueued_time_to_first_event(&unqueued),
+        };
+        Some(Candidate { score, breaks, chosen })
     }
 
     /// The initial prefill time per token of an engine without observations, in microseconds: the mean
@@ -201,21 +220,25 @@
         if self.has_no_engine() {
             return FirstEventTime::exactly(self.answer_time.mean());
         }
-        let next = self.next_available_engine();
-        let Some((index, engine)) = next.and_then(|index| Some((index, self.state(index).engine.as_ref()?)))
-        else {
+        self.time_at_next_available(now, &anywhere).unwrap_or_else(|| {
             let usual = match states_output {
                 true => self.mean_time_to_first_event(prompt),
                 false => self.mean_prefill_time(prompt),
             };
-            return FirstEventTime::exactly(usual);
-        };
-        let cached = engine.cached_tokens(prompt);
-        let sources = self.cache_sources(now, &anywhere);
+            FirstEventTime::exactly(usual)
+        })
+    }
+
+    /// The time from a grant to the first event on the engine whose queued prefill work drops below its limit first.
+    fn time_at_next_available(&self, now: Moment, query: &EngineQuery<'_>) -> Option<FirstEventTime> {
+        let index = self.next_available_engine()?;
+        let engine = self.state(index).engine.as_ref()?;
+        let cached = engine.cached_tokens(query.prompt);
+        let sources = self.cache_sources(now, query);
         let copy = self.plan_copy(now, &sources, index, cached, Duration::MAX);
-        let work = engine.work_of(prompt, cached, copy, Duration::MAX);
+        let work = engine.work_of(query.prompt, cached, copy, Duration::MAX);
         let usual = engine.unqueued_time_to_first_event(&work);
-        FirstEventTime { shortest: usual.saturating_sub(engine.rate().latency()), usual }
+        Some(FirstEventTime { shortest: usual.saturating_sub(engine.rate().latency()), usual })
     }
 
     /// The engine whose queued prefill work drops below its limit first. While all engines are at the limit,
@@ -254,8 +277,8 @@
     /// pauses on every other candidate: where the free engines are slow ones, waiting for a fast one
     /// is better for their streams.
     fn soonest_free<'a>(&'a self, query: &'a EngineQuery<'_>) -> impl Iterator<Item = EndpointIndex> + 'a {
-        let waking = self.wakes.iter().map(|(_, endpoint)| *endpoint).take(MAX_WAKING);
-        waking.filter(move |index| {
+        let soonest = self.wakes.iter().map(|(_, endpoint)| *endpoint).take(MAX_SOON_FREE);
+        soonest.filter(move |index| {
             let state = self.state(*index);
             state.has_slot() && query.halls.contains(state.hall) && !(query.is_excluded)(*index)
         })
--- a/crates/micaspool-dispatch/src/shard/copy_link.rs
+++ b/crates/micaspool-dispatch/src/shard/copy_link.rs
@@ -10,16 +10,16 @@
 use micaspool_types::Moment;
 use std::time::Duration;
 
-/// The time until a copy begins to transfer. Links of known sites need 2.7 to 8 ms; the longest of them
-/// keeps copies from being underestimated before they have been observed.
+/// The time until a copy begins to transfer, before copies have been observed. It is at the upper end of what
+/// links need, since a copy that takes longer than expected delays a first event.
 const START_TIME: Duration = Duration::from_millis(8);
 /// How much longer a copy between two halls takes.
 const OTHER_HALL_FACTOR: u32 = 2;
 /// Limits of the learnt slowdown. The lower one is above zero because a copy is never free; at the upper
 /// one hardly any part is worth copying.
 const SLOWDOWN_RANGE: (f64, f64) = (0.5, 8.0);
-/// Factor applied to older observations of copy times with each new one. Prefill varies more than a copy
-/// takes, so that only the mean of many observations shows the copy time.
+/// Factor applied to older observations of copy times with each new one. The variation of prefill times
+/// exceeds a copy time, so only the mean of many observations shows it.
 const DECAY: f64 = 1.0 - 1.0 / 64.0;
 /// The weight of the modelled copy time beside the observations, in copies.
 const PRIOR_COPIES: f64 = 8.0;
@@ -64,7 +64,7 @@
     pub tokens: u64,
     /// First events that came as late as if nothing had been copied.
     pub missed: u64,
-    /// How often a source was suspended after repeated misses.
+    /// Suspensions of sources after repeated misses.
     pub suspensions: u64,
 }
 
@@ -112,7 +112,7 @@
         ((prior + self.observed) / (prior + self.expected)).clamp(least, most)
     }
 
-    /// Records a copy that was expected to take `expected` and took `micros`. A negative time, which
+    /// Records a copy that was expected to take `expected` and took `micros` microseconds. A negative time, which
     /// results from prefill that was faster than expected, balances times that are too long by as much.
     pub fn observe(&mut self, expected: Duration, micros: f64) {
         // The expected time includes the slowdown, which the sums are relative to.
@@ -129,6 +129,7 @@
             self.observed *= FADE;
         }
     }
+
     /// The state for operators; `None` if engines copy no parts.
     pub fn status(&self) -> Option<CacheCopyStatus> {
         let CopyCounters { grants, tokens, missed, suspensions } = self.counters;
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -41,9 +41,9 @@
     pub(super) availability: EndpointAvailability,
     /// Set for a language model engine with a known memory size.
     pub(super) engine: Option<EngineState>,
-    /// True while the engine has too much queued prefill work for another prompt.
+    /// True while the engine gets no prompt, because of queued prefill work or the pauses of its streams.
     pub prefill_limited: bool,
-    /// True while the engine gets no prompt for the sake of its streams' pauses.
+    /// True while the engine gets no prompt because its streams would break their pauses.
     pub pause_limited: bool,
     /// Successive failures.
     pub failures: u32,
@@ -362,7 +362,7 @@
         }
     }
 
-    /// Closes an engine while it has too much queued prefill work, for itself or for the pauses of its streams.
+    /// Closes an engine while it has too much queued prefill work or its streams would break their pauses.
     pub(super) fn update_prefill_limit(&mut self, now: Moment, endpoint: EndpointIndex) {
         let state = self.state_mut(endpoint);
         let Some(engine) = &mut state.engine else { return };
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -151,7 +151,7 @@
     pub outcome: CopyOutcome,
     /// The expected time by which the copy delayed prefill.
     pub expected: Duration,
-    /// The observed one, in microseconds; `None` if it takes as long as prefill.
+    /// The observed time, in microseconds; `None` if the copy takes as long as prefill of the copied tokens.
     pub observed: Option<f64>,
 }
 
@@ -166,6 +166,20 @@
     Unclear,
 }
 
+impl CopyOutcome {
+    /// The outcome that a first event after `took` shows, if it was expected after `if_copied` with the copied
+    /// parts and after `if_missed` without them.
+    fn of(took: Duration, if_copied: Duration, if_missed: Duration) -> CopyOutcome {
+        let is_separable = if_copied < if_missed;
+        let latest_if_copied = (if_copied + if_missed) / 2;
+        match took {
+            _ if !is_separable || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
+            _ if took > latest_if_copied => CopyOutcome::Missed,
+            _ => CopyOutcome::Copied,
+        }
+    }
+}
+
 /// What the first event of a prompt shows.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum FirstEvent {
@@ -213,7 +227,7 @@
     cached: PartCache,
     /// True once the engine has reported its cache.
     reports_cache: bool,
-    /// Its copies to and from other engines.
+    /// When its copies to and from other engines end.
     pub(super) copies: CopyQueues,
     /// What is known about copies from it.
     pub(super) source_record: SourceRecord,
@@ -496,7 +510,8 @@
 
     /// The weighted delay of a prompt's first token in microseconds, if `tokens_before` tokens for
     /// other waiting tickets are processed first. Tokens to prefill weigh `uncached_percent` of their
-    /// prefill time, and copied ones a tenth of that.
+    /// prefill time, and copied ones [`COPIED_PERCENT`] of that, but at least [`MIN_COPIED_PERCENT`] of their
+    /// prefill time.
     pub fn delay(
         &self,
         now: Moment,
@@ -591,14 +606,9 @@
         let copying = self.prefill_start(prompt).since(idle_since);
         let rest = self.rate.prefill_time(prompt.tokens);
         let if_missed = self.rate.prefill_time(prompt.tokens + copy.tokens);
-        let latest_if_copied = (copying + rest + if_missed) / 2;
         let took = now.since(idle_since).saturating_sub(self.rate.latency());
-        let is_separable = copying + rest < if_missed;
-        let outcome = match took {
-            _ if !is_separable || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
-            _ if took > latest_if_copied => CopyOutcome::Missed,
-            _ => CopyOutcome::Copied,
-        };
+        let if_copied = copying + rest;
+        let outcome = CopyOutcome::of(took, if_copied, if_missed);
         let prefill_time = took.saturating_sub(copying);
         let is_rate_unknown = now.since(self.uncopied_observed_at) > RECENT_OBSERVATION;
         let missed_before = self.missed_source.is_some_and(|source| source != copy.source);
@@ -612,7 +622,7 @@
             source: copy.source,
             outcome,
             expected: copying,
-            observed: is_separable.then(|| extra.clamp(-most, most)),
+            observed: (if_copied < if_missed).then(|| extra.clamp(-most, most)),
         }
     }
 
--- a/crates/micaspool-dispatch/src/shard/parts.rs
+++ b/crates/micaspool-dispatch/src/shard/parts.rs
@@ -16,8 +16,8 @@
 struct PartEntry {
     tokens: u64,
     last_used: u64,
-    /// True once the engine is known to have it: a first event followed, or the engine reported it.
-    /// Until then it may still be prefilled or copied.
+    /// True once a first event or a report of the engine shows that it has the part. Until then the part may
+    /// still be prefilled or copied.
     is_present: bool,
 }
 
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -120,9 +120,9 @@
     pub tokens: u64,
     /// First events that came as late as if nothing had been copied.
     pub missed: u64,
-    /// How often an engine was not copied from for a while after repeated misses.
+    /// Suspensions of engines as sources after repeated misses.
     pub suspensions: u64,
-    /// The duration of copies relative to what the settings of the engines lead to expect.
+    /// The learnt duration of copies as a multiple of the one that follows from the settings of the engines.
     pub slowdown: f64,
 }
 
@@ -147,7 +147,7 @@
     pub passes: u64,
     /// Copies of cached prompt parts between engines; `None` if they copy none.
     pub copies: Option<CacheCopyStatus>,
-    /// The number of engines that get no prompt for the sake of their streams' pauses.
+    /// The number of engines that get no prompt because their streams would break their pauses.
     pub pause_limited: usize,
     /// The customers with waiting or running requests, or with any tickets since the shard started.
     pub customers: Vec<CustomerStatus>,
--- a/crates/micaspool-dispatch/src/shard/stream_pauses.rs
+++ b/crates/micaspool-dispatch/src/shard/stream_pauses.rs
@@ -11,9 +11,9 @@
 use micaspool_types::{Cost, Moment, RequestId};
 use std::time::Duration;
 
-/// Engines have slow periods that can't be foreseen. The limit allows for prefill that takes longer than
-/// learnt by this many times its mean deviation: with 15% of the time at 2.5 times the usual duration, the
-/// mean deviation is 0.31 of the mean, and the slow periods lie 1.04 above it.
+/// The limit allows for prefill that takes longer than learnt by this many times its mean deviation, since
+/// engines have slow periods that can't be foreseen. Rare slow periods lie several mean deviations above the
+/// mean.
 const DEVIATIONS: f64 = 3.3;
 /// Bounds of the factor by which prefill may take longer than learnt. The lower one covers the size of a
 /// chunk; the upper one keeps an engine whose first events are reported unevenly from getting hardly
@@ -23,15 +23,14 @@
 /// together if first events come late.
 const MIN_LIMIT_DIVISOR: u32 = 4;
 /// An engine is closed while the prefill without a first event exceeds this part of the limit, in percent. The
-/// rest is left for the next prompt, whose length is unknown here. With 33, the replay in
-/// `tests/shard/stream_pauses` earned 4% less at full load where messages take 10 to 50 ms; with 100, 1.6 times as
-/// many long streams broke their pause.
+/// rest is left for the next prompt, whose length is unknown here. A lower part leaves engines idle while reports
+/// of first events are on their way; with a higher one, long prompts break pauses.
 const OPEN_PERCENT: u32 = 60;
 /// How likely a stream breaks its pause in percent if the prefill exceeds the limit but would be done within
 /// the pause at the learnt rate. It then breaks in slow periods only.
 const POSSIBLE_BREAK_PERCENT: u64 = 20;
 const CERTAIN_BREAK_PERCENT: u64 = 100;
-/// Cost units per output token in the reports of routers.
+/// Cost units per output token in the progress reports of routers.
 const TOKEN_COST: u64 = 2;
 /// The quantile of the observed times per event that is taken as the time without prefill.
 const EVENT_TIME_QUANTILE: f64 = 0.1;
@@ -67,7 +66,7 @@
     shortest: Option<Duration>,
     /// The time that the steps of one event take without prefill; `None` before the first observation.
     event_time: Option<Duration>,
-    /// Since when the engine has been behind without a new grant.
+    /// When the engine was first found behind since its last grant; `None` if it isn't behind.
     behind_since: Option<Moment>,
 }
 
