--- a/crates/micaspool-dispatch/tests/shard/shared_parts.rs
+++ b/crates/micaspool-dispatch/tests/shard/shared_parts.rs
@@ -1,8 +1,7 @@
 //! A load of long prompts that share a few large parts, more than the engines that cache them can take.
 //!
 //! Guards against prefilling the shared parts again on engine after engine, and against letting prompts
-//! wait for the few engines that cache them while others are idle. Without copies, 12 to 17 million
-//! tokens of shared parts a day were prefilled again, and a fifth of the long prompts was late.
+//! wait for the few engines that cache them while others are idle.
 
 use crate::harness::{endpoint, hello, ticket, ShardHarness};
 use micaspool_dispatch::{
@@ -113,10 +112,10 @@
     last_used: f64,
 }
 
-/// An engine that prefills one prompt after the other.
+/// An engine that prefills one prompt after the other. Times are in milliseconds.
 #[derive(Debug, Default)]
 struct EngineModel {
-    /// When it has prefilled everything, in milliseconds.
+    /// When it has prefilled everything.
     busy_until: f64,
     /// When its copies to others and from others have ended.
     sent_by: f64,
@@ -175,6 +174,7 @@
     }
 }
 
+/// A shard, the engines of a site and their load.
 struct SharedLoad {
     site: Site,
     /// False if copies bring nothing.
@@ -351,6 +351,7 @@
     name.as_str()[1..].parse().expect("endpoints are numbered")
 }
 
+/// Guards against copies that save less than half of the repeated prefill, or delay prompts by more than they save.
 #[test_case(SITE_A, 1; "site A")]
 #[test_case(SITE_A, 2; "site A, another seed")]
 #[test_case(SITE_A, 3; "site A, a third seed")]
@@ -366,7 +367,7 @@
     assert!(with.in_time_share() > without.in_time_share(), "with {with:?}, without {without:?}");
 }
 
-/// Guards against a gain that rests on copies beside the prefill of other prompts.
+/// Guards against copies that only pay off if engines prefill other prompts meanwhile.
 #[test_case(SITE_A, 1; "site A")]
 #[test_case(SITE_B, 1; "site B")]
 fn copies_also_pay_off_on_engines_that_prefill_nothing_meanwhile(site: Site, seed: u64) {
@@ -376,7 +377,7 @@
     assert!(blocking.in_time_share() > without.in_time_share(), "{blocking:?}, without {without:?}");
 }
 
-/// Copies that bring nothing cost no more than prefill without copies would, and no request fails.
+/// Guards against copies that bring nothing costing much more than the prefill that they were to replace.
 #[test_case(SITE_A, 1; "site A")]
 #[test_case(STEADY_SITE_B, 1; "site B without slow periods")]
 fn copies_that_bring_nothing_cost_only_prefill(site: Site, seed: u64) {
--- a/crates/micaspool-dispatch/tests/shard/stream_pauses/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/stream_pauses/mod.rs
@@ -1,8 +1,7 @@
 //! Prompts are spaced so that the streams of an engine keep their pauses.
 //!
 //! Guards against long prompts that are granted to an engine one after the other: between two chunks of a
-//! prompt, each running stream gets one token, so that a slow engine has pauses of 460 ms where 400 ms are
-//! wanted. A fifth of the long prompts of a calm day was late.
+//! prompt, each running stream gets one token, so a slow engine has pauses of 460 ms where the limit is 400 ms.
 
 mod model;
 mod rules;
@@ -46,7 +45,7 @@
 const END: Duration = Duration::from_secs(30);
 const SEEDS: Range<u64> = 1..7;
 
-/// A load and the way in which it is played.
+/// A load and how it is simulated.
 #[derive(Clone, Debug)]
 struct Play {
     speeds: Vec<f64>,
@@ -104,7 +103,8 @@
     outcomes.iter().zip(ENGINE_MILLIS).map(|(outcome, millis)| f64::from(outcome.in_time) * millis).sum()
 }
 
-/// At moderate load, few streams are late by a pause; without spacing more are than may be.
+/// Guards against streams that are late by a pause although there is capacity. Without spacing, more are late than
+/// [`MAX_LATE`].
 #[test]
 fn streams_keep_their_pauses_at_moderate_load() {
     let before = Play::of(MODERATE).without_pause().run_all();
@@ -114,8 +114,8 @@
     assert!(after.iter().all(|outcome| outcome.refused * 100 < outcome.submitted), "{after:?}");
 }
 
-/// Spacing doesn't cost throughput, also where reports of first events arrive late, as from gateways with little
-/// processor time.
+/// Guards against spacing that costs throughput, also where reports of first events arrive late, as from gateways
+/// with little processor time.
 #[test_case(None; "usual messages")]
 #[test_case(Some(10_000..50_000); "late messages")]
 fn full_load_is_served_as_before(transit: Option<Range<u64>>) {
@@ -126,7 +126,7 @@
     assert!(in_time(&after) >= in_time(&before), "{after:?} {before:?}");
 }
 
-/// Long prompts are served beside a flood of short ones, though these fit into what they leave of a pause.
+/// Guards against long prompts that starve beside many short ones, which fit into a smaller rest of the limit.
 #[test]
 fn long_prompts_are_not_starved() {
     let mut play = Play::of(FULL);
@@ -137,7 +137,7 @@
     assert!(after[0].finished * 10 >= before[0].finished * 9, "{after:?} {before:?}");
 }
 
-/// Where all engines are slow, each long prompt breaks pauses, and is served.
+/// Guards against refusing long prompts because they break pauses on every engine.
 #[test]
 fn long_prompts_run_on_slow_engines_if_there_are_no_others() {
     let mut play = Play { speeds: vec![0.55; 6], ..Play::of(FULL) };
@@ -148,8 +148,7 @@
     assert!(after[0].in_time >= before[0].in_time, "{after:?} {before:?}");
 }
 
-/// Without pauses in tickets, or without the size of events in the settings, every request fares the same as
-/// without either.
+/// Guards against changed decisions where tickets have no pause or the settings state no size of events.
 #[test]
 fn nothing_changes_where_the_feature_is_off() {
     let unset = Play { event_tokens: 0, ..Play::of(FULL).without_pause() };
--- a/crates/micaspool-dispatch/tests/shard/stream_pauses/model.rs
+++ b/crates/micaspool-dispatch/tests/shard/stream_pauses/model.rs
@@ -16,16 +16,17 @@
 const MEMORY_TOKENS: u64 = 388_185;
 const EVENT_TOKENS: u32 = 7;
 const CHUNK_TOKENS: u64 = 2_048;
-/// Tokens per millisecond and duration of a step, at an engine of speed one.
+/// Prefill rate in tokens per millisecond and duration of a step in milliseconds, for an engine of speed one.
 const PREFILL_RATE: f64 = 64.2;
 const STEP_MILLIS: f64 = 4.23;
-/// In each of these spans, an engine is slow for a while.
+/// In each span of this many microseconds, an engine is slow for `SLOW_MICROS`, in which work takes `SLOW_FACTOR`
+/// times as long.
 const SLOW_SPAN: u64 = 4_000_000;
 const SLOW_MICROS: u64 = 600_000;
 const SLOW_FACTOR: f64 = 2.5;
 /// Usual time of a message from shard to engine or back, in microseconds.
 const TRANSIT: Range<u64> = 2_000..12_000;
-/// A report of progress follows the one before after this long, or after this cost.
+/// A report of progress follows the one before after this time in microseconds, or after this cost.
 const REPORT_MICROS: u64 = 500_000;
 const REPORT_COST: u64 = 128;
 /// The longest pause that keeps a stream in time.
@@ -91,6 +92,7 @@
     }
 }
 
+/// A request that has not been refused and is not complete. Times are in microseconds.
 #[derive(Debug)]
 struct OpenRequest {
     kind: usize,
@@ -119,7 +121,7 @@
     turn: Option<u64>,
 }
 
-/// A run of such engines.
+/// A shard and the engines that it grants to. Times are in microseconds from the start.
 pub struct EngineFleet {
     harness: ShardHarness,
     kinds: Vec<RequestKind>,
@@ -138,7 +140,7 @@
     /// Arrivals and lengths are drawn apart from transit times, so that they are the same with and without pauses.
     arrivals: ChaCha8Rng,
     transits: ChaCha8Rng,
-    /// Outcomes of the requests that arrive after this, in microseconds.
+    /// Only requests that arrive from this time on are counted.
     pub counted_from: u64,
     pub outcomes: Vec<KindOutcome>,
     /// The number of grants to each engine.
--- a/crates/micaspool-dispatch/tests/shard/stream_pauses/rules.rs
+++ b/crates/micaspool-dispatch/tests/shard/stream_pauses/rules.rs
@@ -50,6 +50,7 @@
     (1..count).for_each(|number| report(harness, number, 11));
 }
 
+/// Guards against prompts that delay streams further which already get less than one event per pause.
 #[test]
 fn an_engine_that_is_behind_gets_nothing_while_another_is_not() {
     let mut harness = engines(2);
@@ -65,6 +66,7 @@
     }
 }
 
+/// Guards against an engine that stays closed although its streams get their events again.
 #[test]
 fn an_engine_that_caught_up_gets_prompts_again() {
     let mut harness = engines(1);
@@ -78,7 +80,7 @@
     assert_eq!(harness.take_granted_requests(), [10]);
 }
 
-/// A stream whose reports stay away doesn't close an engine for ever.
+/// Guards against an engine that is closed forever by a stream whose reports are lost.
 #[test]
 fn an_engine_that_stays_behind_is_closed_for_a_bounded_time() {
     let mut harness = engines(1);
@@ -91,8 +93,7 @@
     assert_eq!(harness.take_granted_requests(), [10]);
 }
 
-/// Two prompts that together take longer than the pause are granted one after the other, the second after the
-/// first event of the first one.
+/// Guards against two prompts without a gap that together take longer than the pause of a stream.
 #[test]
 fn the_next_prompt_follows_the_first_event() {
     let mut harness = engines(1);
@@ -125,7 +126,7 @@
     assert_eq!(harness.take_granted_requests(), [11]);
 }
 
-/// A prompt that breaks pauses goes where the fewest streams run.
+/// Guards against a prompt that breaks pauses running where more streams than necessary are late.
 #[test]
 fn a_very_long_prompt_goes_to_the_engine_with_the_fewest_streams() {
     let mut harness = engines(2);
@@ -135,7 +136,7 @@
     assert_eq!(harness.take_grants()[0].endpoint, endpoint(1 - busier));
 }
 
-/// It is served if there is only one engine.
+/// Guards against refusing a prompt because it breaks pauses at every engine.
 #[test]
 fn a_very_long_prompt_is_granted_where_it_breaks_pauses() {
     let mut harness = engines(1);
