--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -27,6 +27,9 @@
 /// a request of another customer can no longer overtake, and the delay of first events. A shorter limit
 /// lets engines run idle between two grants.
 const MAX_PREFILL_QUEUE: Duration = Duration::from_millis(80);
+/// Added to the end of an expected time, which moments round down to microseconds. At a moment before the end the
+/// engine would still be closed, and nothing would wake the shard again.
+const ROUNDING: Duration = Duration::from_micros(1);
 /// Delay that a running request adds for the next one, in tokens of prefill. It prefers engines with
 /// fewer running requests if prefill would take equally long.
 const RUNNING_REQUEST_TOKENS: u64 = 35;
@@ -146,7 +149,7 @@
     pub outcome: CopyOutcome,
     /// The expected time by which the copy delayed prefill.
     pub expected: Duration,
-    /// The observed one, in microseconds; `None` if it takes as long as prefill.
+    /// The observed time, in microseconds; `None` if the copy takes as long as prefill of the copied tokens.
     pub observed: Option<f64>,
 }
 
@@ -161,6 +164,20 @@
     Unclear,
 }
 
+impl CopyOutcome {
+    /// The outcome that a first event after `took` shows, if it was expected after `if_copied` with the copied
+    /// parts and after `if_missed` without them.
+    fn of(took: Duration, if_copied: Duration, if_missed: Duration) -> CopyOutcome {
+        let is_separable = if_copied < if_missed;
+        let latest_if_copied = (if_copied + if_missed) / 2;
+        match took {
+            _ if !is_separable || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
+            _ if took > latest_if_copied => CopyOutcome::Missed,
+            _ => CopyOutcome::Copied,
+        }
+    }
+}
+
 /// What the first event of a prompt shows.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum FirstEvent {
@@ -208,7 +225,7 @@
     cached: PartCache,
     /// True once the engine has reported its cache.
     reports_cache: bool,
-    /// Its copies to and from other engines.
+    /// When its copies to and from other engines end.
     pub(super) copies: CopyQueues,
     /// What is known about copies from it.
     pub(super) source_record: SourceRecord,
@@ -305,7 +322,7 @@
     /// When the queued prefill work is expected to drop below the limit.
     pub fn prefill_budget_at(&self, now: Moment) -> Moment {
         let excess = self.queued_prefill_time(now).saturating_sub(self.prefill_budget());
-        now + excess + Duration::from_micros(1)
+        now + excess + ROUNDING
     }
 
     fn prefill_budget(&self) -> Duration {
@@ -457,7 +474,7 @@
     /// When the engine is expected to have room for a prompt again without breaking the pauses of its
     /// streams; `None` if it has.
     pub fn filled_until(&self, now: Moment) -> Option<Moment> {
-        self.is_filled_by(self.unanswered_tokens(now)).then(|| now + self.pause_wait(now))
+        self.is_filled_by(self.unanswered_tokens(now)).then(|| now + self.pause_wait(now) + ROUNDING)
     }
 
     /// The expected number of streams that break their pause if a prompt with this many tokens to prefill is
@@ -491,7 +508,8 @@
 
     /// The weighted delay of a prompt's first token in microseconds, if `tokens_before` tokens for
     /// other waiting tickets are processed first. Tokens to prefill weigh `uncached_percent` of their
-    /// prefill time, and copied ones a tenth of that.
+    /// prefill time, and copied ones [`COPIED_PERCENT`] of that, but at least [`MIN_COPIED_PERCENT`] of their
+    /// prefill time.
     pub fn delay(
         &self,
         now: Moment,
@@ -585,14 +603,9 @@
         let copying = self.prefill_start(prompt).since(idle_since);
         let rest = self.rate.prefill_time(prompt.tokens);
         let if_missed = self.rate.prefill_time(prompt.tokens + copy.tokens);
-        let latest_if_copied = (copying + rest + if_missed) / 2;
         let took = now.since(idle_since).saturating_sub(self.rate.latency());
-        let is_separable = copying + rest < if_missed;
-        let outcome = match took {
-            _ if !is_separable || took > if_missed.mul_f64(SLOW_FACTOR) => CopyOutcome::Unclear,
-            _ if took > latest_if_copied => CopyOutcome::Missed,
-            _ => CopyOutcome::Copied,
-        };
+        let if_copied = copying + rest;
+        let outcome = CopyOutcome::of(took, if_copied, if_missed);
         let prefill_time = took.saturating_sub(copying);
         let is_rate_unknown = now.since(self.uncopied_observed_at) > RECENT_OBSERVATION;
         let missed_before = self.missed_source.is_some_and(|source| source != copy.source);
@@ -606,7 +619,7 @@
             source: copy.source,
             outcome,
             expected: copying,
-            observed: is_separable.then(|| extra.clamp(-most, most)),
+            observed: (if_copied < if_missed).then(|| extra.clamp(-most, most)),
         }
     }
 
