--- a/crates/micaspool-dispatch/tests/shard/generation/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/generation/mod.rs
@@ -57,8 +57,7 @@
         refusals.len(),
     );
     println!("{seen}");
-    // The estimate is a mean: of a queue that is admitted up to the objective, some are late.
-    assert!(kept_waiting * 5 <= refusals.len(), "{seen}");
+    assert!(kept_waiting * 10 <= refusals.len(), "{seen}");
     assert!((0.6..1.4).contains(&(expected_wait / real_wait)), "{seen}");
     assert!(distance <= 0.4 * real_wait, "{seen}");
     assert!((0.6..1.6).contains(&(retry_after / real_retry)), "{seen}");
