fix(dispatch): let tickets submitted again to a new shard start the window of assumed rates

In a shard that takes over, tickets of a router's hello did not count as submitted: until the first new ticket, waits were judged by the assumed rate. With four engines planned at 8 tokens a millisecond, four of eight prompts of 11,992 tokens (objective 1 s) were refused after 100 ms. The new row fails without the change.

--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -134,6 +134,7 @@
         }
         let customer = self.customers.ensure(&ticket.customer);
         let had_order = ticket.order.is_some();
+        self.endpoints.note_submitted(now, &ticket.generation);
         let kind = self.resolve_kind(now, customer, TicketKind::of(ticket.priority, ticket.objective));
         let wait = self.wait_estimate(now, customer, &ticket, kind, false);
         self.enqueue(now, router, customer, ticket, wait);
--- a/crates/micaspool-dispatch/src/shard/service_model.rs
+++ b/crates/micaspool-dispatch/src/shard/service_model.rs
@@ -73,7 +73,7 @@
 }
 
 impl EndpointTable {
-    /// Records that a ticket was submitted.
+    /// Records that a ticket was submitted, here or to an earlier shard.
     pub(super) fn note_submitted(&mut self, now: Moment, generation: &GenerationOutline) {
         if generation.stated_output().is_known() {
             self.model.since.get_or_insert(now);
--- a/crates/micaspool-dispatch/tests/shard/generation/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/generation/mod.rs
@@ -3,7 +3,11 @@
 
 mod fleet;
 
+use crate::harness::{hello, ticket, ShardHarness};
 use fleet::{Fleet, Kind, Outcome, Site};
+use micaspool_dispatch::{GenerationOutline, RequestTicket, RouterHello, ShardEvent};
+use micaspool_types::Cost;
+use std::time::Duration;
 use test_case::test_case;
 
 /// Milliseconds until a run is judged.
@@ -215,3 +219,31 @@
     let mean = mean(used.iter().copied());
     assert!((0.85..1.15).contains(&mean), "{mean} of {all:.2?}");
 }
+
+/// Guards against refusals by an assumed rate in a shard that has just taken over: tickets that routers submit
+/// again with their hello were judged as if no first event could be in time, and refused after 100 ms.
+#[test]
+fn tickets_of_a_lost_shard_are_not_refused_by_an_assumed_rate() {
+    let mut harness = ShardHarness::new(4, 24, &["a"]);
+    harness.update_policy(|policy| {
+        policy.endpoints.iter_mut().for_each(|spec| spec.memory_tokens = 400_000);
+        policy.planned_pace = 8.0;
+    });
+    let generation = GenerationOutline { max_output_tokens: 1_000, output_hint: 400, pause: None };
+    let long_prompt = |number: u64| RequestTicket {
+        prefixes: vec![number],
+        prefix_tokens: vec![11_992],
+        prompt_tokens: Cost(11_992),
+        objective: Some(Duration::from_secs(1)),
+        generation,
+        ..ticket(u128::from(number), "a", 11_992)
+    };
+    harness.now = harness.now + Duration::from_millis(50);
+    harness.join(1, RouterHello { waiting: (0..8).map(long_prompt).collect(), ..hello("r1", 1) });
+    assert!(harness.core.waiting_count() > 0, "some wait for their engine to be free");
+    for _ in 0..500 {
+        harness.now = harness.now + Duration::from_millis(1);
+        harness.step(ShardEvent::Wake);
+    }
+    assert_eq!(harness.refusals(), []);
+}
