fix(quorum): don't elect at startup on answers from before an election ended

Cause: a voter with the longest log that refused a vote could elect itself 0.2 s later with the answer that the other candidate gave before it won, so that two leaders were confirmed at once when the winner was isolated. Change: once a voter has voted or seen a newer term since its start, it waits an election timeout.

--- a/crates/micaspool-quorum/src/core/startup.rs
+++ b/crates/micaspool-quorum/src/core/startup.rs
@@ -7,6 +7,9 @@
 //! While a voter has not answered, it could be a leader that counts on answers, or on a vote, that this voter gave before.
 //! It counts on them for an election timeout, and what is read from it meanwhile is taken as confirmed by a majority. So a
 //! majority of answers is enough only when an election timeout has passed since the start and since the latest vote.
+//!
+//! Answers of all voters are enough at once only while no newer term has begun and no vote has been given since the start. A
+//! candidate of a newer term that answers that it hears no leader may be elected right afterwards.
 
 use super::{QuorumCore, RoleState};
 use crate::message::PeerBody;
@@ -22,12 +25,12 @@
 const FIRST_PROBE_INTERVAL: Duration = Duration::from_millis(20);
 /// An answer counts for this long. Two probes may be lost meanwhile.
 const ANSWER_VALIDITY: Duration = Duration::from_millis(300);
-/// The delay for each voter with a better claim to lead. It covers the messages of an election and the sync of a vote, so
-/// that votes are rarely split.
+/// The delay for each voter with a better claim to lead. It covers the messages of an election and the sync of a vote to
+/// disk, so that votes are rarely split.
 const RANK_DELAY: Duration = Duration::from_millis(25);
 /// The delay until the next attempt after a first pre-vote or vote without a leader. It doubles up to the election
 /// timeout, since another attempt discards the votes of one that is merely slow.
-const FIRST_RETRY: Duration = Duration::from_millis(200);
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// The latest reply of a voter to a probe. It shows that messages pass in both directions.
 #[derive(Debug, Clone, Copy)]
@@ -40,31 +43,35 @@
 /// What a voter knows about the others until it hears a leader for the first time since its start.
 #[derive(Debug)]
 pub(super) struct StartupState {
-    /// Until when a voter that has not answered may be a leader that counts on this one.
+    /// Until when another voter may be a leader that counts on this one without its knowledge.
     relied_on_until: Moment,
+    /// Whether a newer term has begun, or this voter has voted, since the start.
+    term_noted: bool,
     /// Whether no leader has been heard since the start.
     active: bool,
     answers: HashMap<KeeperIdentity, StartupAnswer>,
     next_probe: Moment,
     probe_interval: Duration,
-    /// Since when an election may begin, but for voters with a better claim.
+    /// Since when the answers have allowed an election. Voters with a better claim still go first.
     eligible_since: Option<Moment>,
     /// No attempt begins before this moment.
     held_until: Moment,
-    retry: Duration,
+    /// The delay after the next attempt, without jitter.
+    retry_delay: Duration,
 }
 
 impl StartupState {
     pub fn new(now: Moment, options: &QuorumOptions) -> StartupState {
         StartupState {
             relied_on_until: now + options.election_timeout,
+            term_noted: false,
             active: true,
             answers: HashMap::new(),
             next_probe: now,
             probe_interval: FIRST_PROBE_INTERVAL,
             eligible_since: None,
             held_until: now,
-            retry: FIRST_RETRY,
+            retry_delay: FIRST_RETRY_DELAY,
         }
     }
 
@@ -74,12 +81,13 @@
         self.answers.clear();
     }
 
-    /// Delays the next attempt, because one is under way, and requires new answers for it. `jitter` is between 0 and 1.
+    /// Delays the next attempt, because one is under way, and requires new answers for it. `jitter` is between 0 and 1;
+    /// `limit` bounds the delay before jitter.
     fn hold(&mut self, now: Moment, jitter: f64, limit: Duration) {
         self.answers.clear();
         self.eligible_since = None;
-        self.held_until = now + self.retry + self.retry.mul_f64(jitter / 2.0);
-        self.retry = (self.retry * 2).min(limit);
+        self.held_until = now + self.retry_delay + self.retry_delay.mul_f64(jitter / 2.0);
+        self.retry_delay = (self.retry_delay * 2).min(limit);
     }
 
     /// Returns the answer of a voter unless it is too old.
@@ -87,6 +95,7 @@
         self.answers.get(voter).filter(|answer| now.since(answer.at) <= ANSWER_VALIDITY)
     }
 
+    /// Returns whether probes are due and, if so, schedules the next ones. `limit` bounds their interval.
     fn take_due_probe(&mut self, now: Moment, limit: Duration) -> bool {
         if !self.active || now < self.next_probe {
             return false;
@@ -114,7 +123,7 @@
             .collect();
         let reached = answers.len() + 1;
         let is_eligible = reached >= membership.majority()
-            && (now >= self.relied_on_until || reached == membership.voters().count())
+            && (now >= self.relied_on_until || (!self.term_noted && reached == membership.voters().count()))
             && !answers.iter().any(|(_, answer)| answer.hears_leader);
         if !is_eligible {
             self.eligible_since = None;
@@ -129,7 +138,7 @@
     }
 }
 
-/// Returns whether a voter has a better claim to lead than another: a log with more entries or, if the logs are equal, the
+/// Returns whether a voter has a better claim to lead than another: a log that is more up to date or, if the logs are equal, the
 /// lower name.
 fn has_better_claim(
     (voter, last): (&KeeperIdentity, (Term, LogIndex)),
@@ -185,7 +194,7 @@
     fn elect_at_startup(&mut self, now: Moment) {
         let membership = self.log.membership();
         let may_stand = !self.is_leader() && membership.is_voter(&self.identity);
-        let last = (self.log.last_term(), self.log.last_index());
+        let last = self.last_entry();
         if !may_stand || !self.startup.is_due(now, &self.identity, last, membership) {
             return;
         }
@@ -204,6 +213,7 @@
     /// Notes that a newer term has begun or that this keeper has voted. Somebody may lead in that term now and count on the
     /// votes of it.
     pub(super) fn note_term_at_startup(&mut self, now: Moment) {
+        self.startup.term_noted = true;
         self.startup.relied_on_until = now + self.options.election_timeout;
         self.hold_startup(now);
     }
--- a/crates/micaspool-quorum/src/message.rs
+++ b/crates/micaspool-quorum/src/message.rs
@@ -89,7 +89,7 @@
         sent_at: Moment,
     },
     /// Sent by a voter that has heard no leader since its start, to learn who else is reachable and has none. Starts no
-    /// term. Keepers of earlier versions ignore it.
+    /// term. Keepers of earlier versions drop it as malformed.
     StartupProbe,
     /// The reply to `StartupProbe`.
     StartupReply {
--- a/crates/micaspool-quorum/tests/startup.rs
+++ b/crates/micaspool-quorum/tests/startup.rs
@@ -207,6 +207,32 @@
     }
 }
 
+/// Guards against a voter with the longest log that hears of an election and, before an election timeout has passed, elects
+/// itself with answers that the other candidate gave before it was elected.
+#[test]
+fn voter_that_learns_of_an_election_waits_for_its_winner() {
+    for seed in 0..1_000 {
+        let mut harness = formed_group(3, seed);
+        let longest = harness.leader().expect("a leader exists");
+        harness.isolate(longest, true);
+        assert!(harness.propose(longest, b"not committed"));
+        harness.run_for(50);
+        crash_all(&mut harness);
+        harness.isolate(longest, false);
+        harness.run_for(1_400);
+        for node in (0..3).filter(|node| *node != longest) {
+            harness.start(node);
+        }
+        // The others may elect one of them an election timeout after their start.
+        let head_start = harness.rng.random_range(460..540);
+        harness.run_for(head_start);
+        harness.start(longest);
+        let leader = harness.elect(MINORITY_MISSING_BOUND_MILLIS);
+        harness.isolate(leader, true);
+        run_with_one_confirmed_leader(&mut harness, 3_000);
+    }
+}
+
 /// Guards against a keeper that comes back alone, or with a minority, and raises terms or leads.
 #[test]
 fn restarted_minority_has_no_leader_and_keeps_its_term() {
