fix(client, keeper): lengthen the pause after streams that end at once

Cause: a stream that was accepted reset the pause to the shortest one, so that a follower called a keeper that ends its streams at once 39 times a second, and another keeper called it 47 times. Change: only a stream that lasted for the longest pause resets it.

--- a/crates/micaspool-client/src/fleet/stream.rs
+++ b/crates/micaspool-client/src/fleet/stream.rs
@@ -15,8 +15,8 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
 /// A stream without a message for this long is closed. Keepers send a message once a second.
 const STREAM_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// The pause before a stream is opened again. It doubles with each failure in a row. After a power loss followers are often
-/// ready a little earlier than keepers.
+/// The pause before a stream is opened again. It doubles with each failure in a row; a stream that ends within
+/// [`MAX_RETRY_PAUSE`] is a failure too. After a power loss followers are often ready a little earlier than keepers.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(25);
 /// The maximum of that pause.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -30,8 +30,11 @@
     let mut pause = FIRST_RETRY_PAUSE;
     while wanted_at.elapsed() < UNWANTED_RETENTION {
         if let Some(stream) = open_stream(&mirror, &peer).await {
+            let opened_at = BootInstant::now();
             apply_updates(&mirror, &peer, stream).await;
-            pause = FIRST_RETRY_PAUSE;
+            if opened_at.elapsed() >= MAX_RETRY_PAUSE {
+                pause = FIRST_RETRY_PAUSE;
+            }
         }
         mirror.lock().update_keeper(&peer.name, false, false);
         if mirror.lock().is_wanted(&peer.name) {
--- a/crates/micaspool-keeper/src/peers.rs
+++ b/crates/micaspool-keeper/src/peers.rs
@@ -9,6 +9,7 @@
 use async_std::channel::{bounded, Receiver, Sender};
 use futures::StreamExt;
 use micaspool_client::PeerDirectory;
+use micaspool_clock::BootInstant;
 use micaspool_daemon::StartError;
 use micaspool_quorum::{Envelope, PeerMessage, QuorumEvent};
 use micaspool_telemetry::traffic::TrafficCounter;
@@ -28,15 +29,15 @@
 /// The maximum number of messages queued for one keeper. Further ones are dropped; the consensus
 /// state machine sends what is still needed again.
 const PEER_QUEUE_LEN: usize = 256;
-/// The delay before a stream that ended or could not be opened is opened again. It doubles with each failure in a row.
-/// Keepers that start together often find each other's address not bound yet.
+/// The delay before a stream that ended or could not be opened is opened again. It doubles with each failure in a row;
+/// a stream that ends within [`MAX_RECONNECT_DELAY`] is a failure too. Keepers that start together often find each other's address not bound yet.
 const FIRST_RECONNECT_DELAY: Duration = Duration::from_millis(20);
 /// The maximum of that delay.
 const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// The interval of [`QuorumEvent::Tick`]s.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// The same interval while this keeper knows no leader. Probes and candidates wait for ticks, and nothing is decided in
-/// the meantime.
+/// The same interval while this keeper knows no leader. Elections wait for ticks, and the group accepts no commands until
+/// one has ended.
 const LEADERLESS_TICK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The exchange of messages with the other keepers.
@@ -51,6 +52,7 @@
     pub outgoing: Receiver<Envelope>,
     /// Ticks for the engine.
     pub inputs: Sender<EngineInput>,
+    /// Tells whether a leader is known, which sets the interval of ticks.
     pub view: Arc<Mutex<KeeperView>>,
     pub service: KeeperService,
 }
@@ -131,8 +133,11 @@
             let mut client = KeeperClient::new(channel).max_encoding_message_size(MAX_FRAME);
             while queue.try_recv().is_ok() {}
             let frames = queue.clone().map(|message| encode_frame(&message));
+            let opened_at = BootInstant::now();
             let _ = client.exchange(frames).await;
-            delay = FIRST_RECONNECT_DELAY;
+            if opened_at.elapsed() >= MAX_RECONNECT_DELAY {
+                delay = FIRST_RECONNECT_DELAY;
+            }
         }
         tokio::time::sleep(delay).await;
         delay = (delay * 2).min(MAX_RECONNECT_DELAY);
