--- a/crates/micaspool-client/src/fleet/plans.rs
+++ b/crates/micaspool-client/src/fleet/plans.rs
@@ -17,8 +17,8 @@
 /// How long to wait until the preferred keeper announces a plan that another one holds already. Followers of the log
 /// apply a change some milliseconds after the leader.
 const PREFERENCE_TIME: Duration = Duration::from_millis(150);
-/// The same time for a process that has no plan yet and refuses all requests meanwhile. Keepers apply the log at about the
-/// same time after an election, so most have announced their plan by then and share the followers.
+/// The same time for a process that has no plan yet and therefore refuses all requests. It covers the difference between
+/// keepers that apply the log after an election, so that most followers still fetch the plan from the one they prefer.
 const FIRST_PREFERENCE_TIME: Duration = Duration::from_millis(30);
 /// The interval at which the announcements are looked at meanwhile.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -24,9 +24,8 @@
 const CONFIRMATION_RETENTION: Duration = Duration::from_secs(3);
 
 /// For this long after the start of the mirror, a keeper that could not be reached yet counts as pending instead of lost,
-/// and one that has not reported a majority yet as settling. After a power loss keepers are ready within some hundred
-/// milliseconds of their followers. Routers leave the dispatcher of a lost keeper alone for another 0.6 s after its return,
-/// and that of one without a majority for 2 s if they have chosen another.
+/// and one that has not reported a majority yet as settling. Keepers that start together with their followers may be ready a
+/// little later, and routers would choose other dispatchers and keep them for seconds.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
 /// A keeper without a message for this long is unresponsive. Keepers send a message once a second.
--- a/crates/micaspool-dispatcher/tests/engine_lists.rs
+++ b/crates/micaspool-dispatcher/tests/engine_lists.rs
@@ -22,7 +22,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// The number of engines of site A. At the smallest spacing of probes a round takes 0.9 s.
+/// Fewer than the 100 up to which a shard asks all engines, and enough that the spacing of probes makes a round longer
+/// than the interval of probes.
 const ENGINES: usize = 90;
 /// Less than half of the interval of probes.
 const LIMIT: Duration = Duration::from_millis(240);
