--- a/crates/micaspool-keeper/tests/follower_start.rs
+++ b/crates/micaspool-keeper/tests/follower_start.rs
@@ -20,7 +20,8 @@
 fn peer(number: u16) -> PeerAddress {
     PeerAddress {
         name: InstanceName::parse(&format!("10.0.1.{number}")).expect("the name is valid"),
-        address: SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + number)),
+        // An address of this process, so that two runs at the same time don't bind the same one.
+        address: SocketAddr::from(([127, 78, (std::process::id() % 251) as u8, 1], FIRST_PORT + number)),
     }
 }
 
--- a/crates/micaspool-keeper/tests/reconnect.rs
+++ b/crates/micaspool-keeper/tests/reconnect.rs
@@ -49,7 +49,8 @@
 fn peer(number: u16) -> PeerAddress {
     PeerAddress {
         name: InstanceName::parse(&format!("10.0.3.{number}")).expect("the name is valid"),
-        address: SocketAddr::from(([127, 0, 0, 1], 17_740 + number)),
+        // An address of this process, so that two runs at the same time don't bind the same one.
+        address: SocketAddr::from(([127, 79, (std::process::id() % 251) as u8, 1], 17_740 + number)),
     }
 }
 
--- a/crates/micaspool-keeper/tests/restart.rs
+++ b/crates/micaspool-keeper/tests/restart.rs
@@ -30,8 +30,9 @@
     }
 }
 
+/// An address of this process, so that two runs at the same time don't bind the same one.
 fn address(number: u8) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, 77, number))
+    IpAddr::V4(Ipv4Addr::new(127, 77, (std::process::id() % 251) as u8, number))
 }
 
 fn name(number: u8) -> InstanceName {
