--- a/crates/micaspool-dispatch/tests/shard/generation/mod.rs
+++ b/crates/micaspool-dispatch/tests/shard/generation/mod.rs
@@ -3,7 +3,11 @@
 
 mod fleet;
 
+use crate::harness::{hello, ticket, ShardHarness};
 use fleet::{Fleet, Kind, Outcome, Site};
+use micaspool_dispatch::{GenerationOutline, RequestTicket, RouterHello, ShardEvent};
+use micaspool_types::Cost;
+use std::time::Duration;
 use test_case::test_case;
 
 /// Milliseconds until a run is judged.
@@ -33,9 +37,19 @@
 /// near zero, and callers were queued until their objective had passed and refused after that.
 #[test_case(1, 0.0, 1; "one customer")]
 #[test_case(1, 40.0, 2; "one customer, with a planned pace")]
-#[test_case(4, 0.0, 3; "four customers")]
 #[test_case(4, 40.0, 4; "four customers, with a planned pace")]
 fn a_load_bound_by_slots_is_refused_on_arrival(customers: usize, planned_pace: f64, seed: u64) {
+    play_load_bound_by_slots(customers, planned_pace, seed);
+}
+
+/// The same for four customers without a planned pace.
+#[test]
+fn a_load_of_four_customers_bound_by_slots_is_refused_on_arrival() {
+    play_load_bound_by_slots(4, 0.0, 3);
+}
+
+/// Plays a load that exceeds what slots sustain, and compares expected waits, refusals and retry times with what happens.
+fn play_load_bound_by_slots(customers: usize, planned_pace: f64, seed: u64) {
     let mut fleet = Fleet::new(slot_bound_site(customers, planned_pace), seed);
     fleet.play(25_000);
     let judged: Vec<Outcome> =
@@ -57,8 +71,7 @@
         refusals.len(),
     );
     println!("{seen}");
-    // The estimate is a mean: of a queue that is admitted up to the objective, some are late.
-    assert!(kept_waiting * 5 <= refusals.len(), "{seen}");
+    assert!(kept_waiting * 10 <= refusals.len(), "{seen}");
     assert!((0.6..1.4).contains(&(expected_wait / real_wait)), "{seen}");
     assert!(distance <= 0.4 * real_wait, "{seen}");
     assert!((0.6..1.6).contains(&(retry_after / real_retry)), "{seen}");
@@ -216,3 +229,31 @@
     let mean = mean(used.iter().copied());
     assert!((0.85..1.15).contains(&mean), "{mean} of {all:.2?}");
 }
+
+/// Guards against refusals by an assumed rate in a shard that has just taken over: tickets that routers submit
+/// again with their hello were judged as if no first event could be in time, and refused after 100 ms.
+#[test]
+fn tickets_of_a_lost_shard_are_not_refused_by_an_assumed_rate() {
+    let mut harness = ShardHarness::new(4, 24, &["a"]);
+    harness.update_policy(|policy| {
+        policy.endpoints.iter_mut().for_each(|spec| spec.memory_tokens = 400_000);
+        policy.planned_pace = 8.0;
+    });
+    let generation = GenerationOutline { max_output_tokens: 1_000, output_hint: 400, pause: None };
+    let long_prompt = |number: u64| RequestTicket {
+        prefixes: vec![number],
+        prefix_tokens: vec![11_992],
+        prompt_tokens: Cost(11_992),
+        objective: Some(Duration::from_secs(1)),
+        generation,
+        ..ticket(u128::from(number), "a", 11_992)
+    };
+    harness.now = harness.now + Duration::from_millis(50);
+    harness.join(1, RouterHello { waiting: (0..8).map(long_prompt).collect(), ..hello("r1", 1) });
+    assert!(harness.core.waiting_count() > 0, "some wait for their engine to be free");
+    for _ in 0..500 {
+        harness.now = harness.now + Duration::from_millis(1);
+        harness.step(ShardEvent::Wake);
+    }
+    assert_eq!(harness.refusals(), []);
+}
