feat(gateway): log how the end of an answer was known, and whether it ended inside an event

Nothing decides by it yet. Costs count events with the same scanner: lines of comments alone no longer count as events.

--- a/crates/micaspool-gateway/src/events.rs
+++ b/crates/micaspool-gateway/src/events.rs
@@ -55,22 +55,70 @@
     }
 }
 
-/// Counts the events that end in a chunk. `after_newline` carries over whether the previous chunk ended with a line
-/// feed, so an event end that is split between two chunks is counted with the second.
-pub(crate) fn count_event_ends(after_newline: &mut bool, chunk: &[u8]) -> u32 {
-    let mut ends = 0;
-    for byte in chunk {
+/// Follows an event stream byte by byte and knows whether it stands inside an event.
+///
+/// A line ends with a line feed, a carriage return or both. Lines other than comments belong to an event, which an empty
+/// line ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventScanner {
+    line: LineState,
+    /// True after a line that belongs to an event which has not ended.
+    has_fields: bool,
+    /// True after a carriage return: a line feed that follows belongs to the same line end.
+    after_return: bool,
+    ended_events: u64,
+}
+
+/// The part of a line that a scanner has seen.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+enum LineState {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+impl EventScanner {
+    /// Follows the stream over a chunk.
+    pub fn observe(&mut self, chunk: &[u8]) {
+        for byte in chunk {
+            self.step(*byte);
+        }
+    }
+
+    /// Returns the number of events that have ended.
+    pub fn ended_events(&self) -> u64 {
+        self.ended_events
+    }
+
+    /// Returns true if the stream has begun an event or a line and not ended it.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_fields || self.line != LineState::Empty
+    }
+
+    fn step(&mut self, byte: u8) {
+        let is_second_half = byte == b'\n' && self.after_return;
+        self.after_return = byte == b'\r';
         match byte {
-            b'\n' if *after_newline => {
-                ends += 1;
-                *after_newline = false;
+            b'\n' if is_second_half => {}
+            b'\n' | b'\r' => self.end_line(),
+            b':' if self.line == LineState::Empty => self.line = LineState::Comment,
+            _ if self.line == LineState::Empty => self.line = LineState::Field,
+            _ => {}
+        }
+    }
+
+    fn end_line(&mut self) {
+        match self.line {
+            LineState::Empty => {
+                self.ended_events += u64::from(self.has_fields);
+                self.has_fields = false;
             }
-            b'\n' => *after_newline = true,
-            b'\r' => {}
-            _ => *after_newline = false,
+            LineState::Comment => {}
+            LineState::Field => self.has_fields = true,
         }
+        self.line = LineState::Empty;
     }
-    ends
 }
 
 /// Returns the position after the first empty line.
--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -24,7 +24,7 @@
     header_text, header_texts, is_rejection_status, AnswerVerdict, CallerHead, ForwardContext,
     GatewayDialect, NotRunReason, PromptOutline, PromptPart,
 };
-pub use events::{EventSplitter, SplitChunk};
+pub use events::{EventScanner, EventSplitter, SplitChunk};
 pub use metrics::GatewayMetrics;
 pub use native::NativeDialect;
 pub use proxy::{Gateway, GatewayParts};
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays answers from endpoints to callers.
 
 use crate::dialect::PromptOutline;
-use crate::events::{count_event_ends, EventSplitter};
+use crate::events::{EventScanner, EventSplitter};
 use crate::proxy::{Attempts, Gateway};
 use crate::request_log::RequestLog;
 use bytes::Bytes;
@@ -66,8 +66,7 @@
 pub(crate) struct EventMeter {
     prompt: u64,
     event_cost: u64,
-    events: u64,
-    after_newline: bool,
+    scanner: EventScanner,
 }
 
 impl EventMeter {
@@ -76,18 +75,17 @@
         EventMeter {
             prompt: prompt.map_or(0, |prompt| prompt.prompt_tokens),
             event_cost: event_cost * OUTPUT_TOKEN_COST,
-            events: 0,
-            after_newline: false,
+            scanner: EventScanner::default(),
         }
     }
 
     fn observe(&mut self, chunk: &[u8]) {
-        self.events += u64::from(count_event_ends(&mut self.after_newline, chunk));
+        self.scanner.observe(chunk);
     }
 
     /// Returns the cost delivered so far. A request without a prompt, such as to a plain service, costs one unit.
     fn cost(&self) -> Cost {
-        match (self.prompt, self.events) {
+        match (self.prompt, self.scanner.ended_events()) {
             (0, _) => Cost(1),
             (_, 0) => Cost(0),
             (prompt, events) => Cost(prompt + events * self.event_cost),
@@ -190,6 +188,7 @@
 
     fn finish(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.is_ended = true;
+        self.log_body_end();
         self.settle(GrantOutcome::Done);
         self.log.finish();
         let partial = self.splitter.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
@@ -198,11 +197,17 @@
 
     fn abort_answer(&mut self, error: RelayError) -> BodyError {
         self.is_ended = true;
+        self.log_body_end();
         self.settle(error.outcome());
         self.log.finish_broken(&error.to_string());
         Box::new(error)
     }
 
+    fn log_body_end(&mut self) {
+        let scanner = self.meter.scanner;
+        self.log.set_body_end(self.body.framing(), scanner.ended_events(), scanner.is_inside_event());
+    }
+
     fn settle(&mut self, outcome: GrantOutcome) {
         if let Some(lease) = self.lease.take() {
             lease.settle(self.meter.cost(), outcome);
@@ -217,6 +222,7 @@
         if !self.attempts.may_run_again() {
             return false;
         }
+        self.log_body_end();
         self.log.log_failure("stream-broken", &cause.to_string(), false);
         self.settle(error.outcome());
         let last_event = last.to_string();
--- a/crates/micaspool-gateway/src/request_log.rs
+++ b/crates/micaspool-gateway/src/request_log.rs
@@ -2,6 +2,7 @@
 
 use crate::metrics::GatewayMetrics;
 use micaspool_clock::BootInstant;
+use micaspool_http::framing::BodyFraming;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
 use micaspool_types::{AdviceRecord, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId};
@@ -40,6 +41,17 @@
     pub waited: Duration,
     first_byte: Option<Duration>,
     status: u16,
+    body_end: Option<BodyEnd>,
+}
+
+/// How the body of the last answer ended.
+#[derive(Clone, Copy, Debug)]
+struct BodyEnd {
+    framing: BodyFraming,
+    /// The number of whole events.
+    events: u64,
+    /// True if the body, read as an event stream, ended inside an event.
+    is_inside_event: bool,
 }
 
 impl RequestLog {
@@ -60,6 +72,7 @@
             waited: Duration::ZERO,
             first_byte: None,
             status: 0,
+            body_end: None,
         }
     }
 
@@ -84,6 +97,11 @@
         self.status = status;
     }
 
+    /// Sets how the body of the answer ended: its framing, the number of whole events, and whether it ended inside one.
+    pub fn set_body_end(&mut self, framing: BodyFraming, events: u64, is_inside_event: bool) {
+        self.body_end = Some(BodyEnd { framing, events, is_inside_event });
+    }
+
     /// Records the time of the first byte of the answer's body.
     pub fn record_first_byte(&mut self) {
         if self.first_byte.is_none() {
@@ -241,6 +259,11 @@
         if let Some(first) = self.first_byte {
             fields.push(field("first_ms", first.as_millis()));
         }
+        if let Some(end) = self.body_end {
+            fields.push(field("framing", end.framing.as_str()));
+            fields.push(field("events", end.events));
+            fields.push(field("inside_event", end.is_inside_event));
+        }
         fields
     }
 }
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`edge`] serves callers and [`pool`] calls endpoints over persistent connections. Both are based on `hyper`, frame
 //! bodies exactly and detect a peer that closes its connection (design 006). [`pressure`] selects the connections
-//! that an overloaded server serves. [`body`] bounds the memory of request bodies.
+//! that an overloaded server serves. [`body`] bounds the memory of request bodies, and [`framing`] tells how the end of a
+//! response is known.
 //!
 //! [`server`] and [`client`] are older and based on `async-h1`. They add checks that it lacks: `async-h1` treats a
 //! body that ends early as complete, accepts two different lengths, and closes the connection without a response
@@ -14,6 +15,7 @@
 pub mod body;
 pub mod client;
 pub mod edge;
+pub mod framing;
 pub mod head;
 pub mod pool;
 pub mod pressure;
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -5,6 +5,7 @@
 //! that were not sent from those that got no response, because a request that was not sent cannot have
 //! run.
 
+use crate::framing::BodyFraming;
 use crate::socket;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -208,7 +209,8 @@
         };
         let keep_alive = self.negotiated_keep_alive(response.headers());
         let connection = PooledConnection { pool: self.clone(), address, sender, keep_alive };
-        Ok(response.map(|body| PooledBody { body, connection: Some(connection) }))
+        let framing = BodyFraming::of(response.headers(), response.body());
+        Ok(response.map(|body| PooledBody { body, framing, connection: Some(connection) }))
     }
 
     /// Returns how long a connection may be idle, from the `Keep-Alive` header of its last response.
@@ -268,6 +270,7 @@
 /// The body of an endpoint's response. Returns its connection to the pool at the end.
 pub struct PooledBody {
     body: Incoming,
+    framing: BodyFraming,
     connection: Option<PooledConnection>,
 }
 
@@ -278,6 +281,11 @@
 }
 
 impl PooledBody {
+    /// Returns how the end of this body is known.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// Returns the connection to the pool after the whole body was read.
     fn release(&mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/micaspool-http/tests/pool.rs
+++ b/crates/micaspool-http/tests/pool.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
+use micaspool_http::framing::BodyFraming;
 use micaspool_http::pool::{EndpointPool, FullRequest, PoolOptions, SendError};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -222,3 +223,14 @@
     });
     assert!(reader.join().expect("the endpoint ran"), "the endpoint read other bytes in place of the body");
 }
+
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", AfterResponse::Keep, BodyFraming::Length; "length")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", AfterResponse::Keep, BodyFraming::Chunks; "chunks")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\nok", AfterResponse::Close, BodyFraming::Connection; "neither")]
+#[test_case("HTTP/1.1 204 No Content\r\n\r\n", AfterResponse::Keep, BodyFraming::Length; "no body")]
+fn a_response_tells_how_its_end_is_known(answer: &'static str, after: AfterResponse, framing: BodyFraming) {
+    let (address, _) = endpoint(answer, after);
+    let pool = EndpointPool::new(PoolOptions::default());
+    let response = task::block_on(pool.send(address, request())).expect("a response");
+    assert_eq!(response.body().framing(), framing);
+}
