fix(gateway): treat a stream that ends inside an event as broken off

Such a body ends with its connection, and an orderly close looks the same whether the body is whole or cut; the relay took each end without an error for the end of the answer and gave it the last chunk.

Now the end of an event stream is checked against its content, whatever its framing: it is whole only at the end of an event, and one that ends with its connection only after an event. A stream is known by its content type, or for want of one by its route. A cut one is settled as the connection that it was, goes on elsewhere if it may, and otherwise leaves its caller without the last chunk. Streams are passed on without Content-Length, since one that breaks after its last byte would look whole. Lines may end with carriage returns alone, too.

--- a/crates/micaspool-gateway/src/events.rs
+++ b/crates/micaspool-gateway/src/events.rs
@@ -16,6 +16,7 @@
 /// An event ends with an empty line. Its id, if any, is given by a line `id: N`; ids are increasing.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     partial: BytesMut,
     last_id: Option<u64>,
 }
@@ -23,24 +24,40 @@
 impl EventSplitter {
     /// Adds a chunk and returns the events that it completes, except those whose id was seen before.
     pub fn push(&mut self, chunk: &[u8]) -> SplitChunk {
-        self.partial.extend_from_slice(chunk);
-        let mut complete = BytesMut::new();
-        let mut events = 0;
-        while let Some(end) = find_event_end(&self.partial) {
-            let event = self.partial.split_to(end);
-            let id = event_id(&event);
-            if id.is_some() && id <= self.last_id {
+        let mut split = SplitCollector::default();
+        let mut start = 0;
+        for (index, byte) in chunk.iter().enumerate() {
+            let events_before = self.scanner.ended_events();
+            let ends_line = self.scanner.step(*byte);
+            if !ends_line || self.scanner.is_inside_event() {
                 continue;
             }
+            self.partial.extend_from_slice(&chunk[start..=index]);
+            start = index + 1;
+            let is_event = self.scanner.ended_events() > events_before;
+            self.pass_on_partial(is_event, &mut split);
+        }
+        self.partial.extend_from_slice(&chunk[start..]);
+        SplitChunk { complete: split.complete.freeze(), events: split.events }
+    }
+
+    /// Moves the held bytes to those that are passed on, unless they are an event whose id was seen before.
+    fn pass_on_partial(&mut self, is_event: bool, split: &mut SplitCollector) {
+        let bytes = self.partial.split();
+        if is_event {
+            let id = event_id(&bytes);
+            if id.is_some() && id <= self.last_id {
+                return;
+            }
             self.last_id = id.or(self.last_id);
-            events += 1;
-            complete.extend_from_slice(&event);
+            split.events += 1;
         }
-        SplitChunk { complete: complete.freeze(), events }
+        split.complete.extend_from_slice(&bytes);
     }
 
     /// Discards an incomplete event before the stream is resumed at another endpoint.
     pub fn discard_partial(&mut self) {
+        self.scanner.restart();
         self.partial.clear();
     }
 
@@ -55,6 +72,13 @@
     }
 }
 
+/// What a splitter passes on of one chunk.
+#[derive(Debug, Default)]
+struct SplitCollector {
+    complete: BytesMut,
+    events: u32,
+}
+
 /// Follows an event stream byte by byte and knows whether it stands inside an event.
 ///
 /// A line ends with a line feed, a carriage return or both. Lines other than comments belong to an event, which an empty
@@ -86,6 +110,11 @@
         }
     }
 
+    /// Prepares for another stream that continues this one: an event that has not ended is forgotten.
+    pub fn restart(&mut self) {
+        *self = EventScanner { ended_events: self.ended_events, ..EventScanner::default() };
+    }
+
     /// Returns the number of events that have ended.
     pub fn ended_events(&self) -> u64 {
         self.ended_events
@@ -96,7 +125,8 @@
         self.has_fields || self.line != LineState::Empty
     }
 
-    fn step(&mut self, byte: u8) {
+    /// Follows the stream over one byte. Returns true if the byte belongs to the end of a line.
+    fn step(&mut self, byte: u8) -> bool {
         let is_second_half = byte == b'\n' && self.after_return;
         self.after_return = byte == b'\r';
         match byte {
@@ -106,6 +136,7 @@
             _ if self.line == LineState::Empty => self.line = LineState::Field,
             _ => {}
         }
+        matches!(byte, b'\n' | b'\r')
     }
 
     fn end_line(&mut self) {
@@ -121,20 +152,6 @@
     }
 }
 
-/// Returns the position after the first empty line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut after_newline = false;
-    for (index, byte) in bytes.iter().enumerate() {
-        match byte {
-            b'\n' if after_newline => return Some(index + 1),
-            b'\n' => after_newline = true,
-            b'\r' => {}
-            _ => after_newline = false,
-        }
-    }
-    None
-}
-
 /// Returns the id of an event, if it has a numeric one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod answer_end;
 mod daemon;
 mod dialect;
 mod dispatchers;
@@ -19,6 +20,7 @@
 mod request_log;
 mod stopping;
 
+pub use answer_end::{check_stream_end, is_event_stream, StreamCut};
 pub use daemon::{start_gateway, GatewayDaemon, GatewayOptions, GatewayOptionsBuilder};
 pub use dialect::{
     header_text, header_texts, is_rejection_status, AnswerVerdict, CallerHead, ForwardContext,
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -4,9 +4,12 @@
 use super::headers::{forwarded_headers, strip_hop_by_hop};
 use super::target::CallTarget;
 use super::{AcceptedCall, Gateway, RETRY_AFTER};
+use crate::answer_end::{check_stream_end, is_event_stream, StreamCut};
 use crate::dialect::{AnswerVerdict, ForwardContext};
+use crate::events::EventScanner;
 use crate::relay::{relay_body, AnswerRelay, EventMeter};
 use crate::request_log::RequestLog;
+use http::header::{HeaderName, CONTENT_LENGTH};
 use http::{response, Request, Response, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
@@ -14,6 +17,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{GenerationOutline, GrantOutcome, RequestTicket};
 use micaspool_http::edge::{full_body, EdgeBody};
+use micaspool_http::framing::BodyFraming;
 use micaspool_http::pool::PooledBody;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_router::GrantLease;
@@ -36,6 +40,9 @@
 /// The lower bound of the remaining latency objective. Zero would mean that there is no objective.
 const MIN_OBJECTIVE: Duration = Duration::from_millis(1);
 
+/// The id of the last event that the caller of a stream has received.
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
 /// A request being proxied, with the state that decides whether it may be sent again.
 #[derive(Debug)]
 pub(crate) struct Attempts {
@@ -114,14 +121,20 @@
         let UsableAnswer { lease, response } = answer;
         let (mut head, body) = response.into_parts();
         let time_left = self.deadline.saturating_duration_since(BootInstant::now());
-        let (cause, outcome) = match timeout(time_left, body.collect()).await {
-            Ok(Ok(whole)) => {
+        let framing = body.framing();
+        let collected =
+            timeout(time_left, body.collect()).await.map(|body| body.map(|whole| whole.to_bytes()));
+        let (cause, outcome) = match collected {
+            Ok(Ok(bytes)) if self.is_cut(framing, &head, &bytes) => {
+                (StreamCut::InsideEvent.to_string(), GrantOutcome::Broken)
+            }
+            Ok(Ok(bytes)) => {
                 lease.settle(Cost(1), GrantOutcome::Done);
                 strip_hop_by_hop(&mut head.headers);
                 log.set_status(head.status.as_u16());
                 log.record_first_byte();
                 log.finish();
-                return Ok(Response::from_parts(head, full_body(whole.to_bytes())));
+                return Ok(Response::from_parts(head, full_body(bytes)));
             }
             Ok(Err(error)) => (error.to_string(), GrantOutcome::Severed),
             Err(_) => ("response body incomplete at the deadline".to_owned(), GrantOutcome::Broken),
@@ -130,6 +143,14 @@
         Err(cause)
     }
 
+    /// Returns true if a buffered body is an event stream that is not whole.
+    fn is_cut(&self, framing: BodyFraming, head: &response::Parts, body: &[u8]) -> bool {
+        let mut scanner = EventScanner::default();
+        scanner.observe(body);
+        is_event_stream(self.target.run, head)
+            && check_stream_end(framing, &scanner, self.continues_stream()).is_err()
+    }
+
     /// The time at which the caller or the route stops waiting.
     pub fn deadline(&self) -> BootInstant {
         self.deadline
@@ -422,11 +443,21 @@
         let (mut head, body) = answer.response.into_parts();
         strip_hop_by_hop(&mut head.headers);
         log.set_status(head.status.as_u16());
+        let is_stream = is_event_stream(self.target.run, &head);
+        if is_stream {
+            // A stream that breaks after as many bytes as its length states would look whole.
+            head.headers.remove(CONTENT_LENGTH);
+        }
         let meter = EventMeter::new(self.call.caller.prompt.as_ref(), self.target.engine);
-        let relay = AnswerRelay::new(gateway.clone(), self, body, answer.lease, meter, log);
+        let relay = AnswerRelay::new(gateway.clone(), self, body, answer.lease, meter, log, is_stream);
         Response::from_parts(head, relay_body(relay))
     }
 
+    /// Returns true if the caller asks for the rest of a stream of which it has received the beginning.
+    pub fn continues_stream(&self) -> bool {
+        self.call.head.headers.contains_key(&LAST_EVENT)
+    }
+
     /// Returns true if a broken stream may be resumed at another endpoint.
     pub fn is_resumable(&self) -> bool {
         self.target.run == RunRule::ResumableStream
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays answers from endpoints to callers.
 
+use crate::answer_end::{check_stream_end, StreamCut};
 use crate::dialect::PromptOutline;
 use crate::events::{EventScanner, EventSplitter};
 use crate::proxy::{Attempts, Gateway};
@@ -12,6 +13,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::GrantOutcome;
 use micaspool_http::edge::{BodyError, EdgeBody};
+use micaspool_http::framing::BodyFraming;
 use micaspool_http::pool::PooledBody;
 use micaspool_router::GrantLease;
 use micaspool_routes::EngineProfile;
@@ -31,6 +33,8 @@
 enum RelayError {
     /// The body of the endpoint's response ended with an error.
     Endpoint(hyper::Error),
+    /// The response ended without an error, but it is an event stream that is not whole.
+    Cut(StreamCut, BodyFraming),
     /// The deadline and its grace period have passed.
     Deadline,
 }
@@ -44,6 +48,7 @@
                     "endpoint connection failed before the answer was complete ({error}); check the endpoint"
                 )
             }
+            RelayError::Cut(cut, _) => cut.fmt(f),
             RelayError::Deadline => f.write_str("answer incomplete at the request deadline"),
         }
     }
@@ -55,8 +60,8 @@
     /// The outcome reported for the grant of such an answer.
     fn outcome(&self) -> GrantOutcome {
         match self {
-            RelayError::Endpoint(_) => GrantOutcome::Severed,
-            RelayError::Deadline => GrantOutcome::Broken,
+            RelayError::Endpoint(_) | RelayError::Cut(_, BodyFraming::Connection) => GrantOutcome::Severed,
+            RelayError::Cut(..) | RelayError::Deadline => GrantOutcome::Broken,
         }
     }
 }
@@ -102,6 +107,9 @@
     body: PooledBody,
     lease: Option<GrantLease>,
     meter: EventMeter,
+    /// True if the answer is an event stream.
+    is_stream: bool,
+    /// Holds back incomplete events of a stream that may be resumed.
     splitter: Option<EventSplitter>,
     log: RequestLog,
     expiry: BoxFuture<'static, ()>,
@@ -116,11 +124,13 @@
         lease: GrantLease,
         meter: EventMeter,
         log: RequestLog,
+        is_stream: bool,
     ) -> AnswerRelay {
         let left = attempts.deadline().saturating_duration_since(BootInstant::now());
         AnswerRelay {
             gateway,
-            splitter: attempts.is_resumable().then(EventSplitter::default),
+            is_stream,
+            splitter: (is_stream && attempts.is_resumable()).then(EventSplitter::default),
             attempts,
             body,
             lease: Some(lease),
@@ -151,7 +161,7 @@
         None
     }
 
-    /// Reads the next data frame; `None` at the end of the body.
+    /// Reads the next data frame; `None` at the end of a whole body.
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
             match select(self.body.frame(), &mut self.expiry).await {
@@ -162,12 +172,21 @@
                     }
                 }
                 Either::Left((Some(Err(error)), _)) => return Err(RelayError::Endpoint(error)),
-                Either::Left((None, _)) => return Ok(None),
+                Either::Left((None, _)) => return self.check_end().map(|()| None),
                 Either::Right(_) => return Err(RelayError::Deadline),
             }
         }
     }
 
+    fn check_end(&self) -> Result<(), RelayError> {
+        if !self.is_stream {
+            return Ok(());
+        }
+        let framing = self.body.framing();
+        let end = check_stream_end(framing, &self.meter.scanner, self.attempts.continues_stream());
+        end.map_err(|cut| RelayError::Cut(cut, framing))
+    }
+
     /// Meters a chunk and returns the bytes that may be passed on now.
     fn process_chunk(&mut self, chunk: Bytes) -> Option<Bytes> {
         self.meter.observe(&chunk);
@@ -217,13 +236,17 @@
     /// Resumes a stream at another endpoint after its last complete event. Returns false if resuming is not allowed or
     /// failed.
     async fn resume(&mut self, error: &RelayError) -> bool {
-        let RelayError::Endpoint(cause) = error else { return false };
+        let cause = match error {
+            RelayError::Endpoint(error) => error.to_string(),
+            RelayError::Cut(cut, _) => cut.to_string(),
+            RelayError::Deadline => return false,
+        };
         let Some(last) = self.splitter.as_ref().and_then(EventSplitter::last_id) else { return false };
         if !self.attempts.may_run_again() {
             return false;
         }
         self.log_body_end();
-        self.log.log_failure("stream-broken", &cause.to_string(), false);
+        self.log.log_failure("stream-broken", &cause, false);
         self.settle(error.outcome());
         let last_event = last.to_string();
         let next = self.attempts.next_answer(&self.gateway, &mut self.log, Some(&last_event)).await;
@@ -233,6 +256,7 @@
                 if let Some(splitter) = &mut self.splitter {
                     splitter.discard_partial();
                 }
+                self.meter.scanner.restart();
                 self.lease = Some(answer.lease);
                 self.body = answer.response.into_body();
                 true
