fix(http): reset the connection of a caller without chunks when its answer breaks

An answer whose body failed was closed in order. A caller of HTTP/1.0 gets neither a length nor chunks for an answer of unknown length, so that it took the part for the whole: the same fault as with endpoints, on the other side. The connection is reset now, for such callers only, since a reset may discard what others could still read.

A process that is killed still closes its connections in order; HTTP/1.0 has no remedy for that.

--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -2,7 +2,7 @@
 //!
 //! If a caller closes its connection, the handler's future or the body that is being sent is dropped.
 //! If the body of a response fails, the connection is closed before the end of the body, so
-//! that the response never looks complete.
+//! that the response never looks complete; that of a caller that knows no chunks is reset.
 
 use crate::pressure::{CallerRotation, RoundBudget};
 use crate::socket::configure;
@@ -11,7 +11,7 @@
 use futures::future::{select, Either, FutureExt};
 use futures::pin_mut;
 use http::header::{HeaderValue, CONNECTION};
-use http::{request, Request, Response, StatusCode};
+use http::{request, Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -19,10 +19,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use micaspool_clock::BootInstant;
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -310,24 +312,37 @@
     if configure(&stream).is_err() {
         return;
     }
-    let service = service_fn(|request| answer(shared, request));
-    let served = http1::Builder::new()
+    let knows_chunks = AtomicBool::new(true);
+    let service = service_fn(|request: Request<Incoming>| {
+        knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
+        answer(shared, request)
+    });
+    let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.options.idle_limit)
         .max_buf_size(shared.options.max_head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let closing = shared.closing.1.recv();
-    pin_mut!(served, closing);
+    pin_mut!(closing);
     // An error on the connection affects only its caller, and the handler has logged the request.
-    match select(served.as_mut(), closing).await {
-        Either::Left(_) => {}
+    let ended = match select(&mut served, closing).await {
+        Either::Left((ended, _)) => ended,
         Either::Right(_) => {
-            served.as_mut().graceful_shutdown();
-            let _ = served.await;
+            Pin::new(&mut served).graceful_shutdown();
+            (&mut served).await
         }
+    };
+    if ended.is_err() && !knows_chunks.load(Ordering::Relaxed) {
+        reset(&served.into_parts().io.into_inner());
     }
 }
 
+/// Makes closing the connection reset it. To a caller without chunks an orderly close is the end of a whole answer.
+fn reset(stream: &TcpStream) {
+    // Fails only on a connection that has ended already.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 /// Reads one request and refuses it. If a full server left its callers unaccepted, they would wait without any
 /// response.
 async fn serve_refusal(connection: OpenConnection, stream: TcpStream) {
--- a/crates/micaspool-http/tests/edge_server.rs
+++ b/crates/micaspool-http/tests/edge_server.rs
@@ -188,3 +188,17 @@
     let refused = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 503")).count();
     assert_eq!(refused, 40, "{answers:?}");
 }
+
+/// Guards against an answer that broke off and looked complete to a caller that knows no chunks.
+#[test]
+fn a_failed_body_resets_the_connection_of_a_caller_without_chunks() {
+    let (_server, address, _) = start();
+    for (path, is_whole) in [("/broken", false), ("/whole", true)] {
+        let mut stream = TcpStream::connect(address).expect("the server listens");
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a valid timeout");
+        write!(stream, "GET {path} HTTP/1.0\r\nhost: h\r\n\r\n").expect("sent");
+        let end = stream.read_to_end(&mut Vec::new()).map_err(|error| error.kind());
+        assert_eq!(end.is_ok(), is_whole, "{path}: {end:?}");
+        assert!(is_whole || end == Err(std::io::ErrorKind::ConnectionReset), "{path}: {end:?}");
+    }
+}
