fix(gateway): avoid the endpoint that broke an answer when it is sent again

A stream that broke went on at the endpoint that had broken it, and so did a buffered answer whose body broke: an endpoint was avoided only if its answer had no usable head. The row a_cut_stream_goes_on_at_another_endpoint failed before ([None, Some(2)] at one endpoint) and passes now.

--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -175,6 +175,8 @@
             match self.send(gateway, lease, &endpoint, last_event).await {
                 Ok(answer) => {
                     self.possible_runs += 1;
+                    // Only matters if the body breaks and the request is sent again.
+                    self.avoid = Some(endpoint.name);
                     return Ok(answer);
                 }
                 Err(failure) => self.handle_failure(log, endpoint.name, failure)?,
