feat(registry, gateway): software versions of endpoints in records and log lines

Heartbeats state the version of the endpoint's software, which was dropped when they were decoded. It is part of an endpoint's record now, goes to all processes with it, and stands on MP1501 and, beside the endpoint, on MP1601 to MP1606. Resumes, the attempt that began the stream which a caller takes up, is read and logged on the same lines, so that streams that a gateway resumes can be told from those that callers take up. Nothing decides by either yet.

--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -320,7 +320,7 @@
             self.halls.push(endpoint.hall.clone());
         }
         let (name, service, stage) = (endpoint.name.clone(), endpoint.service.clone(), endpoint.stage);
-        let sequence = endpoint.sequence;
+        let (sequence, version) = (endpoint.sequence, endpoint.version.clone());
         self.holders.hold(from, &name);
         let changed = self.registry.merge(self.now(), endpoint).is_change();
         if changed && is_logged {
@@ -329,6 +329,7 @@
                 field("service", service),
                 field("stage", format!("{stage:?}")),
                 field("sequence", sequence),
+                field("version", version),
                 field("keeper", from),
             ];
             record(&events::ENDPOINT_STAGE, &fields);
--- a/crates/micaspool-dispatcher/tests/engine_lists.rs
+++ b/crates/micaspool-dispatcher/tests/engine_lists.rs
@@ -15,7 +15,9 @@
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, RegionName, ServiceName};
+use micaspool_types::{
+    EndpointName, HallName, Incarnation, InstanceName, RegionName, ServiceName, SoftwareVersion,
+};
 use micaspool_wire::v1::{self, router_message::Body, PublishRequest, RouterMessage};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -63,6 +65,7 @@
         slots: 24,
         sequence: 1,
         cold: Duration::ZERO,
+        version: SoftwareVersion::default(),
     }
 }
 
--- a/crates/micaspool-dispatcher/tests/subset.rs
+++ b/crates/micaspool-dispatcher/tests/subset.rs
@@ -2,7 +2,7 @@
 
 use micaspool_dispatcher::EngineSubset;
 use micaspool_registry::{EndpointRecord, EndpointStage};
-use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName, SoftwareVersion};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
         stage: EndpointStage::Serving,
         sequence: 1,
         cold: Duration::ZERO,
+        version: SoftwareVersion::default(),
     }
 }
 
--- a/crates/micaspool-gateway/src/dialect.rs
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -46,6 +46,9 @@
     pub patience: Option<Duration>,
     /// The API key that identifies the customer.
     pub key: Option<Arc<str>>,
+    /// The id of the attempt that brought the first event of the stream that the caller takes up; `None` if it takes up
+    /// none or names none.
+    pub resumes: Option<Arc<str>>,
     /// The prompt; `None` unless the request describes one, as calls to language models do.
     pub prompt: Option<PromptOutline>,
 }
--- a/crates/micaspool-gateway/src/native.rs
+++ b/crates/micaspool-gateway/src/native.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 
 const ID: HeaderName = HeaderName::from_static("micaspool-request");
+/// The id of the attempt that brought the first event of the stream that is taken up.
+const RESUMES: HeaderName = HeaderName::from_static("micaspool-resumes");
 const PATIENCE: HeaderName = HeaderName::from_static("micaspool-patience-ms");
 const PROMPT: HeaderName = HeaderName::from_static("micaspool-prompt");
 const ENDPOINT: HeaderName = HeaderName::from_static("micaspool-endpoint");
@@ -26,6 +28,7 @@
 ///
 /// * `micaspool-request` is the id of the attempt; a request without one gets a random id.
 /// * `micaspool-patience-ms` is the caller's timeout in milliseconds.
+/// * `micaspool-resumes` goes with `last-event-id`: the id of the attempt that brought the first event of the stream.
 /// * `micaspool-prompt` is a comma-separated list: the tokens of the prompt, the maximum tokens of the answer, and
 ///   the parts of the prompt as `ID:TOKENS`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -55,6 +58,7 @@
             id: id.into(),
             patience: patience.map(Duration::from_millis),
             key: key.map(|key| key.trim().into()),
+            resumes: header_text(headers, &RESUMES).map(Into::into),
             prompt: header_text(headers, &PROMPT).and_then(read_prompt),
         })
     }
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -86,6 +86,7 @@
     pub async fn run(mut self, gateway: &Gateway, mut log: RequestLog) -> Response<EdgeBody> {
         log.patience = self.call.caller.patience;
         log.digest = Some(self.digest);
+        log.resumes = self.call.caller.resumes.clone();
         loop {
             let answer = match self.next_answer(gateway, &mut log, None).await {
                 Ok(answer) => answer,
@@ -171,6 +172,7 @@
         loop {
             let (lease, endpoint) = self.usable_grant(gateway, log).await?;
             log.endpoint = Some(endpoint.name.clone());
+            log.version = endpoint.version.clone();
             log.sent += 1;
             match self.send(gateway, lease, &endpoint, last_event).await {
                 Ok(answer) => {
--- a/crates/micaspool-gateway/src/request_log.rs
+++ b/crates/micaspool-gateway/src/request_log.rs
@@ -5,7 +5,9 @@
 use micaspool_http::framing::BodyFraming;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
-use micaspool_types::{AdviceRecord, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId};
+use micaspool_types::{
+    AdviceRecord, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId, SoftwareVersion,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +35,10 @@
     pub digest: Option<RequestDigest>,
     /// The endpoint that the request was last sent to.
     pub endpoint: Option<EndpointName>,
+    /// The version of the software of that endpoint.
+    pub version: SoftwareVersion,
+    /// The id of the attempt that began the stream which the caller takes up.
+    pub resumes: Option<Arc<str>>,
     /// The id of the request at the dispatcher, once it has asked for a grant.
     pub ticket: Option<RequestId>,
     /// How often the request was sent.
@@ -67,6 +73,8 @@
             patience: None,
             digest: None,
             endpoint: None,
+            version: SoftwareVersion::default(),
+            resumes: None,
             ticket: None,
             sent: 0,
             waited: Duration::ZERO,
@@ -252,6 +260,10 @@
         }
         if let Some(endpoint) = &self.endpoint {
             fields.push(field("endpoint", endpoint));
+            fields.push(field("version", &self.version));
+        }
+        if let Some(resumes) = &self.resumes {
+            fields.push(field("resumes", resumes));
         }
         if self.status > 0 {
             fields.push(field("status", self.status));
--- a/crates/micaspool-keeper/src/registry_hub.rs
+++ b/crates/micaspool-keeper/src/registry_hub.rs
@@ -70,7 +70,7 @@
     pub fn register(&self, endpoint: EndpointRecord) -> MergeOutcome {
         let mut content = self.lock();
         let (name, stage, sequence) = (endpoint.name.clone(), endpoint.stage, endpoint.sequence);
-        let (service, cold) = (endpoint.service.clone(), endpoint.cold);
+        let (service, cold, version) = (endpoint.service.clone(), endpoint.cold, endpoint.version.clone());
         let outcome = content.registry.merge(self.clock.now(), endpoint);
         if outcome == MergeOutcome::Restarted {
             record(&events::ENDPOINT_RESTARTED, &[field("endpoint", &name), field("sequence", sequence)]);
@@ -82,6 +82,7 @@
                 field("service", service),
                 field("stage", stage),
                 field("sequence", sequence),
+                field("version", version),
             ];
             record(&events::ENDPOINT_STAGE, &fields);
             if !cold.is_zero() {
--- a/crates/micaspool-keeper/tests/follow.rs
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -8,7 +8,7 @@
 use micaspool_routes::JsonFormat;
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName, SoftwareVersion};
 use micaspool_wire::socket;
 use micaspool_wire::v1::{keeper_client::KeeperClient, FollowRequest, PublishRequest};
 use std::collections::BTreeSet;
@@ -40,6 +40,7 @@
         slots: 12,
         sequence: 1,
         cold: Duration::ZERO,
+        version: SoftwareVersion::default(),
     }
 }
 
--- a/crates/micaspool-registry/src/record.rs
+++ b/crates/micaspool-registry/src/record.rs
@@ -1,6 +1,6 @@
 //! Endpoint records.
 
-use micaspool_types::{EndpointName, HallName, Incarnation, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -43,6 +43,8 @@
     pub address: SocketAddr,
     /// The data hall that the endpoint is in.
     pub hall: HallName,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// The number of requests that the endpoint runs concurrently.
     pub slots: u32,
     /// The lifecycle stage.
--- a/crates/micaspool-registry/tests/registry.rs
+++ b/crates/micaspool-registry/tests/registry.rs
@@ -1,7 +1,7 @@
 //! Records that arrive late, out of order, or after a restart or deregistration.
 
 use micaspool_registry::{EndpointRecord, EndpointRegistry, EndpointStage, MergeOutcome};
-use micaspool_types::{EndpointName, HallName, Incarnation, Moment, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, Moment, ServiceName, SoftwareVersion};
 use proptest::prelude::*;
 use std::time::Duration;
 use test_case::test_case;
@@ -18,6 +18,7 @@
         stage,
         sequence,
         cold: Duration::ZERO,
+        version: SoftwareVersion::default(),
     }
 }
 
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod refusal;
 mod units;
+mod version;
 
 pub use advice::{AdviceRecord, EndpointAdvice};
 pub use digest::{DigestError, RequestDigest};
@@ -21,3 +22,4 @@
 pub use placement::{HallLimit, HallMask, HallRegions, PlacementLimit, RegionLimit, MAX_HALLS};
 pub use refusal::{Refusal, RefusalKind, RunState};
 pub use units::{Cost, Moment, Weight};
+pub use version::SoftwareVersion;
--- /dev/null
+++ b/crates/micaspool-types/src/version.rs
@@ -0,0 +1,43 @@
+//! Versions of the software of endpoints.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// The version of the software that an endpoint runs, in its own words; not that of the weights of a model. Empty if the
+/// endpoint states none: such endpoints count as of one version.
+///
+/// What two versions write does not fit together, so a stream goes on only at the version that began it.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Creates a version from its text.
+    pub fn new(text: &str) -> SoftwareVersion {
+        SoftwareVersion(Arc::from(text))
+    }
+
+    /// Returns the text; empty if the endpoint states no version.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Default for SoftwareVersion {
+    fn default() -> Self {
+        SoftwareVersion::new("")
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", self.as_str())
+    }
+}
--- a/crates/micaspool-wire/src/convert/endpoints.rs
+++ b/crates/micaspool-wire/src/convert/endpoints.rs
@@ -3,7 +3,7 @@
 use super::{millis, Error};
 use crate::v1;
 use micaspool_registry::{EndpointRecord, EndpointStage};
-use micaspool_types::{EndpointName, HallName, Incarnation, ServiceName};
+use micaspool_types::{EndpointName, HallName, Incarnation, ServiceName, SoftwareVersion};
 use std::time::Duration;
 
 /// Encodes an endpoint's record.
@@ -24,6 +24,7 @@
         identity: record.identity.to_string(),
         incarnation: record.incarnation.0,
         cold_millis: millis(record.cold),
+        software_version: record.version.to_string(),
     }
 }
 
@@ -42,6 +43,7 @@
         service: ServiceName::parse(&message.service)?,
         address: message.address.parse().map_err(|_| Error::Address)?,
         hall: HallName::parse(&message.hall)?,
+        version: SoftwareVersion::new(&message.software_version),
         slots: message.slots,
         stage,
         sequence: message.sequence,
--- a/crates/micaspool/benches/parts/followers.rs
+++ b/crates/micaspool/benches/parts/followers.rs
@@ -7,7 +7,7 @@
 use micaspool::client::{AddressDirectory, PeerDirectory};
 use micaspool::keeper::{start_keeper, KeeperDaemon, KeeperOptions, RegistryHub};
 use micaspool::telemetry::traffic::TrafficCounter;
-use micaspool::types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName};
+use micaspool::types::{EndpointName, HallName, Incarnation, InstanceName, ServiceName, SoftwareVersion};
 use micaspool::wire::socket;
 use micaspool::wire::v1::{keeper_client::KeeperClient, FollowRequest};
 use micaspool_registry::{EndpointRecord, EndpointStage};
@@ -131,5 +131,6 @@
         slots: 16,
         sequence,
         cold: Duration::ZERO,
+        version: SoftwareVersion::default(),
     }
 }
