fix(dispatch, gateway): resume a stream only at the software version that began it

Streams held events from two software versions of a back end: a gateway that resumed a cut stream asked for any endpoint, since neither its ticket nor the shard knew versions. What two versions write does not fit together, and endpoints don't check it.

A ticket may now be bound to a version, as it may be to data halls: the shard knows the version of each endpoint and chooses among those of that version, refuses what no endpoint can run at once (version-gone), and the gateway checks the endpoint's own record before it sends. The relay binds its request to the version whose events its caller has; it stays the same however often the stream goes on. Endpoints that state no version count as of one.

Rows of the shard: bound tickets, versions that run nowhere or leave, grants that were lost.

--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -28,6 +28,8 @@
     HallsEvacuated,
     /// No endpoint is in the data halls to which the request is limited.
     NoEndpoint,
+    /// No endpoint runs the software version that began the stream with which the request goes on.
+    VersionGone,
 }
 
 /// Why the standing of a request has changed.
--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -4,7 +4,8 @@
 use micaspool_quarantine::CrashRecord;
 use micaspool_types::{
     AdviceRecord, Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName,
-    Moment, OrderNumber, RegionName, RequestDigest, RequestId, Revision, Weight,
+    Moment, OrderNumber, RegionName, RequestDigest, RequestId, Revision, SoftwareVersion, VersionLimit,
+    Weight,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -56,6 +57,8 @@
     pub order: Option<OrderNumber>,
     /// The data halls in which it may run, in addition to the limits of its customer.
     pub halls: HallLimit,
+    /// The software versions at which it may run.
+    pub versions: VersionLimit,
     /// The tokens that it generates.
     pub generation: GenerationOutline,
 }
@@ -143,6 +146,8 @@
     pub name: EndpointName,
     /// The index of its data hall.
     pub hall: usize,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// How many requests it runs at once.
     pub slots: u32,
     /// True if operators have taken it out of use, or if it is draining.
--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -11,7 +11,7 @@
 use super::status::EndpointClosure;
 use super::totals::EndpointTotals;
 use crate::event::{CacheUpdate, ColdStartLimits, EndpointSpec, GrantOutcome, ShardPolicy};
-use micaspool_types::{Cost, EndpointName, HallMask, Moment, RequestId};
+use micaspool_types::{Cost, EndpointName, HallMask, Moment, RequestId, SoftwareVersion};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
 pub(super) struct EndpointState {
     pub name: EndpointName,
     pub hall: usize,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     pub slots: u32,
     /// Slots held by grants of this shard.
     pub busy: u32,
@@ -114,6 +116,7 @@
     /// Applies the endpoint's entry in the settings.
     fn apply_spec(&mut self, now: Moment, spec: &EndpointSpec) {
         self.hall = spec.hall;
+        self.version = spec.version.clone();
         self.slots = spec.slots;
         self.availability.settings = spec.leaving;
         self.availability.evacuated = spec.evacuated;
@@ -188,6 +191,10 @@
         self.state(endpoint).hall
     }
 
+    pub fn version(&self, endpoint: EndpointIndex) -> &SoftwareVersion {
+        &self.state(endpoint).version
+    }
+
     /// The index of the endpoint with this name. An unknown endpoint is added and takes no new work
     /// until the settings contain it.
     pub fn ensure(&mut self, name: &EndpointName) -> EndpointIndex {
@@ -199,6 +206,7 @@
         self.states.push(EndpointState {
             name: name.clone(),
             hall: 0,
+            version: SoftwareVersion::default(),
             slots: 0,
             busy: 0,
             foreign: 0,
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -13,7 +13,7 @@
 use crate::action::ShardAction;
 use crate::event::{CacheUpdate, GrantOutcome, SessionId};
 use micaspool_fair::{CustomerIndex, Rank};
-use micaspool_types::{Cost, HallLimit, Moment, OrderNumber, RequestDigest, RequestId};
+use micaspool_types::{Cost, HallLimit, Moment, OrderNumber, RequestDigest, RequestId, VersionLimit};
 use std::time::Duration;
 
 /// How many tickets of a customer are considered when looking for one that can run on a free endpoint.
@@ -49,6 +49,8 @@
     pub prompt: PromptShape,
     /// The data halls in which it may run; without limit if another dispatcher granted it.
     pub halls: HallLimit,
+    /// The software versions at which it may run; any if another dispatcher granted it.
+    pub versions: VersionLimit,
     /// True until the first event of its response arrives.
     pub awaits_first_event: bool,
     /// When this shard granted it; `None` if another dispatcher did.
@@ -152,6 +154,7 @@
         let halls = self.halls_of(ticket);
         let is_excluded = |endpoint| {
             ticket.avoided(now) == Some(endpoint)
+                || !ticket.versions.allows(self.endpoints.version(endpoint))
                 || excluded.contains(&endpoint)
                 || self.is_blocked_for(now, ticket.router, endpoint)
         };
@@ -388,6 +391,7 @@
             kind: ticket.place.kind,
             prompt: ticket.prompt,
             halls: ticket.halls,
+            versions: ticket.versions,
             awaits_first_event: true,
             since: Some(now),
         }
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -16,7 +16,7 @@
 use crate::event::{GrantOutcome, HeldGrant, HeldLevel, RequestTicket, RouterHello, SessionId};
 use crate::shard::customers::QueuePlace;
 use micaspool_fair::{CustomerIndex, Rank, ServiceLevel};
-use micaspool_types::{Cost, HallLimit, Moment, RequestId};
+use micaspool_types::{Cost, HallLimit, Moment, RequestId, VersionLimit};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -101,6 +101,7 @@
             refuse_at: None,
             caller_leaves_at: None,
             halls: grant.halls,
+            versions: grant.versions,
             waits_for: Cell::new(None),
         };
         self.insert_waiting(now, request, ticket);
@@ -173,6 +174,7 @@
             kind: TicketKind::SINGLE,
             prompt: PromptShape::default(),
             halls: HallLimit::Anywhere,
+            versions: VersionLimit::Any,
             awaits_first_event: false,
             since: None,
         };
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -11,7 +11,9 @@
 use crate::shard::endpoints::EndpointIndex;
 use crate::shard::engine::PromptShape;
 use micaspool_fair::{CustomerIndex, HeadTicket};
-use micaspool_types::{Cost, HallLimit, HallMask, Moment, OrderNumber, RequestDigest, RequestId};
+use micaspool_types::{
+    Cost, HallLimit, HallMask, Moment, OrderNumber, RequestDigest, RequestId, VersionLimit,
+};
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -47,6 +49,8 @@
     pub caller_leaves_at: Option<Moment>,
     /// The data halls in which it may run, in addition to the limits of its customer.
     pub halls: HallLimit,
+    /// The software versions at which it may run.
+    pub versions: VersionLimit,
     /// The busy engine that the ticket waits for, if any.
     pub waits_for: Cell<Option<EngineChoice>>,
 }
@@ -155,7 +159,7 @@
         wait: WaitEstimate,
     ) -> Option<RefusalReason> {
         let halls = self.allowed_halls(customer, &ticket.halls);
-        if let Some(reason) = self.placement_refusal(halls, &ticket.halls) {
+        if let Some(reason) = self.placement_refusal(halls, &ticket.halls, &ticket.versions) {
             return Some(reason);
         }
         let state = self.customers.get(customer);
@@ -204,6 +208,7 @@
             caller_leaves_at: ticket.patience.map(|patience| now + patience),
             prompt,
             halls: ticket.halls,
+            versions: ticket.versions,
             waits_for: Cell::new(None),
         };
         self.insert_waiting(now, ticket.request, waiting);
--- a/crates/micaspool-dispatch/tests/shard/harness.rs
+++ b/crates/micaspool-dispatch/tests/shard/harness.rs
@@ -8,7 +8,7 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName, Moment,
-    OrderNumber, RequestId, Revision, Weight,
+    OrderNumber, RequestId, Revision, SoftwareVersion, VersionLimit, Weight,
 };
 use std::time::Duration;
 
@@ -42,6 +42,7 @@
         patience: None,
         order: None,
         halls: HallLimit::Anywhere,
+        versions: VersionLimit::Any,
         generation: GenerationOutline::default(),
     }
 }
@@ -117,6 +118,7 @@
             name: endpoint(number),
             hall: number % 3,
             slots,
+            version: SoftwareVersion::default(),
             leaving: false,
             evacuated: false,
             cold: Duration::ZERO,
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -35,3 +35,4 @@
 mod stream_pauses;
 mod suspects;
 mod throttling;
+mod versions;
--- a/crates/micaspool-dispatch/tests/shard/poison.rs
+++ b/crates/micaspool-dispatch/tests/shard/poison.rs
@@ -7,7 +7,7 @@
 
 use crate::harness::{endpoint, hello, ticket, ShardHarness};
 use micaspool_dispatch::{EndpointSpec, GrantOutcome, RefusalReason, RequestTicket, ShardAction, ShardEvent};
-use micaspool_types::{EndpointName, Moment, RequestDigest};
+use micaspool_types::{EndpointName, Moment, RequestDigest, SoftwareVersion};
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -213,6 +213,7 @@
                     name: endpoint(fresh),
                     hall: fresh % 3,
                     slots,
+                    version: SoftwareVersion::default(),
                     leaving: false,
                     evacuated: false,
                     cold: Duration::ZERO,
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -89,6 +89,7 @@
             cold: self.remaining_cold(&record, cold),
             slots: record.slots,
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            version: record.version,
             name: record.name,
         });
         let endpoints = endpoints.collect();
--- a/crates/micaspool-dispatcher/src/shard_policy.rs
+++ b/crates/micaspool-dispatcher/src/shard_policy.rs
@@ -2,7 +2,7 @@
 
 use micaspool_dispatch::{ColdStartLimits, EndpointSpec, EngineTraits, ShardCustomer, ShardPolicy};
 use micaspool_settings::policy::FleetPolicy;
-use micaspool_types::{Cost, ServiceName};
+use micaspool_types::{Cost, ServiceName, SoftwareVersion};
 use std::time::Duration;
 
 /// Returns the policy of a service's shard, without endpoints and customers if the settings do not contain the service.
@@ -15,6 +15,7 @@
         name: endpoint.name.clone(),
         hall: endpoint.hall,
         slots: endpoint.slots,
+        version: SoftwareVersion::default(),
         leaving: endpoint.leaving,
         evacuated: false,
         cold: Duration::ZERO,
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -7,7 +7,7 @@
 use crate::answer_end::{check_stream_end, is_event_stream, StreamCut};
 use crate::dialect::{AnswerVerdict, ForwardContext};
 use crate::events::EventScanner;
-use crate::relay::{relay_body, AnswerRelay, EventMeter};
+use crate::relay::{relay_body, AnswerRelay, AnswerSource, EventMeter};
 use crate::request_log::RequestLog;
 use http::header::{HeaderName, CONTENT_LENGTH};
 use http::{response, Request, Response, Uri};
@@ -23,7 +23,9 @@
 use micaspool_router::GrantLease;
 use micaspool_routes::RunRule;
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::{Cost, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId};
+use micaspool_types::{
+    Cost, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId, SoftwareVersion, VersionLimit,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -56,11 +58,15 @@
     /// The number of sends that may have run.
     possible_runs: u32,
     avoid: Option<EndpointName>,
+    /// The software versions at which the request may run from now on.
+    versions: VersionLimit,
 }
 
 /// An answer whose head may be passed on to the caller.
 pub(crate) struct UsableAnswer {
     pub lease: GrantLease,
+    /// The version of the software that answers.
+    pub version: SoftwareVersion,
     pub response: Response<PooledBody>,
 }
 
@@ -79,6 +85,7 @@
             reached_sends: 0,
             possible_runs: 0,
             avoid: None,
+            versions: VersionLimit::Any,
         }
     }
 
@@ -119,7 +126,7 @@
         answer: UsableAnswer,
         log: &mut RequestLog,
     ) -> Result<Response<EdgeBody>, String> {
-        let UsableAnswer { lease, response } = answer;
+        let UsableAnswer { lease, response, .. } = answer;
         let (mut head, body) = response.into_parts();
         let time_left = self.deadline.saturating_duration_since(BootInstant::now());
         let framing = body.framing();
@@ -157,6 +164,11 @@
         self.deadline
     }
 
+    /// Limits further runs to the version of the software that wrote what the caller has received.
+    pub fn bind_to(&mut self, version: SoftwareVersion) {
+        self.versions = VersionLimit::Only(version);
+    }
+
     /// Returns true while the route allows another run of a request that may already have run.
     pub fn may_run_again(&self) -> bool {
         self.target.run.is_repeatable() && self.possible_runs < self.target.attempts
@@ -223,6 +235,10 @@
                     log.log_forbidden_grant(&record);
                     lease.settle(Cost(0), GrantOutcome::NotHeld);
                 }
+                Some(record) if !self.versions.allows(&record.version) => {
+                    log.log_other_version_grant(&record);
+                    lease.settle(Cost(0), GrantOutcome::NotHeld);
+                }
                 Some(record) if record.stage == EndpointStage::Serving => return Ok((lease, record)),
                 unusable => {
                     log.log_unusable_grant(lease.endpoint(), unusable.map(|record| record.stage));
@@ -292,6 +308,7 @@
             patience: self.call.caller.patience,
             order: None,
             halls: self.target.halls.clone(),
+            versions: self.versions.clone(),
             generation: GenerationOutline {
                 max_output_tokens: prompt.map_or(0, |prompt| prompt.max_output_tokens),
                 output_hint: prompt.map_or(0, |prompt| prompt.output_hint),
@@ -342,7 +359,9 @@
                 }
                 match verdict {
                     AnswerVerdict::Answer => {
-                        return Ok(UsableAnswer { lease, response: Response::from_parts(head, body) })
+                        let version = endpoint.version.clone();
+                        let response = Response::from_parts(head, body);
+                        return Ok(UsableAnswer { lease, version, response });
                     }
                     verdict => SendFailure::from_answer(verdict, head.status),
                 }
@@ -453,7 +472,8 @@
             head.headers.remove(CONTENT_LENGTH);
         }
         let meter = EventMeter::new(self.call.caller.prompt.as_ref(), self.target.engine);
-        let relay = AnswerRelay::new(gateway.clone(), self, body, answer.lease, meter, log, is_stream);
+        let source = AnswerSource { body, lease: Some(answer.lease), version: answer.version };
+        let relay = AnswerRelay::new(gateway.clone(), self, source, meter, log, is_stream);
         Response::from_parts(head, relay_body(relay))
     }
 
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -11,7 +11,7 @@
 use crate::request_log::RequestLog;
 use crate::stopping::StopNotice;
 use async_trait::async_trait;
-pub(crate) use attempt::Attempts;
+pub(crate) use attempt::{Attempts, UsableAnswer};
 use http::header::CONTENT_LENGTH;
 use http::{request, Request, Response};
 use http_body_util::BodyExt;
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -3,7 +3,7 @@
 use crate::answer_end::{check_stream_end, StreamCut};
 use crate::dialect::PromptOutline;
 use crate::events::{EventScanner, EventSplitter};
-use crate::proxy::{Attempts, Gateway};
+use crate::proxy::{Attempts, Gateway, UsableAnswer};
 use crate::request_log::RequestLog;
 use bytes::Bytes;
 use futures::future::{select, BoxFuture, Either};
@@ -17,7 +17,7 @@
 use micaspool_http::pool::PooledBody;
 use micaspool_router::GrantLease;
 use micaspool_routes::EngineProfile;
-use micaspool_types::Cost;
+use micaspool_types::{Cost, SoftwareVersion};
 use std::fmt;
 use std::time::Duration;
 
@@ -98,14 +98,22 @@
     }
 }
 
+/// The endpoint's side of an answer.
+pub(crate) struct AnswerSource {
+    pub body: PooledBody,
+    /// The grant; `None` once it has been settled.
+    pub lease: Option<GrantLease>,
+    /// The version of the software that answers.
+    pub version: SoftwareVersion,
+}
+
 /// Reads an endpoint's answer, meters its cost, and resumes it at another endpoint if it breaks and may be resumed.
 ///
 /// If the caller disconnects, the relay is dropped, which closes the connection to the endpoint.
 pub(crate) struct AnswerRelay {
     gateway: Gateway,
     attempts: Attempts,
-    body: PooledBody,
-    lease: Option<GrantLease>,
+    source: AnswerSource,
     meter: EventMeter,
     /// True if the answer is an event stream.
     is_stream: bool,
@@ -120,8 +128,7 @@
     pub fn new(
         gateway: Gateway,
         attempts: Attempts,
-        body: PooledBody,
-        lease: GrantLease,
+        source: AnswerSource,
         meter: EventMeter,
         log: RequestLog,
         is_stream: bool,
@@ -132,8 +139,7 @@
             is_stream,
             splitter: (is_stream && attempts.is_resumable()).then(EventSplitter::default),
             attempts,
-            body,
-            lease: Some(lease),
+            source,
             meter,
             log,
             expiry: Box::pin(tokio::time::sleep(left + DEADLINE_GRACE)),
@@ -164,7 +170,7 @@
     /// Reads the next data frame; `None` at the end of a whole body.
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
-            match select(self.body.frame(), &mut self.expiry).await {
+            match select(self.source.body.frame(), &mut self.expiry).await {
                 Either::Left((Some(Ok(frame)), _)) => {
                     // Trailers are dropped: no caller of this fleet uses them.
                     if let Ok(data) = frame.into_data() {
@@ -182,7 +188,7 @@
         if !self.is_stream {
             return Ok(());
         }
-        let framing = self.body.framing();
+        let framing = self.source.body.framing();
         let end = check_stream_end(framing, &self.meter.scanner, self.attempts.continues_stream());
         end.map_err(|cut| RelayError::Cut(cut, framing))
     }
@@ -191,7 +197,7 @@
     fn process_chunk(&mut self, chunk: Bytes) -> Option<Bytes> {
         self.meter.observe(&chunk);
         let delivered = self.meter.cost();
-        if let Some(lease) = &mut self.lease {
+        if let Some(lease) = &mut self.source.lease {
             lease.progress(delivered);
         }
         let bytes = match &mut self.splitter {
@@ -224,11 +230,11 @@
 
     fn log_body_end(&mut self) {
         let scanner = self.meter.scanner;
-        self.log.set_body_end(self.body.framing(), scanner.ended_events(), scanner.is_inside_event());
+        self.log.set_body_end(self.source.body.framing(), scanner.ended_events(), scanner.is_inside_event());
     }
 
     fn settle(&mut self, outcome: GrantOutcome) {
-        if let Some(lease) = self.lease.take() {
+        if let Some(lease) = self.source.lease.take() {
             lease.settle(self.meter.cost(), outcome);
         }
     }
@@ -248,6 +254,7 @@
         self.log_body_end();
         self.log.log_failure("stream-broken", &cause, false);
         self.settle(error.outcome());
+        self.attempts.bind_to(self.source.version.clone());
         let last_event = last.to_string();
         let next = self.attempts.next_answer(&self.gateway, &mut self.log, Some(&last_event)).await;
         match next {
@@ -257,8 +264,8 @@
                     splitter.discard_partial();
                 }
                 self.meter.scanner.restart();
-                self.lease = Some(answer.lease);
-                self.body = answer.response.into_body();
+                let UsableAnswer { lease, version, response } = answer;
+                self.source = AnswerSource { body: response.into_body(), lease: Some(lease), version };
                 true
             }
             // The failure has been logged; the caller's stream is aborted.
@@ -269,7 +276,7 @@
 
 /// Turns a relay into a body. An answer without a body is finished at once.
 pub(crate) fn relay_body(relay: AnswerRelay) -> EdgeBody {
-    if relay.body.is_end_stream() {
+    if relay.source.body.is_end_stream() {
         let mut relay = relay;
         let _ = relay.finish();
         return micaspool_http::edge::full_body(Bytes::new());
--- a/crates/micaspool-gateway/src/request_log.rs
+++ b/crates/micaspool-gateway/src/request_log.rs
@@ -15,6 +15,8 @@
 const EVACUATED: &str = "evacuated";
 /// The reason in logs and metrics for not using a grant whose endpoint is in a data hall that the request may not use.
 const FORBIDDEN: &str = "forbidden-hall";
+/// The reason in logs and metrics for not using a grant whose endpoint runs another software version.
+const OTHER_VERSION: &str = "other-version";
 
 /// The state of a request for its log line. Dropping it before the request has ended logs that the caller disconnected.
 #[derive(Debug)]
@@ -164,6 +166,18 @@
         record(&events::GRANT_UNUSABLE, &fields);
     }
 
+    /// Logs a grant that is not used because the endpoint runs another software version than the stream needs.
+    pub fn log_other_version_grant(&self, endpoint: &EndpointRecord) {
+        self.metrics.count_failure(OTHER_VERSION);
+        let fields = [
+            field("request", &self.id),
+            field("endpoint", &endpoint.name),
+            field("held_as", OTHER_VERSION),
+            field("version", &endpoint.version),
+        ];
+        record(&events::GRANT_UNUSABLE, &fields);
+    }
+
     /// Logs a failed send; the request may be sent again.
     pub fn log_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
         self.metrics.count_failure(kind);
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -6,6 +6,7 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallLimit, Incarnation, InstanceName, OrderNumber, RequestId,
+    VersionLimit,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -100,6 +101,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            versions: VersionLimit::Any,
             generation: GenerationOutline::default(),
         }
     }
--- a/crates/micaspool-replay/src/run/setup.rs
+++ b/crates/micaspool-replay/src/run/setup.rs
@@ -7,7 +7,9 @@
     ShardOptions, ShardPolicy,
 };
 use micaspool_fair::policy_named;
-use micaspool_types::{Cost, CustomerName, EndpointName, HallMask, HallName, Moment, Revision, Weight};
+use micaspool_types::{
+    Cost, CustomerName, EndpointName, HallMask, HallName, Moment, Revision, SoftwareVersion, Weight,
+};
 use std::time::Duration;
 
 impl ReplayRun<'_> {
@@ -59,6 +61,7 @@
             name: endpoint_name(number),
             hall: number % header.halls,
             slots: header.slots,
+            version: SoftwareVersion::default(),
             leaving: false,
             evacuated: false,
             cold: Duration::ZERO,
--- a/crates/micaspool-router/src/call/mod.rs
+++ b/crates/micaspool-router/src/call/mod.rs
@@ -5,7 +5,7 @@
 use micaspool_dispatch::{GenerationOutline, RequestTicket};
 use micaspool_settings::policy::{RequestPolicy, ServiceKind, ServicePolicy, SharedPolicy};
 use micaspool_types::{
-    Cost, CustomerName, HallLimit, Refusal, RefusalKind, RequestDigest, RequestId, ServiceName,
+    Cost, CustomerName, HallLimit, Refusal, RefusalKind, RequestDigest, RequestId, ServiceName, VersionLimit,
 };
 use model::ModelBody;
 use sha2::{Digest, Sha256};
@@ -153,6 +153,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            versions: VersionLimit::Any,
             generation: GenerationOutline::default(),
         }
     }
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -364,6 +364,7 @@
             RefusalReason::EndpointsRest => RefusalKind::EndpointsRest,
             RefusalReason::HallsEvacuated => RefusalKind::HallsEvacuated,
             RefusalReason::NoEndpoint => RefusalKind::NoEndpoint,
+            RefusalReason::VersionGone => RefusalKind::VersionGone,
         };
         let wait = Duration::from_millis(refused.retry_after_millis);
         let now = self.current_moment();
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -13,7 +13,7 @@
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{
     Cost, CustomerName, EndpointAdvice, EndpointName, HallLimit, Incarnation, InstanceName, OrderNumber,
-    RequestDigest, RequestId, Revision, ServiceName,
+    RequestDigest, RequestId, Revision, ServiceName, VersionLimit,
 };
 use micaspool_wire::convert::action_message;
 use micaspool_wire::socket::CountedListener;
@@ -209,6 +209,7 @@
         patience: None,
         order: None,
         halls: HallLimit::Anywhere,
+        versions: VersionLimit::Any,
         generation: GenerationOutline::default(),
     }
 }
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -22,4 +22,4 @@
 pub use placement::{HallLimit, HallMask, HallRegions, PlacementLimit, RegionLimit, MAX_HALLS};
 pub use refusal::{Refusal, RefusalKind, RunState};
 pub use units::{Cost, Moment, Weight};
-pub use version::SoftwareVersion;
+pub use version::{SoftwareVersion, VersionLimit};
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -61,6 +61,8 @@
     EndpointsRest,
     /// Every endpoint that may run the request is in a data hall that an operator has evacuated.
     HallsEvacuated,
+    /// The request goes on with a stream, and no endpoint runs the software version that began it.
+    VersionGone,
     /// The deadline passed while the request waited.
     DeadlinePassed,
     /// The attempts of the request or the retry budget are used up.
@@ -105,7 +107,7 @@
             HeadTooLarge => 431,
             EndpointFailed => 502,
             NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
-            Quarantined | CopyRunning | EndpointsRest | HallsEvacuated => 503,
+            Quarantined | CopyRunning | EndpointsRest | HallsEvacuated | VersionGone => 503,
             RetriesExhausted | Draining | TooManyConnections => 503,
             DeadlinePassed => 504,
         }
@@ -141,6 +143,7 @@
             CopyRunning => "copy-running",
             EndpointsRest => "endpoints-rest",
             HallsEvacuated => "halls-evacuated",
+            VersionGone => "version-gone",
             DeadlinePassed => "deadline-passed",
             RetriesExhausted => "retries-exhausted",
             NoDispatcher => "no-dispatcher",
@@ -183,6 +186,7 @@
             HallsEvacuated => {
                 "come back after the given time; the operator should take the data hall back ('halls return')"
             }
+            VersionGone => "send the request anew, from the beginning of its stream",
             DeadlinePassed => "come back after the given time, or allow a longer deadline",
             RetriesExhausted => "come back after the given time",
             NoDispatcher => "come back after the given time; the operator should check the dispatchers",
--- a/crates/micaspool-types/src/version.rs
+++ b/crates/micaspool-types/src/version.rs
@@ -41,3 +41,23 @@
         write!(f, "{:?}", self.as_str())
     }
 }
+
+/// Limits the software versions at which a request may run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum VersionLimit {
+    /// The request may run at any version.
+    #[default]
+    Any,
+    /// The request goes on with a stream that this version began.
+    Only(SoftwareVersion),
+}
+
+impl VersionLimit {
+    /// Returns true if the request may run at this version.
+    pub fn allows(&self, version: &SoftwareVersion) -> bool {
+        match self {
+            VersionLimit::Any => true,
+            VersionLimit::Only(only) => only == version,
+        }
+    }
+}
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -19,7 +19,7 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallLimit, HallName, Incarnation, InstanceName, NameError, OrderNumber,
-    RegionName, RequestDigest, RequestId, ServiceName,
+    RegionName, RequestDigest, RequestId, ServiceName, SoftwareVersion, VersionLimit,
 };
 use quarantine::crash_message;
 use std::fmt;
@@ -112,9 +112,21 @@
         max_output_tokens: ticket.generation.max_output_tokens,
         output_hint: ticket.generation.output_hint,
         pause_millis: ticket.generation.pause.map_or(0, millis),
+        allowed_version: allowed_version_message(&ticket.versions),
     }
 }
 
+fn allowed_version_message(limit: &VersionLimit) -> Option<v1::AllowedVersion> {
+    match limit {
+        VersionLimit::Any => None,
+        VersionLimit::Only(version) => Some(v1::AllowedVersion { version: version.to_string() }),
+    }
+}
+
+fn version_limit(message: Option<v1::AllowedVersion>) -> VersionLimit {
+    message.map_or(VersionLimit::Any, |allowed| VersionLimit::Only(SoftwareVersion::new(&allowed.version)))
+}
+
 fn allowed_halls_message(limit: &HallLimit) -> Option<v1::AllowedHalls> {
     match limit {
         HallLimit::Anywhere => None,
@@ -151,6 +163,7 @@
         patience: (message.patience_millis > 0).then(|| Duration::from_millis(message.patience_millis)),
         order: (message.order > 0).then_some(OrderNumber(message.order)),
         halls: hall_limit(message.allowed_halls)?,
+        versions: version_limit(message.allowed_version),
         generation: GenerationOutline {
             max_output_tokens: message.max_output_tokens,
             output_hint: message.output_hint,
@@ -320,6 +333,7 @@
 const ENDPOINTS_REST: &str = "endpoints-rest";
 const HALLS_EVACUATED: &str = "halls-evacuated";
 const NO_ENDPOINT: &str = "no-endpoint";
+const VERSION_GONE: &str = "version-gone";
 
 /// Encodes why a ticket was refused.
 pub fn reason_text(reason: RefusalReason) -> &'static str {
@@ -333,6 +347,7 @@
         RefusalReason::EndpointsRest => ENDPOINTS_REST,
         RefusalReason::HallsEvacuated => HALLS_EVACUATED,
         RefusalReason::NoEndpoint => NO_ENDPOINT,
+        RefusalReason::VersionGone => VERSION_GONE,
     }
 }
 
@@ -347,6 +362,7 @@
         ENDPOINTS_REST => RefusalReason::EndpointsRest,
         HALLS_EVACUATED => RefusalReason::HallsEvacuated,
         NO_ENDPOINT => RefusalReason::NoEndpoint,
+        VERSION_GONE => RefusalReason::VersionGone,
         _ => RefusalReason::ShardFull,
     }
 }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -13,7 +13,7 @@
 };
 use micaspool::types::{
     Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName, Moment,
-    RequestDigest, RequestId, Revision, Weight,
+    RequestDigest, RequestId, Revision, SoftwareVersion, VersionLimit, Weight,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -42,6 +42,7 @@
         name: EndpointName::parse(&format!("endpoint-{number}")).expect("a name"),
         hall: number % 4,
         slots: SLOTS,
+        version: SoftwareVersion::default(),
         leaving: false,
         evacuated: false,
         cold: Duration::ZERO,
@@ -122,6 +123,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            versions: VersionLimit::Any,
             generation: GenerationOutline::default(),
         };
         self.step(ShardEvent::Submit(SESSION, ticket));
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -11,7 +11,7 @@
 };
 use micaspool::types::{
     Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName, Moment,
-    RequestDigest, RequestId, Revision, Weight,
+    RequestDigest, RequestId, Revision, SoftwareVersion, VersionLimit, Weight,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
@@ -89,6 +89,7 @@
         name: engine(number),
         hall: number % 3,
         slots: SLOTS,
+        version: SoftwareVersion::default(),
         leaving: false,
         evacuated: false,
         cold: Duration::ZERO,
@@ -201,6 +202,7 @@
             patience: None,
             order: None,
             halls: HallLimit::Anywhere,
+            versions: VersionLimit::Any,
             generation: GenerationOutline::default(),
         }
     }
