fix(dispatch, gateway): bind a stream that its caller takes up to the version that began it

Callers whose gateway was killed took their streams up at others, and those sent them to any endpoint: nobody but the gateway that was gone knew which software version had begun them.

The gateway that relays a resumable stream now tells the shard, with its first event and before the caller gets it, which version wrote it; both keep it until the caller's deadline, so that either may be lost, and a gateway tells what it keeps to each new shard. A request that takes a stream up names the attempt that began it (Resumes); its ticket goes to the shard with that stream, and the shard binds it to the version or refuses it at once as not run (stream-unknown): not knowing must not mean running anywhere, in touch or not. A new shard waits with that until its gateways have told. The grant says to which version it is bound, and the gateway checks the endpoint's own record against it, so that a dispatcher that knows nothing of this grants nothing that is sent. A caller that names no attempt is served while the service has one version only. A stream on a split route goes on at the service that began it.

--- a/crates/micaspool-dispatch/src/action.rs
+++ b/crates/micaspool-dispatch/src/action.rs
@@ -4,7 +4,7 @@
 use crate::queue_fill::QueueFill;
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashRecord, RequestStanding};
-use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId, Revision};
+use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId, Revision, SoftwareVersion};
 use std::time::Duration;
 
 /// Why a ticket was refused.
@@ -30,6 +30,8 @@
     NoEndpoint,
     /// No endpoint runs the software version that began the stream with which the request goes on.
     VersionGone,
+    /// The request goes on with a stream, and it is not known which software version began it.
+    StreamUnknown,
 }
 
 /// Why the standing of a request has changed.
@@ -85,6 +87,8 @@
         request: RequestId,
         /// The endpoint to send it to.
         endpoint: EndpointName,
+        /// The version to which the ticket is bound, if any.
+        version: Option<SoftwareVersion>,
         /// The engine from which that endpoint copies cached parts of the prompt, if any.
         cache_source: Option<EndpointName>,
         /// The estimated cost that was charged.
--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -4,8 +4,8 @@
 use micaspool_quarantine::CrashRecord;
 use micaspool_types::{
     AdviceRecord, Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName,
-    Moment, OrderNumber, RegionName, RequestDigest, RequestId, Revision, SoftwareVersion, VersionLimit,
-    Weight,
+    Moment, OrderNumber, RegionName, RequestDigest, RequestId, Revision, SoftwareVersion, StreamOrigin,
+    VersionLimit, Weight,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -110,6 +110,8 @@
     pub crashes: Vec<CrashRecord>,
     /// The advice that endpoints gave to it.
     pub advice: Vec<AdviceRecord>,
+    /// The streams that it has begun to pass on.
+    pub streams: Vec<StreamOrigin>,
     /// The number of its latest heartbeat.
     pub heartbeat: u64,
 }
@@ -297,6 +299,8 @@
     Cancel(SessionId, RequestId),
     /// The total cost that a running request has delivered so far.
     Progress(SessionId, RequestId, Cost),
+    /// The same, with the first event of a stream.
+    Began(SessionId, RequestId, Cost, StreamOrigin),
     /// A grant has ended with this cost and outcome.
     Settle(SessionId, RequestId, Cost, GrantOutcome),
     /// A router is alive.
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod queue_fill;
 mod ranking;
 mod shard;
+mod stream_origins;
 mod throttle;
 
 pub use action::{RefusalReason, ShardAction, StandingCause};
@@ -34,4 +35,5 @@
     CacheCopyStatus, CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus,
     ShardCore, ShardStatus, SuspectStatus,
 };
+pub use stream_origins::StreamOrigins;
 pub use throttle::RequestThrottle;
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -238,6 +238,7 @@
                 session,
                 request,
                 endpoint: self.endpoints.name(endpoint).clone(),
+                version: ticket.versions.bound().cloned(),
                 cache_source: copy.map(|copy| self.endpoints.name(copy.source).clone()),
                 estimate,
                 level,
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -9,6 +9,7 @@
 use super::engine::PromptShape;
 use super::grants::RunningGrant;
 use super::kind_queues::TicketKind;
+use super::overdue::RefusalCause;
 use super::routers::RouterIndex;
 use super::tickets::WaitingTicket;
 use super::ShardCore;
@@ -33,6 +34,7 @@
         let router = self.routers.attach(now, session, &hello);
         self.merge_suspects(now, router, &hello.crashes, actions);
         self.record_advice(now, router, &hello.advice);
+        self.record_origins(now, &hello.streams);
         if self.options.use_held_state {
             for held_level in &hello.levels {
                 self.recover_level(held_level);
@@ -133,6 +135,7 @@
             actions.push(refusal.action(session, &ticket));
             return;
         }
+        let ticket = RequestTicket { versions: self.resolve_versions(ticket.versions.clone()), ..ticket };
         let customer = self.customers.ensure(&ticket.customer);
         let had_order = ticket.order.is_some();
         self.endpoints.note_submitted(now, &ticket.generation);
@@ -144,6 +147,9 @@
             let queue_fill = wait.queue_fill;
             actions.push(ShardAction::Accepted { session, request, order, queue_fill });
         }
+        if let Some(reason) = self.stream_refusal(&self.waiting[&request].versions) {
+            self.refuse_for(now, request, RefusalCause::of(reason), actions);
+        }
     }
 
     fn adopt_running(&mut self, router: RouterIndex, held: HeldGrant) {
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -40,6 +40,7 @@
 mod sharing;
 mod status;
 mod stream_pauses;
+mod streams;
 mod suspects;
 mod tickets;
 mod tolerance;
@@ -54,6 +55,7 @@
 use crate::action::ShardAction;
 use crate::event::{GrantOutcome, SessionId, ShardEvent, ShardPolicy};
 use crate::options::ShardOptions;
+use crate::stream_origins::StreamOrigins;
 use caller_attempts::FirstAttempts;
 use copies::CopyCounts;
 use customers::CustomerTable;
@@ -97,6 +99,8 @@
     remote: RemoteTotals,
     suspects: SuspectTracker,
     copies: CopyCounts,
+    /// Which software versions began the streams that callers may take up.
+    origins: StreamOrigins,
     throughput: GrantThroughput,
     /// The rate of cost delivered to all customers.
     delivered: DecayingRate,
@@ -135,6 +139,7 @@
             remote: RemoteTotals::default(),
             suspects: SuspectTracker::new(options.quarantine),
             copies: CopyCounts::default(),
+            origins: StreamOrigins::default(),
             throughput: GrantThroughput::new(now),
             delivered: DecayingRate::default(),
             next_order: OrderNumber(1),
@@ -159,7 +164,7 @@
             self.next_pass_due = self.next_pass_due.min(now.max(self.earliest_pass));
         }
         self.apply(now, event, actions);
-        self.end_recovery(now);
+        self.end_recovery(now, actions);
         self.endpoints.wake(now);
         self.grant_if_due(now, actions);
         self.refuse_overdue(now, actions);
@@ -183,6 +188,10 @@
             ShardEvent::Progress(session, request, delivered) => {
                 self.progress(now, session, request, delivered, actions)
             }
+            ShardEvent::Began(session, request, delivered, origin) => {
+                self.origins.record(now, &origin);
+                self.progress(now, session, request, delivered, actions)
+            }
             ShardEvent::Settle(session, request, cost, outcome) => {
                 self.settle(now, session, request, cost, outcome, actions)
             }
@@ -247,6 +256,7 @@
                 self.end_grant(now, request, None, GrantOutcome::Abandoned);
             }
         }
+        self.origins.expire(now);
         self.endpoints.expire_reports(now);
         self.endpoints.forget_warm(now);
         self.endpoints.copy_link.fade(now);
@@ -254,7 +264,7 @@
         self.update_scarcity(now);
     }
 
-    fn end_recovery(&mut self, now: Moment) {
+    fn end_recovery(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
         let Some(until) = self.recovering_until else { return };
         let all_joined = !self.options.expected_routers.is_empty()
             && self.routers.all_joined(&self.options.expected_routers);
@@ -262,6 +272,7 @@
             self.recovering_until = None;
             self.next_pass_due = now;
             self.cap_recovered_levels();
+            self.resolve_waiting(now, actions);
         }
     }
 
@@ -299,6 +310,7 @@
         | ShardEvent::Submit(session, _)
         | ShardEvent::Cancel(session, _)
         | ShardEvent::Progress(session, _, _)
+        | ShardEvent::Began(session, _, _, _)
         | ShardEvent::Settle(session, _, _, _)
         | ShardEvent::Heartbeat(session, _)
         | ShardEvent::Advised(session, _) => Some(*session),
--- a/crates/micaspool-dispatch/src/shard/placement.rs
+++ b/crates/micaspool-dispatch/src/shard/placement.rs
@@ -50,6 +50,7 @@
         versions: &VersionLimit,
     ) -> Option<RefusalReason> {
         match self.endpoints.usability(halls, versions) {
+            _ if matches!(versions, VersionLimit::OfStream(_)) => None,
             HallUsability::Usable => None,
             HallUsability::Evacuated => Some(RefusalReason::HallsEvacuated),
             HallUsability::Vacant if *versions != VersionLimit::Any => Some(RefusalReason::VersionGone),
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -109,7 +109,8 @@
         let age = self.caller_age(now, &ticket);
         let is_first_attempt = age.is_zero() && ticket.attempt == 0;
         let objective = ticket.objective.map(|objective| objective.saturating_sub(age).max(MIN_OBJECTIVE));
-        let ticket = RequestTicket { objective, ..ticket };
+        let versions = self.resolve_versions(ticket.versions);
+        let ticket = RequestTicket { objective, versions, ..ticket };
         let wait = self.wait_estimate(now, customer, &ticket, kind, is_first_attempt);
         if let Some(reason) = self.reason_to_refuse(now, customer, &ticket, wait) {
             self.first_attempts.note_refused(now);
@@ -162,6 +163,9 @@
         if let Some(reason) = self.placement_refusal(halls, &ticket.halls, &ticket.versions) {
             return Some(reason);
         }
+        if let Some(reason) = self.stream_refusal(&ticket.versions) {
+            return Some(reason);
+        }
         let state = self.customers.get(customer);
         if self.waiting.len() >= self.options.max_waiting {
             return Some(RefusalReason::ShardFull);
--- a/crates/micaspool-dispatch/tests/shard/harness.rs
+++ b/crates/micaspool-dispatch/tests/shard/harness.rs
@@ -59,6 +59,7 @@
         running: Vec::new(),
         levels: Vec::new(),
         crashes: Vec::new(),
+        streams: Vec::new(),
         advice: Vec::new(),
         heartbeat: 1,
     }
--- a/crates/micaspool-dispatch/tests/shard/versions.rs
+++ b/crates/micaspool-dispatch/tests/shard/versions.rs
@@ -1,8 +1,11 @@
 //! Tickets that go on with a stream and may run only at the software version that began it.
 
-use crate::harness::{endpoint, hello, request_id, ticket, ShardHarness};
-use micaspool_dispatch::{GrantOutcome, RefusalReason, RequestTicket, SessionId, ShardEvent};
-use micaspool_types::{SoftwareVersion, VersionLimit};
+use crate::harness::{customer, endpoint, hello, request_id, ticket, ShardHarness};
+use micaspool_dispatch::{
+    GrantOutcome, RefusalReason, RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent, ShardOptions,
+};
+use micaspool_types::{Cost, SoftwareVersion, StreamKey, StreamOrigin, VersionLimit};
+use std::time::Duration;
 
 fn version(text: &str) -> SoftwareVersion {
     SoftwareVersion::new(text)
@@ -12,14 +15,34 @@
     RequestTicket { versions: VersionLimit::Only(version(text)), ..ticket(number, "a", 10) }
 }
 
-/// A shard whose endpoints run `v0`, `v1`, `v0`, ... in turn.
-fn two_versions(endpoints: usize, slots: u32) -> ShardHarness {
-    let mut harness = ShardHarness::new(endpoints, slots, &["a"]);
+/// How long the callers of these rows may take their streams up.
+const KEEP: Duration = Duration::from_secs(10);
+
+fn stream(attempt: &str) -> StreamKey {
+    StreamKey::of(&customer("a"), attempt)
+}
+
+fn origin(attempt: &str, text: &str) -> StreamOrigin {
+    StreamOrigin { stream: stream(attempt), version: version(text), keep: KEEP }
+}
+
+/// A ticket that takes up the stream of an attempt.
+fn taking_up(number: u128, attempt: &str) -> RequestTicket {
+    RequestTicket { versions: VersionLimit::OfStream(stream(attempt)), ..ticket(number, "a", 10) }
+}
+
+fn assign_versions(harness: &mut ShardHarness) {
     harness.update_policy(|policy| {
         for (number, spec) in policy.endpoints.iter_mut().enumerate() {
             spec.version = version(&format!("v{}", number % 2));
         }
     });
+}
+
+/// A shard whose endpoints run `v0`, `v1`, `v0`, ... in turn.
+fn two_versions(endpoints: usize, slots: u32) -> ShardHarness {
+    let mut harness = ShardHarness::new(endpoints, slots, &["a"]);
+    assign_versions(&mut harness);
     harness.join(1, hello("r1", 1));
     harness
 }
@@ -73,3 +96,69 @@
     let second = harness.take_grants().remove(0).endpoint;
     assert!(second == endpoint(1) || second == endpoint(3));
 }
+
+#[test]
+fn a_stream_is_taken_up_at_the_version_that_began_it() {
+    let mut harness = two_versions(4, 2);
+    harness.submit(1, ticket(1, "a", 10));
+    let began_at = harness.take_grants().remove(0).endpoint;
+    let text = if [endpoint(0), endpoint(2)].contains(&began_at) { "v0" } else { "v1" };
+    harness.step(ShardEvent::Began(SessionId(1), request_id(1), Cost(3), origin("one", text)));
+    harness.join(2, hello("r2", 1));
+    harness.step(ShardEvent::Left(SessionId(1)));
+    harness.submit(2, taking_up(2, "one"));
+    let granted = harness.actions.iter().find_map(|action| match action {
+        ShardAction::Grant { request, version, .. } if *request == request_id(2) => Some(version.clone()),
+        _ => None,
+    });
+    assert_eq!(granted, Some(Some(version(text))), "the grant tells the router which version it is bound to");
+    harness.submit(2, taking_up(3, "another"));
+    assert_eq!(harness.refusals(), [(3, RefusalReason::StreamUnknown)]);
+}
+
+#[test]
+fn a_stream_is_forgotten_when_its_caller_has_given_up() {
+    let mut harness = two_versions(2, 1);
+    harness.join(2, RouterHello { streams: vec![origin("one", "v1")], ..hello("r2", 1) });
+    harness.advance(KEEP.as_millis() as u64 + 1);
+    harness.step(ShardEvent::Tick);
+    harness.join(3, hello("r3", 1));
+    harness.submit(3, taking_up(1, "one"));
+    assert_eq!(harness.refusals(), [(1, RefusalReason::StreamUnknown)]);
+}
+
+#[test]
+fn what_is_known_of_a_stream_stays() {
+    let mut harness = two_versions(2, 1);
+    for (session, text) in [(2, "v1"), (3, "v0")] {
+        let name = format!("r{session}");
+        harness.join(session, RouterHello { streams: vec![origin("one", text)], ..hello(&name, 1) });
+    }
+    harness.submit(1, taking_up(1, "one"));
+    assert_eq!(harness.take_grants()[0].endpoint, endpoint(1));
+}
+
+#[test]
+fn a_new_shard_hears_of_streams_before_it_refuses_those_that_take_them_up() {
+    let mut harness = ShardHarness::recovering(4, 2, &["a"], ShardOptions::default());
+    assign_versions(&mut harness);
+    harness.join(1, hello("r1", 1));
+    harness.submit(1, taking_up(1, "one"));
+    harness.submit(1, taking_up(2, "lost"));
+    assert!(harness.refusals().is_empty() && harness.take_grants().is_empty());
+    harness.join(2, RouterHello { streams: vec![origin("one", "v1")], ..hello("r2", 1) });
+    harness.advance(1_000);
+    assert_eq!(harness.refusals(), [(2, RefusalReason::StreamUnknown)]);
+    let grants = harness.take_grants();
+    assert_eq!(grants.iter().map(|grant| grant.request).collect::<Vec<_>>(), [request_id(1)]);
+    assert!([endpoint(1), endpoint(3)].contains(&grants[0].endpoint));
+}
+
+#[test]
+fn a_ticket_that_joins_a_shard_takes_its_stream_up_or_is_refused() {
+    let mut harness = two_versions(2, 1);
+    let waiting = vec![taking_up(1, "one"), taking_up(2, "lost")];
+    harness.join(2, RouterHello { waiting, streams: vec![origin("one", "v1")], ..hello("r2", 1) });
+    assert_eq!(harness.refusals(), [(2, RefusalReason::StreamUnknown)]);
+    assert_eq!(harness.take_grants()[0].endpoint, endpoint(1));
+}
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -3,13 +3,13 @@
 use super::failure::SendFailure;
 use super::headers::{forwarded_headers, strip_hop_by_hop};
 use super::target::CallTarget;
-use super::{AcceptedCall, Gateway, RETRY_AFTER};
+use super::{AcceptedCall, Gateway, LAST_EVENT, RETRY_AFTER};
 use crate::answer_end::{check_stream_end, is_event_stream, StreamCut};
 use crate::dialect::{AnswerVerdict, ForwardContext};
 use crate::events::EventScanner;
 use crate::relay::{relay_body, AnswerRelay, AnswerSource, EventMeter};
 use crate::request_log::RequestLog;
-use http::header::{HeaderName, CONTENT_LENGTH};
+use http::header::CONTENT_LENGTH;
 use http::{response, Request, Response, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
@@ -24,7 +24,8 @@
 use micaspool_routes::RunRule;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{
-    Cost, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId, SoftwareVersion, VersionLimit,
+    Cost, EndpointName, Refusal, RefusalKind, RequestDigest, RequestId, SoftwareVersion, StreamKey,
+    StreamOrigin, VersionLimit,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -39,12 +40,12 @@
 /// A request with less time left before its deadline is refused instead of sent.
 const MIN_SEND_TIME: Duration = Duration::from_millis(5);
 
+/// How long after its deadline a stream is remembered, for callers whose clocks run behind.
+const TAKE_UP_MARGIN: Duration = Duration::from_secs(2);
+
 /// The lower bound of the remaining latency objective. Zero would mean that there is no objective.
 const MIN_OBJECTIVE: Duration = Duration::from_millis(1);
 
-/// The id of the last event that the caller of a stream has received.
-const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
-
 /// A request being proxied, with the state that decides whether it may be sent again.
 #[derive(Debug)]
 pub(crate) struct Attempts {
@@ -71,21 +72,22 @@
 }
 
 impl Attempts {
-    pub(super) fn new(call: AcceptedCall, target: CallTarget) -> Attempts {
+    /// Creates the attempts of a request, of which the first may run at these software versions.
+    pub(super) fn new(call: AcceptedCall, target: CallTarget, versions: VersionLimit) -> Attempts {
         let caller_timeout = call.caller.patience.unwrap_or(target.time_limit).min(target.time_limit);
         let uri = origin_form(&call.head.uri).to_string();
         let customer = target.queue_customer();
         let digest = RequestDigest::of(&customer, call.head.method.as_str(), &uri, call.body.bytes());
         Attempts {
             deadline: call.arrived_at + caller_timeout,
-            call,
             target,
             request: RequestId(rand::random()),
             digest,
             reached_sends: 0,
             possible_runs: 0,
             avoid: None,
-            versions: VersionLimit::Any,
+            versions,
+            call,
         }
     }
 
@@ -164,6 +166,19 @@
         self.deadline
     }
 
+    /// Returns the origin of a stream that this request begins at an endpoint of this version; `None` if it goes on with
+    /// an earlier one.
+    pub fn stream_origin(&self, version: &SoftwareVersion) -> Option<StreamOrigin> {
+        if self.continues_stream() {
+            return None;
+        }
+        Some(StreamOrigin {
+            stream: StreamKey::of(&self.target.queue_customer(), &self.call.caller.id),
+            version: version.clone(),
+            keep: self.deadline.saturating_duration_since(BootInstant::now()) + TAKE_UP_MARGIN,
+        })
+    }
+
     /// Limits further runs to the version of the software that wrote what the caller has received.
     pub fn bind_to(&mut self, version: SoftwareVersion) {
         self.versions = VersionLimit::Only(version);
@@ -235,7 +250,7 @@
                     log.log_forbidden_grant(&record);
                     lease.settle(Cost(0), GrantOutcome::NotHeld);
                 }
-                Some(record) if !self.versions.allows(&record.version) => {
+                Some(record) if !self.learn_version(&lease).allows(&record.version) => {
                     log.log_other_version_grant(&record);
                     lease.settle(Cost(0), GrantOutcome::NotHeld);
                 }
@@ -249,6 +264,15 @@
         Err(self.final_refusal(RefusalKind::NoEndpoint))
     }
 
+    /// Returns the versions at which the request may run. That of a stream that the caller takes up comes with the first
+    /// grant.
+    fn learn_version(&mut self, lease: &GrantLease) -> &VersionLimit {
+        if let (VersionLimit::OfStream(_), Some(version)) = (&self.versions, lease.bound_version()) {
+            self.versions = VersionLimit::Only(version.clone());
+        }
+        &self.versions
+    }
+
     async fn wait_for_grant(&self, gateway: &Gateway) -> Result<GrantLease, Refusal> {
         let time_left = self.time_left()?;
         let shard = gateway.shard(&self.target.service);
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -12,7 +12,7 @@
 use crate::stopping::StopNotice;
 use async_trait::async_trait;
 pub(crate) use attempt::{Attempts, UsableAnswer};
-use http::header::CONTENT_LENGTH;
+use http::header::{HeaderName, CONTENT_LENGTH};
 use http::{request, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -27,7 +27,9 @@
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{HallRegions, Incarnation, InstanceName, Refusal, RefusalKind, ServiceName};
+use micaspool_types::{
+    HallRegions, Incarnation, InstanceName, Refusal, RefusalKind, ServiceName, StreamKey, VersionLimit,
+};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -39,6 +41,9 @@
 /// How long reading a request body may take if the caller sent no timeout.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The id of the last event that the caller of a stream has received.
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
 /// The dependencies of a [`Gateway`].
 #[derive(Debug, Clone)]
 pub struct GatewayParts {
@@ -180,7 +185,32 @@
         }
         let read = timeout(body_timeout, read_body(&self.shared.parts.bodies, body, limit)).await;
         let body = read.unwrap_or_else(|_| Err(Refusal::not_run(RefusalKind::SlowRequest)))?;
-        Ok(Attempts::new(AcceptedCall { head, caller, arrived_at, body }, target))
+        let versions = self.versions_of(&head, &caller, &target)?;
+        Ok(Attempts::new(AcceptedCall { head, caller, arrived_at, body }, target, versions))
+    }
+
+    /// Returns the software versions at which a request may run. One that takes a stream up is bound to the version that
+    /// began it. If the caller does not name the attempt that did, it goes on only while the service has one version.
+    fn versions_of(
+        &self,
+        head: &request::Parts,
+        caller: &CallerHead,
+        target: &CallTarget,
+    ) -> Result<VersionLimit, Refusal> {
+        if !target.run.is_stream() || !head.headers.contains_key(&LAST_EVENT) {
+            return Ok(VersionLimit::Any);
+        }
+        if let Some(attempt) = &caller.resumes {
+            return Ok(VersionLimit::OfStream(StreamKey::of(&target.queue_customer(), attempt)));
+        }
+        let mut versions =
+            self.shared.parts.mirror.endpoints_of(&target.service).into_iter().map(|record| record.version);
+        let Some(first) = versions.next() else { return Ok(VersionLimit::Any) };
+        if versions.all(|version| version == first) {
+            Ok(VersionLimit::Only(first))
+        } else {
+            Err(Refusal::not_run(RefusalKind::StreamUnknown))
+        }
     }
 }
 
--- a/crates/micaspool-gateway/src/proxy/target.rs
+++ b/crates/micaspool-gateway/src/proxy/target.rs
@@ -67,7 +67,9 @@
         if halls.is_nowhere() {
             return Err(Refusal::not_run(RefusalKind::NoEndpoint).after(RETRY_AFTER));
         }
-        let service = route.choose_service(&caller.id).ok_or_else(unknown)?.clone();
+        // A stream goes on at the service that began it.
+        let beginning = caller.resumes.as_ref().unwrap_or(&caller.id);
+        let service = route.choose_service(beginning).ok_or_else(unknown)?.clone();
         Ok(CallTarget {
             plan_number: plan.number,
             route: route.name.clone(),
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use micaspool_http::pool::PooledBody;
 use micaspool_router::GrantLease;
 use micaspool_routes::EngineProfile;
-use micaspool_types::{Cost, SoftwareVersion};
+use micaspool_types::{Cost, SoftwareVersion, StreamOrigin};
 use std::fmt;
 use std::time::Duration;
 
@@ -117,6 +117,8 @@
     meter: EventMeter,
     /// True if the answer is an event stream.
     is_stream: bool,
+    /// True once the first event has been passed on.
+    is_begun: bool,
     /// Holds back incomplete events of a stream that may be resumed.
     splitter: Option<EventSplitter>,
     log: RequestLog,
@@ -137,6 +139,7 @@
         AnswerRelay {
             gateway,
             is_stream,
+            is_begun: false,
             splitter: (is_stream && attempts.is_resumable()).then(EventSplitter::default),
             attempts,
             source,
@@ -197,8 +200,12 @@
     fn process_chunk(&mut self, chunk: Bytes) -> Option<Bytes> {
         self.meter.observe(&chunk);
         let delivered = self.meter.cost();
+        let began = self.begun_stream();
         if let Some(lease) = &mut self.source.lease {
-            lease.progress(delivered);
+            match began {
+                Some(origin) => lease.begin_stream(delivered, origin),
+                None => lease.progress(delivered),
+            }
         }
         let bytes = match &mut self.splitter {
             Some(splitter) => splitter.push(&chunk).complete,
@@ -211,6 +218,15 @@
         Some(bytes)
     }
 
+    /// Returns which version began the stream, once: with its first event, before the caller gets it.
+    fn begun_stream(&mut self) -> Option<StreamOrigin> {
+        if self.is_begun || self.splitter.is_none() || self.meter.scanner.ended_events() == 0 {
+            return None;
+        }
+        self.is_begun = true;
+        self.attempts.stream_origin(&self.source.version)
+    }
+
     fn finish(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.is_ended = true;
         self.log_body_end();
--- a/crates/micaspool-replay/src/run/routers.rs
+++ b/crates/micaspool-replay/src/run/routers.rs
@@ -62,6 +62,7 @@
             running: held.running.values().cloned().collect(),
             levels: held.totals.values().cloned().collect(),
             crashes: Vec::new(),
+            streams: Vec::new(),
             advice: Vec::new(),
             heartbeat: 1,
         };
--- a/crates/micaspool-replay/src/run/wire.rs
+++ b/crates/micaspool-replay/src/run/wire.rs
@@ -20,9 +20,11 @@
     pub fn count_event(&mut self, event: &ShardEvent) {
         let body = match event {
             ShardEvent::Submit(_, ticket) => Body::Submit(submit_message(ticket)),
-            ShardEvent::Progress(_, request, delivered) => {
-                Body::Progress(v1::Progress { request: request_bytes(*request), delivered: delivered.0 })
-            }
+            ShardEvent::Progress(_, request, delivered) => Body::Progress(v1::Progress {
+                request: request_bytes(*request),
+                delivered: delivered.0,
+                began: None,
+            }),
             ShardEvent::Settle(_, request, cost, outcome) => {
                 Body::Settle(settle_message(*request, *cost, *outcome))
             }
--- a/crates/micaspool-router/src/shard_client/lease.rs
+++ b/crates/micaspool-router/src/shard_client/lease.rs
@@ -3,7 +3,7 @@
 use super::ShardClient;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::GrantOutcome;
-use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId};
+use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId, SoftwareVersion, StreamOrigin};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 pub(super) struct LeaseTerms {
     pub endpoint: EndpointName,
     pub cache_source: Option<EndpointName>,
+    pub bound_version: Option<SoftwareVersion>,
     pub order: OrderNumber,
     pub expires: Option<BootInstant>,
 }
@@ -59,6 +60,11 @@
         self.terms.cache_source.as_ref()
     }
 
+    /// Returns the software version to which the dispatcher has bound the request, if it has.
+    pub fn bound_version(&self) -> Option<&SoftwareVersion> {
+        self.terms.bound_version.as_ref()
+    }
+
     /// Returns the order number of the request.
     pub fn order(&self) -> OrderNumber {
         self.terms.order
@@ -79,16 +85,26 @@
 
     /// Records the cost delivered so far and reports it to the dispatcher, at the first delivery and then at intervals.
     pub fn progress(&mut self, delivered: Cost) {
+        self.report_progress(delivered, None);
+    }
+
+    /// The same with the first event of a stream that its caller may take up elsewhere.
+    pub fn begin_stream(&mut self, delivered: Cost, origin: StreamOrigin) {
+        self.report_progress(delivered, Some(origin));
+    }
+
+    fn report_progress(&mut self, delivered: Cost, began: Option<StreamOrigin>) {
         self.delivered = delivered;
         let unreported = delivered.0.saturating_sub(self.reported.0);
         let is_first = self.reported == Cost(0) && unreported > 0;
         let is_due = is_first
+            || began.is_some()
             || unreported >= PROGRESS_STEP
             || (unreported > 0 && self.reported_at.elapsed() >= PROGRESS_INTERVAL);
         if is_due {
             self.reported = delivered;
             self.reported_at = BootInstant::now();
-            self.client.lock_state().progress(self.request, delivered);
+            self.client.lock_state().progress(self.request, delivered, began);
         }
     }
 
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -7,16 +7,19 @@
 use async_std::channel::Sender;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{
-    GrantOutcome, HeldGrant, HeldLevel, QueueFill, RefusalReason, RequestThrottle, RequestTicket, RouterHello,
+    GrantOutcome, HeldGrant, HeldLevel, QueueFill, RefusalReason, RequestThrottle, RequestTicket,
+    RouterHello, StreamOrigins,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashTable, QuarantineOptions};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{
     AdviceRecord, Cost, CustomerName, EndpointName, Moment, OrderNumber, Refusal, RefusalKind, RequestId,
+    SoftwareVersion, StreamOrigin,
 };
 use micaspool_wire::convert::{
-    advice_message, crash_record, refusal_reason, request_bytes, request_id, settle_message, submit_message,
+    advice_message, crash_record, origin_message, refusal_reason, request_bytes, request_id, settle_message,
+    submit_message,
 };
 use micaspool_wire::v1::{self, router_message::Body};
 use std::collections::{HashMap, VecDeque};
@@ -75,6 +78,8 @@
     start: BootInstant,
     /// The requests during which endpoints crashed: those seen by this router, and those reported by dispatchers.
     crashes: CrashTable,
+    /// The streams that this router has begun to pass on.
+    streams: StreamOrigins,
     /// The time of the first ticket sent since the last message from the dispatcher.
     unanswered_since: Option<BootInstant>,
 }
@@ -93,6 +98,7 @@
             throttle: RequestThrottle::default(),
             start: now,
             crashes: CrashTable::new(crash_options()),
+            streams: StreamOrigins::default(),
             unanswered_since: None,
         }
     }
@@ -150,7 +156,9 @@
         });
         let now = self.current_moment();
         self.crashes.expire(now);
+        self.streams.expire(now);
         RouterHello {
+            streams: self.streams.list(now),
             crashes: self.crashes.records(now),
             router: options.router.clone(),
             incarnation: options.incarnation,
@@ -221,13 +229,20 @@
         }
     }
 
-    /// Reports the cost that a running request has delivered so far.
-    pub fn progress(&mut self, request: RequestId, delivered: Cost) {
+    /// Reports the cost that a running request has delivered so far, and with the first event of its stream which
+    /// version began it.
+    pub fn progress(&mut self, request: RequestId, delivered: Cost, began: Option<StreamOrigin>) {
+        if let Some(origin) = &began {
+            let now = self.current_moment();
+            self.streams.expire(now);
+            self.streams.record(now, origin);
+        }
         if let Some(grant) = self.running.get_mut(&request) {
             grant.delivered = delivered;
             self.send(Body::Progress(v1::Progress {
                 request: request_bytes(request),
                 delivered: delivered.0,
+                began: began.as_ref().map(origin_message),
             }));
         }
     }
@@ -330,6 +345,7 @@
             // A name that can't be parsed only costs a prefill.
             cache_source: EndpointName::parse(&grant.cache_source).ok(),
             order,
+            bound_version: grant.bound_version.as_deref().map(SoftwareVersion::new),
             expires: self.heartbeat_sent_at(grant.heartbeat).map(|at| at + lease),
         };
         if entry.waiter.try_send(Ok(terms)).is_err() {
@@ -365,6 +381,7 @@
             RefusalReason::HallsEvacuated => RefusalKind::HallsEvacuated,
             RefusalReason::NoEndpoint => RefusalKind::NoEndpoint,
             RefusalReason::VersionGone => RefusalKind::VersionGone,
+            RefusalReason::StreamUnknown => RefusalKind::StreamUnknown,
         };
         let wait = Duration::from_millis(refused.retry_after_millis);
         let now = self.current_moment();
@@ -372,7 +389,12 @@
             self.throttle.note_refused(now, &entry.ticket.customer, wait);
         }
         self.note_queue_fill(entry.submitted_at, &entry.ticket.customer, refused.queue_fill_percent);
-        let _ = entry.waiter.try_send(Err(Refusal::not_run(kind).after(wait)));
+        let refusal = match kind {
+            // Coming back does not help.
+            RefusalKind::VersionGone | RefusalKind::StreamUnknown => Refusal::not_run(kind),
+            _ => Refusal::not_run(kind).after(wait),
+        };
+        let _ = entry.waiter.try_send(Err(refusal));
     }
 
     fn send(&mut self, body: Body) {
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -264,6 +264,7 @@
             session: SessionId(1),
             request: RequestId(1),
             endpoint: name("endpoint-1"),
+            version: None,
             cache_source: source,
             estimate: Cost(1),
             level: ServiceLevel(0),
--- a/crates/micaspool-types/src/lib.rs
+++ b/crates/micaspool-types/src/lib.rs
@@ -11,6 +11,7 @@
 mod names;
 mod placement;
 mod refusal;
+mod stream;
 mod units;
 mod version;
 
@@ -21,5 +22,6 @@
 pub use names::{CustomerName, EndpointName, HallName, InstanceName, NameError, RegionName, ServiceName};
 pub use placement::{HallLimit, HallMask, HallRegions, PlacementLimit, RegionLimit, MAX_HALLS};
 pub use refusal::{Refusal, RefusalKind, RunState};
+pub use stream::{StreamKey, StreamOrigin};
 pub use units::{Cost, Moment, Weight};
 pub use version::{SoftwareVersion, VersionLimit};
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -63,6 +63,8 @@
     HallsEvacuated,
     /// The request goes on with a stream, and no endpoint runs the software version that began it.
     VersionGone,
+    /// The request goes on with a stream, and it is not known which software version began it.
+    StreamUnknown,
     /// The deadline passed while the request waited.
     DeadlinePassed,
     /// The attempts of the request or the retry budget are used up.
@@ -107,7 +109,8 @@
             HeadTooLarge => 431,
             EndpointFailed => 502,
             NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
-            Quarantined | CopyRunning | EndpointsRest | HallsEvacuated | VersionGone => 503,
+            Quarantined | CopyRunning | EndpointsRest | HallsEvacuated => 503,
+            VersionGone | StreamUnknown => 503,
             RetriesExhausted | Draining | TooManyConnections => 503,
             DeadlinePassed => 504,
         }
@@ -144,6 +147,7 @@
             EndpointsRest => "endpoints-rest",
             HallsEvacuated => "halls-evacuated",
             VersionGone => "version-gone",
+            StreamUnknown => "stream-unknown",
             DeadlinePassed => "deadline-passed",
             RetriesExhausted => "retries-exhausted",
             NoDispatcher => "no-dispatcher",
@@ -186,7 +190,7 @@
             HallsEvacuated => {
                 "come back after the given time; the operator should take the data hall back ('halls return')"
             }
-            VersionGone => "send the request anew, from the beginning of its stream",
+            VersionGone | StreamUnknown => "send the request anew, from the beginning of its stream",
             DeadlinePassed => "come back after the given time, or allow a longer deadline",
             RetriesExhausted => "come back after the given time",
             NoDispatcher => "come back after the given time; the operator should check the dispatchers",
--- a/crates/micaspool-types/src/version.rs
+++ b/crates/micaspool-types/src/version.rs
@@ -1,5 +1,6 @@
 //! Versions of the software of endpoints.
 
+use crate::stream::StreamKey;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
@@ -50,14 +51,25 @@
     Any,
     /// The request goes on with a stream that this version began.
     Only(SoftwareVersion),
+    /// The request goes on with this stream, at the version that began it; whoever knows it replaces this by `Only`.
+    OfStream(StreamKey),
 }
 
 impl VersionLimit {
+    /// Returns the version to which the request is bound, if it is known.
+    pub fn bound(&self) -> Option<&SoftwareVersion> {
+        match self {
+            VersionLimit::Only(version) => Some(version),
+            VersionLimit::Any | VersionLimit::OfStream(_) => None,
+        }
+    }
+
     /// Returns true if the request may run at this version.
     pub fn allows(&self, version: &SoftwareVersion) -> bool {
         match self {
             VersionLimit::Any => true,
             VersionLimit::Only(only) => only == version,
+            VersionLimit::OfStream(_) => false,
         }
     }
 }
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -4,11 +4,13 @@
 mod endpoints;
 mod halls;
 mod quarantine;
+mod streams;
 
 pub use advice::advice_message;
 pub use endpoints::{endpoint_message, endpoint_record};
 pub use halls::{hall_messages, hall_order, order_command, order_reply, order_verdict};
 pub use quarantine::{crash_record, lift_message, lifted_digest};
+pub use streams::origin_message;
 
 use crate::v1;
 use advice::advice_record;
@@ -19,11 +21,12 @@
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallLimit, HallName, Incarnation, InstanceName, NameError, OrderNumber,
-    RegionName, RequestDigest, RequestId, ServiceName, SoftwareVersion, VersionLimit,
+    RegionName, RequestDigest, RequestId, ServiceName,
 };
 use quarantine::crash_message;
 use std::fmt;
 use std::time::Duration;
+use streams::{allowed_version_message, stream_origin, version_limit};
 
 /// Why a message cannot be decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,6 +37,8 @@
     RequestId,
     /// A request digest is not 16 bytes long.
     RequestDigest,
+    /// A stream is not identified by 16 bytes.
+    Stream,
     /// A name is malformed.
     Name(NameError),
     /// An address is not an IP address with a port.
@@ -50,6 +55,9 @@
             Error::RequestDigest => {
                 f.write_str("a request digest must have 16 bytes; run the same version everywhere")
             }
+            Error::Stream => {
+                f.write_str("a stream is identified by 16 bytes; run the same version everywhere")
+            }
             Error::Address => f.write_str(
                 "an endpoint's address is no IP address with a port; run the same version everywhere",
             ),
@@ -116,17 +124,6 @@
     }
 }
 
-fn allowed_version_message(limit: &VersionLimit) -> Option<v1::AllowedVersion> {
-    match limit {
-        VersionLimit::Any => None,
-        VersionLimit::Only(version) => Some(v1::AllowedVersion { version: version.to_string() }),
-    }
-}
-
-fn version_limit(message: Option<v1::AllowedVersion>) -> VersionLimit {
-    message.map_or(VersionLimit::Any, |allowed| VersionLimit::Only(SoftwareVersion::new(&allowed.version)))
-}
-
 fn allowed_halls_message(limit: &HallLimit) -> Option<v1::AllowedHalls> {
     match limit {
         HallLimit::Anywhere => None,
@@ -163,7 +160,7 @@
         patience: (message.patience_millis > 0).then(|| Duration::from_millis(message.patience_millis)),
         order: (message.order > 0).then_some(OrderNumber(message.order)),
         halls: hall_limit(message.allowed_halls)?,
-        versions: version_limit(message.allowed_version),
+        versions: version_limit(message.allowed_version)?,
         generation: GenerationOutline {
             max_output_tokens: message.max_output_tokens,
             output_hint: message.output_hint,
@@ -185,6 +182,7 @@
         heartbeat: hello.heartbeat,
         crashes: hello.crashes.iter().map(crash_message).collect(),
         advice: hello.advice.iter().map(advice_message).collect(),
+        streams: hello.streams.iter().map(origin_message).collect(),
     }
 }
 
@@ -215,6 +213,7 @@
         heartbeat: message.heartbeat,
         crashes: message.crashes.into_iter().map(crash_record).collect::<Result<_, _>>()?,
         advice: message.advice.iter().map(advice_record).collect::<Result<_, _>>()?,
+        streams: message.streams.iter().map(stream_origin).collect::<Result<_, _>>()?,
     })
 }
 
@@ -246,7 +245,11 @@
         Body::Submit(body) => ShardEvent::Submit(session, ticket(body)?),
         Body::Cancel(body) => ShardEvent::Cancel(session, request_id(&body.request)?),
         Body::Progress(body) => {
-            ShardEvent::Progress(session, request_id(&body.request)?, Cost(body.delivered))
+            let (request, delivered) = (request_id(&body.request)?, Cost(body.delivered));
+            match body.began {
+                None => ShardEvent::Progress(session, request, delivered),
+                Some(began) => ShardEvent::Began(session, request, delivered, stream_origin(&began)?),
+            }
         }
         Body::Settle(body) => {
             ShardEvent::Settle(session, request_id(&body.request)?, Cost(body.cost), grant_outcome(&body))
@@ -334,6 +337,7 @@
 const HALLS_EVACUATED: &str = "halls-evacuated";
 const NO_ENDPOINT: &str = "no-endpoint";
 const VERSION_GONE: &str = "version-gone";
+const STREAM_UNKNOWN: &str = "stream-unknown";
 
 /// Encodes why a ticket was refused.
 pub fn reason_text(reason: RefusalReason) -> &'static str {
@@ -348,6 +352,7 @@
         RefusalReason::HallsEvacuated => HALLS_EVACUATED,
         RefusalReason::NoEndpoint => NO_ENDPOINT,
         RefusalReason::VersionGone => VERSION_GONE,
+        RefusalReason::StreamUnknown => STREAM_UNKNOWN,
     }
 }
 
@@ -363,6 +368,7 @@
         HALLS_EVACUATED => RefusalReason::HallsEvacuated,
         NO_ENDPOINT => RefusalReason::NoEndpoint,
         VERSION_GONE => RefusalReason::VersionGone,
+        STREAM_UNKNOWN => RefusalReason::StreamUnknown,
         _ => RefusalReason::ShardFull,
     }
 }
@@ -387,6 +393,7 @@
             session,
             request,
             endpoint,
+            version,
             cache_source,
             estimate,
             level,
@@ -408,6 +415,7 @@
                 revision: revision.0,
                 queue_fill_percent: queue_fill.map(|fill| fill.0),
                 cache_source: cache_source.map(|name| name.to_string()).unwrap_or_default(),
+                bound_version: version.map(|version| version.to_string()),
             };
             (session, Body::Grant(grant))
         }
--- a/crates/micaspool/benches/decisions.rs
+++ b/crates/micaspool/benches/decisions.rs
@@ -86,6 +86,7 @@
             running: Vec::new(),
             levels: Vec::new(),
             crashes: Vec::new(),
+            streams: Vec::new(),
             advice: Vec::new(),
             heartbeat: 1,
         };
--- a/crates/micaspool/benches/engines.rs
+++ b/crates/micaspool/benches/engines.rs
@@ -146,6 +146,7 @@
             running: Vec::new(),
             levels: Vec::new(),
             crashes: Vec::new(),
+            streams: Vec::new(),
             advice: Vec::new(),
             heartbeat: 1,
         };
