fix(dispatch): let streams that go on precede requests that could run anywhere

A ticket that is bound to a version may use few endpoints, above all while a roll-out drains them. It was refused on arrival for its customer's whole queue, and waited behind tickets that could run at any version; its caller has a part of the answer already. It now comes first within its kind, and the queue that it precedes is no reason to refuse it.

--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -10,7 +10,7 @@
 use crate::queue_fill::QueueFill;
 use crate::shard::engine::{PromptShape, RATE_PERCENT};
 use micaspool_fair::CustomerIndex;
-use micaspool_types::{Moment, RequestId};
+use micaspool_types::{Moment, RequestId, VersionLimit};
 use std::time::Duration;
 
 /// The minimum time that a ticket may wait, however long its prefill takes. Without it the longest
@@ -108,14 +108,18 @@
         }
     }
 
-    /// True if the expected wait behind the customer's queue exceeds the ticket's limit.
+    /// True if the expected wait behind the customer's queue exceeds the ticket's limit. A ticket that goes on with a stream
+    /// precedes that queue.
     pub(super) fn exceeds_wait_bound(
         &self,
         customer: CustomerIndex,
         ticket: &RequestTicket,
         wait: WaitEstimate,
     ) -> bool {
-        if ticket.order.is_some() || self.customers.get(customer).queue.len() < ALWAYS_ADMITTED_TICKETS {
+        if ticket.order.is_some() || ticket.versions != VersionLimit::Any {
+            return false;
+        }
+        if self.customers.get(customer).queue.len() < ALWAYS_ADMITTED_TICKETS {
             return false;
         }
         wait.queue_bound.is_some_and(|queue_bound| wait.expected > queue_bound)
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -20,6 +20,10 @@
 /// How long a ticket avoids the endpoint that failed it.
 const AVOIDANCE_PERIOD: Duration = Duration::from_secs(5);
 
+/// The priority, within its kind, of a ticket that goes on with a stream. Others can run at any version, and its caller
+/// has a part of the answer already.
+const BOUND_PRIORITY: u8 = 0;
+
 /// Remaining objective of a ticket whose objective has already passed.
 const MIN_OBJECTIVE: Duration = Duration::from_millis(1);
 
@@ -193,7 +197,9 @@
     ) {
         let order = ticket.order.unwrap_or(self.next_order);
         self.note_order(order);
-        let place = QueuePlace { priority: ticket.priority, order, request: ticket.request, kind: wait.kind };
+        let is_bound = ticket.versions != VersionLimit::Any;
+        let priority = if is_bound { BOUND_PRIORITY } else { ticket.priority };
+        let place = QueuePlace { priority, order, request: ticket.request, kind: wait.kind };
         let prompt = PromptShape::of(&ticket);
         let avoid = ticket.avoid.and_then(|name| self.endpoints.by_name(&name));
         let waiting = WaitingTicket {
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -28,6 +28,7 @@
 mod recovery;
 mod regions;
 mod reports;
+mod roll_outs;
 mod scaling;
 mod scarcity;
 mod service_lead;
--- a/crates/micaspool-dispatch/tests/shard/versions.rs
+++ b/crates/micaspool-dispatch/tests/shard/versions.rs
@@ -162,3 +162,40 @@
     assert_eq!(harness.refusals(), [(2, RefusalReason::StreamUnknown)]);
     assert_eq!(harness.take_grants()[0].endpoint, endpoint(1));
 }
+
+/// Guards against a stream that ends while its version has room, since tickets that could run anywhere went first.
+#[test]
+fn a_bound_ticket_precedes_its_customers_other_tickets() {
+    let mut harness = two_versions(2, 1);
+    for number in 1..=2 {
+        harness.submit(1, ticket(number, "a", 10));
+    }
+    let granted = harness.take_grants();
+    harness.submit(1, ticket(3, "a", 10));
+    harness.submit(1, bound_ticket(4, "v1"));
+    let at_bound = granted.iter().find(|grant| grant.endpoint == endpoint(1)).expect("both are busy");
+    harness.settle(1, at_bound.request.0, 1, GrantOutcome::Done);
+    assert_eq!(harness.take_granted_requests(), [4]);
+}
+
+/// Guards against a stream that is refused for a queue which it precedes.
+#[test]
+fn a_bound_ticket_is_not_refused_for_the_queue_of_others() {
+    let objective = Some(Duration::from_millis(300));
+    let mut harness = two_versions(2, 1);
+    for round in 0..10 {
+        for number in [2 * round + 1, 2 * round + 2] {
+            harness.submit(1, RequestTicket { objective, ..ticket(number, "a", 10) });
+        }
+        harness.advance_with_heartbeats(200, &[1]);
+        let running = harness.take_granted_requests();
+        running.iter().for_each(|request| harness.settle(1, *request, 1, GrantOutcome::Done));
+    }
+    for number in 50..60 {
+        harness.submit(1, RequestTicket { objective, ..ticket(number, "a", 10) });
+    }
+    assert!(harness.refusals().iter().any(|(request, _)| *request >= 50), "the queue is full");
+    harness.actions.clear();
+    harness.submit(1, RequestTicket { objective, ..bound_ticket(70, "v1") });
+    assert!(harness.refusals().is_empty(), "{:?}", harness.refusals());
+}
