fix(dispatch, gateway): let engines copy cached parts from their own software version only

What two software versions write does not fit together, and endpoints don't check it: the memory of a prompt that one version has read is no more fit for another than its events are. The shard named any engine of the service as the source. Sources are compared within a version now, and the gateway checks the source's record. Nothing changes where one version runs.

--- a/crates/micaspool-dispatch/src/shard/cache_sources.rs
+++ b/crates/micaspool-dispatch/src/shard/cache_sources.rs
@@ -1,5 +1,7 @@
 //! Chooses the engine from which another one copies cached parts of a prompt.
 //!
+//! An engine copies from engines of its own software version only.
+//!
 //! The sources of a prompt are searched once per decision and then compared for each engine that may get
 //! the prompt. Copying pays off only for parts that take clearly longer to prefill than to copy, and not
 //! if earlier copies from the source delay it for as long as prefill takes.
@@ -94,9 +96,11 @@
 }
 
 impl CacheSources {
-    /// Adds a source unless there is one as good in its hall.
-    fn add(&mut self, option: SourceOption) {
-        let is_rival = |other: &&mut SourceOption| other.level == option.level && other.hall == option.hall;
+    /// Adds a source unless there is one as good in its hall among those that `fit`: engines of its version.
+    fn add(&mut self, option: SourceOption, fit: impl Fn(EndpointIndex) -> bool) {
+        let is_rival = |other: &&mut SourceOption| {
+            other.level == option.level && other.hall == option.hall && fit(other.engine)
+        };
         match self.options.iter_mut().find(is_rival) {
             Some(rival) if (option.sent_by, rival.tokens) < (rival.sent_by, option.tokens) => *rival = option,
             Some(_) => {}
@@ -151,7 +155,14 @@
             let has_all = tokens > 0 && tokens >= part.depth;
             has_all.then_some(SourceOption { level: part.level, engine: *index, hall, tokens, sent_by })
         });
-        options.take(MAX_COMPARED).for_each(|option| sources.add(option));
+        for option in options.take(MAX_COMPARED) {
+            sources.add(option, |other| self.is_same_version(option.engine, other));
+        }
+    }
+
+    /// True if both engines run the same software version: what another version has written does not fit.
+    fn is_same_version(&self, one: EndpointIndex, other: EndpointIndex) -> bool {
+        self.version(one) == self.version(other)
     }
 
     /// The engine if it may be a source now. It may be full or busy with prefill.
@@ -208,7 +219,7 @@
         queue_time: Duration,
     ) -> Option<PlannedCopy> {
         let tokens = source.tokens.saturating_sub(cached);
-        if tokens == 0 || source.engine == index {
+        if tokens == 0 || source.engine == index || !self.is_same_version(source.engine, index) {
             return None;
         }
         let engine = self.state(index).engine.as_ref()?;
--- a/crates/micaspool-dispatch/tests/shard/cache_sources.rs
+++ b/crates/micaspool-dispatch/tests/shard/cache_sources.rs
@@ -5,7 +5,7 @@
     CacheCopyStatus, CacheUpdate, CachedPart, EngineTraits, GrantOutcome, LoadReport, RequestTicket,
     SessionId, ShardAction, ShardEvent,
 };
-use micaspool_types::{Cost, EndpointName, RequestId};
+use micaspool_types::{Cost, EndpointName, RequestId, SoftwareVersion};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use test_case::test_case;
@@ -148,6 +148,28 @@
     assert_eq!((grants, tokens), (1, 5_500), "the status counts the grant and its copied tokens");
 }
 
+/// Guards against an engine that reads what another software version has written.
+#[test]
+fn an_engine_of_another_version_is_no_source() {
+    let mut harness = engines(4, TRAITS);
+    harness.update_policy(|policy| {
+        for (spec, version) in policy.endpoints.iter_mut().zip(["v1", "v2", "v2", "v2"]) {
+            spec.version = SoftwareVersion::new(version);
+        }
+    });
+    warm_up(&mut harness, 4);
+    report_part(&mut harness, LARGE_PART, &[0]);
+    occupy(&mut harness, &[0]);
+    let first = submit_and_take(&mut harness, prompt(1, LARGE_PART, 500));
+    assert_eq!(first.source, None, "the only engine that has the part runs another version");
+    finish(&mut harness, 1);
+    let holder = number_of(&first.engine);
+    occupy(&mut harness, &[holder]);
+    let second = submit_and_take(&mut harness, prompt(2, LARGE_PART, 500));
+    assert_ne!(second.engine, first.engine);
+    assert_eq!(second.source, Some(first.engine));
+}
+
 /// Guards against copies where an engine that has the part is free.
 #[test]
 fn an_idle_engine_that_has_the_part_gets_the_prompt_without_a_copy() {
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -368,7 +368,7 @@
             customer: self.target.customer.as_ref(),
             time_left,
             last_event,
-            cache_source: lease.cache_source().and_then(|name| self.source_address(gateway, name)),
+            cache_source: lease.cache_source().and_then(|name| self.source_address(gateway, endpoint, name)),
         };
         let request = self.build_request(gateway, &context);
         lease.mark_sent();
@@ -398,12 +398,18 @@
     }
 
     /// Returns the address of the engine from which the endpoint may copy cached parts; `None` unless it is known, in
-    /// service and in a hall where the request may run.
-    fn source_address(&self, gateway: &Gateway, name: &EndpointName) -> Option<SocketAddr> {
+    /// service, of the endpoint's software version and in a hall where the request may run.
+    fn source_address(
+        &self,
+        gateway: &Gateway,
+        endpoint: &EndpointRecord,
+        name: &EndpointName,
+    ) -> Option<SocketAddr> {
         let mirror = &gateway.shared.parts.mirror;
         let source = mirror.endpoint(name)?;
         let is_usable = source.stage == EndpointStage::Serving
             && source.service == self.target.service
+            && source.version == endpoint.version
             && self.target.halls.allows(&source.hall)
             && !mirror.is_evacuated(&source.hall);
         is_usable.then_some(source.address)
