fix(gateway): end a stream whose route was moved to another service instead of resuming it there

A stream that broke after a plan had moved its route went on at the new service, whose versions are others even where their names are alike. It ends now, as does a request that takes a stream up and is overtaken by such a plan.

The row a_stream_whose_route_was_moved_does_not_go_on_at_the_new_service failed before (200, six events of two services). The row's requests have bodies of their own: equal ones that break together are held back as one that ends its endpoints.

--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -298,6 +298,10 @@
             &self.call.caller,
         )
         .map_err(|refusal| self.with_run_state(refusal))?;
+        if self.versions != VersionLimit::Any && target.service != self.target.service {
+            // Versions are those of one service.
+            return Err(self.with_run_state(Refusal::not_run(RefusalKind::VersionGone)));
+        }
         let is_changed = !target.has_same_destination(&self.target);
         self.target = target;
         Ok(is_changed)
