fix(dispatch): refuse no version as gone before a new shard has heard of the endpoints

A shard that has just started knows no endpoints, so that a stream that goes on was refused at once as version-gone, though its version serves. Such tickets wait until the recovery window has ended, as those do whose stream is not known yet.

The row a_new_shard_refuses_no_version_before_it_has_heard_of_all_endpoints failed before (both were refused).

--- a/crates/micaspool-dispatch/src/shard/placement.rs
+++ b/crates/micaspool-dispatch/src/shard/placement.rs
@@ -53,7 +53,10 @@
             _ if matches!(versions, VersionLimit::OfStream(_)) => None,
             HallUsability::Usable => None,
             HallUsability::Evacuated => Some(RefusalReason::HallsEvacuated),
-            HallUsability::Vacant if *versions != VersionLimit::Any => Some(RefusalReason::VersionGone),
+            // A shard that has just started has not heard of all endpoints.
+            HallUsability::Vacant if *versions != VersionLimit::Any => {
+                self.recovering_until.is_none().then_some(RefusalReason::VersionGone)
+            }
             HallUsability::Vacant if *limit == HallLimit::Anywhere => None,
             HallUsability::Vacant => Some(RefusalReason::NoEndpoint),
         }
--- a/crates/micaspool-dispatch/tests/shard/versions.rs
+++ b/crates/micaspool-dispatch/tests/shard/versions.rs
@@ -199,3 +199,18 @@
     harness.submit(1, RequestTicket { objective, ..bound_ticket(70, "v1") });
     assert!(harness.refusals().is_empty(), "{:?}", harness.refusals());
 }
+
+/// Guards against a stream that ends because a shard has started before it has heard of the endpoints.
+#[test]
+fn a_new_shard_refuses_no_version_before_it_has_heard_of_all_endpoints() {
+    let mut harness = ShardHarness::recovering(4, 1, &["a"], ShardOptions::default());
+    harness.join(1, RouterHello { streams: vec![origin("one", "v1")], ..hello("r1", 1) });
+    harness.submit(1, bound_ticket(1, "v1"));
+    harness.submit(1, taking_up(2, "one"));
+    harness.submit(1, bound_ticket(3, "v2"));
+    assert!(harness.refusals().is_empty(), "{:?}", harness.refusals());
+    assign_versions(&mut harness);
+    harness.advance(1_000);
+    assert_eq!(harness.refusals(), [(3, RefusalReason::VersionGone)]);
+    assert_eq!(harness.take_granted_requests().len(), 2);
+}
