--- a/crates/micaspool-dispatch/tests/shard/roll_outs.rs
+++ b/crates/micaspool-dispatch/tests/shard/roll_outs.rs
@@ -1,8 +1,7 @@
 //! Roll-outs of software versions beside crashes of endpoints, routers and the shard: no stream holds events of two
 //! versions, and callers that take their streams up are served about as often as others.
 
-use crate::harness::{customer, endpoint, hello, ticket};
-use crate::harness::{request_id, ShardHarness};
+use crate::harness::{customer, endpoint, hello, request_id, ticket, ShardHarness};
 use micaspool_dispatch::{
     EndpointSpec, GrantOutcome, RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent, ShardOptions,
 };
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -40,7 +40,7 @@
 /// A request with less time left before its deadline is refused instead of sent.
 const MIN_SEND_TIME: Duration = Duration::from_millis(5);
 
-/// How long after its deadline a stream is remembered, for callers whose clocks run behind.
+/// How long after the deadline of the attempt that began it a stream is remembered.
 const TAKE_UP_MARGIN: Duration = Duration::from_secs(2);
 
 /// The lower bound of the remaining latency objective. Zero would mean that there is no objective.
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -190,7 +190,7 @@
     }
 
     /// Returns the software versions at which a request may run. One that takes a stream up is bound to the version that
-    /// began it. If the caller does not name the attempt that did, it goes on only while the service has one version.
+    /// began it. If the caller does not name the attempt that did, the request runs only while the service has one version.
     fn versions_of(
         &self,
         head: &request::Parts,
