test(dispatch): engines taken for slow when reports of their first events are late, known red

Seen on the large site: with processor time the shard's machine is late, takes 70 to 88% of the engines for busy and grants 2,500 requests in 2 s, without it 4,000 (docs/incidents/fair-at-scale.md). Routers now send when a run's first event came by their clock and how long after the request was sent; the shard does not use it yet.

--- a/crates/micaspool-dispatch/src/event.rs
+++ b/crates/micaspool-dispatch/src/event.rs
@@ -282,6 +282,24 @@
     pub served: Cost,
 }
 
+/// What a router knows of the first event of a run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RunStart {
+    /// The software version that began the stream, if it may be taken up.
+    pub origin: Option<StreamOrigin>,
+    /// When the first event came; `None` if unknown.
+    pub first_event: Option<FirstEventTime>,
+}
+
+/// When the first event of a run came, as observed by its router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FirstEventTime {
+    /// The moment by the router's own monotonic clock.
+    pub router_clock: Moment,
+    /// The time since the request was sent.
+    pub after: Duration,
+}
+
 /// An event that a shard processes.
 #[derive(Clone, Debug)]
 pub enum ShardEvent {
@@ -299,8 +317,8 @@
     Cancel(SessionId, RequestId),
     /// The total cost that a running request has delivered so far.
     Progress(SessionId, RequestId, Cost),
-    /// The same, with the first event of a stream.
-    Began(SessionId, RequestId, Cost, StreamOrigin),
+    /// The same, with the first event of a run.
+    Began(SessionId, RequestId, Cost, RunStart),
     /// A grant has ended with this cost and outcome.
     Settle(SessionId, RequestId, Cost, GrantOutcome),
     /// A router is alive.
--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -23,9 +23,9 @@
 pub use action::{RefusalReason, ShardAction, StandingCause};
 pub use candidates::{CandidateChoice, CandidateHealth, CandidateKind, ChoiceOptions, ChoiceStep};
 pub use event::{
-    CacheUpdate, CachedPart, ColdStartLimits, CustomerTotal, EndpointSpec, EngineTraits, GenerationOutline,
-    GrantOutcome, HeldGrant, HeldLevel, LoadReport, RegionTotals, RequestTicket, RouterHello, SessionId,
-    ShardCustomer, ShardEvent, ShardPolicy,
+    CacheUpdate, CachedPart, ColdStartLimits, CustomerTotal, EndpointSpec, EngineTraits, FirstEventTime,
+    GenerationOutline, GrantOutcome, HeldGrant, HeldLevel, LoadReport, RegionTotals, RequestTicket,
+    RouterHello, RunStart, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
 };
 pub use micaspool_quarantine::{CrashRecord, EndpointCrash, QuarantineOptions, RequestStanding};
 pub use options::{ShardOptions, ShardOptionsBuilder};
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -188,8 +188,8 @@
             ShardEvent::Progress(session, request, delivered) => {
                 self.progress(now, session, request, delivered, actions)
             }
-            ShardEvent::Began(session, request, delivered, origin) => {
-                self.origins.record(now, &origin);
+            ShardEvent::Began(session, request, delivered, start) => {
+                start.origin.iter().for_each(|origin| self.origins.record(now, origin));
                 self.progress(now, session, request, delivered, actions)
             }
             ShardEvent::Settle(session, request, cost, outcome) => {
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -18,6 +18,7 @@
 mod harness;
 mod herding;
 mod kinds;
+mod late_reports;
 mod limits;
 mod objectives;
 mod outage;
--- a/crates/micaspool-dispatch/tests/shard/roll_outs.rs
+++ b/crates/micaspool-dispatch/tests/shard/roll_outs.rs
@@ -3,7 +3,8 @@
 
 use crate::harness::{customer, endpoint, hello, request_id, ticket, ShardHarness};
 use micaspool_dispatch::{
-    EndpointSpec, GrantOutcome, RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent, ShardOptions,
+    EndpointSpec, GrantOutcome, RequestTicket, RouterHello, RunStart, SessionId, ShardAction, ShardEvent,
+    ShardOptions,
 };
 use micaspool_types::{
     Cost, EndpointName, Moment, RequestId, SoftwareVersion, StreamKey, StreamOrigin, VersionLimit,
@@ -203,7 +204,8 @@
         if begins {
             let until = self.harness.now + PATIENCE;
             self.remembered.entry(attempt.router).or_default().push((origin.clone(), until));
-            self.harness.step(ShardEvent::Began(session, request, Cost(3), origin));
+            let start = RunStart { origin: Some(origin), ..RunStart::default() };
+            self.harness.step(ShardEvent::Began(session, request, Cost(3), start));
         } else {
             self.harness.step(ShardEvent::Progress(session, request, Cost(3)));
         }
--- a/crates/micaspool-dispatch/tests/shard/versions.rs
+++ b/crates/micaspool-dispatch/tests/shard/versions.rs
@@ -2,7 +2,8 @@
 
 use crate::harness::{customer, endpoint, hello, request_id, ticket, ShardHarness};
 use micaspool_dispatch::{
-    GrantOutcome, RefusalReason, RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent, ShardOptions,
+    GrantOutcome, RefusalReason, RequestTicket, RouterHello, RunStart, SessionId, ShardAction, ShardEvent,
+    ShardOptions,
 };
 use micaspool_types::{Cost, SoftwareVersion, StreamKey, StreamOrigin, VersionLimit};
 use std::time::Duration;
@@ -103,7 +104,8 @@
     harness.submit(1, ticket(1, "a", 10));
     let began_at = harness.take_grants().remove(0).endpoint;
     let text = if [endpoint(0), endpoint(2)].contains(&began_at) { "v0" } else { "v1" };
-    harness.step(ShardEvent::Began(SessionId(1), request_id(1), Cost(3), origin("one", text)));
+    let start = RunStart { origin: Some(origin("one", text)), ..RunStart::default() };
+    harness.step(ShardEvent::Began(SessionId(1), request_id(1), Cost(3), start));
     harness.join(2, hello("r2", 1));
     harness.step(ShardEvent::Left(SessionId(1)));
     harness.submit(2, taking_up(2, "one"));
--- a/crates/micaspool-replay/src/run/wire.rs
+++ b/crates/micaspool-replay/src/run/wire.rs
@@ -24,6 +24,7 @@
                 request: request_bytes(*request),
                 delivered: delivered.0,
                 began: None,
+                first_event: None,
             }),
             ShardEvent::Settle(_, request, cost, outcome) => {
                 Body::Settle(settle_message(*request, *cost, *outcome))
--- a/crates/micaspool-router/src/shard_client/lease.rs
+++ b/crates/micaspool-router/src/shard_client/lease.rs
@@ -2,8 +2,8 @@
 
 use super::ShardClient;
 use micaspool_clock::BootInstant;
-use micaspool_dispatch::GrantOutcome;
-use micaspool_types::{Cost, EndpointName, OrderNumber, RequestId, SoftwareVersion, StreamOrigin};
+use micaspool_dispatch::{FirstEventTime, GrantOutcome, RunStart};
+use micaspool_types::{Cost, EndpointName, Moment, OrderNumber, RequestId, SoftwareVersion, StreamOrigin};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,7 +32,8 @@
     delivered: Cost,
     reported: Cost,
     reported_at: BootInstant,
-    is_sent: bool,
+    /// When the request was sent; `None` before.
+    sent_at: Option<BootInstant>,
     is_ended: bool,
 }
 
@@ -45,7 +46,7 @@
             delivered: Cost(0),
             reported: Cost(0),
             reported_at: BootInstant::now(),
-            is_sent: false,
+            sent_at: None,
             is_ended: false,
         }
     }
@@ -80,7 +81,7 @@
 
     /// Records that the request is being sent.
     pub fn mark_sent(&mut self) {
-        self.is_sent = true;
+        self.sent_at = Some(BootInstant::now());
     }
 
     /// Records the cost delivered so far and reports it to the dispatcher, at the first delivery and then at intervals.
@@ -104,7 +105,12 @@
         if is_due {
             self.reported = delivered;
             self.reported_at = BootInstant::now();
-            self.client.lock_state().progress(self.request, delivered, began);
+            let first_event = self.sent_at.filter(|_| is_first).map(|sent_at| FirstEventTime {
+                router_clock: Moment(0) + self.reported_at.since_boot(),
+                after: self.reported_at.saturating_duration_since(sent_at),
+            });
+            let start = RunStart { origin: began, first_event };
+            self.client.lock_state().progress(self.request, delivered, start);
         }
     }
 
@@ -123,7 +129,7 @@
 
 impl Drop for GrantLease {
     fn drop(&mut self) {
-        let outcome = if self.is_sent { GrantOutcome::Abandoned } else { GrantOutcome::Unsent };
+        let outcome = if self.sent_at.is_some() { GrantOutcome::Abandoned } else { GrantOutcome::Unsent };
         self.end_once(self.delivered, outcome);
     }
 }
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -8,7 +8,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{
     GrantOutcome, HeldGrant, HeldLevel, QueueFill, RefusalReason, RequestThrottle, RequestTicket,
-    RouterHello, StreamOrigins,
+    RouterHello, RunStart, StreamOrigins,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashTable, QuarantineOptions};
@@ -18,8 +18,8 @@
     SoftwareVersion, StreamOrigin,
 };
 use micaspool_wire::convert::{
-    advice_message, crash_record, origin_message, refusal_reason, request_bytes, request_id, settle_message,
-    submit_message,
+    advice_message, crash_record, first_event_message, origin_message, refusal_reason, request_bytes,
+    request_id, settle_message, submit_message,
 };
 use micaspool_wire::v1::{self, router_message::Body};
 use std::collections::{HashMap, VecDeque};
@@ -229,10 +229,9 @@
         }
     }
 
-    /// Reports the cost that a running request has delivered so far, and with the first event of its stream which
-    /// version began it.
-    pub fn progress(&mut self, request: RequestId, delivered: Cost, began: Option<StreamOrigin>) {
-        if let Some(origin) = &began {
+    /// Reports the cost that a running request has delivered so far, and what is known of its first event.
+    pub fn progress(&mut self, request: RequestId, delivered: Cost, start: RunStart) {
+        if let Some(origin) = &start.origin {
             let now = self.current_moment();
             self.streams.expire(now);
             self.streams.record(now, origin);
@@ -242,7 +241,8 @@
             self.send(Body::Progress(v1::Progress {
                 request: request_bytes(request),
                 delivered: delivered.0,
-                began: began.as_ref().map(origin_message),
+                began: start.origin.as_ref().map(origin_message),
+                first_event: start.first_event.as_ref().map(first_event_message),
             }));
         }
     }
--- a/crates/micaspool-wire/src/convert.rs
+++ b/crates/micaspool-wire/src/convert.rs
@@ -4,19 +4,21 @@
 mod endpoints;
 mod halls;
 mod quarantine;
+mod runs;
 mod streams;
 
 pub use advice::advice_message;
 pub use endpoints::{endpoint_message, endpoint_record};
 pub use halls::{hall_messages, hall_order, order_command, order_reply, order_verdict};
 pub use quarantine::{crash_record, lift_message, lifted_digest};
+pub use runs::first_event_message;
 pub use streams::origin_message;
 
 use crate::v1;
 use advice::advice_record;
 use micaspool_dispatch::{
     CustomerTotal, GenerationOutline, GrantOutcome, HeldGrant, HeldLevel, RefusalReason, RegionTotals,
-    RequestTicket, RouterHello, SessionId, ShardAction, ShardEvent,
+    RequestTicket, RouterHello, RunStart, SessionId, ShardAction, ShardEvent,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
@@ -24,6 +26,7 @@
     RegionName, RequestDigest, RequestId, ServiceName,
 };
 use quarantine::crash_message;
+use runs::first_event_time;
 use std::fmt;
 use std::time::Duration;
 use streams::{allowed_version_message, stream_origin, version_limit};
@@ -246,10 +249,12 @@
         Body::Cancel(body) => ShardEvent::Cancel(session, request_id(&body.request)?),
         Body::Progress(body) => {
             let (request, delivered) = (request_id(&body.request)?, Cost(body.delivered));
-            match body.began {
-                None => ShardEvent::Progress(session, request, delivered),
-                Some(began) => ShardEvent::Began(session, request, delivered, stream_origin(&began)?),
+            if body.began.is_none() && body.first_event.is_none() {
+                return Ok(ShardEvent::Progress(session, request, delivered));
             }
+            let origin = body.began.as_ref().map(stream_origin).transpose()?;
+            let first_event = body.first_event.as_ref().map(first_event_time);
+            ShardEvent::Began(session, request, delivered, RunStart { origin, first_event })
         }
         Body::Settle(body) => {
             ShardEvent::Settle(session, request_id(&body.request)?, Cost(body.cost), grant_outcome(&body))
--- a/crates/micaspool/benches/parts/sessions.rs
+++ b/crates/micaspool/benches/parts/sessions.rs
@@ -91,8 +91,12 @@
         while let Ok(Some(incoming)) = messages.message().await {
             if let Some(v1::dispatcher_message::Body::Grant(grant)) = incoming.body {
                 for step in 1..=PROGRESS_REPORTS {
-                    let progress =
-                        v1::Progress { request: grant.request.clone(), delivered: step * 128, began: None };
+                    let progress = v1::Progress {
+                        request: grant.request.clone(),
+                        delivered: step * 128,
+                        began: None,
+                        first_event: None,
+                    };
                     let _ = answers.try_send(message(Body::Progress(progress)));
                 }
                 let settle = v1::Settle { request: grant.request, cost: 441, ..Default::default() };
