fix(dispatch): learn engines' rates from when routers saw first events, not from when reports were handled

Callers saw half of what engines deliver on the large site while the machine of the shard was late. Cause: the time from a grant to the handling of the report of its first event was taken for the engine's; each delay in the shard's own queue or at a router made an engine slower, and a prompt whose report was late closed it as overdue. Routers now tell when the first event came by their clock and how long after the send; the shard converts it by the smallest difference of the clocks seen. How long reports are under way lengthens the time until one counts as overdue, up to 2 s.

--- a/crates/micaspool-dispatch/src/shard/endpoints.rs
+++ b/crates/micaspool-dispatch/src/shard/endpoints.rs
@@ -2,7 +2,7 @@
 
 use super::availability::EndpointAvailability;
 use super::copy_link::{CopyLink, PlannedCopy};
-use super::engine::{EngineState, FirstEvent, PartChange, PromptShape};
+use super::engine::{EngineState, FirstEvent, PartChange, PromptShape, RunTiming};
 use super::holders::PartHolders;
 use super::reports::ReportedSurplus;
 use super::scarcity::PrefillScarcity;
@@ -327,9 +327,10 @@
         endpoint: EndpointIndex,
         request: RequestId,
         prompt: &PromptShape,
+        timing: Option<RunTiming>,
     ) {
         if let Some(engine) = &mut self.state_mut(endpoint).engine {
-            match engine.note_first_event(now, request, prompt) {
+            match engine.note_first_event(now, request, prompt, timing) {
                 Some(FirstEvent::Copied(observation)) => {
                     self.note_copy_observed(now, endpoint, prompt, observation)
                 }
--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -58,6 +58,11 @@
 /// isn't used to learn the prefill rate.
 const RECENT_OBSERVATION: Duration = Duration::from_secs(1);
 
+/// The factor by which the delay of grants and reports falls with each shorter one.
+const DELAY_DECAY: f64 = 0.9;
+/// The longest such delay that is expected. A longer one looks like a silent engine.
+const MAX_DELAY: Duration = Duration::from_secs(2);
+
 /// The properties of a ticket's prompt that placement needs.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct PromptShape {
@@ -129,6 +134,15 @@
     fn copied_tokens(&self) -> u64 {
         self.copy.map_or(0, |copy| copy.tokens)
     }
+
+    /// The prompt as of when its router sent it, and the moment of its first event, which is handled now.
+    /// Without timing both are what the shard observed.
+    fn timed(self, now: Moment, timing: Option<RunTiming>) -> (PendingPrompt, Moment) {
+        let Some(timing) = timing else { return (self, now) };
+        let began_at = timing.first_event_at.max(self.granted_at);
+        let sent_at = Moment(began_at.0.saturating_sub(timing.after_send.as_micros() as u64));
+        (PendingPrompt { granted_at: self.granted_at.max(sent_at), ..self }, began_at)
+    }
 }
 
 /// What an engine has to do for a prompt before its first event.
@@ -187,6 +201,16 @@
     Copied(CopyObservation),
 }
 
+/// When a run was sent and began, as its router observed it. What the shard itself observes includes the time
+/// that grants and reports spend in routers and in its own queue.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RunTiming {
+    /// When the first event came, by the shard's clock.
+    pub first_event_at: Moment,
+    /// The time from sending the request to its first event.
+    pub after_send: Duration,
+}
+
 /// The first event of a prompt without a copy, as observed for the prefill rate.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PrefillObservation {
@@ -205,8 +229,10 @@
     /// Granted prompts without a first event, in the order of their grants.
     pending: VecDeque<PendingPrompt>,
     pending_tokens: u64,
-    /// When the most recent first event arrived.
+    /// When the most recent first event came.
     last_first_event: Moment,
+    /// How long grants and reports of recent prompts were under way between the shard and the engine.
+    report_delay: Duration,
     /// The share of the prefill budget that this shard may use, in percent.
     share: u64,
     /// When the engine will have processed all granted prompts at `RATE_PERCENT` of its learnt rate.
@@ -239,6 +265,7 @@
             pending: VecDeque::new(),
             pending_tokens: 0,
             last_first_event: Moment(0),
+            report_delay: Duration::ZERO,
             share,
             paced_until: Moment(0),
             others_until: Moment(0),
@@ -354,7 +381,7 @@
         let Some(oldest) = self.pending.front() else { return Duration::ZERO };
         let usual = self.rate.prefill_time(oldest.tokens) * LATE_FACTOR + self.rate.latency() * 2;
         // If the copy fails, the engine prefills its tokens as well.
-        let usual = usual + self.rate.prefill_time(oldest.copied_tokens());
+        let usual = usual + self.rate.prefill_time(oldest.copied_tokens()) + self.report_delay;
         now.since(self.prefill_start(oldest)).saturating_sub(usual)
     }
 
@@ -563,18 +590,27 @@
         now: Moment,
         request: RequestId,
         shape: &PromptShape,
+        timing: Option<RunTiming>,
     ) -> Option<FirstEvent> {
         shape.prefixes.iter().for_each(|prefix| self.cached.set_present(*prefix, true));
-        let prompt = self.pending.iter().find(|prompt| prompt.request == request).copied()?;
+        let known = self.pending.iter().find(|prompt| prompt.request == request).copied();
+        let Some(prompt) = known else {
+            // It was taken for done, and the engine prefilled it nevertheless until now.
+            let began_at = timing.map_or(Moment(0), |timing| timing.first_event_at);
+            self.last_first_event = self.last_first_event.max(began_at);
+            return None;
+        };
+        let (sent, began_at) = prompt.timed(now, timing);
+        self.note_delay(sent.granted_at.since(prompt.granted_at) + now.since(began_at));
         let first = match prompt.copy {
-            Some(copy) => FirstEvent::Copied(self.observe_copied(now, &prompt, copy)),
-            None => FirstEvent::Prefilled(self.observe_prefilled(now, &prompt)),
+            Some(copy) => FirstEvent::Copied(self.observe_copied(began_at, &sent, copy)),
+            None => FirstEvent::Prefilled(self.observe_prefilled(began_at, &sent)),
         };
-        let prefill_start = self.prefill_start(&prompt);
+        let prefill_start = self.prefill_start(&sent);
         let latency = self.rate.latency();
-        let prefill_time = now.since(prefill_start).saturating_sub(latency);
+        let prefill_time = began_at.since(prefill_start).saturating_sub(latency);
         let pending_before = self.pending_tokens;
-        self.last_first_event = now;
+        self.last_first_event = self.last_first_event.max(began_at);
         self.retain_pending(|other| {
             let may_precede = other.granted_at + latency >= prompt.granted_at || other.copied_at() > now;
             other.request != request && may_precede
@@ -584,6 +620,11 @@
         Some(first)
     }
 
+    /// Records how long a grant and the report of its first event were under way.
+    fn note_delay(&mut self, delay: Duration) {
+        self.report_delay = self.report_delay.mul_f64(DELAY_DECAY).max(delay.min(MAX_DELAY));
+    }
+
     /// Learns from the first event of a prompt without a copy.
     fn observe_prefilled(&mut self, now: Moment, prompt: &PendingPrompt) -> PrefillObservation {
         let idle = self.idle_since(prompt) == prompt.granted_at;
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -3,7 +3,7 @@
 use super::choice::{ChosenEngine, EngineQuery};
 use super::copy_link::PlannedCopy;
 use super::endpoints::EndpointIndex;
-use super::engine::PromptShape;
+use super::engine::{PromptShape, RunTiming};
 use super::kind_queues::TicketKind;
 use super::routers::RouterIndex;
 use super::service_model::StreamedPrompt;
@@ -11,7 +11,7 @@
 use super::tickets::{EngineChoice, WaitingTicket};
 use super::ShardCore;
 use crate::action::ShardAction;
-use crate::event::{CacheUpdate, GrantOutcome, SessionId};
+use crate::event::{CacheUpdate, FirstEventTime, GrantOutcome, SessionId};
 use micaspool_fair::{CustomerIndex, Rank};
 use micaspool_types::{Cost, HallLimit, Moment, OrderNumber, RequestDigest, RequestId, VersionLimit};
 use std::time::Duration;
@@ -259,13 +259,25 @@
         }
     }
 
-    /// Charges the cost that a running request has delivered so far.
+    /// When a run was sent and began, by the shard's clock.
+    pub(super) fn run_timing(
+        &mut self,
+        now: Moment,
+        session: SessionId,
+        first: FirstEventTime,
+    ) -> Option<RunTiming> {
+        let first_event_at = self.routers.convert_clock(now, session, first.router_clock)?;
+        Some(RunTiming { first_event_at, after_send: first.after })
+    }
+
+    /// Charges the cost that a running request has delivered so far. `timing` comes with the first event.
     pub(super) fn progress(
         &mut self,
         now: Moment,
         session: SessionId,
         request: RequestId,
         delivered: Cost,
+        timing: Option<RunTiming>,
         actions: &mut Vec<ShardAction>,
     ) {
         let owner = self.routers.by_session(session);
@@ -282,7 +294,7 @@
         let is_first_event = std::mem::take(&mut grant.awaits_first_event);
         if is_first_event {
             self.customers.get_mut(customer).counters.note_begun(load);
-            self.endpoints.note_first_event(now, endpoint, request, &grant.prompt);
+            self.endpoints.note_first_event(now, endpoint, request, &grant.prompt, timing);
             since.into_iter().for_each(|since| self.endpoints.note_answer(endpoint, now.since(since)));
         }
         self.endpoints.note_progress(now, endpoint, request, delivered);
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -33,6 +33,7 @@
 mod reports;
 mod retries;
 mod retry_after;
+mod router_clock;
 mod routers;
 mod scarcity;
 mod service_model;
@@ -186,11 +187,12 @@
             ShardEvent::Submit(session, ticket) => self.submit(now, session, ticket, actions),
             ShardEvent::Cancel(session, request) => self.cancel(now, session, request),
             ShardEvent::Progress(session, request, delivered) => {
-                self.progress(now, session, request, delivered, actions)
+                self.progress(now, session, request, delivered, None, actions)
             }
             ShardEvent::Began(session, request, delivered, start) => {
                 start.origin.iter().for_each(|origin| self.origins.record(now, origin));
-                self.progress(now, session, request, delivered, actions)
+                let timing = start.first_event.and_then(|first| self.run_timing(now, session, first));
+                self.progress(now, session, request, delivered, timing, actions)
             }
             ShardEvent::Settle(session, request, cost, outcome) => {
                 self.settle(now, session, request, cost, outcome, actions)
--- a/crates/micaspool-dispatch/src/shard/routers.rs
+++ b/crates/micaspool-dispatch/src/shard/routers.rs
@@ -1,6 +1,7 @@
 //! The routers of a shard, their sessions and the requests they hold.
 
 use super::endpoints::EndpointIndex;
+use super::router_clock::RouterClock;
 use crate::event::{RouterHello, SessionId};
 use micaspool_types::{Incarnation, InstanceName, Moment, RequestId};
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -22,6 +23,7 @@
     session: Option<SessionId>,
     last_contact: Moment,
     heartbeat: u64,
+    clock: RouterClock,
     requests: HashSet<RequestId>,
     /// Endpoints that it reported as not held, and until when this is assumed.
     not_held: HashMap<EndpointIndex, Moment>,
@@ -56,6 +58,13 @@
         }
     }
 
+    /// Converts a moment of a router's clock, told in a message that is handled now; `None` if the session is
+    /// unknown.
+    pub fn convert_clock(&mut self, now: Moment, session: SessionId, router_clock: Moment) -> Option<Moment> {
+        let router = self.sessions.get(&session)?;
+        self.states.get_mut(router).map(|state| state.clock.convert(now, router_clock))
+    }
+
     /// Binds a session to a router. The same incarnation keeps its requests; an earlier incarnation
     /// loses its session and is dropped when its lease ends.
     pub fn attach(&mut self, now: Moment, session: SessionId, hello: &RouterHello) -> RouterIndex {
@@ -95,6 +104,7 @@
             session: None,
             last_contact: now,
             heartbeat: 0,
+            clock: RouterClock::default(),
             requests: HashSet::new(),
             not_held: HashMap::new(),
             rests: HashMap::new(),
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -15,7 +15,7 @@
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{
     AdviceRecord, Cost, CustomerName, EndpointName, Moment, OrderNumber, Refusal, RefusalKind, RequestId,
-    SoftwareVersion, StreamOrigin,
+    SoftwareVersion,
 };
 use micaspool_wire::convert::{
     advice_message, crash_record, first_event_message, origin_message, refusal_reason, request_bytes,
