perf(dispatch): hash ids and prompt parts of the shard with foldhash

SipHash took some 6% of the dispatcher's processor time on the large site (perf). Keys are ids and digests that the fleet computes; foldhash is seeded for each process and already in the lock file. Not measured by itself yet.

--- a/crates/micaspool-dispatch/src/shard/copies.rs
+++ b/crates/micaspool-dispatch/src/shard/copies.rs
@@ -1,8 +1,8 @@
 //! Counts the waiting and running copies of each request.
 
 use super::endpoints::EndpointIndex;
+use foldhash::HashMap;
 use micaspool_types::RequestDigest;
-use std::collections::HashMap;
 
 /// The copies of each request by its digest, kept for all requests. Searching 16,000 running requests
 /// on 320 engines takes some 90 us per ticket of a doubted or suspected request, and the crash of many
--- a/crates/micaspool-dispatch/src/shard/engine_queues.rs
+++ b/crates/micaspool-dispatch/src/shard/engine_queues.rs
@@ -5,9 +5,9 @@
 //! earlier.
 
 use super::endpoints::EndpointIndex;
+use foldhash::HashMap;
 use micaspool_types::RequestId;
 use std::cell::RefCell;
-use std::collections::HashMap;
 
 /// The work queued for an engine ahead of a ticket.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/micaspool-dispatch/src/shard/holders.rs
+++ b/crates/micaspool-dispatch/src/shard/holders.rs
@@ -3,7 +3,7 @@
 
 use super::endpoints::EndpointIndex;
 use super::engine::PartChange;
-use std::collections::HashMap;
+use foldhash::HashMap;
 
 /// The engines that cache each part, in the order in which they cached it.
 #[derive(Debug, Default)]
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -62,6 +62,7 @@
 use customers::CustomerTable;
 use endpoints::EndpointTable;
 use engine_queues::EngineQueues;
+use foldhash::HashMap;
 use grant_throughput::GrantThroughput;
 use grants::RunningGrant;
 use micaspool_fair::{Rank, RankIndex};
@@ -71,7 +72,7 @@
 use retries::RetryBudgets;
 use routers::RouterTable;
 use sharing::RemoteTotals;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use suspects::SuspectTracker;
 use tickets::WaitingTicket;
 
@@ -129,10 +130,10 @@
             customers: CustomerTable::new(options.cost_ceiling),
             endpoints: EndpointTable::new(options.tolerated_breaks, options.initial_share),
             routers: RouterTable::default(),
-            waiting: HashMap::new(),
+            waiting: HashMap::default(),
             engine_queues: EngineQueues::default(),
             overdue: BTreeSet::new(),
-            running: HashMap::new(),
+            running: HashMap::default(),
             index: RankIndex::default(),
             prefixes: PrefixIndex::new(options.prefix_capacity),
             retries: RetryBudgets::default(),
--- a/crates/micaspool-dispatch/src/shard/parts.rs
+++ b/crates/micaspool-dispatch/src/shard/parts.rs
@@ -1,7 +1,8 @@
 //! Model of the prompt parts that an engine has cached.
 
 use super::engine::PartChange;
-use std::collections::{BTreeMap, HashMap};
+use foldhash::HashMap;
+use std::collections::BTreeMap;
 
 /// Cached parts with least recently used eviction.
 #[derive(Debug, Default)]
--- a/crates/micaspool-dispatch/src/shard/prefixes.rs
+++ b/crates/micaspool-dispatch/src/shard/prefixes.rs
@@ -1,7 +1,8 @@
 //! Index of the endpoints that are assumed to have a prompt prefix cached.
 
 use super::endpoints::EndpointIndex;
-use std::collections::{HashMap, VecDeque};
+use foldhash::HashMap;
+use std::collections::VecDeque;
 
 /// The last endpoint that used each prefix, by hash. When full, the entry that was added first is
 /// evicted.
@@ -14,7 +15,7 @@
 
 impl PrefixIndex {
     pub fn new(capacity: usize) -> PrefixIndex {
-        PrefixIndex { holders: HashMap::new(), insertion_order: VecDeque::new(), capacity }
+        PrefixIndex { holders: HashMap::default(), insertion_order: VecDeque::new(), capacity }
     }
 
     pub fn holder(&self, prefix: u64) -> Option<EndpointIndex> {
--- a/crates/micaspool-dispatch/src/shard/routers.rs
+++ b/crates/micaspool-dispatch/src/shard/routers.rs
@@ -3,8 +3,9 @@
 use super::endpoints::EndpointIndex;
 use super::router_clock::RouterClock;
 use crate::event::{RouterHello, SessionId};
+use foldhash::{HashMap, HashSet};
 use micaspool_types::{Incarnation, InstanceName, Moment, RequestId};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// How long a router gets no grants for an endpoint that it does not hold. A router that has just
@@ -105,9 +106,9 @@
             last_contact: now,
             heartbeat: 0,
             clock: RouterClock::default(),
-            requests: HashSet::new(),
-            not_held: HashMap::new(),
-            rests: HashMap::new(),
+            requests: HashSet::default(),
+            not_held: HashMap::default(),
+            rests: HashMap::default(),
         };
         self.states.insert(router, state);
         router
--- a/crates/micaspool-dispatch/src/shard/service_model.rs
+++ b/crates/micaspool-dispatch/src/shard/service_model.rs
@@ -8,11 +8,11 @@
 use super::grants::RunningGrant;
 use super::totals::EndpointTotals;
 use crate::event::{GenerationOutline, GrantOutcome};
+use foldhash::HashMap;
 use micaspool_engine::{
     DecodeRate, EngineGroup, OutputEstimate, PrefillRate, RequestMix, StatedOutput, StreamMark,
 };
 use micaspool_types::{Cost, Moment, RequestId};
-use std::collections::HashMap;
 use std::time::Duration;
 
 /// The cost of a generated token, in prompt tokens, as gateways meter it.
@@ -60,7 +60,7 @@
             next_decode_propagation: FIRST_PROPAGATION,
             outputs: OutputEstimate::default(),
             mix: RequestMix::default(),
-            streams: HashMap::new(),
+            streams: HashMap::default(),
         }
     }
 }
