--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -13,6 +13,7 @@
 mod engines;
 mod evacuation;
 mod failure_tolerance;
+mod fatal_parts;
 mod faults;
 mod generation;
 mod harness;
