fix(dispatch, quarantine): shut out a prompt part that crashes endpoints, though no two requests are alike

Callers saw 34 endpoints of nine crash in turn, with up to 27 requests of others broken with each. Cause: crashes added up by whole request, and each of these was new.

--- a/crates/micaspool-dispatch/src/shard/evidence.rs
+++ b/crates/micaspool-dispatch/src/shard/evidence.rs
@@ -38,6 +38,9 @@
             GrantOutcome::Done => {
                 self.note_endpoint_response(now, ended.endpoint, actions);
                 self.clear_suspicion(now, ended.digest, StandingCause::Answered, actions);
+                if ended.has_begun {
+                    self.exonerate_parts(now, &ended.parts, actions);
+                }
             }
             _ => {}
         }
@@ -61,6 +64,7 @@
         let change = self.suspects.table.record_crash(now, digest, &customer, &endpoint);
         self.suspects.note_witness(digest, ended.router);
         self.worsen_standing(now, change, StandingCause::EndpointCrashed, actions);
+        self.record_part_crashes(now, ended, &customer, &endpoint, actions);
     }
 
     /// Merges the crash records of a router that joins.
@@ -95,7 +99,7 @@
     }
 
     /// Handles a standing that has become worse.
-    fn worsen_standing(
+    pub(super) fn worsen_standing(
         &mut self,
         now: Moment,
         change: StandingChange,
@@ -138,7 +142,7 @@
         actions.push(ShardAction::ReportStanding { record, before, after, cause });
     }
 
-    fn clear_suspicion(
+    pub(super) fn clear_suspicion(
         &mut self,
         now: Moment,
         digest: Option<RequestDigest>,
@@ -207,10 +211,11 @@
 
     /// Removes expired crash records.
     pub(super) fn expire_suspects(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
-        if now < self.suspects.next_expiry || self.suspects.table.is_empty() {
+        if now < self.suspects.next_expiry {
             return;
         }
         self.suspects.next_expiry = now + EXPIRY_INTERVAL;
+        self.suspects.exonerated.expire(now);
         for change in self.suspects.table.expire(now) {
             self.improve_standing(now, change, StandingCause::Expired, actions);
         }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -4,6 +4,7 @@
 use super::copy_link::PlannedCopy;
 use super::endpoints::EndpointIndex;
 use super::engine::{PromptShape, RunTiming};
+use super::fatal_parts::BEGINNING;
 use super::kind_queues::TicketKind;
 use super::routers::RouterIndex;
 use super::service_model::StreamedPrompt;
@@ -53,6 +54,10 @@
     pub versions: VersionLimit,
     /// True until the first event of its response arrives.
     pub awaits_first_event: bool,
+    /// When its first event was reported.
+    pub begun_at: Option<Moment>,
+    /// True once its response has gone on for a while.
+    pub is_past_beginning: bool,
     /// When this shard granted it; `None` if another dispatcher did.
     pub since: Option<Moment>,
 }
@@ -292,6 +297,11 @@
         let (endpoint, since, load) = (grant.endpoint, grant.since, grant.prompt.load());
         let streamed = StreamedPrompt::of(grant);
         let is_first_event = std::mem::take(&mut grant.awaits_first_event);
+        let begun_at = *grant.begun_at.get_or_insert(now);
+        let passes = !grant.is_past_beginning && now.since(begun_at) >= BEGINNING;
+        grant.is_past_beginning |= passes;
+        let passed_parts: Box<[u64]> =
+            if passes { grant.prompt.shared_parts().into() } else { Box::default() };
         if is_first_event {
             self.customers.get_mut(customer).counters.note_begun(load);
             self.endpoints.note_first_event(now, endpoint, request, &grant.prompt, timing);
@@ -303,6 +313,7 @@
         self.customers.get_mut(customer).note_delivered(estimate, before, delivered);
         self.reindex(customer);
         self.note_endpoint_response(now, endpoint, actions);
+        self.exonerate_parts(now, &passed_parts, actions);
     }
 
     /// Ends a grant with the outcome that its router reports.
@@ -406,6 +417,8 @@
             halls: ticket.halls,
             versions: ticket.versions,
             awaits_first_event: true,
+            begun_at: None,
+            is_past_beginning: false,
             since: Some(now),
         }
     }
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -182,6 +182,8 @@
             halls: HallLimit::Anywhere,
             versions: VersionLimit::Any,
             awaits_first_event: false,
+            begun_at: None,
+            is_past_beginning: false,
             since: None,
         };
         self.running.insert(held.request, grant);
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -18,6 +18,7 @@
 mod engine;
 mod engine_queues;
 mod evidence;
+mod fatal_parts;
 mod grant_throughput;
 mod grants;
 mod holders;
--- a/crates/micaspool-dispatch/src/shard/suspects.rs
+++ b/crates/micaspool-dispatch/src/shard/suspects.rs
@@ -6,6 +6,7 @@
 
 use super::endpoints::EndpointIndex;
 use super::evidence::REPORT_WINDOW;
+use super::fatal_parts::ExoneratedParts;
 use super::grants::RunningGrant;
 use super::routers::RouterIndex;
 use super::status::SuspectStatus;
@@ -20,7 +21,7 @@
 use std::time::Duration;
 
 /// When a copy of a doubted or suspected request may be retried; a run takes a second or two.
-const COPY_WAIT: Duration = Duration::from_secs(1);
+pub(super) const COPY_WAIT: Duration = Duration::from_secs(1);
 /// When a request may be retried that was quarantined a moment ago: the endpoint may turn out to be
 /// alive.
 const FRESH_QUARANTINE_WAIT: Duration = Duration::from_secs(2);
@@ -40,11 +41,17 @@
     pub(super) table: CrashTable,
     pub(super) holders: HashMap<RequestDigest, RecordHolders>,
     pub(super) next_expiry: Moment,
+    pub(super) exonerated: ExoneratedParts,
 }
 
 impl SuspectTracker {
     pub fn new(options: QuarantineOptions) -> SuspectTracker {
-        SuspectTracker { table: CrashTable::new(options), holders: HashMap::new(), next_expiry: Moment(0) }
+        SuspectTracker {
+            table: CrashTable::new(options),
+            holders: HashMap::new(),
+            next_expiry: Moment(0),
+            exonerated: ExoneratedParts::default(),
+        }
     }
 
     /// The standing of a request; clear if its router sends no digest.
@@ -85,12 +92,18 @@
 }
 
 /// The parts of an ended grant that the crash records need.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct EndedRun {
     pub digest: Option<RequestDigest>,
     pub customer: CustomerIndex,
     pub endpoint: EndpointIndex,
     pub router: RouterIndex,
+    /// The shared parts of its prompt.
+    pub parts: Box<[u64]>,
+    /// True if its first event had come.
+    pub has_begun: bool,
+    /// True if it had got past its beginning.
+    pub is_past_beginning: bool,
 }
 
 impl EndedRun {
@@ -100,6 +113,9 @@
             customer: grant.customer,
             endpoint: grant.endpoint,
             router: grant.router,
+            parts: grant.prompt.shared_parts().into(),
+            has_begun: !grant.awaits_first_event,
+            is_past_beginning: grant.is_past_beginning,
         }
     }
 }
@@ -107,8 +123,8 @@
 /// Why a ticket is refused, and when its caller may retry.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TicketRefusal {
-    reason: RefusalReason,
-    retry_after: Duration,
+    pub reason: RefusalReason,
+    pub retry_after: Duration,
 }
 
 impl TicketRefusal {
@@ -132,6 +148,10 @@
     /// one to eight callers that repeat a crashing request: without this check it crashed 34 to 82
     /// endpoints in 40 s, with it at most four, and up to six if copies run side by side.
     pub(super) fn quarantine_refusal(&self, now: Moment, ticket: &RequestTicket) -> Option<TicketRefusal> {
+        self.request_refusal(now, ticket).or_else(|| self.part_refusal(now, ticket))
+    }
+
+    fn request_refusal(&self, now: Moment, ticket: &RequestTicket) -> Option<TicketRefusal> {
         let digest = ticket.digest?;
         let standing = self.suspects.standing(now, Some(digest));
         match standing {
@@ -151,7 +171,12 @@
         }
     }
 
-    fn quarantine_retry_after(&self, now: Moment, digest: RequestDigest, until: Moment) -> Duration {
+    pub(super) fn quarantine_retry_after(
+        &self,
+        now: Moment,
+        digest: RequestDigest,
+        until: Moment,
+    ) -> Duration {
         let newest = self.suspects.table.newest_crash(digest);
         let is_fresh = newest.is_some_and(|newest| now.since(newest) < REPORT_WINDOW);
         if is_fresh {
@@ -170,6 +195,9 @@
         now: Moment,
         ticket: &WaitingTicket,
     ) -> Option<BTreeSet<EndpointIndex>> {
+        if self.has_isolated_part(now, &ticket.prompt) {
+            return None;
+        }
         let standing = self.suspects.standing(now, ticket.digest);
         match (standing, ticket.digest) {
             (RequestStanding::Clear, _) | (_, None) => Some(BTreeSet::new()),
@@ -192,16 +220,30 @@
         actions: &mut Vec<ShardAction>,
     ) {
         let digest = change.digest;
-        if !self.copies.is_waiting(digest) {
+        let part = digest.part();
+        let may_wait = match part {
+            Some(_) => self.may_refuse_parts(now) && self.is_on_trial(digest),
+            None => self.copies.is_waiting(digest),
+        };
+        if !may_wait {
             return;
         }
-        let copies = self.waiting.iter().filter(|(_, ticket)| ticket.digest == Some(digest));
+        let copies = self.waiting.iter().filter(|(_, ticket)| match part {
+            Some(part) => ticket.prompt.shared_parts().contains(&part),
+            None => ticket.digest == Some(digest),
+        });
         let mut copies: Vec<(OrderNumber, RequestId)> =
             copies.map(|(request, ticket)| (ticket.place.order, *request)).collect();
         copies.sort_unstable();
         let (reason, retained, retry_after) = match change.after {
             RequestStanding::Quarantined { .. } => (RefusalReason::Quarantined, 0, FRESH_QUARANTINE_WAIT),
-            _ => (RefusalReason::CopyRunning, usize::from(!self.copies.is_running(digest)), COPY_WAIT),
+            _ => {
+                let is_running = match part {
+                    Some(part) => self.is_part_running(part),
+                    None => self.copies.is_running(digest),
+                };
+                (RefusalReason::CopyRunning, usize::from(!is_running), COPY_WAIT)
+            }
         };
         for (_, request) in copies.into_iter().skip(retained) {
             let Some(ticket) = self.drop_waiting(request) else { continue };
--- a/crates/micaspool-quarantine/src/options.rs
+++ b/crates/micaspool-quarantine/src/options.rs
@@ -1,5 +1,6 @@
 //! Limits and durations of quarantine.
 
+use micaspool_types::RequestDigest;
 use std::time::Duration;
 
 /// The number of crashes at which a request is quarantined. One or two endpoints may have crashed for other reasons.
@@ -7,8 +8,15 @@
 /// The quarantine after the crash that reaches the limit. Trying the request again afterwards may crash another
 /// endpoint.
 const BASE_QUARANTINE: Duration = Duration::from_secs(3_600);
+/// The number of crashes at which a prompt part is quarantined. Runs with a sound part may end with three endpoints in
+/// a row where many endpoints crash.
+const PART_CRASH_LIMIT: usize = 4;
+/// The quarantine of a prompt part at that limit. Many requests share a part, so a wrong quarantine must end soon.
+const PART_QUARANTINE: Duration = Duration::from_secs(2);
 /// The factor by which each further crash lengthens the quarantine.
 const QUARANTINE_GROWTH: u32 = 4;
+/// The same for a prompt part: three trials take four minutes.
+const PART_QUARANTINE_GROWTH: u32 = 10;
 /// The upper limit of a quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_secs(24 * 3_600);
 /// How long crashes below the limit are remembered: longer than callers keep retrying.
@@ -59,15 +67,25 @@
     }
 
     /// Returns the length of the quarantine after `crashes` crashes, or `None` if they are fewer than the limit.
-    pub(crate) fn quarantine_after(&self, crashes: usize) -> Option<Duration> {
-        let excess = u32::try_from(crashes.checked_sub(self.crash_limit)?).unwrap_or(u32::MAX);
-        Some(self.quarantine.saturating_mul(QUARANTINE_GROWTH.saturating_pow(excess)).min(MAX_QUARANTINE))
+    pub(crate) fn quarantine_after(&self, digest: RequestDigest, crashes: usize) -> Option<Duration> {
+        let (limit, base, growth) = match digest.part() {
+            Some(_) => (PART_CRASH_LIMIT, PART_QUARANTINE, PART_QUARANTINE_GROWTH),
+            None => (self.crash_limit, self.quarantine, QUARANTINE_GROWTH),
+        };
+        let excess = u32::try_from(crashes.checked_sub(limit)?).unwrap_or(u32::MAX);
+        Some(base.saturating_mul(growth.saturating_pow(excess)).min(MAX_QUARANTINE))
     }
 
     /// Returns how long `crashes` crashes are remembered. For a quarantined request that is twice its quarantine, so
     /// that a crash in the trial that follows adds to the earlier ones.
-    pub(crate) fn retention_after(&self, crashes: usize) -> Duration {
-        self.quarantine_after(crashes).map_or(self.suspicion_retention, |quarantine| quarantine * 2)
+    pub(crate) fn retention_after(&self, digest: RequestDigest, crashes: usize) -> Duration {
+        let Some(quarantine) = self.quarantine_after(digest, crashes) else {
+            return self.suspicion_retention;
+        };
+        match digest.part() {
+            Some(_) => (quarantine * 2).max(self.suspicion_retention),
+            None => quarantine * 2,
+        }
     }
 }
 
--- a/crates/micaspool-quarantine/src/table.rs
+++ b/crates/micaspool-quarantine/src/table.rs
@@ -65,8 +65,8 @@
         self.crashes.last().map_or(Moment(0), |crash| crash.at)
     }
 
-    fn standing(&self, now: Moment, options: &QuarantineOptions) -> RequestStanding {
-        match (self.crashes.len(), options.quarantine_after(self.crashes.len())) {
+    fn standing(&self, now: Moment, digest: RequestDigest, options: &QuarantineOptions) -> RequestStanding {
+        match (self.crashes.len(), options.quarantine_after(digest, self.crashes.len())) {
             (0, _) => RequestStanding::Clear,
             (_, Some(quarantine)) if now < self.newest_crash_at() + quarantine => {
                 RequestStanding::Quarantined { until: self.newest_crash_at() + quarantine }
@@ -96,7 +96,13 @@
     /// Returns the standing of a request.
     pub fn standing(&self, now: Moment, digest: RequestDigest) -> RequestStanding {
         let entry = self.requests.get(&digest);
-        entry.map(|entry| entry.standing(now, &self.options)).unwrap_or_default()
+        entry.map(|entry| entry.standing(now, digest, &self.options)).unwrap_or_default()
+    }
+
+    /// Returns true if a request is or was quarantined: its next run is a trial.
+    pub fn has_reached_limit(&self, digest: RequestDigest) -> bool {
+        let entry = self.requests.get(&digest);
+        entry.is_some_and(|entry| self.options.quarantine_after(digest, entry.crashes.len()).is_some())
     }
 
     /// Returns the time of the newest crash on record for a request.
@@ -165,10 +171,10 @@
     /// Clears the requests whose newest crash is older than its retention.
     pub fn expire(&mut self, now: Moment) -> Vec<StandingChange> {
         let options = self.options;
-        let is_expired = |entry: &RequestEntry| {
-            now.since(entry.newest_crash_at()) >= options.retention_after(entry.crashes.len())
+        let is_expired = |(digest, entry): &(&RequestDigest, &RequestEntry)| {
+            now.since(entry.newest_crash_at()) >= options.retention_after(**digest, entry.crashes.len())
         };
-        let expired = self.requests.iter().filter(|(_, entry)| is_expired(entry)).map(|(digest, _)| *digest);
+        let expired = self.requests.iter().filter(is_expired).map(|(digest, _)| *digest);
         let mut expired: Vec<RequestDigest> = expired.collect();
         expired.sort_unstable();
         expired.into_iter().filter_map(|digest| self.clear(now, digest)).collect()
@@ -194,6 +200,12 @@
         self.repeated.iter().copied()
     }
 
+    /// Returns true if a prompt part has more than one crash.
+    pub fn has_suspected_parts(&self) -> bool {
+        let parts = RequestDigest::of_part(0)..=RequestDigest::of_part(u64::MAX);
+        self.repeated.range(parts).next().is_some()
+    }
+
     /// Returns the crash records of all requests, ordered by digest.
     pub fn records(&self, now: Moment) -> Vec<CrashRecord> {
         let mut digests: Vec<RequestDigest> = self.requests.keys().copied().collect();
--- a/crates/micaspool-types/src/digest.rs
+++ b/crates/micaspool-types/src/digest.rs
@@ -6,6 +6,8 @@
 
 /// The number of hexadecimal digits in a printed [`RequestDigest`].
 const DIGEST_DIGITS: usize = 32;
+/// The upper half of the digest of a prompt part.
+const PART_MARK: u64 = 0x7061_7274_0000_0000;
 
 /// Identifies the content of a request: the same customer, method, target and body have the same digest at any router
 /// and in any process. It consists of 128 bits of a cryptographic hash, so that no customer can forge a request with
@@ -30,6 +32,16 @@
 impl std::error::Error for DigestError {}
 
 impl RequestDigest {
+    /// The digest that stands for all requests with a prompt part; `part` is the hash of the part's id.
+    pub fn of_part(part: u64) -> RequestDigest {
+        RequestDigest(u128::from(PART_MARK) << 64 | u128::from(part))
+    }
+
+    /// The hash of the prompt part, if the digest stands for one.
+    pub fn part(self) -> Option<u64> {
+        (self.0 >> 64 == u128::from(PART_MARK)).then_some(self.0 as u64)
+    }
+
     /// Computes the digest of a request; `target` is its path with the query. A body of 17 KB takes 10 us, one of 1 MB
     /// 285 us (bench `digest`).
     pub fn of(customer: &CustomerName, method: &str, target: &str, body: &[u8]) -> RequestDigest {
