--- a/crates/micaspool-dispatch/tests/shard/late_reports.rs
+++ b/crates/micaspool-dispatch/tests/shard/late_reports.rs
@@ -184,9 +184,14 @@
     assert!(outcome.learnt_percent >= LEAST_PERCENT, "{outcome:?}");
 }
 
-/// Engines are idle while routers hold what was granted, so only what is learnt is checked.
 #[test]
 fn late_sends_are_not_taken_for_slow_engines() {
     let outcome = DelayedFleet::new(Delay::BeforeSend, Duration::from_millis(300)).play();
     assert!(outcome.learnt_percent >= LEAST_PERCENT, "{outcome:?}");
 }
+
+#[test]
+fn engines_are_kept_busy_while_routers_send_late() {
+    let outcome = DelayedFleet::new(Delay::BeforeSend, Duration::from_millis(300)).play();
+    assert!(outcome.granted_percent >= LEAST_PERCENT, "{outcome:?}");
+}
