fix(gateway, http): go by the memory in use, not by a count of connections

What callers saw: a gateway at which one caller's flood arrived went over its memory limit and was ended.

Cause: connections were admitted by a constant, 55,000 bytes each, and bodies beside it by their length.

Change: the heap of the process is counted by its allocator. A connection or a request that fits neither into what is in use nor into what is promised is refused at once. While memory is tight the longest idle connections are closed, and a customer with more than its even share of the open calls is refused first. Reads are shorter than the first buffer, so that buffers don't grow; a body is freed once its request can't be sent again. MP1615, MP1616 and metrics tell of it.

Counting resident memory instead would not work: of 71 KB of a closed connection 48 to 70 stay with the allocator.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Assembles and runs a gateway daemon.
 
 use crate::dialect::GatewayDialect;
+use crate::memory_watch::MemoryWatch;
 use crate::metrics::GatewayMetrics;
 use crate::native::NativeDialect;
 use crate::proxy::{Gateway, GatewayParts};
@@ -19,6 +20,7 @@
 use micaspool_http::edge::{EdgeOptions, EdgeServer};
 use micaspool_http::pool::{EndpointPool, PoolOptions};
 use micaspool_http::status::{serve_status, StatusSource};
+use micaspool_memory::{resident_bytes, MemoryAccount, MemoryGauge};
 use micaspool_routes::{JsonFormat, PlanFormat};
 use micaspool_telemetry::metrics::encode_text;
 use micaspool_telemetry::spans::SpanSink;
@@ -42,9 +44,10 @@
 
 /// The memory that a gateway uses without any callers, in bytes. 13 MB were measured on the users' small sites.
 const BASELINE_BYTES: u64 = 30_000_000;
-/// The memory of one caller connection, including its request and the connection to the endpoint, in bytes.
-/// On the users' enlarged milk site, a gateway with 3,900 file descriptors, about 3,000 callers, used 127 MB, and one
-/// gateway more than 160 MB; half of the callers may have a long body that is not read yet.
+/// The part of the memory limit, in percent, that may be in use on the heap and promised together. The rest is for
+/// code, stacks, what the allocator keeps unused, and bytes that have arrived and are not yet read.
+const HEAP_PERCENT: u64 = 75;
+/// The memory of an idle caller connection, in bytes. What it takes beyond that while a request runs is measured.
 const CONNECTION_BYTES: u64 = 55_000;
 /// One in this many connections is reserved for refusing callers immediately. A refusal occupies its
 /// connection for a single round trip.
@@ -74,6 +77,7 @@
     advice: Arc<SharedAdvice>,
     edge: EdgeOptions,
     body_bytes: u64,
+    memory: Arc<MemoryAccount>,
 }
 
 /// Builds [`GatewayOptions`].
@@ -104,6 +108,7 @@
             advice: SharedAdvice::new(),
             edge: EdgeOptions { sheds_load: true, ..EdgeOptions::default() },
             body_bytes: DEFAULT_BODY_BYTES,
+            memory: MemoryAccount::unlimited(),
         };
         GatewayOptionsBuilder { options }
     }
@@ -170,9 +175,10 @@
         self
     }
 
-    /// Limits the memory of the process, in bytes, by limiting the number of caller connections and the size of all
-    /// request bodies together.
-    pub fn memory(mut self, bytes: u64) -> Self {
+    /// Limits the memory of the process, in bytes, by what the gauge measures. The number of caller connections and the
+    /// size of all request bodies together are limited as well.
+    pub fn memory(mut self, bytes: u64, gauge: Arc<dyn MemoryGauge>) -> Self {
+        self.options.memory = MemoryAccount::new(bytes / 100 * HEAP_PERCENT, gauge);
         let available = bytes.saturating_sub(BASELINE_BYTES);
         self.options.body_bytes = available / BODY_DIVISOR;
         let affordable = usize::try_from(available / CONNECTION_BYTES);
@@ -258,6 +264,7 @@
         local_dispatcher,
         pool: pool.clone(),
         bodies: BodyBudget::new(options.body_bytes),
+        memory: options.memory.clone(),
         stop_notice: stop_notice.clone(),
         advice: options.advice.clone(),
         dialect: options.dialect.clone(),
@@ -265,9 +272,11 @@
         counter: counters.dispatchers.clone(),
         metrics: metrics.clone(),
     });
-    let server = EdgeServer::new(Arc::new(gateway.clone()), options.edge);
+    let server = EdgeServer::with_memory(Arc::new(gateway.clone()), options.edge, options.memory.clone());
     let callers = server.listen(options.callers).await.map_err(StartError::bind(options.callers))?;
     task::spawn(run_maintenance(gateway.clone(), mirror.clone(), pool.clone(), options.advice.clone()));
+    let watch = MemoryWatch { memory: options.memory.clone(), server: server.clone(), pool: pool.clone() };
+    task::spawn(watch.run());
     let is_stopping: Arc<AtomicBool> = Arc::default();
     let traffic = counters.register(&mut registry);
     let source = Arc::new(GatewayStatusSource {
@@ -276,6 +285,7 @@
         pool,
         advice: options.advice.clone(),
         server: server.clone(),
+        memory: options.memory.clone(),
         registry,
         traffic,
         metrics,
@@ -340,6 +350,7 @@
     pool: Arc<EndpointPool>,
     advice: Arc<SharedAdvice>,
     server: EdgeServer,
+    memory: Arc<MemoryAccount>,
     registry: Registry,
     traffic: TrafficMetrics,
     metrics: GatewayMetrics,
@@ -361,6 +372,8 @@
         self.metrics.endpoints_leaving.set(i64::try_from(leaving).unwrap_or(i64::MAX));
         let evacuated = self.mirror.hall_orders().evacuated_count();
         self.metrics.halls_evacuated.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
+        self.metrics.set_memory(self.memory.state(), resident_bytes());
+        self.metrics.callers_idle.set(i64::try_from(self.server.idle()).unwrap_or(i64::MAX));
         self.traffic.refresh();
         encode_text(&self.registry)
     }
--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -13,8 +13,10 @@
 mod dialect;
 mod dispatchers;
 mod events;
+mod memory_watch;
 mod metrics;
 mod native;
+mod open_calls;
 mod proxy;
 mod relay;
 mod request_log;
@@ -29,5 +31,6 @@
 pub use events::{EventScanner, EventSplitter, SplitChunk};
 pub use metrics::GatewayMetrics;
 pub use native::NativeDialect;
+pub use open_calls::{OpenCall, OpenCalls};
 pub use proxy::{Gateway, GatewayParts};
 pub use stopping::StopNotice;
--- a/crates/micaspool-gateway/src/metrics.rs
+++ b/crates/micaspool-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of a gateway.
 
+use micaspool_memory::MemoryState;
 use micaspool_telemetry::limit::LineLimit;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -21,6 +22,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MemoryLabel {
+    part: &'static str,
+}
+
 /// The metrics of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewayMetrics {
@@ -52,6 +58,9 @@
     pub endpoints_leaving: Gauge,
     /// Evacuated data halls.
     pub halls_evacuated: Gauge,
+    /// Open connections on which nothing runs.
+    pub callers_idle: Gauge,
+    memory: Family<MemoryLabel, Gauge>,
     /// Limits the log lines for throttled requests, of which a flood produces hundreds.
     pub throttled_log_limit: Arc<LineLimit>,
 }
@@ -76,6 +85,8 @@
             endpoints_resting: Gauge::default(),
             endpoints_leaving: Gauge::default(),
             halls_evacuated: Gauge::default(),
+            callers_idle: Gauge::default(),
+            memory: Family::default(),
             throttled_log_limit: Arc::new(LineLimit::new(MAX_THROTTLED_LINES)),
         };
         metrics.register_counters(registry);
@@ -119,10 +130,28 @@
             leaving_help,
             self.endpoints_leaving.clone(),
         );
+        let idle_help = "Open connections on which nothing runs";
+        registry.register("micaspool_gateway_idle_callers", idle_help, self.callers_idle.clone());
+        let memory_help = "Bytes in use, promised, allowed and resident";
+        registry.register("micaspool_gateway_memory_bytes", memory_help, self.memory.clone());
         let evacuated_help = "Data halls that are evacuated by an operator's order";
         registry.register("micaspool_gateway_evacuated_halls", evacuated_help, self.halls_evacuated.clone());
     }
 
+    /// Sets the memory of the process, and its resident part if it is known.
+    pub fn set_memory(&self, state: MemoryState, resident: Option<u64>) {
+        let parts = [
+            ("in-use", state.in_use),
+            ("promised", state.promised),
+            ("limit", state.limit),
+            ("resident", resident.unwrap_or_default()),
+        ];
+        for (part, bytes) in parts {
+            let gauge = self.memory.get_or_create(&MemoryLabel { part });
+            gauge.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Counts a refusal.
     pub fn count_refusal(&self, kind: &'static str) {
         self.refused.get_or_create(&KindLabel { kind }).inc();
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -203,6 +203,7 @@
             log.sent += 1;
             match self.send(gateway, lease, &endpoint, last_event).await {
                 Ok(answer) => {
+                    self.call.promise = None;
                     self.possible_runs += 1;
                     // Only matters if the body breaks and the request is sent again.
                     self.avoid = Some(endpoint.name);
@@ -492,7 +493,7 @@
     }
 
     fn stream_answer(
-        self,
+        mut self,
         gateway: &Gateway,
         answer: UsableAnswer,
         mut log: RequestLog,
@@ -501,6 +502,9 @@
         strip_hop_by_hop(&mut head.headers);
         log.set_status(head.status.as_u16());
         let is_stream = is_event_stream(self.target.run, &head);
+        if !self.is_resumable() {
+            self.call.body.release();
+        }
         if is_stream {
             // A stream that breaks after as many bytes as its length states would look whole.
             head.headers.remove(CONTENT_LENGTH);
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 use crate::dialect::{CallerHead, GatewayDialect};
 use crate::dispatchers::FleetDispatchers;
 use crate::metrics::GatewayMetrics;
+use crate::open_calls::{OpenCall, OpenCalls};
 use crate::request_log::RequestLog;
 use crate::stopping::StopNotice;
 use async_trait::async_trait;
@@ -23,12 +24,14 @@
 use micaspool_http::body::{self, BodyBudget, HeldBody};
 use micaspool_http::edge::{EdgeBody, EdgeHandler};
 use micaspool_http::pool::EndpointPool;
+use micaspool_memory::{MemoryAccount, MemoryPromise};
 use micaspool_router::{ShardClient, ShardClientOptions};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{
-    HallRegions, Incarnation, InstanceName, Refusal, RefusalKind, ServiceName, StreamKey, VersionLimit,
+    CustomerName, HallRegions, Incarnation, InstanceName, Refusal, RefusalKind, ServiceName, StreamKey,
+    VersionLimit,
 };
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -41,6 +44,10 @@
 /// How long reading a request body may take if the caller sent no timeout.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// What a request takes beyond its body until its answer begins: the ticket, the connection to an endpoint with its
+/// buffers, and the task of that connection.
+const CALL_BYTES: u64 = 40 * 1024;
+
 /// The id of the last event that the caller of a stream has received.
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -65,6 +72,8 @@
     pub pool: Arc<EndpointPool>,
     /// The memory for request bodies.
     pub bodies: BodyBudget,
+    /// The memory of the process.
+    pub memory: Arc<MemoryAccount>,
     /// Ends the waits of requests before the gateway stops.
     pub stop_notice: StopNotice,
     /// The advice that endpoints gave this process: to send nothing for a while (a rest), or that they are leaving.
@@ -90,6 +99,7 @@
     parts: GatewayParts,
     dispatchers: Arc<FleetDispatchers>,
     shards: Mutex<HashMap<ServiceName, Arc<ShardClient>>>,
+    calls: Arc<OpenCalls>,
 }
 
 /// A request whose body has been read.
@@ -99,6 +109,9 @@
     caller: CallerHead,
     arrived_at: BootInstant,
     body: HeldBody,
+    /// The memory that the request takes until its answer begins, after which it is measured.
+    promise: Option<MemoryPromise>,
+    _open: OpenCall,
 }
 
 impl Gateway {
@@ -109,7 +122,14 @@
             parts.dispatchers.clone(),
             parts.local_dispatcher.clone(),
         ));
-        Gateway { shared: Arc::new(GatewayShared { parts, dispatchers, shards: Mutex::default() }) }
+        Gateway {
+            shared: Arc::new(GatewayShared {
+                parts,
+                dispatchers,
+                shards: Mutex::default(),
+                calls: Arc::default(),
+            }),
+        }
     }
 
     /// Returns the clients of all shards opened so far.
@@ -183,10 +203,30 @@
             let _ = timeout(body_timeout, drain_body(body)).await;
             return Err(refusal);
         }
+        let customer = target.queue_customer();
+        let Some(promise) = self.promise_memory(&customer, call_bytes(&head)) else {
+            let _ = timeout(body_timeout, drain_body(body)).await;
+            return Err(Refusal::not_run(RefusalKind::MemoryFull).after(RETRY_AFTER));
+        };
+        let open = self.shared.calls.begin(customer);
         let read = timeout(body_timeout, read_body(&self.shared.parts.bodies, body, limit)).await;
         let body = read.unwrap_or_else(|_| Err(Refusal::not_run(RefusalKind::SlowRequest)))?;
         let versions = self.versions_of(&head, &caller, &target)?;
-        Ok(Attempts::new(AcceptedCall { head, caller, arrived_at, body }, target, versions))
+        Ok(Attempts::new(
+            AcceptedCall { head, caller, arrived_at, body, promise: Some(promise), _open: open },
+            target,
+            versions,
+        ))
+    }
+
+    /// Promises a request its memory; `None` if there is none. While memory is tight, a customer with more than its even
+    /// share of the open calls gets none.
+    fn promise_memory(&self, customer: &CustomerName, bytes: u64) -> Option<MemoryPromise> {
+        let memory = &self.shared.parts.memory;
+        if memory.state().is_tight() && self.shared.calls.exceeds_even_share(customer) {
+            return None;
+        }
+        memory.promise(bytes)
     }
 
     /// Returns the software versions at which a request may run. One that takes a stream up is bound to the version that
@@ -248,11 +288,19 @@
     }
 }
 
+/// Returns the `Content-Length` of a request.
+fn announced_length(head: &request::Parts) -> Option<u64> {
+    head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Returns the memory that a request takes until its answer begins, in bytes.
+fn call_bytes(head: &request::Parts) -> u64 {
+    CALL_BYTES + announced_length(head).unwrap_or_default()
+}
+
 /// Refuses a body whose `Content-Length` exceeds the limit, before it is read.
 fn check_length(head: &request::Parts, limit: u64) -> Result<(), Refusal> {
-    let length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    let announced: Option<u64> = length.and_then(|text| text.parse().ok());
-    match announced {
+    match announced_length(head) {
         Some(length) if length > limit => Err(Refusal::not_run(RefusalKind::BodyTooLarge)),
         _ => Ok(()),
     }
--- a/crates/micaspool-http/src/body.rs
+++ b/crates/micaspool-http/src/body.rs
@@ -15,6 +15,9 @@
     left: Arc<AtomicU64>,
 }
 
+/// The largest room that is made for a body before any of it has come, in bytes.
+const MAX_EXPECTED_BYTES: u64 = 32 * 1024;
+
 /// A part of a [`BodyBudget`], which is returned when this is dropped.
 #[derive(Debug)]
 struct BodyReservation {
@@ -26,7 +29,7 @@
 #[derive(Debug)]
 pub struct HeldBody {
     bytes: Bytes,
-    _reservation: BodyReservation,
+    reservation: BodyReservation,
 }
 
 /// Why a body was not kept.
@@ -57,37 +60,54 @@
         B: Body<Data = Bytes> + Unpin,
     {
         let mut reservation = BodyReservation { budget: self.clone(), bytes: 0 };
-        let mut bytes = BytesMut::new();
+        let expected = body.size_hint().exact().unwrap_or_default().min(limit).min(MAX_EXPECTED_BYTES);
+        reservation.grow_to(expected)?;
+        let mut bytes = BytesMut::with_capacity(usize::try_from(expected).unwrap_or_default());
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Error::Broken)?;
             let Ok(data) = frame.into_data() else { continue };
             if (bytes.len() + data.len()) as u64 > limit {
                 return Err(Error::TooLong);
             }
-            reservation.grow(data.len() as u64)?;
+            reservation.grow_to((bytes.len() + data.len()) as u64)?;
             bytes.extend_from_slice(&data);
+            // A body that grows takes up to twice its length.
+            reservation.grow_to(bytes.capacity() as u64)?;
         }
-        Ok(HeldBody { bytes: bytes.freeze(), _reservation: reservation })
+        Ok(HeldBody { bytes: bytes.freeze(), reservation })
     }
 }
 
 impl BodyReservation {
-    fn grow(&mut self, bytes: u64) -> Result<(), Error> {
-        let take = |left: u64| left.checked_sub(bytes);
+    /// Takes what the body needs beyond what it has taken.
+    fn grow_to(&mut self, bytes: u64) -> Result<(), Error> {
+        let more = bytes.saturating_sub(self.bytes);
+        let take = |left: u64| left.checked_sub(more);
         let taken = self.budget.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
         taken.map_err(|_| Error::NoBudget)?;
-        self.bytes += bytes;
+        self.bytes += more;
         Ok(())
     }
+
+    fn release(&mut self) {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.budget.left.fetch_add(bytes, Ordering::Relaxed);
+    }
 }
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.budget.left.fetch_add(self.bytes, Ordering::Relaxed);
+        self.release();
     }
 }
 
 impl HeldBody {
+    /// Frees the content once the request can't be sent again.
+    pub fn release(&mut self) {
+        self.bytes = Bytes::new();
+        self.reservation.release();
+    }
+
     /// Returns the content.
     pub fn bytes(&self) -> &Bytes {
         &self.bytes
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -4,8 +4,9 @@
 //! If the body of a response fails, the connection is closed before the end of the body, so
 //! that the response never looks complete; that of a caller that knows no chunks is reset.
 
+use crate::idle::{CallBody, CallerActivity, IdleCallers};
 use crate::pressure::{CallerRotation, RoundBudget};
-use crate::socket::configure;
+use crate::socket::{configure, ShortReads};
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::future::{select, Either, FutureExt};
@@ -19,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use micaspool_clock::BootInstant;
+use micaspool_memory::{MemoryAccount, MemoryPromise};
 use socket2::SockRef;
 use std::convert::Infallible;
 use std::fmt;
@@ -41,6 +43,15 @@
 /// The interval at which the scheduling lag is measured, and the length of an accept round while the server is
 /// overloaded.
 const ROUND_LENGTH: Duration = Duration::from_millis(50);
+/// What a connection takes until its first request has been read: the buffers for reading and writing, 8 KiB each, and
+/// its task.
+const CONNECTION_BYTES: u64 = 28 * 1024;
+/// How many idle connections are closed at once while memory is tight.
+const TIGHT_BATCH: usize = 16;
+/// One in this many of the connections that may be served is closed at once, if it is idle, when all are open.
+const PLACE_DIVISOR: usize = 128;
+/// How long the tasks of idle connections get to end them.
+const CLOSE_TIME: Duration = Duration::from_millis(1);
 /// How often a draining server checks whether all connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -111,6 +122,8 @@
 struct SharedState {
     handler: Arc<dyn EdgeHandler>,
     options: EdgeOptions,
+    memory: Arc<MemoryAccount>,
+    idle: Arc<IdleCallers>,
     open: AtomicUsize,
     draining: AtomicBool,
     /// How late tasks ran at the last measurement, in microseconds.
@@ -135,11 +148,23 @@
 }
 
 impl EdgeServer {
-    /// Creates a server that does not listen yet.
+    /// Creates a server that does not listen yet, without a limit on the memory of the process.
     pub fn new(handler: Arc<dyn EdgeHandler>, options: EdgeOptions) -> EdgeServer {
+        EdgeServer::with_memory(handler, options, MemoryAccount::unlimited())
+    }
+
+    /// Creates a server that does not listen yet. While little memory is left it closes idle connections, and it serves
+    /// no connection for which there is none.
+    pub fn with_memory(
+        handler: Arc<dyn EdgeHandler>,
+        options: EdgeOptions,
+        memory: Arc<MemoryAccount>,
+    ) -> EdgeServer {
         let shared = SharedState {
             handler,
             options,
+            memory,
+            idle: Arc::default(),
             open: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             lag_micros: AtomicU64::new(0),
@@ -164,6 +189,11 @@
         self.shared.open.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of open connections on which nothing runs.
+    pub fn idle(&self) -> usize {
+        self.shared.idle.count()
+    }
+
     /// Closes each connection after its next response. New connections are still accepted, because load balancers
     /// notice with a delay that this server is stopping.
     pub fn drain(&self) {
@@ -207,6 +237,28 @@
         places.saturating_sub(self.open.load(Ordering::SeqCst))
     }
 
+    /// Closes the longest idle connections while there is little room for new ones.
+    async fn make_room(&self) {
+        let has_place = self.open.load(Ordering::SeqCst) < self.options.max_connections;
+        if has_place && !self.memory.state().is_tight() {
+            return;
+        }
+        let batch =
+            if has_place { TIGHT_BATCH } else { (self.options.max_connections / PLACE_DIVISOR).max(1) };
+        let closed = (0..batch).take_while(|_| self.idle.close_longest()).count();
+        if closed > 0 {
+            tokio::time::sleep(CLOSE_TIME).await;
+        }
+    }
+
+    /// Promises a new connection its memory; `None` if it cannot be served.
+    fn promise_connection(&self, open_before: usize) -> Option<MemoryPromise> {
+        if open_before >= self.options.max_connections {
+            return None;
+        }
+        self.memory.promise(CONNECTION_BYTES)
+    }
+
     fn lag(&self) -> Duration {
         Duration::from_micros(self.lag_micros.load(Ordering::Relaxed))
     }
@@ -221,6 +273,7 @@
     limit: usize,
 ) {
     tokio::time::sleep(ROUND_LENGTH).await;
+    shared.make_room().await;
     let mut waiting: Vec<(TcpStream, IpAddr)> = Vec::new();
     while waiting.len() < MAX_ACCEPT_BATCH {
         match listener.accept().now_or_never() {
@@ -238,15 +291,14 @@
     }
 }
 
-/// Serves a connection, or refuses it if as many are open as may be served.
+/// Serves a connection, or refuses it if as many are open as may be served or there is no memory for it.
 fn admit(shared: &Arc<SharedState>, stream: TcpStream) {
     let open_before = shared.open.fetch_add(1, Ordering::SeqCst);
     let connection = OpenConnection(shared.clone());
-    if open_before < shared.options.max_connections {
-        tokio::spawn(serve(connection, stream));
-    } else {
-        tokio::spawn(serve_refusal(connection, stream));
-    }
+    match shared.promise_connection(open_before) {
+        Some(promise) => tokio::spawn(serve(connection, stream, promise)),
+        None => tokio::spawn(serve_refusal(connection, stream)),
+    };
 }
 
 /// Admits the newest of the pending connections, as many as there are free places, and closes the others unread. Callers
@@ -281,6 +333,9 @@
             accept_round(&shared, &listener, &mut rotation, limit).await;
             continue;
         }
+        if shared.free_places() == 0 {
+            shared.make_room().await;
+        }
         if shared.free_places() == 0 {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
@@ -292,6 +347,9 @@
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => return,
         };
+        if accepted.is_ok() {
+            shared.make_room().await;
+        }
         match accepted {
             Ok((stream, _)) if shared.open.load(Ordering::SeqCst) < shared.options.max_connections => {
                 admit(&shared, stream)
@@ -307,22 +365,23 @@
     }
 }
 
-async fn serve(connection: OpenConnection, stream: TcpStream) {
+async fn serve(connection: OpenConnection, stream: TcpStream, promise: MemoryPromise) {
     let shared = &connection.0;
     if configure(&stream).is_err() {
         return;
     }
+    let activity = CallerActivity::new(shared.idle.clone(), promise);
     let knows_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
-        answer(shared, request)
+        answer(shared, &activity, request)
     });
     let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.options.idle_limit)
         .max_buf_size(shared.options.max_head_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
-    let closing = shared.closing.1.recv();
+        .serve_connection(TokioIo::new(ShortReads::new(stream)), service);
+    let closing = select(Box::pin(shared.closing.1.recv()), Box::pin(activity.closed()));
     pin_mut!(closing);
     // An error on the connection affects only its caller, and the handler has logged the request.
     let ended = match select(&mut served, closing).await {
@@ -333,7 +392,7 @@
         }
     };
     if ended.is_err() && !knows_chunks.load(Ordering::Relaxed) {
-        reset(&served.into_parts().io.into_inner());
+        reset(served.into_parts().io.inner().stream());
     }
 }
 
@@ -356,7 +415,7 @@
         .keep_alive(false)
         .header_read_timeout(REFUSED_REQUEST_LIMIT)
         .max_buf_size(shared.options.max_head_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ShortReads::new(stream)), service);
     // An error on the connection affects only its caller, and the handler has logged the request.
     let _ = tokio::time::timeout(REFUSED_REQUEST_LIMIT * 2, served).await;
 }
@@ -376,11 +435,13 @@
 
 async fn answer(
     shared: &Arc<SharedState>,
+    activity: &Arc<CallerActivity>,
     request: Request<Incoming>,
-) -> Result<Response<EdgeBody>, Infallible> {
+) -> Result<Response<CallBody<EdgeBody>>, Infallible> {
+    let call = activity.begin_call();
     let mut response = shared.handler.handle(request).await;
     if shared.draining.load(Ordering::SeqCst) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|body| CallBody::new(body, call)))
 }
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod edge;
 pub mod framing;
 pub mod head;
+mod idle;
 pub mod pool;
 pub mod pressure;
 pub mod refusal;
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -6,7 +6,7 @@
 //! run.
 
 use crate::framing::BodyFraming;
-use crate::socket;
+use crate::socket::{self, ShortReads};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body::{Body, Frame, SizeHint};
@@ -183,7 +183,7 @@
         self.opened.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_AHEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(ShortReads::new(stream)))
             .await
             .map_err(|_| SendError::NotSent)?;
         // An error of the connection is also reported to the reader of the response.
@@ -241,6 +241,11 @@
         self.insert_idle(PooledConnection { pool: self.clone(), address, sender, keep_alive });
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.lock().clear();
+    }
+
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
         self.lock().remove(&address);
--- a/crates/micaspool-http/src/socket.rs
+++ b/crates/micaspool-http/src/socket.rs
@@ -1,9 +1,12 @@
 //! Socket options for connections to callers and endpoints.
 
 use socket2::{SockRef, TcpKeepalive};
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 
 /// How long sent bytes may stay unacknowledged before the connection fails (`TCP_USER_TIMEOUT`). It is below the
@@ -35,3 +38,60 @@
     configure(&stream)?;
     Ok(stream)
 }
+
+/// The most that is read from a stream at once, in bytes. `hyper` doubles the buffer of a connection for each read that
+/// fills its first 8 KiB, up to the largest head, and keeps the larger one for as long as the connection is open.
+const READ_BYTES: u64 = 8 * 1024 - 1;
+
+/// A stream that reads a bounded number of bytes at once, so that the read buffer of an open connection stays small.
+#[derive(Debug)]
+pub(crate) struct ShortReads {
+    stream: Take<TcpStream>,
+}
+
+impl ShortReads {
+    pub fn new(stream: TcpStream) -> ShortReads {
+        ShortReads { stream: stream.take(READ_BYTES) }
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        self.stream.get_ref()
+    }
+}
+
+impl AsyncRead for ShortReads {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.stream.set_limit(READ_BYTES);
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for ShortReads {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(self.stream.get_mut()).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(self.stream.get_mut()).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.get_ref().is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(self.stream.get_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(self.stream.get_mut()).poll_shutdown(cx)
+    }
+}
--- a/crates/micaspool-http/tests/body.rs
+++ b/crates/micaspool-http/tests/body.rs
@@ -22,6 +22,16 @@
     assert_eq!(budget.left(), 2_000);
 }
 
+#[test]
+fn a_released_body_occupies_nothing() {
+    let budget = BodyBudget::new(2_000);
+    let mut held = read(&budget, 600).expect("within the limits");
+    held.release();
+    assert_eq!((held.bytes().len(), budget.left()), (0, 2_000));
+    drop(held);
+    assert_eq!(budget.left(), 2_000);
+}
+
 #[test]
 fn a_body_beyond_the_limit_of_one_occupies_nothing() {
     let budget = BodyBudget::new(2_000);
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -203,6 +203,10 @@
 pub const ENDPOINT_LEAVING: EventKind = kind("MP1613", Level::Info, "endpoint announced that it is leaving");
 /// The time in an endpoint's advice to send nothing for a while cannot be parsed.
 pub const ADVICE_UNREADABLE: EventKind = kind("MP1614", Level::Warn, "endpoint advice not readable");
+/// Little memory is left. Idle connections are closed, and requests for which there is no memory are refused.
+pub const MEMORY_TIGHT: EventKind = kind("MP1615", Level::Warn, "memory tight");
+/// Memory is no longer tight.
+pub const MEMORY_FREE: EventKind = kind("MP1616", Level::Info, "memory no longer tight");
 
 /// All events.
 pub const CATALOGUE: &[EventKind] = &[
@@ -281,4 +285,6 @@
     REST_ENDED,
     ENDPOINT_LEAVING,
     ADVICE_UNREADABLE,
+    MEMORY_TIGHT,
+    MEMORY_FREE,
 ];
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -89,6 +89,8 @@
     Draining,
     /// The router has reached its limit of open connections.
     TooManyConnections,
+    /// The gateway has no memory left for the request.
+    MemoryFull,
 }
 
 impl RefusalKind {
@@ -111,7 +113,7 @@
             NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
             Quarantined | CopyRunning | EndpointsRest | HallsEvacuated => 503,
             VersionGone | StreamUnknown => 503,
-            RetriesExhausted | Draining | TooManyConnections => 503,
+            RetriesExhausted | Draining | TooManyConnections | MemoryFull => 503,
             DeadlinePassed => 504,
         }
     }
@@ -160,6 +162,7 @@
             KeyAnswerDropped => "key-answer-dropped",
             Draining => "draining",
             TooManyConnections => "too-many-connections",
+            MemoryFull => "memory-full",
         }
     }
 
@@ -203,6 +206,7 @@
             KeyAnswerDropped => "the request ran once; read its effect from the service itself",
             Draining => "send the request to another instance",
             TooManyConnections => "come back after the given time, or reuse connections",
+            MemoryFull => "come back after the given time",
         }
     }
 }
