fix(http, gateway): bound descriptors, and blame no endpoint for their lack

Cause: callers and connections to endpoints share the descriptors of the process; the former were bounded by memory alone, the latter for each endpoint only. A send without a descriptor was reported as an unreachable endpoint, so the shard paused sound endpoints for everyone.

Change: callers get half of what is not reserved, endpoints the rest; the oldest idle connection of each endpoint makes room. A send that finds none is refused at once as not run, and its grant is settled as unsent.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -56,6 +56,9 @@
 const BODY_DIVISOR: u64 = 2;
 /// The memory for request bodies without a memory limit, in bytes.
 const DEFAULT_BODY_BYTES: u64 = 256_000_000;
+/// Descriptors that are neither callers' connections nor those to endpoints: files, listeners, and connections to cores,
+/// to load balancers and of operators.
+const RESERVED_DESCRIPTORS: u64 = 400;
 /// The minimum number of caller connections, regardless of the memory limit.
 const MIN_CONNECTIONS: usize = 64;
 
@@ -78,6 +81,7 @@
     edge: EdgeOptions,
     body_bytes: u64,
     memory: Arc<MemoryAccount>,
+    pool: PoolOptions,
 }
 
 /// Builds [`GatewayOptions`].
@@ -109,6 +113,7 @@
             edge: EdgeOptions { sheds_load: true, ..EdgeOptions::default() },
             body_bytes: DEFAULT_BODY_BYTES,
             memory: MemoryAccount::unlimited(),
+            pool: PoolOptions::default(),
         };
         GatewayOptionsBuilder { options }
     }
@@ -189,6 +194,19 @@
         self
     }
 
+    /// Limits the number of descriptors of the process. To be set after [`Self::memory`]. Callers get half of those that
+    /// are not needed otherwise, since a request that runs takes a connection to an endpoint too.
+    pub fn descriptors(mut self, descriptors: u64) -> Self {
+        let available =
+            usize::try_from(descriptors.saturating_sub(RESERVED_DESCRIPTORS)).unwrap_or(usize::MAX);
+        let edge = &mut self.options.edge;
+        let callers = (available / 2).max(MIN_CONNECTIONS).min(edge.max_connections + edge.max_refused);
+        edge.max_refused = callers / REFUSED_DIVISOR;
+        edge.max_connections = callers - edge.max_refused;
+        self.options.pool.max_open = available.saturating_sub(callers).max(MIN_CONNECTIONS);
+        self
+    }
+
     /// Returns the finished options.
     pub fn build(self) -> GatewayOptions {
         self.options
@@ -253,7 +271,7 @@
     let mut registry = Registry::default();
     let metrics = GatewayMetrics::register(&mut registry);
     let stop_notice = StopNotice::default();
-    let pool = EndpointPool::new(PoolOptions::default());
+    let pool = EndpointPool::new(options.pool);
     let gateway = Gateway::new(GatewayParts {
         instance: options.instance.clone(),
         hall: options.hall.to_string(),
--- a/crates/micaspool-gateway/src/memory_watch.rs
+++ b/crates/micaspool-gateway/src/memory_watch.rs
@@ -70,6 +70,7 @@
             field("resident", resident_bytes().unwrap_or_default()),
             field("callers", self.server.open()),
             field("callers_idle", self.server.idle()),
+            field("endpoint_connections", self.pool.open()),
             field("endpoint_connections_idle", self.pool.idle_counts().0),
         ];
         record(kind, &fields);
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -466,6 +466,9 @@
         self.reached_sends += u32::from(failure.reached_endpoint);
         self.possible_runs += u32::from(!failure.not_run);
         self.avoid = Some(endpoint);
+        if let Some(kind) = failure.refusal {
+            return Err(self.final_refusal(kind));
+        }
         let is_unrepeatable = self.possible_runs > 0 && !self.may_run_again();
         if is_unrepeatable || self.reached_sends >= self.target.attempts + EXTRA_NOT_RUN_SENDS {
             return Err(self.final_refusal(RefusalKind::RetriesExhausted));
--- a/crates/micaspool-gateway/src/proxy/failure.rs
+++ b/crates/micaspool-gateway/src/proxy/failure.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use micaspool_dispatch::GrantOutcome;
 use micaspool_http::pool::SendError;
+use micaspool_types::RefusalKind;
 
 /// A send without an answer that may be passed on.
 pub(super) struct SendFailure {
@@ -17,6 +18,8 @@
     pub not_run: bool,
     /// True if the endpoint may have received the request.
     pub reached_endpoint: bool,
+    /// Set if no other endpoint can help, because this process lacks what a send takes.
+    pub refusal: Option<RefusalKind>,
 }
 
 impl SendFailure {
@@ -28,6 +31,7 @@
             cause: "no answer before the deadline".to_owned(),
             not_run: false,
             reached_endpoint: true,
+            refusal: None,
         }
     }
 
@@ -36,11 +40,20 @@
         let (kind, outcome) = match error {
             SendError::Unreachable(_) => ("unreachable", GrantOutcome::Unreachable),
             SendError::NotSent => ("not-sent", GrantOutcome::Unreachable),
+            SendError::NoConnectionLeft => ("no-connection-left", GrantOutcome::Unsent),
             SendError::Withheld => ("withheld", GrantOutcome::NotHeld),
             SendError::Broken(_) => ("broken", GrantOutcome::Severed),
         };
         let unsent = error.is_unsent();
-        SendFailure { outcome, kind, cause: error.to_string(), not_run: unsent, reached_endpoint: !unsent }
+        let lacks_connections = matches!(error, SendError::NoConnectionLeft);
+        SendFailure {
+            outcome,
+            kind,
+            cause: error.to_string(),
+            not_run: unsent,
+            reached_endpoint: !unsent,
+            refusal: lacks_connections.then_some(RefusalKind::TooManyConnections),
+        }
     }
 
     /// A response arrived that can't be passed on.
@@ -56,6 +69,13 @@
                 ("unproven-answer", GrantOutcome::Broken, false)
             }
         };
-        SendFailure { outcome, kind, cause: format!("status {status}"), not_run, reached_endpoint: true }
+        SendFailure {
+            outcome,
+            kind,
+            cause: format!("status {status}"),
+            not_run,
+            reached_endpoint: true,
+            refusal: None,
+        }
     }
 }
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -19,6 +19,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -35,6 +36,8 @@
     pub idle_limit: Duration,
     /// The maximum number of idle connections per endpoint.
     pub max_idle: usize,
+    /// The maximum number of open connections to all endpoints together.
+    pub max_open: usize,
 }
 
 impl Default for PoolOptions {
@@ -43,6 +46,7 @@
             connect_limit: Duration::from_millis(700),
             idle_limit: Duration::from_secs(2),
             max_idle: 24,
+            max_open: usize::MAX,
         }
     }
 }
@@ -56,11 +60,21 @@
 /// instead of filling the memory of this process.
 const READ_AHEAD_BYTES: usize = 32 * 1024;
 
+/// How long the tasks of idle connections get to end them.
+const CLOSE_TIME: Duration = Duration::from_millis(1);
+
+/// The error numbers of a process, and of a system, that has no descriptor left (`EMFILE`, `ENFILE`).
+const TOO_MANY_FILES_HERE: i32 = 24;
+const TOO_MANY_FILES_EVERYWHERE: i32 = 23;
+
 /// Why a request got no response head.
 #[derive(Debug)]
 pub enum SendError {
     /// The connection could not be established, so the request was not sent.
     Unreachable(std::io::Error),
+    /// This process has as many connections open as it may have, so the request was not sent. Says nothing about the
+    /// endpoint.
+    NoConnectionLeft,
     /// The connection was closed before the request was written, so the request was not sent.
     NotSent,
     /// The condition for sending no longer held, so the request was not sent. See [`EndpointPool::send_if`].
@@ -82,6 +96,9 @@
             SendError::Unreachable(error) => {
                 write!(f, "no connection ({error}); check that the endpoint runs")
             }
+            SendError::NoConnectionLeft => f.write_str(
+                "no more connections may be open here; send it again later, or allow more descriptors",
+            ),
             SendError::NotSent => {
                 f.write_str("the connection ended before the request was written; send it again")
             }
@@ -102,7 +119,18 @@
 pub struct EndpointPool {
     options: PoolOptions,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
-    opened: std::sync::atomic::AtomicU64,
+    opened: AtomicU64,
+    /// The number of open connections, including those that are being established.
+    open: Arc<AtomicUsize>,
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl fmt::Debug for EndpointPool {
@@ -114,7 +142,12 @@
 impl EndpointPool {
     /// Creates an empty pool.
     pub fn new(options: PoolOptions) -> Arc<EndpointPool> {
-        Arc::new(EndpointPool { options, idle: Mutex::default(), opened: Default::default() })
+        Arc::new(EndpointPool {
+            options,
+            idle: Mutex::default(),
+            opened: AtomicU64::default(),
+            open: Arc::default(),
+        })
     }
 
     /// Sends a request and returns the response as soon as its head has arrived. Dropping the future, or the
@@ -156,7 +189,12 @@
 
     /// Returns the number of connections opened so far.
     pub fn opened(&self) -> u64 {
-        self.opened.load(std::sync::atomic::Ordering::Relaxed)
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
     }
 
     /// Returns the number of idle connections, and how many of them are ready for a request.
@@ -178,19 +216,46 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
+        let open = self.reserve_connection().await?;
         let stream = socket::connect(address, self.options.connect_limit).await;
-        let stream = stream.map_err(SendError::Unreachable)?;
-        self.opened.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let stream = stream.map_err(connect_error)?;
+        self.opened.fetch_add(1, Ordering::Relaxed);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_AHEAD_BYTES)
             .handshake(TokioIo::new(ShortReads::new(stream)))
             .await
             .map_err(|_| SendError::NotSent)?;
         // An error of the connection is also reported to the reader of the response.
-        tokio::spawn(async move { drop(connection.await) });
+        tokio::spawn(async move {
+            drop(connection.await);
+            drop(open);
+        });
         Ok(sender)
     }
 
+    /// Reserves one of the connections that may be open. If all are, the oldest idle one of each endpoint is closed.
+    async fn reserve_connection(&self) -> Result<OpenConnection, SendError> {
+        if self.open() >= self.options.max_open {
+            self.close_oldest_idle();
+            tokio::time::sleep(CLOSE_TIME).await;
+        }
+        let open = OpenConnection(self.open.clone());
+        if self.open.fetch_add(1, Ordering::Relaxed) < self.options.max_open {
+            Ok(open)
+        } else {
+            Err(SendError::NoConnectionLeft)
+        }
+    }
+
+    fn close_oldest_idle(&self) {
+        let mut idle = self.lock();
+        for connections in idle.values_mut() {
+            if !connections.is_empty() {
+                connections.remove(0);
+            }
+        }
+    }
+
     /// Sends a request on the given connection. If it was not written, it is returned with the error.
     async fn send_on(
         self: &Arc<Self>,
@@ -265,6 +330,14 @@
     }
 }
 
+/// Tells a lack of descriptors in this process from an endpoint that cannot be reached.
+fn connect_error(error: std::io::Error) -> SendError {
+    match error.raw_os_error() {
+        Some(TOO_MANY_FILES_HERE | TOO_MANY_FILES_EVERYWHERE) => SendError::NoConnectionLeft,
+        _ => SendError::Unreachable(error),
+    }
+}
+
 struct PooledConnection {
     pool: Arc<EndpointPool>,
     address: SocketAddr,
--- a/crates/micaspool-http/tests/pool.rs
+++ b/crates/micaspool-http/tests/pool.rs
@@ -234,3 +234,32 @@
     let response = task::block_on(pool.send(address, request())).expect("a response");
     assert_eq!(response.body().framing(), framing);
 }
+
+/// Guards against a process without descriptors that reports endpoints as unreachable.
+#[test]
+fn a_lack_of_connections_is_not_blamed_on_the_endpoint() {
+    let (address, _) = endpoint("", AfterResponse::Keep);
+    let pool = EndpointPool::new(PoolOptions { max_open: 1, ..PoolOptions::default() });
+    task::block_on(async {
+        let waiting = task::spawn({
+            let pool = pool.clone();
+            async move { pool.send(address, request()).await.is_ok() }
+        });
+        task::sleep(Duration::from_millis(100)).await;
+        assert_eq!(pool.open(), 1);
+        let error = pool.send(address, request()).await.expect_err("one connection is open");
+        assert!(matches!(error, SendError::NoConnectionLeft) && error.is_unsent(), "{error}");
+        waiting.cancel().await;
+    });
+}
+
+#[test]
+fn an_idle_connection_makes_room_for_one_to_another_endpoint() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
+    let (first, _) = endpoint(answer, AfterResponse::Keep);
+    let (second, _) = endpoint(answer, AfterResponse::Keep);
+    let pool = EndpointPool::new(PoolOptions { max_open: 1, ..PoolOptions::default() });
+    task::block_on(fetch(&pool, first)).expect("a whole answer");
+    wait_for_idle(&pool, 1);
+    task::block_on(fetch(&pool, second)).expect("the idle connection was closed");
+}
