fix(http): a server has not drained before its listener has ended

At the moment of the close `drained` looked at the open connections at once. The task that accepts had not seen the close by then; one that accepts in rounds, as an overloaded server does for some seconds, sees it up to 50 ms later. What it accepted in between lost its connection to the end of the process, perhaps after the request had been read and sent on.

`drained` now also waits for the listeners.

--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -112,6 +112,8 @@
     handler: Arc<dyn EdgeHandler>,
     options: EdgeOptions,
     open: AtomicUsize,
+    /// The number of listeners that have not ended.
+    listening: AtomicUsize,
     draining: AtomicBool,
     /// How late tasks ran at the last measurement, in microseconds.
     lag_micros: AtomicU64,
@@ -141,6 +143,7 @@
             handler,
             options,
             open: AtomicUsize::new(0),
+            listening: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             lag_micros: AtomicU64::new(0),
             closing: async_std::channel::bounded(1),
@@ -155,7 +158,8 @@
         if self.shared.options.sheds_load {
             tokio::spawn(measure_lag(self.shared.clone()));
         }
-        tokio::spawn(accept(self.shared.clone(), listener));
+        self.shared.listening.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(run_listener(self.shared.clone(), listener));
         Ok(bound)
     }
 
@@ -170,15 +174,17 @@
         self.shared.draining.store(true, Ordering::SeqCst);
     }
 
-    /// Closes the listener and idle connections at `close_at`, then waits until all connections have ended, until
-    /// `deadline` at most. Returns true if none was left.
+    /// Closes the listener and idle connections at `close_at`, then waits until the listener and all connections have
+    /// ended, until `deadline` at most. Returns true if none was left.
     pub async fn drained(&self, close_at: BootInstant, deadline: BootInstant) -> bool {
         loop {
             let now = BootInstant::now();
             if now >= close_at {
                 self.shared.closing.0.close();
             }
-            if self.open() == 0 && now >= close_at {
+            // A listener that has not ended may accept one more connection.
+            let has_closed = now >= close_at && self.shared.listening.load(Ordering::SeqCst) == 0;
+            if has_closed && self.open() == 0 {
                 return true;
             }
             if now >= deadline {
@@ -268,6 +274,12 @@
     }
 }
 
+/// Accepts connections until the server closes.
+async fn run_listener(shared: Arc<SharedState>, listener: TcpListener) {
+    accept(shared.clone(), listener).await;
+    shared.listening.fetch_sub(1, Ordering::SeqCst);
+}
+
 async fn accept(shared: Arc<SharedState>, listener: TcpListener) {
     let mut budget = RoundBudget::default();
     let mut rotation = CallerRotation::default();
