fix(gateway): read the body of a request that is refused early, so that its caller gets the refusal

A refusal for the head, the key, the path or the length was written before the body was read; only throttled requests had theirs drained. hyper then closes the connection, and a caller that still sends gets a reset in place of 400, 401, 404, 413 or the 503 of a gateway without a plan.

If the body was not read to its end, the refusal says that the connection closes, which hyper had not said.

--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! Accepting requests and proxying them to endpoints.
 
 mod attempt;
+mod caller_body;
 mod failure;
 mod headers;
 mod target;
@@ -12,15 +13,15 @@
 use crate::stopping::StopNotice;
 use async_trait::async_trait;
 pub(crate) use attempt::{Attempts, UsableAnswer};
-use http::header::{HeaderName, CONTENT_LENGTH};
+use caller_body::CallerBody;
+use http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
 use http::{request, Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use micaspool_backpressure::SharedAdvice;
 use micaspool_client::{FleetMirror, PeerDirectory};
 use micaspool_clock::BootInstant;
 use micaspool_dispatcher::FleetDispatcher;
-use micaspool_http::body::{self, BodyBudget, HeldBody};
+use micaspool_http::body::{BodyBudget, HeldBody};
 use micaspool_http::edge::{EdgeBody, EdgeHandler};
 use micaspool_http::pool::EndpointPool;
 use micaspool_router::{ShardClient, ShardClientOptions};
@@ -34,12 +35,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use target::CallTarget;
-use tokio::time::timeout;
 
 /// `Retry-After` of refusals by this gateway, such as for a missing plan or endpoint or too many connections.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// How long reading a request body may take if the caller sent no timeout.
-const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// The id of the last event that the caller of a stream has received.
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
@@ -154,13 +152,32 @@
     ) -> Response<EdgeBody> {
         let id = caller.id.clone();
         let mut log = log;
-        match self.accept(head, caller, body, &mut log).await {
-            Ok(attempts) => attempts.run(self, log).await,
-            Err(refusal) => {
-                log.refuse(&refusal);
-                self.shared.parts.dialect.refuse(Some(&id), &refusal)
+        let mut body = CallerBody::new(&head, body, log.arrived_at(), caller.patience);
+        match self.accept(head, caller, &mut body, &mut log).await {
+            Ok(attempts) => {
+                drop(body);
+                attempts.run(self, log).await
             }
+            Err(refusal) => self.refuse_early(Some(&id), &refusal, body, log).await,
+        }
+    }
+
+    /// Refuses a request whose body may not have been read.
+    async fn refuse_early(
+        &self,
+        id: Option<&str>,
+        refusal: &Refusal,
+        mut body: CallerBody,
+        mut log: RequestLog,
+    ) -> Response<EdgeBody> {
+        let parts = &self.shared.parts;
+        let _ = parts.stop_notice.unless_stopping(body.discard()).await;
+        log.refuse(refusal);
+        let mut response = parts.dialect.refuse(id, refusal);
+        if !body.is_whole() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 
     /// Does everything that precedes the first wait for a grant: resolves the target, applies the throttle and reads
@@ -169,22 +186,18 @@
         &self,
         head: request::Parts,
         caller: CallerHead,
-        body: Incoming,
+        body: &mut CallerBody,
         log: &mut RequestLog,
     ) -> Result<Attempts, Refusal> {
         let arrived_at = log.arrived_at();
         let plan = self.shared.parts.mirror.plan();
         let target = CallTarget::resolve(&plan, &self.shared.parts.hall_regions, &head, &caller)?;
         target.write_to_log(log);
+        body.limit_time(target.time_limit);
         let limit = plan.plan.parts().limits.body_bytes;
         check_length(&head, limit)?;
-        let body_timeout = caller.patience.unwrap_or(DEFAULT_BODY_TIMEOUT).min(target.time_limit);
-        if let Err(refusal) = self.shard(&target.service).admit(&target.queue_customer()) {
-            let _ = timeout(body_timeout, drain_body(body)).await;
-            return Err(refusal);
-        }
-        let read = timeout(body_timeout, read_body(&self.shared.parts.bodies, body, limit)).await;
-        let body = read.unwrap_or_else(|_| Err(Refusal::not_run(RefusalKind::SlowRequest)))?;
+        self.shard(&target.service).admit(&target.queue_customer())?;
+        let body = body.read(&self.shared.parts.bodies, limit).await?;
         let versions = self.versions_of(&head, &caller, &target)?;
         Ok(Attempts::new(AcceptedCall { head, caller, arrived_at, body }, target, versions))
     }
@@ -226,9 +239,9 @@
                 self.serve(head, caller, body, log).await
             }
             Err(refusal) => {
-                let mut log = RequestLog::new(parts.metrics.clone(), Arc::from("unread"), arrived_at);
-                log.refuse(&refusal);
-                parts.dialect.refuse(None, &refusal)
+                let log = RequestLog::new(parts.metrics.clone(), Arc::from("unread"), arrived_at);
+                let body = CallerBody::new(&head, body, arrived_at, None);
+                self.refuse_early(None, &refusal, body, log).await
             }
         }
     }
@@ -257,22 +270,3 @@
         _ => Ok(()),
     }
 }
-
-/// Reads and discards a body. Unread bytes would reset the connection before the caller has received the refusal.
-async fn drain_body(mut body: Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
-}
-
-/// Reads a whole body of at most `limit` bytes. A body for which there is no memory is read on and discarded, so that its
-/// caller receives the refusal.
-async fn read_body(budget: &BodyBudget, mut body: Incoming, limit: u64) -> Result<HeldBody, Refusal> {
-    match budget.read(&mut body, limit).await {
-        Ok(held) => Ok(held),
-        Err(body::Error::TooLong) => Err(Refusal::not_run(RefusalKind::BodyTooLarge)),
-        Err(body::Error::NoBudget) => {
-            drain_body(body).await;
-            Err(Refusal::not_run(RefusalKind::FleetBacklogFull).after(RETRY_AFTER))
-        }
-        Err(body::Error::Broken) => Err(Refusal::not_run(RefusalKind::MalformedRequest)),
-    }
-}
