fix(gateway): refuse a request whose body is still on its way when the gateway ends

Reading a body did not look at the notice that a stop is near, so that the end of the process closed the connection and the caller could not know that nothing ran. It now gets 503 `draining`, as requests that wait for a grant do.

The row a_request_whose_body_is_half_read_when_a_front_ends_is_refused failed before (closed with nothing) and passes.

--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -197,7 +197,9 @@
         let limit = plan.plan.parts().limits.body_bytes;
         check_length(&head, limit)?;
         self.shard(&target.service).admit(&target.queue_customer())?;
-        let body = body.read(&self.shared.parts.bodies, limit).await?;
+        let read = body.read(&self.shared.parts.bodies, limit);
+        let body = self.shared.parts.stop_notice.unless_stopping(read).await;
+        let body = body.unwrap_or_else(|| Err(Refusal::not_run(RefusalKind::Draining).after(RETRY_AFTER)))?;
         let versions = self.versions_of(&head, &caller, &target)?;
         Ok(Attempts::new(AcceptedCall { head, caller, arrived_at, body }, target, versions))
     }
