fix(gateway): end what still runs before the gateway ends

A request whose endpoint was silent lost its connection with nothing written when the process ended, and a stream that ran was closed by the system: to a caller of HTTP/1.0 an orderly close is the end of a whole answer.

Requests without an answer are then refused with 502, as they may have run; running answers fail as a broken one does: no last chunk, a reset for callers without chunks. Their grants are settled as abandoned, so that the endpoint is not taken for one that crashed.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -39,6 +39,8 @@
 
 /// How long before the end of a stop the requests that still wait are refused.
 const LAST_REFUSALS: Duration = Duration::from_millis(700);
+/// How long before the end of a stop the requests that still run are ended.
+const LAST_ENDS: Duration = Duration::from_millis(250);
 
 /// The memory that a gateway uses without any callers, in bytes. 13 MB were measured on the users' small sites.
 const BASELINE_BYTES: u64 = 30_000_000;
@@ -200,6 +202,7 @@
     mirror: Arc<FleetMirror>,
     is_stopping: Arc<AtomicBool>,
     stop_notice: StopNotice,
+    end_notice: StopNotice,
 }
 
 impl GatewayDaemon {
@@ -211,12 +214,14 @@
     /// Stops the gateway gracefully.
     ///
     /// It reports not ready at once, keeps accepting requests until load balancers have noticed, and waits up
-    /// to `limit` for open connections. Requests that still wait for an endpoint shortly before are refused. Returns true
-    /// if all connections ended in time.
+    /// to `limit` for open connections. Requests that still wait for an endpoint shortly before are refused, then those
+    /// whose endpoint has not answered, and answers that still run are broken off. Returns true if all connections ended in
+    /// time.
     pub async fn stop(self, limit: Duration) -> bool {
         self.is_stopping.store(true, Ordering::SeqCst);
         self.server.drain();
         task::spawn(self.stop_notice.clone().give_after(limit.saturating_sub(LAST_REFUSALS)));
+        task::spawn(self.end_notice.clone().give_after(limit.saturating_sub(LAST_ENDS)));
         let now = BootInstant::now();
         let latest = now + limit;
         self.server.drained(now + DRAIN_NOTICE.min(limit), latest).await
@@ -246,7 +251,7 @@
     });
     let mut registry = Registry::default();
     let metrics = GatewayMetrics::register(&mut registry);
-    let stop_notice = StopNotice::default();
+    let (stop_notice, end_notice) = (StopNotice::default(), StopNotice::default());
     let pool = EndpointPool::new(PoolOptions::default());
     let gateway = Gateway::new(GatewayParts {
         instance: options.instance.clone(),
@@ -259,6 +264,7 @@
         pool: pool.clone(),
         bodies: BodyBudget::new(options.body_bytes),
         stop_notice: stop_notice.clone(),
+        end_notice: end_notice.clone(),
         advice: options.advice.clone(),
         dialect: options.dialect.clone(),
         spans,
@@ -285,7 +291,7 @@
     for address in &options.status {
         status.push(serve_status(*address, source.clone()).await.map_err(StartError::bind(*address))?);
     }
-    Ok(GatewayDaemon { callers, status, server, mirror, is_stopping, stop_notice })
+    Ok(GatewayDaemon { callers, status, server, mirror, is_stopping, stop_notice, end_notice })
 }
 
 /// Opens shards for the services of new plans, closes connections that were idle for too long and expires endpoint
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -107,7 +107,7 @@
             if !self.should_buffer(&answer) {
                 return self.stream_answer(gateway, answer, log);
             }
-            match self.buffer_answer(answer, &mut log).await {
+            match self.buffer_answer(gateway, answer, &mut log).await {
                 Ok(response) => return response,
                 // The next iteration retries, or refuses if no further attempt is allowed.
                 Err(failure) => log.log_failure("body-broken", &failure, false),
@@ -125,6 +125,7 @@
 
     async fn buffer_answer(
         &self,
+        gateway: &Gateway,
         answer: UsableAnswer,
         log: &mut RequestLog,
     ) -> Result<Response<EdgeBody>, String> {
@@ -132,13 +133,13 @@
         let (mut head, body) = response.into_parts();
         let time_left = self.deadline.saturating_duration_since(BootInstant::now());
         let framing = body.framing();
-        let collected =
-            timeout(time_left, body.collect()).await.map(|body| body.map(|whole| whole.to_bytes()));
+        let collected = gateway.end_notice().unless_stopping(timeout(time_left, body.collect())).await;
+        let collected = collected.map(|body| body.map(|body| body.map(|whole| whole.to_bytes())));
         let (cause, outcome) = match collected {
-            Ok(Ok(bytes)) if self.is_cut(framing, &head, &bytes) => {
+            Some(Ok(Ok(bytes))) if self.is_cut(framing, &head, &bytes) => {
                 (StreamCut::InsideEvent.to_string(), GrantOutcome::Broken)
             }
-            Ok(Ok(bytes)) => {
+            Some(Ok(Ok(bytes))) => {
                 lease.settle(Cost(1), GrantOutcome::Done);
                 strip_hop_by_hop(&mut head.headers);
                 log.set_status(head.status.as_u16());
@@ -146,8 +147,9 @@
                 log.finish();
                 return Ok(Response::from_parts(head, full_body(bytes)));
             }
-            Ok(Err(error)) => (error.to_string(), GrantOutcome::Severed),
-            Err(_) => ("response body incomplete at the deadline".to_owned(), GrantOutcome::Broken),
+            Some(Ok(Err(error))) => (error.to_string(), GrantOutcome::Severed),
+            Some(Err(_)) => ("response body incomplete at the deadline".to_owned(), GrantOutcome::Broken),
+            None => ("response body incomplete when the gateway stops".to_owned(), GrantOutcome::Abandoned),
         };
         lease.settle(Cost(1), outcome);
         Err(cause)
@@ -377,9 +379,9 @@
         let request = self.build_request(gateway, &context);
         lease.mark_sent();
         let may_send = || parts.advice.may_send(&endpoint.name) && !parts.mirror.is_evacuated(&endpoint.hall);
-        let sent = timeout(time_left, parts.pool.send_if(endpoint.address, request, may_send)).await;
-        let failure = match sent {
-            Ok(Ok(response)) => {
+        let sent = timeout(time_left, parts.pool.send_if(endpoint.address, request, may_send));
+        let failure = match parts.end_notice.unless_stopping(sent).await {
+            Some(Ok(Ok(response))) => {
                 let (head, body) = response.into_parts();
                 let verdict = parts.dialect.classify_answer(&head, &self.call.caller.id);
                 if verdict.is_from_target() {
@@ -394,8 +396,9 @@
                     verdict => SendFailure::from_answer(verdict, head.status),
                 }
             }
-            Ok(Err(error)) => SendFailure::from_error(&error),
-            Err(_) => SendFailure::deadline(),
+            Some(Ok(Err(error))) => SendFailure::from_error(&error),
+            Some(Err(_)) => SendFailure::deadline(),
+            None => SendFailure::stopping(),
         };
         lease.settle(Cost(0), failure.outcome);
         Err(failure)
--- a/crates/micaspool-gateway/src/proxy/failure.rs
+++ b/crates/micaspool-gateway/src/proxy/failure.rs
@@ -31,6 +31,17 @@
         }
     }
 
+    /// No answer arrived before the gateway stops.
+    pub fn stopping() -> SendFailure {
+        SendFailure {
+            outcome: GrantOutcome::Abandoned,
+            kind: "stopping",
+            cause: "no answer before the gateway stops".to_owned(),
+            not_run: false,
+            reached_endpoint: true,
+        }
+    }
+
     /// The send failed without a response.
     pub fn from_error(error: &SendError) -> SendFailure {
         let (kind, outcome) = match error {
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -65,6 +65,8 @@
     pub bodies: BodyBudget,
     /// Ends the waits of requests before the gateway stops.
     pub stop_notice: StopNotice,
+    /// Ends what runs immediately before the gateway stops.
+    pub end_notice: StopNotice,
     /// The advice that endpoints gave this process: to send nothing for a while (a rest), or that they are leaving.
     pub advice: Arc<SharedAdvice>,
     /// The headers and statuses that callers and endpoints use.
@@ -123,6 +125,11 @@
         }
     }
 
+    /// Returns the notice that ends what runs immediately before the gateway stops.
+    pub(crate) fn end_notice(&self) -> &StopNotice {
+        &self.shared.parts.end_notice
+    }
+
     fn shard(&self, service: &ServiceName) -> Arc<ShardClient> {
         let parts = &self.shared.parts;
         let start = || {
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::events::{EventScanner, EventSplitter};
 use crate::proxy::{Attempts, Gateway, UsableAnswer};
 use crate::request_log::RequestLog;
+use crate::stopping::StopNotice;
 use bytes::Bytes;
 use futures::future::{select, BoxFuture, Either};
 use futures::stream::unfold;
@@ -37,6 +38,8 @@
     Cut(StreamCut, BodyFraming),
     /// The deadline and its grace period have passed.
     Deadline,
+    /// The gateway stops.
+    Stopping,
 }
 
 impl fmt::Display for RelayError {
@@ -50,6 +53,7 @@
             }
             RelayError::Cut(cut, _) => cut.fmt(f),
             RelayError::Deadline => f.write_str("answer incomplete at the request deadline"),
+            RelayError::Stopping => f.write_str("answer incomplete when the gateway stops"),
         }
     }
 }
@@ -62,6 +66,7 @@
         match self {
             RelayError::Endpoint(_) | RelayError::Cut(_, BodyFraming::Connection) => GrantOutcome::Severed,
             RelayError::Cut(..) | RelayError::Deadline => GrantOutcome::Broken,
+            RelayError::Stopping => GrantOutcome::Abandoned,
         }
     }
 }
@@ -122,7 +127,8 @@
     /// Holds back incomplete events of a stream that may be resumed.
     splitter: Option<EventSplitter>,
     log: RequestLog,
-    expiry: BoxFuture<'static, ()>,
+    /// Ends when the answer may not go on.
+    expiry: BoxFuture<'static, RelayError>,
     is_ended: bool,
 }
 
@@ -136,6 +142,7 @@
         is_stream: bool,
     ) -> AnswerRelay {
         let left = attempts.deadline().saturating_duration_since(BootInstant::now());
+        let expiry = Box::pin(wait_for_expiry(left, gateway.end_notice().clone()));
         AnswerRelay {
             gateway,
             is_stream,
@@ -145,7 +152,7 @@
             source,
             meter,
             log,
-            expiry: Box::pin(tokio::time::sleep(left + DEADLINE_GRACE)),
+            expiry,
             is_ended: false,
         }
     }
@@ -182,7 +189,7 @@
                 }
                 Either::Left((Some(Err(error)), _)) => return Err(RelayError::Endpoint(error)),
                 Either::Left((None, _)) => return self.check_end().map(|()| None),
-                Either::Right(_) => return Err(RelayError::Deadline),
+                Either::Right((error, _)) => return Err(error),
             }
         }
     }
@@ -261,7 +268,7 @@
         let cause = match error {
             RelayError::Endpoint(error) => error.to_string(),
             RelayError::Cut(cut, _) => cut.to_string(),
-            RelayError::Deadline => return false,
+            RelayError::Deadline | RelayError::Stopping => return false,
         };
         let Some(last) = self.splitter.as_ref().and_then(EventSplitter::last_id) else { return false };
         if !self.attempts.may_run_again() {
@@ -290,6 +297,15 @@
     }
 }
 
+/// Waits until an answer may not go on: until its deadline and the grace period have passed, or the gateway stops.
+async fn wait_for_expiry(time_left: Duration, end_notice: StopNotice) -> RelayError {
+    let deadline = tokio::time::sleep(time_left + DEADLINE_GRACE);
+    match end_notice.unless_stopping(deadline).await {
+        Some(()) => RelayError::Deadline,
+        None => RelayError::Stopping,
+    }
+}
+
 /// Turns a relay into a body. An answer without a body is finished at once.
 pub(crate) fn relay_body(relay: AnswerRelay) -> EdgeBody {
     if relay.source.body.is_end_stream() {
--- a/crates/micaspool-gateway/src/stopping.rs
+++ b/crates/micaspool-gateway/src/stopping.rs
@@ -1,7 +1,8 @@
-//! Ends the waits of requests shortly before a gateway stops.
+//! Ends requests shortly before a gateway stops.
 //!
 //! A stopping gateway serves on while it has time. What still waits for an endpoint near the end has not run and is refused;
-//! otherwise its caller would see a closed connection and could not know that.
+//! otherwise its caller would see a closed connection and could not know that. What runs goes on a little longer, and is then
+//! refused or broken off here: the system would close its connection as after a whole answer.
 
 use async_std::channel::{bounded, Receiver, Sender};
 use futures::future::{select, Either};
