fix(gateway): refuse requests for a tunnel

CONNECT with a path found its route and ran at an endpoint. The answer to it has no body in HTTP, so that the endpoint's was lost, and an answer with a length can't be written at all. It is refused with 400 and has not run.

--- a/crates/micaspool-gateway/src/proxy/target.rs
+++ b/crates/micaspool-gateway/src/proxy/target.rs
@@ -4,7 +4,7 @@
 use crate::proxy::RETRY_AFTER;
 use crate::request_log::RequestLog;
 use http::header::HOST;
-use http::request;
+use http::{request, Method};
 use micaspool_dispatcher::PUBLIC_CUSTOMER;
 use micaspool_routes::{CustomerKeys, EngineProfile, NumberedPlan, RouteRule, RunRule};
 use micaspool_types::{CustomerName, HallLimit, HallRegions, Refusal, RefusalKind, ServiceName};
@@ -54,6 +54,10 @@
         if plan.number == 0 {
             return Err(Refusal::not_run(RefusalKind::NoSettings).after(RETRY_AFTER));
         }
+        // An endpoint serves no tunnels, and the answer to a request for one has no body.
+        if head.method == Method::CONNECT {
+            return Err(Refusal::not_run(RefusalKind::MalformedRequest));
+        }
         let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
         let host = host.or_else(|| head.uri.host()).unwrap_or_default();
         let rules = &plan.plan;
