fix(gateway): a refusal says that its connection ends also after a malformed body

A body that had broken off counted as read to its end, so that the refusal of such a request let its caller take the connection for kept; hyper closes it. How far a body was read is now one state in place of two flags.

--- a/crates/micaspool-gateway/src/proxy/caller_body.rs
+++ b/crates/micaspool-gateway/src/proxy/caller_body.rs
@@ -17,14 +17,24 @@
 /// The longest rest of a body that is discarded, in bytes.
 const MAX_DISCARDED_BYTES: u64 = 8 * 1024 * 1024;
 
+/// How far a body has been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyState {
+    /// The caller waits for a sign to send it.
+    HeldBack,
+    /// There may be more of it.
+    Partial,
+    /// All of it was read.
+    Whole,
+    /// It broke off, is malformed or took too long.
+    Lost,
+}
+
 /// The part of a body that has not been read.
 #[derive(Debug)]
 pub(super) struct CallerBody {
     body: Incoming,
-    /// True while the caller waits for a sign to send the body.
-    is_held_back: bool,
-    /// True once all of the body was read.
-    is_whole: bool,
+    state: BodyState,
     arrived_at: BootInstant,
     /// The time limit of reading the body, from the arrival of the request.
     time_limit: Duration,
@@ -38,13 +48,12 @@
         arrived_at: BootInstant,
         patience: Option<Duration>,
     ) -> CallerBody {
-        CallerBody {
-            is_held_back: head.headers.contains_key(EXPECT),
-            is_whole: body.is_end_stream(),
-            body,
-            arrived_at,
-            time_limit: patience.unwrap_or(DEFAULT_TIMEOUT),
-        }
+        let state = match head.headers.contains_key(EXPECT) {
+            _ if body.is_end_stream() => BodyState::Whole,
+            true => BodyState::HeldBack,
+            false => BodyState::Partial,
+        };
+        CallerBody { body, state, arrived_at, time_limit: patience.unwrap_or(DEFAULT_TIMEOUT) }
     }
 
     /// Lowers the time limit, which counts from the arrival of the request.
@@ -54,29 +63,33 @@
 
     /// Returns true once all of the body was read. Otherwise the connection can't serve another request.
     pub fn is_whole(&self) -> bool {
-        self.is_whole
+        self.state == BodyState::Whole
     }
 
     /// Reads a body of at most `limit` bytes.
     pub async fn read(&mut self, budget: &BodyBudget, limit: u64) -> Result<HeldBody, Refusal> {
-        self.is_held_back = false;
+        self.state = BodyState::Partial;
         let read = timeout(self.time_left(), budget.read(&mut self.body, limit)).await;
+        self.state = match &read {
+            Ok(Ok(_)) => BodyState::Whole,
+            Ok(Err(Error::TooLong | Error::NoBudget)) => BodyState::Partial,
+            Ok(Err(Error::Broken)) | Err(_) => BodyState::Lost,
+        };
         let read = read.map_err(|_| Refusal::not_run(RefusalKind::SlowRequest))?;
-        let held = read.map_err(refusal_of)?;
-        self.is_whole = true;
-        Ok(held)
+        read.map_err(refusal_of)
     }
 
     /// Reads and discards the rest. Unread bytes would reset the connection before the caller has received the refusal. A
     /// caller that waits for a sign gets the refusal in place of it.
     pub async fn discard(&mut self) {
         let is_too_long = self.body.size_hint().lower() > MAX_DISCARDED_BYTES;
-        if self.is_whole || self.is_held_back || is_too_long {
+        if self.state != BodyState::Partial || is_too_long {
             return;
         }
         let time_left = self.time_left().min(DEFAULT_TIMEOUT);
         let discarded = timeout(time_left, discard_frames(&mut self.body)).await;
-        self.is_whole = discarded.unwrap_or(false);
+        let is_whole = discarded.unwrap_or(false);
+        self.state = if is_whole { BodyState::Whole } else { BodyState::Lost };
     }
 
     fn time_left(&self) -> Duration {
