--- a/crates/micaspool-http/tests/pool.rs
+++ b/crates/micaspool-http/tests/pool.rs
@@ -234,3 +234,34 @@
     let response = task::block_on(pool.send(address, request())).expect("a response");
     assert_eq!(response.body().framing(), framing);
 }
+
+/// An endpoint answers after it has read the head alone, and closes its connection while the body is still being sent.
+#[test]
+fn a_request_whose_endpoint_answers_before_the_body_was_sent_ends() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\nconnection: close\r\n\r\nabc";
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let _ = stream.read(&mut [0; 256]);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    let pool = EndpointPool::new(PoolOptions::default());
+    for round in 0..20 {
+        let body = Full::new(Bytes::from(vec![b'x'; 8_000_000]));
+        let request = Request::post("/x").header("host", "h").body(body).expect("valid");
+        let exchange = async {
+            match pool.send(address, request).await {
+                Ok(response) => response.into_body().collect().await.map_or("body", |_| "whole"),
+                Err(SendError::Broken(_)) => "head",
+                Err(_) => "unsent",
+            }
+        };
+        let end = task::block_on(async_std::future::timeout(Duration::from_secs(2), exchange));
+        let end = end.unwrap_or_else(|_| panic!("round {round} has not ended"));
+        assert_ne!(end, "unsent", "round {round}: its head was sent");
+        println!("round {round}: {end}");
+    }
+}
