--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! Accepting requests and proxying them to endpoints.
 
 mod attempt;
+mod caller_body;
 mod failure;
 mod headers;
 mod target;
@@ -13,15 +14,15 @@
 use crate::stopping::StopNotice;
 use async_trait::async_trait;
 pub(crate) use attempt::{Attempts, UsableAnswer};
-use http::header::{HeaderName, CONTENT_LENGTH};
+use caller_body::CallerBody;
+use http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
 use http::{request, Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use micaspool_backpressure::SharedAdvice;
 use micaspool_client::{FleetMirror, PeerDirectory};
 use micaspool_clock::BootInstant;
 use micaspool_dispatcher::FleetDispatcher;
-use micaspool_http::body::{self, BodyBudget, HeldBody};
+use micaspool_http::body::{BodyBudget, HeldBody};
 use micaspool_http::edge::{EdgeBody, EdgeHandler};
 use micaspool_http::pool::EndpointPool;
 use micaspool_memory::{MemoryAccount, MemoryPromise};
@@ -37,12 +38,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use target::CallTarget;
-use tokio::time::timeout;
 
 /// `Retry-After` of refusals by this gateway, such as for a missing plan or endpoint or too many connections.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// How long reading a request body may take if the caller sent no timeout.
-const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// What a request takes beyond its body until its answer begins: the ticket, the connection to an endpoint with its
 /// buffers, and the task of that connection.
@@ -76,6 +74,8 @@
     pub memory: Arc<MemoryAccount>,
     /// Ends the waits of requests before the gateway stops.
     pub stop_notice: StopNotice,
+    /// Ends what runs immediately before the gateway stops.
+    pub end_notice: StopNotice,
     /// The advice that endpoints gave this process: to send nothing for a while (a rest), or that they are leaving.
     pub advice: Arc<SharedAdvice>,
     /// The headers and statuses that callers and endpoints use.
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Returns the notice that ends what runs immediately before the gateway stops.
+    pub(crate) fn end_notice(&self) -> &StopNotice {
+        &self.shared.parts.end_notice
+    }
+
     fn shard(&self, service: &ServiceName) -> Arc<ShardClient> {
         let parts = &self.shared.parts;
         let start = || {
@@ -174,13 +179,32 @@
     ) -> Response<EdgeBody> {
         let id = caller.id.clone();
         let mut log = log;
-        match self.accept(head, caller, body, &mut log).await {
-            Ok(attempts) => attempts.run(self, log).await,
-            Err(refusal) => {
-                log.refuse(&refusal);
-                self.shared.parts.dialect.refuse(Some(&id), &refusal)
+        let mut body = CallerBody::new(&head, body, log.arrived_at(), caller.patience);
+        match self.accept(head, caller, &mut body, &mut log).await {
+            Ok(attempts) => {
+                drop(body);
+                attempts.run(self, log).await
             }
+            Err(refusal) => self.refuse_early(Some(&id), &refusal, body, log).await,
+        }
+    }
+
+    /// Refuses a request whose body may not have been read.
+    async fn refuse_early(
+        &self,
+        id: Option<&str>,
+        refusal: &Refusal,
+        mut body: CallerBody,
+        mut log: RequestLog,
+    ) -> Response<EdgeBody> {
+        let parts = &self.shared.parts;
+        let _ = parts.stop_notice.unless_stopping(body.discard()).await;
+        log.refuse(refusal);
+        let mut response = parts.dialect.refuse(id, refusal);
+        if !body.is_whole() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 
     /// Does everything that precedes the first wait for a grant: resolves the target, applies the throttle and reads
@@ -189,28 +213,23 @@
         &self,
         head: request::Parts,
         caller: CallerHead,
-        body: Incoming,
+        body: &mut CallerBody,
         log: &mut RequestLog,
     ) -> Result<Attempts, Refusal> {
         let arrived_at = log.arrived_at();
         let plan = self.shared.parts.mirror.plan();
         let target = CallTarget::resolve(&plan, &self.shared.parts.hall_regions, &head, &caller)?;
         target.write_to_log(log);
+        body.limit_time(target.time_limit);
         let limit = plan.plan.parts().limits.body_bytes;
         check_length(&head, limit)?;
-        let body_timeout = caller.patience.unwrap_or(DEFAULT_BODY_TIMEOUT).min(target.time_limit);
-        if let Err(refusal) = self.shard(&target.service).admit(&target.queue_customer()) {
-            let _ = timeout(body_timeout, drain_body(body)).await;
-            return Err(refusal);
-        }
         let customer = target.queue_customer();
-        let Some(promise) = self.promise_memory(&customer, call_bytes(&head)) else {
-            let _ = timeout(body_timeout, drain_body(body)).await;
-            return Err(Refusal::not_run(RefusalKind::MemoryFull).after(RETRY_AFTER));
-        };
+        self.shard(&target.service).admit(&customer)?;
+        let promise = self.promise_memory(&customer, call_bytes(&head))?;
         let open = self.shared.calls.begin(customer);
-        let read = timeout(body_timeout, read_body(&self.shared.parts.bodies, body, limit)).await;
-        let body = read.unwrap_or_else(|_| Err(Refusal::not_run(RefusalKind::SlowRequest)))?;
+        let read = body.read(&self.shared.parts.bodies, limit);
+        let body = self.shared.parts.stop_notice.unless_stopping(read).await;
+        let body = body.unwrap_or_else(|| Err(Refusal::not_run(RefusalKind::Draining).after(RETRY_AFTER)))?;
         let versions = self.versions_of(&head, &caller, &target)?;
         Ok(Attempts::new(
             AcceptedCall { head, caller, arrived_at, body, promise: Some(promise), _open: open },
@@ -219,14 +238,13 @@
         ))
     }
 
-    /// Promises a request its memory; `None` if there is none. While memory is tight, a customer with more than its even
-    /// share of the open calls gets none.
-    fn promise_memory(&self, customer: &CustomerName, bytes: u64) -> Option<MemoryPromise> {
+    /// Promises a request its memory, or refuses it. While memory is tight, a customer with more than its even share of
+    /// the open calls gets none.
+    fn promise_memory(&self, customer: &CustomerName, bytes: u64) -> Result<MemoryPromise, Refusal> {
         let memory = &self.shared.parts.memory;
-        if memory.state().is_tight() && self.shared.calls.exceeds_even_share(customer) {
-            return None;
-        }
-        memory.promise(bytes)
+        let is_over_share = memory.state().is_tight() && self.shared.calls.exceeds_even_share(customer);
+        let promise = if is_over_share { None } else { memory.promise(bytes) };
+        promise.ok_or_else(|| Refusal::not_run(RefusalKind::MemoryFull).after(RETRY_AFTER))
     }
 
     /// Returns the software versions at which a request may run. One that takes a stream up is bound to the version that
@@ -266,9 +284,9 @@
                 self.serve(head, caller, body, log).await
             }
             Err(refusal) => {
-                let mut log = RequestLog::new(parts.metrics.clone(), Arc::from("unread"), arrived_at);
-                log.refuse(&refusal);
-                parts.dialect.refuse(None, &refusal)
+                let log = RequestLog::new(parts.metrics.clone(), Arc::from("unread"), arrived_at);
+                let body = CallerBody::new(&head, body, arrived_at, None);
+                self.refuse_early(None, &refusal, body, log).await
             }
         }
     }
@@ -305,22 +323,3 @@
         _ => Ok(()),
     }
 }
-
-/// Reads and discards a body. Unread bytes would reset the connection before the caller has received the refusal.
-async fn drain_body(mut body: Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
-}
-
-/// Reads a whole body of at most `limit` bytes. A body for which there is no memory is read on and discarded, so that its
-/// caller receives the refusal.
-async fn read_body(budget: &BodyBudget, mut body: Incoming, limit: u64) -> Result<HeldBody, Refusal> {
-    match budget.read(&mut body, limit).await {
-        Ok(held) => Ok(held),
-        Err(body::Error::TooLong) => Err(Refusal::not_run(RefusalKind::BodyTooLarge)),
-        Err(body::Error::NoBudget) => {
-            drain_body(body).await;
-            Err(Refusal::not_run(RefusalKind::FleetBacklogFull).after(RETRY_AFTER))
-        }
-        Err(body::Error::Broken) => Err(Refusal::not_run(RefusalKind::MalformedRequest)),
-    }
-}
