feat(telemetry): log and count panics in every program

A task that panicked ended without a line: its report goes to standard error and nowhere else, so a request that was lost by one could not be told from one that a failed connection ended.

Where logging starts, a panic hook is set beside the one that reports to standard error. It counts (micaspool_panics_total, in each program's metrics) and hands the place and the message to a thread that writes MP1006, at most 20 lines a second. The panicking thread never waits for the log and doesn't run the logger, whose own failure would abort the process in a hook. Only the thread that started logging, whose panic ends the process, waits up to 300 ms for the line and up to 300 ms for the queue.

A core exports the metrics of its keeper and its dispatcher on one page; the count stands there once.

--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -209,6 +209,10 @@
 /// The end marker of the OpenMetrics text format, which may occur only once.
 const METRICS_END: &str = "# EOF\n";
 
+/// Metrics that both parts export. The keeper's are kept: its settings revision is that of the settings tree, and the
+/// panics are those of the process.
+const SHARED_METRICS: [&str; 2] = ["micaspool_settings_revision", "micaspool_panics"];
+
 impl StatusSource for CoreStatusSource {
     fn is_ready(&self) -> bool {
         self.keeper.is_ready()
@@ -217,10 +221,8 @@
     fn metrics(&self) -> String {
         let keeper = self.keeper.metrics();
         let dispatcher = self.dispatcher.metrics();
-        // Both export a metric of this name. The keeper's is the revision of the settings tree.
-        let shared_name = "micaspool_settings_revision";
-        let own =
-            dispatcher.lines().filter(|line| !line.contains(shared_name)).map(|line| format!("{line}\n"));
+        let is_shared = |line: &&str| SHARED_METRICS.iter().any(|name| line.contains(name));
+        let own = dispatcher.lines().filter(|line| !is_shared(line)).map(|line| format!("{line}\n"));
         keeper.trim_end_matches(METRICS_END).chars().chain(own.collect::<String>().chars()).collect()
     }
 
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -49,6 +49,8 @@
 pub const MACHINE_SUSPENDED: EventKind = kind("MP1004", Level::Warn, "machine was suspended");
 /// The system has no clock that counts while the machine is suspended, so leases do not elapse during a suspension.
 pub const SUSPENSION_UNDETECTABLE: EventKind = kind("MP1005", Level::Warn, "suspensions can't be detected");
+/// A thread or a task panicked. Unless it was the main thread, the process goes on.
+pub const THREAD_PANICKED: EventKind = kind("MP1006", Level::Error, "thread panicked");
 /// Newer settings are in force.
 pub const SETTINGS_IN_FORCE: EventKind = kind("MP1101", Level::Info, "settings in force");
 /// The watched keeper is unreachable or has no majority, so the settings are not confirmed.
@@ -213,6 +215,7 @@
     SUSPENSION_UNDETECTABLE,
     SETTINGS_IN_FORCE,
     SETTINGS_DISCONNECTED,
+    THREAD_PANICKED,
     SETTINGS_UNUSABLE,
     SESSION_OPEN,
     SESSION_LOST,
--- a/crates/micaspool-telemetry/src/lib.rs
+++ b/crates/micaspool-telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`limit`] limits the rate of log lines of a kind,
 //! * [`logging`] sets up the log output,
 //! * [`metrics`] encodes metrics as text,
+//! * [`panics`] logs and counts panics,
 //! * [`spans`] writes a span for each hop of a request as JSON lines,
 //! * [`traffic`] counts the bytes of control traffic.
 #![deny(missing_docs, rust_2018_idioms)]
@@ -13,5 +14,6 @@
 pub mod limit;
 pub mod logging;
 pub mod metrics;
+pub mod panics;
 pub mod spans;
 pub mod traffic;
--- a/crates/micaspool-telemetry/src/logging.rs
+++ b/crates/micaspool-telemetry/src/logging.rs
@@ -2,6 +2,7 @@
 
 mod queue;
 
+use crate::panics;
 use log::LevelFilter;
 use queue::LineQueue;
 use serde::Serialize;
@@ -72,7 +73,8 @@
 /// The line queue of the process, if it logs to standard output.
 static QUEUE: OnceLock<LineQueue> = OnceLock::new();
 
-/// Sets up the logger of the process. Only records of events are logged.
+/// Sets up the logger of the process. Only records of events are logged, among them each panic from now on. To be called
+/// on the main thread.
 pub fn start(options: LogOptions) -> Result<(), Error> {
     let level = options.level.parse().unwrap_or(LevelFilter::Info);
     let instance = options.instance;
@@ -97,7 +99,9 @@
             dispatch.chain(fern::Output::writer(Box::new(queue), "\n"))
         }
     };
-    dispatch.apply().map_err(|_| Error::AlreadyStarted)
+    dispatch.apply().map_err(|_| Error::AlreadyStarted)?;
+    panics::watch();
+    Ok(())
 }
 
 /// Waits for a bounded time until all queued lines are written. To be called before the process ends.
