feat(gateway): say why a caller's connection ended while a call was open

The error with which a connection ended was dropped, and MP1603 "caller left" was written whether the caller closed, the network failed or the server gave the connection up, so these could not be told apart.

The edge now follows the call on a connection, from its head until the last byte of the response is written to the socket, and gives its handler a CutCall: the cause as a type, what hyper says, the label that the handler gave the call, how long it ran, how many calls came before on the connection and how many bytes of the response were written. HTTP/1.1 has one open call at most on a connection, so there is no count of them. A response that was handed over whole and not written counts as cut. The gateway writes MP1615 with the request's id, 20 lines a second at most, and counts micaspool_gateway_cut by kind.

Neither the method nor the event existed before.

--- a/crates/micaspool-gateway/src/metrics.rs
+++ b/crates/micaspool-gateway/src/metrics.rs
@@ -15,6 +15,8 @@
 const BUCKET_COUNT: u16 = 14;
 /// The maximum number of log lines for throttled requests per second.
 const MAX_THROTTLED_LINES: u32 = 20;
+/// The maximum number of log lines for calls that were cut with their connections per second.
+const MAX_CUT_LINES: u32 = 20;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabel {
@@ -28,6 +30,7 @@
     pub answered: Counter,
     refused: Family<KindLabel, Counter>,
     failures: Family<KindLabel, Counter>,
+    cut: Family<KindLabel, Counter>,
     /// Requests whose caller disconnected before the end.
     pub callers_left: Counter,
     /// Answers that broke off while being relayed.
@@ -54,6 +57,8 @@
     pub halls_evacuated: Gauge,
     /// Limits the log lines for throttled requests, of which a flood produces hundreds.
     pub throttled_log_limit: Arc<LineLimit>,
+    /// Limits the log lines for calls that were cut with their connections.
+    pub cut_log_limit: Arc<LineLimit>,
 }
 
 impl GatewayMetrics {
@@ -64,6 +69,7 @@
             answered: Counter::default(),
             refused: Family::default(),
             failures: Family::default(),
+            cut: Family::default(),
             callers_left: Counter::default(),
             broken: Counter::default(),
             resumed: Counter::default(),
@@ -77,6 +83,7 @@
             endpoints_leaving: Gauge::default(),
             halls_evacuated: Gauge::default(),
             throttled_log_limit: Arc::new(LineLimit::new(MAX_THROTTLED_LINES)),
+            cut_log_limit: Arc::new(LineLimit::new(MAX_CUT_LINES)),
         };
         metrics.register_counters(registry);
         metrics.register_histograms_and_gauges(registry);
@@ -87,6 +94,8 @@
         registry.register("micaspool_gateway_answers", "Whole answers passed on", self.answered.clone());
         registry.register("micaspool_gateway_refusals", "Refused requests by kind", self.refused.clone());
         registry.register("micaspool_gateway_failures", "Failed sends by kind", self.failures.clone());
+        let cut_help = "Calls cut with their connections, by kind";
+        registry.register("micaspool_gateway_cut", cut_help, self.cut.clone());
         registry.register("micaspool_gateway_left", "Requests whose caller left", self.callers_left.clone());
         registry.register("micaspool_gateway_broken", "Answers that broke", self.broken.clone());
         registry.register("micaspool_gateway_resumed", "Streams resumed elsewhere", self.resumed.clone());
@@ -132,4 +141,9 @@
     pub fn count_failure(&self, kind: &'static str) {
         self.failures.get_or_create(&KindLabel { kind }).inc();
     }
+
+    /// Counts a call that was cut with its connection.
+    pub fn count_cut(&self, kind: &'static str) {
+        self.cut.get_or_create(&KindLabel { kind }).inc();
+    }
 }
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -21,7 +21,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_dispatcher::FleetDispatcher;
 use micaspool_http::body::{self, BodyBudget, HeldBody};
-use micaspool_http::edge::{EdgeBody, EdgeHandler};
+use micaspool_http::edge::{CallLabel, CutCall, EdgeBody, EdgeHandler};
 use micaspool_http::pool::EndpointPool;
 use micaspool_router::{ShardClient, ShardClientOptions};
 use micaspool_telemetry::events::{self, field, record};
@@ -218,10 +218,14 @@
 impl EdgeHandler for Gateway {
     async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody> {
         let arrived_at = BootInstant::now();
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let label = head.extensions.remove::<CallLabel>();
         let parts = &self.shared.parts;
         match parts.dialect.read_head(&head) {
             Ok(caller) => {
+                if let Some(label) = label {
+                    label.set(caller.id.clone());
+                }
                 let log = RequestLog::new(parts.metrics.clone(), caller.id.clone(), arrived_at);
                 self.serve(head, caller, body, log).await
             }
@@ -246,6 +250,22 @@
             record(&events::CALLERS_CLOSED, &[field("connections", connections)]);
         }
     }
+
+    fn record_cut(&self, call: CutCall) {
+        let metrics = &self.shared.parts.metrics;
+        metrics.count_cut(call.cause.as_str());
+        let Some(suppressed) = metrics.cut_log_limit.admit() else { return };
+        let mut fields = vec![
+            field("request", call.label.as_deref().unwrap_or("unread")),
+            field("kind", call.cause.as_str()),
+            field("cause", &call.error),
+            field("earlier_calls", call.earlier_calls),
+            field("total_ms", call.lasted.as_millis()),
+            field("answer_bytes", call.sent_bytes),
+        ];
+        fields.extend((suppressed > 0).then(|| field("left_out", suppressed)));
+        record(&events::CALL_CUT, &fields);
+    }
 }
 
 /// Refuses a body whose `Content-Length` exceeds the limit, before it is read.
--- /dev/null
+++ b/crates/micaspool-http/src/call.rs
@@ -0,0 +1,321 @@
+//! Follows the call on a connection of a server, to tell what was cut if the connection fails.
+//!
+//! HTTP/1.1 has one open call at most on a connection: from the request head until the last byte of the response is
+//! written to the socket.
+
+use crate::edge::{BodyError, EdgeBody};
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use micaspool_clock::BootInstant;
+use std::error::Error;
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Why a connection ended while a call was open on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutCause {
+    /// The caller closed the connection, or the half of it that it sends on.
+    Closed,
+    /// The caller reset the connection.
+    Reset,
+    /// The caller acknowledged neither bytes nor keep-alive probes for too long.
+    TimedOut,
+    /// The caller sent bytes that are not HTTP.
+    Malformed,
+    /// The body of the response failed.
+    BodyFailed,
+    /// None of the others.
+    Other,
+}
+
+/// A call whose connection ended before the whole response was written.
+#[derive(Clone, Debug)]
+pub struct CutCall {
+    /// Why the connection ended.
+    pub cause: CutCause,
+    /// What the server says about it.
+    pub error: String,
+    /// The label that the handler gave the call.
+    pub label: Option<Arc<str>>,
+    /// The number of calls that were answered on the connection before.
+    pub earlier_calls: u64,
+    /// The time since the request head was read.
+    pub lasted: Duration,
+    /// The bytes of the response that were written to the socket.
+    pub sent_bytes: u64,
+}
+
+/// A handle by which a handler names the call for logs. The server adds it to the extensions of each request.
+#[derive(Clone)]
+pub struct CallLabel(Arc<CallTracker>);
+
+/// The call on a connection.
+#[derive(Debug, Default)]
+pub(crate) struct CallTracker {
+    state: Mutex<TrackerState>,
+}
+
+#[derive(Debug, Default)]
+struct TrackerState {
+    open: Option<OpenCall>,
+    /// The number of calls whose whole response was written.
+    answered: u64,
+}
+
+#[derive(Debug)]
+struct OpenCall {
+    since: BootInstant,
+    label: Option<Arc<str>>,
+    sent_bytes: u64,
+    /// True once the whole response was handed to the connection. Part of it may not be written yet.
+    is_complete: bool,
+}
+
+impl CutCause {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            CutCause::Closed => "closed-by-caller",
+            CutCause::Reset => "reset",
+            CutCause::TimedOut => "timed-out",
+            CutCause::Malformed => "malformed",
+            CutCause::BodyFailed => "body-failed",
+            CutCause::Other => "other",
+        }
+    }
+
+    /// Returns the cause of an error of a connection.
+    fn of(error: &hyper::Error) -> CutCause {
+        if error.is_incomplete_message() {
+            return CutCause::Closed;
+        }
+        if error.is_parse() {
+            return CutCause::Malformed;
+        }
+        if error.is_user() {
+            return CutCause::BodyFailed;
+        }
+        match io_error(error).map(io::Error::kind) {
+            Some(
+                io::ErrorKind::ConnectionReset
+                | io::ErrorKind::BrokenPipe
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::NotConnected,
+            ) => CutCause::Reset,
+            Some(io::ErrorKind::TimedOut) => CutCause::TimedOut,
+            _ => CutCause::Other,
+        }
+    }
+}
+
+/// Returns the error of the socket that an error comes from, if there is one.
+fn io_error(error: &hyper::Error) -> Option<&io::Error> {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(found) = cause.downcast_ref() {
+            return Some(found);
+        }
+        source = cause.source();
+    }
+    None
+}
+
+/// Returns an error with what caused it.
+fn describe(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
+impl CallLabel {
+    /// Sets the label, such as the id of the request.
+    pub fn set(&self, label: Arc<str>) {
+        if let Some(call) = &mut self.0.lock().open {
+            call.label = Some(label);
+        }
+    }
+}
+
+impl fmt::Debug for CallLabel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallLabel").finish_non_exhaustive()
+    }
+}
+
+impl CallTracker {
+    /// Begins a call.
+    pub fn begin(self: &Arc<Self>) -> CallLabel {
+        let call = OpenCall { since: BootInstant::now(), label: None, sent_bytes: 0, is_complete: false };
+        let mut state = self.lock();
+        // A request that came together with the one before: both responses are written together.
+        state.answered += u64::from(state.open.is_some());
+        state.open = Some(call);
+        drop(state);
+        CallLabel(self.clone())
+    }
+
+    /// Begins the response. What was written before belongs to an interim response.
+    pub fn begin_response(&self) {
+        if let Some(call) = &mut self.lock().open {
+            call.sent_bytes = 0;
+        }
+    }
+
+    /// Ends the call if there is one, and returns it as one that was cut.
+    pub fn cut(&self, error: &hyper::Error) -> Option<CutCall> {
+        let mut state = self.lock();
+        let call = state.open.take()?;
+        Some(CutCall {
+            cause: CutCause::of(error),
+            error: describe(error),
+            label: call.label,
+            earlier_calls: state.answered,
+            lasted: call.since.elapsed(),
+            sent_bytes: call.sent_bytes,
+        })
+    }
+
+    fn complete_response(&self) {
+        if let Some(call) = &mut self.lock().open {
+            call.is_complete = true;
+        }
+    }
+
+    fn count_written(&self, bytes: usize) {
+        if let Some(call) = &mut self.lock().open {
+            call.sent_bytes += bytes as u64;
+        }
+    }
+
+    /// Called when everything that was handed to the connection is written to the socket.
+    fn record_flush(&self) {
+        let mut state = self.lock();
+        if state.open.as_ref().is_some_and(|call| call.is_complete) {
+            state.open = None;
+            state.answered += 1;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TrackerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The body of a response, which tells the tracker when it is complete.
+pub(crate) struct TrackedBody {
+    body: EdgeBody,
+    tracker: Arc<CallTracker>,
+    is_failed: bool,
+}
+
+impl TrackedBody {
+    pub fn new(body: EdgeBody, tracker: Arc<CallTracker>) -> TrackedBody {
+        TrackedBody { body, tracker, is_failed: false }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        self.is_failed |= matches!(frame, Poll::Ready(Some(Err(_))));
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TrackedBody {
+    /// The connection drops a body after its end, after its failure, or without reading it if the response has none, as
+    /// to HEAD. If the connection itself ends, the call was cut before.
+    fn drop(&mut self) {
+        if !self.is_failed {
+            self.tracker.complete_response();
+        }
+    }
+}
+
+/// The socket of a connection, which tells the tracker what is written.
+pub(crate) struct TrackedStream {
+    stream: TokioIo<TcpStream>,
+    tracker: Arc<CallTracker>,
+}
+
+impl TrackedStream {
+    pub fn new(stream: TcpStream, tracker: Arc<CallTracker>) -> TrackedStream {
+        TrackedStream { stream: TokioIo::new(stream), tracker }
+    }
+
+    pub fn socket(&self) -> &TcpStream {
+        self.stream.inner()
+    }
+
+    fn record_written(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.tracker.count_written(*bytes);
+        }
+    }
+}
+
+impl Read for TrackedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl Write for TrackedStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_written(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.record_written(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = flushed {
+            self.tracker.record_flush();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -4,6 +4,8 @@
 //! If the body of a response fails, the connection is closed before the end of the body, so
 //! that the response never looks complete; that of a caller that knows no chunks is reset.
 
+pub use crate::call::{CallLabel, CutCall, CutCause};
+use crate::call::{CallTracker, TrackedBody, TrackedStream};
 use crate::pressure::{CallerRotation, RoundBudget};
 use crate::socket::configure;
 use async_trait::async_trait;
@@ -58,7 +60,8 @@
 /// Handles requests.
 #[async_trait]
 pub trait EdgeHandler: Send + Sync + 'static {
-    /// Returns the response to a request. The future is dropped if the caller closes the connection.
+    /// Returns the response to a request. The future is dropped if the caller closes the connection. The request has a
+    /// [`CallLabel`] among its extensions.
     async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody>;
 
     /// Returns the response to a request on a connection above [`EdgeOptions::max_connections`].
@@ -71,6 +74,10 @@
     /// Called with the number of connections that were closed without reading a request: older ones beyond those that
     /// may be refused at a time, or those that were not selected while the server is overloaded.
     fn record_closed(&self, _connections: usize) {}
+
+    /// Called when a connection has ended with an error before the response to its call was written. The handler's future,
+    /// or the body that is being sent, is dropped after it.
+    fn record_cut(&self, _call: CutCall) {}
 }
 
 /// Limits of a server.
@@ -313,18 +320,18 @@
         return;
     }
     let knows_chunks = AtomicBool::new(true);
+    let tracker = Arc::new(CallTracker::default());
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
-        answer(shared, request)
+        answer(shared, &tracker, request)
     });
     let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.options.idle_limit)
         .max_buf_size(shared.options.max_head_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TrackedStream::new(stream, tracker.clone()), service);
     let closing = shared.closing.1.recv();
     pin_mut!(closing);
-    // An error on the connection affects only its caller, and the handler has logged the request.
     let ended = match select(&mut served, closing).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
@@ -332,8 +339,13 @@
             (&mut served).await
         }
     };
-    if ended.is_err() && !knows_chunks.load(Ordering::Relaxed) {
-        reset(&served.into_parts().io.into_inner());
+    // An error on the connection affects only its caller.
+    let Err(error) = ended else { return };
+    if let Some(call) = tracker.cut(&error) {
+        shared.handler.record_cut(call);
+    }
+    if !knows_chunks.load(Ordering::Relaxed) {
+        reset(served.into_parts().io.socket());
     }
 }
 
@@ -376,11 +388,14 @@
 
 async fn answer(
     shared: &Arc<SharedState>,
-    request: Request<Incoming>,
-) -> Result<Response<EdgeBody>, Infallible> {
+    tracker: &Arc<CallTracker>,
+    mut request: Request<Incoming>,
+) -> Result<Response<TrackedBody>, Infallible> {
+    request.extensions_mut().insert(tracker.begin());
     let mut response = shared.handler.handle(request).await;
+    tracker.begin_response();
     if shared.draining.load(Ordering::SeqCst) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|body| TrackedBody::new(body, tracker.clone())))
 }
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -13,6 +13,7 @@
 #![forbid(unsafe_code)]
 
 pub mod body;
+mod call;
 pub mod client;
 pub mod edge;
 pub mod framing;
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -205,6 +205,8 @@
 pub const ENDPOINT_LEAVING: EventKind = kind("MP1613", Level::Info, "endpoint announced that it is leaving");
 /// The time in an endpoint's advice to send nothing for a while cannot be parsed.
 pub const ADVICE_UNREADABLE: EventKind = kind("MP1614", Level::Warn, "endpoint advice not readable");
+/// A caller's connection ended with an error while a call was open on it.
+pub const CALL_CUT: EventKind = kind("MP1615", Level::Info, "call cut with its connection");
 
 /// All events.
 pub const CATALOGUE: &[EventKind] = &[
@@ -213,9 +215,9 @@
     PROCESS_STOPPED,
     MACHINE_SUSPENDED,
     SUSPENSION_UNDETECTABLE,
+    THREAD_PANICKED,
     SETTINGS_IN_FORCE,
     SETTINGS_DISCONNECTED,
-    THREAD_PANICKED,
     SETTINGS_UNUSABLE,
     SESSION_OPEN,
     SESSION_LOST,
@@ -284,4 +286,5 @@
     REST_ENDED,
     ENDPOINT_LEAVING,
     ADVICE_UNREADABLE,
+    CALL_CUT,
 ];
