fix(http): answer a request whose handler panics

A panic in a handler unwound the task of the connection: its caller saw the connection close with no answer, while the request may have run. A panic in the body of a response closed it in order, which is the end of a whole answer to a caller that knows no chunks. MP1603 said that the caller had left.

The edge catches both. The handler's recover() gives the answer, after which the connection is closed; the gateway refuses with the run state unknown, 502 internal-error, a new kind of refusal. A panicked body counts as failed, and MP1615 tells it from one. The request's own line is MP1602 or, after the head, MP1604. The grant is settled by its lease, which the unwinding drops.

--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -245,6 +245,11 @@
         parts.dialect.refuse(id.as_deref(), &refusal)
     }
 
+    async fn recover(&self, label: Option<Arc<str>>) -> Response<EdgeBody> {
+        // The request log has written the refusal.
+        self.shared.parts.dialect.refuse(label.as_deref(), &Refusal::unknown(RefusalKind::InternalError))
+    }
+
     fn record_closed(&self, connections: usize) {
         if connections > 0 {
             record(&events::CALLERS_CLOSED, &[field("connections", connections)]);
--- a/crates/micaspool-gateway/src/request_log.rs
+++ b/crates/micaspool-gateway/src/request_log.rs
@@ -18,7 +18,8 @@
 /// The reason in logs and metrics for not using a grant whose endpoint runs another software version.
 const OTHER_VERSION: &str = "other-version";
 
-/// The state of a request for its log line. Dropping it before the request has ended logs that the caller disconnected.
+/// The state of a request for its log line. Dropping it before the request has ended logs that the caller disconnected, or
+/// the panic that it is dropped by.
 #[derive(Debug)]
 pub(crate) struct RequestLog {
     metrics: GatewayMetrics,
@@ -211,6 +212,15 @@
         self.log_end(&events::ANSWER_BROKEN, &fields);
     }
 
+    /// Logs the end of a request whose handling panicked: an answer that broke off, or a refusal.
+    fn finish_panicked(&mut self) {
+        if self.status > 0 {
+            self.finish_broken("the gateway panicked");
+        } else {
+            self.refuse(&Refusal::unknown(RefusalKind::InternalError));
+        }
+    }
+
     /// Logs a refusal. The lines for throttled requests are limited, and the number of suppressed ones is logged.
     pub fn refuse(&mut self, refusal: &Refusal) {
         self.metrics.count_refusal(refusal.kind.as_str());
@@ -296,7 +306,12 @@
 
 impl Drop for RequestLog {
     fn drop(&mut self) {
-        if !self.is_ended {
+        if self.is_ended {
+            return;
+        }
+        if std::thread::panicking() {
+            self.finish_panicked();
+        } else {
             self.metrics.callers_left.inc();
             self.log_end(&events::CALLER_LEFT, &[]);
         }
--- a/crates/micaspool-http/src/call.rs
+++ b/crates/micaspool-http/src/call.rs
@@ -12,6 +12,7 @@
 use std::error::Error;
 use std::fmt;
 use std::io;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
@@ -31,10 +32,16 @@
     Malformed,
     /// The body of the response failed.
     BodyFailed,
+    /// The body of the response panicked.
+    Panicked,
     /// None of the others.
     Other,
 }
 
+/// The error of a body that panicked. The panic itself is reported by the panic hook of the process.
+#[derive(Debug)]
+struct BodyPanic;
+
 /// A call whose connection ended before the whole response was written.
 #[derive(Clone, Debug)]
 pub struct CutCall {
@@ -87,6 +94,7 @@
             CutCause::TimedOut => "timed-out",
             CutCause::Malformed => "malformed",
             CutCause::BodyFailed => "body-failed",
+            CutCause::Panicked => "panicked",
             CutCause::Other => "other",
         }
     }
@@ -99,10 +107,13 @@
         if error.is_parse() {
             return CutCause::Malformed;
         }
+        if source_of::<BodyPanic>(error).is_some() {
+            return CutCause::Panicked;
+        }
         if error.is_user() {
             return CutCause::BodyFailed;
         }
-        match io_error(error).map(io::Error::kind) {
+        match source_of::<io::Error>(error).map(io::Error::kind) {
             Some(
                 io::ErrorKind::ConnectionReset
                 | io::ErrorKind::BrokenPipe
@@ -115,8 +126,16 @@
     }
 }
 
-/// Returns the error of the socket that an error comes from, if there is one.
-fn io_error(error: &hyper::Error) -> Option<&io::Error> {
+impl fmt::Display for BodyPanic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the body of the response panicked; report the panic")
+    }
+}
+
+impl Error for BodyPanic {}
+
+/// Returns the first error of a type that an error comes from, if there is one.
+fn source_of<E: Error + 'static>(error: &hyper::Error) -> Option<&E> {
     let mut source = error.source();
     while let Some(cause) = source {
         if let Some(found) = cause.downcast_ref() {
@@ -162,6 +181,11 @@
         CallLabel(self.clone())
     }
 
+    /// Returns the label of the call.
+    pub fn label(&self) -> Option<Arc<str>> {
+        self.lock().open.as_ref().and_then(|call| call.label.clone())
+    }
+
     /// Begins the response. What was written before belongs to an interim response.
     pub fn begin_response(&self) {
         if let Some(call) = &mut self.lock().open {
@@ -230,7 +254,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        // The panic must not end the task: closed in order, its connection could look like the end of the answer. The body
+        // is not polled again.
+        let body = AssertUnwindSafe(|| Pin::new(&mut self.body).poll_frame(cx));
+        let frame = catch_unwind(body).unwrap_or_else(|_| Poll::Ready(Some(Err(Box::new(BodyPanic)))));
         self.is_failed |= matches!(frame, Poll::Ready(Some(Err(_))));
         frame
     }
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -26,6 +26,7 @@
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -71,6 +72,14 @@
         response
     }
 
+    /// Returns the response to a request whose handling panicked, by the label of the call. The connection is closed after
+    /// it.
+    async fn recover(&self, _label: Option<Arc<str>>) -> Response<EdgeBody> {
+        let mut response = Response::new(full_body(""));
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        response
+    }
+
     /// Called with the number of connections that were closed without reading a request: older ones beyond those that
     /// may be refused at a time, or those that were not selected while the server is overloaded.
     fn record_closed(&self, _connections: usize) {}
@@ -392,9 +401,15 @@
     mut request: Request<Incoming>,
 ) -> Result<Response<TrackedBody>, Infallible> {
     request.extensions_mut().insert(tracker.begin());
-    let mut response = shared.handler.handle(request).await;
+    // What other calls share with this one is behind locks and atomics; the rest ends with the call.
+    let handled = AssertUnwindSafe(shared.handler.handle(request)).catch_unwind().await;
+    let has_panicked = handled.is_err();
+    let mut response = match handled {
+        Ok(response) => response,
+        Err(_) => shared.handler.recover(tracker.label()).await,
+    };
     tracker.begin_response();
-    if shared.draining.load(Ordering::SeqCst) {
+    if has_panicked || shared.draining.load(Ordering::SeqCst) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| TrackedBody::new(body, tracker.clone())))
--- a/crates/micaspool-http/tests/cut_calls.rs
+++ b/crates/micaspool-http/tests/cut_calls.rs
@@ -26,7 +26,7 @@
 const LARGE_BODY: usize = 32 * 1024 * 1024;
 
 /// Responds by path and keeps the cut calls: `/stuck` never, `/broken` with a body that fails after its first part,
-/// `/large` with a long body, others at once. Each call is labelled with its path.
+/// `/large` with a long body, `/panic` not since it panics, `/panic-body` with a body that does, others at once. Each call is labelled with its path.
 #[derive(Default)]
 struct CutHandler {
     cut: Arc<Mutex<Vec<CutCall>>>,
@@ -40,12 +40,18 @@
         match path.as_str() {
             "/stuck" => std::future::pending().await,
             "/broken" => Response::new(broken_body()),
+            "/panic" => panic!("the handler panics"),
+            "/panic-body" => Response::new(panicking_body()),
             "/large" => Response::new(full_body(vec![b'x'; LARGE_BODY])),
             "/empty" => Response::new(full_body("")),
             _ => Response::new(full_body("ok")),
         }
     }
 
+    async fn recover(&self, label: Option<Arc<str>>) -> Response<EdgeBody> {
+        Response::new(full_body(format!("recovered {}", label.expect("the call has a label"))))
+    }
+
     fn record_cut(&self, call: CutCall) {
         self.cut.lock().expect("no thread panics with it").push(call);
     }
@@ -60,6 +66,18 @@
     StreamBody::new(Box::pin(first.chain(later))).boxed_unsync()
 }
 
+fn panicking_body() -> EdgeBody {
+    let panicking = futures::stream::once(async {
+        task::sleep(Duration::from_millis(50)).await;
+        panicked_frame()
+    });
+    StreamBody::new(Box::pin(panicking)).boxed_unsync()
+}
+
+fn panicked_frame() -> Result<Frame<Bytes>, BodyError> {
+    panic!("the body panics")
+}
+
 struct CutServer {
     _server: EdgeServer,
     address: SocketAddr,
@@ -158,6 +176,22 @@
     assert!(call.error.contains("the endpoint broke off") && call.sent_bytes > 0, "{call:?}");
 }
 
+#[test]
+fn a_body_that_panics_is_told_from_one_that_fails() {
+    let server = CutServer::start();
+    let _stream = server.send("/panic-body");
+    assert_eq!(server.wait_cut().cause, CutCause::Panicked);
+}
+
+#[test]
+fn a_handler_that_panics_is_asked_for_an_answer_by_the_label_of_the_call() {
+    let server = CutServer::start();
+    let mut text = String::new();
+    server.send("/panic").read_to_string(&mut text).expect("the connection ends in order");
+    assert!(text.ends_with("recovered /panic"), "{text}");
+    assert!(server.cut_calls().is_empty(), "{:?}", server.cut_calls());
+}
+
 #[test]
 fn a_caller_that_takes_nothing_is_recorded_as_timed_out() {
     let server = CutServer::start();
--- a/crates/micaspool-http/tests/edge_server.rs
+++ b/crates/micaspool-http/tests/edge_server.rs
@@ -16,7 +16,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Responds by path: `/slow` after 400 ms, `/stuck` never, `/broken` with a body that fails, others at once.
+/// Responds by path: `/slow` after 400 ms, `/stuck` never, `/broken` with a body that fails, `/panic` not since it panics,
+/// `/panic-body` with a body that panics after its first part, others at once.
 #[derive(Default)]
 struct PathHandler {
     dropped: Arc<AtomicUsize>,
@@ -48,12 +49,27 @@
                 let body = StreamBody::new(Box::pin(first.chain(later)));
                 return Response::new(BodyExt::boxed_unsync(body));
             }
+            "/panic" => panic!("the handler panics"),
+            "/panic-body" => {
+                let first =
+                    futures::stream::iter([Ok::<_, BodyError>(Frame::data(Bytes::from_static(b"part")))]);
+                let later = futures::stream::once(async {
+                    task::sleep(Duration::from_millis(50)).await;
+                    panicked_frame()
+                });
+                let body = StreamBody::new(Box::pin(first.chain(later)));
+                return Response::new(BodyExt::boxed_unsync(body));
+            }
             _ => {}
         }
         Response::new(full_body("ok"))
     }
 }
 
+fn panicked_frame() -> Result<Frame<Bytes>, BodyError> {
+    panic!("the body panics")
+}
+
 fn start() -> (EdgeServer, SocketAddr, Arc<AtomicUsize>) {
     let handler = PathHandler::default();
     let dropped = handler.dropped.clone();
@@ -69,6 +85,14 @@
     stream
 }
 
+/// The same with a request that asks for the connection to be closed after the response.
+fn send_close(address: SocketAddr, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("the server listens");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a valid timeout");
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").expect("sent");
+    stream
+}
+
 /// Reads until the server closes the connection.
 fn read_all(mut stream: TcpStream) -> String {
     let mut text = Vec::new();
@@ -202,3 +226,33 @@
         assert!(is_whole || end == Err(std::io::ErrorKind::ConnectionReset), "{path}: {end:?}");
     }
 }
+
+/// Guards against a whole request that got no answer because its handler panicked.
+#[test]
+fn a_handler_that_panics_is_answered_and_other_calls_go_on() {
+    let (server, address, _) = start();
+    let other = send(address, "/slow");
+    let answer = read_all(send(address, "/panic"));
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer:?}");
+    assert!(answer.contains("connection: close") && answer.ends_with("\r\n\r\n"), "{answer:?}");
+    let mut other_answer = [0; 1_024];
+    let length = (&other).read(&mut other_answer).expect("an answer");
+    assert!(other_answer[..length].starts_with(b"HTTP/1.1 200"));
+    drop(other);
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(server.open(), 0, "a panicked call holds its connection");
+    assert!(read_all(send_close(address, "/")).starts_with("HTTP/1.1 200"));
+}
+
+/// Guards against an answer that broke off by a panic and looked complete to a caller that knows no chunks.
+#[test]
+fn a_body_that_panics_does_not_look_complete() {
+    let (_server, address, _) = start();
+    let text = read_all(send(address, "/panic-body"));
+    assert!(text.contains("part") && !text.contains("\r\n0\r\n"), "{text}");
+    let mut stream = TcpStream::connect(address).expect("the server listens");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a valid timeout");
+    write!(stream, "GET /panic-body HTTP/1.0\r\nhost: h\r\n\r\n").expect("sent");
+    let end = stream.read_to_end(&mut Vec::new()).map_err(|error| error.kind());
+    assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
+}
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -89,6 +89,8 @@
     Draining,
     /// The router has reached its limit of open connections.
     TooManyConnections,
+    /// A fault of the router itself ended the handling of the request.
+    InternalError,
 }
 
 impl RefusalKind {
@@ -107,7 +109,7 @@
             KeyReused => 422,
             CustomerBacklogFull | FleetBacklogFull => 429,
             HeadTooLarge => 431,
-            EndpointFailed => 502,
+            EndpointFailed | InternalError => 502,
             NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
             Quarantined | CopyRunning | EndpointsRest | HallsEvacuated => 503,
             VersionGone | StreamUnknown => 503,
@@ -160,6 +162,7 @@
             KeyAnswerDropped => "key-answer-dropped",
             Draining => "draining",
             TooManyConnections => "too-many-connections",
+            InternalError => "internal-error",
         }
     }
 
@@ -196,7 +199,7 @@
             NoDispatcher => "come back after the given time; the operator should check the dispatchers",
             NoSettings => "come back after the given time; the operator should check the keepers",
             NoLedger => "come back after the given time; the operator should check the keepers",
-            EndpointFailed => "find out whether the request took effect before sending it again",
+            EndpointFailed | InternalError => "find out whether the request took effect before sending it again",
             KeyRunning => "ask again with the same key after the given time",
             KeyOutcomeUnknown => "find out whether the request took effect; use a new key to run it again",
             KeyReused => "use a new idempotency key for a new body",
