fix(http): send what came before a response's body failed

When the body of a response fails, hyper ends the connection and drops what it has buffered and not written: the head too, if the body fails in the poll in which the head was handed over. So a whole request ended with neither an answer nor a refusal.

The body holds its error back until everything before it is written to the socket. A caller that takes nothing holds the connection for the 1.8 s of TCP_USER_TIMEOUT, as with a whole response.

--- a/crates/micaspool-http/src/call.rs
+++ b/crates/micaspool-http/src/call.rs
@@ -83,6 +83,8 @@
     sent_bytes: u64,
     /// True once the whole response was handed to the connection. Part of it may not be written yet.
     is_complete: bool,
+    /// True if everything that was handed to the connection is written.
+    is_flushed: bool,
 }
 
 impl CutCause {
@@ -172,7 +174,13 @@
 impl CallTracker {
     /// Begins a call.
     pub fn begin(self: &Arc<Self>) -> CallLabel {
-        let call = OpenCall { since: BootInstant::now(), label: None, sent_bytes: 0, is_complete: false };
+        let call = OpenCall {
+            since: BootInstant::now(),
+            label: None,
+            sent_bytes: 0,
+            is_complete: false,
+            is_flushed: false,
+        };
         let mut state = self.lock();
         // A request that came together with the one before: both responses are written together.
         state.answered += u64::from(state.open.is_some());
@@ -190,6 +198,7 @@
     pub fn begin_response(&self) {
         if let Some(call) = &mut self.lock().open {
             call.sent_bytes = 0;
+            call.is_flushed = false;
         }
     }
 
@@ -213,6 +222,17 @@
         }
     }
 
+    /// Called when a part of the response is handed to the connection.
+    fn hand_over(&self) {
+        if let Some(call) = &mut self.lock().open {
+            call.is_flushed = false;
+        }
+    }
+
+    fn is_flushed(&self) -> bool {
+        self.lock().open.as_ref().is_none_or(|call| call.is_flushed)
+    }
+
     fn count_written(&self, bytes: usize) {
         if let Some(call) = &mut self.lock().open {
             call.sent_bytes += bytes as u64;
@@ -222,7 +242,9 @@
     /// Called when everything that was handed to the connection is written to the socket.
     fn record_flush(&self) {
         let mut state = self.lock();
-        if state.open.as_ref().is_some_and(|call| call.is_complete) {
+        let Some(call) = &mut state.open else { return };
+        call.is_flushed = true;
+        if call.is_complete {
             state.open = None;
             state.answered += 1;
         }
@@ -234,15 +256,36 @@
 }
 
 /// The body of a response, which tells the tracker when it is complete.
+///
+/// If it fails, the error is held back until the parts before it are written: `hyper` drops what it has not written when
+/// a body fails, so that a body that fails at once would leave its caller without even a head.
 pub(crate) struct TrackedBody {
     body: EdgeBody,
     tracker: Arc<CallTracker>,
     is_failed: bool,
+    /// The error that is held back.
+    failure: Option<BodyError>,
 }
 
 impl TrackedBody {
     pub fn new(body: EdgeBody, tracker: Arc<CallTracker>) -> TrackedBody {
-        TrackedBody { body, tracker, is_failed: false }
+        TrackedBody { body, tracker, is_failed: false, failure: None }
+    }
+
+    /// Polls the body itself. After a panic it is not polled again.
+    fn poll_body(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        // The panic must not end the task: closed in order, its connection could look like the end of the answer.
+        let body = AssertUnwindSafe(|| Pin::new(&mut self.body).poll_frame(cx));
+        catch_unwind(body).unwrap_or_else(|_| Poll::Ready(Some(Err(Box::new(BodyPanic)))))
+    }
+
+    /// Returns the error that is held back once everything before it is written.
+    fn poll_failure(&mut self) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !self.tracker.is_flushed() {
+            // The connection polls the body again when it has written more.
+            return Poll::Pending;
+        }
+        Poll::Ready(self.failure.take().map(Err))
     }
 }
 
@@ -254,12 +297,23 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        // The panic must not end the task: closed in order, its connection could look like the end of the answer. The body
-        // is not polled again.
-        let body = AssertUnwindSafe(|| Pin::new(&mut self.body).poll_frame(cx));
-        let frame = catch_unwind(body).unwrap_or_else(|_| Poll::Ready(Some(Err(Box::new(BodyPanic)))));
-        self.is_failed |= matches!(frame, Poll::Ready(Some(Err(_))));
-        frame
+        if self.failure.is_some() {
+            return self.poll_failure();
+        }
+        match self.poll_body(cx) {
+            Poll::Ready(Some(Err(error))) => {
+                self.is_failed = true;
+                self.failure = Some(error);
+                // The connection may have been about to wait for other events than writes.
+                cx.waker().wake_by_ref();
+                self.poll_failure()
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                self.tracker.hand_over();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            other => other,
+        }
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -2,7 +2,8 @@
 //!
 //! If a caller closes its connection, the handler's future or the body that is being sent is dropped.
 //! If the body of a response fails, the connection is closed before the end of the body, so
-//! that the response never looks complete; that of a caller that knows no chunks is reset.
+//! that the response never looks complete; that of a caller that knows no chunks is reset. What came before the failure
+//! is sent, the head at least.
 
 pub use crate::call::{CallLabel, CutCall, CutCause};
 use crate::call::{CallTracker, TrackedBody, TrackedStream};
--- a/crates/micaspool-http/tests/edge_server.rs
+++ b/crates/micaspool-http/tests/edge_server.rs
@@ -16,7 +16,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Responds by path: `/slow` after 400 ms, `/stuck` never, `/broken` with a body that fails, `/panic` not since it panics,
+/// More bytes than the buffers of both sockets hold.
+const LARGE_PART: usize = 32 * 1024 * 1024;
+
+/// Responds by path: `/slow` after 400 ms, `/stuck` never, `/broken` with a body that fails, `/broken-at-once` with one that
+/// fails before its first part, `/broken-together` with one that fails together with it, `/broken-large` with one that fails
+/// together with a long part, `/panic` not since it panics,
 /// `/panic-body` with a body that panics after its first part, others at once.
 #[derive(Default)]
 struct PathHandler {
@@ -49,6 +54,9 @@
                 let body = StreamBody::new(Box::pin(first.chain(later)));
                 return Response::new(BodyExt::boxed_unsync(body));
             }
+            "/broken-at-once" => return Response::new(failing_body(None)),
+            "/broken-large" => return Response::new(failing_body(Some(vec![b'x'; LARGE_PART].into()))),
+            "/broken-together" => return Response::new(failing_body(Some(Bytes::from_static(b"part")))),
             "/panic" => panic!("the handler panics"),
             "/panic-body" => {
                 let first =
@@ -66,6 +74,13 @@
     }
 }
 
+/// Returns a body that fails without a pause after its first part, if it has one.
+fn failing_body(part: Option<Bytes>) -> EdgeBody {
+    let part = part.map(|part| Ok(Frame::data(part)));
+    let frames = part.into_iter().chain([Err(BodyError::from("broke"))]);
+    BodyExt::boxed_unsync(StreamBody::new(futures::stream::iter(frames.collect::<Vec<_>>())))
+}
+
 fn panicked_frame() -> Result<Frame<Bytes>, BodyError> {
     panic!("the body panics")
 }
@@ -256,3 +271,27 @@
     let end = stream.read_to_end(&mut Vec::new()).map_err(|error| error.kind());
     assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
 }
+
+/// Guards against a whole request that ended with nothing, since its response failed before any of it was written.
+#[test]
+fn what_comes_before_a_failure_is_sent() {
+    let (_server, address, _) = start();
+    for (path, part) in [("/broken-at-once", ""), ("/broken-together", "part")] {
+        let text = read_all(send(address, path));
+        assert!(text.starts_with("HTTP/1.1 200") && text.contains(part), "{path}: {text:?}");
+        assert!(!text.contains("\r\n0\r\n"), "{path}: {text:?}");
+    }
+}
+
+/// Guards against a failed response that waits forever for a caller that takes nothing.
+#[test]
+fn a_failure_ends_the_connection_of_a_caller_that_takes_nothing() {
+    let (server, address, _) = start();
+    let _stream = send(address, "/broken-large");
+    std::thread::sleep(Duration::from_millis(100));
+    let limit = BootInstant::now() + Duration::from_secs(10);
+    while server.open() > 0 && BootInstant::now() < limit {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(server.open(), 0);
+}
