fix(gateway): refuse or rerun an answer that breaks before its first byte

An answer that is not buffered was passed on as soon as its head had come.

The head now waits for the first part of the body, for 30 ms at most. An answer that breaks in that time is a failed send: the request runs elsewhere where its route allows it, and is refused otherwise, 502 endpoint-failed with the run state unknown. The head of a stream whose first event is late is passed on after 30 ms; a first event is never held.

--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -9,9 +9,10 @@
 use crate::events::EventScanner;
 use crate::relay::{relay_body, AnswerRelay, AnswerSource, EventMeter};
 use crate::request_log::RequestLog;
+use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{response, Request, Response, Uri};
-use http_body::Body;
+use http_body::{Body, Frame};
 use http_body_util::{BodyExt, Full};
 use micaspool_backpressure::AdviceSource;
 use micaspool_clock::BootInstant;
@@ -37,6 +38,9 @@
 const EXTRA_NOT_RUN_SENDS: u32 = 2;
 /// The largest answer that is buffered before it is passed on, in bytes.
 const MAX_BUFFERED_ANSWER: u64 = 64 * 1024;
+/// How long the head of an answer is held back until its body begins. The head of a stream may come long before its first
+/// event.
+const HEAD_HOLD: Duration = Duration::from_millis(30);
 /// A request with less time left before its deadline is refused instead of sent.
 const MIN_SEND_TIME: Duration = Duration::from_millis(5);
 
@@ -71,6 +75,12 @@
     pub response: Response<PooledBody>,
 }
 
+/// An answer whose body has begun or is late, so that its head is passed on.
+struct BegunAnswer {
+    head: response::Parts,
+    source: AnswerSource,
+}
+
 impl Attempts {
     /// Creates the attempts of a request, of which the first may run at these software versions.
     pub(super) fn new(call: AcceptedCall, target: CallTarget, versions: VersionLimit) -> Attempts {
@@ -99,22 +109,56 @@
         loop {
             let answer = match self.next_answer(gateway, &mut log, None).await {
                 Ok(answer) => answer,
-                Err(refusal) => {
-                    log.refuse(&refusal);
-                    return gateway.shared.parts.dialect.refuse(Some(&self.call.caller.id), &refusal);
+                Err(refusal) => return self.refuse(gateway, &mut log, &refusal),
+            };
+            let failure = if self.should_buffer(&answer) {
+                match self.buffer_answer(answer, &mut log).await {
+                    Ok(response) => return response,
+                    Err(failure) => failure,
+                }
+            } else {
+                match self.begin_answer(answer).await {
+                    Ok(begun) => return self.stream_answer(gateway, begun, log),
+                    Err(failure) => failure,
                 }
             };
-            if !self.should_buffer(&answer) {
-                return self.stream_answer(gateway, answer, log);
-            }
-            match self.buffer_answer(answer, &mut log).await {
-                Ok(response) => return response,
-                // The next iteration retries, or refuses if no further attempt is allowed.
-                Err(failure) => log.log_failure("body-broken", &failure, false),
+            log.log_failure("body-broken", &failure, false);
+            if !self.may_run_again() {
+                let refusal = self.final_refusal(RefusalKind::RetriesExhausted);
+                return self.refuse(gateway, &mut log, &refusal);
             }
         }
     }
 
+    fn refuse(&self, gateway: &Gateway, log: &mut RequestLog, refusal: &Refusal) -> Response<EdgeBody> {
+        log.refuse(refusal);
+        gateway.shared.parts.dialect.refuse(Some(&self.call.caller.id), refusal)
+    }
+
+    /// Waits for the first part of an answer's body, for [`HEAD_HOLD`] at most. While nothing is passed on, an answer that
+    /// breaks can be replaced by another one, or by a refusal.
+    async fn begin_answer(&self, answer: UsableAnswer) -> Result<BegunAnswer, String> {
+        let UsableAnswer { lease, version, response } = answer;
+        let (head, mut body) = response.into_parts();
+        let time_left = self.deadline.saturating_duration_since(BootInstant::now());
+        let first = timeout(time_left.min(HEAD_HOLD), first_part(&mut body)).await;
+        let failure = match &first {
+            Ok(Some(Err(error))) => Some(error.to_string()),
+            Ok(None) if self.is_cut(body.framing(), &head, &[]) => Some(StreamCut::BeforeEvents.to_string()),
+            _ => None,
+        };
+        if let Some(failure) = failure {
+            lease.settle(self.meter().cost(), GrantOutcome::Severed);
+            return Err(failure);
+        }
+        let first = first.ok().flatten().and_then(Result::ok);
+        Ok(BegunAnswer { head, source: AnswerSource { first, body, lease: Some(lease), version } })
+    }
+
+    fn meter(&self) -> EventMeter {
+        EventMeter::new(self.call.caller.prompt.as_ref(), self.target.engine)
+    }
+
     /// Returns true for a short answer to a request that may be repeated. Buffering it before any of it is passed on
     /// allows a retry if its body breaks.
     fn should_buffer(&self, answer: &UsableAnswer) -> bool {
@@ -443,7 +487,7 @@
         gateway.shard(&endpoint.service).report_advice(advice);
     }
 
-    fn build_request(&self, gateway: &Gateway, context: &ForwardContext<'_>) -> Request<Full<bytes::Bytes>> {
+    fn build_request(&self, gateway: &Gateway, context: &ForwardContext<'_>) -> Request<Full<Bytes>> {
         let head = &self.call.head;
         let mut headers = forwarded_headers(&head.headers);
         gateway.shared.parts.dialect.rewrite_headers(&mut headers, context);
@@ -494,10 +538,10 @@
     fn stream_answer(
         self,
         gateway: &Gateway,
-        answer: UsableAnswer,
+        answer: BegunAnswer,
         mut log: RequestLog,
     ) -> Response<EdgeBody> {
-        let (mut head, body) = answer.response.into_parts();
+        let BegunAnswer { mut head, source } = answer;
         strip_hop_by_hop(&mut head.headers);
         log.set_status(head.status.as_u16());
         let is_stream = is_event_stream(self.target.run, &head);
@@ -505,8 +549,7 @@
             // A stream that breaks after as many bytes as its length states would look whole.
             head.headers.remove(CONTENT_LENGTH);
         }
-        let meter = EventMeter::new(self.call.caller.prompt.as_ref(), self.target.engine);
-        let source = AnswerSource { body, lease: Some(answer.lease), version: answer.version };
+        let meter = self.meter();
         let relay = AnswerRelay::new(gateway.clone(), self, source, meter, log, is_stream);
         Response::from_parts(head, relay_body(relay))
     }
@@ -522,6 +565,19 @@
     }
 }
 
+/// Returns the first part of a body that is not empty; `None` if the body ends without one.
+async fn first_part(body: &mut PooledBody) -> Option<Result<Bytes, hyper::Error>> {
+    while let Some(frame) = body.frame().await {
+        match frame.map(Frame::into_data) {
+            Ok(Ok(data)) if !data.is_empty() => return Some(Ok(data)),
+            // Trailers are dropped, as they are by the relay.
+            Ok(_) => {}
+            Err(error) => return Some(Err(error)),
+        }
+    }
+    None
+}
+
 /// Reduces a URI to its path and query (RFC 9112, section 3.2.1).
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns the cost delivered so far. A request without a prompt, such as to a plain service, costs one unit.
-    fn cost(&self) -> Cost {
+    pub fn cost(&self) -> Cost {
         match (self.prompt, self.scanner.ended_events()) {
             (0, _) => Cost(1),
             (_, 0) => Cost(0),
@@ -100,6 +100,8 @@
 
 /// The endpoint's side of an answer.
 pub(crate) struct AnswerSource {
+    /// The first part of the body, if it was read before the head was passed on.
+    pub first: Option<Bytes>,
     pub body: PooledBody,
     /// The grant; `None` once it has been settled.
     pub lease: Option<GrantLease>,
@@ -172,6 +174,9 @@
 
     /// Reads the next data frame; `None` at the end of a whole body.
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
+        if let Some(data) = self.source.first.take() {
+            return Ok(Some(data));
+        }
         loop {
             match select(self.source.body.frame(), &mut self.expiry).await {
                 Either::Left((Some(Ok(frame)), _)) => {
@@ -281,7 +286,8 @@
                 }
                 self.meter.scanner.restart();
                 let UsableAnswer { lease, version, response } = answer;
-                self.source = AnswerSource { body: response.into_body(), lease: Some(lease), version };
+                let body = response.into_body();
+                self.source = AnswerSource { first: None, body, lease: Some(lease), version };
                 true
             }
             // The failure has been logged; the caller's stream is aborted.
@@ -292,7 +298,7 @@
 
 /// Turns a relay into a body. An answer without a body is finished at once.
 pub(crate) fn relay_body(relay: AnswerRelay) -> EdgeBody {
-    if relay.source.body.is_end_stream() {
+    if relay.source.first.is_none() && relay.source.body.is_end_stream() {
         let mut relay = relay;
         let _ = relay.finish();
         return micaspool_http::edge::full_body(Bytes::new());
