--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -23,7 +23,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_dispatcher::FleetDispatcher;
 use micaspool_http::body::{BodyBudget, HeldBody};
-use micaspool_http::edge::{EdgeBody, EdgeHandler};
+use micaspool_http::edge::{CallLabel, CutCall, EdgeBody, EdgeHandler};
 use micaspool_http::pool::EndpointPool;
 use micaspool_memory::{MemoryAccount, MemoryPromise};
 use micaspool_router::{ShardClient, ShardClientOptions};
@@ -35,7 +35,7 @@
     VersionLimit,
 };
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use target::CallTarget;
 
@@ -166,8 +166,9 @@
         self.lock_shards().entry(service.clone()).or_insert_with(start).clone()
     }
 
+    /// A panic under the lock ends the call that met it; the others go on with what it left.
     fn lock_shards(&self) -> std::sync::MutexGuard<'_, HashMap<ServiceName, Arc<ShardClient>>> {
-        self.shared.shards.lock().expect("the lock of the shards is not poisoned")
+        self.shared.shards.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn serve(
@@ -276,10 +277,14 @@
 impl EdgeHandler for Gateway {
     async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody> {
         let arrived_at = BootInstant::now();
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let label = head.extensions.remove::<CallLabel>();
         let parts = &self.shared.parts;
         match parts.dialect.read_head(&head) {
             Ok(caller) => {
+                if let Some(label) = label {
+                    label.set(caller.id.clone());
+                }
                 let log = RequestLog::new(parts.metrics.clone(), caller.id.clone(), arrived_at);
                 self.serve(head, caller, body, log).await
             }
@@ -299,11 +304,32 @@
         parts.dialect.refuse(id.as_deref(), &refusal)
     }
 
+    async fn recover(&self, label: Option<Arc<str>>) -> Response<EdgeBody> {
+        // The request log has written the refusal.
+        self.shared.parts.dialect.refuse(label.as_deref(), &Refusal::unknown(RefusalKind::InternalError))
+    }
+
     fn record_closed(&self, connections: usize) {
         if connections > 0 {
             record(&events::CALLERS_CLOSED, &[field("connections", connections)]);
         }
     }
+
+    fn record_cut(&self, call: CutCall) {
+        let metrics = &self.shared.parts.metrics;
+        metrics.count_cut(call.cause.as_str());
+        let Some(suppressed) = metrics.cut_log_limit.admit() else { return };
+        let mut fields = vec![
+            field("request", call.label.as_deref().unwrap_or("unread")),
+            field("kind", call.cause.as_str()),
+            field("cause", &call.error),
+            field("earlier_calls", call.earlier_calls),
+            field("total_ms", call.lasted.as_millis()),
+            field("answer_bytes", call.sent_bytes),
+        ];
+        fields.extend((suppressed > 0).then(|| field("left_out", suppressed)));
+        record(&events::CALL_CUT, &fields);
+    }
 }
 
 /// Returns the `Content-Length` of a request.
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -2,8 +2,11 @@
 //!
 //! If a caller closes its connection, the handler's future or the body that is being sent is dropped.
 //! If the body of a response fails, the connection is closed before the end of the body, so
-//! that the response never looks complete; that of a caller that knows no chunks is reset.
+//! that the response never looks complete; that of a caller that knows no chunks is reset. What came before the failure
+//! is sent, the head at least.
 
+pub use crate::call::{CallLabel, CutCall, CutCause};
+use crate::call::{CallTracker, TrackedBody, TrackedStream};
 use crate::idle::{CallBody, CallerActivity, IdleCallers};
 use crate::pressure::{CallerRotation, RoundBudget};
 use crate::socket::{configure, ShortReads};
@@ -26,6 +29,7 @@
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -69,7 +73,8 @@
 /// Handles requests.
 #[async_trait]
 pub trait EdgeHandler: Send + Sync + 'static {
-    /// Returns the response to a request. The future is dropped if the caller closes the connection.
+    /// Returns the response to a request. The future is dropped if the caller closes the connection. The request has a
+    /// [`CallLabel`] among its extensions.
     async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody>;
 
     /// Returns the response to a request on a connection above [`EdgeOptions::max_connections`].
@@ -79,9 +84,21 @@
         response
     }
 
+    /// Returns the response to a request whose handling panicked, by the label of the call. The connection is closed after
+    /// it.
+    async fn recover(&self, _label: Option<Arc<str>>) -> Response<EdgeBody> {
+        let mut response = Response::new(full_body(""));
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        response
+    }
+
     /// Called with the number of connections that were closed without reading a request: older ones beyond those that
     /// may be refused at a time, or those that were not selected while the server is overloaded.
     fn record_closed(&self, _connections: usize) {}
+
+    /// Called when a connection has ended with an error before the response to its call was written. The handler's future,
+    /// or the body that is being sent, is dropped after it.
+    fn record_cut(&self, _call: CutCall) {}
 }
 
 /// Limits of a server.
@@ -384,18 +401,18 @@
     }
     let activity = CallerActivity::new(shared.idle.clone(), promise);
     let knows_chunks = AtomicBool::new(true);
+    let tracker = Arc::new(CallTracker::default());
     let service = service_fn(|request: Request<Incoming>| {
         knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
-        answer(shared, &activity, request)
+        answer(shared, &activity, &tracker, request)
     });
     let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.options.idle_limit)
         .max_buf_size(shared.options.max_head_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(ShortReads::new(stream)), service);
+        .serve_connection(TrackedStream::new(stream, tracker.clone()), service);
     let closing = select(Box::pin(shared.closing.1.recv()), Box::pin(activity.closed()));
     pin_mut!(closing);
-    // An error on the connection affects only its caller, and the handler has logged the request.
     let ended = match select(&mut served, closing).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
@@ -403,8 +420,13 @@
             (&mut served).await
         }
     };
-    if ended.is_err() && !knows_chunks.load(Ordering::Relaxed) {
-        reset(served.into_parts().io.inner().stream());
+    // An error on the connection affects only its caller.
+    let Err(error) = ended else { return };
+    if let Some(call) = tracker.cut(&error) {
+        shared.handler.record_cut(call);
+    }
+    if !knows_chunks.load(Ordering::Relaxed) {
+        reset(served.into_parts().io.socket());
     }
 }
 
@@ -448,12 +470,21 @@
 async fn answer(
     shared: &Arc<SharedState>,
     activity: &Arc<CallerActivity>,
-    request: Request<Incoming>,
-) -> Result<Response<CallBody<EdgeBody>>, Infallible> {
+    tracker: &Arc<CallTracker>,
+    mut request: Request<Incoming>,
+) -> Result<Response<CallBody<TrackedBody>>, Infallible> {
     let call = activity.begin_call();
-    let mut response = shared.handler.handle(request).await;
-    if shared.draining.load(Ordering::SeqCst) {
+    request.extensions_mut().insert(tracker.begin());
+    // What other calls share with this one is behind locks and atomics; the rest ends with the call.
+    let handled = AssertUnwindSafe(shared.handler.handle(request)).catch_unwind().await;
+    let has_panicked = handled.is_err();
+    let mut response = match handled {
+        Ok(response) => response,
+        Err(_) => shared.handler.recover(tracker.label()).await,
+    };
+    tracker.begin_response();
+    if has_panicked || shared.draining.load(Ordering::SeqCst) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| CallBody::new(body, call)))
+    Ok(response.map(|body| CallBody::new(TrackedBody::new(body, tracker.clone()), call)))
 }
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -49,6 +49,8 @@
 pub const MACHINE_SUSPENDED: EventKind = kind("MP1004", Level::Warn, "machine was suspended");
 /// The system has no clock that counts while the machine is suspended, so leases do not elapse during a suspension.
 pub const SUSPENSION_UNDETECTABLE: EventKind = kind("MP1005", Level::Warn, "suspensions can't be detected");
+/// A thread or a task panicked. Unless it was the main thread, the process goes on.
+pub const THREAD_PANICKED: EventKind = kind("MP1006", Level::Error, "thread panicked");
 /// Newer settings are in force.
 pub const SETTINGS_IN_FORCE: EventKind = kind("MP1101", Level::Info, "settings in force");
 /// The watched keeper is unreachable or has no majority, so the settings are not confirmed.
@@ -207,6 +209,8 @@
 pub const MEMORY_TIGHT: EventKind = kind("MP1615", Level::Warn, "memory tight");
 /// Memory is no longer tight.
 pub const MEMORY_FREE: EventKind = kind("MP1616", Level::Info, "memory no longer tight");
+/// A caller's connection ended with an error while a call was open on it.
+pub const CALL_CUT: EventKind = kind("MP1617", Level::Info, "call cut with its connection");
 
 /// All events.
 pub const CATALOGUE: &[EventKind] = &[
@@ -215,6 +219,7 @@
     PROCESS_STOPPED,
     MACHINE_SUSPENDED,
     SUSPENSION_UNDETECTABLE,
+    THREAD_PANICKED,
     SETTINGS_IN_FORCE,
     SETTINGS_DISCONNECTED,
     SETTINGS_UNUSABLE,
@@ -287,4 +292,5 @@
     ADVICE_UNREADABLE,
     MEMORY_TIGHT,
     MEMORY_FREE,
+    CALL_CUT,
 ];
