--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -42,7 +42,8 @@
 /// The maximum number of pending connections that are accepted at once. Further ones wait for the next round or
 /// refusal.
 const MAX_ACCEPT_BATCH: usize = 256;
-/// How long a refused connection may take to send its request head. The whole refusal may take twice as long.
+/// How long a refused connection may take to send its request head, and how long its body. The whole refusal may take
+/// three times as long.
 const REFUSED_REQUEST_LIMIT: Duration = Duration::from_secs(1);
 /// The interval at which the scheduling lag is measured, and the length of an accept round while the server is
 /// overloaded.
@@ -142,6 +143,8 @@
     memory: Arc<MemoryAccount>,
     idle: Arc<IdleCallers>,
     open: AtomicUsize,
+    /// The number of open connections that are being refused.
+    refused: AtomicUsize,
     /// The number of listeners that have not ended.
     listening: AtomicUsize,
     draining: AtomicBool,
@@ -166,6 +169,15 @@
     }
 }
 
+/// Counts a connection as being refused until it is dropped.
+struct RefusedConnection(OpenConnection);
+
+impl Drop for RefusedConnection {
+    fn drop(&mut self) {
+        self.0 .0.refused.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 impl EdgeServer {
     /// Creates a server that does not listen yet, without a limit on the memory of the process.
     pub fn new(handler: Arc<dyn EdgeHandler>, options: EdgeOptions) -> EdgeServer {
@@ -185,6 +197,7 @@
             memory,
             idle: Arc::default(),
             open: AtomicUsize::new(0),
+            refused: AtomicUsize::new(0),
             listening: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             lag_micros: AtomicU64::new(0),
@@ -314,14 +327,22 @@
     }
 }
 
-/// Serves a connection, or refuses it if as many are open as may be served or there is no memory for it.
+/// Serves a connection, or refuses it if as many are open as may be served or there is no memory for it. One beyond those
+/// that may be refused at a time is closed unread.
 fn admit(shared: &Arc<SharedState>, stream: TcpStream) {
     let open_before = shared.open.fetch_add(1, Ordering::SeqCst);
     let connection = OpenConnection(shared.clone());
-    match shared.promise_connection(open_before) {
-        Some(promise) => tokio::spawn(serve(connection, stream, promise)),
-        None => tokio::spawn(serve_refusal(connection, stream)),
-    };
+    if let Some(promise) = shared.promise_connection(open_before) {
+        tokio::spawn(serve(connection, stream, promise));
+        return;
+    }
+    let refused_before = shared.refused.fetch_add(1, Ordering::SeqCst);
+    let connection = RefusedConnection(connection);
+    if refused_before < shared.options.max_refused {
+        tokio::spawn(serve_refusal(connection, stream));
+    } else {
+        shared.handler.record_closed(1);
+    }
 }
 
 /// Admits the newest of the pending connections, as many as there are free places, and closes the others unread. Callers
@@ -438,8 +459,8 @@
 
 /// Reads one request and refuses it. If a full server left its callers unaccepted, they would wait without any
 /// response.
-async fn serve_refusal(connection: OpenConnection, stream: TcpStream) {
-    let shared = &connection.0;
+async fn serve_refusal(connection: RefusedConnection, stream: TcpStream) {
+    let shared = &connection.0 .0;
     if configure(&stream).is_err() {
         return;
     }
@@ -451,7 +472,7 @@
         .max_buf_size(shared.options.max_head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(ShortReads::new(stream)), service);
     // An error on the connection affects only its caller, and the handler has logged the request.
-    let _ = tokio::time::timeout(REFUSED_REQUEST_LIMIT * 2, served).await;
+    let _ = tokio::time::timeout(REFUSED_REQUEST_LIMIT * 3, served).await;
 }
 
 async fn refuse(
@@ -460,7 +481,9 @@
 ) -> Result<Response<EdgeBody>, Infallible> {
     let (head, mut body) = request.into_parts();
     // Closing a connection with unread bytes would reset it before the caller has read the response.
-    while let Some(Ok(_)) = body.frame().await {}
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A body that takes longer is refused in the middle of it.
+    let _ = tokio::time::timeout(REFUSED_REQUEST_LIMIT, read).await;
     Ok(shared.handler.refuse(head).await)
 }
 
--- a/crates/micaspool-http/src/socket.rs
+++ b/crates/micaspool-http/src/socket.rs
@@ -14,7 +14,7 @@
 const ENDPOINT_LIMIT: Duration = Duration::from_millis(1_800);
 /// The same for a caller. The system also counts the time in which a caller reads nothing of an answer although it is
 /// there, so that this is longer than such pauses.
-const CALLER_LIMIT: Duration = Duration::from_secs(10);
+const CALLER_LIMIT: Duration = Duration::from_secs(5);
 /// TCP keep-alive: the idle time before the first probe, the interval between probes, and the number of
 /// unanswered probes after which the connection fails.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
--- a/crates/micaspool-http/tests/idle_callers.rs
+++ b/crates/micaspool-http/tests/idle_callers.rs
@@ -120,3 +120,14 @@
     assert!(read_some(&mut newest).contains("200 OK"));
     assert_eq!(server.open(), 1);
 }
+
+/// Guards against refusals without a bound while there is no memory.
+#[test]
+fn no_more_connections_are_refused_at_a_time_than_may_be() {
+    let (server, address, gauge) = start(100);
+    gauge.0.store(LIMIT_BYTES, Ordering::SeqCst);
+    let mute: Vec<TcpStream> = (0..50).map(|_| connect(address)).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(server.open(), 8, "eight may be refused at a time");
+    drop(mute);
+}
