fix(http, gateway): promise bodies their memory as they come, answers theirs until they begin

Found by a review of the memory account: bodies had a budget beside it, so that both together could exceed the limit, and a body without a length was promised nothing; a body that was announced and never sent was promised in full. Memory is promised before the throttle counts the request.

--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -58,9 +58,10 @@
 const BODY_DIVISOR: u64 = 2;
 /// The memory for request bodies without a memory limit, in bytes.
 const DEFAULT_BODY_BYTES: u64 = 256_000_000;
-/// Descriptors that are neither callers' connections nor those to endpoints: files, listeners, and connections to cores,
-/// to load balancers and of operators.
-const RESERVED_DESCRIPTORS: u64 = 400;
+/// Descriptors that are neither callers' connections nor those to endpoints: files and what the platform keeps (200),
+/// connections that are accepted and not yet admitted (256), those of load balancers and operators (192), and those to
+/// cores and to engines that are asked for their load.
+const RESERVED_DESCRIPTORS: u64 = 750;
 /// The minimum number of caller connections, regardless of the memory limit.
 const MIN_CONNECTIONS: usize = 64;
 
@@ -286,7 +287,7 @@
         dispatchers: options.dispatchers.clone(),
         local_dispatcher,
         pool: pool.clone(),
-        bodies: BodyBudget::new(options.body_bytes),
+        bodies: BodyBudget::within(options.body_bytes, options.memory.clone()),
         memory: options.memory.clone(),
         stop_notice: stop_notice.clone(),
         end_notice: end_notice.clone(),
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -249,7 +249,6 @@
             log.sent += 1;
             match self.send(gateway, lease, &endpoint, last_event).await {
                 Ok(answer) => {
-                    self.call.promise = None;
                     self.possible_runs += 1;
                     // Only matters if the body breaks and the request is sent again.
                     self.avoid = Some(endpoint.name);
@@ -552,6 +551,7 @@
         strip_hop_by_hop(&mut head.headers);
         log.set_status(head.status.as_u16());
         let is_stream = is_event_stream(self.target.run, &head);
+        self.call.promise = None;
         if !self.is_resumable() {
             self.call.body.release();
         }
--- a/crates/micaspool-gateway/src/proxy/caller_body.rs
+++ b/crates/micaspool-gateway/src/proxy/caller_body.rs
@@ -113,7 +113,7 @@
 fn refusal_of(error: Error) -> Refusal {
     match error {
         Error::TooLong => Refusal::not_run(RefusalKind::BodyTooLarge),
-        Error::NoBudget => Refusal::not_run(RefusalKind::FleetBacklogFull).after(RETRY_AFTER),
+        Error::NoBudget => Refusal::not_run(RefusalKind::MemoryFull).after(RETRY_AFTER),
         Error::Broken => Refusal::not_run(RefusalKind::MalformedRequest),
     }
 }
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -43,7 +43,7 @@
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// What a request takes beyond its body until its answer begins: the ticket, the connection to an endpoint with its
-/// buffers, and the task of that connection.
+/// buffers, and the task of that connection. Its body is promised as it comes.
 const CALL_BYTES: u64 = 40 * 1024;
 
 /// The id of the last event that the caller of a stream has received.
@@ -225,8 +225,8 @@
         let limit = plan.plan.parts().limits.body_bytes;
         check_length(&head, limit)?;
         let customer = target.queue_customer();
+        let promise = self.promise_memory(&customer)?;
         self.shard(&target.service).admit(&customer)?;
-        let promise = self.promise_memory(&customer, call_bytes(&head))?;
         let open = self.shared.calls.begin(customer);
         let read = body.read(&self.shared.parts.bodies, limit);
         let body = self.shared.parts.stop_notice.unless_stopping(read).await;
@@ -241,10 +241,10 @@
 
     /// Promises a request its memory, or refuses it. While memory is tight, a customer with more than its even share of
     /// the open calls gets none.
-    fn promise_memory(&self, customer: &CustomerName, bytes: u64) -> Result<MemoryPromise, Refusal> {
+    fn promise_memory(&self, customer: &CustomerName) -> Result<MemoryPromise, Refusal> {
         let memory = &self.shared.parts.memory;
         let is_over_share = memory.state().is_tight() && self.shared.calls.exceeds_even_share(customer);
-        let promise = if is_over_share { None } else { memory.promise(bytes) };
+        let promise = if is_over_share { None } else { memory.promise(CALL_BYTES) };
         promise.ok_or_else(|| Refusal::not_run(RefusalKind::MemoryFull).after(RETRY_AFTER))
     }
 
@@ -337,11 +337,6 @@
     head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-/// Returns the memory that a request takes until its answer begins, in bytes.
-fn call_bytes(head: &request::Parts) -> u64 {
-    CALL_BYTES + announced_length(head).unwrap_or_default()
-}
-
 /// Refuses a body whose `Content-Length` exceeds the limit, before it is read.
 fn check_length(head: &request::Parts, limit: u64) -> Result<(), Refusal> {
     match announced_length(head) {
--- a/crates/micaspool-http/src/body.rs
+++ b/crates/micaspool-http/src/body.rs
@@ -6,13 +6,15 @@
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::BodyExt;
+use micaspool_memory::{MemoryAccount, MemoryPromise};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
-/// The bytes that request bodies may occupy together.
+/// The bytes that request bodies may occupy together, within the memory of the process.
 #[derive(Clone, Debug)]
 pub struct BodyBudget {
     left: Arc<AtomicU64>,
+    memory: Arc<MemoryAccount>,
 }
 
 /// The largest room that is made for a body before any of it has come, in bytes.
@@ -23,6 +25,8 @@
 struct BodyReservation {
     budget: BodyBudget,
     bytes: u64,
+    /// What the body takes until it was read whole and is measured.
+    promises: Vec<MemoryPromise>,
 }
 
 /// A whole request body.
@@ -44,9 +48,14 @@
 }
 
 impl BodyBudget {
-    /// Creates a budget.
+    /// Creates a budget, without a limit on the memory of the process.
     pub fn new(bytes: u64) -> BodyBudget {
-        BodyBudget { left: Arc::new(AtomicU64::new(bytes)) }
+        BodyBudget::within(bytes, MemoryAccount::unlimited())
+    }
+
+    /// Creates a budget whose bodies must fit into the memory of the process as well.
+    pub fn within(bytes: u64, memory: Arc<MemoryAccount>) -> BodyBudget {
+        BodyBudget { left: Arc::new(AtomicU64::new(bytes)), memory }
     }
 
     /// Returns how many bytes are left.
@@ -59,7 +68,7 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
-        let mut reservation = BodyReservation { budget: self.clone(), bytes: 0 };
+        let mut reservation = BodyReservation { budget: self.clone(), bytes: 0, promises: Vec::new() };
         let expected = body.size_hint().exact().unwrap_or_default().min(limit).min(MAX_EXPECTED_BYTES);
         reservation.grow_to(expected)?;
         let mut bytes = BytesMut::with_capacity(usize::try_from(expected).unwrap_or_default());
@@ -74,6 +83,7 @@
             // A body that grows takes up to twice its length.
             reservation.grow_to(bytes.capacity() as u64)?;
         }
+        reservation.promises.clear();
         Ok(HeldBody { bytes: bytes.freeze(), reservation })
     }
 }
@@ -82,9 +92,14 @@
     /// Takes what the body needs beyond what it has taken.
     fn grow_to(&mut self, bytes: u64) -> Result<(), Error> {
         let more = bytes.saturating_sub(self.bytes);
+        if more == 0 {
+            return Ok(());
+        }
+        let promise = self.budget.memory.promise(more).ok_or(Error::NoBudget)?;
         let take = |left: u64| left.checked_sub(more);
         let taken = self.budget.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
         taken.map_err(|_| Error::NoBudget)?;
+        self.promises.push(promise);
         self.bytes += more;
         Ok(())
     }
--- a/crates/micaspool-http/tests/body.rs
+++ b/crates/micaspool-http/tests/body.rs
@@ -6,6 +6,8 @@
 use http_body::Frame;
 use http_body_util::{Full, StreamBody};
 use micaspool_http::body::{BodyBudget, Error, HeldBody};
+use micaspool_memory::{MemoryAccount, MemoryGauge};
+use std::sync::Arc;
 
 const LIMIT: u64 = 1_000;
 
@@ -32,6 +34,26 @@
     assert_eq!(budget.left(), 2_000);
 }
 
+/// Guards against bodies without a length that grow beyond the memory of the process.
+#[test]
+fn a_growing_body_must_fit_into_the_memory_of_the_process() {
+    #[derive(Debug)]
+    struct NoneInUse;
+    impl MemoryGauge for NoneInUse {
+        fn bytes_in_use(&self) -> u64 {
+            0
+        }
+    }
+    let memory = MemoryAccount::new(500, Arc::new(NoneInUse));
+    let budget = BodyBudget::within(2_000, memory.clone());
+    let parts = (0..9).map(|_| Ok::<_, &str>(Frame::data(Bytes::from(vec![7; 100]))));
+    let mut body = StreamBody::new(stream::iter(parts));
+    assert_eq!(block_on(budget.read(&mut body, LIMIT)).err(), Some(Error::NoBudget));
+    assert_eq!((memory.state().promised, budget.left()), (0, 2_000));
+    let held = read(&budget, 400).expect("within the limits");
+    assert_eq!((memory.state().promised, held.bytes().len()), (0, 400), "a whole body is measured");
+}
+
 #[test]
 fn a_body_beyond_the_limit_of_one_occupies_nothing() {
     let budget = BodyBudget::new(2_000);
--- a/crates/micaspool-memory/src/account.rs
+++ b/crates/micaspool-memory/src/account.rs
@@ -53,7 +53,7 @@
 impl MemoryState {
     /// Returns true if little is left, so that what nobody waits for should be freed.
     pub fn is_tight(&self) -> bool {
-        self.limit > 0 && self.in_use + self.promised > self.limit / 100 * TIGHT_PERCENT
+        self.limit > 0 && self.in_use.saturating_add(self.promised) > self.limit / 100 * TIGHT_PERCENT
     }
 }
 
@@ -70,12 +70,12 @@
 
     /// Promises memory to work that is to be admitted. Returns `None` if it does not fit.
     pub fn promise(self: &Arc<Self>, bytes: u64) -> Option<MemoryPromise> {
-        let state = self.state();
-        if state.limit > 0 && state.in_use + state.promised + bytes > state.limit {
-            return None;
-        }
         self.promised.fetch_add(bytes, Ordering::Relaxed);
-        Some(MemoryPromise { account: self.clone(), bytes })
+        // Dropped, and so taken back, if it does not fit.
+        let promise = MemoryPromise { account: self.clone(), bytes };
+        let state = self.state();
+        let fits = state.limit == 0 || state.in_use.saturating_add(state.promised) <= state.limit;
+        fits.then_some(promise)
     }
 
     /// Returns the figures of this moment.
