fix(http): close never used connections first, and those that hold part of a head

A review showed (trials): of 100 kept callers beside 350 mute connections 51 were closed and no mute one; 50 connections with part of a head were told to close and all open after 4 s. Rows connections_that_were_never_used_are_closed_first, a_connection_with_part_of_a_head_is_closed_to_make_room; not run on the code before.

--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -55,6 +55,8 @@
 const TIGHT_BATCH: usize = 16;
 /// One in this many of the connections that may be served is closed at once, if it is idle, when all are open.
 const PLACE_DIVISOR: usize = 128;
+/// How long a connection that is to close gets for the rest of a request head that it has begun.
+const PARTIAL_HEAD_TIME: Duration = Duration::from_millis(200);
 /// How long the tasks of idle connections get to end them.
 const CLOSE_TIME: Duration = Duration::from_millis(1);
 /// How often a draining server checks whether all connections have ended.
@@ -438,7 +440,13 @@
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
             Pin::new(&mut served).graceful_shutdown();
-            (&mut served).await
+            let ended = tokio::time::timeout(PARTIAL_HEAD_TIME, &mut served).await;
+            match ended {
+                Ok(ended) => ended,
+                // Part of a head has come: no request was read.
+                Err(_) if activity.is_idle() => return,
+                Err(_) => (&mut served).await,
+            }
         }
     };
     // An error on the connection affects only its caller.
--- a/crates/micaspool-http/src/idle.rs
+++ b/crates/micaspool-http/src/idle.rs
@@ -1,7 +1,7 @@
 //! The idle connections of callers, the longest idle first.
 //!
 //! A caller may keep far more connections than it uses. Where connections or memory run short, those on which nothing
-//! runs are closed first, so that no request is lost by it.
+//! runs are closed first, so that no request is lost by it. Those that were never used go before the others.
 
 use async_std::channel::{bounded, Receiver, Sender};
 use bytes::Bytes;
@@ -26,7 +26,14 @@
 #[derive(Debug, Default)]
 struct IdleState {
     next_turn: u64,
-    by_turn: BTreeMap<u64, IdleCaller>,
+    by_turn: BTreeMap<IdleTurn, IdleCaller>,
+}
+
+/// The place of an idle connection in the order in which they are closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct IdleTurn {
+    was_used: bool,
+    turn: u64,
 }
 
 #[derive(Debug)]
@@ -55,15 +62,15 @@
         self.lock().by_turn.len()
     }
 
-    fn insert(&self, close: Sender<()>) -> u64 {
+    fn insert(&self, close: Sender<()>, was_used: bool) -> IdleTurn {
         let mut state = self.lock();
-        let turn = state.next_turn;
+        let turn = IdleTurn { was_used, turn: state.next_turn };
         state.next_turn += 1;
         state.by_turn.insert(turn, IdleCaller { since: BootInstant::now(), close });
         turn
     }
 
-    fn remove(&self, turn: u64) {
+    fn remove(&self, turn: IdleTurn) {
         self.lock().by_turn.remove(&turn);
     }
 
@@ -84,7 +91,7 @@
 struct CallCount {
     open: usize,
     /// The turn of the connection among the idle ones.
-    turn: Option<u64>,
+    turn: Option<IdleTurn>,
     /// The memory that the connection takes until its first call, after which it is measured.
     promise: Option<MemoryPromise>,
 }
@@ -93,7 +100,7 @@
     /// Registers a connection.
     pub fn new(callers: Arc<IdleCallers>, promise: MemoryPromise) -> Arc<CallerActivity> {
         let close = bounded(1);
-        let turn = Some(callers.insert(close.0.clone()));
+        let turn = Some(callers.insert(close.0.clone(), false));
         let calls = Mutex::new(CallCount { open: 0, turn, promise: Some(promise) });
         Arc::new(CallerActivity { callers, close, calls })
     }
@@ -104,6 +111,11 @@
         let _ = self.close.1.recv().await;
     }
 
+    /// Returns true if no call is open.
+    pub fn is_idle(&self) -> bool {
+        self.lock().open == 0
+    }
+
     /// Marks the connection as busy until the call is dropped.
     pub fn begin_call(self: &Arc<Self>) -> OpenCall {
         let mut calls = self.lock();
@@ -119,7 +131,7 @@
         let mut calls = self.lock();
         calls.open -= 1;
         if calls.open == 0 {
-            calls.turn = Some(self.callers.insert(self.close.0.clone()));
+            calls.turn = Some(self.callers.insert(self.close.0.clone(), true));
         }
     }
 
--- a/crates/micaspool-http/tests/idle_callers.rs
+++ b/crates/micaspool-http/tests/idle_callers.rs
@@ -131,3 +131,29 @@
     assert_eq!(server.open(), 8, "eight may be refused at a time");
     drop(mute);
 }
+
+/// Guards against an idle connection that stays open since it holds part of a head.
+#[test]
+fn a_connection_with_part_of_a_head_is_closed_to_make_room() {
+    let (server, address, gauge) = start(100);
+    let mut partial = connect(address);
+    partial.write_all(b"GET / HTTP/1.1\r\nho").expect("sent");
+    std::thread::sleep(IDLE_TIME);
+    gauge.0.store(LIMIT_BYTES / 10 * 9, Ordering::SeqCst);
+    let _newest = kept(address);
+    assert_eq!(read_some(&mut partial), "");
+    assert_eq!(server.open(), 1);
+}
+
+#[test]
+fn connections_that_were_never_used_are_closed_first() {
+    let (_server, address, _) = start(3);
+    let mut used = kept(address);
+    let mut mute = connect(address);
+    let _other = kept(address);
+    std::thread::sleep(IDLE_TIME);
+    let _newest = kept(address);
+    assert_eq!(read_some(&mut mute), "");
+    send(&mut used, "/");
+    assert!(read_some(&mut used).contains("200 OK"));
+}
