perf(http, gateway): close the oldest idle connection of each endpoint while memory is tight, not all

Closing all of them ten times a second costs a new connection for nearly each send of a gateway that stays at the tight line. Found by a review; the gain was not measured.

--- a/crates/micaspool-gateway/src/memory_watch.rs
+++ b/crates/micaspool-gateway/src/memory_watch.rs
@@ -53,7 +53,7 @@
                 time.reported = Some(now);
                 self.log(&events::MEMORY_TIGHT, state);
             }
-            self.pool.close_all_idle();
+            self.pool.close_oldest_idle();
             return;
         }
         if time.last.is_some_and(|at| now.saturating_duration_since(at) >= CALM_TIME) {
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -247,7 +247,8 @@
         }
     }
 
-    fn close_oldest_idle(&self) {
+    /// Closes the oldest idle connection of each endpoint.
+    pub fn close_oldest_idle(&self) {
         let mut idle = self.lock();
         for connections in idle.values_mut() {
             if !connections.is_empty() {
@@ -306,11 +307,6 @@
         self.insert_idle(PooledConnection { pool: self.clone(), address, sender, keep_alive });
     }
 
-    /// Closes all idle connections.
-    pub fn close_all_idle(&self) {
-        self.lock().clear();
-    }
-
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
         self.lock().remove(&address);
