perf(dispatch): count requests by prompt part instead of searching all of them

Each decision about a ticket with a part on trial searched all running and waiting requests, and each part of each run that ended with a crashed endpoint searched all running ones. Now the shard counts the waiting and running requests of each part and keeps the begun runs in order; debug builds compare every answer with the search.

--- a/crates/micaspool-dispatch/src/shard/evidence.rs
+++ b/crates/micaspool-dispatch/src/shard/evidence.rs
@@ -77,6 +77,7 @@
     ) {
         for record in records {
             let change = self.suspects.table.merge(now, record);
+            self.suspects.note_limit(record.digest);
             self.suspects.note_witness(record.digest, router);
             if change.before != change.after {
                 self.worsen_standing(now, change, StandingCause::RouterJoined, actions);
@@ -220,6 +221,7 @@
             self.improve_standing(now, change, StandingCause::Expired, actions);
         }
         self.suspects.forget_holders();
+        self.suspects.forget_limits();
     }
 }
 
--- a/crates/micaspool-dispatch/src/shard/fatal_parts.rs
+++ b/crates/micaspool-dispatch/src/shard/fatal_parts.rs
@@ -133,6 +133,7 @@
                 continue;
             }
             let change = self.suspects.table.record_crash(now, digest, customer, endpoint);
+            self.suspects.note_limit(digest);
             self.worsen_standing(now, change, StandingCause::EndpointCrashed, actions);
         }
     }
@@ -184,13 +185,19 @@
         limit
     }
 
-    /// True if a request runs as a trial of a part. Trials are rare, so all running requests are searched.
+    /// True if a request runs as a trial of a part.
     fn has_trial_run(&self) -> bool {
-        self.running.values().any(|grant| self.has_part_on_trial(&grant.prompt))
+        let is_running = self.suspects.parts_on_trial().any(|part| self.part_requests.is_running(part));
+        let search = || self.running.values().any(|grant| self.has_part_on_trial(&grant.prompt));
+        debug_assert_eq!(is_running, search(), "every change of a run updates the counts of its parts");
+        is_running
     }
 
     fn has_waiting_trial(&self) -> bool {
-        self.waiting.values().any(|ticket| self.has_part_on_trial(&ticket.prompt))
+        let is_waiting = self.suspects.parts_on_trial().any(|part| self.part_requests.is_waiting(part));
+        let search = || self.waiting.values().any(|ticket| self.has_part_on_trial(&ticket.prompt));
+        debug_assert_eq!(is_waiting, search(), "every change of a queue updates the counts of parts");
+        is_waiting
     }
 
     fn has_part_on_trial(&self, prompt: &PromptShape) -> bool {
@@ -205,10 +212,18 @@
     /// True if a run with the part goes on at an endpoint other than that of the ended run. Where a shard or a part
     /// is new and endpoints crash one after the other, no run may have got past its beginning yet.
     fn is_part_surviving(&self, now: Moment, part: u64, ended: &EndedRun) -> bool {
-        self.running.values().any(|grant| {
-            let survives = grant.begun_at.is_some_and(|begun_at| now.since(begun_at) >= SURVIVAL);
-            survives && grant.endpoint != ended.endpoint && grant.prompt.shared_parts().contains(&part)
-        })
+        let has_survived = |begun_at: Moment| now.since(begun_at) >= SURVIVAL;
+        let begun = self.part_requests.begun(part).take_while(|run| has_survived(run.begun_at));
+        let mut survivors = begun.filter_map(|run| run.grant(&self.running));
+        let survives = survivors.any(|grant| grant.endpoint != ended.endpoint);
+        let search = || {
+            let mut elsewhere = self.running.values().filter(|grant| grant.endpoint != ended.endpoint);
+            elsewhere.any(|grant| {
+                grant.begun_at.is_some_and(has_survived) && grant.prompt.shared_parts().contains(&part)
+            })
+        };
+        debug_assert_eq!(survives, search(), "every change of a run updates the counts of its parts");
+        survives
     }
 
     /// True if a part is or was quarantined.
@@ -218,6 +233,9 @@
 
     /// True if a request with the part runs.
     pub(super) fn is_part_running(&self, part: u64) -> bool {
-        self.running.values().any(|grant| grant.prompt.shared_parts().contains(&part))
+        let is_running = self.part_requests.is_running(part);
+        let search = || self.running.values().any(|grant| grant.prompt.shared_parts().contains(&part));
+        debug_assert_eq!(is_running, search(), "every change of a run updates the counts of its parts");
+        is_running
     }
 }
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -6,6 +6,7 @@
 use super::engine::{PromptShape, RunTiming};
 use super::fatal_parts::BEGINNING;
 use super::kind_queues::TicketKind;
+use super::part_requests::BegunRun;
 use super::routers::RouterIndex;
 use super::service_model::StreamedPrompt;
 use super::suspects::EndedRun;
@@ -218,6 +219,8 @@
         let ticket = self.waiting.remove(&request).expect("the chosen ticket waits");
         self.copies.end_waiting(ticket.digest);
         self.copies.begin_running(ticket.digest, endpoint);
+        self.part_requests.begin_running(&ticket.prompt);
+        self.part_requests.end_waiting(&ticket.prompt);
         self.forget_overdue(request, &ticket);
         self.forget_choice(&ticket);
         self.customers.take_from_queue(&ticket);
@@ -297,6 +300,10 @@
         let (endpoint, since, load) = (grant.endpoint, grant.since, grant.prompt.load());
         let streamed = StreamedPrompt::of(grant);
         let is_first_event = std::mem::take(&mut grant.awaits_first_event);
+        if grant.begun_at.is_none() {
+            grant.begun_at = Some(now);
+            self.part_requests.begin_answer(BegunRun { request, begun_at: now }, &grant.prompt);
+        }
         let begun_at = *grant.begun_at.get_or_insert(now);
         let passes = !grant.is_past_beginning && now.since(begun_at) >= BEGINNING;
         grant.is_past_beginning |= passes;
@@ -344,6 +351,7 @@
     ) {
         let Some(grant) = self.running.remove(&request) else { return };
         self.copies.end_running(grant.digest, grant.endpoint);
+        self.part_requests.end_running(&grant.prompt, &self.running);
         self.routers.release(grant.router, request);
         self.endpoints.end_generation(now, request, &grant, cost, outcome);
         if grant.awaits_first_event {
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -186,6 +186,7 @@
             is_past_beginning: false,
             since: None,
         };
+        self.part_requests.begin_running(&grant.prompt);
         self.running.insert(held.request, grant);
     }
 
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -26,6 +26,7 @@
 mod kind_queues;
 mod level_floor;
 mod overdue;
+mod part_requests;
 mod parts;
 mod pauses;
 mod placement;
@@ -68,6 +69,7 @@
 use grants::RunningGrant;
 use micaspool_fair::{Rank, RankIndex};
 use micaspool_types::{Cost, HallMask, HallName, Moment, OrderNumber, RequestId, Revision};
+use part_requests::PartRequests;
 use prefixes::PrefixIndex;
 use rate::DecayingRate;
 use retries::RetryBudgets;
@@ -102,6 +104,7 @@
     remote: RemoteTotals,
     suspects: SuspectTracker,
     copies: CopyCounts,
+    part_requests: PartRequests,
     /// Which software versions began the streams that callers may take up.
     origins: StreamOrigins,
     throughput: GrantThroughput,
@@ -142,6 +145,7 @@
             remote: RemoteTotals::default(),
             suspects: SuspectTracker::new(options.quarantine),
             copies: CopyCounts::default(),
+            part_requests: PartRequests::default(),
             origins: StreamOrigins::default(),
             throughput: GrantThroughput::new(now),
             delivered: DecayingRate::default(),
--- a/crates/micaspool-dispatch/src/shard/suspects.rs
+++ b/crates/micaspool-dispatch/src/shard/suspects.rs
@@ -42,6 +42,8 @@
     pub(super) holders: HashMap<RequestDigest, RecordHolders>,
     pub(super) next_expiry: Moment,
     pub(super) exonerated: ExoneratedParts,
+    /// The parts that are or were quarantined, and some that are no longer on record.
+    limited_parts: BTreeSet<u64>,
 }
 
 impl SuspectTracker {
@@ -51,6 +53,7 @@
             holders: HashMap::new(),
             next_expiry: Moment(0),
             exonerated: ExoneratedParts::default(),
+            limited_parts: BTreeSet::new(),
         }
     }
 
@@ -83,6 +86,24 @@
         self.holders.retain(|digest, _| table.contains(*digest));
     }
 
+    /// Notes a part to whose crashes one was added, if they have reached the limit.
+    pub fn note_limit(&mut self, digest: RequestDigest) {
+        let part = digest.part().filter(|_| self.table.has_reached_limit(digest));
+        self.limited_parts.extend(part);
+    }
+
+    /// The parts that are or were quarantined.
+    pub fn parts_on_trial(&self) -> impl Iterator<Item = u64> + '_ {
+        let is_on_trial = |part: &u64| self.table.has_reached_limit(RequestDigest::of_part(*part));
+        self.limited_parts.iter().copied().filter(is_on_trial)
+    }
+
+    /// Drops the parts that are no longer on record.
+    pub fn forget_limits(&mut self) {
+        let table = &self.table;
+        self.limited_parts.retain(|part| table.has_reached_limit(RequestDigest::of_part(*part)));
+    }
+
     pub fn note_witness(&mut self, digest: RequestDigest, router: RouterIndex) {
         let witnesses = || RecordHolders::Witnesses(BTreeSet::new());
         if let RecordHolders::Witnesses(routers) = self.holders.entry(digest).or_insert_with(witnesses) {
@@ -222,7 +243,10 @@
         let digest = change.digest;
         let part = digest.part();
         let may_wait = match part {
-            Some(_) => self.may_refuse_parts(now) && self.is_on_trial(digest),
+            Some(part) => {
+                let is_limited = self.may_refuse_parts(now) && self.is_on_trial(digest);
+                is_limited && self.part_requests.is_waiting(part)
+            }
             None => self.copies.is_waiting(digest),
         };
         if !may_wait {
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -257,6 +257,7 @@
         let precedes_others = self.customers.add_to_queue(now, &ticket);
         self.queue_advanced |= precedes_others && self.order_may_change(customer);
         self.copies.begin_waiting(ticket.digest);
+        self.part_requests.begin_waiting(&ticket.prompt);
         self.overdue.extend(ticket.refuse_at.map(|refuse_at| (refuse_at, request)));
         self.waiting.insert(request, ticket);
         self.reindex(customer);
@@ -284,6 +285,7 @@
     pub(super) fn drop_waiting(&mut self, request: RequestId) -> Option<WaitingTicket> {
         let ticket = self.waiting.remove(&request)?;
         self.copies.end_waiting(ticket.digest);
+        self.part_requests.end_waiting(&ticket.prompt);
         self.forget_overdue(request, &ticket);
         self.forget_choice(&ticket);
         self.customers.take_from_queue(&ticket);
