--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -29,6 +29,7 @@
 mod parts;
 mod pauses;
 mod placement;
+mod prefill_span;
 mod prefixes;
 mod rate;
 mod reports;
