fix(http): don't close connections in regular use to make room

Suspected: on a busy machine its connection was idle for 500 ms and was closed as the longest idle, and the next one met the flood. Used connections are now closed after 2 s without a request at the earliest, unused ones after 500 ms as before. Row a_connection_in_regular_use_is_not_closed_to_make_room.

--- a/crates/micaspool-http/src/idle.rs
+++ b/crates/micaspool-http/src/idle.rs
@@ -14,8 +14,11 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-/// Connections that were idle for a shorter time are not closed: their next request may be on its way.
-const MIN_IDLE: Duration = Duration::from_millis(500);
+/// Connections that were used and were idle for a shorter time are not closed: their callers use them regularly, and the
+/// next request may be on its way.
+const MIN_IDLE: Duration = Duration::from_secs(2);
+/// The same for connections without any request so far.
+const MIN_UNUSED: Duration = Duration::from_millis(500);
 
 /// The idle connections of a server, in the order in which they became idle.
 #[derive(Debug, Default)]
@@ -44,13 +47,17 @@
 }
 
 impl IdleCallers {
-    /// Closes the connection that has been idle for longest. Returns false if none was idle for long enough.
+    /// Closes the connection that has been idle for longest, of those that were never used if there are such. Returns
+    /// false if none was idle for long enough.
     pub fn close_longest(&self) -> bool {
         let mut state = self.lock();
-        let Some((turn, caller)) = state.by_turn.first_key_value() else { return false };
-        if caller.since.elapsed() < MIN_IDLE {
-            return false;
-        }
+        let first_used = IdleTurn { was_used: true, turn: 0 };
+        let unused = state.by_turn.range(..first_used).next();
+        let used = state.by_turn.range(first_used..).next();
+        let closable = [(unused, MIN_UNUSED), (used, MIN_IDLE)].into_iter().find_map(|(first, min_idle)| {
+            first.filter(|(_, caller)| caller.since.elapsed() >= min_idle)
+        });
+        let Some((turn, caller)) = closable else { return false };
         caller.close.close();
         let turn = *turn;
         state.by_turn.remove(&turn);
--- a/crates/micaspool-http/tests/idle_callers.rs
+++ b/crates/micaspool-http/tests/idle_callers.rs
@@ -12,18 +12,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longer than a connection has to be idle before it may be closed.
-const IDLE_TIME: Duration = Duration::from_millis(700);
+/// Longer than a connection has to be idle before it may be closed, and longer than one without any request has to be.
+const IDLE_TIME: Duration = Duration::from_millis(2_200);
+const UNUSED_TIME: Duration = Duration::from_millis(700);
 const LIMIT_BYTES: u64 = 10_000_000;
 
-/// Responds to `/slow` after two seconds, to others at once.
+/// Responds to `/slow` after three seconds, to others at once.
 struct PathHandler;
 
 #[async_trait]
 impl EdgeHandler for PathHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<EdgeBody> {
         if request.uri().path() == "/slow" {
-            task::sleep(Duration::from_secs(2)).await;
+            task::sleep(Duration::from_secs(3)).await;
         }
         Response::new(full_body("ok"))
     }
@@ -138,7 +139,7 @@
     let (server, address, gauge) = start(100);
     let mut partial = connect(address);
     partial.write_all(b"GET / HTTP/1.1\r\nho").expect("sent");
-    std::thread::sleep(IDLE_TIME);
+    std::thread::sleep(UNUSED_TIME);
     gauge.0.store(LIMIT_BYTES / 10 * 9, Ordering::SeqCst);
     let _newest = kept(address);
     assert_eq!(read_some(&mut partial), "");
@@ -157,3 +158,15 @@
     send(&mut used, "/");
     assert!(read_some(&mut used).contains("200 OK"));
 }
+
+/// Guards against a full server that takes the connections of callers that use them regularly.
+#[test]
+fn a_connection_in_regular_use_is_not_closed_to_make_room() {
+    let (_server, address, gauge) = start(100);
+    let mut used = kept(address);
+    std::thread::sleep(UNUSED_TIME);
+    gauge.0.store(LIMIT_BYTES / 10 * 9, Ordering::SeqCst);
+    let _newest = kept(address);
+    send(&mut used, "/");
+    assert!(read_some(&mut used).contains("200 OK"));
+}
