--- a/crates/micaspool-http/src/idle.rs
+++ b/crates/micaspool-http/src/idle.rs
@@ -54,9 +54,9 @@
         let first_used = IdleTurn { was_used: true, turn: 0 };
         let unused = state.by_turn.range(..first_used).next();
         let used = state.by_turn.range(first_used..).next();
-        let closable = [(unused, MIN_UNUSED), (used, MIN_IDLE)].into_iter().find_map(|(first, min_idle)| {
-            first.filter(|(_, caller)| caller.since.elapsed() >= min_idle)
-        });
+        let closable = [(unused, MIN_UNUSED), (used, MIN_IDLE)]
+            .into_iter()
+            .find_map(|(first, min_idle)| first.filter(|(_, caller)| caller.since.elapsed() >= min_idle));
         let Some((turn, caller)) = closable else { return false };
         caller.close.close();
         let turn = *turn;
