--- a/crates/micaspool-dispatch/src/shard/engine.rs
+++ b/crates/micaspool-dispatch/src/shard/engine.rs
@@ -8,8 +8,6 @@
 use super::copy_link::{CopyQueues, PlannedCopy};
 use super::endpoints::EndpointIndex;
 use super::parts::PartCache;
-use super::prefill_span::PrefillSpan;
-use super::service_time::ServiceTime;
 use super::stream_pauses::StreamPauses;
 use crate::event::{CacheUpdate, RequestTicket};
 use micaspool_engine::{DecodeRate, PrefillClock, PrefillRate, PrefillWork, StatedOutput, StreamSpan};
@@ -26,13 +24,10 @@
 const REPORTED_CACHE_PERCENT: u64 = 120;
 /// The share of the learnt prefill rate at which an engine is given tokens, in percent.
 pub(super) const RATE_PERCENT: u32 = 90;
-/// An engine with this much queued prefill work when a prompt would arrive there gets no further prompts. The limit bounds
-/// the work that a request of another customer can no longer overtake, and the delay of first events. A shorter limit
+/// An engine with this much queued prefill work gets no further prompts. The limit bounds the work that
+/// a request of another customer can no longer overtake, and the delay of first events. A shorter limit
 /// lets engines run idle between two grants.
 const MAX_PREFILL_QUEUE: Duration = Duration::from_millis(80);
-/// The longest time from grant to send that queued work covers in addition. It bounds the work that an engine gets at
-/// once when its routers catch up.
-const MAX_TRANSIT: Duration = Duration::from_secs(1);
 /// Added to the end of an expected time, which moments round down to microseconds. At a moment before the end the
 /// engine would still be closed, and nothing would wake the shard again.
 const ROUNDING: Duration = Duration::from_micros(1);
@@ -151,23 +146,6 @@
     }
 }
 
-/// Prompts that an engine has prefilled before another one, without a report of their first events so far.
-#[derive(Debug, Clone, Copy, Default)]
-struct EarlierWork {
-    first: Option<PendingPrompt>,
-    tokens: u64,
-}
-
-impl EarlierWork {
-    /// The work of these prompts, given in the order of their grants.
-    fn of<'a>(prompts: impl Iterator<Item = &'a PendingPrompt>) -> EarlierWork {
-        prompts.fold(EarlierWork::default(), |work, prompt| EarlierWork {
-            first: work.first.or(Some(*prompt)),
-            tokens: work.tokens + prompt.tokens,
-        })
-    }
-}
-
 /// What an engine has to do for a prompt before its first event.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PromptWork {
@@ -275,8 +253,6 @@
     last_first_event: Moment,
     /// How long grants and reports of recent prompts were under way between the shard and the engine.
     report_delay: Duration,
-    /// The time from a grant until its router has sent the request.
-    transit: ServiceTime,
     /// The share of the prefill budget that this shard may use, in percent.
     share: u64,
     /// When the engine will have processed all granted prompts at `RATE_PERCENT` of its learnt rate.
@@ -284,8 +260,6 @@
     /// Until when the engine is assumed to process prompts of others, according to its load reports.
     others_until: Moment,
     rate: PrefillRate,
-    /// First events from which the rate isn't learnt yet.
-    span: PrefillSpan,
     /// When the first event of a prompt without a copy last arrived.
     uncopied_observed_at: Moment,
     /// The source of the last copy to this engine, if it seems to have brought nothing.
@@ -314,12 +288,10 @@
             pending_tokens: 0,
             last_first_event: Moment(0),
             report_delay: Duration::ZERO,
-            transit: ServiceTime::default(),
             share,
             paced_until: Moment(0),
             others_until: Moment(0),
             rate: PrefillRate::new(per_token),
-            span: PrefillSpan::default(),
             uncopied_observed_at: Moment(0),
             missed_source: None,
             streams: StreamPauses::default(),
@@ -441,10 +413,8 @@
         now + excess + ROUNDING
     }
 
-    /// The queued prefill work up to which the engine gets prompts. What it prefills while a prompt is under way no longer
-    /// queues when that prompt arrives.
     fn prefill_budget(&self) -> Duration {
-        (MAX_PREFILL_QUEUE + self.expected_transit()) * u32::try_from(self.share).unwrap_or(100) / 100
+        MAX_PREFILL_QUEUE * u32::try_from(self.share).unwrap_or(100) / 100
     }
 
     /// The expected time until all queued prompts are processed, including those of others.
@@ -682,43 +652,23 @@
             return None;
         };
         let (sent, began_at) = prompt.timed(now, timing);
-        let transit = sent.granted_at.since(prompt.granted_at);
-        self.note_delay(transit + now.since(began_at));
-        if timing.is_some() {
-            self.transit.observe(transit);
-        }
-        let (latency, transit) = (self.rate.latency(), self.expected_transit());
-        let is_done = |other: &PendingPrompt| {
-            let may_precede = other.granted_at + latency >= prompt.granted_at
-                || other.granted_at + latency + transit >= sent.granted_at
-                || other.copied_at() > now;
-            other.request != request && !may_precede
-        };
-        let earlier = EarlierWork::of(self.pending.iter().filter(|other| is_done(other)));
+        self.note_delay(sent.granted_at.since(prompt.granted_at) + now.since(began_at));
         let first = match prompt.copy {
-            Some(copy) => Some(FirstEvent::Copied(self.observe_copied(began_at, &sent, copy))),
-            None => {
-                let may_precede = |other: &PendingPrompt| {
-                    other.request != request && other.granted_at < prompt.granted_at && !is_done(other)
-                };
-                let is_complete = !self.pending.iter().any(may_precede);
-                self.observe_prefilled(began_at, &sent, earlier, is_complete).map(FirstEvent::Prefilled)
-            }
+            Some(copy) => FirstEvent::Copied(self.observe_copied(began_at, &sent, copy)),
+            None => FirstEvent::Prefilled(self.observe_prefilled(began_at, &sent)),
         };
         let prefill_start = self.prefill_start(&sent);
         let latency = self.rate.latency();
         let prefill_time = began_at.since(prefill_start).saturating_sub(latency);
         let pending_before = self.pending_tokens;
         self.last_first_event = self.last_first_event.max(began_at);
-        self.retain_pending(|other| other.request != request && !is_done(other));
+        self.retain_pending(|other| {
+            let may_precede = other.granted_at + latency >= prompt.granted_at || other.copied_at() > now;
+            other.request != request && may_precede
+        });
         let done = pending_before - self.pending_tokens;
         self.clock.complete(done, prefill_time, self.rate.prefill_time(done));
-        first
-    }
-
-    /// The time from a grant within which most requests are sent.
-    fn expected_transit(&self) -> Duration {
-        self.transit.upper_estimate().min(MAX_TRANSIT)
+        Some(first)
     }
 
     /// Records how long a grant and the report of its first event were under way.
@@ -726,23 +676,14 @@
         self.report_delay = self.report_delay.mul_f64(DELAY_DECAY).max(delay.min(MAX_DELAY));
     }
 
-    /// Learns from the first event of a prompt without a copy. The time since the previous first event includes the
-    /// prefill of earlier prompts whose own first events have not been reported.
-    fn observe_prefilled(
-        &mut self,
-        now: Moment,
-        prompt: &PendingPrompt,
-        earlier: EarlierWork,
-        is_complete: bool,
-    ) -> Option<PrefillObservation> {
-        let first = earlier.first.filter(|first| first.granted_at < prompt.granted_at).unwrap_or(*prompt);
-        let idle = self.idle_since(&first) == first.granted_at;
-        let since = if idle { first.granted_at } else { self.last_first_event };
-        let tokens = prompt.tokens + earlier.tokens;
+    /// Learns from the first event of a prompt without a copy.
+    fn observe_prefilled(&mut self, now: Moment, prompt: &PendingPrompt) -> PrefillObservation {
+        let idle = self.idle_since(prompt) == prompt.granted_at;
+        let since = if idle { prompt.granted_at } else { self.last_first_event };
+        let observation = PrefillObservation { tokens: prompt.tokens, took: now.since(since), idle };
+        self.rate.observe(now, observation.tokens, observation.took, idle);
         self.uncopied_observed_at = now;
-        let span = self.span.add(PrefillObservation { tokens, took: now.since(since), idle }, is_complete)?;
-        self.rate.observe(now, span.tokens, span.took, span.idle);
-        Some(span)
+        observation
     }
 
     /// Learns from the first event of a prompt of which tokens were copied. The latency isn't learnt from
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -30,7 +30,6 @@
 mod parts;
 mod pauses;
 mod placement;
-mod prefill_span;
 mod prefixes;
 mod rate;
 mod reports;
--- a/crates/micaspool-dispatch/src/shard/service_time.rs
+++ b/crates/micaspool-dispatch/src/shard/service_time.rs
@@ -1,4 +1,4 @@
-//! Moving averages of times, such as the service times of endpoints without an engine.
+//! Service times of endpoints without an engine.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 /// (Jacobson, 1988).
 const DEVIATIONS: f64 = 2.0;
 
-/// A moving average of times and their deviation.
+/// A moving average of service times and their deviation.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct ServiceTime {
     /// In seconds; `None` before the first observation.
@@ -19,7 +19,7 @@
 }
 
 impl ServiceTime {
-    /// Records an observed time.
+    /// Records a service time.
     pub fn observe(&mut self, took: Duration) {
         let took = took.as_secs_f64();
         let distance = self.mean.map_or(took / 2.0, |mean| (took - mean).abs());
