--- a/crates/micaspool-gateway/src/daemon.rs
+++ b/crates/micaspool-gateway/src/daemon.rs
@@ -59,9 +59,10 @@
 /// The memory for request bodies without a memory limit, in bytes.
 const DEFAULT_BODY_BYTES: u64 = 256_000_000;
 /// Descriptors that are neither callers' connections nor those to endpoints: files and what the platform keeps (200),
-/// connections that are accepted and not yet admitted (256), those of load balancers and operators (192), and those to
-/// cores and to engines that are asked for their load.
-const RESERVED_DESCRIPTORS: u64 = 750;
+/// connections that are accepted and not yet admitted (256), and those to cores, load balancers and operators.
+const RESERVED_DESCRIPTORS: u64 = 500;
+/// The part of the other descriptors that callers get, in percent. Callers that wait need none to an endpoint.
+const CALLER_DESCRIPTOR_PERCENT: usize = 60;
 /// The minimum number of caller connections, regardless of the memory limit.
 const MIN_CONNECTIONS: usize = 64;
 
@@ -197,13 +198,15 @@
         self
     }
 
-    /// Limits the number of descriptors of the process. To be set after [`Self::memory`]. Callers get half of those that
-    /// are not needed otherwise, since a request that runs takes a connection to an endpoint too.
+    /// Limits the number of descriptors of the process. To be set after [`Self::memory`]. Those that are not needed
+    /// otherwise are divided among callers and endpoints, since a request that runs takes a connection to each.
     pub fn descriptors(mut self, descriptors: u64) -> Self {
         let available =
             usize::try_from(descriptors.saturating_sub(RESERVED_DESCRIPTORS)).unwrap_or(usize::MAX);
         let edge = &mut self.options.edge;
-        let callers = (available / 2).max(MIN_CONNECTIONS).min(edge.max_connections + edge.max_refused);
+        let callers = (available / 100 * CALLER_DESCRIPTOR_PERCENT)
+            .max(MIN_CONNECTIONS)
+            .min(edge.max_connections + edge.max_refused);
         edge.max_refused = callers / REFUSED_DIVISOR;
         edge.max_connections = callers - edge.max_refused;
         self.options.pool.max_open = available.saturating_sub(callers).max(MIN_CONNECTIONS);
