test(dispatch): a shard that is sent more than it can handle, behind a queue in order of arrival

Callers saw one customer get 1.5 of 28 million tokens while another got five times as much, on a core machine without enough processor time. The rows play a shard whose handling of each event takes time, with one customer that floods and ten with 20 requests a second, at 1.2 to 4 times what the shard can handle. The queue is what the driver has: one line in the order of arrival.

All seven cases break the users' rule. The row within what the shard can handle is green.

ShardCore::step_arrived takes the time before handling from the objective and the patience of a ticket, and ShardCore::refuse_unread refuses without a decision.

--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod action;
 mod candidates;
 mod event;
+mod intake;
 mod options;
 mod queue_fill;
 mod ranking;
@@ -27,6 +28,7 @@
     GenerationOutline, GrantOutcome, HeldGrant, HeldLevel, LoadReport, RegionTotals, RequestTicket,
     RouterHello, RunStart, SessionId, ShardCustomer, ShardEvent, ShardPolicy,
 };
+pub use intake::{IntakeItem, IntakeStatus, ShardIntake, UnreadTicket};
 pub use micaspool_quarantine::{CrashRecord, EndpointCrash, QuarantineOptions, RequestStanding};
 pub use options::{ShardOptions, ShardOptionsBuilder};
 pub use queue_fill::QueueFill;
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -5,6 +5,7 @@
 //! use.
 
 mod advice;
+mod arrivals;
 mod availability;
 mod cache_sources;
 mod caller_attempts;
--- /dev/null
+++ b/crates/micaspool-dispatch/tests/intake/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the inputs of a shard that wait to be handled, in simulated time.
+
+mod driver;
+mod fixtures;
+mod overload;
