fix(dispatch): a shard that is late handles what frees endpoints first, and customers take turns

Callers saw one customer shut out while others were served, on a core machine whose dispatcher had less processor time than its work needs. The driver took one event at a time from one unbounded queue in the order of arrival, and judged each by the moment of its handling. So who had most in that line was served, everything in it grew old together, and submissions stood before the reports that free engines.

Inputs are now stamped when they arrive and ordered by ShardIntake: events other than submissions first, then submissions in one line for each customer, in turns. A submission whose turn would come too late by the pace at which submissions were handled is refused at once, one that has waited for a quarter of its objective (0.5 s at most) as well; it has not run, and the refusal says that the queue is full. The driver handles 16 inputs at most before other tasks of the process run.

--- a/crates/micaspool-dispatch/src/shard/arrivals.rs
+++ b/crates/micaspool-dispatch/src/shard/arrivals.rs
@@ -5,7 +5,6 @@
 use crate::event::ShardEvent;
 use crate::intake::UnreadTicket;
 use crate::queue_fill::QueueFill;
-use crate::shard::engine::PromptShape;
 use micaspool_types::{Moment, RequestId};
 use std::time::Duration;
 
@@ -27,25 +26,25 @@
         };
         self.step(now, event, actions);
         let Some(request) = submitted else { return };
-        if self.backdate(request, now.since(arrived_at)) {
-            self.refuse_overdue(now, actions);
+        self.backdate(request, now.since(arrived_at));
+        if self.overdue.first().is_some_and(|(refuse_at, _)| *refuse_at <= now) {
+            self.step(now, ShardEvent::Wake, actions);
         }
     }
 
     /// Refuses a submission that was not looked at.
     pub fn refuse_unread(&mut self, now: Moment, unread: UnreadTicket, actions: &mut Vec<ShardAction>) {
-        let UnreadTicket { session, ticket, arrived_at, reason } = unread;
+        let UnreadTicket { session, request, reason, .. } = unread;
         if !self.routers.note_contact(session, now) {
             actions.push(ShardAction::Rejoin { session });
             return;
         }
-        let request = ticket.request;
         if self.waiting.contains_key(&request) || self.running.contains_key(&request) {
             return;
         }
-        let customer = self.customers.ensure(&ticket.customer);
-        let load = PromptShape::load_of(&ticket);
-        let waited = now.since(arrived_at);
+        let customer = self.customers.ensure(&unread.customer);
+        let load = unread.prompt_tokens.0.max(1);
+        let waited = now.since(unread.arrived_at);
         self.customers.get_mut(customer).demand_rate.add(now, load);
         self.endpoints.scarcity.note_demand(now, load);
         self.first_attempts.note_refused(now);
@@ -57,15 +56,15 @@
             retry_after: self.retry_after(now, customer),
             waited,
             awaited: None,
-            objective: ticket.objective,
+            objective: unread.objective,
             expected_wait: Duration::ZERO,
             queue_fill: Some(QueueFill::FULL),
         });
     }
 
-    /// Counts the waiting time of a ticket from its arrival. Returns false if it does not wait.
-    fn backdate(&mut self, request: RequestId, late: Duration) -> bool {
-        let Some(ticket) = self.waiting.get_mut(&request).filter(|_| !late.is_zero()) else { return false };
+    /// Counts the waiting time of a ticket from its arrival, if it waits.
+    fn backdate(&mut self, request: RequestId, late: Duration) {
+        let Some(ticket) = self.waiting.get_mut(&request).filter(|_| !late.is_zero()) else { return };
         let refuse_at = ticket.refuse_at;
         ticket.since = earlier(ticket.since, late);
         ticket.first_event_due = ticket.first_event_due.map(|due| earlier(due, late));
@@ -75,7 +74,6 @@
             self.overdue.remove(&(refuse_at, request));
             self.overdue.insert((earlier(refuse_at, late), request));
         }
-        true
     }
 }
 
--- a/crates/micaspool-dispatch/tests/intake/driver.rs
+++ b/crates/micaspool-dispatch/tests/intake/driver.rs
@@ -186,7 +186,7 @@
             }
             let is_answered = |request: &RequestId| self.outcome.requests[request].answered;
             if !matches!(&*event, ShardEvent::Cancel(_, request) if is_answered(request)) {
-                self.intake.push(moment(at), event);
+                self.intake.push(moment(self.now), moment(at), event);
             }
         }
     }
--- a/crates/micaspool-dispatch/tests/intake/main.rs
+++ b/crates/micaspool-dispatch/tests/intake/main.rs
@@ -2,4 +2,5 @@
 
 mod driver;
 mod fixtures;
+mod order;
 mod overload;
--- a/crates/micaspool-dispatch/tests/intake/overload.rs
+++ b/crates/micaspool-dispatch/tests/intake/overload.rs
@@ -21,8 +21,8 @@
     let mut from = Duration::ZERO;
     while from + WINDOW + OBJECTIVE <= LENGTH {
         let until = from + WINDOW;
-        let mut asked = vec![0u64; SMALL_CUSTOMERS + 1];
-        let mut got = vec![0u64; SMALL_CUSTOMERS + 1];
+        let mut asked = [0u64; SMALL_CUSTOMERS + 1];
+        let mut got = [0u64; SMALL_CUSTOMERS + 1];
         for request in outcome.requests.values() {
             let is_served = request.served_at.is_some_and(|at| (from..until).contains(&at));
             asked[request.customer] += u64::from((from..until).contains(&request.asked_at));
--- a/crates/micaspool-dispatcher/src/cache_follower.rs
+++ b/crates/micaspool-dispatcher/src/cache_follower.rs
@@ -5,8 +5,8 @@
 
 use crate::driver::ShardInput;
 use crate::host::HostOptions;
+use crate::inputs::InputSender;
 use crate::probe::{CacheCursor, EndpointProbe, ProbedEndpoint};
-use async_std::channel::Sender;
 use micaspool_dispatch::{CacheUpdate, CachedPart, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
 use std::sync::Arc;
@@ -26,14 +26,14 @@
 pub(crate) struct CacheFollower {
     probe: Arc<dyn EndpointProbe>,
     endpoint: ProbedEndpoint,
-    inputs: Sender<ShardInput>,
+    inputs: InputSender,
 }
 
 /// The shard no longer accepts inputs.
 struct ShardEnded;
 
 impl CacheFollower {
-    pub fn new(options: &HostOptions, endpoint: ProbedEndpoint, inputs: Sender<ShardInput>) -> CacheFollower {
+    pub fn new(options: &HostOptions, endpoint: ProbedEndpoint, inputs: InputSender) -> CacheFollower {
         CacheFollower { probe: options.probe.clone(), endpoint, inputs }
     }
 
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -2,25 +2,27 @@
 
 use crate::cache_follower::CacheFollower;
 use crate::host::HostOptions;
+use crate::inputs::{ArrivedInput, InputSender, ShardClock};
 use crate::policy_source::PolicySource;
 use crate::probe::ProbedEndpoint;
 use crate::probe_selection::{ProbeSelection, UsedEngines};
 use crate::sharing::share_totals;
 use crate::tally::ShardTally;
-use async_std::channel::{bounded, unbounded, Receiver, Sender};
+use async_std::channel::{bounded, Receiver, Sender};
 use micaspool_clock::{BootInstant, DutyCycle};
 use micaspool_dispatch::{
-    CacheUpdate, CustomerTotal, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent, ShardStatus,
+    CacheUpdate, CustomerTotal, IntakeItem, LoadReport, SessionId, ShardAction, ShardCore, ShardEvent,
+    ShardIntake, ShardStatus,
 };
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::spans::HopSpan;
-use micaspool_types::{EndpointName, Moment, RequestId, ServiceName};
+use micaspool_types::{EndpointName, RequestId, ServiceName};
 use micaspool_wire::convert::action_message;
 use micaspool_wire::v1::DispatcherMessage;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::task::JoinHandle;
+use tokio::task::{yield_now, JoinHandle};
 use tokio::time::timeout;
 use tonic::Status;
 
@@ -44,6 +46,9 @@
 const MAX_STREAM_QUEUE: usize = 65_536;
 /// The maximum number of open spans of waiting requests; requests beyond it have none.
 const MAX_SPANS: usize = 10_000;
+/// The maximum number of inputs handled in a row. Then other tasks of the process run, which read from routers, write to
+/// them and answer other processes.
+const STEPS_PER_TURN: usize = 16;
 
 /// An item of the response stream to a router.
 pub(crate) type StreamItem = Result<DispatcherMessage, Status>;
@@ -62,7 +67,7 @@
 /// Gives other tasks access to a shard.
 #[derive(Debug, Clone)]
 pub(crate) struct ShardHandle {
-    pub inputs: Sender<ShardInput>,
+    pub inputs: InputSender,
     pub status: Arc<Mutex<ShardStatus>>,
     /// What the shard has delivered to each customer, for other regions.
     pub totals: Arc<Mutex<Vec<CustomerTotal>>>,
@@ -80,23 +85,15 @@
     }
 }
 
-/// A monotonic clock that counts from the start of the shard.
-#[derive(Debug, Clone, Copy)]
-struct ShardClock(BootInstant);
-
-impl ShardClock {
-    fn now(&self) -> Moment {
-        Moment(0) + self.0.elapsed()
-    }
-}
-
 struct ShardDriver {
     clock: ShardClock,
     core: ShardCore,
+    /// The inputs that wait to be handled.
+    intake: ShardIntake,
     service: ServiceName,
     source: Arc<dyn PolicySource>,
     /// The sender of the shard's own inputs, for the results of probes.
-    inputs: Sender<ShardInput>,
+    inputs: InputSender,
     options: HostOptions,
     /// The spans of waiting requests that have a trace.
     spans: HashMap<RequestId, HopSpan>,
@@ -119,16 +116,17 @@
     options: HostOptions,
     source: Arc<dyn PolicySource>,
 ) -> ShardHandle {
-    let clock = ShardClock(BootInstant::now());
+    let clock = ShardClock::start();
     let core = ShardCore::new(clock.now(), options.shard.clone());
     let status = Arc::new(Mutex::new(core.status(clock.now())));
     let totals: Arc<Mutex<Vec<CustomerTotal>>> = Arc::default();
-    let (inputs, receiver) = unbounded();
+    let (inputs, receiver) = InputSender::new(clock);
     let (opened, opened_receiver) = bounded(1);
     let (in_use, in_use_receiver) = bounded(1);
     let driver = ShardDriver {
         clock,
         core,
+        intake: ShardIntake::default(),
         service: service.clone(),
         source: source.clone(),
         inputs: inputs.clone(),
@@ -175,17 +173,46 @@
 }
 
 impl ShardDriver {
-    async fn run(mut self, inputs: Receiver<ShardInput>) {
+    async fn run(mut self, inputs: Receiver<ArrivedInput>) {
         loop {
-            match timeout(self.time_until_due(), inputs.recv()).await {
-                Ok(Ok(input)) => self.handle(input),
-                Ok(Err(_)) => return,
-                Err(_) if BootInstant::now() < self.next_tick => self.step(ShardEvent::Wake),
-                Err(_) => {}
+            self.admit_arrived(&inputs);
+            if self.intake.is_empty() && !self.wait(&inputs).await {
+                return;
             }
+            self.handle_turn(&inputs);
             if BootInstant::now() >= self.next_tick {
                 self.tick();
             }
+            if !self.intake.is_empty() {
+                yield_now().await;
+            }
+        }
+    }
+
+    /// Waits until an input arrives or something is due. Returns false once there are no more inputs.
+    async fn wait(&mut self, inputs: &Receiver<ArrivedInput>) -> bool {
+        match timeout(self.time_until_due(), inputs.recv()).await {
+            Ok(Ok(arrived)) => self.admit(arrived),
+            Ok(Err(_)) => return false,
+            Err(_) if BootInstant::now() < self.next_tick => self.step(ShardEvent::Wake),
+            Err(_) => {}
+        }
+        true
+    }
+
+    /// Handles what waits, up to [`STEPS_PER_TURN`] inputs.
+    fn handle_turn(&mut self, inputs: &Receiver<ArrivedInput>) {
+        for _ in 0..STEPS_PER_TURN {
+            self.admit_arrived(inputs);
+            let Some(item) = self.intake.take(self.clock.now()) else { return };
+            self.handle(item);
+        }
+    }
+
+    /// Orders everything that has arrived.
+    fn admit_arrived(&mut self, inputs: &Receiver<ArrivedInput>) {
+        while let Ok(arrived) = inputs.try_recv() {
+            self.admit(arrived);
         }
     }
 
@@ -222,8 +249,9 @@
         wake.map_or(tick, |wake| wake.min(tick))
     }
 
-    fn handle(&mut self, input: ShardInput) {
-        match input {
+    /// Passes an event to the intake and applies other inputs.
+    fn admit(&mut self, arrived: ArrivedInput) {
+        match arrived.input {
             ShardInput::Open(session, stream) => {
                 self.streams.insert(session, stream);
                 self.next_tick = self.next_tick.min(BootInstant::now() + TICK);
@@ -241,23 +269,39 @@
                 if let ShardEvent::Cancel(_, request) = &*event {
                     self.spans.remove(request);
                 }
-                let closed_session = match &*event {
-                    ShardEvent::Left(session) => Some(*session),
-                    _ => None,
-                };
-                self.step(*event);
-                if let Some(session) = closed_session {
-                    self.streams.remove(&session);
+                self.intake.push(self.clock.now(), arrived.arrived_at, event);
+            }
+        }
+    }
+
+    fn handle(&mut self, item: IntakeItem) {
+        let mut actions = std::mem::take(&mut self.actions);
+        let now = self.clock.now();
+        let mut closed_session = None;
+        match item {
+            IntakeItem::Event(arrived_at, event) => {
+                if let ShardEvent::Left(session) = &*event {
+                    closed_session = Some(*session);
                 }
+                self.core.step_arrived(now, arrived_at, *event, &mut actions);
             }
+            IntakeItem::Refusal(unread) => self.core.refuse_unread(now, unread, &mut actions),
+        }
+        self.carry_out(actions);
+        if let Some(session) = closed_session {
+            self.streams.remove(&session);
         }
     }
 
-    /// Passes an event to the core and carries out the resulting actions. The stream of a router that cannot keep up is
-    /// closed.
+    /// Passes an event to the core and carries out the resulting actions.
     fn step(&mut self, event: ShardEvent) {
         let mut actions = std::mem::take(&mut self.actions);
         self.core.step(self.clock.now(), event, &mut actions);
+        self.carry_out(actions);
+    }
+
+    /// Carries out actions, and keeps their buffer. The stream of a router that cannot keep up is closed.
+    fn carry_out(&mut self, mut actions: Vec<ShardAction>) {
         for action in actions.drain(..) {
             self.end_span(&action);
             self.tally.count(&action);
@@ -309,7 +353,7 @@
     changes: Receiver<()>,
     /// Receives a message when a session opens.
     opened: Receiver<()>,
-    inputs: Sender<ShardInput>,
+    inputs: InputSender,
     status: Arc<Mutex<ShardStatus>>,
 }
 
@@ -347,7 +391,7 @@
     service: ServiceName,
     options: HostOptions,
     source: Arc<dyn PolicySource>,
-    inputs: Sender<ShardInput>,
+    inputs: InputSender,
     status: Arc<Mutex<ShardStatus>>,
     /// Receives a message when the first router joins.
     in_use: Receiver<()>,
@@ -439,7 +483,7 @@
     clock: ShardClock,
     options: HostOptions,
     probed: ProbedEndpoint,
-    inputs: Sender<ShardInput>,
+    inputs: InputSender,
 ) {
     let requested_at = clock.now();
     let endpoint = probed.name.clone();
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -16,6 +16,7 @@
 mod fleet;
 mod fleet_source;
 mod host;
+mod inputs;
 mod objectives;
 mod platform;
 mod policy_source;
