--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -4,6 +4,7 @@
 use super::customers::CustomerState;
 use super::endpoints::EndpointIndex;
 use super::ShardCore;
+use crate::intake::IntakeStatus;
 use micaspool_engine::{DecodeRate, PrefillRate};
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashRecord, RequestStanding};
@@ -155,6 +156,8 @@
     pub endpoints: Vec<EndpointStatus>,
     /// The suspected and quarantined requests.
     pub suspects: Vec<SuspectStatus>,
+    /// How late the shard is with its inputs, which its driver observes.
+    pub intake: IntakeStatus,
 }
 
 impl EndpointStatus {
@@ -220,6 +223,7 @@
             customers: customers.collect(),
             endpoints: endpoints.collect(),
             suspects: self.suspects.suspected(now),
+            intake: IntakeStatus::default(),
         }
     }
 
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -228,7 +228,8 @@
     }
 
     fn update_status(&mut self) {
-        let status = self.core.status(self.clock.now());
+        let now = self.clock.now();
+        let status = ShardStatus { intake: self.intake.take_status(now), ..self.core.status(now) };
         self.tally.report(&status);
         let is_used = status.routers > 0;
         let before = std::mem::replace(
--- a/crates/micaspool-dispatcher/src/shard_view.rs
+++ b/crates/micaspool-dispatcher/src/shard_view.rs
@@ -28,6 +28,9 @@
     copy_grants: Family<ShardLabels, Gauge>,
     copied_tokens: Family<ShardLabels, Gauge>,
     missed_copies: Family<ShardLabels, Gauge>,
+    late: Family<ShardLabels, Gauge>,
+    late_submissions: Family<ShardLabels, Gauge>,
+    refused_unread: Family<ShardLabels, Gauge>,
     /// The revision of the settings or the number of the plan in force.
     pub revision: Gauge,
 }
@@ -58,6 +61,13 @@
         registry.register("micaspool_cache_copy_tokens", copied_help, gauges.copied_tokens.clone());
         let missed_help = "First events as late as if nothing had been copied";
         registry.register("micaspool_cache_copies_missed", missed_help, gauges.missed_copies.clone());
+        let late_help = "How late a shard handled what frees endpoints, in milliseconds";
+        registry.register("micaspool_shard_late_ms", late_help, gauges.late.clone());
+        let submissions_help = "How late a shard handled submissions, in milliseconds";
+        let late_submissions = gauges.late_submissions.clone();
+        registry.register("micaspool_shard_late_submissions_ms", submissions_help, late_submissions);
+        let unread_help = "Submissions that a shard refused without a decision, as it was late";
+        registry.register("micaspool_shard_refused_unread", unread_help, gauges.refused_unread.clone());
         registry.register("micaspool_settings_revision", "Revision in force", gauges.revision.clone());
         gauges
     }
@@ -77,6 +87,10 @@
                 self.copied_tokens.get_or_create(&labels).set(copies.tokens as i64);
                 self.missed_copies.get_or_create(&labels).set(copies.missed as i64);
             }
+            let intake = status.intake;
+            self.late.get_or_create(&labels).set(intake.late.as_millis() as i64);
+            self.late_submissions.get_or_create(&labels).set(intake.late_submissions.as_millis() as i64);
+            self.refused_unread.get_or_create(&labels).set(intake.refused_unread as i64);
             self.gap.get_or_create(&labels).set(level_gap(&status) as i64);
             self.slowest_prefill_rate
                 .get_or_create(&labels)
@@ -175,6 +189,10 @@
             "routers": status.routers,
             "waiting": status.waiting,
             "running": status.running,
+            "late_ms": status.intake.late.as_millis() as u64,
+            "late_submissions_ms": status.intake.late_submissions.as_millis() as u64,
+            "unread": status.intake.waiting_submissions,
+            "refused_unread": status.intake.refused_unread,
             "rounds": status.passes,
             "cache_copies": status.copies.map(copies_json),
             "gap": level_gap(&status),
--- a/crates/micaspool-dispatcher/src/tally.rs
+++ b/crates/micaspool-dispatcher/src/tally.rs
@@ -7,7 +7,7 @@
 use crate::standings::StandingLog;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{
-    CacheCopyStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardAction, ShardStatus,
+    CacheCopyStatus, EndpointClosure, EndpointStatus, IntakeStatus, PrefillStatus, ShardAction, ShardStatus,
 };
 use micaspool_telemetry::events::{self, field, record, EventField};
 use micaspool_types::ServiceName;
@@ -28,6 +28,10 @@
     /// The copies between engines at the last summary.
     reported_copies: CacheCopyStatus,
     refusals: RefusalCounts,
+    /// How late the shard was with its inputs since the last summary.
+    lateness: IntakeStatus,
+    /// The submissions refused without a decision at the last summary.
+    reported_unread: u64,
     /// The number of refusals when endpoint constraints were last sampled.
     sampled_refusals: u64,
     constraints: ConstraintTally,
@@ -59,6 +63,8 @@
             grants: 0,
             reported_copies: CacheCopyStatus::default(),
             refusals: RefusalCounts::default(),
+            lateness: IntakeStatus::default(),
+            reported_unread: 0,
             sampled_refusals: 0,
             constraints: ConstraintTally::default(),
             due: BootInstant::now() + LOG_INTERVAL,
@@ -90,6 +96,7 @@
     pub fn report(&mut self, status: &ShardStatus) {
         let now = BootInstant::now();
         self.closures.update(now, &status.endpoints);
+        self.lateness = self.lateness.joined(status.intake);
         if status.waiting > 0 || self.refusals.total > self.sampled_refusals {
             self.constraints.sample(status);
         }
@@ -106,6 +113,8 @@
         self.standings.start_interval();
         self.grants = 0;
         self.refusals = RefusalCounts::default();
+        self.reported_unread = self.lateness.refused_unread;
+        self.lateness = IntakeStatus::default();
         self.sampled_refusals = 0;
     }
 
@@ -150,6 +159,7 @@
             field("running", status.running),
             field("routers", status.routers),
         ];
+        fields.extend(self.lateness_fields());
         fields.extend(endpoint_fields(status));
         fields.extend(self.constraints.take_fields());
         fields.push(field("longest_closed_ms", self.closures.longest_closure(now).as_millis()));
@@ -158,6 +168,17 @@
         record(&events::SHARD_DECIDED, &fields);
     }
 
+    /// Returns how late the shard was with its inputs since the last summary.
+    fn lateness_fields(&self) -> [EventField; 4] {
+        let IntakeStatus { late, late_submissions, waiting_submissions, refused_unread } = self.lateness;
+        [
+            field("late_ms", late.as_millis()),
+            field("late_submissions_ms", late_submissions.as_millis()),
+            field("unread", waiting_submissions),
+            field("refused_unread", refused_unread - self.reported_unread),
+        ]
+    }
+
     /// Returns the copies between engines since the last summary, if they copy any.
     fn copy_fields(&mut self, status: &ShardStatus) -> Vec<EventField> {
         let Some(copies) = status.copies else { return Vec::new() };
