--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -5,10 +5,14 @@
 use futures::Stream;
 use micaspool_backpressure::{AdviceSource, SharedAdvice};
 use micaspool_dispatch::{
-    rank_candidates, GenerationOutline, GrantOutcome, RequestTicket, SessionId, ShardAction,
+    rank_candidates, CandidateHealth, CandidateKind, GenerationOutline, GrantOutcome, RequestTicket,
+    SessionId, ShardAction,
 };
 use micaspool_fair::ServiceLevel;
-use micaspool_router::{ListedDispatchers, ShardClient, ShardClientOptions};
+use micaspool_router::{
+    DispatcherAddress, DispatcherCandidate, DispatcherList, ListedDispatchers, ShardClient,
+    ShardClientOptions,
+};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{
@@ -22,7 +26,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 use tonic::{Request, Response, Status, Streaming};
 
@@ -41,17 +45,22 @@
     Refuses,
     /// Accepts streams and sends nothing, like a machine that has just lost power.
     Silent,
+    /// Answers heartbeats at once, and tickets one after the other, each this long after it came.
+    Late(Duration),
+    /// Grants the first request and sends nothing afterwards, like a machine that loses power.
+    FallsSilent,
     /// Grants every request and asks for a new stream whenever a grant ends.
     Moves,
     /// Like `Moves`, but first reports an empty crash record for the request.
     ClearsAndMoves,
 }
 
-/// The hellos and the endpoint advice received from routers.
+/// The hellos, the endpoint advice and the number of heartbeats received from routers.
 #[derive(Default)]
 struct ReceivedMessages {
     hellos: Vec<v1::Hello>,
     advice: Vec<v1::EndpointAdvice>,
+    heartbeats: usize,
 }
 
 type SharedMessages = Arc<Mutex<ReceivedMessages>>;
@@ -86,6 +95,10 @@
         let (sender, receiver) = unbounded();
         match self.behaviour {
             Behaviour::Silent => task::spawn(keep_open(request.into_inner(), sender)),
+            Behaviour::FallsSilent => task::spawn(fall_silent(request.into_inner(), sender)),
+            Behaviour::Late(delay) => {
+                task::spawn(answer_late(request.into_inner(), sender, delay, self.received.clone()))
+            }
             behaviour => task::spawn(answer(request.into_inner(), sender, behaviour, self.received.clone())),
         };
         Ok(Response::new(Box::pin(receiver)))
@@ -141,19 +154,77 @@
                 send(&sender, dispatcher_message::Body::Refused(refused)).await;
                 continue;
             }
-            let grant = v1::Grant {
-                request: submit.request,
-                endpoint: "endpoint-1".to_owned(),
-                heartbeat: 1,
-                lease_millis: 60_000,
-                cache_source: behaviour.cache_source().to_owned(),
-                ..v1::Grant::default()
-            };
+            let cache_source = behaviour.cache_source().to_owned();
+            let grant = v1::Grant { cache_source, ..grant_of(submit) };
             send(&sender, dispatcher_message::Body::Grant(grant)).await;
         }
     }
 }
 
+fn grant_of(submit: v1::Submit) -> v1::Grant {
+    v1::Grant {
+        request: submit.request,
+        endpoint: "endpoint-1".to_owned(),
+        heartbeat: 1,
+        lease_millis: 60_000,
+        ..v1::Grant::default()
+    }
+}
+
+/// Answers like a process whose shard has more to do than its processor bears.
+async fn answer_late(
+    mut messages: Streaming<v1::RouterMessage>,
+    sender: Sender<Result<v1::DispatcherMessage, Status>>,
+    delay: Duration,
+    received: SharedMessages,
+) {
+    let (shard, queue) = unbounded::<(Instant, v1::Submit)>();
+    let answers = sender.clone();
+    task::spawn(async move {
+        while let Ok((came_at, submit)) = queue.recv().await {
+            task::sleep((came_at + delay).saturating_duration_since(Instant::now())).await;
+            send(&answers, dispatcher_message::Body::Grant(grant_of(submit))).await;
+        }
+    });
+    while let Ok(Some(message)) = messages.message().await {
+        match message.body {
+            Some(router_message::Body::Hello(hello)) => {
+                for submit in hello.waiting.clone() {
+                    let _ = shard.send((Instant::now(), submit)).await;
+                }
+                received.lock().expect("the lock is not poisoned").hellos.push(hello);
+            }
+            Some(router_message::Body::Submit(submit)) => {
+                let _ = shard.send((Instant::now(), submit)).await;
+            }
+            Some(router_message::Body::Heartbeat(beat)) => {
+                received.lock().expect("the lock is not poisoned").heartbeats += 1;
+                let pulse = v1::Pulse { heartbeat: beat.number, incarnation: 1 };
+                send(&sender, dispatcher_message::Body::Pulse(pulse)).await;
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Grants one request, then reads messages without answering.
+async fn fall_silent(
+    mut messages: Streaming<v1::RouterMessage>,
+    sender: Sender<Result<v1::DispatcherMessage, Status>>,
+) {
+    while let Ok(Some(message)) = messages.message().await {
+        let submit = match message.body {
+            Some(router_message::Body::Hello(hello)) => hello.waiting.into_iter().next(),
+            Some(router_message::Body::Submit(submit)) => Some(submit),
+            _ => None,
+        };
+        if let Some(submit) = submit {
+            send(&sender, dispatcher_message::Body::Grant(grant_of(submit))).await;
+            return keep_open(messages, sender).await;
+        }
+    }
+}
+
 async fn end_session(sender: &Sender<Result<v1::DispatcherMessage, Status>>, behaviour: Behaviour) {
     if behaviour == Behaviour::ClearsAndMoves {
         let cleared = v1::CrashRecord {
@@ -224,20 +295,44 @@
 }
 
 fn client_with(first: SocketAddr, second: SocketAddr, advice: Arc<SharedAdvice>) -> Arc<ShardClient> {
-    let service = ServiceName::parse("modelo-acopio").expect("a valid name");
-    let ranked = rank_candidates(&service, &[name("entry-1"), name("entry-2")]);
+    let ranked = rank_candidates(&service(), &[name("entry-1"), name("entry-2")]);
     let addresses = ranked.into_iter().zip([first, second]);
+    let listed = ListedDispatchers(addresses.map(|(name, address)| PeerAddress { name, address }).collect());
+    start_client(Arc::new(listed), advice)
+}
+
+fn service() -> ServiceName {
+    ServiceName::parse("modelo-acopio").expect("a valid name")
+}
+
+fn start_client(dispatchers: Arc<dyn DispatcherList>, advice: Arc<SharedAdvice>) -> Arc<ShardClient> {
     let options = ShardClientOptions {
         router: name("entry-3"),
         hall: "sala-ubate".to_owned(),
         incarnation: Incarnation(1),
-        dispatchers: Arc::new(ListedDispatchers(
-            addresses.map(|(name, address)| PeerAddress { name, address }).collect(),
-        )),
+        dispatchers,
         advice,
         counter: TrafficCounter::default(),
     };
-    ShardClient::start(service, options)
+    ShardClient::start(service(), options)
+}
+
+/// Two dispatchers, of which the first has the health that another stream to its process shows.
+#[derive(Debug)]
+struct ObservedDispatchers {
+    addresses: [SocketAddr; 2],
+    first: Mutex<CandidateHealth>,
+}
+
+impl DispatcherList for ObservedDispatchers {
+    fn ranked(&self, _service: &ServiceName) -> Vec<DispatcherCandidate> {
+        let first = *self.first.lock().expect("the lock is not poisoned");
+        let candidate = |(address, health)| DispatcherCandidate {
+            address: DispatcherAddress::Remote(address),
+            kind: CandidateKind::Observed(health),
+        };
+        self.addresses.into_iter().zip([first, CandidateHealth::Answering]).map(candidate).collect()
+    }
 }
 
 /// Guards against a lease that loses the source of its grant, or that is refused because a dispatcher
@@ -338,6 +433,99 @@
     });
 }
 
+/// Guards against routers that scatter over all dispatchers because the best one has more to do than it can.
+#[test_case(1_500)]
+#[test_case(2_500)]
+#[test_case(4_000)]
+fn a_late_dispatcher_that_answers_heartbeats_is_not_left(delay_millis: u64) {
+    task::block_on(async {
+        let (first, second) = (SharedMessages::default(), SharedMessages::default());
+        let late = Behaviour::Late(Duration::from_millis(delay_millis));
+        let late = start_recording(late, first.clone()).await;
+        let client = client(late, start_recording(Behaviour::Grants, second.clone()).await);
+        // The next heartbeat is as far away as it can be.
+        wait_for(&first, |received| received.heartbeats > 0).await;
+        for number in 0..2 {
+            client.acquire(ticket(number), None).await.expect("the late dispatcher grants");
+        }
+        let sessions = second.lock().expect("the lock is not poisoned").hellos.len();
+        assert_eq!(sessions, 0, "the router went to the second dispatcher");
+    });
+}
+
+/// Guards against questions to a late dispatcher that add to what makes it late.
+#[test]
+fn a_late_dispatcher_is_asked_a_few_times_a_second() {
+    task::block_on(async {
+        let received = SharedMessages::default();
+        let late = start_recording(Behaviour::Late(Duration::from_secs(2)), received.clone()).await;
+        let client = client(late, late);
+        task::sleep(Duration::from_millis(300)).await;
+        let tickets = (0..40).map(|number| client.acquire(ticket(number), None));
+        futures::future::join_all(tickets).await;
+        let heartbeats = received.lock().expect("the lock is not poisoned").heartbeats;
+        assert!(heartbeats <= 12, "{heartbeats} heartbeats in 2.3 s");
+    });
+}
+
+/// Guards against requests that wait for a late dispatcher until it is too late for them.
+#[test]
+fn what_a_late_dispatcher_would_answer_too_late_is_refused_at_once() {
+    task::block_on(async {
+        let late = start(Behaviour::Late(Duration::from_secs(3))).await;
+        let client = client(late, late);
+        task::sleep(Duration::from_millis(300)).await;
+        let first = task::spawn({
+            let client = client.clone();
+            async move { client.acquire(ticket(1), None).await.map(drop) }
+        });
+        task::sleep(Duration::from_secs(1)).await;
+        let urgent = |number| RequestTicket { objective: Some(Duration::from_millis(600)), ..ticket(number) };
+        let limit = Duration::from_millis(100);
+        let refused = async_std::future::timeout(limit, client.acquire(urgent(2), None)).await;
+        let refusal = refused.expect("the refusal comes at once").map(drop).expect_err("it is too late");
+        assert_eq!(refusal.kind.as_str(), "overloaded");
+        assert!(refusal.retry_after.is_some_and(|wait| wait >= Duration::from_millis(900)));
+        let patient = RequestTicket { objective: Some(Duration::from_secs(5)), ..ticket(3) };
+        let waiting = async_std::future::timeout(limit, client.acquire(patient, None)).await;
+        assert!(waiting.is_err(), "a request with time left goes to the dispatcher");
+        first.await.expect("the dispatcher grants");
+        let sent = async_std::future::timeout(limit, client.acquire(urgent(4), None)).await;
+        assert!(sent.is_err(), "once the dispatcher has answered, requests go to it again");
+    });
+}
+
+/// Guards against a router that takes what it heard before for a sign that a machine without power is only late.
+#[test]
+fn a_dispatcher_that_falls_silent_is_left_within_about_a_second() {
+    task::block_on(async {
+        let client = client(start(Behaviour::FallsSilent).await, start(Behaviour::Grants).await);
+        let first = client.acquire(ticket(1), None).await.expect("the first dispatcher grants");
+        let limit = Duration::from_millis(1_500);
+        let granted = async_std::future::timeout(limit, client.acquire(ticket(2), None)).await;
+        granted.expect("the request moves to the second dispatcher in time").expect("it grants");
+        drop(first);
+    });
+}
+
+/// Guards against a router that stays with a dispatcher whose process is lost to the rest of the fleet.
+#[test]
+fn a_late_dispatcher_whose_keeper_is_lost_is_left_within_about_a_second() {
+    task::block_on(async {
+        let late = start(Behaviour::Late(Duration::from_secs(4))).await;
+        let dispatchers = Arc::new(ObservedDispatchers {
+            addresses: [late, start(Behaviour::Grants).await],
+            first: Mutex::new(CandidateHealth::Answering),
+        });
+        let client = start_client(dispatchers.clone(), SharedAdvice::new());
+        task::sleep(Duration::from_millis(300)).await;
+        *dispatchers.first.lock().expect("the lock is not poisoned") = CandidateHealth::Lost;
+        let limit = Duration::from_millis(1_300);
+        let granted = async_std::future::timeout(limit, client.acquire(ticket(1), None)).await;
+        granted.expect("the request moves to the second dispatcher in time").expect("it grants");
+    });
+}
+
 #[test_case(Behaviour::Moves, GrantOutcome::Severed => 1; "a lost connection")]
 #[test_case(Behaviour::Moves, GrantOutcome::Done => 0; "a complete answer")]
 #[test_case(Behaviour::Moves, GrantOutcome::Broken => 0; "a deadline")]
