fix(dispatcher): answer heartbeats before the tickets that the shard has not handled

Callers: a customer gets far less than its share (FAIR) once routers have left a late dispatcher for a second one.

Cause: a pulse stood in the queue of the shard, behind every ticket, report and settlement, and in the queue of answers. So the signal by which a router knows that its dispatcher's process runs was as late as the shard.

The shard still gets the heartbeat in its place, since leases begin with it.

--- a/crates/micaspool-dispatcher/src/fleet.rs
+++ b/crates/micaspool-dispatcher/src/fleet.rs
@@ -9,6 +9,7 @@
 use crate::platform::InstanceList;
 use crate::probe::EndpointProbe;
 use crate::service::open_session;
+use crate::session_replies::SessionReplies;
 use crate::shard_view::{shards_json, ShardGauges};
 use crate::subset::EngineSubset;
 use async_std::channel::Receiver;
@@ -22,7 +23,7 @@
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::{Cost, EndpointName, Incarnation, RegionName};
-use micaspool_wire::v1::{DispatcherMessage, RouterMessage};
+use micaspool_wire::v1::RouterMessage;
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -144,10 +145,7 @@
     }
 
     /// Opens a session for a router in this process. The first message from the channel must be its hello.
-    pub async fn open(
-        &self,
-        messages: Receiver<RouterMessage>,
-    ) -> Result<Receiver<Result<DispatcherMessage, Status>>, Status> {
+    pub async fn open(&self, messages: Receiver<RouterMessage>) -> Result<SessionReplies, Status> {
         open_session(&self.host, messages.map(Ok)).await
     }
 
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -22,6 +22,7 @@
 mod probe;
 mod probe_selection;
 mod service;
+mod session_replies;
 mod shard_policy;
 mod shard_view;
 mod sharing;
@@ -40,5 +41,6 @@
 };
 pub use probe_selection::{ProbeSelection, UsedEngines};
 pub use service::DispatchService;
+pub use session_replies::SessionReplies;
 pub use shard_policy::shard_policy;
 pub use subset::EngineSubset;
--- a/crates/micaspool-dispatcher/src/service.rs
+++ b/crates/micaspool-dispatcher/src/service.rs
@@ -2,14 +2,17 @@
 
 use crate::driver::{ShardHandle, ShardInput, StreamItem};
 use crate::host::ShardHost;
+use crate::session_replies::SessionReplies;
 use crate::sharing::{apply_totals, own_totals};
-use async_std::channel::{unbounded, Receiver};
+use async_std::channel::{unbounded, Sender};
 use futures::{Stream, StreamExt};
 use micaspool_dispatch::{SessionId, ShardEvent};
 use micaspool_telemetry::events::{self, field, record};
-use micaspool_types::{RequestId, ServiceName};
+use micaspool_types::{Incarnation, RequestId, ServiceName};
 use micaspool_wire::convert::{lifted_digest, request_id, shard_event, shared_totals_message};
-use micaspool_wire::v1::{self, dispatch_server::Dispatch, router_message::Body};
+use micaspool_wire::v1::{
+    self, dispatch_server::Dispatch, dispatcher_message::Body as FromDispatcher, router_message::Body,
+};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -77,7 +80,7 @@
 }
 
 /// Opens a session for a router. The first message of the stream must be its hello.
-pub(crate) async fn open_session<S>(host: &ShardHost, mut messages: S) -> Result<Receiver<StreamItem>, Status>
+pub(crate) async fn open_session<S>(host: &ShardHost, mut messages: S) -> Result<SessionReplies, Status>
 where
     S: Stream<Item = Result<v1::RouterMessage, Status>> + Send + Unpin + 'static,
 {
@@ -85,12 +88,15 @@
     let service = service_of(&first)?;
     let shard = host.shard(&service);
     let session = host.new_session();
-    let (sender, receiver) = unbounded();
+    let (sender, answers) = unbounded();
+    let (pulse_sender, pulses) = unbounded();
     let stopped = |_| Status::unavailable("the shard has stopped; connect again");
     shard.inputs.send(ShardInput::Open(session, sender)).await.map_err(stopped)?;
     forward_message(&shard, session, first).await?;
-    tokio::spawn(forward_messages(shard, session, messages));
-    Ok(receiver)
+    let inbound =
+        InboundSession { shard, session, pulses: pulse_sender, incarnation: host.options().incarnation };
+    tokio::spawn(inbound.forward_messages(messages));
+    Ok(SessionReplies { answers, pulses })
 }
 
 fn service_of(first: &v1::RouterMessage) -> Result<ServiceName, Status> {
@@ -135,14 +141,39 @@
         .collect()
 }
 
-async fn forward_messages<S>(shard: ShardHandle, session: SessionId, mut messages: S)
-where
-    S: Stream<Item = Result<v1::RouterMessage, Status>> + Send + Unpin,
-{
-    while let Some(Ok(message)) = messages.next().await {
-        if forward_message(&shard, session, message).await.is_err() {
-            break;
+/// The messages of one router to its shard.
+struct InboundSession {
+    shard: ShardHandle,
+    session: SessionId,
+    pulses: Sender<StreamItem>,
+    incarnation: Incarnation,
+}
+
+impl InboundSession {
+    async fn forward_messages<S>(self, mut messages: S)
+    where
+        S: Stream<Item = Result<v1::RouterMessage, Status>> + Send + Unpin,
+    {
+        while let Some(Ok(message)) = messages.next().await {
+            self.answer_heartbeat(&message);
+            if forward_message(&self.shard, self.session, message).await.is_err() {
+                break;
+            }
+        }
+        let left = ShardEvent::Left(self.session);
+        let _ = self.shard.inputs.send(ShardInput::Event(Box::new(left))).await;
+    }
+
+    /// Answers a heartbeat before the shard handles it. A router leaves a dispatcher that answers nothing, and a shard
+    /// with much to do comes late to its heartbeats.
+    fn answer_heartbeat(&self, message: &v1::RouterMessage) {
+        let Some(Body::Heartbeat(beat)) = &message.body else { return };
+        if !beat.advice.is_empty() {
+            return;
         }
+        let pulse = v1::Pulse { heartbeat: beat.number, incarnation: self.incarnation.0 };
+        let message = v1::DispatcherMessage { body: Some(FromDispatcher::Pulse(pulse)) };
+        // The router may have left.
+        let _ = self.pulses.try_send(Ok(message));
     }
-    let _ = shard.inputs.send(ShardInput::Event(Box::new(ShardEvent::Left(session)))).await;
 }
