fix(router): a late dispatcher is asked, and left only if nothing at all comes back

Callers: a customer gets far less than its share while others are served (FAIR, large site).

Cause: a router left its dispatcher once nothing had come for 0.9 s after a ticket, also when its process ran and only its shard was late. The next dispatcher began a shard without levels and queues and granted the same engines beside the first.

A router with an unanswered ticket sends a heartbeat after 0.25 s and leaves only if nothing at all comes for 0.9 s after it, if the stream ends or if the process is lost as seen on its keeper's stream. What the router itself is late to look does not count. The decision is a state machine of its own (SessionWatch). MP1202 tells how long nothing had come and how long the oldest ticket had no answer; MP1209 is new and tells when a router leaves a dispatcher that is not lost.

--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -3,8 +3,8 @@
 //! * [`ShardCore`] is a state machine: [`ShardCore::step`] takes a moment and a [`ShardEvent`] and
 //!   appends [`ShardAction`]s to the caller's buffer,
 //! * [`ShardOptions`] holds its limits and timing,
-//! * [`CandidateChoice`] decides which dispatcher a router connects to, and [`RequestThrottle`] which
-//!   requests are sent to it.
+//! * [`CandidateChoice`] decides which dispatcher a router connects to, [`SessionWatch`] when it is
+//!   lost, and [`RequestThrottle`] which requests are sent to it.
 //!
 //! Everything here is free of I/O, clocks and randomness.
 #![deny(missing_docs, rust_2018_idioms)]
@@ -16,6 +16,7 @@
 mod options;
 mod queue_fill;
 mod ranking;
+mod session_watch;
 mod shard;
 mod stream_origins;
 mod throttle;
@@ -31,6 +32,7 @@
 pub use options::{ShardOptions, ShardOptionsBuilder};
 pub use queue_fill::QueueFill;
 pub use ranking::{rank_candidates, rank_distinct};
+pub use session_watch::{SessionWatch, WatchOptions, WatchStep};
 pub use shard::{
     CacheCopyStatus, CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus,
     ShardCore, ShardStatus, SuspectStatus,
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -19,6 +19,7 @@
 mod harness;
 mod herding;
 mod kinds;
+mod late_dispatchers;
 mod late_reports;
 mod limits;
 mod objectives;
--- a/crates/micaspool-router/src/shard_client/link.rs
+++ b/crates/micaspool-router/src/shard_client/link.rs
@@ -6,7 +6,7 @@
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
 use micaspool_clock::BootInstant;
-use micaspool_dispatch::{CandidateChoice, CandidateKind, ChoiceOptions, ChoiceStep};
+use micaspool_dispatch::{CandidateChoice, CandidateKind, ChoiceOptions, ChoiceStep, WatchStep};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::Moment;
@@ -22,12 +22,6 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// How often the state of the current stream and of the candidates is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// A dispatcher that has not answered a heartbeat for this long is abandoned.
-const PULSE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// A dispatcher that has sent nothing for this long after a ticket is abandoned. It normally answers within about
-/// 10 ms, and within 300 ms when its processor is saturated. This bounds how long requests wait for a dispatcher that
-/// has lost power; otherwise they would wait until its keeper has been silent for 2.5 s as well.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long opening a stream, or a probe, may take.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 /// The bounds of the pause before the next step of the candidate choice. The health of candidates is looked at after each
@@ -42,9 +36,9 @@
 enum LossReason {
     /// The connection ended, or the dispatcher closed the stream.
     Ended,
-    /// The dispatcher stopped answering heartbeats.
+    /// The dispatcher sent nothing for some time.
     NoPulse,
-    /// The dispatcher did not answer a ticket.
+    /// The dispatcher sent nothing after a ticket and a heartbeat.
     NoReply,
     /// Another stream to the dispatcher's process was lost, or the dispatcher is no longer listed.
     ProcessLost,
@@ -147,6 +141,7 @@
     link.choice.connected(rank);
     client.lock_state().confirm_link();
     let end = run_stream(client, messages, link).await;
+    let delays = client.lock_state().delays();
     client.lock_state().unlink();
     // A dispatcher that is no longer listed has no state to update.
     let Some(rank) = link.choice.current() else { return end };
@@ -157,11 +152,21 @@
                 field("service", client.service()),
                 field("dispatcher", dispatcher),
                 field("reason", reason.as_str()),
+                field("silent_ms", delays.silence.as_millis()),
+                field("unanswered_ms", delays.answer.as_millis()),
             ];
             record(&events::SESSION_LOST, &fields);
             link.choice.failed(link.now(), rank);
         }
-        LinkEnd::Moved | LinkEnd::HigherRanked => link.choice.left(rank),
+        LinkEnd::Moved | LinkEnd::HigherRanked => {
+            let fields = [
+                field("service", client.service()),
+                field("dispatcher", &link.candidates[rank].address),
+                field("reason", if matches!(end, LinkEnd::Moved) { "moved" } else { "better" }),
+            ];
+            record(&events::SESSION_LEFT, &fields);
+            link.choice.left(rank);
+        }
         LinkEnd::Unused => {}
     }
     end
@@ -201,6 +206,54 @@
     Some(Box::pin(reply.into_inner()))
 }
 
+/// When the parts of a stream that are not messages are due.
+struct LinkTimers {
+    heartbeat: BootInstant,
+    check: BootInstant,
+}
+
+impl LinkTimers {
+    fn new() -> LinkTimers {
+        let now = BootInstant::now();
+        LinkTimers { heartbeat: now + HEARTBEAT_INTERVAL, check: now + CHECK_INTERVAL }
+    }
+
+    fn next_due(&self, client: &ShardClient) -> BootInstant {
+        let watch = BootInstant::now() + client.lock_state().time_until_watch();
+        self.check.min(watch)
+    }
+
+    /// Does what is due. Returns how the stream ends, if it does.
+    fn run_due(&mut self, client: &Arc<ShardClient>, link: &mut LinkChoice) -> Option<LinkEnd> {
+        let step = client.lock_state().next_watch_step();
+        match step {
+            WatchStep::Ask => self.send_heartbeat(client),
+            WatchStep::LeaveUnanswered => return Some(LinkEnd::Lost(LossReason::NoReply)),
+            WatchStep::LeaveSilent => return Some(LinkEnd::Lost(LossReason::NoPulse)),
+            WatchStep::Wait(_) => {}
+        }
+        if BootInstant::now() < self.check {
+            return None;
+        }
+        self.check = BootInstant::now() + CHECK_INTERVAL;
+        if !link.refresh(client) {
+            return Some(LinkEnd::Lost(LossReason::ProcessLost));
+        }
+        if Arc::strong_count(client) == 1 {
+            return Some(LinkEnd::Unused);
+        }
+        if BootInstant::now() >= self.heartbeat {
+            self.send_heartbeat(client);
+        }
+        None
+    }
+
+    fn send_heartbeat(&mut self, client: &ShardClient) {
+        self.heartbeat = BootInstant::now() + HEARTBEAT_INTERVAL;
+        client.lock_state().send_heartbeat();
+    }
+}
+
 /// Processes the messages of a stream, sends heartbeats and probes higher-ranked candidates, until the stream ends.
 async fn run_stream(
     client: &Arc<ShardClient>,
@@ -209,8 +262,7 @@
 ) -> LinkEnd {
     let (probes, probe_results) = bounded(1);
     let mut is_probing = false;
-    let mut next_heartbeat = BootInstant::now() + HEARTBEAT_INTERVAL;
-    let mut next_check = BootInstant::now() + CHECK_INTERVAL;
+    let mut timers = LinkTimers::new();
     loop {
         if !is_probing {
             match link.choice.next(link.now()) {
@@ -222,7 +274,8 @@
                 ChoiceStep::Wait(_) => {}
             }
         }
-        match next_message(&mut messages, &probe_results, next_heartbeat.min(next_check)).await {
+        let due = timers.next_due(client);
+        match next_message(&mut messages, &probe_results, due).await {
             StreamEvent::Message(message) => {
                 let keeps_stream = client.lock_state().handle_message(message);
                 if !keeps_stream {
@@ -237,34 +290,16 @@
                 }
             }
             StreamEvent::CheckDue => {
-                next_check = BootInstant::now() + CHECK_INTERVAL;
-                if let Some(reason) = loss_reason(client, link) {
-                    return LinkEnd::Lost(reason);
-                }
-                if Arc::strong_count(client) == 1 {
-                    return LinkEnd::Unused;
-                }
-                if BootInstant::now() >= next_heartbeat {
-                    next_heartbeat = BootInstant::now() + HEARTBEAT_INTERVAL;
-                    client.lock_state().send_heartbeat();
-                }
+                let delay = BootInstant::now().saturating_duration_since(due);
+                client.lock_state().note_own_delay(delay);
             }
         }
+        if let Some(end) = timers.run_due(client, link) {
+            return end;
+        }
     }
 }
 
-/// Returns why the current stream must be abandoned, if it must.
-fn loss_reason(client: &ShardClient, link: &mut LinkChoice) -> Option<LossReason> {
-    if !link.refresh(client) {
-        return Some(LossReason::ProcessLost);
-    }
-    let state = client.lock_state();
-    if state.unanswered_for() > REPLY_TIMEOUT {
-        return Some(LossReason::NoReply);
-    }
-    (state.time_since_pulse() > PULSE_TIMEOUT).then_some(LossReason::NoPulse)
-}
-
 /// What happened next on a stream.
 enum StreamEvent {
     Message(v1::DispatcherMessage),
--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -4,6 +4,7 @@
 mod lease;
 mod link;
 mod state;
+mod unanswered;
 
 pub use dispatchers::{
     DispatcherAddress, DispatcherCandidate, DispatcherList, ListedDispatchers, LocalDispatcher, MessageStream,
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -3,12 +3,13 @@
 //! A dispatcher that starts without state is rebuilt from it.
 
 use super::lease::LeaseTerms;
+use super::unanswered::UnansweredTickets;
 use super::ShardClientOptions;
 use async_std::channel::Sender;
 use micaspool_clock::BootInstant;
 use micaspool_dispatch::{
     GrantOutcome, HeldGrant, HeldLevel, QueueFill, RefusalReason, RequestThrottle, RequestTicket,
-    RouterHello, RunStart, StreamOrigins,
+    RouterHello, RunStart, SessionWatch, StreamOrigins, WatchOptions, WatchStep,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_quarantine::{CrashTable, QuarantineOptions};
@@ -53,6 +54,13 @@
     pub submitted_at: Moment,
 }
 
+/// How long a dispatcher keeps its router without messages, and without answers.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct DispatcherDelays {
+    pub silence: Duration,
+    pub answer: Duration,
+}
+
 /// The last known service level of a customer.
 #[derive(Debug)]
 struct KnownLevel {
@@ -72,7 +80,9 @@
     /// The numbers of the newest heartbeats and the times at which they were sent.
     heartbeats: VecDeque<(u64, BootInstant)>,
     next_heartbeat: u64,
-    last_pulse: BootInstant,
+    /// Tells whether the dispatcher of the current stream is lost.
+    watch: SessionWatch,
+    unanswered: UnansweredTickets,
     /// Decides which requests are refused without asking the dispatcher.
     throttle: RequestThrottle,
     start: BootInstant,
@@ -80,8 +90,6 @@
     crashes: CrashTable,
     /// The streams that this router has begun to pass on.
     streams: StreamOrigins,
-    /// The time of the first ticket sent since the last message from the dispatcher.
-    unanswered_since: Option<BootInstant>,
 }
 
 impl ShardState {
@@ -94,12 +102,12 @@
             unlinked_since: Some(now),
             heartbeats: VecDeque::new(),
             next_heartbeat: 1,
-            last_pulse: now,
+            watch: SessionWatch::new(Moment(0), WatchOptions::default()),
+            unanswered: UnansweredTickets::default(),
             throttle: RequestThrottle::default(),
             start: now,
             crashes: CrashTable::new(crash_options()),
             streams: StreamOrigins::default(),
-            unanswered_since: None,
         }
     }
 
@@ -118,16 +126,19 @@
     /// Starts using a new stream. Messages sent from now on follow the hello.
     pub fn attach_link(&mut self, link: Sender<v1::RouterMessage>) {
         self.link = Some(link);
-        self.last_pulse = BootInstant::now();
+        let now = self.current_moment();
         // The hello contains the waiting tickets, and the dispatcher answers those without an order number.
-        let awaits_reply = self.waiting.values().any(|entry| entry.ticket.order.is_none());
-        self.unanswered_since = awaits_reply.then(BootInstant::now);
+        let waiting = self.waiting.iter().filter(|(_, entry)| entry.ticket.order.is_none());
+        self.unanswered.replace(now, waiting.map(|(request, _)| *request));
+        self.watch = SessionWatch::new(now, WatchOptions::default());
+        self.watch.note_message(now, !self.unanswered.is_empty());
     }
 
     /// Records that the dispatcher has accepted the stream.
     pub fn confirm_link(&mut self) {
         self.unlinked_since = None;
-        self.last_pulse = BootInstant::now();
+        let now = self.current_moment();
+        self.watch.note_message(now, !self.unanswered.is_empty());
     }
 
     /// Records that the stream has ended.
@@ -136,15 +147,29 @@
         self.unlinked_since.get_or_insert_with(BootInstant::now);
     }
 
-    /// Returns the time since the dispatcher last answered a heartbeat.
-    pub fn time_since_pulse(&self) -> Duration {
-        self.last_pulse.elapsed()
+    /// Returns what to do next about the dispatcher of the current stream.
+    pub fn next_watch_step(&self) -> WatchStep {
+        self.watch.next(self.current_moment())
+    }
+
+    /// Returns when the watch is due, as an offset from now.
+    pub fn time_until_watch(&self) -> Duration {
+        match self.next_watch_step() {
+            WatchStep::Wait(until) => until.since(self.current_moment()),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Records that the router looked at the stream this much later than it meant to.
+    pub fn note_own_delay(&mut self, delay: Duration) {
+        self.watch.note_own_delay(delay);
     }
 
-    /// Returns how long the dispatcher has sent nothing since a ticket was sent to it. A dispatcher answers each ticket
-    /// at once, by accepting, granting or refusing it.
-    pub fn unanswered_for(&self) -> Duration {
-        self.unanswered_since.map_or(Duration::ZERO, |since| since.elapsed())
+    /// Returns how long nothing has been heard from the dispatcher, and how long its oldest ticket has been
+    /// unanswered.
+    pub fn delays(&self) -> DispatcherDelays {
+        let now = self.current_moment();
+        DispatcherDelays { silence: self.watch.silent_for(now), answer: self.unanswered.oldest_age(now) }
     }
 
     pub fn build_hello(&mut self, options: &ShardClientOptions, advice: Vec<AdviceRecord>) -> RouterHello {
@@ -174,6 +199,8 @@
     pub fn send_heartbeat(&mut self) {
         let number = self.allocate_heartbeat();
         self.send(Body::Heartbeat(v1::Heartbeat { number, ..v1::Heartbeat::default() }));
+        let now = self.current_moment();
+        self.watch.note_heartbeat(now);
     }
 
     /// Reports an endpoint's advice. It is sent in a heartbeat without a number, because a dispatcher that doesn't
@@ -213,15 +240,19 @@
 
     pub fn add_waiting(&mut self, entry: WaitingEntry) {
         let submit = v1::Submit { traceparent: entry.traceparent.clone(), ..submit_message(&entry.ticket) };
-        self.waiting.insert(entry.ticket.request, entry);
+        let request = entry.ticket.request;
+        self.waiting.insert(request, entry);
         self.send(Body::Submit(submit));
         if self.link.is_some() {
-            self.unanswered_since.get_or_insert_with(BootInstant::now);
+            let now = self.current_moment();
+            self.unanswered.note_sent(now, request);
+            self.watch.note_ticket(now);
         }
     }
 
     /// Cancels a waiting request, or returns its grant unused. A grant that arrives later is returned too.
     pub fn cancel(&mut self, request: RequestId) {
+        self.unanswered.note_answered(request);
         if self.waiting.remove(&request).is_some() {
             self.send(Body::Cancel(v1::Cancel { request: request_bytes(request) }));
         } else if self.running.remove(&request).is_some() {
@@ -286,19 +317,34 @@
     /// Handles a message from the dispatcher. Returns false if the dispatcher asks for a new session.
     pub fn handle_message(&mut self, message: v1::DispatcherMessage) -> bool {
         use v1::dispatcher_message::Body as FromDispatcher;
-        self.unanswered_since = None;
+        self.note_answer(&message);
         match message.body {
             Some(FromDispatcher::Accepted(accepted)) => self.handle_accepted(&accepted),
             Some(FromDispatcher::Grant(grant)) => self.handle_grant(&grant),
             Some(FromDispatcher::Refused(refused)) => self.handle_refused(&refused),
             Some(FromDispatcher::CrashRecord(record)) => self.apply_crash_record(record),
-            Some(FromDispatcher::Pulse(_)) => self.last_pulse = BootInstant::now(),
             Some(FromDispatcher::Moved(_)) => return false,
-            None => {}
+            Some(FromDispatcher::Pulse(_)) | None => {}
         }
         true
     }
 
+    /// Records that a message came, and which ticket it answers.
+    fn note_answer(&mut self, message: &v1::DispatcherMessage) {
+        use v1::dispatcher_message::Body as FromDispatcher;
+        let answered = match &message.body {
+            Some(FromDispatcher::Accepted(accepted)) => Some(&accepted.request),
+            Some(FromDispatcher::Grant(grant)) => Some(&grant.request),
+            Some(FromDispatcher::Refused(refused)) => Some(&refused.request),
+            _ => None,
+        };
+        if let Some(request) = answered.and_then(|request| request_id(request).ok()) {
+            self.unanswered.note_answered(request);
+        }
+        let now = self.current_moment();
+        self.watch.note_message(now, !self.unanswered.is_empty());
+    }
+
     fn handle_accepted(&mut self, accepted: &v1::Accepted) {
         let entry = request_id(&accepted.request).ok().and_then(|request| self.waiting.get_mut(&request));
         let Some(entry) = entry else { return };
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -75,6 +75,8 @@
 pub const REQUEST_REFUSED: EventKind = kind("MP1207", Level::Debug, "request refused");
 /// A request has ended.
 pub const REQUEST_DONE: EventKind = kind("MP1208", Level::Debug, "request done");
+/// A router leaves a dispatcher that is not lost.
+pub const SESSION_LEFT: EventKind = kind("MP1209", Level::Info, "dispatcher stream left");
 /// A shard has started to serve.
 pub const SHARD_STARTED: EventKind = kind("MP1301", Level::Info, "shard started");
 /// A shard has read the list of the prompt parts that an engine caches.
@@ -225,6 +227,7 @@
     SETTINGS_UNUSABLE,
     SESSION_OPEN,
     SESSION_LOST,
+    SESSION_LEFT,
     LEASE_EXPIRED,
     PLACEMENT_CHANGED,
     ENDPOINT_FAILED,
