fix(router): refuse at once what a late dispatcher would answer too late

Callers: requests wait for a late dispatcher beyond the time within which their answer is wanted, and their tickets lengthen its queue, which then decides instead of levels.

A router knows how long its oldest unanswered ticket has waited; a new one waits about as long, since tickets are handled in the order in which they come. A request whose objective is shorter is refused as overloaded, to come back after that time. It ends by itself once the ticket is answered.

--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -21,7 +21,7 @@
 };
 use micaspool_wire::v1;
 use serde_json::json;
-use state::{ShardState, WaitResult, WaitingEntry};
+use state::{DispatcherDelays, ShardState, WaitResult, WaitingEntry};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -30,6 +30,9 @@
 /// `Retry-After` of requests refused for lack of a dispatcher.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Within this time dispatchers that keep up answer tickets, also when their processor is saturated.
+const USUAL_ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// The identity of this router and the dependencies of its shard clients.
 #[derive(Debug, Clone)]
 pub struct ShardClientOptions {
@@ -55,6 +58,13 @@
     state: Mutex<ShardState>,
 }
 
+/// Returns how late the dispatcher is if a ticket sent to it now would be answered too late. It handles tickets in the
+/// order in which they come, so a new one waits about as long as the oldest that is unanswered.
+fn excess_delay(ticket: &RequestTicket, delays: DispatcherDelays) -> Option<Duration> {
+    let bound = ticket.objective.or(ticket.patience)?.max(USUAL_ANSWER_TIME);
+    (delays.answer > bound).then_some(delays.answer)
+}
+
 /// Cancels a waiting request when the future that waits for it is dropped.
 struct WaitGuard {
     client: Arc<ShardClient>,
@@ -147,6 +157,9 @@
         if state.unreachable_for() > UNREACHABLE_TIMEOUT {
             return Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER));
         }
+        if let Some(delay) = excess_delay(&ticket, state.delays()) {
+            return Err(Refusal::not_run(RefusalKind::Overloaded).after(delay));
+        }
         let submitted_at = state.current_moment();
         let traceparent = traceparent.unwrap_or_default();
         state.add_waiting(WaitingEntry { ticket, traceparent, waiter, submitted_at });
