--- a/crates/micaspool-gateway/tests/events.rs
+++ b/crates/micaspool-gateway/tests/events.rs
@@ -35,3 +35,16 @@
     let split = splitter.push(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
     assert_eq!((&split.complete[..], split.events), (&b"id: 3\ndata: c\n\n"[..], 1));
 }
+
+/// Guards against an event without end that fills the memory of the process.
+#[test]
+fn an_event_without_end_is_not_held() {
+    const CHUNK: usize = 64 * 1024;
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: ");
+    for _ in 0..256 {
+        splitter.push(&[b'x'; CHUNK]);
+    }
+    let held = splitter.take_partial().len();
+    assert!(held <= 1024 * 1024, "{held} bytes are held");
+}
