fix(http): give up an endpoint that sends interim answers or a chunk size without end

Callers saw: no answer until their deadline, and no other endpoint tried, while the endpoint sent status 103 again and again, or zeros or spaces in place of a chunk size. Cause: hyper limits a head, extensions and trailers, but neither the number of interim answers nor the length of a chunk size. Only the deadline of the request ended them.

--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -21,6 +21,7 @@
 mod idle;
 pub mod pool;
 pub mod pressure;
+mod read_meter;
 pub mod refusal;
 pub mod replay;
 pub mod server;
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -1,11 +1,13 @@
 //! HTTP/1.1 client for endpoints with a connection pool, based on `hyper`.
 //!
 //! A connection carries one request at a time and returns to the pool only after the whole response
-//! was read. `hyper` closes a connection on which unsolicited bytes arrive. Errors distinguish requests
+//! was read. `hyper` closes a connection on which unsolicited bytes arrive, and a connection is closed on which too many
+//! bytes arrive that are no part of a body. Errors distinguish requests
 //! that were not sent from those that got no response, because a request that was not sent cannot have
 //! run.
 
 use crate::framing::BodyFraming;
+use crate::read_meter::{MeteredReads, ReadMeter};
 use crate::socket::{self, ShortReads};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -110,8 +112,14 @@
 
 impl std::error::Error for SendError {}
 
+/// An open connection on which no request runs.
+struct ReadySender {
+    requests: SendRequest<Full<Bytes>>,
+    meter: Arc<ReadMeter>,
+}
+
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: ReadySender,
     expires_at: BootInstant,
 }
 
@@ -202,7 +210,10 @@
         self.remove_expired();
         let idle = self.lock();
         let connections = || idle.values().flatten();
-        (connections().count(), connections().filter(|connection| connection.sender.is_ready()).count())
+        (
+            connections().count(),
+            connections().filter(|connection| connection.sender.requests.is_ready()).count(),
+        )
     }
 
     /// Closes connections that were idle for too long and removes those closed by the peer.
@@ -210,19 +221,22 @@
         let now = BootInstant::now();
         let mut idle = self.lock();
         for connections in idle.values_mut() {
-            connections.retain(|connection| connection.expires_at > now && !connection.sender.is_closed());
+            connections
+                .retain(|connection| connection.expires_at > now && !connection.sender.requests.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    async fn connect(&self, address: SocketAddr) -> Result<ReadySender, SendError> {
         let open = self.reserve_connection().await?;
         let stream = socket::connect(address, self.options.connect_limit).await;
         let stream = stream.map_err(connect_error)?;
         self.opened.fetch_add(1, Ordering::Relaxed);
+        let meter = Arc::new(ReadMeter::default());
+        let stream = MeteredReads::new(ShortReads::new(stream), meter.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_AHEAD_BYTES)
-            .handshake(TokioIo::new(ShortReads::new(stream)))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
         // An error of the connection is also reported to the reader of the response.
@@ -230,7 +244,7 @@
             drop(connection.await);
             drop(open);
         });
-        Ok(sender)
+        Ok(ReadySender { requests: sender, meter })
     }
 
     /// Reserves one of the connections that may be open. If all are, the oldest idle one of each endpoint is closed.
@@ -261,10 +275,11 @@
     async fn send_on(
         self: &Arc<Self>,
         address: SocketAddr,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut sender: ReadySender,
         request: FullRequest,
     ) -> Result<Response<PooledBody>, (SendError, Option<FullRequest>)> {
-        let response = match sender.try_send_request(request).await {
+        sender.meter.record_progress();
+        let response = match sender.requests.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
                 return Err(match error.take_message() {
@@ -292,17 +307,18 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<ReadySender> {
         let now = BootInstant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        connections.retain(|connection| connection.expires_at > now && !connection.sender.is_closed());
-        let index = connections.iter().rposition(|connection| connection.sender.is_ready())?;
+        connections
+            .retain(|connection| connection.expires_at > now && !connection.sender.requests.is_closed());
+        let index = connections.iter().rposition(|connection| connection.sender.requests.is_ready())?;
         Some(connections.remove(index).sender)
     }
 
     /// Returns a connection to the pool on which nothing was sent.
-    fn return_unused(self: &Arc<Self>, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+    fn return_unused(self: &Arc<Self>, address: SocketAddr, sender: ReadySender) {
         let keep_alive = self.options.idle_limit;
         self.insert_idle(PooledConnection { pool: self.clone(), address, sender, keep_alive });
     }
@@ -316,7 +332,7 @@
         let expires_at = BootInstant::now() + connection.keep_alive;
         let mut idle = self.lock();
         let connections = idle.entry(connection.address).or_default();
-        if connections.len() < self.options.max_idle && !connection.sender.is_closed() {
+        if connections.len() < self.options.max_idle && !connection.sender.requests.is_closed() {
             connections.push(IdleConnection { sender: connection.sender, expires_at });
         }
     }
@@ -338,7 +354,7 @@
 struct PooledConnection {
     pool: Arc<EndpointPool>,
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: ReadySender,
     keep_alive: Duration,
 }
 
@@ -361,6 +377,13 @@
         self.framing
     }
 
+    /// Records that the reader got a part of the body.
+    fn record_progress(&self) {
+        if let Some(connection) = &self.connection {
+            connection.sender.meter.record_progress();
+        }
+    }
+
     /// Returns the connection to the pool after the whole body was read.
     fn release(&mut self) {
         if let Some(connection) = self.connection.take() {
@@ -391,6 +414,7 @@
         match &frame {
             Poll::Ready(None) => self.release(),
             Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.release(),
+            Poll::Ready(Some(Ok(_))) => self.record_progress(),
             Poll::Ready(Some(Err(_))) => self.connection = None,
             _ => {}
         }
