fix(http): bound what the async-h1 client reads of a line or a chunk size

Callers saw: probes, lists and the older router read a line without end into memory, 64 MB in the test, all that it sends; a chunk size of zeros held up a thread of the executor, and with it whatever else ran there, timers too. Cause: async-h1 looks at the length of a head only at the end of a line, and decodes a chunk size in a loop that never pends while bytes come. Change: the same meter as in the pool on the stream of a call.

--- a/crates/micaspool-http/src/client.rs
+++ b/crates/micaspool-http/src/client.rs
@@ -1,8 +1,9 @@
 //! HTTP/1.1 client based on `async-h1`; each request has its own connection.
 
+use crate::read_meter::ReadMeter;
 use crate::stall::StallTimer;
 use async_std::future::timeout;
-use async_std::io::Read;
+use async_std::io::{Read, Write};
 use async_std::net::TcpStream;
 use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_types::{Body, Request, Response, StatusCode};
@@ -10,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -64,10 +66,12 @@
 
 /// Sends a request on a new connection and returns the response as soon as its head has arrived.
 ///
-/// Reading the body fails if it ends before its declared length, or if the server sends nothing for too
-/// long.
+/// Reading the body fails if it ends before its declared length, if the server sends nothing for too long, or if the
+/// framing of a chunk does not end.
 pub async fn call(address: SocketAddr, request: Request, limits: CallLimits) -> Result<Response, Error> {
     let stream = connect(address, limits.connect).await?;
+    let meter = Arc::new(ReadMeter::default());
+    let stream = MeteredStream { stream, meter: meter.clone() };
     let mut response = match timeout(limits.silence, async_h1::connect(stream, request)).await {
         Err(_) => return Err(Error::Silent),
         Ok(Err(_)) => return Err(Error::Broken),
@@ -77,7 +81,7 @@
         return Err(Error::Interim);
     }
     let length = answer_length(&response)?;
-    let body = CheckedBody::new(response.take_body(), length, limits.silence);
+    let body = CheckedBody::new(response.take_body(), length, limits.silence, meter);
     let declared = length.and_then(|length| usize::try_from(length).ok());
     response.set_body(Body::from_reader(async_std::io::BufReader::new(body), declared));
     Ok(response)
@@ -108,16 +112,49 @@
     }
 }
 
+/// The stream of a connection, whose reads are metered.
+#[derive(Clone, Debug)]
+struct MeteredStream {
+    stream: TcpStream,
+    meter: Arc<ReadMeter>,
+}
+
+impl Read for MeteredStream {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        self.meter.check()?;
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(Ok(count)) = &read {
+            self.meter.add(*count);
+        }
+        read
+    }
+}
+
+impl Write for MeteredStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
 /// A body that checks its length and the time between reads.
 struct CheckedBody {
     body: Body,
     remaining: Option<u64>,
     stall: StallTimer,
+    meter: Arc<ReadMeter>,
 }
 
 impl CheckedBody {
-    fn new(body: Body, remaining: Option<u64>, silence: Duration) -> CheckedBody {
-        CheckedBody { body, remaining, stall: StallTimer::new(silence) }
+    fn new(body: Body, remaining: Option<u64>, silence: Duration, meter: Arc<ReadMeter>) -> CheckedBody {
+        CheckedBody { body, remaining, stall: StallTimer::new(silence), meter }
     }
 
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
@@ -126,6 +163,7 @@
 
     fn record_read(&mut self, count: usize) -> io::Result<usize> {
         self.stall.reset();
+        self.meter.record_progress();
         match &mut self.remaining {
             Some(remaining) if count == 0 && *remaining > 0 => Err(io::ErrorKind::UnexpectedEof.into()),
             Some(remaining) => {
