fix(http): refuse a request whose chunk size has no end on the async-h1 server

Cause: the decoder of async-h1 never pends while bytes come, so that each such caller takes a thread of the executor.

--- a/crates/micaspool-http/src/replay.rs
+++ b/crates/micaspool-http/src/replay.rs
@@ -1,5 +1,6 @@
 //! A stream that replays bytes that were already read.
 
+use crate::read_meter::ReadMeter;
 use async_std::io::{Read, Write};
 use async_std::net::TcpStream;
 use std::io;
@@ -10,7 +11,7 @@
 /// A stream that reads the pending bytes first and then from the underlying stream, up to a byte budget. Writes go to
 /// the underlying stream.
 ///
-/// Clones share the pending bytes and the budget.
+/// Clones share the pending bytes and the budget. Reading fails once too much was read without progress.
 #[derive(Clone, Debug)]
 pub struct ReplayStream {
     stream: TcpStream,
@@ -23,15 +24,21 @@
     position: usize,
     /// How many more bytes may be read; `None` for no limit.
     budget: Option<u64>,
+    meter: ReadMeter,
 }
 
 impl ReplayStream {
     /// Creates a stream that reads `pending` first, and at most `budget` bytes in total.
     pub fn new(stream: TcpStream, pending: Vec<u8>, budget: Option<u64>) -> ReplayStream {
-        let state = ReplayState { pending, position: 0, budget };
+        let state = ReplayState { pending, position: 0, budget, meter: ReadMeter::default() };
         ReplayStream { stream, state: Arc::new(Mutex::new(state)) }
     }
 
+    /// Records that the reader got a part of the body.
+    pub fn record_progress(&self) {
+        self.state.lock().expect("no thread panics while it holds the lock").meter.record_progress();
+    }
+
     /// Removes and returns the pending bytes that were not read.
     pub fn take_unread(&self) -> Vec<u8> {
         let mut state = self.state.lock().expect("no thread panics while it holds the lock");
@@ -71,6 +78,7 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let mut state = this.state.lock().expect("no thread panics while it holds the lock");
+        state.meter.check()?;
         let allowed = state.allowed(buf.len());
         if allowed == 0 {
             return Poll::Ready(Ok(0));
@@ -81,6 +89,7 @@
         let result = Pin::new(&mut this.stream).poll_read(cx, &mut buf[..allowed]);
         if let Poll::Ready(Ok(count)) = &result {
             state.consume(*count);
+            state.meter.add(*count);
         }
         result
     }
--- a/crates/micaspool-http/src/server/connection.rs
+++ b/crates/micaspool-http/src/server/connection.rs
@@ -245,11 +245,18 @@
 
 /// Decodes a request with `async-h1` and reads its body, at most `limit` bytes and one more.
 async fn decode(replay: ReplayStream, limit: u64) -> Option<(Request, Vec<u8>)> {
-    let (mut request, _) = async_h1::server::decode(replay).await.ok()??;
+    let (mut request, _) = async_h1::server::decode(replay.clone()).await.ok()??;
     let mut body = Vec::new();
     let mut reader = request.take_body().take(limit.saturating_add(1));
-    reader.read_to_end(&mut body).await.ok()?;
-    Some((request, body))
+    let mut chunk = [0; READ_BYTES];
+    loop {
+        let count = reader.read(&mut chunk).await.ok()?;
+        if count == 0 {
+            return Some((request, body));
+        }
+        replay.record_progress();
+        body.extend_from_slice(&chunk[..count]);
+    }
 }
 
 /// Reads and discards input until the end of the stream, a size limit or a time limit.
