fix(gateway): give up a stream whose event has no end instead of holding the event

Callers saw: a front that holds whatever an endpoint sends of one event on routes whose streams may be resumed: all 16 MB in the test, and as much as comes until the deadline in use. Cause: bytes are held back until their event is complete, without a limit. Change: 256 KiB of an event are held at most; the stream counts as broken then, and goes on elsewhere after its last whole event where it may.

--- a/crates/micaspool-gateway/src/events.rs
+++ b/crates/micaspool-gateway/src/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The longest event that is held back until it is complete, in bytes.
+const MAX_HELD_BYTES: usize = 256 * 1024;
+
 /// The events that a chunk of a stream completed.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct SplitChunk {
@@ -19,6 +22,7 @@
     scanner: EventScanner,
     partial: BytesMut,
     last_id: Option<u64>,
+    is_overlong: bool,
 }
 
 impl EventSplitter {
@@ -37,10 +41,25 @@
             let is_event = self.scanner.ended_events() > events_before;
             self.pass_on_partial(is_event, &mut split);
         }
-        self.partial.extend_from_slice(&chunk[start..]);
+        self.hold(&chunk[start..]);
         SplitChunk { complete: split.complete.freeze(), events: split.events }
     }
 
+    /// Holds bytes of an incomplete event back, unless it is too long.
+    fn hold(&mut self, bytes: &[u8]) {
+        self.is_overlong |= self.partial.len() + bytes.len() > MAX_HELD_BYTES;
+        if self.is_overlong {
+            self.partial = BytesMut::new();
+        } else {
+            self.partial.extend_from_slice(bytes);
+        }
+    }
+
+    /// Returns true if an event is too long to be held back. Its bytes are lost, so that the stream can't go on.
+    pub fn is_overlong(&self) -> bool {
+        self.is_overlong
+    }
+
     /// Moves the held bytes to those that are passed on, unless they are an event whose id was seen before.
     fn pass_on_partial(&mut self, is_event: bool, split: &mut SplitCollector) {
         let bytes = self.partial.split();
@@ -59,6 +78,7 @@
     pub fn discard_partial(&mut self) {
         self.scanner.restart();
         self.partial.clear();
+        self.is_overlong = false;
     }
 
     /// Removes and returns the bytes after the last complete event.
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -36,6 +36,8 @@
     Endpoint(hyper::Error),
     /// The response ended without an error, but it is an event stream that is not whole.
     Cut(StreamCut, BodyFraming),
+    /// An event is too long to be held back until it is complete.
+    Overlong,
     /// The deadline and its grace period have passed.
     Deadline,
     /// The gateway stops.
@@ -52,6 +54,7 @@
                 )
             }
             RelayError::Cut(cut, _) => cut.fmt(f),
+            RelayError::Overlong => f.write_str("an event of the stream does not end; check the endpoint"),
             RelayError::Deadline => f.write_str("answer incomplete at the request deadline"),
             RelayError::Stopping => f.write_str("answer incomplete when the gateway stops"),
         }
@@ -65,7 +68,7 @@
     fn outcome(&self) -> GrantOutcome {
         match self {
             RelayError::Endpoint(_) | RelayError::Cut(_, BodyFraming::Connection) => GrantOutcome::Severed,
-            RelayError::Cut(..) | RelayError::Deadline => GrantOutcome::Broken,
+            RelayError::Cut(..) | RelayError::Overlong | RelayError::Deadline => GrantOutcome::Broken,
             RelayError::Stopping => GrantOutcome::Abandoned,
         }
     }
@@ -184,6 +187,9 @@
         if let Some(data) = self.source.first.take() {
             return Ok(Some(data));
         }
+        if self.splitter.as_ref().is_some_and(EventSplitter::is_overlong) {
+            return Err(RelayError::Overlong);
+        }
         loop {
             match select(self.source.body.frame(), &mut self.expiry).await {
                 Either::Left((Some(Ok(frame)), _)) => {
@@ -273,6 +279,7 @@
         let cause = match error {
             RelayError::Endpoint(error) => error.to_string(),
             RelayError::Cut(cut, _) => cut.to_string(),
+            RelayError::Overlong => error.to_string(),
             RelayError::Deadline | RelayError::Stopping => return false,
         };
         let Some(last) = self.splitter.as_ref().and_then(EventSplitter::last_id) else { return false };
