fix(dispatcher): end a call for a report or a list that comes a byte at a time

Callers saw: a load probe or a read of the list of instances that goes on as long as a byte comes each second. Cause: the call had a limit of silence, and none of its whole time. Change: 3 s for the whole call.

--- a/crates/micaspool-dispatcher/src/probe.rs
+++ b/crates/micaspool-dispatcher/src/probe.rs
@@ -1,5 +1,6 @@
 //! Requests load and cache reports from endpoints.
 
+use async_std::future::timeout;
 use async_std::io::ReadExt;
 use async_trait::async_trait;
 use http_types::{Method, Request, Url};
@@ -12,6 +13,8 @@
 
 /// The HTTP path of an endpoint's load report.
 const LOAD_PATH: &str = "/load";
+/// How long a call for a report may take, however fast it comes.
+const FETCH_TIME: Duration = Duration::from_secs(3);
 /// The maximum size of a load report in bytes.
 const MAX_REPORT: u64 = 64 * 1024;
 
@@ -134,8 +137,12 @@
     }
 }
 
-/// Sends a `GET` request and returns at most `max` bytes of the body, or `None` unless it succeeds.
+/// Sends a `GET` request and returns at most `max` bytes of the body, or `None` unless it succeeds within [`FETCH_TIME`].
 pub(crate) async fn fetch(address: SocketAddr, path: &str, limits: CallLimits, max: u64) -> Option<Vec<u8>> {
+    timeout(FETCH_TIME, fetch_body(address, path, limits, max)).await.ok()?
+}
+
+async fn fetch_body(address: SocketAddr, path: &str, limits: CallLimits, max: u64) -> Option<Vec<u8>> {
     let url = Url::parse(&format!("http://{address}{path}")).ok()?;
     let mut request = Request::new(Method::Get, url);
     request.insert_header("connection", "close");
