fix(gateway): an endpoint that sends bytes that are no HTTP has not crashed

Callers saw: a harmless request refused as quarantined, after the endpoints that it was sent to had answered it with garbage. Cause: each failure after a request was written was reported as a connection that ended, which a shard takes for a crash of the endpoint while it ran the request. Bytes that can't be decoded show that the endpoint is alive; the front itself closes the connection. Change: failures of decoding, of a head or of chunks, are reported as a broken answer (kind no-http in logs); the endpoint is paused after as many of them as before. Connections that end or are reset are reported as before.

--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -7,7 +7,7 @@
 use crate::answer_end::{check_stream_end, is_event_stream, StreamCut};
 use crate::dialect::{AnswerVerdict, ForwardContext};
 use crate::events::EventScanner;
-use crate::relay::{relay_body, AnswerRelay, AnswerSource, EventMeter};
+use crate::relay::{body_outcome, relay_body, AnswerRelay, AnswerSource, EventMeter};
 use crate::request_log::RequestLog;
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
@@ -143,12 +143,14 @@
         let time_left = self.deadline.saturating_duration_since(BootInstant::now());
         let first = timeout(time_left.min(HEAD_HOLD), first_part(&mut body)).await;
         let failure = match &first {
-            Ok(Some(Err(error))) => Some(error.to_string()),
-            Ok(None) if self.is_cut(body.framing(), &head, &[]) => Some(StreamCut::BeforeEvents.to_string()),
+            Ok(Some(Err(error))) => Some((error.to_string(), body_outcome(error))),
+            Ok(None) if self.is_cut(body.framing(), &head, &[]) => {
+                Some((StreamCut::BeforeEvents.to_string(), GrantOutcome::Severed))
+            }
             _ => None,
         };
-        if let Some(failure) = failure {
-            lease.settle(self.meter().cost(), GrantOutcome::Severed);
+        if let Some((failure, outcome)) = failure {
+            lease.settle(self.meter().cost(), outcome);
             return Err(failure);
         }
         let first = first.ok().flatten().and_then(Result::ok);
@@ -191,7 +193,7 @@
                 log.finish();
                 return Ok(Response::from_parts(head, full_body(bytes)));
             }
-            Some(Ok(Err(error))) => (error.to_string(), GrantOutcome::Severed),
+            Some(Ok(Err(error))) => (error.to_string(), body_outcome(&error)),
             Some(Err(_)) => ("response body incomplete at the deadline".to_owned(), GrantOutcome::Broken),
             None => ("response body incomplete when the gateway stops".to_owned(), GrantOutcome::Abandoned),
         };
--- a/crates/micaspool-gateway/src/proxy/failure.rs
+++ b/crates/micaspool-gateway/src/proxy/failure.rs
@@ -3,7 +3,7 @@
 use crate::dialect::{AnswerVerdict, NotRunReason};
 use http::StatusCode;
 use micaspool_dispatch::GrantOutcome;
-use micaspool_http::pool::SendError;
+use micaspool_http::pool::{is_malformed, SendError};
 use micaspool_types::RefusalKind;
 
 /// A send without an answer that may be passed on.
@@ -54,6 +54,7 @@
             SendError::NotSent => ("not-sent", GrantOutcome::Unreachable),
             SendError::NoConnectionLeft => ("no-connection-left", GrantOutcome::Unsent),
             SendError::Withheld => ("withheld", GrantOutcome::NotHeld),
+            SendError::Broken(error) if is_malformed(error) => ("no-http", GrantOutcome::Broken),
             SendError::Broken(_) => ("broken", GrantOutcome::Severed),
         };
         let unsent = error.is_unsent();
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use micaspool_dispatch::GrantOutcome;
 use micaspool_http::edge::{BodyError, EdgeBody};
 use micaspool_http::framing::BodyFraming;
-use micaspool_http::pool::PooledBody;
+use micaspool_http::pool::{is_malformed, PooledBody};
 use micaspool_router::GrantLease;
 use micaspool_routes::EngineProfile;
 use micaspool_types::{Cost, SoftwareVersion, StreamOrigin};
@@ -63,11 +63,21 @@
 
 impl std::error::Error for RelayError {}
 
+/// The outcome reported for the grant of an answer whose body failed.
+pub(crate) fn body_outcome(error: &hyper::Error) -> GrantOutcome {
+    if is_malformed(error) {
+        GrantOutcome::Broken
+    } else {
+        GrantOutcome::Severed
+    }
+}
+
 impl RelayError {
     /// The outcome reported for the grant of such an answer.
     fn outcome(&self) -> GrantOutcome {
         match self {
-            RelayError::Endpoint(_) | RelayError::Cut(_, BodyFraming::Connection) => GrantOutcome::Severed,
+            RelayError::Endpoint(error) => body_outcome(error),
+            RelayError::Cut(_, BodyFraming::Connection) => GrantOutcome::Severed,
             RelayError::Cut(..) | RelayError::Overlong | RelayError::Deadline => GrantOutcome::Broken,
             RelayError::Stopping => GrantOutcome::Abandoned,
         }
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -18,7 +18,9 @@
 use hyper_util::rt::TokioIo;
 use micaspool_clock::BootInstant;
 use std::collections::HashMap;
+use std::error::Error;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -73,7 +75,7 @@
 #[derive(Debug)]
 pub enum SendError {
     /// The connection could not be established, so the request was not sent.
-    Unreachable(std::io::Error),
+    Unreachable(io::Error),
     /// This process has as many connections open as it may have, so the request was not sent. Says nothing about the
     /// endpoint.
     NoConnectionLeft,
@@ -92,6 +94,15 @@
     }
 }
 
+/// Returns true if a response failed because its bytes are no HTTP, rather than because its connection ended.
+pub fn is_malformed(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    let is_undecodable = source.is_some_and(|source| {
+        matches!(source.kind(), io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
+    });
+    error.is_parse() || is_undecodable
+}
+
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -344,7 +355,7 @@
 }
 
 /// Tells a lack of descriptors in this process from an endpoint that cannot be reached.
-fn connect_error(error: std::io::Error) -> SendError {
+fn connect_error(error: io::Error) -> SendError {
     match error.raw_os_error() {
         Some(TOO_MANY_FILES_HERE | TOO_MANY_FILES_EVERYWHERE) => SendError::NoConnectionLeft,
         _ => SendError::Unreachable(error),
