fix(router): read the body of a refusal for half a second at most

Callers saw: no answer from the older router while an endpoint sends the body of a 429 or 503 a byte at a time, up to 64 KiB. Cause: the body is read and dropped before the refusal counts, with a limit of silence and none of time. Change: 0.5 s; the head has said everything.

--- a/crates/micaspool-router/src/endpoint.rs
+++ b/crates/micaspool-router/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! The client for endpoints.
 
 use crate::call::CallPlan;
+use async_std::future::timeout;
 use async_std::io::ReadExt;
 use async_trait::async_trait;
 use http_types::{Body, Method, Request, Response, Url};
@@ -19,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum number of bytes read from the body of a refusal.
 const MAX_REFUSAL_BYTES: u64 = 64 * 1024;
+/// How long reading the body of a refusal may take. Its head has said everything.
+const REFUSAL_BODY_TIME: Duration = Duration::from_millis(500);
 
 /// A request to an endpoint.
 #[derive(Debug)]
@@ -175,7 +178,8 @@
     }
     let rest = parsed.advice.rest;
     let mut discarded = Vec::new();
-    let _ = response.take_body().take(MAX_REFUSAL_BYTES).read_to_end(&mut discarded).await;
+    let mut body = response.take_body().take(MAX_REFUSAL_BYTES);
+    let _ = timeout(REFUSAL_BODY_TIME, body.read_to_end(&mut discarded)).await;
     Err(if is_draining {
         EndpointError::Draining { is_proved_not_run }
     } else {
