test(dispatch): a property of each step, no ticket beside a free engine that could begin it in time

No row checked it.

ShardCore::idle_engine and idle_engine_of_refused state the property; ShardHarness notes each break.

--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -32,8 +32,8 @@
 pub use queue_fill::QueueFill;
 pub use ranking::{rank_candidates, rank_distinct};
 pub use shard::{
-    CacheCopyStatus, CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus,
-    ShardCore, ShardStatus, SuspectStatus,
+    CacheCopyStatus, CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, IdleEngine,
+    PrefillStatus, ShardCore, ShardStatus, SuspectStatus,
 };
 pub use stream_origins::StreamOrigins;
 pub use throttle::RequestThrottle;
--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -44,6 +44,13 @@
     engine: EndpointIndex,
 }
 
+impl EngineScore {
+    /// True if no response is expected to lose value, and no first event is overdue.
+    fn is_sound(&self) -> bool {
+        !self.overdue && self.losses == 0
+    }
+}
+
 /// The engine chosen for a prompt.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ChosenEngine {
@@ -62,6 +69,8 @@
     score: EngineScore,
     /// See [`EngineState::expected_breaks`](super::engine::EngineState::expected_breaks).
     breaks: u64,
+    /// True if the first event is expected after it is due.
+    is_late: bool,
     chosen: ChosenEngine,
 }
 
@@ -114,6 +123,35 @@
         others.chain([best]).min_by_key(|candidate| candidate.score).map(|candidate| candidate.chosen)
     }
 
+    /// A free engine at which the first event of a prompt is expected in time and no stream breaks its pause.
+    pub fn free_engine_in_time(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        queued: impl Fn(EndpointIndex) -> WorkAhead,
+    ) -> Option<ChosenEngine> {
+        let sources = self.cache_sources(now, query);
+        let sets = self.free.iter().enumerate().filter(|(hall, _)| query.halls.contains(*hall));
+        let free = sets.flat_map(|(_, set)| set.iter().map(|(_, endpoint)| *endpoint));
+        let usable = free.filter(|index| !(query.is_excluded)(*index));
+        let mut candidates =
+            usable.filter_map(|index| self.candidate(now, query, &sources, queued(index), index));
+        candidates.find(|candidate| candidate.score.is_sound()).map(|candidate| candidate.chosen)
+    }
+
+    /// True if the first event of a prompt is expected in time at this engine behind the work queued there.
+    pub fn is_in_time(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        ahead: WorkAhead,
+        index: EndpointIndex,
+    ) -> bool {
+        let sources = self.cache_sources(now, query);
+        let candidate = self.candidate(now, query, &sources, ahead, index);
+        candidate.is_some_and(|candidate| !candidate.is_late)
+    }
+
     /// An endpoint as a candidate for a prompt, behind the work already queued for it; `None` if it is no engine.
     fn candidate(
         &self,
@@ -148,7 +186,7 @@
             prefill_tokens: work.prefill_tokens,
             unqueued_time: engine.unqueued_time_to_first_event(&unqueued),
         };
-        Some(Candidate { score, breaks, chosen })
+        Some(Candidate { score, breaks, is_late, chosen })
     }
 
     /// The initial prefill time per token of an engine without observations, in microseconds: the mean
--- a/crates/micaspool-dispatch/src/shard/customers.rs
+++ b/crates/micaspool-dispatch/src/shard/customers.rs
@@ -83,6 +83,11 @@
         &mut self.states[index.0 as usize]
     }
 
+    /// The index of the customer with this name, if it is known.
+    pub fn by_name(&self, name: &CustomerName) -> Option<CustomerIndex> {
+        self.names.get(name).copied()
+    }
+
     /// The index of the customer with this name. An unknown customer is added without halls, so its
     /// tickets wait until newer settings arrive.
     pub fn ensure(&mut self, name: &CustomerName) -> CustomerIndex {
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -1,6 +1,6 @@
 //! Grants: assigns free slots to waiting tickets, charges their cost and ends grants.
 
-use super::choice::{ChosenEngine, EngineQuery};
+use super::choice::ChosenEngine;
 use super::copy_link::PlannedCopy;
 use super::endpoints::EndpointIndex;
 use super::engine::{PromptShape, RunTiming};
@@ -16,6 +16,7 @@
 use crate::event::{CacheUpdate, FirstEventTime, GrantOutcome, SessionId};
 use micaspool_fair::{CustomerIndex, Rank};
 use micaspool_types::{Cost, HallLimit, Moment, OrderNumber, RequestDigest, RequestId, VersionLimit};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// How many tickets of a customer are considered when looking for one that can run on a free endpoint.
@@ -158,19 +159,9 @@
     fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<Placement> {
         let excluded = self.isolation_exclusions(now, ticket)?;
         let halls = self.halls_of(ticket);
-        let is_excluded = |endpoint| {
-            ticket.avoided(now) == Some(endpoint)
-                || !ticket.versions.allows(self.endpoints.version(endpoint))
-                || excluded.contains(&endpoint)
-                || self.is_blocked_for(now, ticket.router, endpoint)
-        };
+        let is_excluded = |endpoint| self.is_excluded_for(now, ticket, &excluded, endpoint);
         let before = |engine| self.engine_queues.ahead_of(engine, ticket.place.request);
-        let query = EngineQuery {
-            prompt: &ticket.prompt,
-            halls,
-            is_excluded: &is_excluded,
-            first_event_due: ticket.first_event_due,
-        };
+        let query = self.engine_query(ticket, &is_excluded);
         let soonest = self.endpoints.soonest_engine(now, &query, before);
         let is_free = |chosen: &ChosenEngine| self.endpoints.is_free(chosen.engine, halls);
         self.note_choice(ticket, soonest.filter(|chosen| !is_free(chosen)));
@@ -186,6 +177,21 @@
         Some(Placement { endpoint, copy: None })
     }
 
+    /// True if the endpoint must not get the ticket now. `isolated` are the endpoints where it would run beside
+    /// other suspected requests.
+    pub(super) fn is_excluded_for(
+        &self,
+        now: Moment,
+        ticket: &WaitingTicket,
+        isolated: &BTreeSet<EndpointIndex>,
+        endpoint: EndpointIndex,
+    ) -> bool {
+        ticket.avoided(now) == Some(endpoint)
+            || !ticket.versions.allows(self.endpoints.version(endpoint))
+            || isolated.contains(&endpoint)
+            || self.is_blocked_for(now, ticket.router, endpoint)
+    }
+
     /// Records which engine the ticket waits for, if any. Later tickets take it into account; otherwise
     /// all prompts with a common prefix would queue for the few engines that cache it.
     fn note_choice(&self, ticket: &WaitingTicket, chosen: Option<ChosenEngine>) {
--- a/crates/micaspool-dispatch/src/shard/mod.rs
+++ b/crates/micaspool-dispatch/src/shard/mod.rs
@@ -22,6 +22,7 @@
 mod grant_throughput;
 mod grants;
 mod holders;
+mod idle_engines;
 mod joining;
 mod kind_queues;
 mod level_floor;
@@ -50,6 +51,7 @@
 mod totals;
 
 pub use counters::CustomerCounters;
+pub use idle_engines::IdleEngine;
 pub use status::{
     CacheCopyStatus, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus, ShardStatus,
     SuspectStatus,
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -195,33 +195,49 @@
         ticket: RequestTicket,
         wait: WaitEstimate,
     ) {
+        let waiting = self.waiting_ticket(now, router, customer, &ticket);
+        self.note_order(waiting.place.order);
+        let waiting = WaitingTicket {
+            place: QueuePlace { kind: wait.kind, ..waiting.place },
+            expected_wait: wait.expected,
+            queue_fill: wait.queue_fill,
+            refuse_at: wait.max_wait.map(|max_wait| now + max_wait),
+            ..waiting
+        };
+        self.insert_waiting(now, ticket.request, waiting);
+    }
+
+    /// A ticket as it would wait, before its wait is estimated.
+    pub(super) fn waiting_ticket(
+        &self,
+        now: Moment,
+        router: RouterIndex,
+        customer: CustomerIndex,
+        ticket: &RequestTicket,
+    ) -> WaitingTicket {
         let order = ticket.order.unwrap_or(self.next_order);
-        self.note_order(order);
         let is_bound = ticket.versions != VersionLimit::Any;
         let priority = if is_bound { BOUND_PRIORITY } else { ticket.priority };
-        let place = QueuePlace { priority, order, request: ticket.request, kind: wait.kind };
-        let prompt = PromptShape::of(&ticket);
-        let avoid = ticket.avoid.and_then(|name| self.endpoints.by_name(&name));
-        let waiting = WaitingTicket {
+        let avoid = ticket.avoid.as_ref().and_then(|name| self.endpoints.by_name(name));
+        WaitingTicket {
             customer,
             router,
             digest: ticket.digest,
             hint: ticket.hint,
-            place,
+            place: QueuePlace { priority, order, request: ticket.request, kind: TicketKind::SINGLE },
             since: now,
             avoid: avoid.map(|endpoint| Avoidance { endpoint, until: now + AVOIDANCE_PERIOD }),
             objective: ticket.objective,
-            expected_wait: wait.expected,
-            queue_fill: wait.queue_fill,
+            expected_wait: Duration::ZERO,
+            queue_fill: None,
             first_event_due: ticket.objective.map(|objective| now + objective),
-            refuse_at: wait.max_wait.map(|max_wait| now + max_wait),
+            refuse_at: None,
             caller_leaves_at: ticket.patience.map(|patience| now + patience),
-            prompt,
-            halls: ticket.halls,
-            versions: ticket.versions,
+            prompt: PromptShape::of(ticket),
+            halls: ticket.halls.clone(),
+            versions: ticket.versions.clone(),
             waits_for: Cell::new(None),
-        };
-        self.insert_waiting(now, ticket.request, waiting);
+        }
     }
 
     /// The kind whose queue takes a ticket of this kind. Without engines all tickets of a customer are of one
--- a/crates/micaspool-dispatch/tests/shard/harness.rs
+++ b/crates/micaspool-dispatch/tests/shard/harness.rs
@@ -2,14 +2,15 @@
 
 use micaspool_dispatch::{
     ColdStartLimits, EndpointSpec, EngineTraits, GenerationOutline, GrantOutcome, HeldGrant, HeldLevel,
-    LoadReport, RefusalReason, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore, ShardCustomer,
-    ShardEvent, ShardOptions, ShardPolicy,
+    IdleEngine, LoadReport, RefusalReason, RequestTicket, RouterHello, SessionId, ShardAction, ShardCore,
+    ShardCustomer, ShardEvent, ShardOptions, ShardPolicy,
 };
 use micaspool_fair::ServiceLevel;
 use micaspool_types::{
     Cost, CustomerName, EndpointName, HallLimit, HallMask, HallName, Incarnation, InstanceName, Moment,
     OrderNumber, RequestId, Revision, SoftwareVersion, VersionLimit, Weight,
 };
+use std::collections::HashMap;
 use std::time::Duration;
 
 pub const ALL_HALLS: u32 = 0b111;
@@ -91,11 +92,25 @@
 }
 
 /// A shard core, the actions that it has returned and the current time that is passed to it.
+#[derive(Debug)]
 pub struct ShardHarness {
     pub now: Moment,
     pub core: ShardCore,
     pub actions: Vec<ShardAction>,
     pub policy: ShardPolicy,
+    /// The tickets that were refused or left waiting beside an engine that could have begun them in time.
+    pub idle_engines: Vec<IdleMoment>,
+    /// The tickets submitted so far.
+    submitted: HashMap<RequestId, (SessionId, RequestTicket)>,
+}
+
+/// A ticket beside an engine that could have begun it in time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct IdleMoment {
+    pub at: Moment,
+    /// How long the ticket had waited when it was refused; `None` if it is left waiting.
+    pub refused_after: Option<Duration>,
+    pub found: IdleEngine,
 }
 
 impl ShardHarness {
@@ -142,15 +157,57 @@
             customers: named.collect(),
         };
         let core = ShardCore::new(now, options);
-        let mut harness = ShardHarness { now, core, actions: Vec::new(), policy: policy.clone() };
+        let mut harness = ShardHarness {
+            now,
+            core,
+            actions: Vec::new(),
+            policy: policy.clone(),
+            idle_engines: Vec::new(),
+            submitted: HashMap::new(),
+        };
         harness.step(ShardEvent::Policy(policy));
         harness
     }
 
-    /// Feeds one event to the core and asserts that no eligible ticket waits beside a free slot.
+    /// Feeds one event to the core and asserts that no eligible ticket waits beside a free slot. Notes
+    /// the tickets that break the property of `idle_engines`.
     pub fn step(&mut self, event: ShardEvent) {
+        if let ShardEvent::Submit(session, ticket) = &event {
+            self.submitted.insert(ticket.request, (*session, ticket.clone()));
+        }
+        let known = self.actions.len();
         self.core.step(self.now, event, &mut self.actions);
         assert!(!self.core.has_idle_slot(self.now), "an eligible ticket waits beside a free slot");
+        self.note_idle_engines(known);
+    }
+
+    /// Notes the tickets refused or left waiting beside an engine that could have begun them in time. The
+    /// actions from `known` on are those of the current step.
+    fn note_idle_engines(&mut self, known: usize) {
+        let refused = self.actions[known..].iter().filter_map(|action| match action {
+            ShardAction::Refuse { request, reason: RefusalReason::Overdue, objective, waited, .. } => {
+                let (session, ticket) = self.submitted.get(request)?;
+                let remaining = objective.map(|objective| objective.saturating_sub(*waited));
+                let found = self.core.idle_engine_of_refused(self.now, *session, ticket, remaining)?;
+                Some(IdleMoment { at: self.now, refused_after: Some(*waited), found })
+            }
+            _ => None,
+        });
+        let waiting = self.core.idle_engine(self.now);
+        let waiting = waiting.map(|found| IdleMoment { at: self.now, refused_after: None, found });
+        let noted: Vec<IdleMoment> = refused.chain(waiting).collect();
+        self.idle_engines.extend(noted);
+    }
+
+    /// Asserts that no ticket was refused or left waiting beside an engine that could have begun it in time.
+    pub fn assert_no_idle_engine(&self) {
+        let refused = self.idle_engines.iter().filter(|moment| moment.refused_after.is_some()).count();
+        let waiting = self.idle_engines.len() - refused;
+        let first = self.idle_engines.first();
+        assert!(
+            first.is_none(),
+            "{refused} refused and {waiting} left waiting beside a free engine, first {first:?}"
+        );
     }
 
     /// Changes the policy and applies it as a new revision.
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -19,6 +19,7 @@
 mod harness;
 mod herding;
 mod kinds;
+mod large_site;
 mod late_reports;
 mod limits;
 mod objectives;
--- a/crates/micaspool-dispatch/tests/shard/scarcity/fleet.rs
+++ b/crates/micaspool-dispatch/tests/shard/scarcity/fleet.rs
@@ -122,7 +122,12 @@
         fleet
     }
 
-    pub fn play(mut self) -> ShareRecord {
+    pub fn play(self) -> ShareRecord {
+        self.play_with_harness().0
+    }
+
+    /// Plays the run and returns the harness, too.
+    pub fn play_with_harness(mut self) -> (ShareRecord, ShardHarness) {
         while self.now < self.plan.length {
             let ((at, _), step) = self.due.pop_first().expect("a tick is always scheduled");
             self.wake_until(at);
@@ -130,7 +135,7 @@
             self.run_step(step);
             self.take_actions();
         }
-        self.record
+        (self.record, self.harness)
     }
 
     fn schedule(&mut self, at: Duration, step: Step) {
