fix(dispatch): tickets that wait by choice take no place of those that could run

Cause: the first 16 tickets of a customer were looked at. Those that wait by choice for a busy engine used these places up, so that nobody behind them was considered for a free engine, however many were free. What was not granted lowered the customer's recent rate, by which the next tickets were refused.

Change: only tickets that find neither a free engine nor one to wait for count towards the 16. A ticket still chooses once a pass.

--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -19,8 +19,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// How many tickets of a customer are considered when looking for one that can run on a free endpoint.
-/// The first ones may be waiting for a busy engine that caches parts of their prompts.
+/// How many tickets of a customer are considered when looking for one that can run on a free endpoint,
+/// besides those that wait for a busy engine that caches parts of their prompts.
 const LOOK_AHEAD: usize = 16;
 
 /// Interval between passes over all tickets, including those that wait for a busy engine. A pass runs
@@ -105,7 +105,7 @@
             return;
         }
         let Some(ticket) = self.waiting.get(&request) else { return };
-        if !self.candidate_tickets(now, ticket.customer).any(|id| *id == request) {
+        if !self.candidate_tickets(now, ticket.customer).take(LOOK_AHEAD).any(|(id, _)| id == request) {
             return;
         }
         if let Some(placement) = self.choose_endpoint(now, ticket) {
@@ -122,28 +122,38 @@
         self.index.find(free, |customer| self.choose_ticket(now, customer))
     }
 
-    /// The first tickets of a customer that are considered for a free endpoint. Tickets of disconnected
-    /// routers are skipped without being counted: they stay queued until the lease ends and would block
-    /// the customer's other tickets. The same holds for routers that all usable endpoints have asked to
-    /// rest.
-    fn candidate_tickets(&self, now: Moment, customer: CustomerIndex) -> impl Iterator<Item = &RequestId> {
+    /// The tickets of a customer that are considered for a free endpoint, in the order of service. Tickets of
+    /// disconnected routers are skipped: they stay queued until the lease ends and would block the customer's other
+    /// tickets. The same holds for routers that all usable endpoints have asked to rest, and for tickets that
+    /// wait by choice.
+    fn candidate_tickets(
+        &self,
+        now: Moment,
+        customer: CustomerIndex,
+    ) -> impl Iterator<Item = (RequestId, &WaitingTicket)> {
         let queue = self.customers.get(customer).queue.in_service_order();
-        let usable = queue.filter(move |request| {
-            let ticket = &self.waiting[*request];
-            self.routers.session(ticket.router).is_some() && !self.is_resting(now, ticket)
-        });
-        usable.take(LOOK_AHEAD)
+        let tickets = queue.map(|request| (*request, &self.waiting[request]));
+        tickets.filter(move |(_, ticket)| {
+            !self.awaits_busy_engine(ticket)
+                && self.routers.session(ticket.router).is_some()
+                && !self.is_resting(now, ticket)
+        })
     }
 
+    /// The first ticket of the customer that can run now, and where. Each ticket chooses once a pass. Of those that find
+    /// no engine to wait for either, [`LOOK_AHEAD`] are looked at.
     fn choose_ticket(&self, now: Moment, customer: CustomerIndex) -> Option<(RequestId, Placement)> {
-        self.candidate_tickets(now, customer).find_map(|request| {
-            let ticket = &self.waiting[request];
-            if self.awaits_busy_engine(ticket) {
+        let mut unplaced = 0;
+        for (request, ticket) in self.candidate_tickets(now, customer) {
+            if let Some(placement) = self.choose_endpoint(now, ticket) {
+                return Some((request, placement));
+            }
+            unplaced += usize::from(!self.awaits_busy_engine(ticket));
+            if unplaced == LOOK_AHEAD {
                 return None;
             }
-            let placement = self.choose_endpoint(now, ticket)?;
-            Some((*request, placement))
-        })
+        }
+        None
     }
 
     /// True while the engine that the ticket chose in the current pass is still busy. Choosing again
