--- a/crates/micaspool-dispatch/src/lib.rs
+++ b/crates/micaspool-dispatch/src/lib.rs
@@ -36,8 +36,8 @@
 pub use ranking::{rank_candidates, rank_distinct};
 pub use session_watch::{SessionWatch, WatchOptions, WatchStep};
 pub use shard::{
-    CacheCopyStatus, CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, PrefillStatus,
-    ShardCore, ShardStatus, SuspectStatus,
+    CacheCopyStatus, CustomerCounters, CustomerStatus, EndpointClosure, EndpointStatus, IdleEngine,
+    PrefillStatus, ShardCore, ShardStatus, SuspectStatus,
 };
 pub use stream_origins::StreamOrigins;
 pub use throttle::RequestThrottle;
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -1,6 +1,6 @@
 //! Grants: assigns free slots to waiting tickets, charges their cost and ends grants.
 
-use super::choice::{ChosenEngine, EngineQuery};
+use super::choice::ChosenEngine;
 use super::copy_link::PlannedCopy;
 use super::endpoints::EndpointIndex;
 use super::engine::{PromptShape, RunTiming};
@@ -16,10 +16,11 @@
 use crate::event::{CacheUpdate, FirstEventTime, GrantOutcome, SessionId};
 use micaspool_fair::{CustomerIndex, Rank};
 use micaspool_types::{Cost, HallLimit, Moment, OrderNumber, RequestDigest, RequestId, VersionLimit};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// How many tickets of a customer are considered when looking for one that can run on a free endpoint.
-/// The first ones may be waiting for a busy engine that caches parts of their prompts.
+/// How many tickets of a customer are considered when looking for one that can run on a free endpoint,
+/// besides those that wait for a busy engine that caches parts of their prompts.
 const LOOK_AHEAD: usize = 16;
 
 /// Interval between passes over all tickets, including those that wait for a busy engine. A pass runs
@@ -104,7 +105,7 @@
             return;
         }
         let Some(ticket) = self.waiting.get(&request) else { return };
-        if !self.candidate_tickets(now, ticket.customer).any(|id| *id == request) {
+        if !self.candidate_tickets(now, ticket.customer).take(LOOK_AHEAD).any(|(id, _)| id == request) {
             return;
         }
         if let Some(placement) = self.choose_endpoint(now, ticket) {
@@ -121,28 +122,38 @@
         self.index.find(free, |customer| self.choose_ticket(now, customer))
     }
 
-    /// The first tickets of a customer that are considered for a free endpoint. Tickets of disconnected
-    /// routers are skipped without being counted: they stay queued until the lease ends and would block
-    /// the customer's other tickets. The same holds for routers that all usable endpoints have asked to
-    /// rest.
-    fn candidate_tickets(&self, now: Moment, customer: CustomerIndex) -> impl Iterator<Item = &RequestId> {
+    /// The tickets of a customer that are considered for a free endpoint, in the order of service. Tickets of
+    /// disconnected routers are skipped: they stay queued until the lease ends and would block the customer's other
+    /// tickets. The same holds for routers that all usable endpoints have asked to rest, and for tickets that
+    /// wait by choice.
+    fn candidate_tickets(
+        &self,
+        now: Moment,
+        customer: CustomerIndex,
+    ) -> impl Iterator<Item = (RequestId, &WaitingTicket)> {
         let queue = self.customers.get(customer).queue.in_service_order();
-        let usable = queue.filter(move |request| {
-            let ticket = &self.waiting[*request];
-            self.routers.session(ticket.router).is_some() && !self.is_resting(now, ticket)
-        });
-        usable.take(LOOK_AHEAD)
+        let tickets = queue.map(|request| (*request, &self.waiting[request]));
+        tickets.filter(move |(_, ticket)| {
+            !self.awaits_busy_engine(ticket)
+                && self.routers.session(ticket.router).is_some()
+                && !self.is_resting(now, ticket)
+        })
     }
 
+    /// The first ticket of the customer that can run now, and where. Each ticket chooses once a pass. Of those that find
+    /// no engine to wait for either, [`LOOK_AHEAD`] are looked at.
     fn choose_ticket(&self, now: Moment, customer: CustomerIndex) -> Option<(RequestId, Placement)> {
-        self.candidate_tickets(now, customer).find_map(|request| {
-            let ticket = &self.waiting[request];
-            if self.awaits_busy_engine(ticket) {
+        let mut unplaced = 0;
+        for (request, ticket) in self.candidate_tickets(now, customer) {
+            if let Some(placement) = self.choose_endpoint(now, ticket) {
+                return Some((request, placement));
+            }
+            unplaced += usize::from(!self.awaits_busy_engine(ticket));
+            if unplaced == LOOK_AHEAD {
                 return None;
             }
-            let placement = self.choose_endpoint(now, ticket)?;
-            Some((*request, placement))
-        })
+        }
+        None
     }
 
     /// True while the engine that the ticket chose in the current pass is still busy. Choosing again
@@ -158,19 +169,9 @@
     fn choose_endpoint(&self, now: Moment, ticket: &WaitingTicket) -> Option<Placement> {
         let excluded = self.isolation_exclusions(now, ticket)?;
         let halls = self.halls_of(ticket);
-        let is_excluded = |endpoint| {
-            ticket.avoided(now) == Some(endpoint)
-                || !ticket.versions.allows(self.endpoints.version(endpoint))
-                || excluded.contains(&endpoint)
-                || self.is_blocked_for(now, ticket.router, endpoint)
-        };
+        let is_excluded = |endpoint| self.is_excluded_for(now, ticket, &excluded, endpoint);
         let before = |engine| self.engine_queues.ahead_of(engine, ticket.place.request);
-        let query = EngineQuery {
-            prompt: &ticket.prompt,
-            halls,
-            is_excluded: &is_excluded,
-            first_event_due: ticket.first_event_due,
-        };
+        let query = self.engine_query(ticket, &is_excluded);
         let soonest = self.endpoints.soonest_engine(now, &query, before);
         let is_free = |chosen: &ChosenEngine| self.endpoints.is_free(chosen.engine, halls);
         self.note_choice(ticket, soonest.filter(|chosen| !is_free(chosen)));
@@ -186,6 +187,21 @@
         Some(Placement { endpoint, copy: None })
     }
 
+    /// True if the endpoint must not get the ticket now. `isolated` are the endpoints where it would run beside
+    /// other suspected requests.
+    pub(super) fn is_excluded_for(
+        &self,
+        now: Moment,
+        ticket: &WaitingTicket,
+        isolated: &BTreeSet<EndpointIndex>,
+        endpoint: EndpointIndex,
+    ) -> bool {
+        ticket.avoided(now) == Some(endpoint)
+            || !ticket.versions.allows(self.endpoints.version(endpoint))
+            || isolated.contains(&endpoint)
+            || self.is_blocked_for(now, ticket.router, endpoint)
+    }
+
     /// Records which engine the ticket waits for, if any. Later tickets take it into account; otherwise
     /// all prompts with a common prefix would queue for the few engines that cache it.
     fn note_choice(&self, ticket: &WaitingTicket, chosen: Option<ChosenEngine>) {
--- a/crates/micaspool-dispatch/tests/shard/main.rs
+++ b/crates/micaspool-dispatch/tests/shard/main.rs
@@ -20,6 +20,7 @@
 mod herding;
 mod kinds;
 mod late_dispatchers;
+mod large_site;
 mod late_reports;
 mod limits;
 mod objectives;
