--- a/crates/micaspool-dispatch/tests/shard/late_dispatchers.rs
+++ b/crates/micaspool-dispatch/tests/shard/late_dispatchers.rs
@@ -82,7 +82,7 @@
     fn hear(&mut self, now: Moment) {
         let (arrived, under_way) = self.replies.iter().partition(|(at, _)| *at <= now);
         self.replies = under_way;
-        let arrived: Vec<(Moment, ReplyKind)> = arrived;
+        let arrived: VecDeque<(Moment, ReplyKind)> = arrived;
         for (_, kind) in arrived {
             self.unanswered -= u32::from(kind == ReplyKind::Answer);
             self.watch.note_message(now, self.unanswered > 0);
