--- a/crates/micaspool-dispatch/tests/shard/late_dispatchers.rs
+++ b/crates/micaspool-dispatch/tests/shard/late_dispatchers.rs
@@ -110,7 +110,7 @@
     /// Queues a reply, unless the dispatcher has lost power before it is sent.
     fn expect(&mut self, now: Moment, delay: Duration, kind: ReplyKind, dispatcher: &DispatcherState) {
         let at = now + delay;
-        if dispatcher.dark_at.map_or(true, |dark_at| at < dark_at) {
+        if dispatcher.dark_at.is_none_or(|dark_at| at < dark_at) {
             self.replies.push_back((at, kind));
         }
     }
