--- a/crates/micaspool-dispatcher/benches/driver.rs
+++ b/crates/micaspool-dispatcher/benches/driver.rs
@@ -4,15 +4,16 @@
 //! Run with `cargo bench -p micaspool-dispatcher --bench driver`. Routers in the same process answer each grant at once, so
 //! the result includes their messages, but neither connections nor the encoding of messages.
 
-use async_std::channel::{unbounded, Receiver, Sender};
+use async_std::channel::{unbounded, Sender};
 use async_std::task;
 use async_trait::async_trait;
 use futures::future::join_all;
+use futures::StreamExt;
 use micaspool_client::{FleetMirror, FleetMirrorOptions, KeeperClient, PeerDirectory, StaticDirectory};
 use micaspool_dispatch::{GenerationOutline, GrantOutcome, RequestTicket};
 use micaspool_dispatcher::{
     CacheSnapshot, EndpointProbe, FleetDispatcher, FleetDispatcherOptions, ProbeAnswer, ProbedEndpoint,
-    PUBLIC_CUSTOMER,
+    SessionReplies, PUBLIC_CUSTOMER,
 };
 use micaspool_keeper::{start_keeper, KeeperDaemon, KeeperOptions};
 use micaspool_registry::{EndpointRecord, EndpointStage};
@@ -27,7 +28,7 @@
 use micaspool_wire::convert::{request_id, settle_message, submit_message};
 use micaspool_wire::v1::dispatcher_message::Body as Reply;
 use micaspool_wire::v1::router_message::Body;
-use micaspool_wire::v1::{self, DispatcherMessage, PublishRequest, RouterMessage};
+use micaspool_wire::v1::{self, PublishRequest, RouterMessage};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -119,7 +120,7 @@
 struct BenchRouter {
     number: u64,
     messages: Sender<RouterMessage>,
-    replies: Receiver<Result<DispatcherMessage, tonic::Status>>,
+    replies: SessionReplies,
     submitted: u64,
 }
 
@@ -175,7 +176,7 @@
         }
         let (mut ended, mut refused) = (0, 0);
         while ended < requests {
-            let reply = self.replies.recv().await.expect("the session lasts").expect("the shard runs");
+            let reply = self.replies.next().await.expect("the session lasts").expect("the shard runs");
             match reply.body {
                 Some(Reply::Grant(grant)) => {
                     let request = request_id(&grant.request).expect("an id");
