fix(dispatch): no ticket is refused as overdue while a free engine could begin it in time

Cause: a refusal followed from the customer's queue and its recent grants alone. Neither knows of free engines, and what is refused lowers the grants further.

Change: before a ticket is refused as overdue, on arrival or after a wait, the free engines that keep its parts and the least loaded ones are compared. If one is expected to begin it in time and breaks no pause, the ticket is granted there. Tickets that are owed more were offered that engine in earlier steps. The retry budget and the limits of waiting tickets hold as before.

--- a/crates/micaspool-dispatch/src/shard/choice.rs
+++ b/crates/micaspool-dispatch/src/shard/choice.rs
@@ -139,6 +139,23 @@
         candidates.find(|candidate| candidate.score.is_sound()).map(|candidate| candidate.chosen)
     }
 
+    /// The free engine with the lowest expected delay for a prompt, among those where it is expected in time and
+    /// breaks no pause. Free engines that cache part of it and the least loaded ones are compared.
+    pub fn soonest_free_in_time(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        queued: impl Fn(EndpointIndex) -> WorkAhead,
+    ) -> Option<ChosenEngine> {
+        let sources = self.cache_sources(now, query);
+        let holders = self.holders_of(query).filter(|index| self.state(*index).is_free());
+        let engines = holders.chain(self.least_loaded_few(query));
+        let candidates =
+            engines.filter_map(|index| self.candidate(now, query, &sources, queued(index), index));
+        let sound = candidates.filter(|candidate| candidate.score.is_sound());
+        sound.min_by_key(|candidate| candidate.score).map(|candidate| candidate.chosen)
+    }
+
     /// True if the first event of a prompt is expected in time at this engine behind the work queued there.
     pub fn is_in_time(
         &self,
--- a/crates/micaspool-dispatch/src/shard/grants.rs
+++ b/crates/micaspool-dispatch/src/shard/grants.rs
@@ -187,6 +187,36 @@
         Some(Placement { endpoint, copy: None })
     }
 
+    /// Grants a waiting ticket that would be refused to a free engine that can begin it in time. No ticket that is owed more waits
+    /// for that engine, since each step grants those first. Returns false if there is none.
+    pub(super) fn grant_instead_of_refusal(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        actions: &mut Vec<ShardAction>,
+    ) -> bool {
+        let placement = self.waiting.get(&request).and_then(|ticket| self.free_placement(now, ticket));
+        placement.is_some_and(|placement| {
+            self.grant(now, request, placement, actions);
+            true
+        })
+    }
+
+    /// The free engine that could begin the ticket in time soonest, if any.
+    pub(super) fn free_placement(&self, now: Moment, ticket: &WaitingTicket) -> Option<Placement> {
+        let is_free_in = !self.endpoints.free_halls().intersect(self.halls_of(ticket)).is_empty();
+        if !is_free_in || self.recovering_until.is_some() || self.is_resting(now, ticket) {
+            return None;
+        }
+        self.routers.session(ticket.router)?;
+        let excluded = self.isolation_exclusions(now, ticket)?;
+        let is_excluded = |endpoint| self.is_excluded_for(now, ticket, &excluded, endpoint);
+        let query = self.engine_query(ticket, &is_excluded);
+        let before = |engine| self.engine_queues.ahead_of(engine, ticket.place.request);
+        let chosen = self.endpoints.soonest_free_in_time(now, &query, before)?;
+        Some(Placement { endpoint: chosen.engine, copy: chosen.copy })
+    }
+
     /// True if the endpoint must not get the ticket now. `isolated` are the endpoints where it would run beside
     /// other suspected requests.
     pub(super) fn is_excluded_for(
--- a/crates/micaspool-dispatch/src/shard/overdue.rs
+++ b/crates/micaspool-dispatch/src/shard/overdue.rs
@@ -156,6 +156,9 @@
     }
 
     fn refuse_overdue_ticket(&mut self, now: Moment, request: RequestId, actions: &mut Vec<ShardAction>) {
+        if self.grant_instead_of_refusal(now, request, actions) {
+            return;
+        }
         let Some(ticket) = self.waiting.get(&request) else { return };
         self.customers.get_mut(ticket.customer).refused_at = Some(now);
         self.refuse_for(now, request, RefusalCause::of(RefusalReason::Overdue), actions);
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -116,7 +116,10 @@
         let versions = self.resolve_versions(ticket.versions);
         let ticket = RequestTicket { objective, versions, ..ticket };
         let wait = self.wait_estimate(now, customer, &ticket, kind, is_first_attempt);
-        if let Some(reason) = self.reason_to_refuse(now, customer, &ticket, wait) {
+        let exceeds_bound = self.exceeds_wait_bound(customer, &ticket, wait);
+        let begins_now = exceeds_bound && self.can_begin_now(now, router, customer, &ticket);
+        let is_overdue = exceeds_bound && !begins_now;
+        if let Some(reason) = self.reason_to_refuse(now, customer, &ticket, is_overdue) {
             self.first_attempts.note_refused(now);
             self.customers.get_mut(customer).counters.note_refusal(Duration::ZERO);
             actions.push(ShardAction::Refuse {
@@ -137,6 +140,9 @@
         }
         self.enqueue(now, router, customer, ticket, wait);
         self.refuse_resting_ticket(now, request, actions);
+        if begins_now {
+            self.grant_instead_of_refusal(now, request, actions);
+        }
         self.grant_new(now, request, actions);
         if let Some(ticket) = self.waiting.get(&request) {
             let (order, queue_fill) = (ticket.place.order, ticket.queue_fill);
@@ -144,6 +150,18 @@
         }
     }
 
+    /// True if a free engine could begin a new ticket in time.
+    fn can_begin_now(
+        &self,
+        now: Moment,
+        router: RouterIndex,
+        customer: CustomerIndex,
+        ticket: &RequestTicket,
+    ) -> bool {
+        let waiting = self.waiting_ticket(now, router, customer, ticket);
+        self.free_placement(now, &waiting).is_some()
+    }
+
     /// How long ago the caller made its first attempt. The objective is reduced by this age because the
     /// caller wants a response within the objective of its first attempt. Otherwise retrying callers
     /// would displace others and still be late.
@@ -161,7 +179,7 @@
         now: Moment,
         customer: CustomerIndex,
         ticket: &RequestTicket,
-        wait: WaitEstimate,
+        is_overdue: bool,
     ) -> Option<RefusalReason> {
         let halls = self.allowed_halls(customer, &ticket.halls);
         if let Some(reason) = self.placement_refusal(halls, &ticket.halls, &ticket.versions) {
@@ -177,7 +195,7 @@
         if state.queue.len() >= state.max_waiting as usize {
             return Some(RefusalReason::CustomerFull);
         }
-        if self.exceeds_wait_bound(customer, ticket, wait) {
+        if is_overdue {
             self.customers.get_mut(customer).refused_at = Some(now);
             return Some(RefusalReason::Overdue);
         }
