feat(gateway): tell how late a gateway's tasks run, and what it used its processor for

MP1618 has the lateness of each span of 2 s in which it is 10 ms or more in the mean, with the processor time of the process, answers, refusals and connections closed unread; micaspool_gateway_lag_seconds has it always. Without it a gateway that is out of processor time could not be told from one at its limit of connections, nor from a late shard.

--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod dialect;
 mod dispatchers;
 mod events;
+mod lateness;
 mod memory_watch;
 mod metrics;
 mod native;
--- a/crates/micaspool-gateway/src/metrics.rs
+++ b/crates/micaspool-gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     /// Answers that were passed on completely.
     pub answered: Counter,
     refused: Family<KindLabel, Counter>,
+    /// Refusals of all kinds; not exported.
+    refused_total: Counter,
     failures: Family<KindLabel, Counter>,
     cut: Family<KindLabel, Counter>,
     /// Requests whose caller disconnected before the end.
@@ -49,6 +51,8 @@
     pub first_byte_seconds: Histogram,
     /// Seconds from the arrival of a request to the end of its answer.
     pub total_seconds: Histogram,
+    /// Seconds by which tasks run late.
+    pub lag_seconds: Histogram,
     /// Connections to endpoints opened so far.
     pub connections_opened: Gauge,
     /// Open connections of callers.
@@ -77,6 +81,7 @@
         let metrics = GatewayMetrics {
             answered: Counter::default(),
             refused: Family::default(),
+            refused_total: Counter::default(),
             failures: Family::default(),
             cut: Family::default(),
             callers_left: Counter::default(),
@@ -85,6 +90,7 @@
             wait_seconds: histogram(),
             first_byte_seconds: histogram(),
             total_seconds: histogram(),
+            lag_seconds: histogram(),
             connections_opened: Gauge::default(),
             callers_open: Gauge::default(),
             plan_number: Gauge::default(),
@@ -123,6 +129,8 @@
         );
         let total_help = "Seconds from arrival to the end of the answer";
         registry.register("micaspool_gateway_total_seconds", total_help, self.total_seconds.clone());
+        let lag_help = "Seconds by which tasks run late";
+        registry.register("micaspool_gateway_lag_seconds", lag_help, self.lag_seconds.clone());
         let opened_help = "Connections to endpoints opened so far";
         registry.register("micaspool_gateway_opened", opened_help, self.connections_opened.clone());
         registry.register("micaspool_gateway_callers", "Open connections", self.callers_open.clone());
@@ -163,9 +171,15 @@
 
     /// Counts a refusal.
     pub fn count_refusal(&self, kind: &'static str) {
+        self.refused_total.inc();
         self.refused.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Returns the number of refusals of all kinds so far.
+    pub fn refusals(&self) -> u64 {
+        self.refused_total.get()
+    }
+
     /// Counts a failed send.
     pub fn count_failure(&self, kind: &'static str) {
         self.failures.get_or_create(&KindLabel { kind }).inc();
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::dialect::{CallerHead, GatewayDialect};
 use crate::dispatchers::FleetDispatchers;
+use crate::lateness::LatenessWatch;
 use crate::metrics::GatewayMetrics;
 use crate::open_calls::{OpenCall, OpenCalls};
 use crate::request_log::RequestLog;
@@ -100,6 +101,7 @@
     dispatchers: Arc<FleetDispatchers>,
     shards: Mutex<HashMap<ServiceName, Arc<ShardClient>>>,
     calls: Arc<OpenCalls>,
+    lateness: LatenessWatch,
 }
 
 /// A request whose body has been read.
@@ -124,6 +126,7 @@
         ));
         Gateway {
             shared: Arc::new(GatewayShared {
+                lateness: LatenessWatch::new(parts.metrics.clone()),
                 parts,
                 dispatchers,
                 shards: Mutex::default(),
@@ -309,8 +312,13 @@
         self.shared.parts.dialect.refuse(label.as_deref(), &Refusal::unknown(RefusalKind::InternalError))
     }
 
+    fn record_lag(&self, lag: Duration) {
+        self.shared.lateness.observe(lag);
+    }
+
     fn record_closed(&self, connections: usize) {
         if connections > 0 {
+            self.shared.lateness.count_closed(connections);
             record(&events::CALLERS_CLOSED, &[field("connections", connections)]);
         }
     }
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -99,6 +99,9 @@
     /// may be refused at a time, or those that were not selected while the server is overloaded.
     fn record_closed(&self, _connections: usize) {}
 
+    /// Called regularly by a server that sheds load, with how late its tasks run.
+    fn record_lag(&self, _lag: Duration) {}
+
     /// Called when a connection has ended with an error before the response to its call was written. The handler's future,
     /// or the body that is being sent, is dropped after it.
     fn record_cut(&self, _call: CutCall) {}
@@ -265,6 +268,7 @@
         let lag = BootInstant::now().saturating_duration_since(due);
         let micros = u64::try_from(lag.as_micros()).unwrap_or(u64::MAX);
         shared.lag_micros.store(micros, Ordering::Relaxed);
+        shared.handler.record_lag(lag);
     }
 }
 
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -211,6 +211,8 @@
 pub const MEMORY_FREE: EventKind = kind("MP1616", Level::Info, "memory no longer tight");
 /// A caller's connection ended with an error while a call was open on it.
 pub const CALL_CUT: EventKind = kind("MP1617", Level::Info, "call cut with its connection");
+/// The tasks of a gateway run late.
+pub const GATEWAY_LATE: EventKind = kind("MP1618", Level::Info, "gateway late");
 
 /// All events.
 pub const CATALOGUE: &[EventKind] = &[
@@ -293,4 +295,5 @@
     MEMORY_TIGHT,
     MEMORY_FREE,
     CALL_CUT,
+    GATEWAY_LATE,
 ];
