--- a/crates/micaspool-gateway/src/lib.rs
+++ b/crates/micaspool-gateway/src/lib.rs
@@ -13,7 +13,6 @@
 mod dialect;
 mod dispatchers;
 mod events;
-mod intake;
 mod lateness;
 mod memory_watch;
 mod metrics;
@@ -31,7 +30,6 @@
     GatewayDialect, NotRunReason, PromptOutline, PromptPart,
 };
 pub use events::{EventScanner, EventSplitter, SplitChunk};
-pub use intake::IntakeControl;
 pub use metrics::GatewayMetrics;
 pub use native::NativeDialect;
 pub use open_calls::{OpenCall, OpenCalls};
--- a/crates/micaspool-gateway/src/metrics.rs
+++ b/crates/micaspool-gateway/src/metrics.rs
@@ -14,7 +14,7 @@
 /// before, up to about 16 s.
 const FIRST_BUCKET: f64 = 0.002;
 const BUCKET_COUNT: u16 = 14;
-/// The maximum number of log lines for throttled requests per second, and of those that a late gateway refuses.
+/// The maximum number of log lines for throttled requests per second.
 const MAX_THROTTLED_LINES: u32 = 20;
 /// The maximum number of log lines for calls that were cut with their connections per second.
 const MAX_CUT_LINES: u32 = 20;
@@ -70,8 +70,6 @@
     memory: Family<MemoryLabel, Gauge>,
     /// Limits the log lines for throttled requests, of which a flood produces hundreds.
     pub throttled_log_limit: Arc<LineLimit>,
-    /// Limits the log lines for requests that are refused because tasks run late.
-    pub late_log_limit: Arc<LineLimit>,
     /// Limits the log lines for calls that were cut with their connections.
     pub cut_log_limit: Arc<LineLimit>,
 }
@@ -102,7 +100,6 @@
             callers_idle: Gauge::default(),
             memory: Family::default(),
             throttled_log_limit: Arc::new(LineLimit::new(MAX_THROTTLED_LINES)),
-            late_log_limit: Arc::new(LineLimit::new(MAX_THROTTLED_LINES)),
             cut_log_limit: Arc::new(LineLimit::new(MAX_CUT_LINES)),
         };
         metrics.register_counters(registry);
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -8,7 +8,6 @@
 
 use crate::dialect::{CallerHead, GatewayDialect};
 use crate::dispatchers::FleetDispatchers;
-use crate::intake::IntakeControl;
 use crate::lateness::LatenessWatch;
 use crate::metrics::GatewayMetrics;
 use crate::open_calls::{OpenCall, OpenCalls};
@@ -44,9 +43,6 @@
 /// `Retry-After` of refusals by this gateway, such as for a missing plan or endpoint or too many connections.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` of refusals by a late gateway. Its callers are served elsewhere, so there is nothing to wait for.
-const LATE_RETRY_AFTER: Duration = Duration::from_millis(10);
-
 /// What a request takes beyond its body until its answer begins: the ticket, the connection to an endpoint with its
 /// buffers, and the task of that connection. Its body is promised as it comes.
 const CALL_BYTES: u64 = 40 * 1024;
@@ -106,7 +102,6 @@
     shards: Mutex<HashMap<ServiceName, Arc<ShardClient>>>,
     calls: Arc<OpenCalls>,
     lateness: LatenessWatch,
-    intake: Mutex<IntakeControl>,
 }
 
 /// A request whose body has been read.
@@ -132,7 +127,6 @@
         Gateway {
             shared: Arc::new(GatewayShared {
                 lateness: LatenessWatch::new(parts.metrics.clone()),
-                intake: Mutex::default(),
                 parts,
                 dispatchers,
                 shards: Mutex::default(),
@@ -180,10 +174,6 @@
         self.shared.shards.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_intake(&self) -> std::sync::MutexGuard<'_, IntakeControl> {
-        self.shared.intake.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     async fn serve(
         &self,
         head: request::Parts,
@@ -238,7 +228,6 @@
         let limit = plan.plan.parts().limits.body_bytes;
         check_length(&head, limit)?;
         let customer = target.queue_customer();
-        self.check_lateness(&customer)?;
         let promise = self.promise_memory(&customer)?;
         self.shard(&target.service).admit(&customer)?;
         let open = self.shared.calls.begin(customer);
@@ -253,16 +242,6 @@
         ))
     }
 
-    /// Refuses a part of the requests while tasks run late, of customers with more than their even share of the open calls.
-    fn check_lateness(&self, customer: &CustomerName) -> Result<(), Refusal> {
-        let intake = *self.lock_intake();
-        let is_refused = intake.refuses(rand::random()) && self.shared.calls.exceeds_even_share(customer);
-        if is_refused {
-            return Err(Refusal::not_run(RefusalKind::GatewayLate).after(LATE_RETRY_AFTER));
-        }
-        Ok(())
-    }
-
     /// Promises a request its memory, or refuses it. While memory is tight, a customer with more than its even share of
     /// the open calls gets none.
     fn promise_memory(&self, customer: &CustomerName) -> Result<MemoryPromise, Refusal> {
@@ -334,7 +313,6 @@
     }
 
     fn record_lag(&self, lag: Duration) {
-        self.lock_intake().observe(lag);
         self.shared.lateness.observe(lag);
     }
 
--- a/crates/micaspool-gateway/src/request_log.rs
+++ b/crates/micaspool-gateway/src/request_log.rs
@@ -221,12 +221,11 @@
         }
     }
 
-    /// Logs a refusal. The lines for throttled requests, and for those that a late gateway refuses, are limited, and the number of suppressed ones is logged.
+    /// Logs a refusal. The lines for throttled requests are limited, and the number of suppressed ones is logged.
     pub fn refuse(&mut self, refusal: &Refusal) {
         self.metrics.count_refusal(refusal.kind.as_str());
         let suppressed = match refusal.kind {
             RefusalKind::Throttled => self.metrics.throttled_log_limit.admit(),
-            RefusalKind::GatewayLate => self.metrics.late_log_limit.admit(),
             _ => Some(0),
         };
         let Some(suppressed) = suppressed else {
--- a/crates/micaspool-types/src/refusal.rs
+++ b/crates/micaspool-types/src/refusal.rs
@@ -91,8 +91,6 @@
     TooManyConnections,
     /// The gateway has no memory left for the request.
     MemoryFull,
-    /// The gateway's tasks run late, so that it would not serve the request in time.
-    GatewayLate,
     /// A fault of the router itself ended the handling of the request.
     InternalError,
 }
@@ -117,7 +115,7 @@
             NoEndpoint | NoDispatcher | NoSettings | NoLedger | Overloaded | Throttled => 503,
             Quarantined | CopyRunning | EndpointsRest | HallsEvacuated => 503,
             VersionGone | StreamUnknown => 503,
-            RetriesExhausted | Draining | TooManyConnections | MemoryFull | GatewayLate => 503,
+            RetriesExhausted | Draining | TooManyConnections | MemoryFull => 503,
             DeadlinePassed => 504,
         }
     }
@@ -167,7 +165,6 @@
             Draining => "draining",
             TooManyConnections => "too-many-connections",
             MemoryFull => "memory-full",
-            GatewayLate => "gateway-late",
             InternalError => "internal-error",
         }
     }
@@ -210,7 +207,7 @@
             KeyOutcomeUnknown => "find out whether the request took effect; use a new key to run it again",
             KeyReused => "use a new idempotency key for a new body",
             KeyAnswerDropped => "the request ran once; read its effect from the service itself",
-            Draining | GatewayLate => "send the request to another instance",
+            Draining => "send the request to another instance",
             TooManyConnections => "come back after the given time, or reuse connections",
             MemoryFull => "come back after the given time",
         }
