perf(telemetry): don't wake the writer of log lines for each line

The writer now sleeps while lines are collected, so that nobody has to wake it; a batch ends by time alone, and at most the 4,096 queued writes are in it, as before.

--- a/crates/micaspool-telemetry/src/logging/queue.rs
+++ b/crates/micaspool-telemetry/src/logging/queue.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,8 +10,6 @@
 const MAX_QUEUED: usize = 4_096;
 /// How long lines are collected before they are written in one batch.
 const COLLECT_INTERVAL: Duration = Duration::from_millis(200);
-/// The size in bytes at which a batch is written without collecting more lines.
-const BATCH_BYTES: usize = 64 * 1024;
 /// How long a process waits for the queue to drain before it ends.
 const DRAIN_LIMIT: Duration = Duration::from_millis(300);
 
@@ -63,15 +61,11 @@
     while let Ok(first) = lines.recv() {
         batch.extend_from_slice(&first);
         let mut write_count = 1;
-        let flush_at = Instant::now() + COLLECT_INTERVAL;
-        while batch.len() < BATCH_BYTES {
-            match lines.recv_timeout(flush_at.saturating_duration_since(Instant::now())) {
-                Ok(line) => {
-                    batch.extend_from_slice(&line);
-                    write_count += 1;
-                }
-                Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => break,
-            }
+        // While this thread does not wait for lines, nobody has to wake it for each of them.
+        std::thread::sleep(COLLECT_INTERVAL);
+        for line in lines.try_iter().take(MAX_QUEUED) {
+            batch.extend_from_slice(&line);
+            write_count += 1;
         }
         let dropped_count = dropped.swap(0, Ordering::SeqCst);
         if dropped_count > 0 {
