--- a/crates/micaspool-dispatch/tests/intake/main.rs
+++ b/crates/micaspool-dispatch/tests/intake/main.rs
@@ -4,3 +4,4 @@
 mod fixtures;
 mod order;
 mod overload;
+mod review;
