--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -47,6 +47,8 @@
     Silent,
     /// Answers heartbeats at once, and tickets one after the other, each this long after it came.
     Late(Duration),
+    /// Like `Grants`, but leaves the request with this number unanswered, like a shard with a long line of one customer.
+    HoldsBack(u128),
     /// Grants the first request and sends nothing afterwards, like a machine that loses power.
     FallsSilent,
     /// Grants every request and asks for a new stream whenever a grant ends.
@@ -147,6 +149,9 @@
             _ => Vec::new(),
         };
         for submit in submits {
+            if matches!(behaviour, Behaviour::HoldsBack(held) if submit.request == held.to_be_bytes()) {
+                continue;
+            }
             if let Behaviour::Overloaded(queue_fill_percent) = behaviour {
                 let kind = "overdue".to_owned();
                 let request = submit.request;
@@ -495,6 +500,32 @@
     });
 }
 
+/// Guards against requests that are refused because the ticket of another customer waits in its line.
+#[test_case(450, 350; "a line of one customer")]
+#[test_case(3_000, 2_000; "a ticket that the shard has but does not answer again")]
+fn a_ticket_without_an_answer_does_not_shut_out_other_customers(
+    unanswered_millis: u64,
+    objective_millis: u64,
+) {
+    task::block_on(async {
+        let dispatcher = start(Behaviour::HoldsBack(1)).await;
+        let client = client(dispatcher, dispatcher);
+        task::sleep(Duration::from_millis(300)).await;
+        let _held = task::spawn({
+            let client = client.clone();
+            async move { client.acquire(ticket(1), None).await.map(drop) }
+        });
+        task::sleep(Duration::from_millis(unanswered_millis)).await;
+        let urgent = RequestTicket {
+            customer: CustomerName::parse("coop-02").expect("a valid name"),
+            objective: Some(Duration::from_millis(objective_millis)),
+            ..ticket(2)
+        };
+        let granted = client.acquire(urgent, None).await.map(drop);
+        granted.expect("the dispatcher grants at once what it is asked");
+    });
+}
+
 /// Guards against a router that takes what it heard before for a sign that a machine without power is only late.
 #[test]
 fn a_dispatcher_that_falls_silent_is_left_within_about_a_second() {
