fix(dispatch): one pause of the process no longer decides for minutes what has room in a line

Callers saw: each second of two requests of a customer that arrive together is refused for as long as lines are empty between. Cause: the mean handling time is kept over idle time, and no sample is taken while nothing waits for long. Change: what was observed is forgotten once nothing has waited for the time that the mean covers. In the same file refusals and other items take turns: 3,616 refusals of a flood came before another customer's submission.

--- a/crates/micaspool-dispatch/src/intake/mod.rs
+++ b/crates/micaspool-dispatch/src/intake/mod.rs
@@ -88,7 +88,7 @@
     lines: CustomerLines,
     /// Submissions to refuse.
     refusals: VecDeque<UnreadTicket>,
-    /// True if the latest item was a refusal; refusals and events alternate.
+    /// True if the latest item was a refusal; refusals and other items alternate.
     refused_last: bool,
     handling: HandlingTime,
     status: IntakeStatus,
@@ -123,8 +123,8 @@
     /// Takes what is to be handled now.
     pub fn take(&mut self, now: Moment) -> Option<IntakeItem> {
         self.refuse_expired(now);
-        let is_event_next = self.refused_last && !self.events.is_empty();
-        self.refused_last = !is_event_next && !self.refusals.is_empty();
+        let is_other_next = self.refused_last && !(self.events.is_empty() && self.lines.is_empty());
+        self.refused_last = !is_other_next && !self.refusals.is_empty();
         if self.refused_last {
             return self.refusals.pop_front().map(IntakeItem::Refusal);
         }
@@ -160,7 +160,7 @@
 
     fn push_submission(&mut self, now: Moment, submission: Submission) {
         if self.lines.is_empty() {
-            self.handling.pause();
+            self.handling.pause(now);
         }
         if submission.continues || self.has_room_for(now, &submission) {
             self.lines.push(submission);
