fix(router): a ticket without an answer delays its own customer's requests, not those of others

Callers saw: urgent requests refused as overloaded because a ticket of another customer waits in its line. Cause: the age of the oldest unanswered ticket of all was taken for the delay of any new one; lines are by customer now. Change: the oldest of the same customer counts.

--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -21,7 +21,7 @@
 };
 use micaspool_wire::v1;
 use serde_json::json;
-use state::{DispatcherDelays, ShardState, WaitResult, WaitingEntry};
+use state::{ShardState, WaitResult, WaitingEntry};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -58,11 +58,12 @@
     state: Mutex<ShardState>,
 }
 
-/// Returns how late the dispatcher is if a ticket sent to it now would be answered too late. It handles tickets in the
-/// order in which they come, so a new one waits about as long as the oldest that is unanswered.
-fn excess_delay(ticket: &RequestTicket, delays: DispatcherDelays) -> Option<Duration> {
+/// Returns `delay`, the age of the customer's oldest unanswered ticket, if a ticket sent to the dispatcher now would be
+/// answered too late. The dispatcher handles the tickets of a customer in the order in which they come, so a new one
+/// waits about as long as the oldest that is unanswered.
+fn excess_delay(ticket: &RequestTicket, delay: Duration) -> Option<Duration> {
     let bound = ticket.objective.or(ticket.patience)?.max(USUAL_ANSWER_TIME);
-    (delays.answer > bound).then_some(delays.answer)
+    (delay > bound).then_some(delay)
 }
 
 /// Cancels a waiting request when the future that waits for it is dropped.
@@ -157,7 +158,7 @@
         if state.unreachable_for() > UNREACHABLE_TIMEOUT {
             return Err(Refusal::not_run(RefusalKind::NoDispatcher).after(RETRY_AFTER));
         }
-        if let Some(delay) = excess_delay(&ticket, state.delays()) {
+        if let Some(delay) = excess_delay(&ticket, state.answer_delay(&ticket.customer)) {
             return Err(Refusal::not_run(RefusalKind::Overloaded).after(delay));
         }
         let submitted_at = state.current_moment();
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -129,7 +129,8 @@
         let now = self.current_moment();
         // The hello contains the waiting tickets, and the dispatcher answers those without an order number.
         let waiting = self.waiting.iter().filter(|(_, entry)| entry.ticket.order.is_none());
-        self.unanswered.replace(now, waiting.map(|(request, _)| *request));
+        let sent = waiting.map(|(request, entry)| (*request, entry.ticket.customer.clone()));
+        self.unanswered.replace(now, sent);
         self.watch = SessionWatch::new(now, WatchOptions::default());
         self.watch.note_message(now, !self.unanswered.is_empty());
     }
@@ -172,6 +173,11 @@
         DispatcherDelays { silence: self.watch.silent_for(now), answer: self.unanswered.oldest_age(now) }
     }
 
+    /// Returns how long the oldest ticket of a customer has been unanswered.
+    pub fn answer_delay(&self, customer: &CustomerName) -> Duration {
+        self.unanswered.oldest_age_of(self.current_moment(), customer)
+    }
+
     pub fn build_hello(&mut self, options: &ShardClientOptions, advice: Vec<AdviceRecord>) -> RouterHello {
         self.levels.retain(|_, known| known.updated_at.elapsed() < LEVEL_MAX_AGE);
         let levels = self.levels.iter().map(|(customer, known)| HeldLevel {
@@ -240,12 +246,12 @@
 
     pub fn add_waiting(&mut self, entry: WaitingEntry) {
         let submit = v1::Submit { traceparent: entry.traceparent.clone(), ..submit_message(&entry.ticket) };
-        let request = entry.ticket.request;
+        let (request, customer) = (entry.ticket.request, entry.ticket.customer.clone());
         self.waiting.insert(request, entry);
         self.send(Body::Submit(submit));
         if self.link.is_some() {
             let now = self.current_moment();
-            self.unanswered.note_sent(now, request);
+            self.unanswered.note_sent(now, request, customer);
             self.watch.note_ticket(now);
         }
     }
