fix(dispatch): a ticket that a hello brings without its order is answered if the shard has it already

Callers saw: nothing by itself; their router counted the ticket as unanswered for as long as it waited, and refused others for it. Cause: reconciling kept the waiting ticket and told nothing. Evidence: intake review a_ticket_that_a_router_brings_again_without_its_order_is_answered, red before, green after.

--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -43,7 +43,11 @@
         let mut waiting = by_request(hello.waiting, |ticket| ticket.request);
         let mut running = by_request(hello.running, |grant| grant.request);
         for request in self.routers.held(router) {
+            let held = waiting.get(&request).map(|ticket| ticket.order);
             self.reconcile(now, request, &mut waiting, &mut running);
+            if held == Some(None) {
+                actions.extend(self.accepted_action(session, request));
+            }
         }
         let mut tickets: Vec<RequestTicket> = waiting.into_values().collect();
         tickets.sort_by_key(|ticket| ticket.order);
@@ -60,6 +64,13 @@
         }
     }
 
+    /// Tells a router again that a ticket waits, since it has not heard so.
+    fn accepted_action(&self, session: SessionId, request: RequestId) -> Option<ShardAction> {
+        let ticket = self.waiting.get(&request)?;
+        let (order, queue_fill) = (ticket.place.order, ticket.queue_fill);
+        Some(ShardAction::Accepted { session, request, order, queue_fill })
+    }
+
     /// Reconciles one request of this router that the shard knows with what the router holds.
     fn reconcile(
         &mut self,
