test(dispatch): a customer with short prompts is shut out by one with long prompts while the shard is late

Customers whose prompts differ tenfold and who use one router or all, each asking for more than a late shard handles. Checked is the users' rule in prompt tokens.

--- a/crates/micaspool-dispatch/tests/intake/driver.rs
+++ b/crates/micaspool-dispatch/tests/intake/driver.rs
@@ -1,9 +1,9 @@
 //! A shard whose handling of each event takes time.
 
-use crate::fixtures::{hello, policy, ticket};
+use crate::fixtures::{customer, hello, policy, ticket};
 use micaspool_dispatch::{
-    GrantOutcome, IntakeItem, RunStart, SessionId, ShardAction, ShardCore, ShardEvent, ShardIntake,
-    ShardOptions,
+    GrantOutcome, IntakeItem, QueueFill, RequestThrottle, RequestTicket, RunStart, SessionId, ShardAction,
+    ShardCore, ShardEvent, ShardIntake, ShardOptions,
 };
 use micaspool_types::{Cost, Moment, RequestId};
 use rand::{Rng, SeedableRng};
@@ -64,10 +64,31 @@
     }
 }
 
+/// What the callers of a customer send.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerLoad {
+    /// Requests per second.
+    pub rate: f64,
+    /// The prompt tokens of each request; zero if it states none.
+    pub tokens: u64,
+    /// The number of routers that its callers use, beginning with the first one.
+    pub routers: u64,
+    /// True if these routers throttle.
+    pub is_throttled: bool,
+}
+
+impl CustomerLoad {
+    /// Requests without a size through all routers, which don't throttle.
+    pub fn plain(rate: f64) -> CustomerLoad {
+        CustomerLoad { rate, tokens: 0, routers: ROUTERS, is_throttled: false }
+    }
+}
+
 /// A request and its answer.
 #[derive(Clone, Debug)]
 pub struct Request {
     pub customer: usize,
+    pub tokens: u64,
     pub asked_at: Duration,
     session: SessionId,
     /// When it was granted, if that was in time.
@@ -95,13 +116,24 @@
     next_tick: Duration,
     due: BTreeMap<(Duration, u64), Box<ShardEvent>>,
     scheduled: u64,
+    loads: Vec<CustomerLoad>,
+    throttles: BTreeMap<SessionId, RequestThrottle>,
+    random: ChaCha8Rng,
     outcome: Outcome,
 }
 
 impl LateShard {
     /// Schedules requests at `load` times the capacity of the shard.
     pub fn new(load: f64, share: Share, seed: u64) -> LateShard {
-        let names: Vec<String> = (0..=SMALL_CUSTOMERS).map(customer_name).collect();
+        let flood = load * share.capacity() - SMALL_CUSTOMERS as f64 * SMALL_RATE;
+        let small = std::iter::repeat_n(CustomerLoad::plain(SMALL_RATE), SMALL_CUSTOMERS);
+        let loads = std::iter::once(CustomerLoad::plain(flood)).chain(small).collect();
+        LateShard::with_loads(loads, share, seed)
+    }
+
+    /// Schedules the requests of these customers.
+    pub fn with_loads(loads: Vec<CustomerLoad>, share: Share, seed: u64) -> LateShard {
+        let names: Vec<String> = (0..loads.len()).map(customer_name).collect();
         let options = ShardOptions::builder().recovery_window(Duration::ZERO).build();
         let mut core = ShardCore::new(Moment(0), options);
         let settings = ShardEvent::Policy(policy(ENDPOINTS, SLOTS, &names));
@@ -114,13 +146,13 @@
             next_tick: TICK,
             due: BTreeMap::new(),
             scheduled: 0,
+            loads,
+            throttles: (1..=ROUTERS).map(|router| (SessionId(router), RequestThrottle::default())).collect(),
+            random: ChaCha8Rng::seed_from_u64(seed),
             outcome: Outcome::default(),
         };
         shard.schedule_routers();
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let flood = load * share.capacity() - SMALL_CUSTOMERS as f64 * SMALL_RATE;
-        shard.schedule_requests(0, flood, &mut random);
-        (1..=SMALL_CUSTOMERS).for_each(|customer| shard.schedule_requests(customer, SMALL_RATE, &mut random));
+        (0..shard.loads.len()).for_each(|customer| shard.schedule_requests(customer));
         shard
     }
 
@@ -136,19 +168,28 @@
         }
     }
 
-    fn schedule_requests(&mut self, customer: usize, rate: f64, random: &mut ChaCha8Rng) {
+    fn schedule_requests(&mut self, customer: usize) {
+        let load = self.loads[customer];
         let mut at = Duration::from_millis(1);
         loop {
-            let gap = -(1.0 - random.random::<f64>()).ln() / rate;
+            let gap = -(1.0 - self.random.random::<f64>()).ln() / load.rate;
             at += Duration::from_secs_f64(gap);
             if at >= LENGTH {
                 return;
             }
-            let session = SessionId(random.random_range(1..=ROUTERS));
+            let session = SessionId(self.random.random_range(1..=load.routers));
             let request = RequestId(self.outcome.requests.len() as u128 + 1);
-            let asked = Request { customer, asked_at: at, session, served_at: None, answered: false };
+            let asked = Request {
+                customer,
+                tokens: load.tokens,
+                asked_at: at,
+                session,
+                served_at: None,
+                answered: false,
+            };
             self.outcome.requests.insert(request, asked);
             let submitted = ticket(request.0, &customer_name(customer), Some(OBJECTIVE));
+            let submitted = RequestTicket { prompt_tokens: Cost(load.tokens), ..submitted };
             self.schedule(at, ShardEvent::Submit(session, submitted));
         }
     }
@@ -180,6 +221,9 @@
     fn admit(&mut self) {
         while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
             let ((at, _), event) = entry.remove_entry();
+            if self.is_throttled(at, &event) {
+                continue;
+            }
             if let ShardEvent::Submit(session, ticket) = &*event {
                 let cancel = ShardEvent::Cancel(*session, ticket.request);
                 self.schedule(at + OBJECTIVE, cancel);
@@ -191,6 +235,40 @@
         }
     }
 
+    /// True if the router of a submission refuses it.
+    fn is_throttled(&mut self, at: Duration, event: &ShardEvent) -> bool {
+        let ShardEvent::Submit(session, ticket) = event else { return false };
+        if !self.loads[self.outcome.requests[&ticket.request].customer].is_throttled {
+            return false;
+        }
+        let draw = self.random.random();
+        let throttle = self.throttles.get_mut(session).expect("a known router");
+        let is_refused = throttle.admit(moment(at), &ticket.customer, draw).is_err();
+        if is_refused {
+            self.answer(ticket.request);
+        }
+        is_refused
+    }
+
+    /// The router of a request hears of a decision about it.
+    fn tell_throttle(
+        &mut self,
+        request: RequestId,
+        queue_fill: Option<QueueFill>,
+        refusal: Option<Duration>,
+    ) {
+        let asked = &self.outcome.requests[&request];
+        let name = customer(&customer_name(asked.customer));
+        let throttle = self.throttles.get_mut(&asked.session).expect("a known router");
+        if let Some(fill) = queue_fill {
+            throttle.note_queue_fill(moment(asked.asked_at), &name, fill);
+        }
+        match refusal {
+            Some(retry_after) => throttle.note_refused(moment(self.now), &name, retry_after),
+            None => throttle.note_granted(moment(self.now), &name),
+        }
+    }
+
     fn sleep(&mut self) {
         let arrival = self.due.first_key_value().map_or(LENGTH, |((at, _), _)| *at);
         self.now = arrival.min(self.next_tick).max(self.now + Duration::from_micros(1));
@@ -234,8 +312,14 @@
     /// Carries out an action as the router does.
     fn follow(&mut self, action: ShardAction) {
         match action {
-            ShardAction::Grant { request, .. } => self.run_request(request),
-            ShardAction::Refuse { request, .. } => self.answer(request),
+            ShardAction::Grant { request, queue_fill, .. } => {
+                self.tell_throttle(request, queue_fill, None);
+                self.run_request(request);
+            }
+            ShardAction::Refuse { request, queue_fill, retry_after, .. } => {
+                self.tell_throttle(request, queue_fill, Some(retry_after));
+                self.answer(request);
+            }
             _ => {}
         }
     }
--- a/crates/micaspool-dispatch/tests/intake/main.rs
+++ b/crates/micaspool-dispatch/tests/intake/main.rs
@@ -5,3 +5,4 @@
 mod order;
 mod overload;
 mod review;
+mod shares;
