fix(dispatch): lines before a late shard take turns by load, not by submission

What callers see: while the shard of a service is late, a customer with prompts of 1,200 tokens is served a sixth of the tokens of one with prompts of 12,000, though both ask for more than they get (FAIR). Cause: what a late shard reads it grants at once, so its levels decide nothing and the lines before it decide; these gave each customer one submission a turn, whatever its size. Why it works: the lines are read by start-time fair queueing, so the same load is read for each customer that has a line; whoever asks for less has a short line and waits for nobody.

--- a/crates/micaspool-dispatch/src/intake/mod.rs
+++ b/crates/micaspool-dispatch/src/intake/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! A shard that gets less processor time than it needs is late: its inputs wait. What waits then decides who is served,
 //! so it is ordered here, before the shard core sees it. Events other than submissions come first, since they free
-//! endpoints and tell how the fleet is. Submissions wait in one line for each customer, and customers take turns.
-//! A submission that would wait too long for its turn, or did, is refused without a decision.
+//! endpoints and tell how the fleet is. Submissions wait in one line for each customer, and customers take turns so that
+//! the same load is read for each. A submission that would wait too long for its turn, or did, is refused without a decision.
 
 mod customer_lines;
 mod event_lane;
@@ -104,6 +104,7 @@
                     request: ticket.request,
                     customer: ticket.customer.clone(),
                     arrived_at,
+                    load: ticket.prompt_tokens.0.max(1),
                     refuse_at: arrived_at + line_time(ticket.objective),
                     continues: ticket.order.is_some() || ticket.versions != VersionLimit::Any,
                     event,
@@ -179,9 +180,8 @@
             return false;
         }
         let expected_within = submission.refuse_at.since(now) / EXPECTED_PARTS;
-        let turns_at_most = (own + 1) * self.lines.customers();
-        self.handling.time_for(turns_at_most) <= expected_within
-            || self.handling.time_for(self.lines.turns_before(own) + 1) <= expected_within
+        self.handling.time_for(self.lines.len() + 1) <= expected_within
+            || self.handling.time_for(self.lines.read_before(&submission.customer) + 1) <= expected_within
     }
 
     fn refuse_expired(&mut self, now: Moment) {
