fix(gateway): a take-up that names no attempt runs only where one version served while its stream may have run

What callers see: text joined from two software versions, answered 200, when a stream is taken up without naming the attempt that began it right after the old version left, or at a gateway that was killed and has just started. Cause: the gateway went by the versions of the endpoints that it saw at that moment. Why it works: the mirror keeps the versions of each service with those of endpoints that left, and since when it follows without a gap.

--- a/crates/micaspool-client/src/fleet.rs
+++ b/crates/micaspool-client/src/fleet.rs
@@ -9,6 +9,7 @@
 mod plans;
 mod stream;
 mod table;
+mod versions;
 
 use crate::directory::PeerDirectory;
 use async_std::channel::{bounded, Receiver, Sender};
@@ -19,7 +20,7 @@
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::traffic::TrafficCounter;
-use micaspool_types::{EndpointName, HallName, InstanceName, ServiceName};
+use micaspool_types::{EndpointName, HallName, InstanceName, ServiceName, SoftwareVersion};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use table::FleetTable;
@@ -135,6 +136,18 @@
         of_service.map(|endpoint| table.registry.with_remaining_cold(now, endpoint)).collect()
     }
 
+    /// Returns the version that all endpoints of a service ran in the last `span`, also those that left meanwhile. `None`
+    /// if there were several or none, or if the endpoints were not followed for so long.
+    pub fn sole_version(&self, service: &ServiceName, span: Duration) -> Option<SoftwareVersion> {
+        let table = self.lock();
+        let of_service = table.registry.iter().filter(|endpoint| endpoint.service == *service);
+        let present = of_service.filter(|endpoint| endpoint.stage != EndpointStage::Left);
+        let lately = table.versions.within(table.now(), service, span)?;
+        let mut versions = present.map(|endpoint| &endpoint.version).chain(lately);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then(|| first.clone())
+    }
+
     /// Returns the number of endpoints of a service that have not left.
     pub fn endpoint_count(&self, service: &ServiceName) -> usize {
         let table = self.lock();
--- a/crates/micaspool-client/src/fleet/table.rs
+++ b/crates/micaspool-client/src/fleet/table.rs
@@ -2,6 +2,7 @@
 
 use super::halls::HallTable;
 use super::holders::EndpointHolders;
+use super::versions::VersionHistory;
 use super::{notify, KeeperConnection, KeeperStatus};
 use crate::directory::PeerDirectory;
 use async_std::channel::Sender;
@@ -62,6 +63,11 @@
         self.last_message_at.is_some_and(|at| at.elapsed() > UNRESPONSIVE_AFTER)
     }
 
+    /// True if what it reports is what the group knows.
+    fn is_followed(&self) -> bool {
+        self.connection == KeeperConnection::Connected && self.recently_confirmed()
+    }
+
     fn recently_confirmed(&self) -> bool {
         self.confirmed || self.confirmed_at.is_some_and(|at| at.elapsed() < CONFIRMATION_RETENTION)
     }
@@ -84,6 +90,7 @@
     /// True while a newer plan is being fetched.
     pub fetches_plan: bool,
     pub registry: EndpointRegistry,
+    pub versions: VersionHistory,
     holders: EndpointHolders,
     /// How long an endpoint is kept after the last keeper that vouched for it was lost.
     max_silence: Duration,
@@ -106,6 +113,7 @@
             unusable_plan: 0,
             fetches_plan: false,
             registry: EndpointRegistry::default(),
+            versions: VersionHistory::default(),
             holders: EndpointHolders::default(),
             max_silence,
             forget_due: Moment(0),
@@ -201,6 +209,7 @@
             changed |= self.apply_hall(from, hall);
         }
         changed |= self.apply_endpoints(from, &update.endpoints);
+        self.versions.set_followed(self.now(), self.keepers.values().any(KeeperState::is_followed));
         for name in &update.silent {
             self.apply_silence(from, name);
         }
@@ -322,7 +331,12 @@
         let (name, service, stage) = (endpoint.name.clone(), endpoint.service.clone(), endpoint.stage);
         let (sequence, version) = (endpoint.sequence, endpoint.version.clone());
         self.holders.hold(from, &name);
-        let changed = self.registry.merge(self.now(), endpoint).is_change();
+        let now = self.now();
+        if let Some(previous) = self.registry.newest(&endpoint.identity) {
+            self.versions.note(now, previous);
+        }
+        self.versions.note(now, &endpoint);
+        let changed = self.registry.merge(now, endpoint).is_change();
         if changed && is_logged {
             let fields = [
                 field("endpoint", name),
@@ -361,11 +375,16 @@
         if now >= self.forget_due {
             self.forget_due = now + FORGET_INTERVAL;
             self.registry.forget_left(now);
+            self.versions.forget(now);
         }
+        self.versions.set_followed(now, self.keepers.values().any(KeeperState::is_followed));
         if !self.keepers.values().any(|keeper| keeper.confirmed) {
             return;
         }
         let due = self.holders.take_due(now);
+        for record in due.iter().filter_map(|name| self.registry.get(name)) {
+            self.versions.note(now, record);
+        }
         let removed: Vec<EndpointName> =
             due.into_iter().filter(|name| self.registry.remove(now, name)).collect();
         if removed.is_empty() {
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -45,7 +45,7 @@
 const MIN_SEND_TIME: Duration = Duration::from_millis(5);
 
 /// How long after the deadline of the attempt that began it a stream is remembered.
-const TAKE_UP_MARGIN: Duration = Duration::from_secs(2);
+pub(super) const TAKE_UP_MARGIN: Duration = Duration::from_secs(2);
 
 /// The lower bound of the remaining latency objective. Zero would mean that there is no objective.
 const MIN_OBJECTIVE: Duration = Duration::from_millis(1);
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 use crate::request_log::RequestLog;
 use crate::stopping::StopNotice;
 use async_trait::async_trait;
+use attempt::TAKE_UP_MARGIN;
 pub(crate) use attempt::{Attempts, UsableAnswer};
 use caller_body::CallerBody;
 use http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
@@ -252,7 +253,8 @@
     }
 
     /// Returns the software versions at which a request may run. One that takes a stream up is bound to the version that
-    /// began it. If the caller does not name the attempt that did, the request runs only while the service has one version.
+    /// began it. If the caller does not name the attempt that did, the request runs only if the service has had one version
+    /// for as long as the stream may have lasted.
     fn versions_of(
         &self,
         head: &request::Parts,
@@ -265,14 +267,9 @@
         if let Some(attempt) = &caller.resumes {
             return Ok(VersionLimit::OfStream(StreamKey::of(&target.queue_customer(), attempt)));
         }
-        let mut versions =
-            self.shared.parts.mirror.endpoints_of(&target.service).into_iter().map(|record| record.version);
-        let Some(first) = versions.next() else { return Ok(VersionLimit::Any) };
-        if versions.all(|version| version == first) {
-            Ok(VersionLimit::Only(first))
-        } else {
-            Err(Refusal::not_run(RefusalKind::StreamUnknown))
-        }
+        let lifetime = target.time_limit + TAKE_UP_MARGIN;
+        let version = self.shared.parts.mirror.sole_version(&target.service, lifetime);
+        version.map(VersionLimit::Only).ok_or(Refusal::not_run(RefusalKind::StreamUnknown))
     }
 }
 
