--- a/crates/micaspool-dispatch/src/shard/arrivals.rs
+++ b/crates/micaspool-dispatch/src/shard/arrivals.rs
@@ -48,7 +48,7 @@
         self.customers.get_mut(customer).demand_rate.add(now, load);
         self.endpoints.scarcity.note_demand(now, load);
         self.first_attempts.note_refused(now);
-        self.customers.get_mut(customer).counters.note_refusal(waited);
+        self.customers.get_mut(customer).counters.note_unread(waited);
         actions.push(ShardAction::Refuse {
             session,
             request,
--- a/crates/micaspool-dispatch/src/shard/counters.rs
+++ b/crates/micaspool-dispatch/src/shard/counters.rs
@@ -20,6 +20,8 @@
     pub refused_on_arrival: u64,
     /// Tickets that were refused after waiting.
     pub refused_after_wait: u64,
+    /// Tickets among them that were refused without a decision.
+    pub refused_unread: u64,
 }
 
 impl CustomerCounters {
@@ -38,6 +40,7 @@
             lifted: ServiceLevel(self.lifted.0 - before.lifted.0),
             refused_on_arrival: self.refused_on_arrival - before.refused_on_arrival,
             refused_after_wait: self.refused_after_wait - before.refused_after_wait,
+            refused_unread: self.refused_unread - before.refused_unread,
         }
     }
 
@@ -58,6 +61,11 @@
         self.lifted = self.lifted.saturating_add(lift);
     }
 
+    pub(super) fn note_unread(&mut self, waited: Duration) {
+        self.refused_unread += 1;
+        self.note_refusal(waited);
+    }
+
     pub(super) fn note_refusal(&mut self, waited: Duration) {
         if waited.is_zero() {
             self.refused_on_arrival += 1;
--- a/crates/micaspool-dispatch/src/shard/status.rs
+++ b/crates/micaspool-dispatch/src/shard/status.rs
@@ -1,12 +1,12 @@
 //! The observable state of a shard, for operators and tests.
 
 use super::counters::CustomerCounters;
-use super::customers::CustomerState;
 use super::endpoints::EndpointIndex;
+use super::routers::RouterIndex;
 use super::ShardCore;
 use crate::intake::IntakeStatus;
 use micaspool_engine::{DecodeRate, PrefillRate};
-use micaspool_fair::ServiceLevel;
+use micaspool_fair::{CustomerIndex, ServiceLevel};
 use micaspool_quarantine::{CrashRecord, RequestStanding};
 use micaspool_types::{CustomerName, EndpointName, HallMask, Moment, Revision};
 use std::collections::{HashMap, HashSet};
@@ -21,6 +21,8 @@
     pub waiting: usize,
     /// The number of running requests.
     pub running: u32,
+    /// The number of routers through which its waiting and running requests came.
+    pub routers: usize,
     /// The customer's level; the gap between two waiting customers is the difference of their levels.
     pub level: ServiceLevel,
     /// How far the level is below the highest level served in the customer's halls.
@@ -182,7 +184,10 @@
 impl ShardCore {
     /// The state of the shard at a moment.
     pub fn status(&self, now: Moment) -> ShardStatus {
-        let customers = self.customers.iter().filter_map(|state| self.customer_status(state));
+        let routers = self.routers_by_customer();
+        let customers = self.customers.indices().filter_map(|customer| {
+            self.customer_status(customer, routers.get(&customer).map_or(0, HashSet::len))
+        });
         let mut rests: HashMap<EndpointIndex, usize> = HashMap::new();
         self.routers.resting(now).for_each(|endpoint| *rests.entry(endpoint).or_default() += 1);
         let indexed = self.endpoints.indices().zip(self.endpoints.iter());
@@ -228,7 +233,8 @@
     }
 
     /// The state of a customer; `None` if it never had a ticket here.
-    fn customer_status(&self, state: &CustomerState) -> Option<CustomerStatus> {
+    fn customer_status(&self, customer: CustomerIndex, routers: usize) -> Option<CustomerStatus> {
+        let state = self.customers.get(customer);
         if state.queue.is_empty() && state.running == 0 && state.counters == CustomerCounters::default() {
             return None;
         }
@@ -238,12 +244,24 @@
             name: state.name.clone(),
             waiting: state.queue.len(),
             running: state.running,
+            routers,
             level,
             behind: ServiceLevel(served.0.saturating_sub(level.0)),
             counters: state.counters,
         })
     }
 
+    /// The routers of the waiting and running requests of each customer.
+    fn routers_by_customer(&self) -> HashMap<CustomerIndex, HashSet<RouterIndex>> {
+        let mut routers: HashMap<CustomerIndex, HashSet<RouterIndex>> = HashMap::new();
+        let waiting = self.waiting.values().map(|ticket| (ticket.customer, ticket.router));
+        let running = self.running.values().map(|grant| (grant.customer, grant.router));
+        for (customer, router) in waiting.chain(running) {
+            routers.entry(customer).or_default().insert(router);
+        }
+        routers
+    }
+
     /// The halls that the customers with waiting tickets may use.
     pub fn waiting_halls(&self) -> HallMask {
         let waiting = self.customers.iter().filter(|state| !state.queue.is_empty());
--- a/crates/micaspool-dispatcher/src/customer_log.rs
+++ b/crates/micaspool-dispatcher/src/customer_log.rs
@@ -61,6 +61,8 @@
             field("lifted", counters.lifted.0 / LEVEL_SCALE),
             field("refused_on_arrival", counters.refused_on_arrival),
             field("refused_after_wait", counters.refused_after_wait),
+            field("refused_unread", counters.refused_unread),
+            field("routers", status.routers),
             field("waiting", status.waiting),
             field("running", status.running),
             field("behind", status.behind.0 / LEVEL_SCALE),
