fix(dispatch): a submission refused unread counts as a refusal for what its customer is owed

What callers see: a customer whose submissions a late shard does not look at is lifted almost to the level of the one that is served, and is owed nothing for it, while one that was refused after a decision may catch up with five credits. Cause: only the refusals of a decision set the moment that widens the lag (level_floor.rs).

--- a/crates/micaspool-dispatch/src/shard/arrivals.rs
+++ b/crates/micaspool-dispatch/src/shard/arrivals.rs
@@ -45,10 +45,12 @@
         let customer = self.customers.ensure(&unread.customer);
         let load = unread.prompt_tokens.0.max(1);
         let waited = now.since(unread.arrived_at);
-        self.customers.get_mut(customer).demand_rate.add(now, load);
         self.endpoints.scarcity.note_demand(now, load);
         self.first_attempts.note_refused(now);
-        self.customers.get_mut(customer).counters.note_unread(waited);
+        let state = self.customers.get_mut(customer);
+        state.demand_rate.add(now, load);
+        state.refused_at = Some(now);
+        state.counters.note_unread(waited);
         actions.push(ShardAction::Refuse {
             session,
             request,
--- a/crates/micaspool-dispatch/tests/shard/service_lead.rs
+++ b/crates/micaspool-dispatch/tests/shard/service_lead.rs
@@ -6,8 +6,8 @@
 //! second. That customer had been refused once or twice in the three seconds before, kept its level for that
 //! reason, and was served alone until it had caught up with the whole lead.
 
-use crate::harness::{endpoint, hello, ticket, ShardHarness};
-use micaspool_dispatch::{GrantOutcome, RequestTicket};
+use crate::harness::{customer, endpoint, hello, request_id, ticket, ShardHarness};
+use micaspool_dispatch::{GrantOutcome, RefusalReason, RequestTicket, SessionId, UnreadTicket};
 use micaspool_types::Cost;
 use std::time::Duration;
 
@@ -21,18 +21,34 @@
     ticket(number, name, COST)
 }
 
-/// Customer `b` is refused once, since no slot becomes free in time; then the flood has all slots to itself
-/// for sixty requests.
-fn shard_with_lead() -> ShardHarness {
+/// How the only request of customer `b` is refused.
+#[derive(Clone, Copy)]
+enum Refusal {
+    /// No slot becomes free in time.
+    AfterWait,
+    /// The shard is too late to look at it.
+    Unread,
+}
+
+/// Customer `b` is refused once; then the flood has all slots to itself for sixty requests.
+fn shard_with_lead(refusal: Refusal) -> ShardHarness {
     let mut harness = ShardHarness::new(1, SLOTS, &["flood", "b"]);
     harness.update_policy(|policy| policy.idle_credit = Cost(COST));
     harness.join(1, hello("r1", 1));
     for number in 0..4 {
         harness.submit(1, unit_ticket(number, "flood"));
     }
-    let hurried = RequestTicket { objective: Some(Duration::from_millis(100)), ..unit_ticket(1_000, "b") };
-    harness.submit(1, hurried);
-    harness.advance_with_heartbeats(200, &[1]);
+    match refusal {
+        Refusal::AfterWait => {
+            let objective = Some(Duration::from_millis(100));
+            harness.submit(1, RequestTicket { objective, ..unit_ticket(1_000, "b") });
+            harness.advance_with_heartbeats(200, &[1]);
+        }
+        Refusal::Unread => {
+            harness.advance_with_heartbeats(200, &[1]);
+            refuse_unread(&mut harness, 1_000, "b");
+        }
+    }
     for number in 0..60 {
         harness.settle(1, number, COST, GrantOutcome::Done);
         harness.submit(1, unit_ticket(number + 4, "flood"));
@@ -41,6 +57,19 @@
     harness
 }
 
+fn refuse_unread(harness: &mut ShardHarness, number: u128, name: &str) {
+    let unread = UnreadTicket {
+        session: SessionId(1),
+        request: request_id(number),
+        customer: customer(name),
+        prompt_tokens: Cost(0),
+        objective: None,
+        arrived_at: harness.now,
+        reason: RefusalReason::ShardFull,
+    };
+    harness.core.refuse_unread(harness.now, unread, &mut harness.actions);
+}
+
 /// Returns how many of forty grants go to the other customer before the first to the flood. The last four
 /// requests of the flood and then the granted ones end one after the other.
 fn grants_before_flood(harness: &mut ShardHarness) -> usize {
@@ -56,7 +85,7 @@
 
 #[test]
 fn a_lead_gained_without_contention_delays_a_customer_only_briefly() {
-    let mut harness = shard_with_lead();
+    let mut harness = shard_with_lead(Refusal::AfterWait);
     for number in 0..60 {
         harness.submit(1, unit_ticket(2_000 + number, "b"));
         harness.submit(1, unit_ticket(3_000 + number, "flood"));
@@ -70,7 +99,7 @@
 
 #[test]
 fn a_customer_that_was_refused_is_served_before_one_with_a_lead() {
-    let mut harness = shard_with_lead();
+    let mut harness = shard_with_lead(Refusal::AfterWait);
     for number in 0..4 {
         harness.submit(1, unit_ticket(3_000 + number, "flood"));
     }
@@ -83,6 +112,20 @@
     assert_eq!(harness.take_granted_requests(), [2_000, 2_001, 2_002, 2_003]);
 }
 
+/// Guards against a late shard that forgives what it owes to a customer whose submissions it did not look at.
+#[test]
+fn a_customer_that_was_refused_unread_is_owed_what_one_is_that_was_refused_after_a_wait() {
+    let owed = |refusal| {
+        let mut harness = shard_with_lead(refusal);
+        for number in 0..60 {
+            harness.submit(1, unit_ticket(2_000 + number, "b"));
+            harness.submit(1, unit_ticket(3_000 + number, "flood"));
+        }
+        grants_before_flood(&mut harness)
+    };
+    assert_eq!(owed(Refusal::Unread), owed(Refusal::AfterWait));
+}
+
 /// A ticket that waits although an endpoint is free keeps its customer's queue from ever being empty, which
 /// must not earn the customer credit.
 #[test]
