test(dispatch): a customer behind a late router is shut out by a late shard

What a router that is late itself leaves of an objective decides how long its submission may wait unread: a quarter of it, so each pause of the shard's process ends those that wait.

--- a/crates/micaspool-dispatch/tests/intake/driver.rs
+++ b/crates/micaspool-dispatch/tests/intake/driver.rs
@@ -75,12 +75,14 @@
     pub routers: u64,
     /// True if these routers throttle.
     pub is_throttled: bool,
+    /// What its routers leave of the objective.
+    pub objective: Duration,
 }
 
 impl CustomerLoad {
     /// Requests without a size through all routers, which don't throttle.
     pub fn plain(rate: f64) -> CustomerLoad {
-        CustomerLoad { rate, tokens: 0, routers: ROUTERS, is_throttled: false }
+        CustomerLoad { rate, tokens: 0, routers: ROUTERS, is_throttled: false, objective: OBJECTIVE }
     }
 }
 
@@ -188,7 +190,7 @@
                 answered: false,
             };
             self.outcome.requests.insert(request, asked);
-            let submitted = ticket(request.0, &customer_name(customer), Some(OBJECTIVE));
+            let submitted = ticket(request.0, &customer_name(customer), Some(load.objective));
             let submitted = RequestTicket { prompt_tokens: Cost(load.tokens), ..submitted };
             self.schedule(at, ShardEvent::Submit(session, submitted));
         }
--- a/crates/micaspool-dispatch/tests/intake/shares.rs
+++ b/crates/micaspool-dispatch/tests/intake/shares.rs
@@ -45,7 +45,12 @@
 }
 
 fn load(rate: f64, tokens: u64, routers: u64, is_throttled: bool) -> CustomerLoad {
-    CustomerLoad { rate, tokens, routers, is_throttled }
+    CustomerLoad { rate, tokens, routers, is_throttled, objective: OBJECTIVE }
+}
+
+/// A customer whose only router is late itself and leaves this much of the objective.
+fn behind_late_router(rate: f64, tokens: u64, objective_millis: u64) -> CustomerLoad {
+    CustomerLoad { objective: Duration::from_millis(objective_millis), ..load(rate, tokens, 1, true) }
 }
 
 /// Two customers that each ask for more than the shard can handle of both, beside small ones.
@@ -70,3 +75,16 @@
     let found = starved(&outcome, customers);
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
+
+/// Guards against submissions that are given up unread in each pause of the shard's process, since a late router has left
+/// little of their objective.
+#[test_case(behind_late_router(1_000.0, LONG, 150), Share::THIRDS, 8; "some of it")]
+#[test_case(behind_late_router(1_000.0, LONG, 20), Share::THIRDS, 9; "hardly any")]
+#[test_case(behind_late_router(1_000.0, LONG, 20), Share::WHOLE, 10; "hardly any, without pauses")]
+#[test_case(behind_late_router(150.0, LONG, 70), Share::THIRDS, 11; "a small customer")]
+fn a_customer_behind_a_late_router_is_shut_out(late: CustomerLoad, share: Share, seed: u64) {
+    let loads = vec![load(1_000.0, LONG, ROUTERS, true), late, load(100.0, SHORT, ROUTERS, false)];
+    let outcome = LateShard::with_loads(loads, share, seed).run();
+    let found = starved(&outcome, 3);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
