fix(dispatch): a submission waits unread for 100 ms at least

Cause: a submission was given up unread after a quarter of what its router had left of its objective. A late router leaves 20 ms or nothing; the shard's process stands still for 30 to 90 ms at a time when it has used up its share, and whatever waited then was refused. The shard itself gives each ticket 100 ms. Why it works: what waits unread gets the same least time as what the shard has read; the order among customers is that of the load read for them, whatever their routers left.

--- a/crates/micaspool-dispatch/src/intake/mod.rs
+++ b/crates/micaspool-dispatch/src/intake/mod.rs
@@ -20,6 +20,9 @@
 
 /// The part of its objective that a submission may wait in its line.
 const OBJECTIVE_PARTS: u32 = 4;
+/// The minimum time that a submission may wait in its line, also if its router has used up its objective. Without it a short
+/// pause of the process would end all submissions of routers that are late.
+const MIN_LINE_TIME: Duration = Duration::from_millis(100);
 /// The maximum time that a submission may wait in its line. Routers take a dispatcher that answers nothing for much
 /// longer for a lost one.
 const MAX_LINE_TIME: Duration = Duration::from_millis(500);
@@ -213,5 +216,6 @@
 
 /// How long a submission with this objective may wait in its line.
 fn line_time(objective: Option<Duration>) -> Duration {
-    objective.map_or(MAX_LINE_TIME, |objective| (objective / OBJECTIVE_PARTS).min(MAX_LINE_TIME))
+    objective
+        .map_or(MAX_LINE_TIME, |objective| (objective / OBJECTIVE_PARTS).clamp(MIN_LINE_TIME, MAX_LINE_TIME))
 }
--- a/crates/micaspool-dispatch/tests/intake/order.rs
+++ b/crates/micaspool-dispatch/tests/intake/order.rs
@@ -124,7 +124,9 @@
     assert_eq!(intake.take_all(), ["settle 9", "left 1", "submit 2"]);
 }
 
-#[test_case(Some(400), 100; "a quarter of its objective")]
+#[test_case(Some(800), 200; "a quarter of its objective")]
+#[test_case(Some(400), 100; "a quarter of a short one")]
+#[test_case(Some(40), 100; "with little of it left")]
 #[test_case(None, 500; "without an objective")]
 #[test_case(Some(60_000), 500; "with a long one")]
 fn a_submission_is_refused_when_its_turn_comes_too_late(objective: Option<u64>, limit: u64) {
