revert: events that keep coming leave submissions a turn

A submission that is taken while events wait may be that of a request whose earlier run has ended, with its settlement still among the events. The shard takes such a request for known and says nothing.

--- a/crates/micaspool-dispatch/src/intake/mod.rs
+++ b/crates/micaspool-dispatch/src/intake/mod.rs
@@ -29,8 +29,6 @@
 /// A submission is accepted into a line if its turn is expected within this part of the time that it may still wait, so
 /// that few are refused after waiting.
 const EXPECTED_PARTS: u32 = 2;
-/// After this many events in a row a submission has a turn, so that events that come as fast as they are handled leave some.
-const MAX_EVENTS_IN_ROW: usize = 32;
 /// The maximum number of submissions in all lines.
 const MAX_SUBMISSIONS: usize = 16_384;
 
@@ -95,10 +93,6 @@
     refusals: VecDeque<UnreadTicket>,
     /// True if the latest item was a refusal; refusals and other items alternate.
     refused_last: bool,
-    /// The number of events taken since the last submission.
-    events_in_row: usize,
-    /// The number of waiting joins, which precede the submissions of their sessions.
-    joins: usize,
     handling: HandlingTime,
     status: IntakeStatus,
 }
@@ -126,10 +120,7 @@
                 self.refusals.retain(|unread| unread.session != *session);
                 self.events.push(arrived_at, event);
             }
-            _ => {
-                self.joins += usize::from(matches!(&*event, ShardEvent::Joined(..)));
-                self.events.push(arrived_at, event);
-            }
+            _ => self.events.push(arrived_at, event),
         }
     }
 
@@ -141,14 +132,11 @@
         if self.refused_last {
             return self.refusals.pop_front().map(IntakeItem::Refusal);
         }
-        if let Some((arrived_at, event)) = self.next_event() {
-            self.events_in_row += 1;
-            self.joins -= usize::from(matches!(&*event, ShardEvent::Joined(..)));
+        if let Some((arrived_at, event)) = self.events.pop() {
             self.status.late = self.status.late.max(now.since(arrived_at));
             return Some(IntakeItem::Event(arrived_at, event));
         }
         let submission = self.lines.pop()?;
-        self.events_in_row = 0;
         self.handling.note_taken(now);
         self.note_late_submission(now, &submission);
         Some(IntakeItem::Event(submission.arrived_at, submission.event))
@@ -174,16 +162,6 @@
         status
     }
 
-    /// The next event, unless a submission is due.
-    fn next_event(&mut self) -> Option<(Moment, Box<ShardEvent>)> {
-        let is_submission_due =
-            self.events_in_row >= MAX_EVENTS_IN_ROW && self.joins == 0 && !self.lines.is_empty();
-        if is_submission_due {
-            return None;
-        }
-        self.events.pop()
-    }
-
     fn push_submission(&mut self, now: Moment, submission: Submission) {
         if self.lines.is_empty() {
             self.handling.pause(now);
