--- a/crates/micaspool-dispatch/tests/intake/order.rs
+++ b/crates/micaspool-dispatch/tests/intake/order.rs
@@ -272,6 +272,42 @@
     assert_eq!(refused.map(|status| status.counters.refused_after_wait), Some(1));
 }
 
+/// Guards against a request that is submitted again after its run has failed and whose refusal overtakes the end of that run.
+#[test]
+fn a_refusal_unread_of_a_request_whose_run_has_just_ended_is_sent() {
+    let mut core = full_shard();
+    let mut intake = ShardIntake::default();
+    let now = Moment::from_millis(600);
+    let ended = ShardEvent::Settle(SESSION, RequestId(100), Cost(0), GrantOutcome::Unreachable);
+    intake.push(now, Moment(0), Box::new(ShardEvent::Submit(SESSION, ticket(100, "a", None))));
+    intake.push(now, now, Box::new(ended));
+    let mut actions = Vec::new();
+    while let Some(item) = intake.take(now) {
+        match item {
+            IntakeItem::Refusal(unread) => core.refuse_unread(now, unread, &mut actions),
+            IntakeItem::Event(arrived_at, event) => core.step_arrived(now, arrived_at, *event, &mut actions),
+        }
+    }
+    let is_answer =
+        |action: &&ShardAction| matches!(action, ShardAction::Refuse { request: RequestId(100), .. });
+    assert_eq!(actions.iter().filter(is_answer).count(), 1, "{actions:?}");
+}
+
+/// Guards against silence about a submission of a ticket that waits already.
+#[test]
+fn an_unread_submission_of_a_ticket_that_waits_is_answered() {
+    let mut core = full_shard();
+    let mut actions = Vec::new();
+    let now = Moment::from_millis(600);
+    core.step(now, ShardEvent::Submit(SESSION, ticket(7, "a", None)), &mut actions);
+    actions.clear();
+    let mut intake = ShardIntake::default();
+    intake.push(now, Moment(0), Box::new(ShardEvent::Submit(SESSION, ticket(7, "a", None))));
+    let Some(IntakeItem::Refusal(unread)) = intake.take(now) else { panic!("the submission is overdue") };
+    core.refuse_unread(now, unread, &mut actions);
+    assert!(matches!(actions[..], [ShardAction::Accepted { request: RequestId(7), .. }]), "{actions:?}");
+}
+
 /// Random inputs: each submission is handled, refused or removed exactly once.
 #[test_case(1)]
 #[test_case(2)]
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -504,6 +504,27 @@
     });
 }
 
+/// Guards against a customer that is shut out for seconds because one of its tickets is never answered.
+#[test]
+fn one_ticket_without_an_answer_does_not_shut_out_its_customer() {
+    task::block_on(async {
+        let dispatcher = start(Behaviour::HoldsBack(1)).await;
+        let client = client(dispatcher, dispatcher);
+        task::sleep(Duration::from_millis(300)).await;
+        let _held = task::spawn({
+            let client = client.clone();
+            async move { client.acquire(ticket(1), None).await.map(drop) }
+        });
+        let mut served = 0;
+        for number in 2..32 {
+            task::sleep(Duration::from_millis(100)).await;
+            let urgent = RequestTicket { objective: Some(Duration::from_millis(400)), ..ticket(number) };
+            served += usize::from(client.acquire(urgent, None).await.is_ok());
+        }
+        assert_eq!(served, 30);
+    });
+}
+
 /// Guards against requests that are refused because the ticket of another customer waits in its line.
 #[test_case(450, 350; "a line of one customer")]
 #[test_case(3_000, 2_000; "a ticket that the shard has but does not answer again")]
