fix(dispatch): a submission that is refused unread is always answered

What callers see: a request whose first run failed is tried again and hears nothing until its caller leaves; its router takes the silence for the dispatcher's lateness. Cause: refusals without a decision overtake events. That of a request that is submitted again may come before the end of its first run, and the shard was silent about requests that seem to run, and about tickets that wait. Evidence: intake order, two rows red before (no action at all), green now. Why it works: a ticket that waits is accepted again; one that seems to run is refused, since a router submits it again only once it has ended.

--- a/crates/micaspool-dispatch/src/shard/arrivals.rs
+++ b/crates/micaspool-dispatch/src/shard/arrivals.rs
@@ -32,14 +32,16 @@
         }
     }
 
-    /// Refuses a submission that was not looked at.
+    /// Refuses a submission that was not looked at, unless its ticket waits already. A request that seems to run is submitted
+    /// again once its run has ended; the end is still to be handled then.
     pub fn refuse_unread(&mut self, now: Moment, unread: UnreadTicket, actions: &mut Vec<ShardAction>) {
         let UnreadTicket { session, request, reason, .. } = unread;
         if !self.routers.note_contact(session, now) {
             actions.push(ShardAction::Rejoin { session });
             return;
         }
-        if self.waiting.contains_key(&request) || self.running.contains_key(&request) {
+        if self.waiting.contains_key(&request) {
+            actions.extend(self.accepted_action(session, request));
             return;
         }
         let customer = self.customers.ensure(&unread.customer);
--- a/crates/micaspool-dispatch/src/shard/joining.rs
+++ b/crates/micaspool-dispatch/src/shard/joining.rs
@@ -65,7 +65,7 @@
     }
 
     /// Tells a router again that a ticket waits, since it has not heard so.
-    fn accepted_action(&self, session: SessionId, request: RequestId) -> Option<ShardAction> {
+    pub(super) fn accepted_action(&self, session: SessionId, request: RequestId) -> Option<ShardAction> {
         let ticket = self.waiting.get(&request)?;
         let (order, queue_fill) = (ticket.place.order, ticket.queue_fill);
         Some(ShardAction::Accepted { session, request, order, queue_fill })
--- a/crates/micaspool-dispatch/src/shard/tickets.rs
+++ b/crates/micaspool-dispatch/src/shard/tickets.rs
@@ -97,8 +97,14 @@
         actions: &mut Vec<ShardAction>,
     ) {
         let request = ticket.request;
-        let known = self.waiting.contains_key(&request) || self.running.contains_key(&request);
-        let Some(router) = self.routers.by_session(session).filter(|_| !known) else { return };
+        let Some(router) = self.routers.by_session(session) else { return };
+        if self.waiting.contains_key(&request) {
+            actions.extend(self.accepted_action(session, request));
+            return;
+        }
+        if self.running.contains_key(&request) {
+            return;
+        }
         let customer = self.customers.ensure(&ticket.customer);
         if let Some(refusal) = self.quarantine_refusal(now, &ticket) {
             actions.push(refusal.action(session, &ticket));
