fix(router): a ticket that answered ones have passed says nothing of its dispatcher's lateness

Cause: a router took the age of a customer's oldest unanswered ticket for the time that a new one would wait. One ticket that is never answered then refuses all that state a shorter objective; a customer of one gateway has no other way. Why it works: once a ticket that was sent later is answered, the older one was passed over, so its age is not the line's.

--- a/crates/micaspool-router/src/shard_client/mod.rs
+++ b/crates/micaspool-router/src/shard_client/mod.rs
@@ -59,8 +59,8 @@
 }
 
 /// Returns `delay`, the age of the customer's oldest unanswered ticket, if a ticket sent to the dispatcher now would be
-/// answered too late. The dispatcher handles the tickets of a customer in the order in which they come, so a new one
-/// waits about as long as the oldest that is unanswered.
+/// answered too late. The dispatcher handles the tickets of a customer about in the order in which they come, so a new one
+/// waits as long as the oldest that is unanswered and that no answered one has passed.
 fn excess_delay(ticket: &RequestTicket, delay: Duration) -> Option<Duration> {
     let bound = ticket.objective.or(ticket.patience)?.max(USUAL_ANSWER_TIME);
     (delay > bound).then_some(delay)
--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -258,7 +258,7 @@
 
     /// Cancels a waiting request, or returns its grant unused. A grant that arrives later is returned too.
     pub fn cancel(&mut self, request: RequestId) {
-        self.unanswered.note_answered(request);
+        self.unanswered.forget(request);
         if self.waiting.remove(&request).is_some() {
             self.send(Body::Cancel(v1::Cancel { request: request_bytes(request) }));
         } else if self.running.remove(&request).is_some() {
--- a/crates/micaspool-router/src/shard_client/unanswered.rs
+++ b/crates/micaspool-router/src/shard_client/unanswered.rs
@@ -8,9 +8,11 @@
 /// accepting, granting or refusing it.
 #[derive(Debug, Default)]
 pub(super) struct UnansweredTickets {
-    sent_at: HashMap<RequestId, Moment>,
+    sent: HashMap<RequestId, (Moment, CustomerName)>,
     /// In the order in which they were sent. Answered ones are removed once they are the first.
     order: VecDeque<SentTicket>,
+    /// When the newest answered ticket of each customer was sent.
+    answered: HashMap<CustomerName, Moment>,
 }
 
 /// A ticket that was sent.
@@ -24,28 +26,38 @@
 impl UnansweredTickets {
     /// Replaces all tickets by those that a new stream begins with.
     pub fn replace(&mut self, now: Moment, tickets: impl Iterator<Item = (RequestId, CustomerName)>) {
-        self.sent_at.clear();
+        self.sent.clear();
         self.order.clear();
+        self.answered.clear();
         for (request, customer) in tickets {
             self.note_sent(now, request, customer);
         }
     }
 
     pub fn note_sent(&mut self, now: Moment, request: RequestId, customer: CustomerName) {
-        self.sent_at.insert(request, now);
+        self.sent.insert(request, (now, customer.clone()));
         self.order.push_back(SentTicket { request, customer, at: now });
     }
 
-    /// Records that a ticket was answered or is no longer wanted.
+    /// Records that a ticket was answered.
     pub fn note_answered(&mut self, request: RequestId) {
-        self.sent_at.remove(&request);
+        if let Some((at, customer)) = self.sent.get(&request) {
+            let newest = self.answered.entry(customer.clone()).or_insert(*at);
+            *newest = (*newest).max(*at);
+        }
+        self.forget(request);
+    }
+
+    /// Records that an answer to a ticket is no longer wanted.
+    pub fn forget(&mut self, request: RequestId) {
+        self.sent.remove(&request);
         while self.order.front().is_some_and(|first| !self.is_unanswered(first)) {
             self.order.pop_front();
         }
     }
 
     pub fn is_empty(&self) -> bool {
-        self.sent_at.is_empty()
+        self.sent.is_empty()
     }
 
     /// Returns how long the oldest ticket has been unanswered; zero if there is none.
@@ -53,13 +65,16 @@
         self.order.front().map_or(Duration::ZERO, |first| now.since(first.at))
     }
 
-    /// Returns how long the oldest ticket of a customer has been unanswered; zero if there is none.
+    /// Returns how long the oldest ticket of a customer has been unanswered; zero if there is none. One that was sent before a
+    /// ticket that is answered tells nothing of how late the dispatcher is: it was passed over.
     pub fn oldest_age_of(&self, now: Moment, customer: &CustomerName) -> Duration {
-        let mut own = self.order.iter().filter(|sent| sent.customer == *customer && self.is_unanswered(sent));
-        own.next().map_or(Duration::ZERO, |first| now.since(first.at))
+        let answered = self.answered.get(customer).copied();
+        let is_behind = |sent: &&SentTicket| answered.is_none_or(|answered| sent.at > answered);
+        let own = self.order.iter().filter(|sent| sent.customer == *customer && self.is_unanswered(sent));
+        own.filter(is_behind).next().map_or(Duration::ZERO, |first| now.since(first.at))
     }
 
     fn is_unanswered(&self, sent: &SentTicket) -> bool {
-        self.sent_at.get(&sent.request) == Some(&sent.at)
+        self.sent.get(&sent.request).is_some_and(|(at, _)| *at == sent.at)
     }
 }
