--- a/crates/micaspool-dispatch/tests/intake/driver.rs
+++ b/crates/micaspool-dispatch/tests/intake/driver.rs
@@ -27,6 +27,10 @@
 /// The time after which lines are as long as the shard has learnt.
 const LEARNING_TIME: Duration = Duration::from_secs(1);
 
+/// The time within which a submission is accepted, granted or refused.
+const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// How long a send takes to fail.
+const FAILED_SEND_TIME: Duration = Duration::from_millis(20);
 const SUBMIT_TIME: Duration = Duration::from_micros(600);
 const BEGAN_TIME: Duration = Duration::from_micros(100);
 const PROGRESS_TIME: Duration = Duration::from_micros(60);
@@ -77,12 +81,21 @@
     pub is_throttled: bool,
     /// What its routers leave of the objective.
     pub objective: Duration,
+    /// The part of its sends that fail and are tried again at once.
+    pub failing: f64,
 }
 
 impl CustomerLoad {
     /// Requests without a size through all routers, which don't throttle.
     pub fn plain(rate: f64) -> CustomerLoad {
-        CustomerLoad { rate, tokens: 0, routers: ROUTERS, is_throttled: false, objective: OBJECTIVE }
+        CustomerLoad {
+            rate,
+            tokens: 0,
+            routers: ROUTERS,
+            is_throttled: false,
+            objective: OBJECTIVE,
+            failing: 0.0,
+        }
     }
 }
 
@@ -96,6 +109,10 @@
     /// When it was granted, if that was in time.
     pub served_at: Option<Duration>,
     answered: bool,
+    /// True once the shard has said anything about its newest submission.
+    heard: bool,
+    /// When that came.
+    submitted_at: Duration,
 }
 
 /// What a run of the shard showed.
@@ -188,6 +205,8 @@
                 session,
                 served_at: None,
                 answered: false,
+                heard: false,
+                submitted_at: at,
             };
             self.outcome.requests.insert(request, asked);
             let submitted = ticket(request.0, &customer_name(customer), Some(load.objective));
@@ -226,6 +245,9 @@
             if self.is_throttled(at, &event) {
                 continue;
             }
+            if let ShardEvent::Cancel(_, request) = &*event {
+                self.check_heard(*request);
+            }
             if let ShardEvent::Submit(session, ticket) = &*event {
                 let cancel = ShardEvent::Cancel(*session, ticket.request);
                 self.schedule(at + OBJECTIVE, cancel);
@@ -316,22 +338,56 @@
         match action {
             ShardAction::Grant { request, queue_fill, .. } => {
                 self.tell_throttle(request, queue_fill, None);
-                self.run_request(request);
+                self.answer(request);
+                let failing = self.loads[self.outcome.requests[&request].customer].failing;
+                if failing > 0.0 && self.random.random_bool(failing) {
+                    self.try_again(request);
+                } else {
+                    self.run_request(request);
+                }
             }
             ShardAction::Refuse { request, queue_fill, retry_after, .. } => {
                 self.tell_throttle(request, queue_fill, Some(retry_after));
                 self.answer(request);
             }
+            ShardAction::Accepted { request, .. } => self.hear(request),
             _ => {}
         }
     }
 
     fn answer(&mut self, request: RequestId) {
+        self.hear(request);
         self.outcome.requests.get_mut(&request).expect("a known request").answered = true;
     }
 
+    fn hear(&mut self, request: RequestId) {
+        self.outcome.requests.get_mut(&request).expect("a known request").heard = true;
+    }
+
+    /// Checks that the shard has said something about a submission by the time its caller leaves.
+    fn check_heard(&mut self, request: RequestId) {
+        let asked = &self.outcome.requests[&request];
+        if !asked.heard && self.now.saturating_sub(asked.submitted_at) > ANSWER_LIMIT {
+            let breach = format!("{request:?} at {:?}", self.now);
+            self.outcome.breaches.entry("submissions without an answer").or_insert(breach);
+        }
+    }
+
+    /// The send of a granted request fails, and its router tries again.
+    fn try_again(&mut self, request: RequestId) {
+        let asked = self.outcome.requests.get_mut(&request).expect("a known request");
+        (asked.answered, asked.heard) = (false, false);
+        let (customer, session, at) = (asked.customer, asked.session, self.now + FAILED_SEND_TIME);
+        asked.submitted_at = at;
+        let load = self.loads[customer];
+        let submitted = ticket(request.0, &customer_name(customer), Some(load.objective));
+        let submitted = RequestTicket { prompt_tokens: Cost(load.tokens), attempt: 1, ..submitted };
+        let failed = ShardEvent::Settle(session, request, Cost(0), GrantOutcome::Unreachable);
+        self.schedule(at, failed);
+        self.schedule(at, ShardEvent::Submit(session, submitted));
+    }
+
     fn run_request(&mut self, request: RequestId) {
-        self.answer(request);
         let now = self.now;
         let granted = self.outcome.requests.get_mut(&request).expect("a known request");
         let session = granted.session;
--- a/crates/micaspool-dispatch/tests/intake/shares.rs
+++ b/crates/micaspool-dispatch/tests/intake/shares.rs
@@ -45,7 +45,7 @@
 }
 
 fn load(rate: f64, tokens: u64, routers: u64, is_throttled: bool) -> CustomerLoad {
-    CustomerLoad { rate, tokens, routers, is_throttled, objective: OBJECTIVE }
+    CustomerLoad { rate, tokens, routers, is_throttled, objective: OBJECTIVE, failing: 0.0 }
 }
 
 /// A customer whose only router is late itself and leaves this much of the objective.
@@ -88,3 +88,15 @@
     let found = starved(&outcome, 3);
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
+
+/// Guards against silence about a request that is submitted again while the shard has no room for it.
+#[test_case(2.0, Share::WHOLE, 12; "twice what the shard can handle")]
+#[test_case(4.0, Share::WHOLE, 13; "four times")]
+#[test_case(2.0, Share::THIRDS, 14; "twice, stalled for a third of the time")]
+fn a_submission_of_a_request_that_is_tried_again_gets_no_answer(demand: f64, share: Share, seed: u64) {
+    let rate = demand * share.capacity() / 4.0;
+    let failing = CustomerLoad { failing: 0.3, ..load(rate, SHORT, ROUTERS, false) };
+    let outcome = LateShard::with_loads(vec![failing; 4], share, seed).run();
+    let unheard = outcome.breaches.get("submissions without an answer");
+    assert_eq!(unheard, None);
+}
