--- a/crates/micaspool-router/src/shard_client/unanswered.rs
+++ b/crates/micaspool-router/src/shard_client/unanswered.rs
@@ -70,8 +70,8 @@
     pub fn oldest_age_of(&self, now: Moment, customer: &CustomerName) -> Duration {
         let answered = self.answered.get(customer).copied();
         let is_behind = |sent: &&SentTicket| answered.is_none_or(|answered| sent.at > answered);
-        let own = self.order.iter().filter(|sent| sent.customer == *customer && self.is_unanswered(sent));
-        own.filter(is_behind).next().map_or(Duration::ZERO, |first| now.since(first.at))
+        let mut own = self.order.iter().filter(|sent| sent.customer == *customer && self.is_unanswered(sent));
+        own.find(is_behind).map_or(Duration::ZERO, |first| now.since(first.at))
     }
 
     fn is_unanswered(&self, sent: &SentTicket) -> bool {
