perf(router): a ticket that is never answered does not keep those that were in the list

Answered tickets were removed from the front only; behind one that is never answered the list grew with every request until its caller left, and each submission walks it. By reading; not measured.

--- a/crates/micaspool-router/src/shard_client/unanswered.rs
+++ b/crates/micaspool-router/src/shard_client/unanswered.rs
@@ -4,12 +4,17 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+/// Answered tickets are removed from the order once it is this many times as long as what is unanswered, and longer than
+/// [`MIN_COMPACTED`].
+const COMPACTION_FACTOR: usize = 2;
+const MIN_COMPACTED: usize = 64;
+
 /// The tickets without an answer, and when each was sent. A dispatcher answers a ticket as soon as it handles it, by
 /// accepting, granting or refusing it.
 #[derive(Debug, Default)]
 pub(super) struct UnansweredTickets {
     sent: HashMap<RequestId, (Moment, CustomerName)>,
-    /// In the order in which they were sent. Answered ones are removed once they are the first.
+    /// In the order in which they were sent, with some that are answered.
     order: VecDeque<SentTicket>,
     /// When the newest answered ticket of each customer was sent.
     answered: HashMap<CustomerName, Moment>,
@@ -54,6 +59,10 @@
         while self.order.front().is_some_and(|first| !self.is_unanswered(first)) {
             self.order.pop_front();
         }
+        if self.order.len() > self.sent.len() * COMPACTION_FACTOR + MIN_COMPACTED {
+            let sent = &self.sent;
+            self.order.retain(|ticket| sent.get(&ticket.request).is_some_and(|(at, _)| *at == ticket.at));
+        }
     }
 
     pub fn is_empty(&self) -> bool {
