fix(router): a refusal for want of room does not pass the tickets that wait

The rule that answered tickets pass older ones counted refusals that come at once, before the line: a late dispatcher that refuses most for want of room then seemed to be in time, and its routers sent it all that came. Router link refusals_for_want_of_room_do_not_pass_a_ticket_that_waits: sent and refused by the dispatcher before, refused by the router now.

--- a/crates/micaspool-router/src/shard_client/state.rs
+++ b/crates/micaspool-router/src/shard_client/state.rs
@@ -345,7 +345,10 @@
             _ => None,
         };
         if let Some(request) = answered.and_then(|request| request_id(request).ok()) {
-            self.unanswered.note_answered(request);
+            match is_without_turn(message) {
+                true => self.unanswered.forget(request),
+                false => self.unanswered.note_answered(request),
+            }
         }
         let now = self.current_moment();
         self.watch.note_message(now, !self.unanswered.is_empty());
@@ -459,3 +462,13 @@
         }
     }
 }
+
+/// Returns true if the message refuses a ticket for which the dispatcher has no room. Such a refusal comes at once and says
+/// nothing of the tickets that were sent before.
+fn is_without_turn(message: &v1::DispatcherMessage) -> bool {
+    use v1::dispatcher_message::Body as FromDispatcher;
+    match &message.body {
+        Some(FromDispatcher::Refused(refused)) => refusal_reason(&refused.kind) == RefusalReason::ShardFull,
+        _ => false,
+    }
+}
--- a/crates/micaspool-router/tests/link.rs
+++ b/crates/micaspool-router/tests/link.rs
@@ -49,6 +49,8 @@
     Late(Duration),
     /// Like `Grants`, but leaves the request with this number unanswered, like a shard with a long line of one customer.
     HoldsBack(u128),
+    /// Like `HoldsBack`, but refuses all others for want of room.
+    FullBehind(u128),
     /// Grants the first request and sends nothing afterwards, like a machine that loses power.
     FallsSilent,
     /// Grants every request and asks for a new stream whenever a grant ends.
@@ -149,9 +151,17 @@
             _ => Vec::new(),
         };
         for submit in submits {
-            if matches!(behaviour, Behaviour::HoldsBack(held) if submit.request == held.to_be_bytes()) {
+            let held = match behaviour {
+                Behaviour::HoldsBack(held) | Behaviour::FullBehind(held) => Some(held.to_be_bytes()),
+                _ => None,
+            };
+            if held.is_some_and(|held| submit.request == held) {
                 continue;
             }
+            let behaviour = match behaviour {
+                Behaviour::FullBehind(_) => Behaviour::Overloaded("shard-full", Some(100)),
+                other => other,
+            };
             if let Behaviour::Overloaded(reason, queue_fill_percent) = behaviour {
                 let kind = reason.to_owned();
                 let request = submit.request;
@@ -525,6 +535,33 @@
     });
 }
 
+/// Guards against a late dispatcher that is sent everything because it refuses at once what it has no room for.
+#[test]
+fn refusals_for_want_of_room_do_not_pass_a_ticket_that_waits() {
+    task::block_on(async {
+        let dispatcher = start(Behaviour::FullBehind(1)).await;
+        let client = client(dispatcher, dispatcher);
+        task::sleep(Duration::from_millis(300)).await;
+        let _held = task::spawn({
+            let client = client.clone();
+            async move { client.acquire(ticket(1), None).await.map(drop) }
+        });
+        task::sleep(Duration::from_millis(1_000)).await;
+        let refusal = |objective_millis| {
+            let objective = Some(Duration::from_millis(objective_millis));
+            let client = client.clone();
+            async move {
+                let refused = client
+                    .acquire(RequestTicket { objective, ..ticket(objective_millis.into()) }, None)
+                    .await;
+                refused.map(drop).expect_err("nothing is granted").kind.as_str()
+            }
+        };
+        assert_eq!(refusal(5_000).await, "fleet-backlog-full");
+        assert_eq!(refusal(400).await, "overloaded", "the router knows that the line is late");
+    });
+}
+
 /// Guards against requests that are refused because the ticket of another customer waits in its line.
 #[test_case(450, 350; "a line of one customer")]
 #[test_case(3_000, 2_000; "a ticket that the shard has but does not answer again")]
