--- a/review/common.rs
+++ b/review/common.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Sends SIGKILL and does not wait for the end of the process.
+    pub fn strike(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+        }
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
