--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -57,14 +57,14 @@
             if !full.load(Ordering::SeqCst) {
                 let bytes = worker.run(request);
                 thread::sleep(WORK);
-                return Reply { bytes, surplus: None, close: false };
+                return Reply { bytes, ..Reply::default() };
             }
             let id = request.header("x-micaspool-request-id");
             worker.record.line(&format!("worker {}: is full, rejects {id}", worker.id));
             let bytes = answer("503 Service Unavailable", id, "X-Micaspool-Not-Executed: 1\r\n", b"");
             let is_garbled = trouble() && faulty.load(Ordering::SeqCst) == number;
             garbled[number].fetch_add(usize::from(is_garbled), Ordering::SeqCst);
-            Reply { surplus: is_garbled.then(|| bytes.clone()), bytes, close: false }
+            Reply { surplus: is_garbled.then(|| bytes.clone()), bytes, ..Reply::default() }
         })
     };
     let workers = [
--- a/review/common.rs
+++ b/review/common.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -383,6 +384,11 @@
             }
         }
     }
+    if message.status > 0 && !message.headers.contains_key("content-length") {
+        // The answer ends with its connection. A reset is an error, and not its end.
+        reader.read_to_end(&mut message.body)?;
+        return Ok(message);
+    }
     let length: usize = message.header("content-length").parse().unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body)?;
@@ -438,8 +444,11 @@
 }
 
 /// How a worker answers one request.
+#[derive(Default)]
 pub struct Reply {
     pub bytes: Vec<u8>,
+    /// True if the connection is reset a little after these bytes.
+    pub reset: bool,
     /// Bytes that are sent ahead of the next answer on this connection.
     pub surplus: Option<Vec<u8>>,
     pub close: bool,
@@ -456,6 +465,20 @@
     bytes
 }
 
+/// Makes closing a connection reset it, as far as this process is concerned: all its handles end with it.
+fn reset_on_close(stream: &TcpStream) {
+    extern "C" {
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    }
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = [1, 0];
+    // SAFETY: the descriptor is open, and the pointer is to two numbers that live longer than the call.
+    if unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) } != 0 {
+        give_up("a socket option was refused");
+    }
+}
+
 /// Decides how a worker answers a request that it may run: its number on the connection and the request.
 pub type Handler = Arc<dyn Fn(&Worker, &Message) -> Reply + Send + Sync>;
 
@@ -510,7 +533,11 @@
                     acceptor.open.lock().unwrap().push(copy);
                 }
                 let worker = acceptor.clone();
-                thread::spawn(move || worker.serve(stream));
+                let peer = stream.peer_addr().ok();
+                thread::spawn(move || {
+                    worker.serve(stream);
+                    worker.open.lock().unwrap().retain(|open| open.peer_addr().ok() != peer);
+                });
             }
         });
         worker
@@ -533,6 +560,11 @@
             if self.down.load(Ordering::SeqCst) || writer.write_all(&reply.bytes).is_err() {
                 return;
             }
+            if reply.reset {
+                thread::sleep(Duration::from_millis(50));
+                reset_on_close(&writer);
+                return;
+            }
             if reply.close {
                 let _ = writer.shutdown(Shutdown::Both);
                 return;
@@ -543,7 +575,7 @@
     fn reply(&self, request: &Message) -> Reply {
         let leaving = self.leaving.load(Ordering::SeqCst);
         let close = if leaving { "Connection: close\r\n" } else { "" };
-        let whole = |bytes| Reply { bytes, surplus: None, close: leaving };
+        let whole = |bytes| Reply { bytes, close: leaving, ..Reply::default() };
         if request.path() == "/health" {
             let status = if leaving { "503 Service Unavailable" } else { "200 OK" };
             return whole(answer(status, "", &format!("X-Micaspool-Instance-Id: {}\r\n{close}", self.id), b""));
@@ -703,7 +735,7 @@
     Arc::new(move |worker, request| {
         let bytes = worker.run(request);
         thread::sleep(work);
-        Reply { bytes, surplus: None, close: worker.is_leaving() }
+        Reply { bytes, close: worker.is_leaving(), ..Reply::default() }
     })
 }
 
