--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -25,7 +25,8 @@
 const PATHS: [&str; 2] = ["/puxa403/2f", "/lohu930/2f"];
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| give_up("name the folder of the case")));
+    let folder =
+        PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| give_up("name the folder of the case")));
     let record = Record::create(&folder);
     let fleet = Fleet::start(3, 1, BOUNDS);
     let configuration = format!(
@@ -51,7 +52,8 @@
     let answers: Arc<[AtomicUsize; 2]> = Arc::default();
     let garbled: Arc<[AtomicUsize; 2]> = Arc::default();
     let handler = |number: usize| -> Handler {
-        let (full, faulty, answers, garbled) = (full.clone(), faulty.clone(), answers.clone(), garbled.clone());
+        let (full, faulty, answers, garbled) =
+            (full.clone(), faulty.clone(), answers.clone(), garbled.clone());
         Arc::new(move |worker, request| {
             answers[number].fetch_add(1, Ordering::SeqCst);
             if !full.load(Ordering::SeqCst) {
@@ -109,7 +111,10 @@
             let send = send.clone();
             thread::spawn(move || (0..ORDINARY).for_each(|count| send(PATHS[count % 2])))
         });
-        clients.collect::<Vec<_>>().into_iter().for_each(|client| client.join().expect("a client does not panic"));
+        clients
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|client| client.join().expect("a client does not panic"));
         // Both workers are full for a fifth of a second, and one request comes.
         record.line(&format!("round {round}: the workers are full for 200 ms"));
         full.store(true, Ordering::SeqCst);
@@ -135,8 +140,11 @@
     let mut twice: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).map(|(id, _)| id.clone()).collect();
     twice.sort();
     let promises = [408, 421, 429, 503];
-    let mut refused: Vec<_> =
-        runs.keys().filter(|id| answered.get(*id).is_some_and(|status| promises.contains(status))).cloned().collect();
+    let mut refused: Vec<_> = runs
+        .keys()
+        .filter(|id| answered.get(*id).is_some_and(|status| promises.contains(status)))
+        .cloned()
+        .collect();
     refused.sort();
     let served = answered.values().filter(|status| **status == 200).count();
     let share_of = |number: usize| {
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -26,7 +26,8 @@
 const WORK: Duration = Duration::from_millis(20);
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| give_up("name the folder of the case")));
+    let folder =
+        PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| give_up("name the folder of the case")));
     let record = Record::create(&folder);
     let mut fleet = Fleet::start(3, 2, BOUNDS);
     fleet.publish(&record, &idempotent_configuration(SERVICE));
@@ -65,7 +66,11 @@
         core.strike();
         let took = answered.elapsed();
         core.kill();
-        record.line(&format!("{} lost power {:.1} ms after it had acknowledged", core.name, took.as_secs_f64() * 1_000.0));
+        record.line(&format!(
+            "{} lost power {:.1} ms after it had acknowledged",
+            core.name,
+            took.as_secs_f64() * 1_000.0
+        ));
         if took > WITHIN {
             give_up("the core lost power too late");
         }
--- a/review/common.rs
+++ b/review/common.rs
@@ -68,7 +68,8 @@
 
 impl Record {
     pub fn create(folder: &Path) -> Record {
-        let file = File::create(folder.join("record.txt")).unwrap_or_else(|e| give_up(&format!("record.txt: {e}")));
+        let file =
+            File::create(folder.join("record.txt")).unwrap_or_else(|e| give_up(&format!("record.txt: {e}")));
         Record { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
     }
 
@@ -204,7 +205,10 @@
                     fs::create_dir_all(&data).expect("the folder is writable");
                     (format!("control = \"{ip}:{}\"", ports.control), format!("data_dir = {data:?}\n"))
                 }
-                _ => (format!("front = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"", ports.front, ports.ready), String::new()),
+                _ => (
+                    format!("front = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"", ports.front, ports.ready),
+                    String::new(),
+                ),
             };
             let zone = ZONES[index % ZONES.len()];
             let text = format!(
@@ -252,7 +256,9 @@
     pub fn publish(&self, record: &Record, configuration: &str) {
         let end = Instant::now() + Duration::from_secs(20);
         for core in self.cores.iter().cycle() {
-            if let Ok(answer) = call(core.control(), "PUT", "/config", &[], configuration.as_bytes(), Duration::from_secs(1)) {
+            if let Ok(answer) =
+                call(core.control(), "PUT", "/config", &[], configuration.as_bytes(), Duration::from_secs(1))
+            {
                 if answer.status == 200 {
                     record.line(&format!("operator: configuration acknowledged by {}", core.name));
                     return;
@@ -272,7 +278,9 @@
     pub fn wait_ready(&self, record: &Record) {
         let end = Instant::now() + Duration::from_secs(20);
         for front in &self.fronts {
-            while !call(front.readiness(), "GET", "/readyz", &[], b"", Duration::from_secs(1)).is_ok_and(|a| a.status == 200) {
+            while !call(front.readiness(), "GET", "/readyz", &[], b"", Duration::from_secs(1))
+                .is_ok_and(|a| a.status == 200)
+            {
                 if Instant::now() > end {
                     give_up(&format!("{} is not ready", front.name));
                 }
@@ -311,8 +319,10 @@
 
 /// Returns the command of a role in the deploy file.
 fn deploy_command(role: &str) -> Vec<String> {
-    let text = fs::read_to_string("deploy/system.toml").unwrap_or_else(|e| give_up(&format!("deploy/system.toml: {e}")));
-    let section = text.split(&format!("[roles.{role}]")).nth(1).unwrap_or_else(|| give_up("a role is missing"));
+    let text = fs::read_to_string("deploy/system.toml")
+        .unwrap_or_else(|e| give_up(&format!("deploy/system.toml: {e}")));
+    let section =
+        text.split(&format!("[roles.{role}]")).nth(1).unwrap_or_else(|| give_up("a role is missing"));
     let run = section.lines().find_map(|line| line.trim().strip_prefix("run = "));
     let run = run.unwrap_or_else(|| give_up("a command is missing")).trim().trim_matches('"');
     run.split_whitespace().map(str::to_owned).collect()
@@ -423,7 +433,14 @@
 }
 
 /// Sends a request as a client does, with an id of its own.
-pub fn client_request(front: SocketAddr, method: &str, path: &str, id: &str, deadline: u64, body: &[u8]) -> io::Result<Message> {
+pub fn client_request(
+    front: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline: u64,
+    body: &[u8],
+) -> io::Result<Message> {
     let deadline_text = deadline.to_string();
     let bearer = format!("Bearer {KEY}");
     let headers = [
@@ -504,7 +521,14 @@
 }
 
 impl Worker {
-    pub fn start(record: &Record, id: &str, service: &str, zone: &str, tells_born: bool, handler: Handler) -> Arc<Worker> {
+    pub fn start(
+        record: &Record,
+        id: &str,
+        service: &str,
+        zone: &str,
+        tells_born: bool,
+        handler: Handler,
+    ) -> Arc<Worker> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| give_up(&format!("no port: {e}")));
         let worker = Arc::new(Worker {
             id: id.to_owned(),
@@ -578,7 +602,12 @@
         let whole = |bytes| Reply { bytes, close: leaving, ..Reply::default() };
         if request.path() == "/health" {
             let status = if leaving { "503 Service Unavailable" } else { "200 OK" };
-            return whole(answer(status, "", &format!("X-Micaspool-Instance-Id: {}\r\n{close}", self.id), b""));
+            return whole(answer(
+                status,
+                "",
+                &format!("X-Micaspool-Instance-Id: {}\r\n{close}", self.id),
+                b"",
+            ));
         }
         if request.path() == "/report" {
             let state = if leaving { "draining" } else { "ready" };
@@ -587,12 +616,22 @@
                  \"kv_total\":0,\"handles\":0,\"state\":\"{state}\"{}}}",
                 self.born_field()
             );
-            return whole(answer("200 OK", "", &format!("Content-Type: application/json\r\n{close}"), report.as_bytes()));
+            return whole(answer(
+                "200 OK",
+                "",
+                &format!("Content-Type: application/json\r\n{close}"),
+                report.as_bytes(),
+            ));
         }
         let expected = request.header("x-micaspool-expect-instance");
         if !expected.is_empty() && expected != self.id {
             let id = request.header("x-micaspool-request-id");
-            return whole(answer("421 Misdirected Request", id, &format!("X-Micaspool-Not-Executed: 1\r\n{close}"), b""));
+            return whole(answer(
+                "421 Misdirected Request",
+                id,
+                &format!("X-Micaspool-Not-Executed: 1\r\n{close}"),
+                b"",
+            ));
         }
         (self.handler)(self, request)
     }
@@ -611,10 +650,15 @@
     pub fn run_with_body(&self, request: &Message, body: &[u8]) -> Vec<u8> {
         let id = request.header("x-micaspool-request-id").to_owned();
         self.record.line(&format!("worker {}: runs {id}, {}", self.id, request.first));
-        self.runs.lock().unwrap().push(Seen { at: self.record.now(), id: id.clone(), path: request.path().to_owned() });
+        self.runs.lock().unwrap().push(Seen {
+            at: self.record.now(),
+            id: id.clone(),
+            path: request.path().to_owned(),
+        });
         let kind = if request.path().starts_with(STREAMS) { "text/event-stream" } else { "text/plain" };
         let close = if self.leaving.load(Ordering::SeqCst) { "Connection: close\r\n" } else { "" };
-        let headers = format!("X-Micaspool-Response-Seal: seal-{id}-{}\r\nContent-Type: {kind}\r\n{close}", self.id);
+        let headers =
+            format!("X-Micaspool-Response-Seal: seal-{id}-{}\r\nContent-Type: {kind}\r\n{close}", self.id);
         answer("200 OK", &id, &headers, body)
     }
 
@@ -682,7 +726,11 @@
         self.born.store(epoch_millis(), Ordering::SeqCst);
         self.sequence.store(0, Ordering::SeqCst);
         self.down.store(false, Ordering::SeqCst);
-        self.record.line(&format!("worker {}: starts again, born {}", self.id, self.born.load(Ordering::SeqCst)));
+        self.record.line(&format!(
+            "worker {}: starts again, born {}",
+            self.id,
+            self.born.load(Ordering::SeqCst)
+        ));
     }
 }
 
@@ -698,7 +746,13 @@
 }
 
 impl Clients {
-    pub fn start(record: &Record, fleet: &Fleet, count: usize, method: &'static str, path: &'static str) -> Clients {
+    pub fn start(
+        record: &Record,
+        fleet: &Fleet,
+        count: usize,
+        method: &'static str,
+        path: &'static str,
+    ) -> Clients {
         let ended = Arc::new(AtomicBool::new(false));
         let fronts: Vec<_> = fleet.fronts.iter().map(Node::front).collect();
         let client = |client: usize| {
@@ -710,7 +764,8 @@
                     let id = format!("9c41{client:04x}{number:08x}");
                     let front = (client + number) % fronts.len();
                     let answer = client_request(fronts[front], method, path, &id, 1_500, b"");
-                    let status = answer.map_or_else(|error| error.to_string(), |answer| answer.status.to_string());
+                    let status =
+                        answer.map_or_else(|error| error.to_string(), |answer| answer.status.to_string());
                     record.line(&format!("client: {id} at front-{front} answered {status}"));
                     served += usize::from(status == "200");
                     number += 1;
