--- a/review/common.rs
+++ b/review/common.rs
@@ -7,6 +7,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -89,12 +90,37 @@
     }
 }
 
-/// Ends the script because the case could not run.
+/// What a script that gives up still has to end and to remove.
+static STARTED: Mutex<(Vec<u32>, Option<PathBuf>)> = Mutex::new((Vec::new(), None));
+
+/// Ends the script because the case could not run, and with it all processes that it started.
 pub fn give_up(text: &str) -> ! {
     eprintln!("the case could not run: {text}");
+    if let Ok(started) = STARTED.try_lock() {
+        for id in &started.0 {
+            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        }
+        if let Some(folder) = &started.1 {
+            let _ = fs::remove_dir_all(folder);
+        }
+    }
     std::process::exit(COULD_NOT_RUN);
 }
 
+/// Makes a process end with the thread that starts it, however that ends. Called in the new process.
+fn end_with_parent() -> io::Result<()> {
+    extern "C" {
+        fn prctl(option: i32, signal: u64, unused: u64, unused_too: u64, unused_as_well: u64) -> i32;
+    }
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the call has no pointers.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// A process of the system. It is killed when it is dropped.
 pub struct Node {
     pub name: String,
@@ -138,8 +164,13 @@
             }
         }
         command.env("MICASPOOL_SETTINGS", &self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
+        // SAFETY: `end_with_parent` makes one system call and allocates nothing.
+        unsafe { command.pre_exec(end_with_parent) };
         match command.spawn() {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                STARTED.lock().unwrap().0.push(child.id());
+                self.child = Some(child);
+            }
             Err(error) => give_up(&format!("{}: {error}; build the deploy file first", self.command[0])),
         }
     }
@@ -154,6 +185,7 @@
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            STARTED.lock().unwrap().0.retain(|id| *id != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -195,6 +227,7 @@
         let ports = free_ports(address(1));
         let folder = std::env::temp_dir().join(format!("micaspool-review-{id}"));
         fs::create_dir_all(&folder).unwrap_or_else(|e| give_up(&format!("temporary folder: {e}")));
+        STARTED.lock().unwrap().1 = Some(folder.clone());
         let seeds: Vec<String> =
             (0..cores.min(3)).map(|n| format!("\"{}:{}\"", address(1 + n as u8), ports.control)).collect();
         let node = |role: &str, index: usize, first: u8| {
