--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -122,7 +122,7 @@
                     Err(failure) => failure,
                 }
             };
-            log.log_failure("body-broken", &failure, false);
+            log.log_failure("body-broken", &failure, false, None);
             if !self.may_run_again() {
                 let refusal = self.final_refusal(RefusalKind::RetriesExhausted);
                 return self.refuse(gateway, &mut log, &refusal);
@@ -439,7 +439,7 @@
                         let response = Response::from_parts(head, body);
                         return Ok(UsableAnswer { lease, version, response });
                     }
-                    verdict => SendFailure::from_answer(verdict, head.status),
+                    verdict => SendFailure::from_answer(verdict, head.status, body.connection_use()),
                 }
             }
             Some(Ok(Err(error))) => SendFailure::from_error(&error),
@@ -510,7 +510,7 @@
         endpoint: EndpointName,
         failure: SendFailure,
     ) -> Result<(), Refusal> {
-        log.log_failure(failure.kind, &failure.cause, failure.not_run);
+        log.log_failure(failure.kind, &failure.cause, failure.not_run, failure.connection_use);
         self.reached_sends += u32::from(failure.reached_endpoint);
         self.possible_runs += u32::from(!failure.not_run);
         self.avoid = Some(endpoint);
--- a/crates/micaspool-gateway/src/proxy/failure.rs
+++ b/crates/micaspool-gateway/src/proxy/failure.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use micaspool_dispatch::GrantOutcome;
 use micaspool_http::pool::{is_malformed, SendError};
+use micaspool_http::sends::ConnectionUse;
 use micaspool_types::RefusalKind;
 
 /// A send without an answer that may be passed on.
@@ -20,6 +21,8 @@
     pub reached_endpoint: bool,
     /// Set if no other endpoint can help, because this process lacks what a send takes.
     pub refusal: Option<RefusalKind>,
+    /// The connection that the response came on; `None` without a response.
+    pub connection_use: Option<ConnectionUse>,
 }
 
 impl SendFailure {
@@ -32,6 +35,7 @@
             not_run: false,
             reached_endpoint: true,
             refusal: None,
+            connection_use: None,
         }
     }
 
@@ -44,6 +48,7 @@
             not_run: false,
             reached_endpoint: true,
             refusal: None,
+            connection_use: None,
         }
     }
 
@@ -66,11 +71,16 @@
             not_run: unsent,
             reached_endpoint: !unsent,
             refusal: lacks_connections.then_some(RefusalKind::TooManyConnections),
+            connection_use: None,
         }
     }
 
     /// A response arrived that can't be passed on.
-    pub fn from_answer(verdict: AnswerVerdict, status: StatusCode) -> SendFailure {
+    pub fn from_answer(
+        verdict: AnswerVerdict,
+        status: StatusCode,
+        connection_use: ConnectionUse,
+    ) -> SendFailure {
         let (kind, outcome, not_run) = match verdict {
             AnswerVerdict::NotRun(NotRunReason::Full) => ("full", GrantOutcome::Refused, true),
             AnswerVerdict::NotRun(NotRunReason::WrongEndpoint) => {
@@ -89,6 +99,7 @@
             not_run,
             reached_endpoint: true,
             refusal: None,
+            connection_use: Some(connection_use),
         }
     }
 }
--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -297,7 +297,7 @@
             return false;
         }
         self.log_body_end();
-        self.log.log_failure("stream-broken", &cause, false);
+        self.log.log_failure("stream-broken", &cause, false, None);
         self.settle(error.outcome());
         self.attempts.bind_to(self.source.version.clone());
         let last_event = last.to_string();
--- a/crates/micaspool-gateway/src/request_log.rs
+++ b/crates/micaspool-gateway/src/request_log.rs
@@ -3,6 +3,7 @@
 use crate::metrics::GatewayMetrics;
 use micaspool_clock::BootInstant;
 use micaspool_http::framing::BodyFraming;
+use micaspool_http::sends::ConnectionUse;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_telemetry::events::{self, field, record, EventField, EventKind};
 use micaspool_types::{
@@ -180,13 +181,23 @@
     }
 
     /// Logs a failed send; the request may be sent again.
-    pub fn log_failure(&self, kind: &'static str, cause: &str, not_run: bool) {
+    pub fn log_failure(
+        &self,
+        kind: &'static str,
+        cause: &str,
+        not_run: bool,
+        connection_use: Option<ConnectionUse>,
+    ) {
         self.metrics.count_failure(kind);
         let mut fields = self.fields();
         fields.extend(self.digest_field());
         fields.push(field("failure", kind));
         fields.push(field("cause", cause));
         fields.push(field("proved_not_run", not_run));
+        if let Some(connection_use) = connection_use {
+            fields.push(field("connection", connection_use.connection));
+            fields.push(field("earlier_sends", connection_use.earlier_sends));
+        }
         record(&events::SEND_FAILED, &fields);
     }
 
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`edge`] serves callers and [`pool`] calls endpoints over persistent connections. Both are based on `hyper`, frame
 //! bodies exactly and detect a peer that closes its connection (design 006). [`pressure`] selects the connections
 //! that an overloaded server serves. [`body`] bounds the memory of request bodies, and [`framing`] tells how the end of a
-//! response is known.
+//! response is known, and [`sends`] which connection carried it.
 //!
 //! [`server`] and [`client`] are older and based on `async-h1`. They add checks that it lacks: `async-h1` treats a
 //! body that ends early as complete, accepts two different lengths, and closes the connection without a response
@@ -24,6 +24,7 @@
 mod read_meter;
 pub mod refusal;
 pub mod replay;
+pub mod sends;
 pub mod server;
 pub mod socket;
 pub mod stall;
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::framing::BodyFraming;
 use crate::read_meter::{MeteredReads, ReadMeter};
+use crate::sends::{ConnectionNumber, ConnectionUse};
 use crate::socket::{self, ShortReads};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -127,6 +128,9 @@
 struct ReadySender {
     requests: SendRequest<Full<Bytes>>,
     meter: Arc<ReadMeter>,
+    number: ConnectionNumber,
+    /// The number of requests that were sent on it.
+    sends: u64,
 }
 
 struct IdleConnection {
@@ -242,7 +246,7 @@
         let open = self.reserve_connection().await?;
         let stream = socket::connect(address, self.options.connect_limit).await;
         let stream = stream.map_err(connect_error)?;
-        self.opened.fetch_add(1, Ordering::Relaxed);
+        let number = ConnectionNumber(self.opened.fetch_add(1, Ordering::Relaxed));
         let meter = Arc::new(ReadMeter::default());
         let stream = MeteredReads::new(ShortReads::new(stream), meter.clone());
         let (sender, connection) = http1::Builder::new()
@@ -255,7 +259,7 @@
             drop(connection.await);
             drop(open);
         });
-        Ok(ReadySender { requests: sender, meter })
+        Ok(ReadySender { requests: sender, meter, number, sends: 0 })
     }
 
     /// Reserves one of the connections that may be open. If all are, the oldest idle one of each endpoint is closed.
@@ -290,6 +294,8 @@
         request: FullRequest,
     ) -> Result<Response<PooledBody>, (SendError, Option<FullRequest>)> {
         sender.meter.record_progress();
+        let connection_use = ConnectionUse { connection: sender.number, earlier_sends: sender.sends };
+        sender.sends += 1;
         let response = match sender.requests.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -302,7 +308,7 @@
         let keep_alive = self.negotiated_keep_alive(response.headers());
         let connection = PooledConnection { pool: self.clone(), address, sender, keep_alive };
         let framing = BodyFraming::of(response.headers(), response.body());
-        Ok(response.map(|body| PooledBody { body, framing, connection: Some(connection) }))
+        Ok(response.map(|body| PooledBody { body, framing, connection_use, connection: Some(connection) }))
     }
 
     /// Returns how long a connection may be idle, from the `Keep-Alive` header of its last response.
@@ -373,6 +379,7 @@
 pub struct PooledBody {
     body: Incoming,
     framing: BodyFraming,
+    connection_use: ConnectionUse,
     connection: Option<PooledConnection>,
 }
 
@@ -388,6 +395,11 @@
         self.framing
     }
 
+    /// Returns the connection that the response came on.
+    pub fn connection_use(&self) -> ConnectionUse {
+        self.connection_use
+    }
+
     /// Records that the reader got a part of the body.
     fn record_progress(&self) {
         if let Some(connection) = &self.connection {
