fix(gateway): a request is sent once at most over each connection

Cause: answers are matched to requests by the caller's id, which is the same for each send of a request; on a connection that carried an earlier send, a surplus answer to that one has the id that is expected. Ruled out: a false first rejection (no run before the second send in the endpoint's record), a connection that was out of step before (no foreign answer on it).

The pool doesn't use a connection again for a request that was sent over it. Independent of what the first answer was, so it holds for streams that go on and for answers that broke as well.

--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -20,6 +20,7 @@
 use micaspool_http::edge::{full_body, EdgeBody};
 use micaspool_http::framing::BodyFraming;
 use micaspool_http::pool::PooledBody;
+use micaspool_http::sends::SendHistory;
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_router::GrantLease;
 use micaspool_routes::RunRule;
@@ -63,6 +64,8 @@
     /// The number of sends that may have run.
     possible_runs: u32,
     avoid: Option<EndpointName>,
+    /// The connections over which the request was sent.
+    history: SendHistory,
     /// The software versions at which the request may run from now on.
     versions: VersionLimit,
 }
@@ -96,6 +99,7 @@
             reached_sends: 0,
             possible_runs: 0,
             avoid: None,
+            history: SendHistory::default(),
             versions,
             call,
         }
@@ -252,6 +256,7 @@
             match self.send(gateway, lease, &endpoint, last_event).await {
                 Ok(answer) => {
                     self.possible_runs += 1;
+                    self.history.note(answer.response.body().connection_use().connection);
                     // Only matters if the body breaks and the request is sent again.
                     self.avoid = Some(endpoint.name);
                     return Ok(answer);
@@ -425,7 +430,7 @@
         let request = self.build_request(gateway, &context);
         lease.mark_sent();
         let may_send = || parts.advice.may_send(&endpoint.name) && !parts.mirror.is_evacuated(&endpoint.hall);
-        let sent = timeout(time_left, parts.pool.send_if(endpoint.address, request, may_send));
+        let sent = timeout(time_left, parts.pool.send_if(endpoint.address, request, &self.history, may_send));
         let failure = match parts.end_notice.unless_stopping(sent).await {
             Some(Ok(Ok(response))) => {
                 let (head, body) = response.into_parts();
@@ -514,6 +519,9 @@
         self.reached_sends += u32::from(failure.reached_endpoint);
         self.possible_runs += u32::from(!failure.not_run);
         self.avoid = Some(endpoint);
+        if let Some(connection_use) = failure.connection_use {
+            self.history.note(connection_use.connection);
+        }
         if let Some(kind) = failure.refusal {
             return Err(self.final_refusal(kind));
         }
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -1,14 +1,15 @@
 //! HTTP/1.1 client for endpoints with a connection pool, based on `hyper`.
 //!
 //! A connection carries one request at a time and returns to the pool only after the whole response
-//! was read. `hyper` closes a connection on which unsolicited bytes arrive, and a connection is closed on which too many
+//! was read. A request is sent once at most over each connection, so that a surplus response to an earlier send can't be
+//! taken for the response to a later one. `hyper` closes a connection on which unsolicited bytes arrive, and a connection is closed on which too many
 //! bytes arrive that are no part of a body. Errors distinguish requests
 //! that were not sent from those that got no response, because a request that was not sent cannot have
 //! run.
 
 use crate::framing::BodyFraming;
 use crate::read_meter::{MeteredReads, ReadMeter};
-use crate::sends::{ConnectionNumber, ConnectionUse};
+use crate::sends::{ConnectionNumber, ConnectionUse, SendHistory};
 use crate::socket::{self, ShortReads};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -180,18 +181,20 @@
         address: SocketAddr,
         request: FullRequest,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.send_if(address, request, || true).await
+        self.send_if(address, request, &SendHistory::default(), || true).await
     }
 
-    /// Sends a request if `may_send` still returns true immediately before the request is written. Connecting takes
-    /// time, and a closed idle connection may be the sign of a change at the endpoint.
+    /// Sends a request over a connection that is not in its `history`, if `may_send` still returns true immediately
+    /// before the request is written. Connecting takes time, and a closed idle connection may be the sign of a change at
+    /// the endpoint.
     pub async fn send_if(
         self: &Arc<Self>,
         address: SocketAddr,
         mut request: FullRequest,
+        history: &SendHistory,
         may_send: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
-        while let Some(sender) = self.take_idle(address) {
+        while let Some(sender) = self.take_idle(address, history) {
             if !may_send() {
                 self.return_unused(address, sender);
                 return Err(SendError::Withheld);
@@ -324,13 +327,16 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<ReadySender> {
+    fn take_idle(&self, address: SocketAddr, history: &SendHistory) -> Option<ReadySender> {
         let now = BootInstant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         connections
             .retain(|connection| connection.expires_at > now && !connection.sender.requests.is_closed());
-        let index = connections.iter().rposition(|connection| connection.sender.requests.is_ready())?;
+        let is_usable = |connection: &IdleConnection| {
+            connection.sender.requests.is_ready() && !history.contains(connection.sender.number)
+        };
+        let index = connections.iter().rposition(is_usable)?;
         Some(connections.remove(index).sender)
     }
 
--- a/crates/micaspool-http/tests/pool.rs
+++ b/crates/micaspool-http/tests/pool.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use micaspool_http::framing::BodyFraming;
 use micaspool_http::pool::{EndpointPool, FullRequest, PoolOptions, SendError};
+use micaspool_http::sends::SendHistory;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -175,7 +176,8 @@
     let pool = EndpointPool::new(PoolOptions::default());
     task::block_on(async {
         for _ in 0..2 {
-            let error = pool.send_if(address, request(), || false).await.expect_err("it is withheld");
+            let error = pool.send_if(address, request(), &SendHistory::default(), || false).await;
+            let error = error.expect_err("it is withheld");
             assert!(matches!(error, SendError::Withheld) && error.is_unsent());
             // A new connection is ready for a request once its task has run.
             task::sleep(Duration::from_millis(20)).await;
@@ -187,6 +189,29 @@
     assert_eq!(pool.idle_counts(), (0, 0));
 }
 
+/// Guards against a request that is sent again where a surplus answer to its first send may come.
+#[test]
+fn a_request_is_sent_once_over_each_connection() {
+    let (address, connections) =
+        endpoint("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n", AfterResponse::Keep);
+    let pool = EndpointPool::new(PoolOptions::default());
+    task::block_on(async {
+        let mut history = SendHistory::default();
+        for _ in 0..3 {
+            let response = pool.send_if(address, request(), &history, || true).await.expect("a response");
+            let connection_use = response.body().connection_use();
+            assert!(!history.contains(connection_use.connection));
+            assert_eq!(connection_use.earlier_sends, 0);
+            history.note(connection_use.connection);
+            drop(response);
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(connections.load(Ordering::SeqCst), 3);
+        let other = pool.send(address, request()).await.expect("a response");
+        assert_eq!(other.body().connection_use().earlier_sends, 1, "other requests use them on");
+    });
+}
+
 /// If an endpoint responds before it has read a long body, the rest of that body follows on the connection, and no
 /// other request is sent in its place.
 #[test]
