fix(gateway): a connection on which an answer belonged to another request is closed

Cause: a body that is at its end puts its connection back into the pool, whatever the head said.

Red before: fleet surplus a_surplus_answer_costs_one_request_at_most, four of four requests failed; now one.

--- a/crates/micaspool-gateway/src/dialect.rs
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -95,6 +95,11 @@
 }
 
 impl AnswerVerdict {
+    /// Returns true if the response shows that the next one on its connection belongs to the next request.
+    pub fn proves_order(self) -> bool {
+        matches!(self, AnswerVerdict::Answer | AnswerVerdict::NotRun(_))
+    }
+
     /// Returns true if the response comes from the endpoint that the request was sent to, whatever the outcome.
     pub fn is_from_target(self) -> bool {
         !matches!(self, AnswerVerdict::WrongRequest | AnswerVerdict::NotRun(NotRunReason::WrongEndpoint))
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -444,7 +444,13 @@
                         let response = Response::from_parts(head, body);
                         return Ok(UsableAnswer { lease, version, response });
                     }
-                    verdict => SendFailure::from_answer(verdict, head.status, body.connection_use()),
+                    verdict => {
+                        let connection_use = body.connection_use();
+                        if !verdict.proves_order() {
+                            body.close_connection();
+                        }
+                        SendFailure::from_answer(verdict, head.status, connection_use)
+                    }
                 }
             }
             Some(Ok(Err(error))) => SendFailure::from_error(&error),
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -406,6 +406,12 @@
         self.connection_use
     }
 
+    /// Closes the connection, whatever is left of the body. For a response that does not belong to the request: those
+    /// that follow it on the connection would not either.
+    pub fn close_connection(mut self) {
+        self.connection = None;
+    }
+
     /// Records that the reader got a part of the body.
     fn record_progress(&self) {
         if let Some(connection) = &self.connection {
