fix(gateway): a rejection without an id proves nothing on a connection that carried other requests

What callers could see: 503 with a time to come back for a request that runs, if an endpoint sends a surplus rejection that names no request ahead of its answer. Cause: an id that is missing was taken for the right one. On the first request of a connection such an answer can't belong to another, and counts as before.

--- a/crates/micaspool-gateway/src/dialect.rs
+++ b/crates/micaspool-gateway/src/dialect.rs
@@ -128,8 +128,9 @@
     /// Turns a caller's headers into those for the endpoint. Hop-by-hop headers have already been removed.
     fn rewrite_headers(&self, headers: &mut HeaderMap, context: &ForwardContext<'_>);
 
-    /// Classifies the head of an endpoint's response to the request with this id.
-    fn classify_answer(&self, head: &response::Parts, id: &str) -> AnswerVerdict;
+    /// Classifies the head of an endpoint's response to the request with this id. A response without an id may belong to
+    /// an earlier request on the same connection, unless there was none.
+    fn classify_answer(&self, head: &response::Parts, id: &str, earlier_sends: u64) -> AnswerVerdict;
 
     /// Reads the advice in the head of an endpoint's response: to send nothing for a while (a rest), or that the
     /// endpoint is leaving.
--- a/crates/micaspool-gateway/src/native.rs
+++ b/crates/micaspool-gateway/src/native.rs
@@ -96,11 +96,14 @@
         }
     }
 
-    fn classify_answer(&self, head: &response::Parts, id: &str) -> AnswerVerdict {
+    fn classify_answer(&self, head: &response::Parts, id: &str, earlier_sends: u64) -> AnswerVerdict {
         let echoed_id = header_text(&head.headers, &ID);
         if echoed_id.is_some_and(|echoed_id| echoed_id != id) {
             return AnswerVerdict::WrongRequest;
         }
+        if echoed_id.is_none() && earlier_sends > 0 {
+            return AnswerVerdict::Unverified;
+        }
         match (header_text(&head.headers, &RUN), head.status.as_u16()) {
             (Some("not-run"), 421) => AnswerVerdict::NotRun(NotRunReason::WrongEndpoint),
             (Some("not-run"), 400) => AnswerVerdict::NotRun(NotRunReason::Malformed),
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -434,7 +434,8 @@
         let failure = match parts.end_notice.unless_stopping(sent).await {
             Some(Ok(Ok(response))) => {
                 let (head, body) = response.into_parts();
-                let verdict = parts.dialect.classify_answer(&head, &self.call.caller.id);
+                let earlier_sends = body.connection_use().earlier_sends;
+                let verdict = parts.dialect.classify_answer(&head, &self.call.caller.id, earlier_sends);
                 if verdict.is_from_target() {
                     self.apply_advice(gateway, endpoint, &head);
                 }
