fix(core): a departure is acknowledged once a majority of the cores has it on disk

Cause: the departure was in the memory of that core only; the answer was ahead of the news to others, by up to 100 ms. Shown by MP1501: Left of the lost endpoint in no other process's log, that of one 40 ms earlier in all.

Departures are commands of the replicated log (design 025): followers are told at once, the answer waits for the commit, and cores that start again tell what their log holds. Heartbeats of serving endpoints stay as they were.

--- a/crates/micaspool-client/src/keeper.rs
+++ b/crates/micaspool-client/src/keeper.rs
@@ -126,6 +126,19 @@
         .await
     }
 
+    /// Records that an endpoint drains or has left. Idempotent.
+    pub async fn depart(
+        &self,
+        request: v1::DepartRequest,
+        limit: Duration,
+    ) -> Result<v1::DepartReply, CallError> {
+        self.call(limit, |mut client| {
+            let request = request.clone();
+            async move { client.depart(request).await.map(tonic::Response::into_inner) }
+        })
+        .await
+    }
+
     /// Reads the orders about data halls, confirmed by a majority.
     pub async fn halls_confirmed(&self, limit: Duration) -> Result<v1::HallsReply, CallError> {
         self.call(limit, |mut client| async move {
@@ -351,6 +364,12 @@
     }
 }
 
+impl LeaderReply for v1::DepartReply {
+    fn redirect(&self) -> Option<&v1::NotLeader> {
+        self.not_leader.as_ref()
+    }
+}
+
 impl LeaderReply for v1::HallsReply {
     fn redirect(&self) -> Option<&v1::NotLeader> {
         self.not_leader.as_ref()
--- a/crates/micaspool-core/src/control.rs
+++ b/crates/micaspool-core/src/control.rs
@@ -3,12 +3,12 @@
 use micaspool_client::{FleetMirror, KeeperClient};
 use micaspool_halls::{HallState, OrderVerdict};
 use micaspool_keeper::RegistryHub;
-use micaspool_registry::{EndpointRecord, EndpointStage, MergeOutcome};
+use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_routes::{FormatError, PlanFormat};
 use micaspool_settings::process::PeerAddress;
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::{EndpointName, HallName};
-use micaspool_wire::convert::order_verdict;
+use micaspool_wire::convert::{endpoint_message, order_verdict};
 use micaspool_wire::v1;
 use std::fmt;
 use std::sync::Arc;
@@ -173,23 +173,48 @@
         }
     }
 
-    /// Registers a record of an endpoint at the keeper of this instance.
-    pub fn register(&self, endpoint: EndpointRecord) -> MergeOutcome {
-        self.hub.register(endpoint)
+    /// Registers a record of an endpoint at the keeper of this instance. If the endpoint drains, returns only after a
+    /// majority of keepers has confirmed it.
+    pub async fn register(&self, endpoint: EndpointRecord) -> Result<(), OrderError> {
+        let name = endpoint.name.clone();
+        self.hub.register(endpoint);
+        self.confirm_departure(&name).await
     }
 
-    /// Marks an endpoint as left, by the identity that all its starts share. If it registered at another
-    /// instance, its record is taken from the mirror.
-    pub fn deregister(&self, identity: &EndpointName) {
-        if self.hub.deregister(identity) {
-            return;
+    /// Marks an endpoint as left, by the identity that all its starts share, and returns after a majority of keepers
+    /// has confirmed it. If it registered at another instance, its record is taken from the mirror.
+    pub async fn deregister(&self, identity: &EndpointName) -> Result<(), OrderError> {
+        if let Some(name) = self.hub.deregister(identity) {
+            return self.confirm_departure(&name).await;
         }
         match self.mirror.newest_incarnation(identity) {
             Some(known) => {
-                self.hub.register(EndpointRecord { stage: EndpointStage::Left, ..known });
+                let departure = EndpointRecord { stage: EndpointStage::Left, ..known };
+                self.register(departure).await
             }
             None => {
-                record(&events::ENDPOINT_STAGE, &[field("endpoint", identity), field("stage", "unknown")])
+                record(&events::ENDPOINT_STAGE, &[field("endpoint", identity), field("stage", "unknown")]);
+                Ok(())
+            }
+        }
+    }
+
+    /// Has a majority of keepers confirm the departure of an endpoint, unless it has done so or the endpoint serves.
+    /// Followers have been told before, so that what is not confirmed is not delayed.
+    async fn confirm_departure(&self, name: &EndpointName) -> Result<(), OrderError> {
+        let Some(departure) = self.hub.unconfirmed_departure(name) else { return Ok(()) };
+        self.refresh_keepers();
+        let request = v1::DepartRequest { endpoint: Some(endpoint_message(&departure)) };
+        match self.client.depart(request, ORDER_TIMEOUT).await {
+            Ok(_) => {
+                self.hub.confirm(&departure);
+                Ok(())
+            }
+            Err(error) => {
+                let stage = departure.stage.as_str();
+                let fields = [field("endpoint", name), field("stage", stage), field("error", error)];
+                record(&events::DEPARTURE_UNCONFIRMED, &fields);
+                Err(OrderError::NoMajority)
             }
         }
     }
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -229,10 +229,12 @@
     }
     let (outgoing, envelopes) = unbounded();
     let reopen = ReopenOptions { folder: folder.clone(), name: options.instance.clone() };
+    let hub: Arc<RegistryHub> = Arc::default();
     let engine_options = EngineOptions {
         quorum: options.quorum.clone(),
         ledger: LedgerOptions::default(),
         reopen: options.reopens_after_failure.then_some(reopen),
+        hub: hub.clone(),
     };
     let engine = KeeperEngine::new(engine_options, opened, outgoing);
     let view = engine.view();
@@ -243,7 +245,6 @@
         let _ = done.send(());
     });
     let counters = KeeperCounters::default();
-    let hub: Arc<RegistryHub> = Arc::default();
     task::spawn(sweep_registry(view.clone(), hub.clone()));
     let service = KeeperService::new(
         inputs.clone(),
--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -6,6 +6,7 @@
 mod reopen;
 
 use crate::clock::{ledger_time, MonotonicClock};
+use crate::registry_hub::RegistryHub;
 use crate::state::{KeeperCommand, KeeperReply, KeeperState, PlanDocument};
 use async_std::channel::{Receiver, Sender};
 use micaspool_halls::HallOrders;
@@ -14,6 +15,7 @@
     EntryPayload, Envelope, LogEntry, LogIndex, ProposeError, QuorumCore, QuorumEvent, QuorumOptions,
     QuorumOutput, QuorumRole, QuorumStatus, RestoredState,
 };
+use micaspool_registry::DepartureCommand;
 use micaspool_settings::apply::{self, SettingsUpdate};
 use micaspool_store::{KeeperFiles, OpenOutcome};
 use micaspool_telemetry::events::{self, field, record};
@@ -126,6 +128,8 @@
     pub ledger: LedgerOptions,
     /// How to reopen the files after a failure. With `None`, the engine stops.
     pub reopen: Option<ReopenOptions>,
+    /// The registry that confirmed departures of endpoints are merged into.
+    pub hub: Arc<RegistryHub>,
 }
 
 /// The data folder to reopen and the name of its keeper.
@@ -177,6 +181,7 @@
             stopped: false,
             subscribers: Vec::new(),
         };
+        options.hub.confirm_all(&state.departures);
         KeeperEngine {
             options,
             clock,
@@ -283,6 +288,7 @@
         }
         if let Some(snapshot) = output.install {
             self.state = restore_state(&snapshot.data, self.options.ledger);
+            self.options.hub.confirm_all(&self.state.departures);
             self.command_bytes = 0;
             self.applied = snapshot.index;
         }
@@ -298,7 +304,7 @@
             EntryPayload::Command(bytes) => {
                 self.command_bytes += bytes.len();
                 match postcard::from_bytes(bytes) {
-                    Ok(command) => self.state.apply(&command),
+                    Ok(command) => self.apply_command(&command),
                     Err(_) => KeeperReply::Empty,
                 }
             }
@@ -313,6 +319,13 @@
         }
     }
 
+    fn apply_command(&mut self, command: &KeeperCommand) -> KeeperReply {
+        if let KeeperCommand::Depart(departure) = command {
+            self.options.hub.confirm(&departure.record);
+        }
+        self.state.apply(command)
+    }
+
     /// Fails the pending commands after this keeper has lost its leadership. They may still be committed.
     fn fail_commands_after_step_down(&mut self) {
         if self.core.is_leader() || self.pending_replies.is_empty() {
@@ -403,6 +416,9 @@
         KeeperCommand::OrderHall(order) => {
             KeeperCommand::OrderHall(micaspool_halls::OrderCommand { at_millis: at.0, ..order })
         }
+        KeeperCommand::Depart(departure) => {
+            KeeperCommand::Depart(DepartureCommand { at_millis: at.0, ..departure })
+        }
         other => other,
     }
 }
--- a/crates/micaspool-keeper/src/registry_hub.rs
+++ b/crates/micaspool-keeper/src/registry_hub.rs
@@ -2,7 +2,9 @@
 
 use crate::clock::MonotonicClock;
 use async_std::channel::{bounded, Receiver, Sender};
-use micaspool_registry::{EndpointRecord, EndpointRegistry, EndpointStage, MergeOutcome};
+use micaspool_registry::{
+    ConfirmedDepartures, EndpointRecord, EndpointRegistry, EndpointStage, MergeOutcome,
+};
 use micaspool_telemetry::events::{self, field, record};
 use micaspool_types::EndpointName;
 use std::collections::{BTreeMap, HashMap};
@@ -48,6 +50,8 @@
     /// The endpoints in the order of their latest changes.
     order: BTreeMap<HubVersion, EndpointName>,
     newest: HubVersion,
+    /// The stages of departing endpoints that a majority of keepers has confirmed.
+    confirmed: HashMap<EndpointName, EndpointStage>,
     subscribers: Vec<Sender<()>>,
 }
 
@@ -97,17 +101,40 @@
         outcome
     }
 
-    /// Marks an endpoint as left, by the identity that all its starts share. Returns false if this keeper
-    /// has no record of it. A record cannot be made from the identity alone, so the caller must then look
-    /// for one elsewhere.
-    pub fn deregister(&self, identity: &EndpointName) -> bool {
+    /// Marks an endpoint as left, by the identity that all its starts share. Returns the name of the start, or
+    /// `None` if this keeper has no record of it. A record cannot be made from the identity alone, so the caller
+    /// must then look for one elsewhere.
+    pub fn deregister(&self, identity: &EndpointName) -> Option<EndpointName> {
         let mut content = self.lock();
-        let Some(name) = content.registry.deregister(self.clock.now(), identity) else { return false };
+        let name = content.registry.deregister(self.clock.now(), identity)?;
         content.note_change(&name, false);
         let stage = format!("{:?}", EndpointStage::Left);
         record(&events::ENDPOINT_STAGE, &[field("endpoint", &name), field("stage", stage)]);
         content.notify();
-        true
+        Some(name)
+    }
+
+    /// Merges the record of a departure that a majority of keepers has confirmed.
+    pub fn confirm(&self, departure: &EndpointRecord) {
+        self.register(departure.clone());
+        let mut content = self.lock();
+        if content.registry.get(&departure.name).is_some() {
+            let confirmed = content.confirmed.entry(departure.name.clone()).or_insert(departure.stage);
+            *confirmed = departure.stage.max(*confirmed);
+        }
+    }
+
+    /// Merges all departures that a majority of keepers has confirmed.
+    pub(crate) fn confirm_all(&self, departures: &ConfirmedDepartures) {
+        departures.iter().for_each(|departure| self.confirm(departure));
+    }
+
+    /// Returns the record of an endpoint that is departing unless a majority of keepers has confirmed its stage.
+    pub fn unconfirmed_departure(&self, name: &EndpointName) -> Option<EndpointRecord> {
+        let content = self.lock();
+        let record = content.registry.get(name).filter(|record| record.stage != EndpointStage::Serving)?;
+        let is_confirmed = content.confirmed.get(name).is_some_and(|stage| *stage >= record.stage);
+        (!is_confirmed).then(|| record.clone())
     }
 
     /// Notes which endpoints have become silent, and removes records that have expired.
@@ -189,6 +216,7 @@
             let registry = &self.registry;
             self.changes.retain(|name, _| registry.get(name).is_some());
             self.order.retain(|_, name| registry.get(name).is_some());
+            self.confirmed.retain(|name, _| registry.get(name).is_some());
         }
     }
 }
--- a/crates/micaspool-keeper/src/service.rs
+++ b/crates/micaspool-keeper/src/service.rs
@@ -17,11 +17,12 @@
     StoredAnswer,
 };
 use micaspool_quorum::QuorumEvent;
+use micaspool_registry::DepartureCommand;
 use micaspool_settings::apply::SettingsChange;
 use micaspool_telemetry::events::{self, field, record, EventField};
 use micaspool_telemetry::spans::SpanSink;
 use micaspool_types::{CustomerName, InstanceName, Revision};
-use micaspool_wire::convert::{hall_messages, order_command, order_reply};
+use micaspool_wire::convert::{endpoint_record, hall_messages, order_command, order_reply};
 use micaspool_wire::v1::{self, keeper_server::Keeper};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -261,6 +262,18 @@
         Ok(Response::new(reply))
     }
 
+    async fn depart(&self, request: Request<v1::DepartRequest>) -> Result<Response<v1::DepartReply>, Status> {
+        let record = request.into_inner().endpoint.unwrap_or_default();
+        let record = endpoint_record(&record).map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let command = KeeperCommand::Depart(DepartureCommand { record, at_millis: 0 });
+        let not_leader = match self.submit_command(command).await? {
+            Ok(KeeperReply::Departed) => None,
+            Ok(_) => return Err(Status::internal("the reply does not fit the command; report this")),
+            Err(error) => Some(self.not_leader(error)?),
+        };
+        Ok(Response::new(v1::DepartReply { not_leader }))
+    }
+
     async fn halls(&self, _request: Request<v1::HallsRequest>) -> Result<Response<v1::HallsReply>, Status> {
         let reply = match self.submit(EngineInput::Barrier).await? {
             Ok(_) => {
--- a/crates/micaspool-keeper/src/state.rs
+++ b/crates/micaspool-keeper/src/state.rs
@@ -1,7 +1,8 @@
-//! The replicated state machines: settings, claims, route plan and data hall orders.
+//! The replicated state machines: settings, claims, route plan, data hall orders and departures of endpoints.
 
 use micaspool_halls::{HallOrders, OrderCommand, OrderVerdict};
 use micaspool_ledger::{ClaimCommand, ClaimVerdict, FinishCommand, LedgerOptions, LedgerState, LegacyLedger};
+use micaspool_registry::{ConfirmedDepartures, DepartureCommand};
 use micaspool_settings::apply::{self, SettingsChange, SettingsState};
 use micaspool_types::Revision;
 use serde::de::DeserializeOwned;
@@ -21,6 +22,8 @@
     Publish(PlanDocument),
     /// Evacuates a data hall or returns it to service.
     OrderHall(OrderCommand),
+    /// Remembers that an endpoint drains or has left.
+    Depart(DepartureCommand),
 }
 
 /// A route plan as sent by its operator. The core process checks it before it is proposed. Keepers do
@@ -49,6 +52,8 @@
     Published(u64),
     /// The verdict on a data hall order.
     Ordered(OrderVerdict),
+    /// The departure of an endpoint was recorded.
+    Departed,
 }
 
 /// The state of all replicated state machines.
@@ -62,6 +67,17 @@
     pub plan: PlanDocument,
     /// The data hall orders.
     pub halls: HallOrders,
+    /// The endpoints that announced their departure lately.
+    pub departures: ConfirmedDepartures,
+}
+
+/// The state as written by versions without departures.
+#[derive(Deserialize)]
+struct StateWithHalls {
+    settings: SettingsState,
+    ledger: LedgerState,
+    plan: PlanDocument,
+    halls: HallOrders,
 }
 
 /// The state as written by versions with route plans, but without hall orders and with a ledger that
@@ -80,6 +96,18 @@
     ledger: LegacyLedger,
 }
 
+impl From<StateWithHalls> for KeeperState {
+    fn from(legacy: StateWithHalls) -> KeeperState {
+        KeeperState {
+            settings: legacy.settings,
+            ledger: legacy.ledger,
+            plan: legacy.plan,
+            halls: legacy.halls,
+            departures: ConfirmedDepartures::default(),
+        }
+    }
+}
+
 impl From<StateWithPlan> for KeeperState {
     fn from(legacy: StateWithPlan) -> KeeperState {
         KeeperState {
@@ -87,6 +115,7 @@
             ledger: legacy.ledger.into(),
             plan: legacy.plan,
             halls: HallOrders::default(),
+            departures: ConfirmedDepartures::default(),
         }
     }
 }
@@ -98,6 +127,7 @@
             ledger: legacy.ledger.into(),
             plan: PlanDocument::default(),
             halls: HallOrders::default(),
+            departures: ConfirmedDepartures::default(),
         }
     }
 }
@@ -110,6 +140,7 @@
             ledger: LedgerState::new(options),
             plan: PlanDocument::default(),
             halls: HallOrders::default(),
+            departures: ConfirmedDepartures::default(),
         }
     }
 
@@ -129,6 +160,10 @@
                 KeeperReply::Published(self.plan.number)
             }
             KeeperCommand::OrderHall(command) => KeeperReply::Ordered(self.halls.accept(command)),
+            KeeperCommand::Depart(command) => {
+                self.departures.accept(command);
+                KeeperReply::Departed
+            }
         }
     }
 
@@ -141,6 +176,7 @@
     /// decoded at all, they end too early or bytes are left over, so each format is tried in turn.
     pub fn decode(bytes: &[u8]) -> Result<KeeperState, postcard::Error> {
         decode_exact::<KeeperState>(bytes)
+            .or_else(|_| decode_exact::<StateWithHalls>(bytes).map(KeeperState::from))
             .or_else(|_| decode_exact::<StateWithPlan>(bytes).map(KeeperState::from))
             .or_else(|_| decode_exact::<StateWithoutPlan>(bytes).map(KeeperState::from))
     }
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -149,6 +149,9 @@
 /// An order about a data hall got no clear answer from a majority.
 pub const HALL_ORDER_UNCONFIRMED: EventKind =
     kind("MP1415", Level::Warn, "data hall order not confirmed by a majority");
+/// The departure of an endpoint got no clear answer from a majority, so that it was not acknowledged.
+pub const DEPARTURE_UNCONFIRMED: EventKind =
+    kind("MP1416", Level::Warn, "departure of endpoint not confirmed by a majority");
 /// An endpoint has registered, or announced that it is draining or leaving.
 pub const ENDPOINT_STAGE: EventKind = kind("MP1501", Level::Info, "endpoint changed its stage");
 /// An endpoint was restarted. Requests, caches and failures of the earlier incarnation no longer count.
@@ -268,6 +271,7 @@
     HALL_ORDER_ACCEPTED,
     HALL_ORDER_REJECTED,
     HALL_ORDER_UNCONFIRMED,
+    DEPARTURE_UNCONFIRMED,
     ENDPOINT_STAGE,
     ENDPOINT_EXPIRED,
     ENDPOINT_RESTARTED,
