fix(gateway, dispatcher): the dispatcher decides whether a stream without a name may be taken up

Cause: if a caller names no attempt, the front judged by its own mirror, which knows what it last heard.

The ticket says that the stream is unnamed and how long it may have lasted; the dispatcher that grants binds it to the only version of that time, or refuses. What it granted ran at versions that it knows. The dispatcher inside a front refuses.

--- a/crates/micaspool-dispatch/src/shard/placement.rs
+++ b/crates/micaspool-dispatch/src/shard/placement.rs
@@ -50,7 +50,7 @@
         versions: &VersionLimit,
     ) -> Option<RefusalReason> {
         match self.endpoints.usability(halls, versions) {
-            _ if matches!(versions, VersionLimit::OfStream(_)) => None,
+            _ if versions.is_unresolved() => None,
             HallUsability::Usable => None,
             HallUsability::Evacuated => Some(RefusalReason::HallsEvacuated),
             // A shard that has just started has not heard of all endpoints.
--- a/crates/micaspool-dispatch/src/shard/streams.rs
+++ b/crates/micaspool-dispatch/src/shard/streams.rs
@@ -25,13 +25,18 @@
 
     /// Why a ticket with this limit takes up a stream that is not known; `None` while routers may still tell.
     pub(super) fn stream_refusal(&self, limit: &VersionLimit) -> Option<RefusalReason> {
-        let is_unknown = matches!(limit, VersionLimit::OfStream(_)) && self.recovering_until.is_none();
+        let is_unknown = match limit {
+            VersionLimit::Any | VersionLimit::Only(_) => false,
+            VersionLimit::OfStream(_) => self.recovering_until.is_none(),
+            // Routers can't tell.
+            VersionLimit::Unnamed(_) => true,
+        };
         is_unknown.then_some(RefusalReason::StreamUnknown)
     }
 
     /// Binds the waiting tickets whose streams are known now, and refuses the others.
     pub(super) fn resolve_waiting(&mut self, now: Moment, actions: &mut Vec<ShardAction>) {
-        let takes_up = |ticket: &WaitingTicket| matches!(ticket.versions, VersionLimit::OfStream(_));
+        let takes_up = |ticket: &WaitingTicket| ticket.versions.is_unresolved();
         let waiting = self.waiting.iter().filter(|(_, ticket)| takes_up(ticket));
         let mut requests: Vec<RequestId> = waiting.map(|(request, _)| *request).collect();
         requests.sort();
--- a/crates/micaspool-dispatcher/src/driver.rs
+++ b/crates/micaspool-dispatcher/src/driver.rs
@@ -7,6 +7,7 @@
 use crate::probe::ProbedEndpoint;
 use crate::probe_selection::{ProbeSelection, UsedEngines};
 use crate::sharing::share_totals;
+use crate::sole_versions::SoleVersions;
 use crate::tally::ShardTally;
 use async_std::channel::{bounded, Receiver, Sender};
 use micaspool_clock::{BootInstant, DutyCycle};
@@ -92,6 +93,7 @@
     intake: ShardIntake,
     service: ServiceName,
     source: Arc<dyn PolicySource>,
+    sole_versions: SoleVersions,
     /// The sender of the shard's own inputs, for the results of probes.
     inputs: InputSender,
     options: HostOptions,
@@ -129,6 +131,7 @@
         intake: ShardIntake::default(),
         service: service.clone(),
         source: source.clone(),
+        sole_versions: SoleVersions::new(source.clone(), service.clone()),
         inputs: inputs.clone(),
         options: options.clone(),
         spans: HashMap::new(),
@@ -281,10 +284,13 @@
         let mut closed_session = None;
         match item {
             IntakeItem::Event(arrived_at, event) => {
-                if let ShardEvent::Left(session) = &*event {
-                    closed_session = Some(*session);
+                let mut event = *event;
+                match &mut event {
+                    ShardEvent::Left(session) => closed_session = Some(*session),
+                    ShardEvent::Submit(_, ticket) => self.sole_versions.resolve(&mut ticket.versions),
+                    _ => {}
                 }
-                self.core.step_arrived(now, arrived_at, *event, &mut actions);
+                self.core.step_arrived(now, arrived_at, event, &mut actions);
             }
             IntakeItem::Refusal(unread) => self.core.refuse_unread(now, unread, &mut actions),
         }
--- a/crates/micaspool-dispatcher/src/fleet_source.rs
+++ b/crates/micaspool-dispatcher/src/fleet_source.rs
@@ -10,7 +10,7 @@
 use micaspool_registry::{EndpointRecord, EndpointStage};
 use micaspool_routes::{ColdProfile, EngineProfile, RoutePlan};
 use micaspool_types::{
-    Cost, CustomerName, EndpointName, HallMask, Incarnation, Revision, ServiceName, Weight,
+    Cost, CustomerName, EndpointName, HallMask, Incarnation, Revision, ServiceName, SoftwareVersion, Weight,
 };
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -136,6 +136,14 @@
         };
         records.into_iter().map(probed).collect()
     }
+
+    /// A dispatcher inside a router decides while the router is cut off, so that it knows of no version that came since.
+    fn sole_version(&self, service: &ServiceName, span: Duration) -> Option<SoftwareVersion> {
+        match self.subset {
+            Some(_) => None,
+            None => self.mirror.sole_version(service, span),
+        }
+    }
 }
 
 /// Converts the profile of a service's engines.
--- a/crates/micaspool-dispatcher/src/lib.rs
+++ b/crates/micaspool-dispatcher/src/lib.rs
@@ -27,6 +27,7 @@
 mod shard_policy;
 mod shard_view;
 mod sharing;
+mod sole_versions;
 mod standings;
 mod subset;
 mod tally;
--- a/crates/micaspool-dispatcher/src/policy_source.rs
+++ b/crates/micaspool-dispatcher/src/policy_source.rs
@@ -6,9 +6,10 @@
 use async_std::channel::Receiver;
 use micaspool_client::SettingsMirror;
 use micaspool_dispatch::ShardPolicy;
-use micaspool_types::{EndpointName, ServiceName};
+use micaspool_types::{EndpointName, ServiceName, SoftwareVersion};
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Provides the part of the fleet's state that shards need.
 pub trait PolicySource: fmt::Debug + Send + Sync + 'static {
@@ -20,6 +21,12 @@
 
     /// Returns the selected ones among the endpoints of a service whose load is probed.
     fn probed_endpoints(&self, service: &ServiceName, selection: &ProbeSelection) -> Vec<ProbedEndpoint>;
+
+    /// Returns the software version that all endpoints of a service have had for this long; `None` if there were several,
+    /// or if another dispatcher may have granted requests at endpoints that this one has not heard of.
+    fn sole_version(&self, _service: &ServiceName, _span: Duration) -> Option<SoftwareVersion> {
+        None
+    }
 }
 
 /// A policy source that reads the settings tree.
--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -320,7 +320,7 @@
     /// Returns the versions at which the request may run. That of a stream that the caller takes up comes with the first
     /// grant.
     fn learn_version(&mut self, lease: &GrantLease) -> &VersionLimit {
-        if let (VersionLimit::OfStream(_), Some(version)) = (&self.versions, lease.bound_version()) {
+        if let (true, Some(version)) = (self.versions.is_unresolved(), lease.bound_version()) {
             self.versions = VersionLimit::Only(version.clone());
         }
         &self.versions
--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -235,7 +235,7 @@
         let read = body.read(&self.shared.parts.bodies, limit);
         let body = self.shared.parts.stop_notice.unless_stopping(read).await;
         let body = body.unwrap_or_else(|| Err(Refusal::not_run(RefusalKind::Draining).after(RETRY_AFTER)))?;
-        let versions = self.versions_of(&head, &caller, &target)?;
+        let versions = versions_of(&head, &caller, &target);
         Ok(Attempts::new(
             AcceptedCall { head, caller, arrived_at, body, promise: Some(promise), _open: open },
             target,
@@ -251,25 +251,18 @@
         let promise = if is_over_share { None } else { memory.promise(CALL_BYTES) };
         promise.ok_or_else(|| Refusal::not_run(RefusalKind::MemoryFull).after(RETRY_AFTER))
     }
+}
 
-    /// Returns the software versions at which a request may run. One that takes a stream up is bound to the version that
-    /// began it. If the caller does not name the attempt that did, the request runs only if the service has had one version
-    /// for as long as the stream may have lasted.
-    fn versions_of(
-        &self,
-        head: &request::Parts,
-        caller: &CallerHead,
-        target: &CallTarget,
-    ) -> Result<VersionLimit, Refusal> {
-        if !target.run.is_stream() || !head.headers.contains_key(&LAST_EVENT) {
-            return Ok(VersionLimit::Any);
-        }
-        if let Some(attempt) = &caller.resumes {
-            return Ok(VersionLimit::OfStream(StreamKey::of(&target.queue_customer(), attempt)));
-        }
-        let lifetime = target.time_limit + TAKE_UP_MARGIN;
-        let version = self.shared.parts.mirror.sole_version(&target.service, lifetime);
-        version.map(VersionLimit::Only).ok_or(Refusal::not_run(RefusalKind::StreamUnknown))
+/// Returns the software versions at which a request may run. One that takes a stream up is bound to the version that
+/// began it. If the caller does not name the attempt that did, the dispatcher decides: this process may have been cut off
+/// or suspended while endpoints of another version joined, and can't tell.
+fn versions_of(head: &request::Parts, caller: &CallerHead, target: &CallTarget) -> VersionLimit {
+    if !target.run.is_stream() || !head.headers.contains_key(&LAST_EVENT) {
+        return VersionLimit::Any;
+    }
+    match &caller.resumes {
+        Some(attempt) => VersionLimit::OfStream(StreamKey::of(&target.queue_customer(), attempt)),
+        None => VersionLimit::Unnamed(target.time_limit + TAKE_UP_MARGIN),
     }
 }
 
--- a/crates/micaspool-types/src/version.rs
+++ b/crates/micaspool-types/src/version.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The version of the software that an endpoint runs, in its own words; not that of the weights of a model. Empty if the
 /// endpoint states none: such endpoints count as of one version.
@@ -53,14 +54,22 @@
     Only(SoftwareVersion),
     /// The request goes on with this stream, at the version that began it; whoever knows it replaces this by `Only`.
     OfStream(StreamKey),
+    /// The request goes on with a stream that its caller does not name, and that lasted no longer than this. If the
+    /// service has had a single version for so long, the dispatcher replaces this by `Only`.
+    Unnamed(Duration),
 }
 
 impl VersionLimit {
+    /// Returns true if the request goes on with a stream whose version is not known yet.
+    pub fn is_unresolved(&self) -> bool {
+        matches!(self, VersionLimit::OfStream(_) | VersionLimit::Unnamed(_))
+    }
+
     /// Returns the version to which the request is bound, if it is known.
     pub fn bound(&self) -> Option<&SoftwareVersion> {
         match self {
             VersionLimit::Only(version) => Some(version),
-            VersionLimit::Any | VersionLimit::OfStream(_) => None,
+            VersionLimit::Any | VersionLimit::OfStream(_) | VersionLimit::Unnamed(_) => None,
         }
     }
 
@@ -69,7 +78,7 @@
         match self {
             VersionLimit::Any => true,
             VersionLimit::Only(only) => only == version,
-            VersionLimit::OfStream(_) => false,
+            VersionLimit::OfStream(_) | VersionLimit::Unnamed(_) => false,
         }
     }
 }
--- a/crates/micaspool-wire/src/convert/streams.rs
+++ b/crates/micaspool-wire/src/convert/streams.rs
@@ -37,11 +37,15 @@
     match limit {
         VersionLimit::Any => None,
         VersionLimit::Only(version) => {
-            Some(v1::AllowedVersion { version: version.to_string(), stream: Vec::new() })
+            Some(v1::AllowedVersion { version: version.to_string(), ..v1::AllowedVersion::default() })
         }
         VersionLimit::OfStream(stream) => {
-            Some(v1::AllowedVersion { version: String::new(), stream: stream_bytes(*stream) })
+            Some(v1::AllowedVersion { stream: stream_bytes(*stream), ..v1::AllowedVersion::default() })
         }
+        VersionLimit::Unnamed(lifetime) => Some(v1::AllowedVersion {
+            sole_for_millis: millis(*lifetime).max(1),
+            ..v1::AllowedVersion::default()
+        }),
     }
 }
 
@@ -49,6 +53,9 @@
 pub(super) fn version_limit(message: Option<v1::AllowedVersion>) -> Result<VersionLimit, Error> {
     Ok(match message {
         None => VersionLimit::Any,
+        Some(allowed) if allowed.sole_for_millis > 0 => {
+            VersionLimit::Unnamed(Duration::from_millis(allowed.sole_for_millis))
+        }
         Some(allowed) if allowed.stream.is_empty() => {
             VersionLimit::Only(SoftwareVersion::new(&allowed.version))
         }
