fix(core): a departure is that of the newest start, wherever that registered

Cause: the core marked the newest start that had registered with itself, an earlier one, and did not look at what its mirror knew.

--- a/crates/micaspool-core/src/control.rs
+++ b/crates/micaspool-core/src/control.rs
@@ -181,13 +181,12 @@
         self.confirm_departure(&name).await
     }
 
-    /// Marks an endpoint as left, by the identity that all its starts share, and returns after a majority of keepers
-    /// has confirmed it. If it registered at another instance, its record is taken from the mirror.
+    /// Marks the newest start of an endpoint as left, by the identity that all its starts share, and returns after a
+    /// majority of keepers has confirmed it. The endpoint may have registered at another instance, also if this one knows
+    /// an earlier start.
     pub async fn deregister(&self, identity: &EndpointName) -> Result<(), OrderError> {
-        if let Some(name) = self.hub.deregister(identity) {
-            return self.confirm_departure(&name).await;
-        }
-        match self.mirror.newest_incarnation(identity) {
+        let starts = [self.mirror.newest_incarnation(identity), self.hub.newest(identity)];
+        match starts.into_iter().flatten().max_by_key(|start| start.incarnation) {
             Some(known) => {
                 let departure = EndpointRecord { stage: EndpointStage::Left, ..known };
                 self.register(departure).await
--- a/crates/micaspool-keeper/src/registry_hub.rs
+++ b/crates/micaspool-keeper/src/registry_hub.rs
@@ -101,17 +101,10 @@
         outcome
     }
 
-    /// Marks an endpoint as left, by the identity that all its starts share. Returns the name of the start, or
-    /// `None` if this keeper has no record of it. A record cannot be made from the identity alone, so the caller
-    /// must then look for one elsewhere.
-    pub fn deregister(&self, identity: &EndpointName) -> Option<EndpointName> {
-        let mut content = self.lock();
-        let name = content.registry.deregister(self.clock.now(), identity)?;
-        content.note_change(&name, false);
-        let stage = format!("{:?}", EndpointStage::Left);
-        record(&events::ENDPOINT_STAGE, &[field("endpoint", &name), field("stage", stage)]);
-        content.notify();
-        Some(name)
+    /// Returns the record of the newest start of an endpoint that this keeper knows, by the identity that all its starts
+    /// share.
+    pub fn newest(&self, identity: &EndpointName) -> Option<EndpointRecord> {
+        self.lock().registry.newest(identity).cloned()
     }
 
     /// Merges the record of a departure that a majority of keepers has confirmed.
--- a/crates/micaspool-registry/src/registry.rs
+++ b/crates/micaspool-registry/src/registry.rs
@@ -123,15 +123,6 @@
         }
     }
 
-    /// Marks the newest start of an endpoint as left and returns its name, or `None` if no record of it is known.
-    pub fn deregister(&mut self, now: Moment, identity: &EndpointName) -> Option<EndpointName> {
-        let name = self.newest.get(identity)?.name.clone();
-        let entry = self.endpoints.get_mut(&name)?;
-        entry.record.stage = EndpointStage::Left;
-        entry.last_seen = now;
-        Some(name)
-    }
-
     /// Removes the record of a start of an endpoint, unless the endpoint left. Returns true if there was one.
     pub fn remove(&mut self, now: Moment, name: &EndpointName) -> bool {
         let is_present = self.get(name).is_some_and(|record| record.stage != EndpointStage::Left);
--- a/crates/micaspool-registry/tests/registry.rs
+++ b/crates/micaspool-registry/tests/registry.rs
@@ -65,7 +65,7 @@
     assert!(registry.expire(Moment::from_millis(9_000), Duration::from_secs(8)));
     assert!(registry.get(&name).is_none());
     registry.merge(Moment(0), record(1, EndpointStage::Serving));
-    assert!(registry.deregister(Moment(0), &name).is_some());
+    assert!(registry.merge(Moment(0), record(1, EndpointStage::Left)).is_change());
     assert!(!registry.expire(Moment::from_millis(9_000), Duration::from_secs(8)));
     assert_eq!(registry.merge(Moment(1), record(2, EndpointStage::Serving)), MergeOutcome::Stale);
 }
@@ -120,7 +120,10 @@
     registry.merge(Moment(0), started(100, 9, EndpointStage::Serving));
     registry.merge(Moment(1), started(200, 1, EndpointStage::Serving));
     let identity = record(0, EndpointStage::Serving).identity;
-    assert_eq!(registry.deregister(Moment(2), &identity), Some(started(200, 1, EndpointStage::Left).name));
+    let newest = registry.newest(&identity).cloned().expect("a start is known");
+    assert_eq!(newest.name, started(200, 1, EndpointStage::Left).name);
+    let left = EndpointRecord { stage: EndpointStage::Left, ..newest };
+    assert!(registry.merge(Moment(2), left).is_change());
     assert_eq!(registry.newest(&identity).map(|record| record.stage), Some(EndpointStage::Left));
 }
 
