fix(core): a departure that has no effect is not acknowledged

Now 503 with its remedy: the endpoint calls another core.

Red before: fleet departures a_departure_of_an_endpoint_that_a_core_does_not_know_is_not_acknowledged.

--- a/crates/micaspool-core/src/control.rs
+++ b/crates/micaspool-core/src/control.rs
@@ -30,6 +30,8 @@
     UnknownHall(Vec<HallName>),
     /// A contrary order was given in the meantime.
     Overtaken,
+    /// This instance has not heard of the endpoint, though others may have.
+    UnknownEndpoint,
 }
 
 impl fmt::Display for OrderError {
@@ -44,6 +46,9 @@
                 let known = known.iter().map(HallName::as_str).collect::<Vec<_>>().join(", ");
                 write!(f, "no data hall has this name; send one of {known}")
             }
+            OrderError::UnknownEndpoint => f.write_str(
+                "the endpoint is not known here; send the order to another instance, or a heartbeat first",
+            ),
             OrderError::Overtaken => f.write_str(
                 "the contrary was ordered while this order was under way; send it again if it still holds",
             ),
@@ -193,7 +198,7 @@
             }
             None => {
                 record(&events::ENDPOINT_STAGE, &[field("endpoint", identity), field("stage", "unknown")]);
-                Ok(())
+                Err(OrderError::UnknownEndpoint)
             }
         }
     }
