fix(gateway): answers are passed on in the protocol version of the caller's connection

Cause: the version of the endpoint's answer was passed on, and decided how the end of the body is told to the caller.

--- a/crates/micaspool-gateway/src/proxy/attempt.rs
+++ b/crates/micaspool-gateway/src/proxy/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request: waits for grants and sends until there is an answer or no further attempt is allowed.
 
 use super::failure::SendFailure;
-use super::headers::{forwarded_headers, strip_hop_by_hop};
+use super::headers::{forwarded_headers, strip_answer};
 use super::target::CallTarget;
 use super::{AcceptedCall, Gateway, LAST_EVENT, RETRY_AFTER};
 use crate::answer_end::{check_stream_end, is_event_stream, StreamCut};
@@ -191,7 +191,7 @@
             }
             Some(Ok(Ok(bytes))) => {
                 lease.settle(Cost(1), GrantOutcome::Done);
-                strip_hop_by_hop(&mut head.headers);
+                strip_answer(&mut head);
                 log.set_status(head.status.as_u16());
                 log.record_first_byte();
                 log.finish();
@@ -565,7 +565,7 @@
         mut log: RequestLog,
     ) -> Response<EdgeBody> {
         let BegunAnswer { mut head, source } = answer;
-        strip_hop_by_hop(&mut head.headers);
+        strip_answer(&mut head);
         log.set_status(head.status.as_u16());
         let is_stream = is_event_stream(self.target.run, &head);
         self.call.promise = None;
--- a/crates/micaspool-gateway/src/proxy/headers.rs
+++ b/crates/micaspool-gateway/src/proxy/headers.rs
@@ -4,7 +4,7 @@
     HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
-use http::HeaderMap;
+use http::{response, HeaderMap, Version};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -24,7 +24,7 @@
 ];
 
 /// Removes hop-by-hop headers, including those that `Connection` lists.
-pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let connection_options: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
@@ -37,6 +37,13 @@
     }
 }
 
+/// Removes from the head of an answer what concerns the connection to the endpoint alone, its protocol version included:
+/// that of the caller's connection decides how the end of the body is told.
+pub(super) fn strip_answer(head: &mut response::Parts) {
+    strip_hop_by_hop(&mut head.headers);
+    head.version = Version::HTTP_11;
+}
+
 /// Returns the headers of a request to forward, before the dialect adds its own. `Content-Length` is dropped and set
 /// again on sending, because the body is sent from a buffer.
 pub(super) fn forwarded_headers(from: &HeaderMap) -> HeaderMap {
