fix(http): a connection on which an answer is still being written is not closed as idle

Cause: a connection counted as idle once the body of its answer was in the server's buffer, not once it was written.

--- a/crates/micaspool-http/src/call.rs
+++ b/crates/micaspool-http/src/call.rs
@@ -195,6 +195,11 @@
         self.lock().open.as_ref().and_then(|call| call.label.clone())
     }
 
+    /// Returns true from a request head until the last byte of its response is written to the socket.
+    pub fn has_call(&self) -> bool {
+        self.lock().open.is_some()
+    }
+
     /// Begins the response. What was written before belongs to an interim response.
     pub fn begin_response(&self) {
         if let Some(call) = &mut self.lock().open {
--- a/crates/micaspool-http/src/edge.rs
+++ b/crates/micaspool-http/src/edge.rs
@@ -447,8 +447,8 @@
             let ended = tokio::time::timeout(PARTIAL_HEAD_TIME, &mut served).await;
             match ended {
                 Ok(ended) => ended,
-                // Part of a head has come: no request was read.
-                Err(_) if activity.is_idle() => return,
+                // Part of a head has come: no request was read, and all answers are written.
+                Err(_) if activity.is_idle() && !tracker.has_call() => return,
                 Err(_) => (&mut served).await,
             }
         }
