perf(keeper): a confirmed departure is told by the keepers that vouched for the endpoint and by the leader

Each core told its followers of each confirmed departure, so that a follower got it once from every core: at 25 cores and a thousand followers, by reading, 25 times what it was before departures were replicated. Now the cores whose followers have heard of the endpoint from them tell it, and the leader; a new leader tells what it has not told. Heartbeats from before a departure still change nothing at any core.

--- a/crates/micaspool-core/src/control.rs
+++ b/crates/micaspool-core/src/control.rs
@@ -211,7 +211,7 @@
         let request = v1::DepartRequest { endpoint: Some(endpoint_message(&departure)) };
         match self.client.depart(request, ORDER_TIMEOUT).await {
             Ok(_) => {
-                self.hub.confirm(&departure);
+                self.hub.confirm(&departure, false);
                 Ok(())
             }
             Err(error) => {
--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -181,7 +181,7 @@
             stopped: false,
             subscribers: Vec::new(),
         };
-        options.hub.confirm_all(&state.departures);
+        options.hub.restore_departures(&state.departures);
         KeeperEngine {
             options,
             clock,
@@ -288,7 +288,7 @@
         }
         if let Some(snapshot) = output.install {
             self.state = restore_state(&snapshot.data, self.options.ledger);
-            self.options.hub.confirm_all(&self.state.departures);
+            self.options.hub.restore_departures(&self.state.departures);
             self.command_bytes = 0;
             self.applied = snapshot.index;
         }
@@ -321,7 +321,7 @@
 
     fn apply_command(&mut self, command: &KeeperCommand) -> KeeperReply {
         if let KeeperCommand::Depart(departure) = command {
-            self.options.hub.confirm(&departure.record);
+            self.options.hub.confirm(&departure.record, self.core.is_leader());
         }
         self.state.apply(command)
     }
@@ -357,6 +357,9 @@
         if is_leading != (view.status.role == QuorumRole::Leader) {
             let kind = if is_leading { &events::LEADER_ELECTED } else { &events::LEADER_STEPPED_DOWN };
             record(kind, &[field("term", status.term.0)]);
+            if is_leading {
+                self.options.hub.announce_departures(&self.state.departures);
+            }
         }
         let settings_changed = view.settings.revision() != self.state.settings.revision();
         let plan_changed = view.plan.number != self.state.plan.number;
--- a/crates/micaspool-keeper/src/engine/reopen.rs
+++ b/crates/micaspool-keeper/src/engine/reopen.rs
@@ -40,7 +40,7 @@
     fn restart(&mut self, opened: OpenOutcome) {
         let snapshot = &opened.restored.snapshot;
         self.state = restore_state(&snapshot.data, self.options.ledger);
-        self.options.hub.confirm_all(&self.state.departures);
+        self.options.hub.restore_departures(&self.state.departures);
         self.applied = snapshot.index;
         self.command_bytes = 0;
         self.core = start_core(&self.options, self.clock, opened.restored);
--- a/crates/micaspool-keeper/src/registry_hub.rs
+++ b/crates/micaspool-keeper/src/registry_hub.rs
@@ -72,7 +72,11 @@
 impl RegistryHub {
     /// Merges a record of an endpoint into the registry.
     pub fn register(&self, endpoint: EndpointRecord) -> MergeOutcome {
-        let mut content = self.lock();
+        self.merge(&mut self.lock(), endpoint, true)
+    }
+
+    /// Merges a record, and tells followers of a change if asked.
+    fn merge(&self, content: &mut HubContent, endpoint: EndpointRecord, tells: bool) -> MergeOutcome {
         let (name, stage, sequence) = (endpoint.name.clone(), endpoint.stage, endpoint.sequence);
         let (service, cold, version) = (endpoint.service.clone(), endpoint.cold, endpoint.version.clone());
         let outcome = content.registry.merge(self.clock.now(), endpoint);
@@ -94,7 +98,9 @@
                 record(&events::ENDPOINT_COLD, &fields);
             }
         }
-        if outcome.is_change() || (outcome == MergeOutcome::Refreshed && content.is_silent(&name)) {
+        let is_unheard = content.is_silent(&name) || !content.is_told(&name);
+        let is_news = outcome.is_change() || (outcome == MergeOutcome::Refreshed && is_unheard);
+        if is_news && tells {
             content.note_change(&name, false);
             content.notify();
         }
@@ -107,19 +113,35 @@
         self.lock().registry.newest(identity).cloned()
     }
 
-    /// Merges the record of a departure that a majority of keepers has confirmed.
-    pub fn confirm(&self, departure: &EndpointRecord) {
-        self.register(departure.clone());
+    /// Merges the record of a departure that a majority of keepers has confirmed. Followers are told of it if this keeper
+    /// vouched for the endpoint or leads; if each keeper told them, it would cost as many messages as there are keepers.
+    pub fn confirm(&self, departure: &EndpointRecord, leads: bool) {
         let mut content = self.lock();
+        let tells = leads || content.is_told(&departure.name);
+        self.merge(&mut content, departure.clone(), tells);
         if content.registry.get(&departure.name).is_some() {
             let confirmed = content.confirmed.entry(departure.name.clone()).or_insert(departure.stage);
             *confirmed = departure.stage.max(*confirmed);
         }
     }
 
-    /// Merges all departures that a majority of keepers has confirmed.
-    pub(crate) fn confirm_all(&self, departures: &ConfirmedDepartures) {
-        departures.iter().for_each(|departure| self.confirm(departure));
+    /// Merges the departures that a keeper finds in its files.
+    pub(crate) fn restore_departures(&self, departures: &ConfirmedDepartures) {
+        departures.iter().for_each(|departure| self.confirm(departure, false));
+    }
+
+    /// Tells followers of all departures that they have not heard from this keeper. Called when it becomes the leader: the
+    /// keepers that told them may be lost.
+    pub(crate) fn announce_departures(&self, departures: &ConfirmedDepartures) {
+        let mut content = self.lock();
+        let untold: Vec<EndpointName> = departures
+            .iter()
+            .map(|departure| &departure.name)
+            .filter(|name| content.registry.get(name).is_some() && !content.is_told(name))
+            .cloned()
+            .collect();
+        untold.iter().for_each(|name| content.note_change(name, false));
+        content.notify();
     }
 
     /// Returns the record of an endpoint that is departing unless a majority of keepers has confirmed its stage.
@@ -140,7 +162,8 @@
             endpoint.stage != EndpointStage::Left && age.is_some_and(|age| age > MAX_SILENCE)
         };
         let overdue = content.registry.iter().filter(is_overdue).map(|endpoint| endpoint.name.clone());
-        let silent: Vec<EndpointName> = overdue.filter(|name| !content.is_silent(name)).collect();
+        let is_news = |name: &EndpointName| content.is_told(name) && !content.is_silent(name);
+        let silent: Vec<EndpointName> = overdue.filter(is_news).collect();
         for name in &silent {
             content.note_change(name, true);
         }
@@ -182,6 +205,11 @@
 }
 
 impl HubContent {
+    /// Returns true if followers have heard of an endpoint from this keeper.
+    fn is_told(&self, name: &EndpointName) -> bool {
+        self.changes.contains_key(name)
+    }
+
     fn is_silent(&self, name: &EndpointName) -> bool {
         self.changes.get(name).is_some_and(|change| change.silent)
     }
--- a/crates/micaspool-keeper/tests/follow.rs
+++ b/crates/micaspool-keeper/tests/follow.rs
@@ -282,3 +282,42 @@
         one.stop().await;
     });
 }
+
+/// Returns the names in the first message with endpoints, or none within a second.
+async fn first_names(address: SocketAddr) -> Vec<String> {
+    let request = FollowRequest { follower: "test".to_owned() };
+    let mut client = KeeperClient::new(connect(address).await);
+    let mut news = client.follow(request).await.expect("the keeper answers").into_inner();
+    let first = async {
+        while let Ok(Some(message)) = news.message().await {
+            if !message.endpoints.is_empty() {
+                return message.endpoints.into_iter().map(|endpoint| endpoint.name).collect();
+            }
+        }
+        Vec::new()
+    };
+    async_std::future::timeout(Duration::from_secs(1), first).await.unwrap_or_default()
+}
+
+/// Guards against departures that each keeper tells its followers, and against one that no keeper tells.
+#[test]
+fn a_confirmed_departure_is_told_by_the_keepers_that_vouched_for_the_endpoint_and_by_the_leader() {
+    let folder = std::env::temp_dir().join(format!("micaspool-follow-{}-departures", std::process::id()));
+    let options = single_keeper_options(folder.clone());
+    task::block_on(async {
+        let keeper = start_keeper(options).await.expect("the keeper starts");
+        let hub = keeper.hub().clone();
+        hub.register(endpoint(1));
+        for number in [1, 2, 3] {
+            let left = EndpointRecord { stage: EndpointStage::Left, ..endpoint(number) };
+            hub.confirm(&left, number == 3);
+            assert_eq!(hub.unconfirmed_departure(&left.name), None);
+        }
+        assert_eq!(first_names(keeper.wire).await, ["engine-1", "engine-3"]);
+        // A heartbeat from before the departure.
+        hub.register(endpoint(2));
+        assert_eq!(first_names(keeper.wire).await, ["engine-1", "engine-3"]);
+        keeper.stop().await;
+    });
+    let _ = std::fs::remove_dir_all(folder);
+}
