fix(http): a response whose transfer coding can't be decoded is refused

What callers saw: an endpoint answers 200 with chunks, and its head says `transfer-encoding: chunke` (or a list, or nothing). Gateways passed the chunk sizes on as a part of the body and closed it with a last chunk of their own; the older router passed on 200 with an empty body.

Cause: the libraries guess. For a coding that is not `chunked`, hyper reads to the end of the connection, and async-h1 takes the response for one without a body. `gzip, chunked` is taken out of its chunks, and the field goes with the other hop-by-hop headers, so that nobody undoes `gzip`. Nothing of ours looked at the value of the field; `BodyFraming::of` asked only whether it is there.

Change: the bytes of each response head are checked before either client decodes them. A transfer coding must be one `chunked`. The log line now tells the reason (the source of hyper's error).

The reads of the server keep their meter without the check.

--- a/crates/micaspool-http/src/client.rs
+++ b/crates/micaspool-http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client based on `async-h1`; each request has its own connection.
 
-use crate::read_meter::ReadMeter;
+use crate::response_head;
+use crate::response_watch::ResponseWatch;
 use crate::stall::StallTimer;
 use async_std::future::timeout;
 use async_std::io::{Read, Write};
@@ -33,6 +34,8 @@
     Silent,
     /// The connection failed, or the response was not HTTP.
     Broken,
+    /// The head of the response is malformed, or ambiguous about where the body ends.
+    Head(response_head::Error),
     /// The length of the response body is missing, ambiguous or malformed.
     Length,
     /// The server sent an unsolicited interim response (status 1xx).
@@ -56,6 +59,7 @@
             Error::Broken => {
                 f.write_str("the connection failed before a complete response head; check the server")
             }
+            Error::Head(error) => error.fmt(f),
             Error::Length => f.write_str("the response has no unambiguous body length; fix the server"),
             Error::Interim => f.write_str("the server sent an interim response; fix the server"),
         }
@@ -70,23 +74,28 @@
 /// framing of a chunk does not end.
 pub async fn call(address: SocketAddr, request: Request, limits: CallLimits) -> Result<Response, Error> {
     let stream = connect(address, limits.connect).await?;
-    let meter = Arc::new(ReadMeter::default());
-    let stream = MeteredStream { stream, meter: meter.clone() };
+    let watch = Arc::new(ResponseWatch::default());
+    let stream = WatchedStream { stream, watch: watch.clone() };
     let mut response = match timeout(limits.silence, async_h1::connect(stream, request)).await {
         Err(_) => return Err(Error::Silent),
-        Ok(Err(_)) => return Err(Error::Broken),
+        Ok(Err(error)) => return Err(head_error(&error).map_or(Error::Broken, Error::Head)),
         Ok(Ok(response)) => response,
     };
     if response.status().is_informational() {
         return Err(Error::Interim);
     }
     let length = answer_length(&response)?;
-    let body = CheckedBody::new(response.take_body(), length, limits.silence, meter);
+    let body = CheckedBody::new(response.take_body(), length, limits.silence, watch);
     let declared = length.and_then(|length| usize::try_from(length).ok());
     response.set_body(Body::from_reader(async_std::io::BufReader::new(body), declared));
     Ok(response)
 }
 
+/// Returns what is wrong with the head if that is why decoding failed.
+fn head_error(error: &http_types::Error) -> Option<response_head::Error> {
+    error.downcast_ref::<io::Error>()?.get_ref()?.downcast_ref().copied()
+}
+
 async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, Error> {
     let timed_out = || Error::Unreachable(io::ErrorKind::TimedOut.into());
     let stream = timeout(limit, TcpStream::connect(address)).await.map_err(|_| timed_out())?;
@@ -112,25 +121,25 @@
     }
 }
 
-/// The stream of a connection, whose reads are metered.
+/// The stream of a connection, whose reads are watched.
 #[derive(Clone, Debug)]
-struct MeteredStream {
+struct WatchedStream {
     stream: TcpStream,
-    meter: Arc<ReadMeter>,
+    watch: Arc<ResponseWatch>,
 }
 
-impl Read for MeteredStream {
+impl Read for WatchedStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        self.meter.check()?;
+        self.watch.check()?;
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if let Poll::Ready(Ok(count)) = &read {
-            self.meter.add(*count);
+            self.watch.record_read(&buf[..*count])?;
         }
         read
     }
 }
 
-impl Write for MeteredStream {
+impl Write for WatchedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
@@ -149,12 +158,12 @@
     body: Body,
     remaining: Option<u64>,
     stall: StallTimer,
-    meter: Arc<ReadMeter>,
+    watch: Arc<ResponseWatch>,
 }
 
 impl CheckedBody {
-    fn new(body: Body, remaining: Option<u64>, silence: Duration, meter: Arc<ReadMeter>) -> CheckedBody {
-        CheckedBody { body, remaining, stall: StallTimer::new(silence), meter }
+    fn new(body: Body, remaining: Option<u64>, silence: Duration, watch: Arc<ResponseWatch>) -> CheckedBody {
+        CheckedBody { body, remaining, stall: StallTimer::new(silence), watch }
     }
 
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
@@ -163,7 +172,7 @@
 
     fn record_read(&mut self, count: usize) -> io::Result<usize> {
         self.stall.reset();
-        self.meter.record_progress();
+        self.watch.record_progress();
         match &mut self.remaining {
             Some(remaining) if count == 0 && *remaining > 0 => Err(io::ErrorKind::UnexpectedEof.into()),
             Some(remaining) => {
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -7,8 +7,10 @@
 //!
 //! [`server`] and [`client`] are older and based on `async-h1`. They add checks that it lacks: `async-h1` treats a
 //! body that ends early as complete, accepts two different lengths, and closes the connection without a response
-//! after a malformed head. [`head`] checks each head before `async-h1` decodes it, [`server`] and [`client`] compare
-//! every body with its length, and no connection is reused after an error.
+//! after a malformed head. [`head`] checks each request head before `async-h1` decodes it, [`server`] and [`client`]
+//! compare every body with its length, and no connection is reused after an error.
+//!
+//! [`response_head`] checks each response head that [`pool`] and [`client`] read, before either decodes it.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
@@ -24,6 +26,8 @@
 mod read_meter;
 pub mod refusal;
 pub mod replay;
+pub mod response_head;
+mod response_watch;
 pub mod sends;
 pub mod server;
 pub mod socket;
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -8,7 +8,7 @@
 //! run.
 
 use crate::framing::BodyFraming;
-use crate::read_meter::{MeteredReads, ReadMeter};
+use crate::response_watch::{ResponseWatch, WatchedReads};
 use crate::sends::{ConnectionNumber, ConnectionUse, SendHistory};
 use crate::socket::{self, ShortReads};
 use bytes::Bytes;
@@ -118,7 +118,10 @@
                 f.write_str("the connection ended before the request was written; send it again")
             }
             SendError::Withheld => f.write_str("the endpoint takes no requests now; send it elsewhere"),
-            SendError::Broken(error) => write!(f, "the connection failed ({error}); check the endpoint"),
+            SendError::Broken(error) => match error.source() {
+                Some(source) => write!(f, "the connection failed ({error}: {source}); check the endpoint"),
+                None => write!(f, "the connection failed ({error}); check the endpoint"),
+            },
         }
     }
 }
@@ -128,7 +131,7 @@
 /// An open connection on which no request runs.
 struct ReadySender {
     requests: SendRequest<Full<Bytes>>,
-    meter: Arc<ReadMeter>,
+    watch: Arc<ResponseWatch>,
     number: ConnectionNumber,
     /// The number of requests that were sent on it.
     sends: u64,
@@ -250,8 +253,8 @@
         let stream = socket::connect(address, self.options.connect_limit).await;
         let stream = stream.map_err(connect_error)?;
         let number = ConnectionNumber(self.opened.fetch_add(1, Ordering::Relaxed));
-        let meter = Arc::new(ReadMeter::default());
-        let stream = MeteredReads::new(ShortReads::new(stream), meter.clone());
+        let watch = Arc::new(ResponseWatch::default());
+        let stream = WatchedReads::new(ShortReads::new(stream), watch.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_AHEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -262,7 +265,7 @@
             drop(connection.await);
             drop(open);
         });
-        Ok(ReadySender { requests: sender, meter, number, sends: 0 })
+        Ok(ReadySender { requests: sender, watch, number, sends: 0 })
     }
 
     /// Reserves one of the connections that may be open. If all are, the oldest idle one of each endpoint is closed.
@@ -296,7 +299,7 @@
         mut sender: ReadySender,
         request: FullRequest,
     ) -> Result<Response<PooledBody>, (SendError, Option<FullRequest>)> {
-        sender.meter.record_progress();
+        sender.watch.expect_response();
         let connection_use = ConnectionUse { connection: sender.number, earlier_sends: sender.sends };
         sender.sends += 1;
         let response = match sender.requests.try_send_request(request).await {
@@ -415,7 +418,7 @@
     /// Records that the reader got a part of the body.
     fn record_progress(&self) {
         if let Some(connection) = &self.connection {
-            connection.sender.meter.record_progress();
+            connection.sender.watch.record_progress();
         }
     }
 
--- /dev/null
+++ b/crates/micaspool-http/src/response_head.rs
@@ -0,0 +1,142 @@
+//! Checks the head of a response before a client decodes it.
+//!
+//! The libraries that decode responses guess where a head is ambiguous, and they guess differently: what one takes for a
+//! body that ends with its connection has no bytes for the other. A response whose head says where the body ends in any
+//! way but one is therefore no response (RFC 9112, section 6.3).
+
+use httparse::{Header, Response, Status};
+use std::fmt;
+use std::io;
+
+/// The maximum number of header lines in a head.
+const MAX_HEADERS: usize = 100;
+/// The only transfer coding that clients decode.
+const CHUNKED: &[u8] = b"chunked";
+
+/// Why a head is no head of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// It is not HTTP/1.x: the status line or a header line is malformed.
+    Malformed,
+    /// It has a transfer coding other than `chunked`, or several.
+    TransferCoding,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Error::Malformed => "the response head is not HTTP/1.x; check the endpoint",
+            Error::TransferCoding => {
+                "the response has a transfer coding other than one `chunked`; check the endpoint"
+            }
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<Error> for io::Error {
+    fn from(error: Error) -> io::Error {
+        io::Error::new(io::ErrorKind::InvalidData, error)
+    }
+}
+
+/// What follows a head on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadKind {
+    /// Another head of the same response.
+    Interim,
+    /// The body.
+    Final,
+}
+
+/// Parses and checks a complete head.
+pub fn check_response_head(bytes: &[u8]) -> Result<HeadKind, Error> {
+    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = Response::new(&mut lines);
+    match response.parse(bytes) {
+        Ok(Status::Complete(length)) if length == bytes.len() => {}
+        Ok(_) | Err(_) => return Err(Error::Malformed),
+    }
+    check_framing(response.headers)?;
+    Ok(match response.code {
+        Some(100..=199) => HeadKind::Interim,
+        _ => HeadKind::Final,
+    })
+}
+
+/// Checks what the head says about the end of the body.
+fn check_framing(headers: &[Header<'_>]) -> Result<(), Error> {
+    match values(headers, "transfer-encoding").as_slice() {
+        [] => Ok(()),
+        [coding] if coding.eq_ignore_ascii_case(CHUNKED) => Ok(()),
+        _ => Err(Error::TransferCoding),
+    }
+}
+
+fn values<'a>(headers: &[Header<'a>], name: &str) -> Vec<&'a [u8]> {
+    let matching = headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
+    matching.map(|header| header.value.trim_ascii()).collect()
+}
+
+/// Collects the bytes of a response until its last head is complete, and checks each head.
+#[derive(Debug, Default)]
+pub(crate) struct HeadScanner {
+    /// What was read of a head that is not complete.
+    head: Vec<u8>,
+    /// The start of the last line of it.
+    line_start: usize,
+    /// The number of its bytes in which ends of lines were looked for.
+    searched: usize,
+    is_done: bool,
+}
+
+impl HeadScanner {
+    /// Begins with the next response on the connection.
+    pub fn expect_head(&mut self) {
+        *self = HeadScanner::default();
+    }
+
+    /// Takes bytes that were read. What follows the last head is ignored.
+    pub fn scan(&mut self, bytes: &[u8]) -> Result<(), Error> {
+        if self.is_done {
+            return Ok(());
+        }
+        self.head.extend_from_slice(bytes);
+        self.skip_empty_lines();
+        while let Some(length) = self.find_end() {
+            let kind = check_response_head(&self.head[..length])?;
+            if kind == HeadKind::Final {
+                *self = HeadScanner { is_done: true, ..HeadScanner::default() };
+                break;
+            }
+            self.head.drain(..length);
+            (self.line_start, self.searched) = (0, 0);
+            self.skip_empty_lines();
+        }
+        Ok(())
+    }
+
+    /// Removes empty lines before the status line, which the decoders skip as well.
+    fn skip_empty_lines(&mut self) {
+        if self.searched == 0 {
+            let empty = self.head.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+            self.head.drain(..empty);
+        }
+    }
+
+    /// Returns the length of the head that the bytes begin with; `None` while it is incomplete.
+    fn find_end(&mut self) -> Option<usize> {
+        while let Some(offset) = self.head[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let line_end = self.searched + offset;
+            let is_empty = matches!(&self.head[self.line_start..line_end], b"" | b"\r");
+            self.line_start = line_end + 1;
+            self.searched = self.line_start;
+            if is_empty {
+                return Some(self.line_start);
+            }
+        }
+        self.searched = self.head.len();
+        None
+    }
+}
--- /dev/null
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -0,0 +1,68 @@
+//! Responses whose head is spoilt while their body is whole, read by both clients.
+
+mod raw_answers;
+
+use async_std::future::timeout;
+use async_std::task;
+use raw_answers::{client_answer, pool_answer, start_endpoint, Ending, ReadAnswer, Unread, CALL_TIME};
+use test_case::test_case;
+
+const BODY: &str = "0123456789";
+const CHUNKED_BODY: &str = "a\r\n0123456789\r\n0\r\n\r\n";
+
+/// Returns what the pool and the older client read of an answer.
+fn read_by_both(answer: &[u8], ending: Ending) -> [Result<ReadAnswer, Unread>; 2] {
+    let (address, answers) = start_endpoint(ending);
+    let read = |answer: &[u8]| answers.send(answer.to_vec()).expect("the endpoint runs");
+    task::block_on(async {
+        read(answer);
+        let by_pool = timeout(CALL_TIME, pool_answer(address)).await.expect("the pool gives an answer up");
+        read(answer);
+        let by_client = timeout(CALL_TIME, client_answer(address)).await.expect("the client gives it up");
+        [by_pool, by_client]
+    })
+}
+
+/// Checks that both clients refuse an answer, and why if its connection ends in order.
+fn assert_refused(answer: &[u8]) {
+    let refused = [Err(Unread::Malformed), Err(Unread::Malformed)];
+    assert_eq!(read_by_both(answer, Ending::Close), refused, "{}", answer.escape_ascii());
+    let reset = read_by_both(answer, Ending::Reset);
+    let is_refused = |got: &Result<_, Unread>| got.as_ref().is_err_and(|unread| unread.is_without_head());
+    assert!(reset.iter().all(is_refused), "{reset:?} of {}", answer.escape_ascii());
+}
+
+fn assert_read(answer: &str) {
+    let whole = Ok(ReadAnswer { status: 200, body: BODY.to_owned() });
+    assert_eq!(read_by_both(answer.as_bytes(), Ending::Close), [whole.clone(), whole], "{answer:?}");
+}
+
+/// Guards against chunk sizes that are read as the body, or a body that is lost, for a coding that is spoilt.
+#[test_case("transfer-encoding: chunke"; "cut short")]
+#[test_case("transfer-encoding: xchunked"; "begun with another letter")]
+#[test_case("transfer-encoding: chu nked"; "with a blank")]
+#[test_case("transfer-encoding: chunked;q=1"; "with a parameter")]
+#[test_case("transfer-encoding: \u{fc}chunked"; "with a byte that is not ASCII")]
+#[test_case("transfer-encoding:"; "without a coding")]
+#[test_case("transfer-encoding: identity"; "as it is")]
+#[test_case("transfer-encoding: gzip"; "compressed")]
+#[test_case("transfer-encoding: gzip, chunked"; "compressed, then in chunks")]
+#[test_case("transfer-encoding: chunked, gzip"; "in chunks, then compressed")]
+#[test_case("transfer-encoding: chunked, chunked"; "in chunks twice")]
+#[test_case("transfer-encoding: chunked,"; "in chunks and nothing")]
+#[test_case("transfer-encoding: chunked\r\ntransfer-encoding: chunked"; "in chunks by two lines")]
+#[test_case("transfer-encoding: gzip\r\ntransfer-encoding: chunked"; "compressed by another line")]
+fn a_response_with_a_spoilt_transfer_coding_is_refused(field: &str) {
+    for body in [BODY, CHUNKED_BODY] {
+        assert_refused(format!("HTTP/1.1 200 OK\r\nx-seal: s\r\n{field}\r\n\r\n{body}").as_bytes());
+    }
+}
+
+#[test]
+fn a_response_with_a_sound_head_is_read() {
+    assert_read(&format!("HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 10\r\n\r\n{BODY}"));
+    assert_read(&format!("HTTP/1.1 200 OK\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n{CHUNKED_BODY}"));
+    assert_read(&format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: \t chunked \r\nx-seal: s\r\n\r\n{CHUNKED_BODY}"
+    ));
+}
--- a/crates/micaspool-router/src/endpoint.rs
+++ b/crates/micaspool-router/src/endpoint.rs
@@ -127,7 +127,7 @@
         let response = call(endpoint_call.address, request, limits).await.map_err(|error| match error {
             Error::Unreachable(_) => EndpointError::Unreachable,
             Error::Broken => EndpointError::ConnectionLost,
-            Error::Silent | Error::Length | Error::Interim => EndpointError::NoAnswer,
+            Error::Silent | Error::Head(_) | Error::Length | Error::Interim => EndpointError::NoAnswer,
         })?;
         let echoed_id = response.header(REQUEST_HEADER).map(|values| values.last().as_str().to_owned());
         if echoed_id.is_some_and(|echoed_id| echoed_id != plan.request.to_string()) {
