fix(http): a response with several lengths is refused

What callers saw: an endpoint's head has a length beside `transfer-encoding: chunked`. A length that is given twice was passed on twice.

Cause: hyper settles the contradiction for the chunks; the length stays in the head, goes on to the caller and cuts the body there. Where both lengths are the same, hyper takes them for one, but the head keeps both lines.

Change: a head has one length, or one coding, or neither. Why it works: RFC 9112, section 6.3, lets a recipient refuse what it can't settle; no reader after the check sees two statements.

--- a/crates/micaspool-http/src/response_head.rs
+++ b/crates/micaspool-http/src/response_head.rs
@@ -20,6 +20,8 @@
     Malformed,
     /// It has a transfer coding other than `chunked`, or several.
     TransferCoding,
+    /// It has several lengths, or a length beside a transfer coding.
+    SeveralLengths,
 }
 
 impl fmt::Display for Error {
@@ -29,6 +31,7 @@
             Error::TransferCoding => {
                 "the response has a transfer coding other than one `chunked`; check the endpoint"
             }
+            Error::SeveralLengths => "the response has more than one body length; check the endpoint",
         })
     }
 }
@@ -67,11 +70,15 @@
 
 /// Checks what the head says about the end of the body.
 fn check_framing(headers: &[Header<'_>]) -> Result<(), Error> {
-    match values(headers, "transfer-encoding").as_slice() {
-        [] => Ok(()),
-        [coding] if coding.eq_ignore_ascii_case(CHUNKED) => Ok(()),
-        _ => Err(Error::TransferCoding),
+    let lengths = values(headers, "content-length");
+    let codings = values(headers, "transfer-encoding");
+    if codings.len() > 1 || codings.iter().any(|coding| !coding.eq_ignore_ascii_case(CHUNKED)) {
+        return Err(Error::TransferCoding);
     }
+    if lengths.len() + codings.len() > 1 {
+        return Err(Error::SeveralLengths);
+    }
+    Ok(())
 }
 
 fn values<'a>(headers: &[Header<'a>], name: &str) -> Vec<&'a [u8]> {
--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -58,6 +58,16 @@
     }
 }
 
+/// Guards against a body that is cut at one of several lengths, and against lengths that are passed on twice.
+#[test_case("content-length: 10\r\ncontent-length: 10", BODY; "the same length twice")]
+#[test_case("content-length: 10\r\ncontent-length: 5", BODY; "two lengths")]
+#[test_case("content-length: 5\r\ntransfer-encoding: chunked", CHUNKED_BODY; "a length before chunks")]
+#[test_case("transfer-encoding: chunked\r\ncontent-length: 10", CHUNKED_BODY; "a length after chunks")]
+#[test_case("transfer-encoding: chunked\r\ncontent-length: x", CHUNKED_BODY; "no number beside chunks")]
+fn a_response_with_several_lengths_is_refused(fields: &str, body: &str) {
+    assert_refused(format!("HTTP/1.1 200 OK\r\nx-seal: s\r\n{fields}\r\n\r\n{body}").as_bytes());
+}
+
 #[test]
 fn a_response_with_a_sound_head_is_read() {
     assert_read(&format!("HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 10\r\n\r\n{BODY}"));
