fix(http): a response whose length is no number in digits is refused

What callers saw: an endpoint's head says `content-length: 126, 126`. Callers of gateways got that line, which a reader may take for either or none; where the answer is buffered they got no answer at all, since the server of the gateway can't write such a head. The older router took `+2` for two.

Cause: hyper takes a list of the same lengths for one and keeps the line; `str::parse` takes a sign. Two readers, two grammars, neither that of RFC 9110, section 8.6 (digits only).

Evidence: with the tests of this commit on its parent 12 rows of `http spoilt_heads` failed: the pool read the list, the older client read `+10`; the other ten were refused by both, but the older client told them as a lost connection. All pass now.

Change: the check of heads takes digits that fit 64 bits, once. Why it works: both clients read the head only after it.

--- a/crates/micaspool-http/src/response_head.rs
+++ b/crates/micaspool-http/src/response_head.rs
@@ -22,6 +22,8 @@
     TransferCoding,
     /// It has several lengths, or a length beside a transfer coding.
     SeveralLengths,
+    /// Its length is no number of bytes in digits.
+    Length,
 }
 
 impl fmt::Display for Error {
@@ -32,6 +34,7 @@
                 "the response has a transfer coding other than one `chunked`; check the endpoint"
             }
             Error::SeveralLengths => "the response has more than one body length; check the endpoint",
+            Error::Length => "the body length of the response is no number; check the endpoint",
         })
     }
 }
@@ -78,7 +81,18 @@
     if lengths.len() + codings.len() > 1 {
         return Err(Error::SeveralLengths);
     }
-    Ok(())
+    match lengths.first() {
+        Some(length) => check_length(length),
+        None => Ok(()),
+    }
+}
+
+fn check_length(value: &[u8]) -> Result<(), Error> {
+    if !value.iter().all(u8::is_ascii_digit) {
+        return Err(Error::Length);
+    }
+    let digits = std::str::from_utf8(value).map_err(|_| Error::Length)?;
+    digits.parse::<u64>().map(drop).map_err(|_| Error::Length)
 }
 
 fn values<'a>(headers: &[Header<'a>], name: &str) -> Vec<&'a [u8]> {
--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -68,6 +68,25 @@
     assert_refused(format!("HTTP/1.1 200 OK\r\nx-seal: s\r\n{fields}\r\n\r\n{body}").as_bytes());
 }
 
+/// Guards against a length that the clients read in different ways, and against a list of lengths that is passed on.
+#[test_case("+10"; "a sign")]
+#[test_case("-10"; "a negative number")]
+#[test_case("10, 10"; "a list")]
+#[test_case("10,"; "a list with nothing")]
+#[test_case("1 0"; "a blank")]
+#[test_case("1x"; "a letter")]
+#[test_case("0xa"; "another base")]
+#[test_case("10.0"; "a fraction")]
+#[test_case("10;q=1"; "a parameter")]
+#[test_case("1\u{fc}"; "a byte that is not ASCII")]
+#[test_case(""; "nothing")]
+#[test_case("18446744073709551626"; "a number that is ten in 64 bits")]
+fn a_response_whose_length_is_no_number_is_refused(length: &str) {
+    assert_refused(
+        format!("HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: {length}\r\n\r\n{BODY}").as_bytes(),
+    );
+}
+
 #[test]
 fn a_response_with_a_sound_head_is_read() {
     assert_read(&format!("HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 10\r\n\r\n{BODY}"));
--- a/crates/micaspool/tests/spoilt_heads.rs
+++ b/crates/micaspool/tests/spoilt_heads.rs
@@ -34,9 +34,10 @@
     address
 }
 
-/// Guards against a caller that gets an empty body for one whose coding is spoilt.
+/// Guards against a caller that gets an empty body for one whose coding is spoilt, or a length that is guessed.
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunke\r\n\r\n2\r\nok\r\n0\r\n\r\n"; "a coding cut short")]
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"; "two codings")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: +2\r\n\r\nok"; "a length with a sign")]
 fn an_answer_with_a_spoilt_head_reaches_no_caller(answer: &'static str) {
     let address = start_endpoint(answer);
     task::block_on(async {
