fix(http): a coding in capitals no longer loses the body at the older client

What callers saw: an endpoint of the older router answers with `Transfer-Encoding: Chunked`, a sound head, since the case of a coding doesn't count. They got 200 and an empty body, framed as whole.

Change: the older client holds back what a connection begins with until a whole head is there and checked, and gives the coding to async-h1 in lower case. Why it works: nothing is decoded before the check, and only lines of the head are changed.

--- a/crates/micaspool-http/src/client.rs
+++ b/crates/micaspool-http/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client based on `async-h1`; each request has its own connection.
 
-use crate::response_head;
+use crate::response_head::{self, lower_coding};
 use crate::response_watch::ResponseWatch;
 use crate::stall::StallTimer;
 use async_std::future::timeout;
@@ -12,10 +12,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+/// The most that is read at once while a head is incomplete, in bytes.
+const READ_BYTES: usize = 2 * 1024;
+
 /// Time limits of a call.
 #[derive(Debug, Clone, Copy)]
 pub struct CallLimits {
@@ -75,7 +78,7 @@
 pub async fn call(address: SocketAddr, request: Request, limits: CallLimits) -> Result<Response, Error> {
     let stream = connect(address, limits.connect).await?;
     let watch = Arc::new(ResponseWatch::default());
-    let stream = WatchedStream { stream, watch: watch.clone() };
+    let stream = WatchedStream { stream, watch: watch.clone(), beginning: Arc::default() };
     let mut response = match timeout(limits.silence, async_h1::connect(stream, request)).await {
         Err(_) => return Err(Error::Silent),
         Ok(Err(error)) => return Err(head_error(&error).map_or(Error::Broken, Error::Head)),
@@ -121,21 +124,70 @@
     }
 }
 
-/// The stream of a connection, whose reads are watched.
+/// The stream of a connection, whose reads are watched. What it begins with is held back until there is a whole head.
+///
+/// Clones share all state.
 #[derive(Clone, Debug)]
 struct WatchedStream {
     stream: TcpStream,
     watch: Arc<ResponseWatch>,
+    beginning: Arc<Mutex<HeldBytes>>,
 }
 
-impl Read for WatchedStream {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+/// Bytes that were read and not yet given to the decoder.
+#[derive(Debug, Default)]
+struct HeldBytes {
+    bytes: Vec<u8>,
+    given: usize,
+}
+
+impl HeldBytes {
+    /// Gives out as many bytes as there are and fit.
+    fn give(&mut self, buf: &mut [u8]) -> usize {
+        let left = &self.bytes[self.given..];
+        let count = left.len().min(buf.len());
+        buf[..count].copy_from_slice(&left[..count]);
+        self.given += count;
+        count
+    }
+}
+
+impl WatchedStream {
+    /// Reads from the connection itself.
+    fn poll_watched(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         self.watch.check()?;
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let Poll::Ready(Ok(count)) = &read {
-            self.watch.record_read(&buf[..*count])?;
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.watch.record_read(&buf[..count])?;
+        Poll::Ready(Ok(count))
+    }
+
+    /// Reads until there is a whole head, or the connection ends.
+    fn poll_beginning(&mut self, cx: &mut Context<'_>, held: &mut HeldBytes) -> Poll<io::Result<()>> {
+        let mut part = [0; READ_BYTES];
+        while !self.watch.has_head() {
+            let count = ready!(self.poll_watched(cx, &mut part))?;
+            if count == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            held.bytes.extend_from_slice(&part[..count]);
+            if self.watch.has_head() {
+                lower_coding(&mut held.bytes);
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Read for WatchedStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let beginning = this.beginning.clone();
+        let mut held = beginning.lock().unwrap_or_else(PoisonError::into_inner);
+        ready!(this.poll_beginning(cx, &mut held))?;
+        match held.give(buf) {
+            0 => this.poll_watched(cx, buf),
+            count => Poll::Ready(Ok(count)),
         }
-        read
     }
 }
 
--- a/crates/micaspool-http/src/response_head.rs
+++ b/crates/micaspool-http/src/response_head.rs
@@ -100,6 +100,22 @@
     matching.map(|header| header.value.trim_ascii()).collect()
 }
 
+/// Writes the transfer coding of the head that `bytes` begin with in lower case, for a decoder that minds the case.
+pub(crate) fn lower_coding(bytes: &mut [u8]) {
+    let name = b"transfer-encoding:";
+    let lines = bytes.split_mut(|byte| *byte == b'\n').skip_while(|line| is_empty_line(line));
+    for line in lines.take_while(|line| !is_empty_line(line)) {
+        if line.get(..name.len()).is_some_and(|start| start.eq_ignore_ascii_case(name)) {
+            line.make_ascii_lowercase();
+        }
+    }
+}
+
+/// Returns true for a line without bytes, up to its line feed.
+fn is_empty_line(line: &[u8]) -> bool {
+    matches!(line, b"" | b"\r")
+}
+
 /// Collects the bytes of a response until its last head is complete, and checks each head.
 #[derive(Debug, Default)]
 pub(crate) struct HeadScanner {
@@ -109,6 +125,9 @@
     line_start: usize,
     /// The number of its bytes in which ends of lines were looked for.
     searched: usize,
+    /// True from the end of the first head on.
+    has_head: bool,
+    /// True from the end of the last head on.
     is_done: bool,
 }
 
@@ -118,6 +137,11 @@
         *self = HeadScanner::default();
     }
 
+    /// Returns true once a whole head was taken, be it an interim one.
+    pub fn has_head(&self) -> bool {
+        self.has_head
+    }
+
     /// Takes bytes that were read. What follows the last head is ignored.
     pub fn scan(&mut self, bytes: &[u8]) -> Result<(), Error> {
         if self.is_done {
@@ -128,9 +152,10 @@
         while let Some(length) = self.find_end() {
             let kind = check_response_head(&self.head[..length])?;
             if kind == HeadKind::Final {
-                *self = HeadScanner { is_done: true, ..HeadScanner::default() };
+                *self = HeadScanner { has_head: true, is_done: true, ..HeadScanner::default() };
                 break;
             }
+            self.has_head = true;
             self.head.drain(..length);
             (self.line_start, self.searched) = (0, 0);
             self.skip_empty_lines();
@@ -150,7 +175,7 @@
     fn find_end(&mut self) -> Option<usize> {
         while let Some(offset) = self.head[self.searched..].iter().position(|byte| *byte == b'\n') {
             let line_end = self.searched + offset;
-            let is_empty = matches!(&self.head[self.line_start..line_end], b"" | b"\r");
+            let is_empty = is_empty_line(&self.head[self.line_start..line_end]);
             self.line_start = line_end + 1;
             self.searched = self.line_start;
             if is_empty {
--- a/crates/micaspool-http/src/response_watch.rs
+++ b/crates/micaspool-http/src/response_watch.rs
@@ -40,6 +40,11 @@
         Ok(self.lock_heads().scan(bytes)?)
     }
 
+    /// Returns true once a whole head of the response was read.
+    pub fn has_head(&self) -> bool {
+        self.lock_heads().has_head()
+    }
+
     fn lock_heads(&self) -> MutexGuard<'_, HeadScanner> {
         self.heads.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -95,3 +95,19 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: \t chunked \r\nx-seal: s\r\n\r\n{CHUNKED_BODY}"
     ));
 }
+
+/// Guards against a sound response that is lost because its coding is written in another case.
+#[test_case("Chunked"; "with a capital")]
+#[test_case("CHUNKED"; "in capitals")]
+fn a_response_in_chunks_of_any_case_is_read(coding: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {coding}\r\nx-seal: S\r\n\r\n");
+    assert_read(&(head + CHUNKED_BODY));
+}
+
+#[test]
+fn a_body_that_looks_like_a_head_is_not_changed() {
+    let body = "\r\nTransfer-Encoding: CHUNKED\r\n";
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let whole = Ok(ReadAnswer { status: 200, body: body.to_owned() });
+    assert_eq!(read_by_both(answer.as_bytes(), Ending::Close), [whole.clone(), whole]);
+}
