fix(http): a status that is none of HTTP, or an unasked switch of protocols, is no answer

What callers saw: an endpoint's status line is spoilt into 600 or 999; callers of gateways got that status, with the body. For 101 they got a switch of protocols that nobody had asked for, without the body.

Cause: `http::StatusCode` takes all from 100 to 999, and only 2xx must be proved by the endpoint. hyper hands 101 on as a final response.

Change: the check of heads takes 100 to 599 but for 101. Why it works: RFC 9110, section 15, calls the others invalid; the client of a proxy has no use for them, and the request counts as one that may have run.

--- a/crates/micaspool-http/src/response_head.rs
+++ b/crates/micaspool-http/src/response_head.rs
@@ -18,6 +18,8 @@
 pub enum Error {
     /// It is not HTTP/1.x: the status line or a header line is malformed.
     Malformed,
+    /// Its status is outside the range of HTTP, or switches to a protocol that nobody asked for.
+    Status,
     /// It has a transfer coding other than `chunked`, or several.
     TransferCoding,
     /// It has several lengths, or a length beside a transfer coding.
@@ -30,6 +32,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Error::Malformed => "the response head is not HTTP/1.x; check the endpoint",
+            Error::Status => "the response has no status of HTTP, or switches protocols; check the endpoint",
             Error::TransferCoding => {
                 "the response has a transfer coding other than one `chunked`; check the endpoint"
             }
@@ -64,11 +67,13 @@
         Ok(Status::Complete(length)) if length == bytes.len() => {}
         Ok(_) | Err(_) => return Err(Error::Malformed),
     }
+    let kind = match response.code {
+        Some(100 | 102..=199) => HeadKind::Interim,
+        Some(200..=599) => HeadKind::Final,
+        _ => return Err(Error::Status),
+    };
     check_framing(response.headers)?;
-    Ok(match response.code {
-        Some(100..=199) => HeadKind::Interim,
-        _ => HeadKind::Final,
-    })
+    Ok(kind)
 }
 
 /// Checks what the head says about the end of the body.
--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -87,6 +87,24 @@
     );
 }
 
+/// Guards against a status that is none of HTTP, and against a switch of protocols, being taken for an answer.
+#[test_case("000"; "zero")]
+#[test_case("001"; "one")]
+#[test_case("099"; "below the range")]
+#[test_case("600"; "above the range")]
+#[test_case("999"; "the highest of three digits")]
+#[test_case("20"; "two digits")]
+#[test_case("2000"; "four digits")]
+#[test_case("2x0"; "a letter")]
+#[test_case("-20"; "a sign")]
+#[test_case(" 200"; "a blank before")]
+#[test_case("101"; "switching protocols")]
+fn a_response_without_a_status_of_http_is_refused(status: &str) {
+    for fields in ["content-length: 10", "upgrade: x\r\nconnection: upgrade"] {
+        assert_refused(format!("HTTP/1.1 {status} OK\r\nx-seal: s\r\n{fields}\r\n\r\n{BODY}").as_bytes());
+    }
+}
+
 #[test]
 fn a_response_with_a_sound_head_is_read() {
     assert_read(&format!("HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 10\r\n\r\n{BODY}"));
