--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -129,3 +129,68 @@
     let whole = Ok(ReadAnswer { status: 200, body: body.to_owned() });
     assert_eq!(read_by_both(answer.as_bytes(), Ending::Close), [whole.clone(), whole]);
 }
+
+/// Guards against a line that is no field being skipped, passed on, or taken for the end of the head.
+#[test_case("no field"; "no colon")]
+#[test_case("content-length"; "a name alone")]
+#[test_case(": 1"; "no name")]
+#[test_case(" x: 1"; "a blank before the name")]
+#[test_case("\tx: 1"; "a tab before the name")]
+#[test_case(" folded"; "a folded line")]
+#[test_case(" "; "a blank line")]
+#[test_case("\0"; "a line of a control byte")]
+#[test_case("HTTP/1.1 200 OK"; "a status line")]
+fn a_response_with_a_line_that_is_no_field_is_refused(line: &str) {
+    let refuse = |lines: &str, body: &str| {
+        assert_refused(format!("HTTP/1.1 200 OK\r\n{lines}\r\n\r\n{body}").as_bytes());
+    };
+    refuse(&format!("{line}\r\ncontent-length: 10"), BODY);
+    refuse(&format!("content-length: 10\r\n{line}"), BODY);
+    refuse(&format!("x-seal: s\r\n{line}\r\ntransfer-encoding: chunked"), CHUNKED_BODY);
+    refuse(&format!("x-seal: s\r\n{line}"), BODY);
+}
+
+/// Guards against a field whose name is no name being passed on, or its length being ignored.
+#[test_case("content-length : 10"; "a blank before the colon")]
+#[test_case("content-length\t: 10"; "a tab before the colon")]
+#[test_case("content length: 10"; "a blank")]
+#[test_case("content\u{1}length: 10"; "a control byte")]
+#[test_case("content-length\0: 10"; "a zero byte")]
+#[test_case("content-length\u{7f}: 10"; "a delete byte")]
+#[test_case("cont\u{fc}nt-length: 10"; "a byte that is not ASCII")]
+#[test_case("x y: 1\r\ncontent-length: 10"; "a blank beside a sound length")]
+#[test_case("x\u{1}y: 1\r\ncontent-length: 10"; "a control byte beside a sound length")]
+#[test_case("content-length: 10\r\nx : 1"; "a blank after a sound length")]
+#[test_case("content-length: 10\r\nx\u{1b}: 1"; "a control byte after a sound length")]
+fn a_response_with_a_field_whose_name_is_spoilt_is_refused(fields: &str) {
+    assert_refused(format!("HTTP/1.1 200 OK\r\nx-seal: s\r\n{fields}\r\n\r\n{BODY}").as_bytes());
+}
+
+/// Guards against a spoilt interim head that is skipped although it may be the answer.
+#[test_case("no field")]
+#[test_case("x y: 1")]
+#[test_case("x\u{1}: 1")]
+#[test_case("transfer-encoding: chunke")]
+#[test_case("content-length: 1x")]
+fn a_response_after_a_spoilt_interim_head_is_refused(line: &str) {
+    let sound = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789";
+    assert_refused(format!("HTTP/1.1 103 Early Hints\r\n{line}\r\n\r\n{sound}").as_bytes());
+}
+
+/// Guards against a body whose trailers or chunk sizes are spoilt being taken for whole.
+#[test_case("a\r\n0123456789\r\n0\r\nno field\r\n\r\n"; "a trailer without a colon")]
+#[test_case("a\r\n0123456789\r\n0\r\nx y: 1\r\n\r\n"; "a trailer with a blank in its name")]
+#[test_case("a\r\n0123456789\r\n0\r\nx\u{1}: 1\r\n\r\n"; "a trailer with a control byte in its name")]
+#[test_case("a\r\n0123456789\r\n0\r\nx: 1"; "a trailer that is cut")]
+#[test_case("+a\r\n0123456789\r\n0\r\n\r\n"; "a size with a sign")]
+#[test_case("0xa\r\n0123456789\r\n0\r\n\r\n"; "a size with a prefix")]
+#[test_case("5\r\n0123456789\r\n0\r\n\r\n"; "a size that is too small")]
+#[test_case("b\r\n0123456789\r\n0\r\n\r\n"; "a size that is too large")]
+#[test_case("\r\n0123456789\r\n0\r\n\r\n"; "no size")]
+#[test_case("a\r\n0123456789xx0\r\n\r\n"; "no end of the chunk")]
+#[test_case("1000000000000000a\r\n0123456789\r\n0\r\n\r\n"; "a size that is ten in 64 bits")]
+fn a_body_with_spoilt_chunks_is_not_whole(body: &str) {
+    let answer = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{body}");
+    let got = read_by_both(answer.as_bytes(), Ending::Close);
+    assert_eq!(got, [Err(Unread::Body), Err(Unread::Body)], "{answer:?}");
+}
--- a/crates/micaspool/tests/spoilt_heads.rs
+++ b/crates/micaspool/tests/spoilt_heads.rs
@@ -34,10 +34,14 @@
     address
 }
 
-/// Guards against a caller that gets an empty body for one whose coding is spoilt, or a length that is guessed.
+/// Guards against a caller that gets an empty body for one whose coding is spoilt, or an answer with another spoilt head.
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunke\r\n\r\n2\r\nok\r\n0\r\n\r\n"; "a coding cut short")]
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"; "two codings")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: +2\r\n\r\nok"; "a length with a sign")]
+#[test_case("HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok"; "status zero")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nno field\r\n\r\nok"; "a line that is no field")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx y: 1\r\n\r\nok"; "a name with a blank")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\u{1}: 1\r\n\r\nok"; "a name with a control byte")]
 fn an_answer_with_a_spoilt_head_reaches_no_caller(answer: &'static str) {
     let address = start_endpoint(answer);
     task::block_on(async {
