fix(http): a status without a body whose head states one is refused

What callers saw: an endpoint answers with a body, and its status is spoilt into 204. Callers got a success, with its seal and without its body, as a complete answer. An interim status with a body made gateways read the body as the next head: where it is an HTTP answer itself, as that.

Cause: both libraries go by the status and drop what the head says about the body.

Change: an interim head and one of status 204 may not state bytes or chunks (RFC 9110, section 8.6; RFC 9112, section 6.1). A length of zero is taken, and so is that of a 304, which tells of the answer that was not sent. Why it works: what the status and the fields say about the end of the answer is one statement, and two that differ are refused.

--- a/crates/micaspool-http/src/response_head.rs
+++ b/crates/micaspool-http/src/response_head.rs
@@ -13,6 +13,9 @@
 /// The only transfer coding that clients decode.
 const CHUNKED: &[u8] = b"chunked";
 
+/// The final status of which no head may state a body (RFC 9110, section 8.6).
+const NO_CONTENT: u16 = 204;
+
 /// Why a head is no head of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -28,6 +31,8 @@
     SeveralLengths,
     /// Its length is no number of bytes in digits.
     Length,
+    /// Its status has no body, but it states one.
+    UnexpectedBody,
 }
 
 impl fmt::Display for Error {
@@ -41,6 +46,7 @@
             }
             Error::SeveralLengths => "the response has more than one body length; check the endpoint",
             Error::Length => "the body length of the response is no number; check the endpoint",
+            Error::UnexpectedBody => "the status of the response has no body, but it has; check the endpoint",
         })
     }
 }
@@ -76,7 +82,11 @@
         Some(200..=599) => HeadKind::Final,
         _ => return Err(Error::Status),
     };
-    check_framing(response.headers)?;
+    let has_body = check_framing(response.headers)?;
+    let is_bodiless = kind == HeadKind::Interim || response.code == Some(NO_CONTENT);
+    if is_bodiless && has_body {
+        return Err(Error::UnexpectedBody);
+    }
     Ok(kind)
 }
 
@@ -91,8 +101,8 @@
     Ok(())
 }
 
-/// Checks what the head says about the end of the body.
-fn check_framing(headers: &[Header<'_>]) -> Result<(), Error> {
+/// Checks what the head says about the end of the body. Returns true if it states a body that has bytes or chunks.
+fn check_framing(headers: &[Header<'_>]) -> Result<bool, Error> {
     let lengths = values(headers, "content-length");
     let codings = values(headers, "transfer-encoding");
     if codings.len() > 1 || codings.iter().any(|coding| !coding.eq_ignore_ascii_case(CHUNKED)) {
@@ -102,17 +112,17 @@
         return Err(Error::SeveralLengths);
     }
     match lengths.first() {
-        Some(length) => check_length(length),
-        None => Ok(()),
+        Some(length) => Ok(parse_length(length)? > 0),
+        None => Ok(!codings.is_empty()),
     }
 }
 
-fn check_length(value: &[u8]) -> Result<(), Error> {
+fn parse_length(value: &[u8]) -> Result<u64, Error> {
     if !value.iter().all(u8::is_ascii_digit) {
         return Err(Error::Length);
     }
     let digits = std::str::from_utf8(value).map_err(|_| Error::Length)?;
-    digits.parse::<u64>().map(drop).map_err(|_| Error::Length)
+    digits.parse().map_err(|_| Error::Length)
 }
 
 fn values<'a>(headers: &[Header<'a>], name: &str) -> Vec<&'a [u8]> {
--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -105,6 +105,28 @@
     }
 }
 
+/// Guards against a body that is lost because the status is spoilt into one without a body.
+#[test_case("204", "content-length: 10", BODY; "no content with a length")]
+#[test_case("204", "transfer-encoding: chunked", CHUNKED_BODY; "no content with chunks")]
+#[test_case("100", "content-length: 10", BODY; "an interim status with a length")]
+#[test_case("199", "transfer-encoding: chunked", CHUNKED_BODY; "an interim status with chunks")]
+#[test_case("103", "content-length: 48", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789"; "an interim status with an answer as its body")]
+fn a_response_whose_status_has_no_body_states_none(status: &str, field: &str, body: &str) {
+    assert_refused(format!("HTTP/1.1 {status} OK\r\nx-seal: s\r\n{field}\r\n\r\n{body}").as_bytes());
+}
+
+#[test]
+fn a_response_without_a_body_is_read() {
+    for field in ["x: 1", "content-length: 0"] {
+        let answer = format!("HTTP/1.1 204 No Content\r\n{field}\r\n\r\n");
+        let empty = Ok(ReadAnswer { status: 204, body: String::new() });
+        assert_eq!(read_by_both(answer.as_bytes(), Ending::Close), [empty.clone(), empty], "{answer:?}");
+    }
+    let answer = b"HTTP/1.1 304 Not Modified\r\ncontent-length: 10\r\n\r\n";
+    let unmodified = Ok(ReadAnswer { status: 304, body: String::new() });
+    assert_eq!(read_by_both(answer, Ending::Close), [unmodified.clone(), unmodified]);
+}
+
 #[test]
 fn a_response_with_a_sound_head_is_read() {
     assert_read(&format!("HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 10\r\n\r\n{BODY}"));
