fix(http): a value that is not ASCII no longer ends the call of the older client in a panic

What callers saw: an endpoint's head has a value with a letter that is not ASCII, sound or spoilt. The caller of the older router got no answer, not even a refusal: its connection was closed.

Cause: async-h1 puts each value of the head into a type that holds ASCII only, and panics where it is UTF-8 but no ASCII; the panic ends the task of the call.

Evidence: with these tests on the parent the call panics (`http spoilt_heads a_value_that_is_not_ascii...`, "String slice should be valid ASCII"; for a byte that is no UTF-8 it was refused as a lost connection), and the row of the older router gets no answer.

Change: the older client refuses a head that its decoder can't hold, before it decodes it. Why it works: nothing else of a head gets into that type. The client of the gateways reads and passes on such values, as before (RFC 9110, section 5.5).

--- a/crates/micaspool-http/src/client.rs
+++ b/crates/micaspool-http/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client based on `async-h1`; each request has its own connection.
 
-use crate::response_head::{self, lower_coding};
+use crate::response_head::{self, prepare_head};
 use crate::response_watch::ResponseWatch;
 use crate::stall::StallTimer;
 use async_std::future::timeout;
@@ -171,7 +171,7 @@
             }
             held.bytes.extend_from_slice(&part[..count]);
             if self.watch.has_head() {
-                lower_coding(&mut held.bytes);
+                prepare_head(&mut held.bytes)?;
             }
         }
         Poll::Ready(Ok(()))
--- a/crates/micaspool-http/src/response_head.rs
+++ b/crates/micaspool-http/src/response_head.rs
@@ -33,6 +33,8 @@
     Length,
     /// Its status has no body, but it states one.
     UnexpectedBody,
+    /// It has bytes that are not ASCII, for a client that can't hold them.
+    NotAscii,
 }
 
 impl fmt::Display for Error {
@@ -47,6 +49,7 @@
             Error::SeveralLengths => "the response has more than one body length; check the endpoint",
             Error::Length => "the body length of the response is no number; check the endpoint",
             Error::UnexpectedBody => "the status of the response has no body, but it has; check the endpoint",
+            Error::NotAscii => "the response head is not all ASCII; check the header values of the endpoint",
         })
     }
 }
@@ -130,15 +133,20 @@
     matching.map(|header| header.value.trim_ascii()).collect()
 }
 
-/// Writes the transfer coding of the head that `bytes` begin with in lower case, for a decoder that minds the case.
-pub(crate) fn lower_coding(bytes: &mut [u8]) {
+/// Prepares the head that `bytes` begin with for `async-h1`, which minds the case of a transfer coding and panics where a
+/// value is not ASCII.
+pub(crate) fn prepare_head(bytes: &mut [u8]) -> Result<(), Error> {
     let name = b"transfer-encoding:";
     let lines = bytes.split_mut(|byte| *byte == b'\n').skip_while(|line| is_empty_line(line));
     for line in lines.take_while(|line| !is_empty_line(line)) {
+        if !line.is_ascii() {
+            return Err(Error::NotAscii);
+        }
         if line.get(..name.len()).is_some_and(|start| start.eq_ignore_ascii_case(name)) {
             line.make_ascii_lowercase();
         }
     }
+    Ok(())
 }
 
 /// Returns true for a line without bytes, up to its line feed.
--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -253,3 +253,13 @@
 fn a_response_whose_lines_all_end_with_a_line_feed_is_read() {
     assert_read(&format!("HTTP/1.1 200 OK\nx-seal: s\ncontent-length: 10\n\n{BODY}"));
 }
+
+/// Guards against a panic of the older client for a value that its decoder can't hold.
+#[test_case(b"\xc3\xa9"; "a letter in UTF-8")]
+#[test_case(b"\xfc"; "a byte that is no UTF-8")]
+fn a_value_that_is_not_ascii_is_refused_by_the_older_client(value: &[u8]) {
+    let answer =
+        [b"HTTP/1.1 200 OK\r\nx: ", value, b"\r\ncontent-length: 10\r\n\r\n", BODY.as_bytes()].concat();
+    let whole = Ok(ReadAnswer { status: 200, body: BODY.to_owned() });
+    assert_eq!(read_by_both(&answer, Ending::Close), [whole, Err(Unread::Malformed)]);
+}
--- a/crates/micaspool/tests/spoilt_heads.rs
+++ b/crates/micaspool/tests/spoilt_heads.rs
@@ -42,6 +42,7 @@
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nno field\r\n\r\nok"; "a line that is no field")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx y: 1\r\n\r\nok"; "a name with a blank")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\u{1}: 1\r\n\r\nok"; "a name with a control byte")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx: \u{e9}\r\n\r\nok"; "a value that is not ASCII")]
 fn an_answer_with_a_spoilt_head_reaches_no_caller(answer: &'static str) {
     let address = start_endpoint(answer);
     task::block_on(async {
