fix(http): a trailer that is not ASCII is an error of the older client, not a panic

What callers saw: the older router breaks the answer off, which is right: the trailers of an answer in chunks can't be decoded. What was wrong is inside: the panic ends the task that reads the body, and is told as a fault of ours instead of the endpoint's.

Cause: the type that holds the values of a head holds trailers too, and async-h1 reads them inside the body.

Evidence: `http spoilt_heads a_trailer_that_is_not_ascii...` panicked on the parent ("String slice should be valid ASCII") and passes now; the client of the gateways reads such an answer, as before.

Change: a panic of the decoder is an error of the body, as it is for the bodies of the server (`call.rs`). Why it works: a reader sees an error, and later reads fail as well. Ruled out: parsing the chunks a second time before async-h1 does.

--- a/crates/micaspool-http/src/client.rs
+++ b/crates/micaspool-http/src/client.rs
@@ -11,6 +11,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{ready, Context, Poll};
@@ -218,6 +219,18 @@
         CheckedBody { body, remaining, stall: StallTimer::new(silence), watch }
     }
 
+    /// Reads from the decoder, which panics for trailers that are not ASCII. After a panic it is not polled again.
+    fn poll_decoded(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        let read = AssertUnwindSafe(|| Pin::new(&mut self.body).poll_read(cx, buf));
+        catch_unwind(read).unwrap_or_else(|_| {
+            self.body = Body::empty();
+            // A later read fails as well, since bytes are missing.
+            self.remaining = Some(1);
+            let message = "the trailers of the response can't be decoded; check the endpoint";
+            Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)))
+        })
+    }
+
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         self.stall.poll_stalled(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
@@ -239,7 +252,7 @@
 impl Read for CheckedBody {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        match Pin::new(&mut this.body).poll_read(cx, buf) {
+        match this.poll_decoded(cx, buf) {
             Poll::Ready(Ok(count)) => Poll::Ready(this.record_read(count)),
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => this.poll_timeout(cx),
--- a/crates/micaspool-http/tests/spoilt_heads.rs
+++ b/crates/micaspool-http/tests/spoilt_heads.rs
@@ -263,3 +263,12 @@
     let whole = Ok(ReadAnswer { status: 200, body: BODY.to_owned() });
     assert_eq!(read_by_both(&answer, Ending::Close), [whole, Err(Unread::Malformed)]);
 }
+
+/// Guards against a panic of the older client for a trailer that its decoder can't hold.
+#[test]
+fn a_trailer_that_is_not_ascii_is_no_whole_body_to_the_older_client() {
+    let body = "a\r\n0123456789\r\n0\r\nx: \u{e9}\r\n\r\n";
+    let answer = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{body}");
+    let whole = Ok(ReadAnswer { status: 200, body: BODY.to_owned() });
+    assert_eq!(read_by_both(answer.as_bytes(), Ending::Close), [whole, Err(Unread::Body)]);
+}
