fix(gateway): a body in chunks whose head has lost the coding is not framed as complete

What callers saw: an endpoint answers in chunks, and the name of the field that says so is spoilt into another name.

Nothing looked at whether the body says something else than the head.

Change: a body that ends with its connection is followed as if it were in chunks; one that is so from its first byte to the empty line after its last chunk is broken off at the caller, and does not go on elsewhere, since its sizes have been passed on. Why it works: the two statements about the end, the body's and the head's, differ, and the answer is not called complete. Ruled out: refusing by the name of the field (a guess), by the first line alone (a sound body may be "42\r\n"), or each answer without a length that does not announce the end of its connection (sound endpoints send such).

--- a/crates/micaspool-gateway/src/relay.rs
+++ b/crates/micaspool-gateway/src/relay.rs
@@ -36,6 +36,9 @@
     Endpoint(hyper::Error),
     /// The response ended without an error, but it is an event stream that is not whole.
     Cut(StreamCut, BodyFraming),
+    /// The body is one in chunks, sizes included, for which the head states nothing. They have been passed on, so that the
+    /// stream can't go on elsewhere.
+    LostCoding,
     /// An event is too long to be held back until it is complete.
     Overlong,
     /// The deadline and its grace period have passed.
@@ -54,6 +57,9 @@
                 )
             }
             RelayError::Cut(cut, _) => cut.fmt(f),
+            RelayError::LostCoding => {
+                f.write_str("the body is in chunks, but the head does not say so; check the endpoint")
+            }
             RelayError::Overlong => f.write_str("an event of the stream does not end; check the endpoint"),
             RelayError::Deadline => f.write_str("answer incomplete at the request deadline"),
             RelayError::Stopping => f.write_str("answer incomplete when the gateway stops"),
@@ -78,7 +84,9 @@
         match self {
             RelayError::Endpoint(error) => body_outcome(error),
             RelayError::Cut(_, BodyFraming::Connection) => GrantOutcome::Severed,
-            RelayError::Cut(..) | RelayError::Overlong | RelayError::Deadline => GrantOutcome::Broken,
+            RelayError::Cut(..) | RelayError::LostCoding | RelayError::Overlong | RelayError::Deadline => {
+                GrantOutcome::Broken
+            }
             RelayError::Stopping => GrantOutcome::Abandoned,
         }
     }
@@ -216,6 +224,9 @@
     }
 
     fn check_end(&self) -> Result<(), RelayError> {
+        if self.source.body.holds_chunks() {
+            return Err(RelayError::LostCoding);
+        }
         if !self.is_stream {
             return Ok(());
         }
@@ -290,7 +301,7 @@
             RelayError::Endpoint(error) => error.to_string(),
             RelayError::Cut(cut, _) => cut.to_string(),
             RelayError::Overlong => error.to_string(),
-            RelayError::Deadline | RelayError::Stopping => return false,
+            RelayError::LostCoding | RelayError::Deadline | RelayError::Stopping => return false,
         };
         let Some(last) = self.splitter.as_ref().and_then(EventSplitter::last_id) else { return false };
         if !self.attempts.may_run_again() {
--- a/crates/micaspool-http/src/lib.rs
+++ b/crates/micaspool-http/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod body;
 mod call;
+pub mod chunk_scanner;
 pub mod client;
 pub mod edge;
 pub mod framing;
--- a/crates/micaspool-http/src/pool.rs
+++ b/crates/micaspool-http/src/pool.rs
@@ -7,6 +7,7 @@
 //! that were not sent from those that got no response, because a request that was not sent cannot have
 //! run.
 
+use crate::chunk_scanner::ChunkScanner;
 use crate::framing::BodyFraming;
 use crate::response_watch::{ResponseWatch, WatchedReads};
 use crate::sends::{ConnectionNumber, ConnectionUse, SendHistory};
@@ -314,7 +315,14 @@
         let keep_alive = self.negotiated_keep_alive(response.headers());
         let connection = PooledConnection { pool: self.clone(), address, sender, keep_alive };
         let framing = BodyFraming::of(response.headers(), response.body());
-        Ok(response.map(|body| PooledBody { body, framing, connection_use, connection: Some(connection) }))
+        let chunks = ChunkScanner::default();
+        Ok(response.map(|body| PooledBody {
+            body,
+            framing,
+            chunks,
+            connection_use,
+            connection: Some(connection),
+        }))
     }
 
     /// Returns how long a connection may be idle, from the `Keep-Alive` header of its last response.
@@ -388,6 +396,8 @@
 pub struct PooledBody {
     body: Incoming,
     framing: BodyFraming,
+    /// Follows a body that ends with its connection.
+    chunks: ChunkScanner,
     connection_use: ConnectionUse,
     connection: Option<PooledConnection>,
 }
@@ -404,6 +414,12 @@
         self.framing
     }
 
+    /// Returns true if the body ended with its connection and is itself a whole body in chunks: the head has lost the field
+    /// that says so.
+    pub fn holds_chunks(&self) -> bool {
+        self.chunks.is_whole()
+    }
+
     /// Returns the connection that the response came on.
     pub fn connection_use(&self) -> ConnectionUse {
         self.connection_use
@@ -416,10 +432,13 @@
     }
 
     /// Records that the reader got a part of the body.
-    fn record_progress(&self) {
+    fn record_progress(&mut self, frame: &Frame<Bytes>) {
         if let Some(connection) = &self.connection {
             connection.sender.watch.record_progress();
         }
+        if let (BodyFraming::Connection, Some(data)) = (self.framing, frame.data_ref()) {
+            self.chunks.observe(data);
+        }
     }
 
     /// Returns the connection to the pool after the whole body was read.
@@ -452,7 +471,7 @@
         match &frame {
             Poll::Ready(None) => self.release(),
             Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.release(),
-            Poll::Ready(Some(Ok(_))) => self.record_progress(),
+            Poll::Ready(Some(Ok(frame))) => self.record_progress(frame),
             Poll::Ready(Some(Err(_))) => self.connection = None,
             _ => {}
         }
