fix(gateway): a request whose body has a coding besides its chunks is refused

What callers saw: a request with `transfer-encoding: gzip, chunked` gets 200 and has run, with a body that its endpoint can't read: the field that names the coding goes with the hop-by-hop headers, nobody undoes it, and the body is sent on with a length.

Cause: that of the answers, on the callers' side: hyper asks only whether the last coding is `chunked`.

Change: the codings of a request are one `chunked` or none. Why it works: a body is sent on only if all that its head says about it was undone. Not changed, since they are read in one way and sent on with one length (RFC 9112, section 6.3): a length beside chunks, and the same length twice.

--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -17,7 +17,7 @@
 use attempt::TAKE_UP_MARGIN;
 pub(crate) use attempt::{Attempts, UsableAnswer};
 use caller_body::CallerBody;
-use http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
+use http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{request, Request, Response};
 use hyper::body::Incoming;
 use micaspool_backpressure::SharedAdvice;
@@ -227,6 +227,7 @@
         target.write_to_log(log);
         body.limit_time(target.time_limit);
         let limit = plan.plan.parts().limits.body_bytes;
+        check_coding(&head)?;
         check_length(&head, limit)?;
         let customer = target.queue_customer();
         let promise = self.promise_memory(&customer)?;
@@ -336,6 +337,18 @@
 }
 
 /// Refuses a body whose `Content-Length` exceeds the limit, before it is read.
+/// Checks that a body has no transfer coding besides its chunks. The endpoint would get it without the field that names the
+/// coding.
+fn check_coding(head: &request::Parts) -> Result<(), Refusal> {
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(()),
+        (Some(coding), None) if is_chunked(coding) => Ok(()),
+        _ => Err(Refusal::not_run(RefusalKind::MalformedRequest)),
+    }
+}
+
 fn check_length(head: &request::Parts, limit: u64) -> Result<(), Refusal> {
     match announced_length(head) {
         Some(length) if length > limit => Err(Refusal::not_run(RefusalKind::BodyTooLarge)),
