--- a/crates/micaspool-http/tests/pool.rs
+++ b/crates/micaspool-http/tests/pool.rs
@@ -319,3 +319,38 @@
         println!("round {round}: {end}");
     }
 }
+
+/// Returns the next two answers to the pool when the first states five bytes of ten, and the others come after it or with
+/// the answer to the next request on the connection.
+fn fetch_twice(rest_comes_late: bool) -> [Result<(u16, Bytes), &'static str>; 2] {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let rest = "56789";
+                let (after_first, before_second) = if rest_comes_late { ("", rest) } else { (rest, "") };
+                let first = format!("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n01234{after_first}");
+                let second = format!("{before_second}HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na");
+                for answer in [first, second] {
+                    let _ = read_request(&mut stream) && stream.write_all(answer.as_bytes()).is_ok();
+                }
+            });
+        }
+    });
+    let pool = EndpointPool::new(PoolOptions::default());
+    task::block_on(async {
+        let first = fetch(&pool, address).await;
+        // The connection is back in the pool, or closed.
+        task::sleep(Duration::from_millis(20)).await;
+        [first, fetch(&pool, address).await]
+    })
+}
+
+/// Guards against the rest of a body whose length is spoilt that becomes a part of the next response.
+#[test]
+fn the_rest_of_a_body_belongs_to_no_response() {
+    let five = Ok((200, Bytes::from_static(b"01234")));
+    assert_eq!(fetch_twice(true), [five.clone(), Err("head")], "the rest comes with the next answer");
+    assert_eq!(fetch_twice(false), [five.clone(), five], "the next request has a connection of its own");
+}
