--- a/crates/micaspool-gateway/src/proxy/mod.rs
+++ b/crates/micaspool-gateway/src/proxy/mod.rs
@@ -336,7 +336,6 @@
     head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-/// Refuses a body whose `Content-Length` exceeds the limit, before it is read.
 /// Checks that a body has no transfer coding besides its chunks. The endpoint would get it without the field that names the
 /// coding.
 fn check_coding(head: &request::Parts) -> Result<(), Refusal> {
@@ -349,6 +348,7 @@
     }
 }
 
+/// Refuses a body whose `Content-Length` exceeds the limit, before it is read.
 fn check_length(head: &request::Parts, limit: u64) -> Result<(), Refusal> {
     match announced_length(head) {
         Some(length) if length > limit => Err(Refusal::not_run(RefusalKind::BodyTooLarge)),
--- a/crates/micaspool-http/src/client.rs
+++ b/crates/micaspool-http/src/client.rs
@@ -164,8 +164,8 @@
 
     /// Reads until there is a whole head, or the connection ends.
     fn poll_beginning(&mut self, cx: &mut Context<'_>, held: &mut HeldBytes) -> Poll<io::Result<()>> {
-        let mut part = [0; READ_BYTES];
         while !self.watch.has_head() {
+            let mut part = [0; READ_BYTES];
             let count = ready!(self.poll_watched(cx, &mut part))?;
             if count == 0 {
                 return Poll::Ready(Ok(()));
--- a/crates/micaspool/tests/endless_answers.rs
+++ b/crates/micaspool/tests/endless_answers.rs
@@ -61,10 +61,7 @@
         let mut tree = milk();
         tree["services"]["app-rutas"]["policy"]["silence_limit_ms"] = json!(SILENCE_MILLIS);
         let mut deployment = Deployment::prepare(tree, TOKEN_TIME).await;
-        let endpoints = deployment.tree["services"]["app-rutas"]["endpoints"].as_object_mut();
-        for endpoint in endpoints.expect("the service has endpoints").values_mut() {
-            endpoint["address"] = json!(address.to_string());
-        }
+        deployment.set_endpoints("app-rutas", address);
         deployment.start_daemons().await;
         let call = Call::plain(deployment.router(0), "coop-01", "/rutas/recogidas", "x");
         let answer = timeout(CALL_TIME, call.send()).await.expect("the call ends").expect("an answer");
--- a/crates/micaspool/tests/harness/mod.rs
+++ b/crates/micaspool/tests/harness/mod.rs
@@ -119,6 +119,14 @@
 const RELAY_FROM_REMOTE_OFFSET: u16 = 2_000;
 
 impl Deployment {
+    /// Replaces the endpoints of a service by one address, before the daemons start.
+    pub fn set_endpoints(&mut self, service: &str, address: SocketAddr) {
+        let endpoints = self.tree["services"][service]["endpoints"].as_object_mut();
+        for endpoint in endpoints.expect("the service has endpoints").values_mut() {
+            endpoint["address"] = json!(address.to_string());
+        }
+    }
+
     /// Starts the endpoints and the daemons, and puts the tree in force.
     pub async fn start(tree: Value, token_time: Duration) -> Deployment {
         let mut deployment = Deployment::prepare(tree, token_time).await;
--- a/crates/micaspool/tests/spoilt_heads.rs
+++ b/crates/micaspool/tests/spoilt_heads.rs
@@ -6,7 +6,6 @@
 use async_std::task;
 use harness::calls::Call;
 use harness::{milk, Deployment};
-use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
@@ -47,10 +46,7 @@
     let address = start_endpoint(answer);
     task::block_on(async {
         let mut deployment = Deployment::prepare(milk(), TOKEN_TIME).await;
-        let endpoints = deployment.tree["services"]["app-rutas"]["endpoints"].as_object_mut();
-        for endpoint in endpoints.expect("the service has endpoints").values_mut() {
-            endpoint["address"] = json!(address.to_string());
-        }
+        deployment.set_endpoints("app-rutas", address);
         deployment.start_daemons().await;
         let call = Call::plain(deployment.router(0), "coop-01", "/rutas/recogidas", "x");
         let got = timeout(CALL_TIME, call.send()).await.expect("the call ends").expect("an answer");
