--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -12,8 +12,8 @@
 use micaspool_halls::HallOrders;
 use micaspool_ledger::{LedgerOptions, LedgerTime};
 use micaspool_quorum::{
-    EntryPayload, Envelope, LogEntry, LogIndex, ProposeError, QuorumCore, QuorumEvent, QuorumOptions,
-    QuorumOutput, QuorumRole, QuorumStatus, RestoredState,
+    EntryPayload, Envelope, GroupMembership, InstalledSnapshot, LogEntry, LogIndex, ProposeError, QuorumCore,
+    QuorumEvent, QuorumOptions, QuorumOutput, QuorumRole, QuorumStatus, RestoredState,
 };
 use micaspool_registry::DepartureCommand;
 use micaspool_settings::apply::{self, SettingsUpdate};
@@ -286,11 +286,8 @@
         for envelope in output.send {
             let _ = self.outgoing.try_send(envelope);
         }
-        if let Some(snapshot) = output.install {
-            self.state = restore_state(&snapshot.data, self.options.ledger);
-            self.options.hub.restore_departures(&self.state.departures);
-            self.command_bytes = 0;
-            self.applied = snapshot.index;
+        if let Some(installed) = output.install {
+            self.install(&installed);
         }
         for entry in output.committed {
             self.apply(entry);
@@ -298,6 +295,16 @@
         Ok(())
     }
 
+    fn install(&mut self, installed: &InstalledSnapshot) {
+        let snapshot = &installed.snapshot;
+        let fields = [field("index", snapshot.index.0), field("dropped", installed.dropped_entries)];
+        record(&events::SNAPSHOT_INSTALLED, &fields);
+        self.state = restore_state(&snapshot.data, self.options.ledger);
+        self.options.hub.restore_departures(&self.state.departures);
+        self.command_bytes = 0;
+        self.applied = snapshot.index;
+    }
+
     fn apply(&mut self, entry: LogEntry) {
         self.applied = entry.index;
         let reply = match &entry.payload {
@@ -310,7 +317,7 @@
             }
             EntryPayload::Blank => KeeperReply::Empty,
             EntryPayload::Members(membership) => {
-                record(&events::GROUP_CHANGED, &[field("voters", membership.voters().count())]);
+                record_group(membership);
                 KeeperReply::Empty
             }
         };
@@ -396,6 +403,15 @@
     }
 }
 
+/// Logs the members of the group after a change.
+fn record_group(membership: &GroupMembership) {
+    let names = |is_voter: bool| -> String {
+        let members = membership.members.iter().filter(|member| member.voter == is_voter);
+        members.map(|member| member.identity.name.as_str()).collect::<Vec<_>>().join(",")
+    };
+    record(&events::GROUP_CHANGED, &[field("voters", names(true)), field("learners", names(false))]);
+}
+
 fn start_core(options: &EngineOptions, clock: MonotonicClock, restored: RestoredState) -> QuorumCore {
     let seed = restored.identity.incarnation.0;
     QuorumCore::new(clock.now(), options.quorum.clone(), restored, seed)
--- a/crates/micaspool-keeper/src/status.rs
+++ b/crates/micaspool-keeper/src/status.rs
@@ -122,6 +122,7 @@
         "leader": status.leader.as_ref().map(|leader| leader.as_str()),
         "term": status.term.0,
         "commit": status.commit.0,
+        "last": status.last.0,
         "revision": view.settings.revision().0,
         "plan": view.plan.number,
         "halls": halls_json(&view.halls),
--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -3,6 +3,7 @@
 use super::{QuorumCore, RoleState};
 use crate::message::PeerBody;
 use crate::options::QuorumOptions;
+use crate::output::InstalledSnapshot;
 use crate::types::{GroupMembership, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
 use micaspool_types::{Moment, Term};
 use std::collections::HashMap;
@@ -221,6 +222,7 @@
     pub(super) fn accept_snapshot(&mut self, from: &KeeperIdentity, snapshot: LogSnapshot, sent_at: Moment) {
         let matched = snapshot.index;
         if snapshot.index > self.commit || !self.is_formed() {
+            let dropped_entries = self.log.last_index().0.saturating_sub(snapshot.index.0);
             self.commit = snapshot.index;
             self.applied = snapshot.index;
             self.log.replace(snapshot.clone());
@@ -228,7 +230,7 @@
             self.output.save.append.clear();
             self.output.save.truncate_from = Some(snapshot.index.next());
             self.output.save.snapshot = Some(snapshot.clone());
-            self.output.install = Some(snapshot);
+            self.output.install = Some(InstalledSnapshot { snapshot, dropped_entries });
         }
         self.send(&from.name, PeerBody::AppendReply { accepted: true, matched, sent_at });
     }
--- a/crates/micaspool-quorum/src/output.rs
+++ b/crates/micaspool-quorum/src/output.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// A snapshot of the leader that has replaced the log of this keeper.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct InstalledSnapshot {
+    /// The snapshot.
+    pub snapshot: LogSnapshot,
+    /// The number of entries that the log held after the snapshot and has lost.
+    pub dropped_entries: u64,
+}
+
 /// The effects of events, in the order in which the caller must process them.
 #[derive(Clone, Default, PartialEq, Eq, Debug)]
 pub struct QuorumOutput {
@@ -61,7 +70,7 @@
     /// Second, messages to send.
     pub send: Vec<Envelope>,
     /// Third, a snapshot to load into the state machines.
-    pub install: Option<LogSnapshot>,
+    pub install: Option<InstalledSnapshot>,
     /// Last, committed entries to apply in order.
     pub committed: Vec<LogEntry>,
 }
--- a/crates/micaspool-quorum/tests/harness/mod.rs
+++ b/crates/micaspool-quorum/tests/harness/mod.rs
@@ -272,8 +272,8 @@
         for envelope in output.send {
             self.enqueue_message(node, envelope);
         }
-        if let Some(snapshot) = output.install {
-            self.nodes[node].applied = decode_commands(&snapshot.data);
+        if let Some(installed) = output.install {
+            self.nodes[node].applied = decode_commands(&installed.snapshot.data);
         }
         for entry in output.committed {
             self.apply(node, entry);
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -152,6 +152,8 @@
 /// The departure of an endpoint got no clear answer from a majority, so that it was not acknowledged.
 pub const DEPARTURE_UNCONFIRMED: EventKind =
     kind("MP1416", Level::Warn, "departure of endpoint not confirmed by a majority");
+/// A snapshot of the leader has replaced the log of this keeper.
+pub const SNAPSHOT_INSTALLED: EventKind = kind("MP1418", Level::Info, "snapshot of the leader installed");
 /// An endpoint has registered, or announced that it is draining or leaving.
 pub const ENDPOINT_STAGE: EventKind = kind("MP1501", Level::Info, "endpoint changed its stage");
 /// An endpoint was restarted. Requests, caches and failures of the earlier incarnation no longer count.
@@ -272,6 +274,7 @@
     HALL_ORDER_REJECTED,
     HALL_ORDER_UNCONFIRMED,
     DEPARTURE_UNCONFIRMED,
+    SNAPSHOT_INSTALLED,
     ENDPOINT_STAGE,
     ENDPOINT_EXPIRED,
     ENDPOINT_RESTARTED,
