fix(quorum, keeper, core): a keeper leaves its group before a planned stop, and a leader hands over first

What callers saw: core machines were stopped as planned after their successors had joined.

Cause: a stopped keeper told nobody and counted as a voter until the leader had missed it for three seconds, counted anew by each new leader. Three of six voters, or two of four, are no majority, and only a leader can drop a voter.

Why it works: a keeper that is about to stop asks the leader to be removed and stops once that is committed, so that there is no time in which it counts and does not run.

--- a/crates/micaspool-core/src/daemon.rs
+++ b/crates/micaspool-core/src/daemon.rs
@@ -157,10 +157,11 @@
         &self.mirror
     }
 
-    /// Sends routers to other dispatchers, then persists pending input and stops.
+    /// Sends routers to other dispatchers, leaves the group of keepers, then persists pending input and stops.
     pub async fn stop(self) {
         self.dispatcher.stop();
         async_std::task::sleep(HANDOVER_DELAY).await;
+        self.keeper.leave().await;
         self.keeper.stop().await;
     }
 }
--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -10,10 +10,11 @@
 use async_std::task;
 use futures::channel::oneshot;
 use micaspool_client::{PeerDirectory, StaticDirectory};
+use micaspool_clock::BootInstant;
 use micaspool_daemon::{open_spans, StartError};
 use micaspool_http::status::{serve_status, StatusSource};
 use micaspool_ledger::LedgerOptions;
-use micaspool_quorum::{OpenGroupOptions, QuorumOptions};
+use micaspool_quorum::{LeaveOutcome, OpenGroupOptions, QuorumOptions};
 use micaspool_settings::process::ProcessSettings;
 use micaspool_store::{KeeperFiles, StoreOptions};
 use micaspool_telemetry::events::{self, field, record};
@@ -26,9 +27,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// The capacity of the engine's input queue.
 const INPUT_QUEUE_LEN: usize = 8_192;
+/// The maximum time that a stop waits until the keeper has left its group. Two elections fit in.
+const MAX_LEAVE_TIME: Duration = Duration::from_secs(3);
 
 /// An error while starting a keeper.
 #[derive(Debug)]
@@ -184,6 +188,23 @@
 }
 
 impl KeeperDaemon {
+    /// Leaves the group if it can spare this keeper, and hands over the role of the leader. Returns when that is done or
+    /// after [`MAX_LEAVE_TIME`]; the keeper is to be stopped then. Does nothing in a group without membership changes of
+    /// its own.
+    pub async fn leave(&self) {
+        let (waiter, done) = bounded(1);
+        let started = BootInstant::now();
+        let _ = self.inputs.send(EngineInput::Leave(waiter)).await;
+        let outcome = match async_std::future::timeout(MAX_LEAVE_TIME, done.recv()).await {
+            Ok(Ok(LeaveOutcome::Removed)) => "left",
+            Ok(Ok(_)) => "needed",
+            Ok(Err(_)) => "storage failed",
+            Err(_) => "no answer in time",
+        };
+        let took = started.elapsed().as_millis();
+        record(&events::LEAVE_ENDED, &[field("outcome", outcome), field("took_ms", took)]);
+    }
+
     /// Persists pending input, then stops the engine.
     pub async fn stop(self) {
         let _ = self.inputs.send(EngineInput::Stop).await;
--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -12,8 +12,9 @@
 use micaspool_halls::HallOrders;
 use micaspool_ledger::{LedgerOptions, LedgerTime};
 use micaspool_quorum::{
-    EntryPayload, Envelope, GroupMembership, InstalledSnapshot, LogEntry, LogIndex, ProposeError, QuorumCore,
-    QuorumEvent, QuorumOptions, QuorumOutput, QuorumRole, QuorumStatus, RestoredState,
+    EntryPayload, Envelope, GroupMembership, InstalledSnapshot, LeaveOutcome, LogEntry, LogIndex,
+    ProposeError, QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput, QuorumRole, QuorumStatus,
+    RestoredState,
 };
 use micaspool_registry::DepartureCommand;
 use micaspool_settings::apply::{self, SettingsUpdate};
@@ -71,6 +72,9 @@
     /// A read barrier, and the channel for its reply. A blank entry is committed first, so that reads
     /// after the reply see all earlier commands.
     Barrier(Sender<EngineReply>),
+    /// Leaves the group before a stop. The channel gets the outcome once the engine may be stopped, and is closed if it
+    /// starts again from its files.
+    Leave(Sender<LeaveOutcome>),
     /// Persists the inputs so far and stops the engine.
     Stop,
 }
@@ -159,6 +163,8 @@
     ready_replies: Vec<(Sender<EngineReply>, EngineReply)>,
     outgoing: Sender<Envelope>,
     view: Arc<Mutex<KeeperView>>,
+    /// The caller that waits until this keeper may stop.
+    leave_waiter: Option<Sender<LeaveOutcome>>,
     stopping: bool,
 }
 
@@ -194,6 +200,7 @@
             ready_replies: Vec::new(),
             outgoing,
             view: Arc::new(Mutex::new(view)),
+            leave_waiter: None,
             stopping: false,
         }
     }
@@ -227,6 +234,10 @@
             EngineInput::Event(event) => self.core.step(now, event),
             EngineInput::Command(command, reply) => self.propose(command, reply),
             EngineInput::Barrier(reply) => self.propose_payload(EntryPayload::Blank, reply),
+            EngineInput::Leave(waiter) => {
+                self.leave_waiter = Some(waiter);
+                self.core.step(now, QuorumEvent::Leave);
+            }
             EngineInput::Stop => self.stopping = true,
         }
     }
@@ -276,6 +287,11 @@
         for (waiter, reply) in self.ready_replies.drain(..) {
             let _ = waiter.try_send(reply);
         }
+        if let Some(outcome) = self.core.leave_outcome() {
+            if let Some(waiter) = self.leave_waiter.take() {
+                let _ = waiter.try_send(outcome);
+            }
+        }
         true
     }
 
--- a/crates/micaspool-keeper/src/engine/reopen.rs
+++ b/crates/micaspool-keeper/src/engine/reopen.rs
@@ -17,6 +17,7 @@
         let Some(target) = self.options.reopen.clone() else { return false };
         self.fail_pending_replies(&EngineError::NotLeader(None));
         self.ready_replies.clear();
+        self.leave_waiter = None;
         while !self.stopping {
             self.mark_unconfirmed();
             std::thread::sleep(REOPEN_INTERVAL);
@@ -54,6 +55,7 @@
             EngineInput::Command(_, reply) | EngineInput::Barrier(reply) => {
                 let _ = reply.try_send(Err(EngineError::NotLeader(None)));
             }
+            EngineInput::Leave(_) => {}
             EngineInput::Stop => self.stopping = true,
         }
     }
--- a/crates/micaspool-quorum/src/core/election.rs
+++ b/crates/micaspool-quorum/src/core/election.rs
@@ -28,7 +28,7 @@
         self.check_majority(now);
     }
 
-    fn begin_election(&mut self, now: Moment) {
+    pub(super) fn begin_election(&mut self, now: Moment) {
         self.hard.term = Term(self.hard.term.0 + 1);
         self.hard.vote = Some(self.identity.clone());
         self.hard_dirty = true;
--- a/crates/micaspool-quorum/src/core/group.rs
+++ b/crates/micaspool-quorum/src/core/group.rs
@@ -6,7 +6,7 @@
 //! committed entry durable.
 
 use super::{QuorumCore, RoleState};
-use crate::types::{EntryPayload, GroupMember, KeeperIdentity};
+use crate::types::{EntryPayload, GroupMember, GroupMembership, KeeperIdentity};
 use micaspool_types::Moment;
 
 impl QuorumCore {
@@ -26,6 +26,9 @@
             return;
         }
         let RoleState::Leader(state) = &self.role else { return };
+        if state.is_leaving(now, &learner) {
+            return;
+        }
         if let Some(earlier) = membership.member_named(&learner.name) {
             if state.has_recent_contact(now, &earlier.identity, &self.options) {
                 return;
@@ -44,29 +47,37 @@
         }
     }
 
-    /// Removes an unreachable voter or promotes a caught-up learner, one change at a time.
+    /// Removes an unreachable voter or a member that leaves, or promotes a caught-up learner, one change at a time.
     pub(super) fn update_membership(&mut self, now: Moment) {
         if !self.may_change_membership() {
             return;
         }
-        let learner = self.caught_up_learner();
-        let changed_membership = match (self.removable_voter(now, learner.is_some()), learner) {
-            (Some(unreachable), _) => self.log.membership().without_member(&unreachable),
-            (None, Some(identity)) if self.reaches_every_voter(now) => {
-                self.log.membership().with_member(GroupMember { identity, voter: true })
-            }
-            _ => return,
-        };
-        self.append_entry(EntryPayload::Members(changed_membership));
-        self.replicate_idle(now);
+        let learner = self.caught_up_learner(now);
+        let changed_membership = self
+            .removable_voter(now, learner.is_some())
+            .map(|unreachable| self.log.membership().without_member(&unreachable))
+            .or_else(|| self.membership_without_leaving(now))
+            .or_else(|| self.membership_with_voter(now, learner?));
+        if let Some(changed_membership) = changed_membership {
+            self.append_entry(EntryPayload::Members(changed_membership));
+            self.replicate_idle(now);
+        }
+    }
+
+    /// Returns the membership with a learner promoted, if that is allowed now.
+    fn membership_with_voter(&self, now: Moment, identity: KeeperIdentity) -> Option<GroupMembership> {
+        let promoted = GroupMember { identity, voter: true };
+        self.reaches_every_voter(now).then(|| self.log.membership().with_member(promoted))
     }
 
-    /// Returns the first learner that has made every committed entry durable.
-    fn caught_up_learner(&self) -> Option<KeeperIdentity> {
+    /// Returns the first learner that has made every committed entry durable and does not leave.
+    fn caught_up_learner(&self, now: Moment) -> Option<KeeperIdentity> {
         let RoleState::Leader(state) = &self.role else { return None };
         let caught_up = |member: &&GroupMember| {
             let progress = state.progress.get(&member.identity);
-            !member.voter && progress.is_some_and(|progress| progress.matched >= self.commit)
+            !member.voter
+                && progress.is_some_and(|progress| progress.matched >= self.commit)
+                && !state.is_leaving(now, &member.identity)
         };
         self.log.membership().members.iter().find(caught_up).map(|member| member.identity.clone())
     }
@@ -89,8 +100,7 @@
         let options = self.options.open_group?;
         let RoleState::Leader(state) = &self.role else { return None };
         let membership = self.log.membership();
-        let has_surplus = membership.voters().count() > options.target_voters;
-        let limit = match (has_replacement, has_surplus) {
+        let limit = match (has_replacement, self.has_surplus()) {
             (true, _) => options.replace_after,
             (false, true) => options.drop_after,
             (false, false) => return None,
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod election;
 mod forming;
 mod group;
+mod leaving;
 mod replication;
 mod startup;
 
@@ -15,6 +16,7 @@
 };
 use election::ElectionState;
 use forming::FormingState;
+use leaving::LeavingState;
 use micaspool_types::{InstanceName, Moment, Term};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -107,6 +109,7 @@
     election_deadline: Moment,
     forming: FormingState,
     startup: StartupState,
+    leaving: LeavingState,
     rng: ChaCha8Rng,
     output: QuorumOutput,
     /// Whether `hard` has changed since the last output.
@@ -131,6 +134,7 @@
             election_deadline: now,
             forming: FormingState::default(),
             startup: StartupState::new(now, &options),
+            leaving: LeavingState::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             output: QuorumOutput::default(),
             hard_dirty: false,
@@ -150,6 +154,7 @@
             QuorumEvent::Saved => self.handle_saved(now),
             QuorumEvent::Compact(index, data) => self.compact(index, data),
             QuorumEvent::RecoverAlone => self.recover_alone(now),
+            QuorumEvent::Leave => self.begin_leaving(now),
         }
     }
 
@@ -230,6 +235,10 @@
     }
 
     fn tick(&mut self, now: Moment) {
+        self.tick_leaving(now);
+        if self.leave_outcome().is_some() && !self.is_leader() {
+            return;
+        }
         if !self.log.membership().is_voter(&self.identity) {
             self.announce(now);
         }
@@ -243,7 +252,7 @@
         }
     }
 
-    /// Handles a message by its kind. Announcements, `Form`, pre-votes and startup probes do not affect the term. A reply to
+    /// Handles a message by its kind. Announcements, `Form`, pre-votes, startup probes and requests to leave do not affect the term. A reply to
     /// a startup probe does only during the startup; any other message with a newer term makes this keeper adopt it.
     fn receive(&mut self, now: Moment, message: PeerMessage) {
         let PeerMessage { from, term, body } = message;
@@ -262,6 +271,7 @@
             PeerBody::StartupReply { hears_leader, last, last_term } => {
                 return self.handle_startup_reply(now, from, term, hears_leader, (last_term, last));
             }
+            PeerBody::Leave => return self.handle_leave(now, &from),
             _ => {}
         }
         if term > self.hard.term {
@@ -277,6 +287,8 @@
             PeerBody::AppendReply { accepted, matched, sent_at } => {
                 self.handle_append_reply(now, &from, term, accepted, matched, sent_at);
             }
+            PeerBody::LeaveReply { outcome } => self.handle_leave_reply(term, outcome),
+            PeerBody::TimeoutNow => self.handle_timeout_now(now, &from, term),
             _ => {}
         }
     }
--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -1,5 +1,6 @@
 //! Replication of the log from the leader to the members: both the leader's and the follower's side.
 
+use super::leaving::REQUEST_VALIDITY;
 use super::{QuorumCore, RoleState};
 use crate::message::PeerBody;
 use crate::options::QuorumOptions;
@@ -29,11 +30,20 @@
 pub(super) struct LeaderState {
     pub progress: HashMap<KeeperIdentity, MemberProgress>,
     elected_at: Moment,
+    leaving: HashMap<KeeperIdentity, LeaveRequest>,
+}
+
+/// The request of a member that is about to stop.
+#[derive(Debug, Clone, Copy)]
+struct LeaveRequest {
+    first_at: Moment,
+    /// When it was last repeated.
+    last_at: Moment,
 }
 
 impl LeaderState {
     pub fn new(now: Moment) -> LeaderState {
-        LeaderState { progress: HashMap::new(), elected_at: now }
+        LeaderState { progress: HashMap::new(), elected_at: now, leaving: HashMap::new() }
     }
 
     /// Returns whether a majority of voters, including this keeper, was reachable within the election
@@ -56,6 +66,43 @@
         membership.voters().filter(|voter| is_reachable(voter)).count() >= membership.majority()
     }
 
+    /// Returns the time since this keeper became the leader.
+    pub fn time_since_election(&self, now: Moment) -> Duration {
+        now.since(self.elected_at)
+    }
+
+    /// Notes that a member is about to stop.
+    pub fn note_leaving(&mut self, now: Moment, member: KeeperIdentity) {
+        self.leaving.retain(|_, request| now.since(request.last_at) < REQUEST_VALIDITY);
+        let first = LeaveRequest { first_at: now, last_at: now };
+        self.leaving.entry(member).or_insert(first).last_at = now;
+    }
+
+    /// Returns since when this incarnation of a keeper has said that it is about to stop, if it still does.
+    pub fn leaving_since(&self, now: Moment, member: &KeeperIdentity) -> Option<Moment> {
+        let request = self.leaving.get(member)?;
+        (now.since(request.last_at) < REQUEST_VALIDITY).then_some(request.first_at)
+    }
+
+    /// Returns whether this incarnation of a keeper is about to stop.
+    pub fn is_leaving(&self, now: Moment, member: &KeeperIdentity) -> bool {
+        self.leaving_since(now, member).is_some()
+    }
+
+    /// Returns whether this keeper and those that answered a message sent since `since` are a majority of a membership.
+    pub fn has_majority_since(
+        &self,
+        since: Moment,
+        own: &KeeperIdentity,
+        membership: &GroupMembership,
+    ) -> bool {
+        let has_answered = |voter: &KeeperIdentity| {
+            let last_contact = self.progress.get(voter).and_then(|progress| progress.last_contact);
+            voter == own || last_contact.is_some_and(|at| at >= since)
+        };
+        membership.voters().filter(|voter| has_answered(voter)).count() >= membership.majority()
+    }
+
     /// Returns the time since the last contact with a member, at most the time since the election of
     /// this leader.
     pub fn time_since_contact(&self, now: Moment, member: &KeeperIdentity) -> Duration {
--- a/crates/micaspool-quorum/src/lib.rs
+++ b/crates/micaspool-quorum/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use crate::core::{ProposeError, QuorumCore, QuorumRole, QuorumStatus};
 pub use log::EntryLog;
-pub use message::{PeerBody, PeerMessage};
+pub use message::{LeaveOutcome, PeerBody, PeerMessage};
 pub use options::{OpenGroupOptions, QuorumOptions};
 pub use output::{Envelope, InstalledSnapshot, QuorumEvent, QuorumOutput, SaveBatch};
 pub use types::{
--- a/crates/micaspool-quorum/src/message.rs
+++ b/crates/micaspool-quorum/src/message.rs
@@ -100,4 +100,25 @@
         /// The term of that entry.
         last_term: Term,
     },
+    /// Sent by a member that is about to stop, until the leader has decided. Keepers of earlier versions drop it as
+    /// malformed, as they do the two kinds below.
+    Leave,
+    /// The leader's reply to `Leave`.
+    LeaveReply {
+        /// Whether the sender of `Leave` may stop.
+        outcome: LeaveOutcome,
+    },
+    /// Sent by a leader that is about to stop: the receiver is to begin an election at once.
+    TimeoutNow,
+}
+
+/// What has become of a member's request to leave the group.
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Debug)]
+pub enum LeaveOutcome {
+    /// The group without the member is committed.
+    Removed,
+    /// The group has no voter to spare, so that the member stays in it while it is stopped.
+    Needed,
+    /// The member can be removed soon.
+    Pending,
 }
--- a/crates/micaspool-quorum/src/output.rs
+++ b/crates/micaspool-quorum/src/output.rs
@@ -17,6 +17,9 @@
     Compact(LogIndex, Vec<u8>),
     /// An operator's order to continue as the only member of the group.
     RecoverAlone,
+    /// The keeper is about to stop and leaves the group first, if the group can spare it. See
+    /// [`QuorumCore::leave_outcome`](crate::QuorumCore::leave_outcome).
+    Leave,
 }
 
 /// A message and its receiver.
--- a/crates/micaspool-quorum/tests/harness/mod.rs
+++ b/crates/micaspool-quorum/tests/harness/mod.rs
@@ -4,8 +4,8 @@
 #![allow(dead_code, reason = "each test file is a crate of its own and uses a part of this")]
 
 use micaspool_quorum::{
-    EntryPayload, Envelope, HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot, OpenGroupOptions,
-    QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput, RestoredState, SaveBatch,
+    EntryPayload, Envelope, HardState, KeeperIdentity, LeaveOutcome, LogEntry, LogIndex, LogSnapshot,
+    OpenGroupOptions, QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput, RestoredState, SaveBatch,
 };
 use micaspool_types::{Incarnation, InstanceName, Moment, Term};
 use rand::{Rng, SeedableRng};
@@ -58,6 +58,8 @@
     pub drop_percent: u32,
     /// The rules of an open group and the number of keepers that form it. `None` for a closed group.
     pub open: Option<(OpenGroupOptions, usize)>,
+    /// The keepers that those which start from now on know of. `None` for those that form the group.
+    pub seeds: Option<Vec<usize>>,
     pub blocked_links: BTreeSet<(usize, usize)>,
     in_flight: BTreeMap<(Moment, u64), (usize, usize, Envelope)>,
     next_message_number: u64,
@@ -87,6 +89,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             drop_percent: 0,
             open,
+            seeds: None,
             blocked_links: BTreeSet::new(),
             in_flight: BTreeMap::new(),
             next_message_number: 0,
@@ -115,8 +118,9 @@
 
     /// Starts a keeper from its disk.
     pub fn start(&mut self, node: usize) {
-        let seeds = self.open.map_or(self.nodes.len(), |(_, seeds)| seeds);
-        let configured = self.nodes.iter().take(seeds).map(|node| node.name.clone()).collect();
+        let forming = 0..self.open.map_or(self.nodes.len(), |(_, seeds)| seeds);
+        let seeds = self.seeds.clone().unwrap_or_else(|| forming.collect());
+        let configured = seeds.iter().map(|seed| self.nodes[*seed].name.clone()).collect();
         let options = QuorumOptions {
             open_group: self.open.map(|(options, _)| options),
             may_form_group: self.open.is_none() || self.now == Moment(START_MICROS),
@@ -151,6 +155,21 @@
         self.pending_commands.retain(|(proposer, _, _), _| *proposer != node);
     }
 
+    /// Stops a keeper as planned: it leaves the group first, and stops when it may or after three seconds.
+    pub fn stop(&mut self, node: usize) -> Option<LeaveOutcome> {
+        self.inject_event(node, QuorumEvent::Leave);
+        let limit = self.now.0 + 3_000_000;
+        let outcome = loop {
+            let core = self.nodes[node].core.as_ref().expect("the keeper runs");
+            if core.leave_outcome().is_some() || self.now.0 >= limit {
+                break core.leave_outcome();
+            }
+            self.run_for(10);
+        };
+        self.crash(node);
+        outcome
+    }
+
     /// Stops a keeper, replaces its disk by an empty one, and starts it as a new incarnation.
     pub fn wipe(&mut self, node: usize) {
         self.crash(node);
--- /dev/null
+++ b/crates/micaspool-quorum/tests/leaving.rs
@@ -0,0 +1,198 @@
+//! Planned stops in open groups, in virtual time.
+
+mod harness;
+
+use harness::Harness;
+use micaspool_quorum::{LeaveOutcome, QuorumEvent};
+use rand::seq::SliceRandom;
+use rand::Rng;
+use test_case::test_case;
+
+/// Starts three keepers and `successors` more, and waits until all are voters.
+fn group_with_successors(seed: u64, successors: usize) -> Harness {
+    let mut harness = Harness::open(3, seed);
+    harness.elect(5_000);
+    harness.commit(b"first", 5_000);
+    for _ in 0..successors {
+        harness.add_keeper();
+        harness.run_for(4_000);
+    }
+    assert_eq!(voter_count(&harness), 3 + successors);
+    harness
+}
+
+fn voter_count(harness: &Harness) -> usize {
+    let leader = harness.leader().expect("a leader exists");
+    let core = harness.nodes[leader].core.as_ref().expect("the leader runs");
+    core.status(harness.now).membership.voters().count()
+}
+
+// Guards against a group whose majority needs machines that were stopped for good.
+#[test_case(1_000; "1 s apart")]
+#[test_case(100; "100 ms apart")]
+#[test_case(0; "at once")]
+fn a_move_to_successors_keeps_what_was_acknowledged(pause: u64) {
+    for seed in 0..100 {
+        let mut harness = group_with_successors(seed, 3);
+        let mut order = [0, 1, 2];
+        order.shuffle(&mut harness.rng);
+        for node in order {
+            assert_eq!(harness.stop(node), Some(LeaveOutcome::Removed), "seed {seed}");
+            harness.run_for(pause);
+        }
+        harness.elect(3_000);
+        harness.commit(b"second", 3_000);
+        harness.check_acknowledged();
+        assert_eq!(voter_count(&harness), 3);
+    }
+}
+
+// Guards against a stopped keeper that still counts when a disk is lost, whoever led.
+#[test]
+fn a_disk_lost_right_after_a_planned_replacement_leaves_a_majority() {
+    for seed in 0..100 {
+        let mut harness = group_with_successors(seed, 1);
+        let replaced = harness.rng.random_range(0..3);
+        assert_eq!(harness.stop(replaced), Some(LeaveOutcome::Removed), "seed {seed}");
+        let lost = (replaced + harness.rng.random_range(1..3)) % 3;
+        harness.wipe(lost);
+        harness.elect(3_000);
+        harness.commit(b"second", 3_000);
+        harness.check_acknowledged();
+        harness.run_for(4_000);
+        assert_eq!(voter_count(&harness), 3);
+    }
+}
+
+// Guards against a group that shrinks below its target.
+#[test]
+fn a_keeper_without_a_successor_stays_a_voter() {
+    for seed in 0..30 {
+        let mut harness = group_with_successors(seed, 0);
+        let node = harness.rng.random_range(0..3);
+        assert_eq!(harness.stop(node), Some(LeaveOutcome::Needed), "seed {seed}");
+        harness.elect(3_000);
+        harness.commit(b"second", 3_000);
+        assert_eq!(voter_count(&harness), 3);
+        harness.start(node);
+        harness.run_for(2_000);
+        assert_eq!(voter_count(&harness), 3);
+    }
+}
+
+// Guards against a gap of an election timeout after a leader was asked to stop.
+#[test]
+fn a_leader_that_stops_hands_over_first() {
+    for seed in 0..30 {
+        let mut harness = group_with_successors(seed, 0);
+        let leader = harness.leader().expect("a leader exists");
+        harness.run_for(1_000);
+        harness.stop(leader);
+        let next = harness.leader();
+        assert!(next.is_some_and(|next| next != leader), "seed {seed}: {next:?}");
+    }
+}
+
+// Guards against keepers that leave one after the other until no group is left.
+#[test]
+fn keepers_that_are_all_stopped_find_a_group_again() {
+    for seed in 0..30 {
+        let successors = seed as usize % 4;
+        let mut harness = group_with_successors(seed, successors);
+        for node in 0..3 + successors {
+            harness.inject_event(node, QuorumEvent::Leave);
+        }
+        harness.run_for(3_000);
+        for node in 0..3 + successors {
+            harness.crash(node);
+        }
+        harness.run_for(1_000);
+        for node in 0..3 + successors {
+            harness.start(node);
+        }
+        harness.elect(5_000);
+        harness.commit(b"second", 5_000);
+        harness.check_acknowledged();
+        harness.run_for(8_000);
+        assert_eq!(voter_count(&harness), 3 + successors, "seed {seed}");
+    }
+}
+
+// Guards against a keeper that is admitted again while it stops, and against one that is never admitted again.
+#[test]
+fn a_keeper_that_has_left_stays_out_until_it_starts_again() {
+    for seed in 0..30 {
+        let mut harness = group_with_successors(seed, 1);
+        let node = harness.rng.random_range(0..4);
+        harness.inject_event(node, QuorumEvent::Leave);
+        harness.run_for(10_000);
+        assert_eq!(voter_count(&harness), 3, "seed {seed}");
+        harness.crash(node);
+        harness.start(node);
+        harness.run_for(6_000);
+        assert_eq!(voter_count(&harness), 4, "seed {seed}");
+    }
+}
+
+// Guards against a majority that is given up because a keeper leaves beside others that are lost.
+#[test]
+fn a_keeper_stays_while_the_others_are_no_majority() {
+    for seed in 0..30 {
+        let mut harness = group_with_successors(seed, 2);
+        let leader = harness.leader().expect("a leader exists");
+        let others: Vec<usize> = (0..5).filter(|node| *node != leader).collect();
+        harness.crash(others[0]);
+        harness.crash(others[1]);
+        harness.inject_event(others[2], QuorumEvent::Leave);
+        harness.run_for(600);
+        assert_eq!(voter_count(&harness), 5, "seed {seed}");
+        harness.commit(b"second", 3_000);
+    }
+}
+
+/// Planned stops, replacements, lost disks and cuts in a row, over links that drop and delay messages, lose nothing that
+/// was acknowledged and are followed by a leader.
+#[test]
+fn planned_stops_among_other_disruptions_lose_nothing() {
+    for seed in 0..200 {
+        let mut harness = group_with_successors(10_000 + seed, 0);
+        let mut running: Vec<usize> = vec![0, 1, 2];
+        for round in 0..6_u32 {
+            harness.seeds = Some(running.clone());
+            let slot = harness.rng.random_range(0..running.len());
+            let victim = running[slot];
+            match harness.rng.random_range(0..5) {
+                0 => {
+                    let successor = harness.add_keeper();
+                    harness.run_for(4_300);
+                    harness.stop(victim);
+                    running[slot] = successor;
+                    let other = running[(slot + 1) % running.len()];
+                    harness.wipe(other);
+                }
+                1 => harness.wipe(victim),
+                2 => {
+                    harness.stop(victim);
+                    harness.run_for(2_500);
+                    harness.start(victim);
+                }
+                3 => {
+                    harness.isolate(victim, true);
+                    harness.run_for(3_000);
+                    harness.isolate(victim, false);
+                }
+                _ => {
+                    harness.drop_percent = 10;
+                    harness.stop(victim);
+                    harness.start(victim);
+                    harness.run_for(2_000);
+                    harness.drop_percent = 0;
+                }
+            }
+            harness.run_for(4_000);
+            harness.elect(10_000);
+            harness.commit(format!("{seed}-{round}").as_bytes(), 10_000);
+        }
+        harness.check_acknowledged();
+    }
+}
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -152,6 +152,8 @@
 /// The departure of an endpoint got no clear answer from a majority, so that it was not acknowledged.
 pub const DEPARTURE_UNCONFIRMED: EventKind =
     kind("MP1416", Level::Warn, "departure of endpoint not confirmed by a majority");
+/// A keeper that is about to stop has left its group, or stays in it because the group has no voter to spare.
+pub const LEAVE_ENDED: EventKind = kind("MP1417", Level::Info, "keeper may stop");
 /// A snapshot of the leader has replaced the log of this keeper.
 pub const SNAPSHOT_INSTALLED: EventKind = kind("MP1418", Level::Info, "snapshot of the leader installed");
 /// An endpoint has registered, or announced that it is draining or leaving.
@@ -274,6 +276,7 @@
     HALL_ORDER_REJECTED,
     HALL_ORDER_UNCONFIRMED,
     DEPARTURE_UNCONFIRMED,
+    LEAVE_ENDED,
     SNAPSHOT_INSTALLED,
     ENDPOINT_STAGE,
     ENDPOINT_EXPIRED,
