--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -266,22 +266,35 @@
         save.truncate_from = Some(save.truncate_from.map_or(index, |earlier| earlier.min(index)));
     }
 
+    /// Takes in a snapshot from the leader. If this keeper's log has the snapshot's last entry, it has all entries before
+    /// it as well, and those after it stay: this keeper may have acknowledged them.
     pub(super) fn accept_snapshot(&mut self, from: &KeeperIdentity, snapshot: LogSnapshot, sent_at: Moment) {
         let matched = snapshot.index;
-        if snapshot.index > self.commit || !self.is_formed() {
-            let dropped_entries = self.log.last_index().0.saturating_sub(snapshot.index.0);
-            self.commit = snapshot.index;
-            self.applied = snapshot.index;
-            self.log.replace(snapshot.clone());
-            self.output.committed.clear();
-            self.output.save.append.clear();
-            self.output.save.truncate_from = Some(snapshot.index.next());
-            self.output.save.snapshot = Some(snapshot.clone());
-            self.output.install = Some(InstalledSnapshot { snapshot, dropped_entries });
+        let is_in_log =
+            snapshot.index <= self.commit || self.log.term_at(snapshot.index) == Some(snapshot.term);
+        if self.is_formed() && is_in_log {
+            self.commit = self.commit.max(snapshot.index);
+            self.emit_committed();
+        } else {
+            self.install_snapshot(snapshot);
         }
         self.send(&from.name, PeerBody::AppendReply { accepted: true, matched, sent_at });
     }
 
+    /// Replaces the whole log by a snapshot.
+    fn install_snapshot(&mut self, snapshot: LogSnapshot) {
+        let dropped_entries = self.log.last_index().0.saturating_sub(snapshot.index.0);
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.saved = self.saved.min(snapshot.index);
+        self.log.replace(snapshot.clone());
+        self.output.committed.clear();
+        self.output.save.append.clear();
+        self.output.save.truncate_from = Some(snapshot.index.next());
+        self.output.save.snapshot = Some(snapshot.clone());
+        self.output.install = Some(InstalledSnapshot { snapshot, dropped_entries });
+    }
+
     /// Updates the progress of a member from its reply, and sends what it needs next.
     pub(super) fn handle_append_reply(
         &mut self,
--- a/crates/micaspool-quorum/tests/harness/mod.rs
+++ b/crates/micaspool-quorum/tests/harness/mod.rs
@@ -24,18 +24,24 @@
 }
 
 impl Disk {
-    fn save(&mut self, batch: SaveBatch) {
-        if let Some(snapshot) = batch.snapshot {
-            self.entries.retain(|entry| entry.index > snapshot.index);
-            self.snapshot = snapshot;
-        }
+    /// Applies a batch in the order in which the store does.
+    pub fn save(&mut self, batch: SaveBatch) {
         if let Some(from) = batch.truncate_from {
             self.entries.retain(|entry| entry.index < from);
         }
-        self.entries.extend(batch.append);
         if let Some(hard) = batch.hard {
             self.hard = hard;
         }
+        self.entries.extend(batch.append);
+        if let Some(snapshot) = batch.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+            self.snapshot = snapshot;
+        }
+    }
+
+    /// Returns the last position that the files hold.
+    pub fn last_index(&self) -> LogIndex {
+        self.entries.last().map_or(self.snapshot.index, |entry| entry.index)
     }
 }
 
@@ -45,7 +51,10 @@
     pub incarnation: u64,
     pub core: Option<QuorumCore>,
     pub disk: Disk,
+    /// A paused keeper loses the messages to it.
     pub paused: bool,
+    /// The messages that a frozen keeper finds when it wakes.
+    pub frozen: Option<Vec<QuorumEvent>>,
     /// Commands applied since the start of the log, in order.
     pub applied: Vec<Vec<u8>>,
 }
@@ -107,6 +116,7 @@
                 core: None,
                 disk,
                 paused: false,
+                frozen: None,
                 applied: Vec::new(),
             });
         }
@@ -136,6 +146,7 @@
             RestoredState { identity, hard: disk.hard, snapshot: disk.snapshot, entries: disk.entries };
         target.core = Some(QuorumCore::new(self.now, options, restored, seed));
         target.paused = false;
+        target.frozen = None;
     }
 
     /// Starts an empty keeper under a new name, which knows only the seeds.
@@ -144,7 +155,15 @@
         let name = InstanceName::parse(&format!("keeper-{number}")).expect("the name is well-formed");
         let disk = Disk::default();
         let incarnation = self.rng.random();
-        self.nodes.push(Node { name, incarnation, core: None, disk, paused: false, applied: Vec::new() });
+        self.nodes.push(Node {
+            name,
+            incarnation,
+            core: None,
+            disk,
+            paused: false,
+            frozen: None,
+            applied: Vec::new(),
+        });
         self.start(number);
         number
     }
@@ -155,6 +174,21 @@
         self.pending_commands.retain(|(proposer, _, _), _| *proposer != node);
     }
 
+    /// Freezes a keeper's process. Messages to it wait in its sockets.
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen.get_or_insert_default();
+    }
+
+    /// Wakes a frozen keeper. It handles all that came meanwhile before it writes its files, as the engine does.
+    pub fn thaw(&mut self, node: usize) {
+        let now = self.now;
+        let waiting = self.nodes[node].frozen.take().unwrap_or_default();
+        if let Some(core) = self.nodes[node].core.as_mut() {
+            waiting.into_iter().for_each(|event| core.step(now, event));
+            self.process_output(node);
+        }
+    }
+
     /// Stops a keeper as planned: it leaves the group first, and stops when it may or after three seconds.
     pub fn stop(&mut self, node: usize) -> Option<LeaveOutcome> {
         self.inject_event(node, QuorumEvent::Leave);
@@ -232,7 +266,7 @@
     /// Proposes a command to a keeper. Returns false if the keeper does not lead, or is down or paused.
     pub fn propose(&mut self, node: usize, command: &[u8]) -> bool {
         let now = self.now;
-        if self.nodes[node].paused {
+        if self.nodes[node].paused || self.nodes[node].frozen.is_some() {
             return false;
         }
         let Some(core) = self.nodes[node].core.as_mut() else { return false };
@@ -264,6 +298,10 @@
         if self.nodes[node].paused {
             return;
         }
+        if let Some(waiting) = &mut self.nodes[node].frozen {
+            waiting.push(event);
+            return;
+        }
         if let Some(core) = self.nodes[node].core.as_mut() {
             core.step(now, event);
             self.process_output(node);
