fix(quorum, keeper): a leader sends entries again that a member has acknowledged and lost

Cause: the leader never went back behind what a member had acknowledged, and answered each rejection at once with the same message. Design 003 says that a keeper with a damaged last entry misses it until the leader sends it again; no leader did.

Why it works: the leader goes back to the place that the member names, and counts the entries again only when they are durable. That can only delay a commit. A rejection older than the latest accepted message is ignored; one that leads no further back waits for the heartbeat. MP1419 tells which keeper lost what.

--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -13,8 +13,8 @@
 use micaspool_ledger::{LedgerOptions, LedgerTime};
 use micaspool_quorum::{
     EntryPayload, Envelope, GroupMembership, InstalledSnapshot, LeaveOutcome, LogEntry, LogIndex,
-    ProposeError, QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput, QuorumRole, QuorumStatus,
-    RestoredState,
+    LostEntries, ProposeError, QuorumCore, QuorumEvent, QuorumOptions, QuorumOutput, QuorumRole,
+    QuorumStatus, RestoredState,
 };
 use micaspool_registry::DepartureCommand;
 use micaspool_settings::apply::{self, SettingsUpdate};
@@ -308,6 +308,7 @@
         for entry in output.committed {
             self.apply(entry);
         }
+        output.lost_entries.iter().for_each(record_lost_entries);
         Ok(())
     }
 
@@ -419,6 +420,12 @@
     }
 }
 
+fn record_lost_entries(lost: &LostEntries) {
+    let member = field("keeper", lost.member.name.as_str());
+    let positions = [field("acknowledged", lost.acknowledged.0), field("left", lost.left.0)];
+    record(&events::ACKNOWLEDGED_LOST, &[&[member][..], &positions[..]].concat());
+}
+
 /// Logs the members of the group after a change.
 fn record_group(membership: &GroupMembership) {
     let names = |is_voter: bool| -> String {
--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -4,7 +4,7 @@
 use super::{QuorumCore, RoleState};
 use crate::message::PeerBody;
 use crate::options::QuorumOptions;
-use crate::output::InstalledSnapshot;
+use crate::output::{InstalledSnapshot, LostEntries};
 use crate::types::{GroupMembership, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
 use micaspool_types::{Moment, Term};
 use std::collections::HashMap;
@@ -15,6 +15,8 @@
 pub(super) struct MemberProgress {
     /// The last entry known to be durable at the member.
     pub matched: LogIndex,
+    /// The send time of the latest message that was accepted.
+    accepted_at: Option<Moment>,
     /// The next entry to send.
     next: LogIndex,
     /// The send time of the message that awaits a reply, if any.
@@ -25,6 +27,23 @@
     last_sent: Option<Moment>,
 }
 
+impl MemberProgress {
+    fn accept(&mut self, matched: LogIndex, sent_at: Moment) {
+        self.accepted_at = self.accepted_at.max(Some(sent_at));
+        self.matched = self.matched.max(matched);
+        self.next = self.next.max(self.matched.next());
+    }
+
+    /// Goes back to the position that the member names. If it has acknowledged more than that, it no longer has those
+    /// entries: they are sent again and don't count until then. Returns what it had acknowledged.
+    fn reject(&mut self, position: LogIndex, last: LogIndex) -> Option<LogIndex> {
+        let acknowledged = self.matched;
+        self.matched = acknowledged.min(position);
+        self.next = position.next().min(last.next());
+        (acknowledged > position).then_some(acknowledged)
+    }
+}
+
 /// The state that a keeper has while it leads.
 #[derive(Debug)]
 pub(super) struct LeaderState {
@@ -160,6 +179,7 @@
         for member in members {
             state.progress.entry(member).or_insert(MemberProgress {
                 matched: LogIndex(0),
+                accepted_at: None,
                 next,
                 in_flight: None,
                 last_contact: None,
@@ -312,15 +332,21 @@
         if progress.in_flight.is_some_and(|sent| sent <= sent_at) {
             progress.in_flight = None;
         }
+        let previous_next = progress.next;
+        let mut lost = None;
         if accepted {
-            progress.matched = progress.matched.max(matched);
-            progress.next = progress.next.max(progress.matched.next());
-        } else {
-            progress.next = matched.next().max(progress.matched.next()).min(last.next());
+            progress.accept(matched, sent_at);
+        } else if progress.accepted_at.is_none_or(|at| at < sent_at) {
+            lost = progress.reject(matched, last);
+        }
+        let is_behind = progress.next <= last && progress.in_flight.is_none();
+        let has_retreated = progress.next < previous_next;
+        if let Some(acknowledged) = lost {
+            let member = from.clone();
+            self.output.lost_entries.push(LostEntries { member, acknowledged, left: matched });
         }
-        let has_more = progress.next <= last && progress.in_flight.is_none();
         self.advance_commit(now);
-        if has_more || !accepted {
+        if has_retreated || (accepted && is_behind) {
             self.send_entries(now, from);
         }
     }
--- a/crates/micaspool-quorum/src/lib.rs
+++ b/crates/micaspool-quorum/src/lib.rs
@@ -18,7 +18,7 @@
 pub use log::EntryLog;
 pub use message::{LeaveOutcome, PeerBody, PeerMessage};
 pub use options::{OpenGroupOptions, QuorumOptions};
-pub use output::{Envelope, InstalledSnapshot, QuorumEvent, QuorumOutput, SaveBatch};
+pub use output::{Envelope, InstalledSnapshot, LostEntries, QuorumEvent, QuorumOutput, SaveBatch};
 pub use types::{
     EntryPayload, GroupMember, GroupMembership, HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot,
     RestoredState,
--- a/crates/micaspool-quorum/src/output.rs
+++ b/crates/micaspool-quorum/src/output.rs
@@ -1,7 +1,7 @@
 //! Input events and outputs of the state machine.
 
 use crate::message::PeerMessage;
-use crate::types::{HardState, LogEntry, LogIndex, LogSnapshot};
+use crate::types::{HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
 use micaspool_types::InstanceName;
 
 /// An input event of [`QuorumCore::step`](crate::QuorumCore::step).
@@ -65,6 +65,17 @@
     pub dropped_entries: u64,
 }
 
+/// Entries that a member had acknowledged as durable and no longer has. The leader sends them again.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct LostEntries {
+    /// The member.
+    pub member: KeeperIdentity,
+    /// The last entry that it had acknowledged.
+    pub acknowledged: LogIndex,
+    /// The last entry that it may still have.
+    pub left: LogIndex,
+}
+
 /// The effects of events, in the order in which the caller must process them.
 #[derive(Clone, Default, PartialEq, Eq, Debug)]
 pub struct QuorumOutput {
@@ -76,11 +87,17 @@
     pub install: Option<InstalledSnapshot>,
     /// Last, committed entries to apply in order.
     pub committed: Vec<LogEntry>,
+    /// What members have lost, to be logged.
+    pub lost_entries: Vec<LostEntries>,
 }
 
 impl QuorumOutput {
     /// Returns whether there is nothing to do.
     pub fn is_empty(&self) -> bool {
-        self.save.is_empty() && self.send.is_empty() && self.install.is_none() && self.committed.is_empty()
+        self.save.is_empty()
+            && self.send.is_empty()
+            && self.install.is_none()
+            && self.committed.is_empty()
+            && self.lost_entries.is_empty()
     }
 }
--- a/crates/micaspool-quorum/tests/follower_log.rs
+++ b/crates/micaspool-quorum/tests/follower_log.rs
@@ -5,7 +5,8 @@
 use harness::{Disk, Harness};
 use micaspool_quorum::{
     EntryPayload, GroupMember, GroupMembership, KeeperIdentity, LogEntry, LogIndex, LogSnapshot,
-    OpenGroupOptions, PeerBody, PeerMessage, QuorumCore, QuorumEvent, QuorumOptions, RestoredState,
+    OpenGroupOptions, PeerBody, PeerMessage, QuorumCore, QuorumEvent, QuorumOptions, QuorumStatus,
+    RestoredState,
 };
 use micaspool_types::{Incarnation, InstanceName, Moment, Term};
 use rand::seq::IndexedRandom;
@@ -125,3 +126,48 @@
         harness.check_acknowledged();
     }
 }
+
+// Guards against a follower that is rejected for good, and counted, after its disk lost what it had synced.
+#[test]
+fn a_follower_whose_files_lost_their_end_gets_it_again() {
+    for seed in 0..100 {
+        let mut harness = Harness::open(3, seed);
+        let leader = harness.elect(5_000);
+        for number in 0..6_u8 {
+            harness.commit(&[number], 5_000);
+        }
+        let (damaged, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        harness.run_for(500);
+        harness.crash(damaged);
+        let lost = harness.rng.random_range(1..5);
+        let entries = &mut harness.nodes[damaged].disk.entries;
+        entries.truncate(entries.len() - lost);
+        harness.start(damaged);
+        harness.run_for(1_000);
+        assert_eq!(harness.nodes[damaged].applied, harness.history, "seed {seed}");
+        harness.crash(other);
+        harness.commit(b"with the repaired one", 5_000);
+        harness.check_acknowledged();
+    }
+}
+
+// Guards against rejections and messages that answer each other without a pause.
+#[test]
+fn a_follower_that_always_rejects_gets_a_message_per_heartbeat() {
+    let mut harness = Harness::open(3, 1);
+    let leader = harness.elect(5_000);
+    harness.commit(b"first", 5_000);
+    let rejecting = harness.nodes[(leader + 1) % 3].name.clone();
+    let now = harness.now;
+    let core = harness.nodes[leader].core.as_mut().expect("the leader runs");
+    let QuorumStatus { term, membership, .. } = core.status(now);
+    let from = membership.member_named(&rejecting).expect("it is a member").identity.clone();
+    let mut sent = 0;
+    for _ in 0..1_000 {
+        let body = PeerBody::AppendReply { accepted: false, matched: LogIndex(1), sent_at: now };
+        let message = PeerMessage { from: from.clone(), term, body };
+        core.step(now, QuorumEvent::Message(message));
+        sent += core.take_output().send.len();
+    }
+    assert!(sent <= 1, "{sent} messages at once");
+}
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -156,6 +156,9 @@
 pub const LEAVE_ENDED: EventKind = kind("MP1417", Level::Info, "keeper may stop");
 /// A snapshot of the leader has replaced the log of this keeper.
 pub const SNAPSHOT_INSTALLED: EventKind = kind("MP1418", Level::Info, "snapshot of the leader installed");
+/// A member no longer has entries that it had acknowledged to this keeper, which leads and sends them again.
+pub const ACKNOWLEDGED_LOST: EventKind =
+    kind("MP1419", Level::Warn, "keeper lost entries that it acknowledged");
 /// An endpoint has registered, or announced that it is draining or leaving.
 pub const ENDPOINT_STAGE: EventKind = kind("MP1501", Level::Info, "endpoint changed its stage");
 /// An endpoint was restarted. Requests, caches and failures of the earlier incarnation no longer count.
@@ -278,6 +281,7 @@
     DEPARTURE_UNCONFIRMED,
     LEAVE_ENDED,
     SNAPSHOT_INSTALLED,
+    ACKNOWLEDGED_LOST,
     ENDPOINT_STAGE,
     ENDPOINT_EXPIRED,
     ENDPOINT_RESTARTED,
