--- a/crates/micaspool-store/src/files.rs
+++ b/crates/micaspool-store/src/files.rs
@@ -70,12 +70,13 @@
         let scanned = scan_log(&path, &bytes, MAGIC.len())?;
         let truncated_bytes = (bytes.len() - scanned.end) as u64;
         let log = open_log(&path, scanned.end as u64, truncated_bytes > 0, options)?;
-        let entries: Vec<LogEntry> =
-            scanned.entries.into_iter().filter(|entry| entry.index > snapshot.index).collect();
+        let is_superseded = scanned.entries.iter().any(|entry| conflicts_with(entry, &snapshot));
+        let is_kept = |entry: &LogEntry| entry.index > snapshot.index && !is_superseded;
+        let entries: Vec<LogEntry> = scanned.entries.into_iter().filter(is_kept).collect();
         check_sequence(&path, &snapshot, &entries)?;
         let restored =
             RestoredState { identity, hard: scanned.hard.clone(), snapshot, entries: entries.clone() };
-        let files = KeeperFiles {
+        let mut files = KeeperFiles {
             folder: folder.to_owned(),
             options,
             log,
@@ -85,6 +86,9 @@
             failed: false,
             syncs: 0,
         };
+        if is_superseded {
+            files.rewrite_log()?;
+        }
         Ok(OpenOutcome { files, restored, truncated_bytes })
     }
 
@@ -141,8 +145,9 @@
         Ok(())
     }
 
-    /// Writes the snapshot, then a log with only the entries after it. A crash between the two leaves
-    /// entries in the log that the snapshot covers, which are ignored when the files are opened.
+    /// Writes the snapshot, then a log with only the entries after it. A crash between the two leaves the log as it was
+    /// before. When the files are opened, entries that the snapshot covers are ignored, and all entries if the snapshot is
+    /// of another history than the log.
     fn replace_snapshot(&mut self, snapshot: &LogSnapshot) -> Result<(), Error> {
         write_checked_file(&self.folder, SNAPSHOT, snapshot, self.options)?;
         self.entries.retain(|entry| entry.index > snapshot.index);
@@ -204,6 +209,12 @@
     Ok(file)
 }
 
+/// Returns whether an entry stands where the snapshot's last entry is and has another term. The snapshot has then replaced
+/// the whole log, and the entries after that place are not of its history.
+fn conflicts_with(entry: &LogEntry, snapshot: &LogSnapshot) -> bool {
+    entry.index == snapshot.index && entry.term != snapshot.term
+}
+
 /// Checks that the entries follow the snapshot without a gap.
 fn check_sequence(path: &Path, snapshot: &LogSnapshot, entries: &[LogEntry]) -> Result<(), Error> {
     let mut expected = snapshot.index;
--- a/crates/micaspool-store/tests/files.rs
+++ b/crates/micaspool-store/tests/files.rs
@@ -106,6 +106,25 @@
     assert_eq!(restored.entries, (8..=10).map(|index| entry(index, 1)).collect::<Vec<_>>());
 }
 
+// Guards against entries of another history behind a snapshot, which would count in votes as if they followed it.
+#[test]
+fn entries_of_another_history_than_the_snapshot_are_dropped_after_a_crash_between_its_files() {
+    let folder = TemporaryFolder::new();
+    let (mut files, _, _) = open(&folder.0);
+    files.save(append((1..=10).map(|index| entry(index, 2)).collect())).expect("saving succeeds");
+    let old_log = fs::read(folder.0.join("log")).expect("the log exists");
+    let snapshot = LogSnapshot { index: LogIndex(7), term: Term(3), ..LogSnapshot::default() };
+    let truncate_from = Some(LogIndex(8));
+    let batch = SaveBatch { snapshot: Some(snapshot), truncate_from, ..SaveBatch::default() };
+    files.save(batch).expect("saving succeeds");
+    fs::write(folder.0.join("log"), old_log).expect("the log exists");
+    let (mut files, restored, _) = open(&folder.0);
+    assert_eq!(restored.entries, Vec::new());
+    files.save(append(vec![entry(8, 3)])).expect("saving succeeds");
+    let (_, restored, _) = open(&folder.0);
+    assert_eq!(restored.entries, vec![entry(8, 3)]);
+}
+
 #[test_case(1; "one byte missing")]
 #[test_case(15; "half a record missing")]
 #[test_case(27; "only part of the header left")]
