fix(keeper): the messages that the first stream to a keeper is opened for are sent

What callers saw: after a planned move of the core, half a second and more without a leader in which orders got 503, although the old leader had handed over.

Cause: a stream to another keeper is opened for the first message to it, and what had been queued until then was dropped. Successors send nothing to one another before they ask for votes, so the votes of their first election were lost.

Why it works: only what waited for a stream that was down before is out of date. The first one is opened for the message at the head of the queue.

--- a/crates/micaspool-keeper/src/peers.rs
+++ b/crates/micaspool-keeper/src/peers.rs
@@ -124,14 +124,16 @@
     }
 }
 
-/// Keeps a stream to a keeper open and reconnects when it fails. Messages that were queued while it
-/// was down are dropped.
+/// Keeps a stream to a keeper open and reconnects when it fails. Messages that were queued while it was down are dropped.
+/// Those that the first stream is opened for are sent: two keepers may never have exchanged a message before one asks the
+/// other for its vote.
 async fn run_peer_stream(address: SocketAddr, counter: TrafficCounter, queue: Receiver<PeerMessage>) {
     let mut delay = FIRST_RECONNECT_DELAY;
+    let mut is_first_attempt = true;
     while !queue.is_closed() {
         if let Ok(channel) = socket::connect(address, counter.clone()).await {
             let mut client = KeeperClient::new(channel).max_encoding_message_size(MAX_FRAME);
-            while queue.try_recv().is_ok() {}
+            while !is_first_attempt && queue.try_recv().is_ok() {}
             let frames = queue.clone().map(|message| encode_frame(&message));
             let opened_at = BootInstant::now();
             let _ = client.exchange(frames).await;
@@ -139,6 +141,7 @@
                 delay = FIRST_RECONNECT_DELAY;
             }
         }
+        is_first_attempt = false;
         tokio::time::sleep(delay).await;
         delay = (delay * 2).min(MAX_RECONNECT_DELAY);
     }
