--- a/crates/micaspool-keeper/src/daemon.rs
+++ b/crates/micaspool-keeper/src/daemon.rs
@@ -189,7 +189,7 @@
 
 impl KeeperDaemon {
     /// Leaves the group if it can spare this keeper, and hands over the role of the leader. Returns when that is done or
-    /// after [`MAX_LEAVE_TIME`]; the keeper is to be stopped then. Does nothing in a group without membership changes of
+    /// after three seconds; the keeper is to be stopped then. Does nothing in a group without membership changes of
     /// its own.
     pub async fn leave(&self) {
         let (waiter, done) = bounded(1);
