--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -252,8 +252,9 @@
         }
     }
 
-    /// Handles a message by its kind. Announcements, `Form`, pre-votes, startup probes and requests to leave do not affect the term. A reply to
-    /// a startup probe does only during the startup; any other message with a newer term makes this keeper adopt it.
+    /// Handles a message by its kind. Announcements, `Form`, pre-votes, startup probes and requests to leave do not affect
+    /// the term. A reply to a startup probe does only during the startup; any other message with a newer term makes this
+    /// keeper adopt it.
     fn receive(&mut self, now: Moment, message: PeerMessage) {
         let PeerMessage { from, term, body } = message;
         self.remember_sender(&from);
