--- a/crates/micaspool-quorum/src/core/election.rs
+++ b/crates/micaspool-quorum/src/core/election.rs
@@ -147,7 +147,7 @@
     pub(super) fn become_leader(&mut self, now: Moment) {
         self.startup.finish();
         self.leader = Some(self.identity.clone());
-        self.role = RoleState::Leader(super::replication::LeaderState::new(now));
+        self.role = RoleState::Leader(super::progress::LeaderState::new(now));
         self.append_entry(EntryPayload::Blank);
         self.tick_leader(now);
     }
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod forming;
 mod group;
 mod leaving;
+mod progress;
 mod replication;
 mod startup;
 
@@ -18,9 +19,10 @@
 use forming::FormingState;
 use leaving::LeavingState;
 use micaspool_types::{InstanceName, Moment, Term};
+use progress::LeaderState;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use replication::LeaderState;
+
 use startup::StartupState;
 use std::fmt;
 use std::time::Duration;
--- a/crates/micaspool-quorum/src/core/replication.rs
+++ b/crates/micaspool-quorum/src/core/replication.rs
@@ -1,141 +1,11 @@
 //! Replication of the log from the leader to the members: both the leader's and the follower's side.
 
-use super::leaving::REQUEST_VALIDITY;
+use super::progress::MemberProgress;
 use super::{QuorumCore, RoleState};
 use crate::message::PeerBody;
-use crate::options::QuorumOptions;
 use crate::output::{InstalledSnapshot, LostEntries};
-use crate::types::{GroupMembership, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
+use crate::types::{KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
 use micaspool_types::{Moment, Term};
-use std::collections::HashMap;
-use std::time::Duration;
-
-/// The leader's view of one member.
-#[derive(Debug, Clone)]
-pub(super) struct MemberProgress {
-    /// The last entry known to be durable at the member.
-    pub matched: LogIndex,
-    /// The send time of the latest message that was accepted.
-    accepted_at: Option<Moment>,
-    /// The next entry to send.
-    next: LogIndex,
-    /// The send time of the message that awaits a reply, if any.
-    in_flight: Option<Moment>,
-    /// The send time of the latest message that was answered. The leader lease counts from it.
-    pub last_contact: Option<Moment>,
-    /// The send time of the latest message, answered or not.
-    last_sent: Option<Moment>,
-}
-
-impl MemberProgress {
-    fn accept(&mut self, matched: LogIndex, sent_at: Moment) {
-        self.accepted_at = self.accepted_at.max(Some(sent_at));
-        self.matched = self.matched.max(matched);
-        self.next = self.next.max(self.matched.next());
-    }
-
-    /// Goes back to the position that the member names. If it has acknowledged more than that, it no longer has those
-    /// entries: they are sent again and don't count until then. Returns what it had acknowledged.
-    fn reject(&mut self, position: LogIndex, last: LogIndex) -> Option<LogIndex> {
-        let acknowledged = self.matched;
-        self.matched = acknowledged.min(position);
-        self.next = position.next().min(last.next());
-        (acknowledged > position).then_some(acknowledged)
-    }
-}
-
-/// The state that a keeper has while it leads.
-#[derive(Debug)]
-pub(super) struct LeaderState {
-    pub progress: HashMap<KeeperIdentity, MemberProgress>,
-    elected_at: Moment,
-    leaving: HashMap<KeeperIdentity, LeaveRequest>,
-}
-
-/// The request of a member that is about to stop.
-#[derive(Debug, Clone, Copy)]
-struct LeaveRequest {
-    first_at: Moment,
-    /// When it was last repeated.
-    last_at: Moment,
-}
-
-impl LeaderState {
-    pub fn new(now: Moment) -> LeaderState {
-        LeaderState { progress: HashMap::new(), elected_at: now, leaving: HashMap::new() }
-    }
-
-    /// Returns whether a majority of voters, including this keeper, was reachable within the election
-    /// timeout. A voter that has not answered yet counts as contacted at the election of the leader.
-    pub fn has_majority(
-        &self,
-        now: Moment,
-        own: &KeeperIdentity,
-        membership: &GroupMembership,
-        options: &QuorumOptions,
-    ) -> bool {
-        let is_reachable = |voter: &KeeperIdentity| {
-            let last_contact = self
-                .progress
-                .get(voter)
-                .and_then(|progress| progress.last_contact)
-                .unwrap_or(self.elected_at);
-            voter == own || now.since(last_contact) < options.election_timeout
-        };
-        membership.voters().filter(|voter| is_reachable(voter)).count() >= membership.majority()
-    }
-
-    /// Returns the time since this keeper became the leader.
-    pub fn time_since_election(&self, now: Moment) -> Duration {
-        now.since(self.elected_at)
-    }
-
-    /// Notes that a member is about to stop.
-    pub fn note_leaving(&mut self, now: Moment, member: KeeperIdentity) {
-        self.leaving.retain(|_, request| now.since(request.last_at) < REQUEST_VALIDITY);
-        let first = LeaveRequest { first_at: now, last_at: now };
-        self.leaving.entry(member).or_insert(first).last_at = now;
-    }
-
-    /// Returns since when this incarnation of a keeper has said that it is about to stop, if it still does.
-    pub fn leaving_since(&self, now: Moment, member: &KeeperIdentity) -> Option<Moment> {
-        let request = self.leaving.get(member)?;
-        (now.since(request.last_at) < REQUEST_VALIDITY).then_some(request.first_at)
-    }
-
-    /// Returns whether this incarnation of a keeper is about to stop.
-    pub fn is_leaving(&self, now: Moment, member: &KeeperIdentity) -> bool {
-        self.leaving_since(now, member).is_some()
-    }
-
-    /// Returns whether this keeper and those that answered a message sent since `since` are a majority of a membership.
-    pub fn has_majority_since(
-        &self,
-        since: Moment,
-        own: &KeeperIdentity,
-        membership: &GroupMembership,
-    ) -> bool {
-        let has_answered = |voter: &KeeperIdentity| {
-            let last_contact = self.progress.get(voter).and_then(|progress| progress.last_contact);
-            voter == own || last_contact.is_some_and(|at| at >= since)
-        };
-        membership.voters().filter(|voter| has_answered(voter)).count() >= membership.majority()
-    }
-
-    /// Returns the time since the last contact with a member, at most the time since the election of
-    /// this leader.
-    pub fn time_since_contact(&self, now: Moment, member: &KeeperIdentity) -> Duration {
-        let last_contact =
-            self.progress.get(member).and_then(|progress| progress.last_contact).unwrap_or(self.elected_at);
-        now.since(last_contact.max(self.elected_at))
-    }
-
-    /// Returns whether this incarnation of a keeper has answered within the election timeout.
-    pub fn has_recent_contact(&self, now: Moment, member: &KeeperIdentity, options: &QuorumOptions) -> bool {
-        let last_contact = self.progress.get(member).and_then(|progress| progress.last_contact);
-        last_contact.is_some_and(|last_contact| now.since(last_contact) < options.election_timeout)
-    }
-}
 
 impl QuorumCore {
     /// Runs the leader's timers: steps down without a majority, otherwise sends due heartbeats and
@@ -159,7 +29,7 @@
     pub(super) fn replicate_idle(&mut self, now: Moment) {
         self.sync_progress();
         for member in self.other_members() {
-            if self.progress_mut(&member).is_some_and(|progress| progress.in_flight.is_none()) {
+            if self.progress_mut(&member).is_some_and(|progress| !progress.is_awaiting()) {
                 self.send_entries(now, &member);
             }
         }
@@ -177,14 +47,7 @@
         let RoleState::Leader(state) = &mut self.role else { return };
         state.progress.retain(|member, _| members.contains(member));
         for member in members {
-            state.progress.entry(member).or_insert(MemberProgress {
-                matched: LogIndex(0),
-                accepted_at: None,
-                next,
-                in_flight: None,
-                last_contact: None,
-                last_sent: None,
-            });
+            state.progress.entry(member).or_insert(MemberProgress::new(next));
         }
     }
 
@@ -198,13 +61,12 @@
     fn is_heartbeat_due(&mut self, now: Moment, member: &KeeperIdentity) -> bool {
         let heartbeat = self.options.heartbeat;
         let progress = self.progress_mut(member);
-        progress.is_some_and(|progress| progress.last_sent.is_none_or(|sent| now.since(sent) >= heartbeat))
+        progress.is_some_and(|progress| progress.is_due(now, heartbeat))
     }
 
     fn send_entries(&mut self, now: Moment, member: &KeeperIdentity) {
         let Some(progress) = self.progress_mut(member) else { return };
-        progress.in_flight = Some(now);
-        progress.last_sent = Some(now);
+        progress.note_sent(now);
         let next = progress.next;
         let prev = LogIndex(next.0.saturating_sub(1));
         let is_compacted = next <= self.log.snapshot().index;
@@ -328,18 +190,16 @@
         let is_current_term = term == self.hard.term;
         let last = self.log.last_index();
         let Some(progress) = self.progress_mut(from).filter(|_| is_current_term) else { return };
-        progress.last_contact = progress.last_contact.max(Some(sent_at));
-        if progress.in_flight.is_some_and(|sent| sent <= sent_at) {
-            progress.in_flight = None;
-        }
         let previous_next = progress.next;
-        let mut lost = None;
-        if accepted {
-            progress.accept(matched, sent_at);
-        } else if progress.accepted_at.is_none_or(|at| at < sent_at) {
-            lost = progress.reject(matched, last);
-        }
-        let is_behind = progress.next <= last && progress.in_flight.is_none();
+        progress.note_reply(sent_at);
+        let lost = match accepted {
+            true => {
+                progress.accept(matched, sent_at);
+                None
+            }
+            false => progress.reject(matched, last, sent_at),
+        };
+        let is_behind = progress.next <= last && !progress.is_awaiting();
         let has_retreated = progress.next < previous_next;
         if let Some(acknowledged) = lost {
             let member = from.clone();
