--- a/crates/micaspool-daemon/src/arguments.rs
+++ b/crates/micaspool-daemon/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line and settings of a daemon.
 
+use crate::identity::{answer_version_request, BuildIdentity};
 use crate::{EXIT_FAILED, EXIT_USAGE};
 use argh::FromArgs;
 use micaspool_settings::process::{read_file, ProcessRole, ProcessSettings};
@@ -31,8 +32,9 @@
 }
 
 /// Parses the arguments, reads the settings and starts logging. Must be called before the first task runs. Exits with
-/// code 2 if the settings are invalid, with code 1 if logging cannot be started, and with code 0 after `--check`.
+/// code 2 if the settings are invalid, with code 1 if logging cannot be started, and with code 0 after `--check` and `--version`.
 pub fn start(role: ProcessRole) -> DaemonStart {
+    answer_version_request();
     let arguments: DaemonArguments = argh::from_env();
     let settings = match read_file(&arguments.settings, role) {
         Ok(settings) => settings,
@@ -72,6 +74,8 @@
 pub fn report_ready(process: &str, addresses: &[(&str, SocketAddr)]) {
     let formatted: Vec<String> = addresses.iter().map(|(key, address)| format!(" {key}={address}")).collect();
     println!("ready {process}{}", formatted.concat());
-    record(&events::PROCESS_READY, &[field("process", process)]);
+    let build = BuildIdentity::current();
+    let fields = [field("process", process), field("commit", build.commit), field("sources", build.sources)];
+    record(&events::PROCESS_READY, &fields);
     crate::watch_suspensions();
 }
--- a/crates/micaspool/src/main.rs
+++ b/crates/micaspool/src/main.rs
@@ -5,5 +5,6 @@
 mod cli;
 
 fn main() {
+    micaspool_daemon::answer_version_request();
     std::process::exit(cli::run(argh::from_env()));
 }
