fix(quorum): an acceptance that comes after a later rejection no longer counts as durable

By reading (no run showed it): a follower that lost the end of its files rejects a message, and the leader goes back. An acceptance of an earlier message that its former stream delivers afterwards raised what counts as durable there again, so that the leader could commit an entry that it alone holds, and a lost disk would lose what was acknowledged. The order of send times decides now. `follower_log`: the leader committed (3 where 2 is expected) before, green now; all rows of the crate are green.

--- a/crates/micaspool-quorum/src/core/progress.rs
+++ b/crates/micaspool-quorum/src/core/progress.rs
@@ -14,6 +14,8 @@
     pub matched: LogIndex,
     /// The send time of the latest message that was accepted.
     accepted_at: Option<Moment>,
+    /// The send time of the latest message that was rejected.
+    rejected_at: Option<Moment>,
     /// The next entry to send.
     pub next: LogIndex,
     /// The send time of the message that awaits a reply, if any.
@@ -30,6 +32,7 @@
         MemberProgress {
             matched: LogIndex(0),
             accepted_at: None,
+            rejected_at: None,
             next,
             in_flight: None,
             last_contact: None,
@@ -60,8 +63,12 @@
         }
     }
 
-    /// Notes that the member has made the entries up to `matched` durable.
+    /// Notes that the member has made the entries up to `matched` durable, unless it has rejected a later message since:
+    /// it may have lost them.
     pub fn accept(&mut self, matched: LogIndex, sent_at: Moment) {
+        if self.rejected_at.is_some_and(|at| at > sent_at) {
+            return;
+        }
         self.accepted_at = self.accepted_at.max(Some(sent_at));
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched.next());
@@ -74,6 +81,7 @@
         if self.accepted_at.is_some_and(|at| at >= sent_at) {
             return None;
         }
+        self.rejected_at = self.rejected_at.max(Some(sent_at));
         let acknowledged = self.matched;
         self.matched = acknowledged.min(position);
         self.next = position.next().min(last.next());
--- a/crates/micaspool-quorum/tests/follower_log.rs
+++ b/crates/micaspool-quorum/tests/follower_log.rs
@@ -171,3 +171,26 @@
     }
     assert!(sent <= 1, "{sent} messages at once");
 }
+
+// Guards against an entry that counts as durable at a member that has lost it since.
+#[test]
+fn an_acceptance_that_comes_after_a_later_rejection_does_not_count() {
+    let mut harness = Harness::open(3, 1);
+    let leader = harness.elect(5_000);
+    harness.commit(b"first", 5_000);
+    harness.run_for(500);
+    let member = harness.nodes[(leader + 1) % 3].name.clone();
+    let now = harness.now;
+    let later = Moment(now.0 + 10_000);
+    let core = harness.nodes[leader].core.as_mut().expect("the leader runs");
+    let (entry, term) = core.propose(now, EntryPayload::Command(b"second".to_vec())).expect("it leads");
+    core.take_output();
+    core.step(now, QuorumEvent::Saved);
+    let from = core.status(now).membership.member_named(&member).expect("it is a member").identity.clone();
+    let before = LogIndex(entry.0 - 1);
+    for (accepted, matched, sent_at) in [(false, before, later), (true, entry, now)] {
+        let body = PeerBody::AppendReply { accepted, matched, sent_at };
+        core.step(later, QuorumEvent::Message(PeerMessage { from: from.clone(), term, body }));
+    }
+    assert_eq!(core.status(later).commit, before);
+}
