fix(quorum, keeper): a voter whose address refuses connections is dropped before its silence is noticed

What callers saw: with a successor that has had its time (catch_up_s) a core machine ends without a word, and less than a second later another one loses its disk. Every GET and PUT of the configuration gets 503 from then on, though three machines run: two of four voters are left.

Cause: a surplus voter goes after a second of silence, and a killed leader is missed after 0.5 to 1 s and its silence then counted anew, though a refused connection tells within milliseconds that its process has ended.

Keepers now tell their engine of a keeper whose address has refused two connections in a row (MP1420). The leader takes it out of a group with voters to spare once a majority of the others has answered since; followers of it stand 50 ms apart. A wrong refusal can't lose anything: majorities commit as before.

Machines that lose power or network refuse nothing and count for a second as before.

--- a/crates/micaspool-keeper/src/peers.rs
+++ b/crates/micaspool-keeper/src/peers.rs
@@ -12,6 +12,7 @@
 use micaspool_clock::BootInstant;
 use micaspool_daemon::StartError;
 use micaspool_quorum::{Envelope, PeerMessage, QuorumEvent};
+use micaspool_telemetry::events::{self, field, record};
 use micaspool_telemetry::traffic::TrafficCounter;
 use micaspool_types::InstanceName;
 use micaspool_wire::socket::{self, CountedListener};
@@ -34,6 +35,8 @@
 const FIRST_RECONNECT_DELAY: Duration = Duration::from_millis(20);
 /// The maximum of that delay.
 const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(100);
+/// The number of refused connections in a row after which a keeper's process counts as ended.
+const MIN_REFUSALS: u32 = 2;
 /// The interval of [`QuorumEvent::Tick`]s.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// The same interval while this keeper knows no leader. Elections wait for ticks, and the group accepts no commands until
@@ -82,7 +85,9 @@
         if failed {
             return;
         }
-        tokio::spawn(dispatch_envelopes(self.directory, self.counter, self.outgoing));
+        let streams =
+            PeerStreams { directory: self.directory, counter: self.counter, inputs: self.inputs.clone() };
+        tokio::spawn(streams.dispatch_envelopes(self.outgoing));
         while self.inputs.send(EngineInput::Event(QuorumEvent::Tick)).await.is_ok() {
             let has_leader = self.view.lock().expect("no holder of the view panics").status.leader.is_some();
             let interval = if has_leader { TICK_INTERVAL } else { LEADERLESS_TICK_INTERVAL };
@@ -105,45 +110,74 @@
     Ok(())
 }
 
-/// Distributes messages to the queues of their receivers. The stream to a keeper is opened on the
-/// first message to it, at its address in the directory. Messages without an address are dropped.
-async fn dispatch_envelopes(
+/// The streams to the other keepers.
+#[derive(Clone)]
+struct PeerStreams {
     directory: Arc<dyn PeerDirectory>,
     counter: TrafficCounter,
-    outgoing: Receiver<Envelope>,
-) {
-    let mut queues: HashMap<InstanceName, Sender<PeerMessage>> = HashMap::new();
-    while let Ok(envelope) = outgoing.recv().await {
-        let Some(address) = directory.address(&envelope.to) else { continue };
-        let queue = queues.entry(envelope.to).or_insert_with(|| {
-            let (sender, receiver) = bounded(PEER_QUEUE_LEN);
-            tokio::spawn(run_peer_stream(address, counter.clone(), receiver));
-            sender
-        });
-        let _ = queue.try_send(envelope.message);
-    }
+    /// Refused connections are told to the engine.
+    inputs: Sender<EngineInput>,
 }
 
-/// Keeps a stream to a keeper open and reconnects when it fails. Messages that were queued while it was down are dropped.
-/// Those that the first stream is opened for are sent: two keepers may never have exchanged a message before one asks the
-/// other for its vote.
-async fn run_peer_stream(address: SocketAddr, counter: TrafficCounter, queue: Receiver<PeerMessage>) {
-    let mut delay = FIRST_RECONNECT_DELAY;
-    let mut is_first_attempt = true;
-    while !queue.is_closed() {
-        if let Ok(channel) = socket::connect(address, counter.clone()).await {
-            let mut client = KeeperClient::new(channel).max_encoding_message_size(MAX_FRAME);
-            while !is_first_attempt && queue.try_recv().is_ok() {}
-            let frames = queue.clone().map(|message| encode_frame(&message));
-            let opened_at = BootInstant::now();
-            let _ = client.exchange(frames).await;
-            if opened_at.elapsed() >= MAX_RECONNECT_DELAY {
-                delay = FIRST_RECONNECT_DELAY;
+impl PeerStreams {
+    /// Distributes messages to the queues of their receivers. The stream to a keeper is opened on the
+    /// first message to it, at its address in the directory. Messages without an address are dropped.
+    async fn dispatch_envelopes(self, outgoing: Receiver<Envelope>) {
+        let mut queues: HashMap<InstanceName, Sender<PeerMessage>> = HashMap::new();
+        while let Ok(envelope) = outgoing.recv().await {
+            let Some(address) = self.directory.address(&envelope.to) else { continue };
+            let name = envelope.to.clone();
+            let queue = queues.entry(envelope.to).or_insert_with(|| {
+                let (sender, receiver) = bounded(PEER_QUEUE_LEN);
+                tokio::spawn(self.clone().run_peer_stream(name, address, receiver));
+                sender
+            });
+            let _ = queue.try_send(envelope.message);
+        }
+    }
+
+    /// Keeps a stream to a keeper open and reconnects when it fails. Messages that were queued while it was down are
+    /// dropped. Those that the first stream is opened for are sent: two keepers may never have exchanged a message before
+    /// one asks the other for its vote.
+    async fn run_peer_stream(self, name: InstanceName, address: SocketAddr, queue: Receiver<PeerMessage>) {
+        let mut delay = FIRST_RECONNECT_DELAY;
+        let mut is_first_attempt = true;
+        let mut refusals_in_row = 0;
+        while !queue.is_closed() {
+            match socket::connect(address, self.counter.clone()).await {
+                Ok(channel) => {
+                    refusals_in_row = 0;
+                    let mut client = KeeperClient::new(channel).max_encoding_message_size(MAX_FRAME);
+                    while !is_first_attempt && queue.try_recv().is_ok() {}
+                    let frames = queue.clone().map(|message| encode_frame(&message));
+                    let opened_at = BootInstant::now();
+                    let _ = client.exchange(frames).await;
+                    if opened_at.elapsed() >= MAX_RECONNECT_DELAY {
+                        delay = FIRST_RECONNECT_DELAY;
+                    }
+                }
+                Err(error) if socket::is_refused(&error) => {
+                    refusals_in_row += 1;
+                    self.tell_refusal(&name, refusals_in_row);
+                }
+                Err(_) => refusals_in_row = 0,
             }
+            is_first_attempt = false;
+            tokio::time::sleep(delay).await;
+            delay = (delay * 2).min(MAX_RECONNECT_DELAY);
+        }
+    }
+
+    /// Tells the engine that a keeper has refused connections, from the second time in a row on: a process that starts again
+    /// may be between two bindings of its address.
+    fn tell_refusal(&self, name: &InstanceName, refusals_in_row: u32) {
+        if refusals_in_row < MIN_REFUSALS {
+            return;
+        }
+        if refusals_in_row == MIN_REFUSALS {
+            record(&events::KEEPER_REFUSES, &[field("keeper", name)]);
         }
-        is_first_attempt = false;
-        tokio::time::sleep(delay).await;
-        delay = (delay * 2).min(MAX_RECONNECT_DELAY);
+        let _ = self.inputs.try_send(EngineInput::Event(QuorumEvent::Refused(name.clone())));
     }
 }
 
--- a/crates/micaspool-quorum/src/core/group.rs
+++ b/crates/micaspool-quorum/src/core/group.rs
@@ -55,6 +55,7 @@
         let learner = self.caught_up_learner(now);
         let changed_membership = self
             .removable_voter(now, learner.is_some())
+            .or_else(|| self.refusing_voter(now))
             .map(|unreachable| self.log.membership().without_member(&unreachable))
             .or_else(|| self.membership_without_leaving(now))
             .or_else(|| self.membership_with_voter(now, learner?));
--- a/crates/micaspool-quorum/src/core/mod.rs
+++ b/crates/micaspool-quorum/src/core/mod.rs
@@ -5,6 +5,7 @@
 mod group;
 mod leaving;
 mod progress;
+mod refusals;
 mod replication;
 mod startup;
 
@@ -22,6 +23,7 @@
 use progress::LeaderState;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use refusals::RefusalState;
 
 use startup::StartupState;
 use std::fmt;
@@ -112,6 +114,7 @@
     forming: FormingState,
     startup: StartupState,
     leaving: LeavingState,
+    refusals: RefusalState,
     rng: ChaCha8Rng,
     output: QuorumOutput,
     /// Whether `hard` has changed since the last output.
@@ -137,6 +140,7 @@
             forming: FormingState::default(),
             startup: StartupState::new(now, &options),
             leaving: LeavingState::default(),
+            refusals: RefusalState::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             output: QuorumOutput::default(),
             hard_dirty: false,
@@ -157,6 +161,7 @@
             QuorumEvent::Compact(index, data) => self.compact(index, data),
             QuorumEvent::RecoverAlone => self.recover_alone(now),
             QuorumEvent::Leave => self.begin_leaving(now),
+            QuorumEvent::Refused(name) => self.handle_refused(now, name),
         }
     }
 
@@ -260,6 +265,7 @@
     fn receive(&mut self, now: Moment, message: PeerMessage) {
         let PeerMessage { from, term, body } = message;
         self.remember_sender(&from);
+        self.refusals.clear(&from.name);
         match body {
             PeerBody::Announce { empty, members } => return self.handle_announce(now, from, empty, members),
             PeerBody::Form { membership } => return self.adopt_group(now, membership),
--- a/crates/micaspool-quorum/src/output.rs
+++ b/crates/micaspool-quorum/src/output.rs
@@ -20,6 +20,8 @@
     /// The keeper is about to stop and leaves the group first, if the group can spare it. See
     /// [`QuorumCore::leave_outcome`](crate::QuorumCore::leave_outcome).
     Leave,
+    /// The address of another keeper has refused connections more than once in a row: its process has ended.
+    Refused(InstanceName),
 }
 
 /// A message and its receiver.
--- a/crates/micaspool-quorum/tests/harness/mod.rs
+++ b/crates/micaspool-quorum/tests/harness/mod.rs
@@ -13,6 +13,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 const STEP_MICROS: u64 = 10_000;
+/// The time from the end of a process to its second refusal, and the interval of further ones.
+const FIRST_REFUSAL_MICROS: u64 = 100_000;
+const REFUSAL_INTERVAL_MICROS: u64 = 100_000;
 const START_MICROS: u64 = 1_000_000;
 
 /// The state that survives a crash.
@@ -55,6 +58,8 @@
     pub paused: bool,
     /// The messages that a frozen keeper finds when it wakes.
     pub frozen: Option<Vec<QuorumEvent>>,
+    /// When the process ended, if it is down.
+    pub ended_at: Option<Moment>,
     /// Commands applied since the start of the log, in order.
     pub applied: Vec<Vec<u8>>,
 }
@@ -70,6 +75,8 @@
     /// The keepers that those which start from now on know of. `None` for those that form the group.
     pub seeds: Option<Vec<usize>>,
     pub blocked_links: BTreeSet<(usize, usize)>,
+    /// Whether the machines of keepers that are down run on and refuse connections. Otherwise they are silent.
+    pub refuses: bool,
     in_flight: BTreeMap<(Moment, u64), (usize, usize, Envelope)>,
     next_message_number: u64,
     leaders: HashMap<Term, KeeperIdentity>,
@@ -100,6 +107,7 @@
             open,
             seeds: None,
             blocked_links: BTreeSet::new(),
+            refuses: false,
             in_flight: BTreeMap::new(),
             next_message_number: 0,
             leaders: HashMap::new(),
@@ -117,6 +125,7 @@
                 disk,
                 paused: false,
                 frozen: None,
+                ended_at: None,
                 applied: Vec::new(),
             });
         }
@@ -147,6 +156,7 @@
         target.core = Some(QuorumCore::new(self.now, options, restored, seed));
         target.paused = false;
         target.frozen = None;
+        target.ended_at = None;
     }
 
     /// Starts an empty keeper under a new name, which knows only the seeds.
@@ -162,6 +172,7 @@
             disk,
             paused: false,
             frozen: None,
+            ended_at: None,
             applied: Vec::new(),
         });
         self.start(number);
@@ -171,6 +182,7 @@
     /// Stops a keeper without warning. Everything that is not on its disk is lost.
     pub fn crash(&mut self, node: usize) {
         self.nodes[node].core = None;
+        self.nodes[node].ended_at = Some(self.now);
         self.pending_commands.retain(|(proposer, _, _), _| *proposer != node);
     }
 
@@ -235,12 +247,30 @@
         while self.now < end {
             self.now = Moment(self.now.0 + STEP_MICROS);
             self.deliver_due();
+            self.refuse_connections();
             for node in 0..self.nodes.len() {
                 self.inject_event(node, QuorumEvent::Tick);
             }
         }
     }
 
+    /// Tells the running keepers of those whose machines refuse connections, as often as they try to connect again.
+    fn refuse_connections(&mut self) {
+        let is_due = |ended_at: Moment| {
+            let age = self.now.since(ended_at).as_micros() as u64;
+            age >= FIRST_REFUSAL_MICROS && age % REFUSAL_INTERVAL_MICROS < STEP_MICROS
+        };
+        let refusing: Vec<usize> = (0..self.nodes.len())
+            .filter(|node| self.refuses && self.nodes[*node].ended_at.is_some_and(is_due))
+            .collect();
+        for ended in refusing {
+            let name = self.nodes[ended].name.clone();
+            for node in (0..self.nodes.len()).filter(|node| *node != ended) {
+                self.inject_event(node, QuorumEvent::Refused(name.clone()));
+            }
+        }
+    }
+
     pub fn leader(&self) -> Option<usize> {
         let leads = |node: &Node| {
             node.core.as_ref().is_some_and(|core| core.is_leader() && core.is_confirmed(self.now))
--- a/crates/micaspool-quorum/tests/leaving.rs
+++ b/crates/micaspool-quorum/tests/leaving.rs
@@ -9,6 +9,8 @@
 use test_case::test_case;
 
 const SEEDS: u64 = 300;
+/// The shortest election timeout.
+const ELECTION_TIMEOUT_MS: u64 = 500;
 /// The time that a core machine has to catch up. A killed machine may not count for longer than its successor needs.
 const CATCH_UP_MS: u64 = 4_000;
 
@@ -84,6 +86,52 @@
     }
 }
 
+// Guards against a process that ended without a word and counts until its silence is noticed.
+#[test]
+fn a_voter_that_refuses_connections_is_dropped_within_an_election_timeout() {
+    for seed in 0..SEEDS {
+        let mut harness = group_with_successors(seed, 1);
+        harness.refuses = true;
+        let killed = harness.rng.random_range(0..3);
+        harness.crash(killed);
+        harness.run_for(ELECTION_TIMEOUT_MS);
+        let lost = (killed + harness.rng.random_range(1..3)) % 3;
+        harness.wipe(lost);
+        harness.elect(5_000);
+        harness.commit(b"second", 5_000);
+        harness.check_acknowledged();
+    }
+}
+
+// Guards against a keeper that restarts in place and is not admitted again after its refusals.
+#[test]
+fn a_voter_that_restarts_in_place_is_a_voter_again() {
+    for seed in 0..30 {
+        let mut harness = group_with_successors(seed, 1);
+        harness.refuses = true;
+        let killed = harness.rng.random_range(0..4);
+        harness.crash(killed);
+        let pause = harness.rng.random_range(1..100) * 10;
+        harness.run_for(pause);
+        harness.start(killed);
+        harness.run_for(4_000);
+        assert_eq!(voter_count(&harness), 4, "seed {seed}");
+    }
+}
+
+// Guards against an election timeout without a leader where its end is known.
+#[test]
+fn a_leader_that_refuses_connections_is_replaced_before_an_election_timeout() {
+    for seed in 0..SEEDS {
+        let mut harness = group_with_successors(seed, 0);
+        harness.refuses = true;
+        let killed = harness.leader().expect("a leader exists");
+        harness.crash(killed);
+        let next = harness.elect(ELECTION_TIMEOUT_MS);
+        assert_ne!(next, killed, "seed {seed}");
+    }
+}
+
 // Guards against a dead leader that still counts when its successor has caught up.
 #[test]
 fn a_killed_leader_is_replaced_before_its_successor_has_had_its_time() {
@@ -253,3 +301,50 @@
         harness.check_acknowledged();
     }
 }
+
+/// Ends without a word, restarts, lost disks and wrong refusals of running keepers in a row lose nothing that was
+/// acknowledged and are followed by a leader.
+#[test]
+fn ends_and_refusals_among_other_disruptions_lose_nothing() {
+    for seed in 0..200 {
+        let mut harness = group_with_successors(20_000 + seed, 0);
+        harness.refuses = true;
+        let mut running: Vec<usize> = vec![0, 1, 2];
+        for round in 0..6_u32 {
+            harness.seeds = Some(running.clone());
+            let slot = harness.rng.random_range(0..running.len());
+            let victim = running[slot];
+            match harness.rng.random_range(0..4) {
+                0 => {
+                    running[slot] = harness.add_keeper();
+                    harness.run_for(CATCH_UP_MS);
+                    harness.crash(victim);
+                    harness.run_for(ELECTION_TIMEOUT_MS);
+                    let other = running[(slot + 1) % running.len()];
+                    harness.wipe(other);
+                }
+                1 => {
+                    harness.crash(victim);
+                    let pause = harness.rng.random_range(0..100) * 10;
+                    harness.run_for(pause);
+                    harness.start(victim);
+                }
+                2 => harness.wipe(victim),
+                _ => {
+                    let name = harness.nodes[victim].name.clone();
+                    for _ in 0..harness.rng.random_range(1..20) {
+                        let by = *running.choose(&mut harness.rng).expect("some run");
+                        harness.inject_event(by, QuorumEvent::Refused(name.clone()));
+                        let command = [b'r', round as u8];
+                        harness.propose(by, &command);
+                        harness.run_for(30);
+                    }
+                }
+            }
+            harness.run_for(CATCH_UP_MS);
+            harness.elect(10_000);
+            harness.commit(format!("{seed}-{round}").as_bytes(), 10_000);
+        }
+        harness.check_acknowledged();
+    }
+}
--- a/crates/micaspool-telemetry/src/events.rs
+++ b/crates/micaspool-telemetry/src/events.rs
@@ -159,6 +159,8 @@
 /// A member no longer has entries that it had acknowledged to this keeper, which leads and sends them again.
 pub const ACKNOWLEDGED_LOST: EventKind =
     kind("MP1419", Level::Warn, "keeper lost entries that it acknowledged");
+/// The process of another keeper has ended.
+pub const KEEPER_REFUSES: EventKind = kind("MP1420", Level::Info, "keeper refuses connections");
 /// An endpoint has registered, or announced that it is draining or leaving.
 pub const ENDPOINT_STAGE: EventKind = kind("MP1501", Level::Info, "endpoint changed its stage");
 /// An endpoint was restarted. Requests, caches and failures of the earlier incarnation no longer count.
@@ -282,6 +284,7 @@
     LEAVE_ENDED,
     SNAPSHOT_INSTALLED,
     ACKNOWLEDGED_LOST,
+    KEEPER_REFUSES,
     ENDPOINT_STAGE,
     ENDPOINT_EXPIRED,
     ENDPOINT_RESTARTED,
--- a/crates/micaspool-wire/src/socket.rs
+++ b/crates/micaspool-wire/src/socket.rs
@@ -67,6 +67,19 @@
     }
 }
 
+/// Returns whether a connection was refused: the machine runs, and no process listens at the address.
+pub fn is_refused(error: &Error) -> bool {
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        let kind = cause.downcast_ref::<io::Error>().map(io::Error::kind);
+        if kind == Some(io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 /// A bound listener that counts the bytes of its connections.
 #[derive(Debug)]
 pub struct CountedListener {
