perf(keeper): a leader sends entries to its members before it has saved them itself

Where a sync takes long, each change cost it twice, one after the other: the members began to save when the leader had.

What a leader replicates now goes out before its own save, unless a term or vote is to be saved; it counts itself only afterwards, as before. `quorum faults`: entries are early, votes are not.

--- a/crates/micaspool-keeper/src/engine.rs
+++ b/crates/micaspool-keeper/src/engine.rs
@@ -252,13 +252,12 @@
         true
     }
 
-    fn execute_output(&mut self, output: QuorumOutput) -> Result<(), micaspool_store::Error> {
+    fn execute_output(&mut self, mut output: QuorumOutput) -> Result<(), micaspool_store::Error> {
+        self.send(output.take_early_messages());
         if !output.save.is_empty() {
             self.files.save(output.save)?;
         }
-        for envelope in output.send {
-            let _ = self.outgoing.try_send(envelope);
-        }
+        self.send(output.send);
         if let Some(installed) = output.install {
             self.install(&installed);
         }
@@ -269,6 +268,12 @@
         Ok(())
     }
 
+    fn send(&self, envelopes: Vec<Envelope>) {
+        for envelope in envelopes {
+            let _ = self.outgoing.try_send(envelope);
+        }
+    }
+
     fn install(&mut self, installed: &InstalledSnapshot) {
         let snapshot = &installed.snapshot;
         let fields = [field("index", snapshot.index.0), field("dropped", installed.dropped_entries)];
--- a/crates/micaspool-quorum/src/output.rs
+++ b/crates/micaspool-quorum/src/output.rs
@@ -1,6 +1,6 @@
 //! Input events and outputs of the state machine.
 
-use crate::message::PeerMessage;
+use crate::message::{PeerBody, PeerMessage};
 use crate::types::{HardState, KeeperIdentity, LogEntry, LogIndex, LogSnapshot};
 use micaspool_types::InstanceName;
 
@@ -83,7 +83,7 @@
 pub struct QuorumOutput {
     /// First, changes to persist.
     pub save: SaveBatch,
-    /// Second, messages to send.
+    /// Second, messages to send. Some may be sent before: see [`QuorumOutput::take_early_messages`].
     pub send: Vec<Envelope>,
     /// Third, a snapshot to load into the state machines.
     pub install: Option<InstalledSnapshot>,
@@ -94,6 +94,20 @@
 }
 
 impl QuorumOutput {
+    /// Takes the messages that need not wait until `save` is durable: what a leader replicates. Members make entries durable
+    /// while the leader does, which counts itself only afterwards. While a term or vote is to be saved, all messages wait.
+    pub fn take_early_messages(&mut self) -> Vec<Envelope> {
+        if self.save.hard.is_some() {
+            return Vec::new();
+        }
+        let is_early = |envelope: &Envelope| {
+            matches!(envelope.message.body, PeerBody::Append { .. } | PeerBody::Install { .. })
+        };
+        let (early, rest) = std::mem::take(&mut self.send).into_iter().partition(is_early);
+        self.send = rest;
+        early
+    }
+
     /// Returns whether there is nothing to do.
     pub fn is_empty(&self) -> bool {
         self.save.is_empty()
--- a/crates/micaspool-quorum/tests/faults.rs
+++ b/crates/micaspool-quorum/tests/faults.rs
@@ -3,7 +3,8 @@
 mod harness;
 
 use harness::Harness;
-use micaspool_quorum::{QuorumEvent, QuorumRole};
+use micaspool_quorum::{EntryPayload, Envelope, LogIndex, PeerBody, PeerMessage, QuorumEvent, QuorumRole};
+use micaspool_types::Term;
 use test_case::test_case;
 
 fn formed_group(seed: u64) -> Harness {
@@ -219,3 +220,26 @@
     harness.run_for(2_000);
     assert_eq!(is_voter(&harness), Some(true));
 }
+
+// Guards against members that begin to save only when the leader has, so that a slow disk costs twice its time.
+#[test]
+fn entries_are_sent_before_the_leader_has_saved_them_and_votes_are_not() {
+    let mut harness = Harness::new(3, 1);
+    let leader = harness.elect(5_000);
+    harness.run_for(500);
+    let now = harness.now;
+    let core = harness.nodes[leader].core.as_mut().expect("the leader runs");
+    core.propose(now, EntryPayload::Command(b"entry".to_vec())).expect("it leads");
+    let mut output = core.take_output();
+    assert!(!output.save.append.is_empty());
+    let is_append = |envelope: &Envelope| matches!(envelope.message.body, PeerBody::Append { .. });
+    let early = output.take_early_messages();
+    assert!(early.len() == 2 && early.iter().all(is_append), "{early:?}");
+    let from = harness.nodes[leader].core.as_ref().expect("it runs").identity().clone();
+    let voter = harness.nodes[(leader + 1) % 3].core.as_mut().expect("it runs");
+    let vote = PeerBody::Vote { last: LogIndex(100), last_term: Term(100) };
+    voter.step(now, QuorumEvent::Message(PeerMessage { from, term: Term(101), body: vote }));
+    let mut output = voter.take_output();
+    assert!(output.save.hard.is_some() && output.send.len() == 1);
+    assert_eq!(output.take_early_messages(), []);
+}
