--- a/crates/micaspool-daemon/src/identity.rs
+++ b/crates/micaspool-daemon/src/identity.rs
@@ -13,7 +13,7 @@
     pub sources: &'static str,
 }
 
-/// What a program says that was built by cargo alone, which doesn't tell which sources it took.
+/// What a program says that cargo alone has built: by file times, it may hold parts of earlier sources.
 const UNKNOWN: &str = "unknown";
 
 impl BuildIdentity {
--- a/crates/micaspool-daemon/src/lib.rs
+++ b/crates/micaspool-daemon/src/lib.rs
@@ -1,4 +1,5 @@
-//! Common parts of the daemons: arguments, the identity of the build, the settings file, logs, spans, signals, the ready line and start errors.
+//! Common parts of the daemons: arguments, the identity of the build, the settings file, logs, spans, signals, the ready
+//! line and start errors.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
--- a/crates/micaspool-quorum/src/core/refusals.rs
+++ b/crates/micaspool-quorum/src/core/refusals.rs
@@ -1,7 +1,7 @@
 //! Keepers whose address refuses connections: their process has ended, while their machine runs.
 //!
-//! A refusal proves nothing about the log, and needs not: what keeps a removal safe is the majority that commits it. It
-//! only lets the group act before a silence would have told the same.
+//! A refusal proves nothing, and needs not: what keeps a removal safe is the majority that commits it. It lets the group
+//! act before a silence would have told the same.
 
 use super::{QuorumCore, RoleState};
 use crate::types::KeeperIdentity;
@@ -12,8 +12,8 @@
 /// How long a refusal counts without being repeated.
 const REFUSAL_VALIDITY: Duration = Duration::from_secs(1);
 
-/// How long a voter that refuses connections has been given up for before the first of its followers stands, and the pause
-/// before each further one. A pre-vote and a vote fit in.
+/// The delay from giving up a leader to the pre-vote of the first voter, and from each voter's to the next one's. A pre-vote
+/// and a vote fit in.
 const STAND_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The members whose address refuses connections now.
