--- a/crates/micaspool-quorum/tests/leaving.rs
+++ b/crates/micaspool-quorum/tests/leaving.rs
@@ -70,19 +70,24 @@
     }
 }
 
+/// Kills one of the first three keepers for good, loses the disk of another one after a pause, and expects the group to go on.
+fn lose_disk_after_kill(harness: &mut Harness, pause: u64) {
+    let killed = harness.rng.random_range(0..3);
+    harness.crash(killed);
+    harness.run_for(pause);
+    let lost = (killed + harness.rng.random_range(1..3)) % 3;
+    harness.wipe(lost);
+    harness.elect(5_000);
+    harness.commit(b"second", 5_000);
+    harness.check_acknowledged();
+}
+
 // Guards against a machine that ends without a word and counts for longer than its successor needs to catch up.
 #[test]
 fn a_killed_voter_beside_its_successor_is_dropped_before_the_next_loss() {
     for seed in 0..SEEDS {
         let mut harness = group_with_successors(seed, 1);
-        let killed = harness.rng.random_range(0..3);
-        harness.crash(killed);
-        harness.run_for(CATCH_UP_MS);
-        let lost = (killed + harness.rng.random_range(1..3)) % 3;
-        harness.wipe(lost);
-        harness.elect(5_000);
-        harness.commit(b"second", 5_000);
-        harness.check_acknowledged();
+        lose_disk_after_kill(&mut harness, CATCH_UP_MS);
     }
 }
 
@@ -92,14 +97,7 @@
     for seed in 0..SEEDS {
         let mut harness = group_with_successors(seed, 1);
         harness.refuses = true;
-        let killed = harness.rng.random_range(0..3);
-        harness.crash(killed);
-        harness.run_for(ELECTION_TIMEOUT_MS);
-        let lost = (killed + harness.rng.random_range(1..3)) % 3;
-        harness.wipe(lost);
-        harness.elect(5_000);
-        harness.commit(b"second", 5_000);
-        harness.check_acknowledged();
+        lose_disk_after_kill(&mut harness, ELECTION_TIMEOUT_MS);
     }
 }
 
